--- a/balsamspindle/backend_servers/servers.py
+++ b/balsamspindle/backend_servers/servers.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from balsamspindle.wire.messages import BackendServerRecord
+from balsamspindle.wire import BackendServerRecord
 
 __all__ = [
     "ANNOUNCEMENT_TTL_S",
--- a/balsamspindle/membership/member.py
+++ b/balsamspindle/membership/member.py
@@ -35,6 +35,8 @@
 
     Parameters
     ----------
+    own : NodeRecord
+        This node's first record.
     backend_servers : callable
         Returns the records of this node's backend servers.
     """
@@ -43,7 +45,7 @@
         self,
         context: zmq.Context,
         settings: NodeSettings,
-        incarnation: int,
+        own: NodeRecord,
         directory: Directory,
         configuration: CurrentConfiguration,
         backend_servers: Callable[[], tuple[BackendServerRecord, ...]],
@@ -55,19 +57,10 @@
         self._configuration = configuration
         self._backend_servers = backend_servers
         self._events = events
-        self._random = random.Random(f"{settings.node_id}/{incarnation}")
+        self._random = random.Random(f"{own.node_id}/{own.incarnation}")
         self._stopped = threading.Event()
         self._peers: dict[str, zmq.Socket] = {}
-        self._record = NodeRecord(
-            settings.node_id,
-            incarnation,
-            0,
-            settings.region,
-            settings.availability_zone,
-            settings.link_address,
-            settings.member_address,
-            NodeState.ALIVE.value,
-        )
+        self._record = own
         self._router = context.socket(zmq.ROUTER)
         self._router.setsockopt(zmq.LINGER, 0)
         self._router.bind(f"tcp://{settings.member_address}")
@@ -131,7 +124,7 @@
     def _peer_addresses(self) -> list[str]:
         known = {record.member_address for record in self._directory.records()}
         known.update(self._settings.seed_addresses)
-        known.discard(self._settings.member_address)
+        known.discard(self._record.member_address)
         return sorted(known)
 
     def _take(self, frames: list[bytes], now_s: float) -> None:
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -11,7 +11,7 @@
 from balsamspindle.backend_servers.gate import Gate
 from balsamspindle.backend_servers.link_server import LinkServer
 from balsamspindle.backend_servers.servers import LocalBackendServers
-from balsamspindle.membership import Directory, Member, NodeState
+from balsamspindle.membership import Directory, Member
 from balsamspindle.node.admin import AdminApplication
 from balsamspindle.platform import HttpTableService
 from balsamspindle.requests.forwarding import Forwarder
@@ -22,7 +22,6 @@
 from balsamspindle.settings.store import SettingsStore
 from balsamspindle.settings.tree import CurrentConfiguration
 from balsamspindle.timeline import EventLog, HybridClock
-from balsamspindle.wire import NodeRecord
 
 __all__ = ["NodeProcess"]
 
@@ -49,20 +48,11 @@
             BackendServerClient(settings.answer_body_max_bytes),
             self.events,
         )
-        own = NodeRecord(
-            settings.node_id,
-            incarnation,
-            0,
-            settings.region,
-            settings.availability_zone,
-            settings.link_address,
-            settings.member_address,
-            NodeState.ALIVE.value,
-        )
+        own = settings.own_record(incarnation)
         self._member = Member(
             self._context,
             settings,
-            incarnation,
+            own,
             self._directory,
             self._configuration,
             self._servers.records,
--- a/balsamspindle/settings/process.py
+++ b/balsamspindle/settings/process.py
@@ -10,8 +10,12 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from balsamspindle.wire import NodeRecord
+
 __all__ = ["Address", "NodeSettings", "SettingsError", "load_node_settings"]
 
+NODE_ALIVE = "alive"
+
 Address = Annotated[
     str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$", max_length=21)
 ]
@@ -38,6 +42,9 @@
     admin_address : str
         Announcements of backend servers, status and metrics; keep it on
         loopback or behind the VM's firewall.
+    link_advertised_address, member_advertised_address : str, optional
+        What other nodes are told, where it differs from the address that
+        this process listens on.
     platform_address : str
         The platform's table service and object store.
     seed_addresses : tuple of str
@@ -51,6 +58,8 @@
     link_address: Address
     member_address: Address
     admin_address: Address
+    link_advertised_address: Address | None = None
+    member_advertised_address: Address | None = None
     platform_address: Address | None = None
     seed_addresses: tuple[Address, ...] = ()
     connections_max: int = 400
@@ -59,6 +68,19 @@
     answer_body_max_bytes: int = 8 * 1024 * 1024
     shutdown_timeout_s: float = 30.0
 
+    def own_record(self, incarnation: int) -> NodeRecord:
+        """Return this node's first record of an incarnation."""
+        return NodeRecord(
+            self.node_id,
+            incarnation,
+            0,
+            self.region,
+            self.availability_zone,
+            self.link_advertised_address or self.link_address,
+            self.member_advertised_address or self.member_address,
+            NODE_ALIVE,
+        )
+
 
 def load_node_settings(path: Path) -> Result[NodeSettings, SettingsError]:
     """Read and check the JSON file of a node process."""
--- a/balsamspindle/wire/__init__.py
+++ b/balsamspindle/wire/__init__.py
@@ -7,16 +7,18 @@
     decode_member,
     encode,
 )
-from balsamspindle.wire.messages import (
+from balsamspindle.wire.link_messages import (
     AttemptId,
-    BackendServerRecord,
     Cancel,
     Dispatch,
-    Hello,
     LinkMessage,
+    Reply,
+)
+from balsamspindle.wire.member_messages import (
+    BackendServerRecord,
+    Hello,
     MemberMessage,
     NodeRecord,
-    Reply,
     SettingsRequest,
     SettingsSnapshot,
 )
--- a/balsamspindle/wire/codec.py
+++ b/balsamspindle/wire/codec.py
@@ -6,7 +6,8 @@
 import xxhash
 from expression import Error, Ok, Result
 
-from balsamspindle.wire.messages import LinkMessage, MemberMessage
+from balsamspindle.wire.link_messages import LinkMessage
+from balsamspindle.wire.member_messages import MemberMessage
 
 __all__ = [
     "LINK_MESSAGE_MAX_BYTES",
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -156,6 +156,12 @@
             for server in node["backend_servers"]
         )
 
+    def is_ready(self, backend_ids, revision: int) -> bool:
+        """Tell whether the node has settings and knows the backend servers."""
+        if self.process.poll() is not None:
+            raise AssertionError(f"the node ended:\n{self.log_path.read_text()}")
+        return self.revision() >= revision and all(map(self.sees, backend_ids))
+
     def revision(self) -> int:
         """Return the revision of the settings in force."""
         status = self.status()
@@ -252,10 +258,7 @@
         """Wait until each node has settings and knows all backend servers."""
         for node in nodes:
             wait_until(
-                lambda node=node: (
-                    node.revision() >= revision
-                    and all(node.sees(server_id) for server_id in backend_ids)
-                ),
+                lambda node=node: node.is_ready(backend_ids, revision),
                 f"{node.settings['node_id']} is ready",
             )
 
