Give member messages an envelope, a byte cap and bounded connections

Cause: settings, membership and later parts all need to talk between nodes; one union of message types made each new type a change of the codec, and nothing bounded bytes or sockets.

Each frame now is an envelope (kind, sender with its settings revision and clock, undecoded body). Unknown kinds and garbage are counted and dropped; frames over 512 bytes are deflated, inflation is bounded.

Ruled out: tagged unions over all messages (an unknown tag would lose the sender, and array and map structs do not mix in one union).

--- /dev/null
+++ b/balsamspindle/membership/channel.py
@@ -0,0 +1,196 @@
+"""Typed messages between members, within the byte cap.
+
+Other parts of the node ride on it::
+
+    channel.register("settings_request", SettingsRequest, self._answer)
+    channel.send(address, SettingsRequest(41), now_s)
+
+A handler is called in the member task with the peer, the decoded message and
+the present time.
+"""
+
+import queue
+import time
+from collections import Counter
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import msgspec
+from expression import Result
+
+from balsamspindle.membership.budget import ByteBudget
+from balsamspindle.membership.transport import Route, Transport
+from balsamspindle.timeline import EventLog
+from balsamspindle.wire import Envelope, Sender, decode_member, encode_member
+
+__all__ = ["Channel", "Handler", "Peer"]
+
+DROP_EVENT_INTERVAL_S = 1.0
+
+
+class Peer(NamedTuple):
+    """The sender of a message.
+
+    Attributes
+    ----------
+    address : str
+        Its member address.
+    settings_revision : int
+        In force there when it sent; -1 for none.
+    route : Route
+        The connection that the message came on.
+    """
+
+    node_id: str
+    incarnation: int
+    address: str
+    settings_revision: int
+    route: Route
+
+
+Handler = Callable[[Peer, Any, float], None]
+
+
+class _Kind(NamedTuple):
+    decoder: msgspec.msgpack.Decoder
+    handler: Handler
+
+
+class Channel:
+    """Sends and takes the member messages of one node.
+
+    Parameters
+    ----------
+    sender : callable
+        Returns what each message says of this node.
+    on_peer : callable
+        Called with each peer and the present time before the message's own
+        handler: hears the peer's settings revision.
+
+    Attributes
+    ----------
+    counts : Counter
+        Messages by ``sent``, ``received``, ``over_cap``, ``not_sent`` and
+        ``dropped_...``.
+    """
+
+    def __init__(
+        self,
+        transport: Transport,
+        sender: Callable[[], Sender],
+        budget: ByteBudget,
+        events: EventLog,
+    ) -> None:
+        self._transport = transport
+        self._sender = sender
+        self._budget = budget
+        self._events = events
+        self._kinds: dict[str, _Kind] = {}
+        self._names: dict[type, str] = {}
+        self._calls: queue.SimpleQueue[Callable[[], None]] = queue.SimpleQueue()
+        self._drop_event_s = float("-inf")
+        self._on_peer: list[Callable[[Peer, float], None]] = []
+        self.counts: Counter[str] = Counter()
+
+    def register(self, kind: str, message_type: type, handler: Handler) -> None:
+        """Take messages of a kind; register before the member task runs."""
+        self._kinds[kind] = _Kind(msgspec.msgpack.Decoder(message_type), handler)
+        self._names[message_type] = kind
+
+    def on_peer(self, handler: Callable[[Peer, float], None]) -> None:
+        """Have each message's sender told to `handler`."""
+        self._on_peer.append(handler)
+
+    def send(self, address: str, message, now_s: float, urgent: bool = False) -> bool:
+        """Send a message of a registered type, from the member task.
+
+        Returns
+        -------
+        bool
+            False when the byte cap or the connection did not take it; it is
+            not kept.
+        """
+        frame = self._frame(message)
+        cost_bytes = self._transport.cost_bytes(address, len(frame))
+        return self._pay(cost_bytes, now_s, urgent) and self._count_sent(
+            self._transport.send(address, frame)
+        )
+
+    def answer(self, peer: Peer, message, now_s: float, urgent: bool = False) -> bool:
+        """Send back on the connection that the peer's message came on."""
+        frame = self._frame(message)
+        cost_bytes = self._transport.cost_bytes(peer.route.address, len(frame))
+        return self._pay(cost_bytes, now_s, urgent) and self._count_sent(
+            self._transport.answer(peer.route, frame)
+        )
+
+    def call_soon(self, function: Callable[[], None]) -> None:
+        """Run a function in the member task; callable from any thread."""
+        self._calls.put(function)
+        self._transport.wake()
+
+    def receive(self, wait_s: float, now_s: Callable[[], float]) -> int:
+        """Wait for frames, handle them, and return their number."""
+        received = self._transport.receive(wait_s)
+        while not self._calls.empty():
+            self._calls.get()()
+        for route, frame in received:
+            self.take(route, frame, now_s())
+        return len(received)
+
+    def take(self, route: Route, frame: bytes, now_s: float) -> None:
+        """Handle one frame; what can't be read is counted and dropped."""
+        match decode_member(frame):
+            case Result(tag="ok", ok=envelope):
+                self._take_envelope(route, envelope, now_s)
+            case Result(error=error):
+                self.drop("garbage", error.message, now_s)
+
+    def drop(self, why: str, cause: str, now_s: float) -> None:
+        """Count a dropped message and tell of it, at most once a second."""
+        self.counts[f"dropped_{why}"] += 1
+        if now_s - self._drop_event_s < DROP_EVENT_INTERVAL_S:
+            return
+        self._drop_event_s = now_s
+        total = self.counts[f"dropped_{why}"]
+        self._events.emit("message_dropped", why=why, total=total, cause=cause)
+
+    def _take_envelope(self, route: Route, envelope: Envelope, now_s: float):
+        kind = self._kinds.get(envelope.kind)
+        if kind is None:
+            self.drop("unknown_kind", envelope.kind[:40], now_s)
+            return
+        sender = envelope.sender
+        if sender.node_id == self._sender().node_id:
+            self.drop("own", "a message of this node itself", now_s)
+            return
+        try:
+            message = kind.decoder.decode(envelope.body)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            self.drop("garbage", f"{envelope.kind}: {error}", now_s)
+            return
+        self.counts["received"] += 1
+        self._events.clock.observe(sender.hlc, time.time())
+        peer = Peer(
+            sender.node_id,
+            sender.incarnation,
+            sender.address,
+            sender.settings_revision,
+            route,
+        )
+        for handler in self._on_peer:
+            handler(peer, now_s)
+        kind.handler(peer, message, now_s)
+
+    def _frame(self, message) -> bytes:
+        return encode_member(self._names[type(message)], self._sender(), message)
+
+    def _pay(self, cost_bytes: int, now_s: float, urgent: bool) -> bool:
+        if self._budget.take(cost_bytes, now_s, urgent):
+            return True
+        self.counts["over_cap"] += 1
+        return False
+
+    def _count_sent(self, taken: bool) -> bool:
+        self.counts["sent" if taken else "not_sent"] += 1
+        return taken
--- a/balsamspindle/membership/member.py
+++ b/balsamspindle/membership/member.py
@@ -7,9 +7,12 @@
 
 import msgspec
 import zmq
-from expression import Result
 
+from balsamspindle.membership.budget import ByteBudget
+from balsamspindle.membership.channel import Channel, Peer
 from balsamspindle.membership.directory import Directory, NodeState
+from balsamspindle.membership.settings_exchange import SettingsExchange
+from balsamspindle.membership.transport import ZmqTransport
 from balsamspindle.settings.process import NodeSettings
 from balsamspindle.settings.tree import CurrentConfiguration
 from balsamspindle.timeline import EventLog
@@ -17,10 +20,7 @@
     BackendServerRecord,
     Hello,
     NodeRecord,
-    SettingsRequest,
-    SettingsSnapshot,
-    decode_member,
-    encode,
+    Sender,
 )
 
 __all__ = ["Member"]
@@ -28,6 +28,7 @@
 HELLO_INTERVAL_S = 0.5
 HELLO_PEERS = 3
 SILENCE_TIMEOUT_S = 3.0
+BYTES_PER_S = 9000.0
 
 
 class Member:
@@ -39,6 +40,11 @@
         This node's first record.
     backend_servers : callable
         Returns the records of this node's backend servers.
+
+    Attributes
+    ----------
+    channel : Channel
+        For other parts that exchange messages with peers.
     """
 
     def __init__(
@@ -51,7 +57,6 @@
         backend_servers: Callable[[], tuple[BackendServerRecord, ...]],
         events: EventLog,
     ) -> None:
-        self._context = context
         self._settings = settings
         self._directory = directory
         self._configuration = configuration
@@ -59,11 +64,16 @@
         self._events = events
         self._random = random.Random(f"{own.node_id}/{own.incarnation}")
         self._stopped = threading.Event()
-        self._peers: dict[str, zmq.Socket] = {}
         self._record = own
-        self._router = context.socket(zmq.ROUTER)
-        self._router.setsockopt(zmq.LINGER, 0)
-        self._router.bind(f"tcp://{settings.member_address}")
+        self._transport = ZmqTransport(context, settings.member_address)
+        self.channel = Channel(
+            self._transport,
+            self._sender,
+            ByteBudget(BYTES_PER_S, time.monotonic()),
+            events,
+        )
+        self.channel.register("hello", Hello, self._hello)
+        SettingsExchange(self.channel, configuration, events)
 
     def run(self) -> None:
         """Take part until `stop` is called."""
@@ -73,12 +83,8 @@
             if now_s >= next_hello_s:
                 self._round(now_s)
                 next_hello_s = now_s + HELLO_INTERVAL_S
-            wait_ms = max(1, int((next_hello_s - time.monotonic()) * 1000))
-            if self._router.poll(wait_ms):
-                self._take(self._router.recv_multipart(), time.monotonic())
-        for socket in self._peers.values():
-            socket.close()
-        self._router.close()
+            self.channel.receive(next_hello_s - time.monotonic(), time.monotonic)
+        self._transport.close()
 
     def stop(self) -> None:
         """End `run` soon."""
@@ -98,16 +104,11 @@
             self._record.node_id, SILENCE_TIMEOUT_S, now_s
         ):
             self._events.emit("node_silent", peer=node_id)
-        hello = Hello(
-            self._record,
-            self._directory.records(),
-            self._configuration.revision,
-            self._events.clock.tick(time.time()),
-        )
+        hello = Hello(self._record, self._directory.records())
         addresses = self._peer_addresses()
         chosen = self._random.sample(addresses, min(HELLO_PEERS, len(addresses)))
         for address in chosen:
-            self._send(address, hello)
+            self.channel.send(address, hello, now_s)
 
     def refresh(self, now_s: float) -> None:
         """Bring this node's own record up to date."""
@@ -127,31 +128,11 @@
         known.discard(self._record.member_address)
         return sorted(known)
 
-    def _take(self, frames: list[bytes], now_s: float) -> None:
-        match decode_member(frames[-1]):
-            case Result(tag="ok", ok=message):
-                self._events.clock.observe(message.hlc, time.time())
-                self._handle(frames[0], message, now_s)
-            case Result(error=error):
-                self._events.emit("message_dropped", cause=error.message)
-
-    def _handle(self, routing_id: bytes, message, now_s: float) -> None:
-        match message:
-            case Hello(sender, records, settings_revision):
-                for record in (sender, *records):
-                    if record.node_id != self._record.node_id:
-                        self._learn(record, now_s)
-                self._directory.heard(sender.node_id, now_s)
-                if settings_revision > self._configuration.revision:
-                    self._send(
-                        sender.member_address,
-                        SettingsRequest(self._configuration.revision),
-                    )
-                    self._events.emit("settings_requested", peer=sender.node_id)
-            case SettingsRequest(above_revision):
-                self._answer_request(routing_id, above_revision)
-            case SettingsSnapshot(revision, documents):
-                self._offer(revision, documents)
+    def _hello(self, peer: Peer, hello: Hello, now_s: float) -> None:
+        for record in (hello.sender, *hello.records):
+            if record.node_id != self._record.node_id:
+                self._learn(record, now_s)
+        self._directory.heard(peer.node_id, now_s)
 
     def _learn(self, record: NodeRecord, now_s: float) -> None:
         if self._directory.update(record, now_s):
@@ -163,34 +144,11 @@
                 state=record.state,
             )
 
-    def _answer_request(self, routing_id: bytes, above_revision: int) -> None:
-        configuration = self._configuration.get()
-        if configuration is None or configuration.revision <= above_revision:
-            return
-        snapshot = SettingsSnapshot(configuration.revision, configuration.documents)
-        self._router.send_multipart([routing_id, encode(snapshot)])
-
-    def _offer(self, revision: int, documents: dict[str, bytes]) -> None:
-        match self._configuration.offer(revision, documents):
-            case Result(tag="ok", ok=True):
-                self._events.emit("settings_in_force", revision=revision, source="peer")
-            case Result(tag="error", error=faults):
-                self._events.emit(
-                    "settings_refused", revision=revision, cause=faults[0].message
-                )
-
-    def _send(self, address: str, message) -> None:
-        socket = self._peers.get(address)
-        if socket is None:
-            socket = self._context.socket(zmq.DEALER)
-            socket.setsockopt(zmq.LINGER, 0)
-            socket.setsockopt(zmq.SNDHWM, 10)
-            socket.connect(f"tcp://{address}")
-            self._peers[address] = socket
-        try:
-            socket.send(encode(message), zmq.NOBLOCK)
-        except zmq.Again:
-            self._events.emit("message_not_sent", address=address)
-        # Answers to earlier questions come back on the same socket.
-        while socket.poll(0):
-            self._take([b"", socket.recv()], time.monotonic())
+    def _sender(self) -> Sender:
+        return Sender(
+            self._record.node_id,
+            self._record.incarnation,
+            self._record.member_address,
+            self._configuration.revision,
+            self._events.clock.tick(time.time()),
+        )
--- a/balsamspindle/wire/__init__.py
+++ b/balsamspindle/wire/__init__.py
@@ -6,6 +6,7 @@
     decode_link,
     decode_member,
     encode,
+    encode_member,
 )
 from balsamspindle.wire.link_messages import (
     AttemptId,
@@ -16,9 +17,10 @@
 )
 from balsamspindle.wire.member_messages import (
     BackendServerRecord,
+    Envelope,
     Hello,
-    MemberMessage,
     NodeRecord,
+    Sender,
     SettingsRequest,
     SettingsSnapshot,
 )
@@ -28,11 +30,12 @@
     "BackendServerRecord",
     "Cancel",
     "Dispatch",
+    "Envelope",
     "Hello",
     "LinkMessage",
-    "MemberMessage",
     "NodeRecord",
     "Reply",
+    "Sender",
     "SettingsRequest",
     "SettingsSnapshot",
     "WireError",
@@ -40,4 +43,5 @@
     "decode_link",
     "decode_member",
     "encode",
+    "encode_member",
 ]
--- a/balsamspindle/wire/codec.py
+++ b/balsamspindle/wire/codec.py
@@ -1,5 +1,6 @@
 """Bytes from messages and back, with a version byte and a size bound."""
 
+import zlib
 from typing import Any
 
 import msgspec
@@ -7,7 +8,7 @@
 from expression import Error, Ok, Result
 
 from balsamspindle.wire.link_messages import LinkMessage
-from balsamspindle.wire.member_messages import MemberMessage
+from balsamspindle.wire.member_messages import Envelope, Sender
 
 __all__ = [
     "LINK_MESSAGE_MAX_BYTES",
@@ -18,15 +19,20 @@
     "decode_link",
     "decode_member",
     "encode",
+    "encode_member",
 ]
 
 WIRE_VERSION = b"\x01"
+# The same version, the rest deflated.
+WIRE_VERSION_DEFLATED = b"\x81"
+DEFLATE_ABOVE_BYTES = 512
+DEFLATE_LEVEL = 1
 LINK_MESSAGE_MAX_BYTES = 9 * 1024 * 1024
 MEMBER_MESSAGE_MAX_BYTES = 4 * 1024 * 1024
 
 _encoder = msgspec.msgpack.Encoder()
 _link_decoder = msgspec.msgpack.Decoder(LinkMessage)
-_member_decoder = msgspec.msgpack.Decoder(MemberMessage)
+_envelope_decoder = msgspec.msgpack.Decoder(Envelope)
 
 
 class WireError(msgspec.Struct, frozen=True):
@@ -50,9 +56,37 @@
     return _decode(frame, _link_decoder, LINK_MESSAGE_MAX_BYTES)
 
 
-def decode_member(frame: bytes) -> Result[MemberMessage, WireError]:
-    """Decode a message between members."""
-    return _decode(frame, _member_decoder, MEMBER_MESSAGE_MAX_BYTES)
+def encode_member(kind: str, sender: Sender, message: Any) -> bytes:
+    """Return the frame of one member message, deflated where that pays."""
+    body = msgspec.Raw(_encoder.encode(message))
+    payload = _encoder.encode(Envelope(kind, sender, body))
+    if len(payload) <= DEFLATE_ABOVE_BYTES:
+        return WIRE_VERSION + payload
+    return WIRE_VERSION_DEFLATED + zlib.compress(payload, DEFLATE_LEVEL)
+
+
+def decode_member(frame: bytes) -> Result[Envelope, WireError]:
+    """Decode the envelope of a member message; its body stays as it is."""
+    if frame[:1] == WIRE_VERSION_DEFLATED and len(frame) <= MEMBER_MESSAGE_MAX_BYTES:
+        return _inflate(frame[1:]).bind(
+            lambda payload: _decode(
+                WIRE_VERSION + payload, _envelope_decoder, MEMBER_MESSAGE_MAX_BYTES
+            )
+        )
+    return _decode(frame, _envelope_decoder, MEMBER_MESSAGE_MAX_BYTES)
+
+
+def _inflate(deflated: bytes) -> Result[bytes, WireError]:
+    # A few bytes can inflate to gigabytes: without a bound a stranger's
+    # frame would take this process's memory.
+    inflater = zlib.decompressobj()
+    try:
+        payload = inflater.decompress(deflated, MEMBER_MESSAGE_MAX_BYTES)
+    except zlib.error as error:
+        return Error(WireError(f"deflated frame: {error}"))
+    if not inflater.eof:
+        return Error(WireError("deflated frame is cut off or too large"))
+    return Ok(payload)
 
 
 def _decode(frame, decoder, max_bytes):
--- a/balsamspindle/wire/member_messages.py
+++ b/balsamspindle/wire/member_messages.py
@@ -1,18 +1,70 @@
-"""Messages between members: records of nodes, and settings."""
+"""Messages between members.
 
-from typing import NamedTuple
+Each frame is an `Envelope`: who sends, what kind of message, and the message
+itself still undecoded. A receiver decodes a kind that it has a handler for
+and counts the others, so that a kind can be added without a new version.
+
+Structs that travel often are MessagePack arrays: unknown trailing fields are
+passed over and missing ones take their default.
+"""
+
+from typing import Annotated, NamedTuple
 
 import msgspec
 
 __all__ = [
     "BackendServerRecord",
+    "Envelope",
     "Hello",
-    "MemberMessage",
     "NodeRecord",
+    "Sender",
     "SettingsRequest",
     "SettingsSnapshot",
 ]
 
+# A number above this can't be outbid by one more: garbage, or an attack.
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+NodeId = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+PeerAddress = Annotated[
+    str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$", max_length=21)
+]
+
+
+class Sender(msgspec.Struct, array_like=True, frozen=True):
+    """Who sends a member message, on each message.
+
+    Attributes
+    ----------
+    address : str
+        Where other nodes reach the sender's member task.
+    settings_revision : int
+        Revision in force at the sender; -1 without settings.
+    hlc : int
+        The sender's hybrid logical clock.
+    """
+
+    node_id: NodeId
+    incarnation: Count
+    address: PeerAddress
+    settings_revision: int = -1
+    hlc: int = 0
+
+
+class Envelope(msgspec.Struct, array_like=True, frozen=True):
+    """One member message on the wire.
+
+    Attributes
+    ----------
+    kind : str
+        Name under which the message's type is registered.
+    body : msgspec.Raw
+        The message as MessagePack.
+    """
+
+    kind: str
+    sender: Sender
+    body: msgspec.Raw
+
 
 class BackendServerRecord(NamedTuple):
     """What the fleet knows of one backend server, as its gate tells it.
@@ -62,28 +114,21 @@
     backend_servers: tuple[BackendServerRecord, ...] = ()
 
 
-class Hello(msgspec.Struct, tag="hello", frozen=True):
-    """Node to node: what the sender knows, and its settings' revision."""
+class Hello(msgspec.Struct, frozen=True):
+    """Node to node: what the sender knows."""
 
     sender: NodeRecord
     records: list[NodeRecord]
-    settings_revision: int
-    hlc: int = 0
 
 
-class SettingsRequest(msgspec.Struct, tag="settings_request", frozen=True):
+class SettingsRequest(msgspec.Struct, frozen=True):
     """Node to node: send the settings if they are above this revision."""
 
     above_revision: int
-    hlc: int = 0
 
 
-class SettingsSnapshot(msgspec.Struct, tag="settings_snapshot", frozen=True):
+class SettingsSnapshot(msgspec.Struct, frozen=True):
     """Node to node: all settings documents, as JSON, at one revision."""
 
     revision: int
     documents: dict[str, bytes]
-    hlc: int = 0
-
-
-MemberMessage = Hello | SettingsRequest | SettingsSnapshot
