Replace the flood of all records by probes, bounded news and digests

Cause: each node sent all records to three peers twice a second: bytes per node grew with the fleet, and silence towards one node alone removed a peer.

Ruled out: dropping entries by 'complete' records of third parties (a node that itself missed an entry would remove it elsewhere); entries of past backend servers stay as 'gone' until the node takes a new incarnation.

--- a/balsamspindle/membership/channel.py
+++ b/balsamspindle/membership/channel.py
@@ -124,6 +124,10 @@
             self._transport.answer(peer.route, frame)
         )
 
+    def routine_bytes(self, now_s: float) -> int:
+        """Return how many bytes a message that is not urgent may take now."""
+        return self._budget.routine_bytes(now_s)
+
     def call_soon(self, function: Callable[[], None]) -> None:
         """Run a function in the member task; callable from any thread."""
         self._calls.put(function)
--- /dev/null
+++ b/balsamspindle/membership/gossip.py
@@ -0,0 +1,110 @@
+"""Passes news on: on probes and acknowledgements, and to a few neighbours."""
+
+import random
+
+from balsamspindle.membership.channel import Channel, Peer
+from balsamspindle.membership.knowledge import Knowledge
+from balsamspindle.wire import Gossip, News, NodeRecord
+
+__all__ = ["Gossiper"]
+
+NEIGHBOURS_OWN_REGION = 6
+NEIGHBOURS_OTHER_REGIONS = 2
+NEIGHBOUR_CHANGE_INTERVAL_S = 30.0
+FANOUT = 2
+PIGGYBACK_MAX_BYTES = 500
+GOSSIP_MAX_BYTES = 4000
+# Rough ratio of a deflated message to its items, to fit it into the cap.
+DEFLATED_FRACTION = 0.5
+
+
+class Gossiper:
+    """Sends queued news; used by the member task alone.
+
+    Neighbours are a small random sample of the fleet that changes slowly, so
+    that their connections stay open: a fresh connection for each message
+    would cost more bytes than the news itself.
+    """
+
+    def __init__(
+        self, channel: Channel, knowledge: Knowledge, rng: random.Random
+    ) -> None:
+        self._channel = channel
+        self._knowledge = knowledge
+        self._random = rng
+        self._neighbours: list[NodeRecord] = []
+        self._turn = 0
+        self._changed_s = float("-inf")
+        self._revision = -1
+        channel.register("gossip", Gossip, self._take)
+
+    def piggyback(self, max_bytes: int = PIGGYBACK_MAX_BYTES) -> list[News]:
+        """Return news for a message that is sent anyhow."""
+        return self._knowledge.queue.take(max_bytes)
+
+    def tick(self, settings_revision: int, now_s: float) -> None:
+        """Send news to a few neighbours, if there is any.
+
+        A risen settings revision is news too: each message carries it.
+        """
+        self._refresh_neighbours(now_s)
+        risen = settings_revision > self._revision
+        self._revision = settings_revision
+        targets = len(self._neighbours) if risen else FANOUT
+        for _ in range(min(targets, len(self._neighbours))):
+            queue = self._knowledge.queue
+            if not len(queue) and not risen:
+                return
+            self._send_to_next(risen or queue.has_urgent(), now_s)
+
+    def _send_to_next(self, urgent: bool, now_s: float) -> None:
+        self._turn = (self._turn + 1) % len(self._neighbours)
+        room_bytes = self._channel.routine_bytes(now_s) / DEFLATED_FRACTION
+        size_bytes = int(min(room_bytes, GOSSIP_MAX_BYTES))
+        if size_bytes < PIGGYBACK_MAX_BYTES and not urgent:
+            return
+        news = self._knowledge.queue.take(
+            max(size_bytes, PIGGYBACK_MAX_BYTES), urgent_only=urgent and not size_bytes
+        )
+        address = self._neighbours[self._turn].member_address
+        self._channel.send(address, Gossip(news), now_s, urgent)
+
+    def _take(self, peer: Peer, gossip: Gossip, now_s: float) -> None:
+        self._knowledge.take(gossip.news, now_s, spread=True)
+
+    def _refresh_neighbours(self, now_s: float) -> None:
+        alive = self._knowledge.directory
+        self._neighbours = [
+            view.record
+            for view in map(alive.view, [one.node_id for one in self._neighbours])
+            if view is not None and not view.is_dead
+        ]
+        if now_s - self._changed_s >= NEIGHBOUR_CHANGE_INTERVAL_S and self._neighbours:
+            self._changed_s = now_s
+            self._neighbours.pop(self._random.randrange(len(self._neighbours)))
+        own_region = self._knowledge.own.region
+        wanted = NEIGHBOURS_OWN_REGION + NEIGHBOURS_OTHER_REGIONS
+        if len(self._neighbours) >= wanted:
+            return
+        peers = self._knowledge.peers()
+        if len(peers) <= len(self._neighbours):
+            return
+        near = [node for node in peers if node.region == own_region]
+        far = [node for node in peers if node.region != own_region]
+        self._fill(near, NEIGHBOURS_OWN_REGION, own_region)
+        self._fill(far, NEIGHBOURS_OTHER_REGIONS, None)
+
+    def _fill(self, nodes: list[NodeRecord], wanted: int, region: str | None) -> None:
+        own_region = self._knowledge.own.region
+        present = {
+            node.node_id
+            for node in self._neighbours
+            if (node.region == own_region) == (region is not None)
+        }
+        for _ in range(2 * wanted):
+            if len(present) >= min(wanted, len(nodes)):
+                return
+            node = self._random.choice(nodes)
+            if node.node_id not in present:
+                present.add(node.node_id)
+                self._neighbours.append(node)
--- /dev/null
+++ b/balsamspindle/membership/knowledge.py
@@ -0,0 +1,331 @@
+"""What this node makes of news: the rules of suspicion, death and refutation."""
+
+from collections import Counter, deque
+
+import msgspec
+
+from balsamspindle.membership.directory import Directory
+from balsamspindle.membership.news import NewsQueue, Priority
+from balsamspindle.membership.node_view import (
+    Changes,
+    Epoch,
+    NodeState,
+    ServerChange,
+)
+from balsamspindle.membership.own_record import OwnRecord
+from balsamspindle.membership.suspicion import CONFIRMATIONS, Expired, Suspicions
+from balsamspindle.timeline import EventLog
+from balsamspindle.wire import (
+    BackendServerRecord,
+    Claim,
+    News,
+    NodeNews,
+    NodeRecord,
+    ServerEntry,
+    Verdict,
+)
+
+__all__ = ["Knowledge"]
+
+# Entries in one item of news, so that an item fits into a small message.
+ENTRIES_PER_ITEM = 8
+# Nodes that a region needs, the target aside, to be judged by itself alone.
+REGION_JUDGES_MIN = 2
+DEATHS_REMEMBERED_S = 60.0
+DEAD_KEPT_S = 2 * 3600.0
+SUSPICION_EJECTS = 1.0
+READY = "ready"
+CONFLICTS_TOLD = 5
+
+
+class Knowledge:
+    """Takes news, decides on it, and queues what is to be passed on.
+
+    Used by the member task alone; `now_s` is on the monotonic clock.
+
+    Attributes
+    ----------
+    to_check : set of str
+        Nodes that a peer suspects and that may need a probe of our own.
+    """
+
+    def __init__(self, own: OwnRecord, directory: Directory, events: EventLog) -> None:
+        self.own = own
+        self.directory = directory
+        self.queue = NewsQueue()
+        self.suspicions = Suspicions()
+        self.to_check: set[str] = set()
+        self._events = events
+        self._recent_deaths: deque[tuple[float, str]] = deque()
+        self._regions: tuple[list[NodeRecord] | None, Counter[str]] = (None, Counter())
+        self._outbids = 0
+
+    def start(self, now_s: float) -> None:
+        """Put this node into its own directory and tell of it."""
+        self._tell_whole(now_s)
+
+    def peers(self) -> list[NodeRecord]:
+        """Return all nodes but this one that are not dead."""
+        own_id = self.own.node_id
+        return [node for node in self.directory.alive() if node.node_id != own_id]
+
+    def refresh(self, servers: tuple[BackendServerRecord, ...], now_s: float) -> None:
+        """Tell what changed of this node's backend servers."""
+        entries = self.own.refresh(servers)
+        if not entries:
+            return
+        if self.own.too_many_gone():
+            self.own.restart(self.own.epoch.incarnation + 1)
+            self._tell_whole(now_s)
+            return
+        incarnation = self.own.epoch.incarnation
+        news = NodeNews(self.own.node_id, incarnation, servers=entries)
+        for change in self.directory.apply(news, now_s).servers:
+            self._queue_server(self.own.node_id, incarnation, change)
+
+    def leave(self, now_s: float) -> None:
+        """Tell that this node is going."""
+        self.own.leave()
+        self._tell_header(now_s)
+
+    def assert_alive(self, now_s: float) -> None:
+        """Refute whatever may have been said of this node meanwhile."""
+        self.own.refute(self.own.epoch)
+        self._tell_header(now_s)
+
+    def take(self, news: list[News], now_s: float, spread: bool) -> None:
+        """Take news from a peer.
+
+        Parameters
+        ----------
+        spread : bool
+            Whether to pass it on; not so for records that anti-entropy
+            brought, which the fleet knows already.
+        """
+        for item in news:
+            match item:
+                case Claim():
+                    self._take_claim(item, now_s)
+                case NodeNews(node_id=self.own.node_id):
+                    self._take_own(Epoch(item.incarnation, item.version), now_s)
+                case NodeNews():
+                    self._take_node(item, now_s, spread)
+
+    def failed_probe(self, node: NodeRecord, now_s: float) -> None:
+        """Suspect a node that neither we nor our helpers reached."""
+        view = self.directory.view(node.node_id)
+        if view is None or view.is_dead:
+            return
+        if self.is_leaving(node.node_id):
+            self._declare(Expired(node.node_id, view.epoch, True), now_s)
+            return
+        if not self._may_judge(view.record):
+            # Another region's link may be down: its own nodes say who died.
+            return
+        self._suspect(node.node_id, view.epoch, self.own.node_id, now_s)
+
+    def is_leaving(self, node_id: str) -> bool:
+        """Tell whether a node said that it is going."""
+        view = self.directory.view(node_id)
+        return view is not None and view.record.state == NodeState.LEAVING
+
+    def heard(self, node_id: str) -> None:
+        """Note an acknowledgement: both directions work, nothing is suspected."""
+        self.suspicions.drop(node_id)
+
+    def claim_about(self, node_id: str) -> Claim | None:
+        """Return what a node has to refute, None when nothing is held against it."""
+        view = self.directory.view(node_id)
+        if view is None:
+            return None
+        if view.is_dead:
+            return self._claim(node_id, view.epoch, Verdict.DEAD)
+        epoch = self.suspicions.epoch_of(node_id)
+        return epoch and self._claim(node_id, epoch, Verdict.SUSPECT)
+
+    def expire(self, now_s: float) -> None:
+        """Turn suspicions whose time is over into deaths, or drop them."""
+        others = self._region_sizes()[self.own.region] - 2
+        for expired in self.suspicions.expire(min(CONFIRMATIONS, others), now_s):
+            if not expired.confirmed:
+                self._events.emit("suspicion_lapsed", peer=expired.node_id)
+            elif self._too_many_deaths(expired, now_s):
+                self._events.emit("death_held", peer=expired.node_id)
+            else:
+                self._declare(expired, now_s)
+        for node_id in self.directory.forget_dead(now_s - DEAD_KEPT_S):
+            self._events.emit("node_forgotten", peer=node_id)
+
+    def _take_own(self, seen: Epoch, now_s: float) -> None:
+        """Outbid an older self; see `OwnRecord.refute`."""
+        own = self.own.epoch
+        if seen.incarnation <= own.incarnation:
+            return
+        self.own.refute(seen)
+        self._outbids += 1
+        self._events.emit("incarnation_outbid", seen=seen.incarnation)
+        if self._outbids == CONFLICTS_TOLD:
+            self._events.emit(
+                "node_id_conflict", cause="another node may use this node's id"
+            )
+        self._tell_whole(now_s)
+
+    def _take_node(self, news: NodeNews, now_s: float, spread: bool) -> None:
+        before = self.directory.view(news.node_id)
+        was_dead = before is not None and before.is_dead
+        changes = self.directory.apply(news, now_s)
+        if changes.dead:
+            # The sender does not know of the death: it has to be told, or to
+            # bring a later epoch.
+            self.queue.add(self.claim_about(news.node_id), Priority.NORMAL, 1)
+            return
+        if not changes.any:
+            return
+        urgent = was_dead
+        if changes.header:
+            epoch = Epoch(news.incarnation, news.version)
+            urgent |= self.suspicions.refute(news.node_id, epoch)
+            self._emit_learned(news, "node_refuted" if urgent else "node_learned")
+        if spread:
+            self._queue_changes(news, changes, urgent)
+
+    def _emit_learned(self, news: NodeNews, event: str) -> None:
+        self._events.emit(
+            event,
+            peer=news.node_id,
+            peer_incarnation=news.incarnation,
+            version=news.version,
+            state=news.header.state,
+        )
+
+    def _queue_changes(self, news: NodeNews, changes: Changes, urgent: bool) -> None:
+        if not changes.header:
+            for change in changes.servers:
+                self._queue_server(news.node_id, news.incarnation, change)
+            return
+        urgent |= news.header.state == NodeState.LEAVING
+        priority = Priority.URGENT if urgent else Priority.NORMAL
+        entries = [change.entry for change in changes.servers]
+        self._queue_node(msgspec.structs.replace(news, servers=entries), priority)
+
+    def _queue_node(self, news: NodeNews, priority: Priority) -> None:
+        """Queue a header and its entries, in items that fit into a message."""
+        for first in range(ENTRIES_PER_ITEM, len(news.servers), ENTRIES_PER_ITEM):
+            for entry in news.servers[first : first + ENTRIES_PER_ITEM]:
+                self._queue_entry(
+                    news.node_id, news.incarnation, entry, Priority.NORMAL
+                )
+        head = msgspec.structs.replace(news, servers=news.servers[:ENTRIES_PER_ITEM])
+        self.queue.add(head, priority, self._size())
+
+    def _queue_server(self, node_id, incarnation, change: ServerChange) -> None:
+        self._queue_entry(node_id, incarnation, change.entry, _priority(change))
+
+    def _queue_entry(self, node_id, incarnation, entry: ServerEntry, priority) -> None:
+        news = NodeNews(node_id, incarnation, servers=[entry])
+        self.queue.add(news, priority, self._size())
+
+    def _take_claim(self, claim: Claim, now_s: float) -> None:
+        epoch = Epoch(claim.incarnation, claim.version)
+        if claim.node_id == self.own.node_id:
+            self._refute(claim, epoch, now_s)
+            return
+        view = self.directory.view(claim.node_id)
+        if view is None or view.is_dead or epoch < view.epoch:
+            return
+        if claim.verdict is Verdict.DEAD:
+            self._declare(Expired(claim.node_id, epoch, True), now_s, claim.by)
+        else:
+            self._suspect(claim.node_id, epoch, claim.by, now_s)
+            self.to_check.add(claim.node_id)
+
+    def _refute(self, claim: Claim, epoch: Epoch, now_s: float) -> None:
+        if epoch < self.own.epoch:
+            return
+        self._events.emit("claim_refuted", verdict=claim.verdict.value, by=claim.by)
+        if self.own.refute(epoch):
+            self._tell_whole(now_s)
+        else:
+            self._tell_header(now_s)
+
+    def _suspect(self, node_id: str, epoch: Epoch, by: str, now_s: float) -> None:
+        if not self.suspicions.add(node_id, epoch, by, now_s):
+            return
+        self._events.emit("node_suspected", peer=node_id, by=by)
+        claim = Claim(node_id, *epoch, Verdict.SUSPECT, by)
+        self.queue.add(claim, Priority.URGENT, self._size())
+
+    def _declare(self, verdict: Expired, now_s: float, by: str | None = None) -> None:
+        view = self.directory.view(verdict.node_id)
+        if not self.directory.declare_dead(verdict.node_id, verdict.epoch, now_s):
+            return
+        self.suspicions.drop(verdict.node_id)
+        self._recent_deaths.append((now_s, view.record.region))
+        by = by or self.own.node_id
+        self._events.emit("node_dead", peer=verdict.node_id, by=by)
+        claim = Claim(verdict.node_id, *verdict.epoch, Verdict.DEAD, by)
+        self.queue.add(claim, Priority.URGENT, self._size())
+
+    def _claim(self, node_id: str, epoch: Epoch, verdict: Verdict) -> Claim:
+        return Claim(node_id, *epoch, verdict, self.own.node_id)
+
+    def _too_many_deaths(self, expired: Expired, now_s: float) -> bool:
+        """Tell whether this node is more likely cut off than the others dead.
+
+        A node on the smaller side of a partition sees most of its region
+        fail at once. Without this bound it would declare them all dead, and
+        its callers would find no backend server that it still could reach.
+        """
+        while self._recent_deaths:
+            if now_s - self._recent_deaths[0][0] < DEATHS_REMEMBERED_S:
+                break
+            self._recent_deaths.popleft()
+        region = self.directory.view(expired.node_id).record.region
+        recent = sum(one == region for _, one in self._recent_deaths)
+        return 2 * (recent + 1) > self._region_sizes()[region] + recent
+
+    def _may_judge(self, node: NodeRecord) -> bool:
+        """Tell whether this node's failure to reach another says anything.
+
+        Regions lose each other for an hour. If nodes of one region judged
+        those of another, all of them would be declared dead at once.
+        """
+        if node.region == self.own.region:
+            return True
+        return self._region_sizes()[node.region] - 1 < REGION_JUDGES_MIN
+
+    def _region_sizes(self) -> Counter[str]:
+        alive = self.directory.alive()
+        if self._regions[0] is not alive:
+            self._regions = (alive, Counter(node.region for node in alive))
+        return self._regions[1]
+
+    def _size(self) -> int:
+        return len(self.directory.alive())
+
+    def _tell_whole(self, now_s: float) -> None:
+        whole = self.own.whole()
+        self.directory.apply(whole, now_s)
+        self._queue_node(whole, Priority.URGENT)
+
+    def _tell_header(self, now_s: float) -> None:
+        header = msgspec.structs.replace(self.own.whole(), servers=[])
+        self.directory.apply(header, now_s)
+        self._queue_node(header, Priority.URGENT)
+
+
+def _priority(change: ServerChange) -> Priority:
+    """Return how urgent a change of one backend server is."""
+    record, before = change.entry.record, change.before
+    if record.state != READY or record.suspicion >= SUSPICION_EJECTS:
+        stopped = before is None or (before.state, before.boot_id) != (
+            record.state,
+            record.boot_id,
+        )
+        crossed = before is not None and before.suspicion < SUSPICION_EJECTS
+        return Priority.URGENT if stopped or crossed else Priority.DETAIL
+    if before is None or before.state != record.state:
+        return Priority.NORMAL
+    if before.boot_id != record.boot_id or before.suspicion >= SUSPICION_EJECTS:
+        return Priority.NORMAL
+    return Priority.DETAIL
--- a/balsamspindle/membership/member.py
+++ b/balsamspindle/membership/member.py
@@ -1,34 +1,32 @@
-"""The member task: tells peers what this node knows, and hears them."""
+"""The member task: this node's part in the membership protocol."""
 
 import random
 import threading
 import time
 from collections.abc import Callable
 
-import msgspec
 import zmq
 
 from balsamspindle.membership.budget import ByteBudget
 from balsamspindle.membership.channel import Channel, Peer
-from balsamspindle.membership.directory import Directory, NodeState
+from balsamspindle.membership.directory import Directory
+from balsamspindle.membership.gossip import Gossiper
+from balsamspindle.membership.knowledge import Knowledge
+from balsamspindle.membership.own_record import OwnRecord
+from balsamspindle.membership.probing import Prober
 from balsamspindle.membership.settings_exchange import SettingsExchange
-from balsamspindle.membership.transport import ZmqTransport
+from balsamspindle.membership.sync import AntiEntropy
+from balsamspindle.membership.transport import Transport, ZmqTransport
 from balsamspindle.settings.process import NodeSettings
 from balsamspindle.settings.tree import CurrentConfiguration
 from balsamspindle.timeline import EventLog
-from balsamspindle.wire import (
-    BackendServerRecord,
-    Hello,
-    NodeRecord,
-    Sender,
-)
+from balsamspindle.wire import BackendServerRecord, NodeRecord, Sender
 
 __all__ = ["Member"]
 
-HELLO_INTERVAL_S = 0.5
-HELLO_PEERS = 3
-SILENCE_TIMEOUT_S = 3.0
-BYTES_PER_S = 9000.0
+TICK_S = 0.2
+# A gap between two ticks that no busy machine explains: the process slept.
+PAUSE_S = 2.0
 
 
 class Member:
@@ -40,6 +38,8 @@
         This node's first record.
     backend_servers : callable
         Returns the records of this node's backend servers.
+    transport : Transport, default=None
+        ZeroMQ on the member address when None.
 
     Attributes
     ----------
@@ -49,106 +49,107 @@
 
     def __init__(
         self,
-        context: zmq.Context,
+        context: zmq.Context | None,
         settings: NodeSettings,
         own: NodeRecord,
         directory: Directory,
         configuration: CurrentConfiguration,
         backend_servers: Callable[[], tuple[BackendServerRecord, ...]],
         events: EventLog,
+        transport: Transport | None = None,
+        now_s: Callable[[], float] = time.monotonic,
     ) -> None:
-        self._settings = settings
-        self._directory = directory
         self._configuration = configuration
         self._backend_servers = backend_servers
         self._events = events
-        self._random = random.Random(f"{own.node_id}/{own.incarnation}")
+        self._now_s = now_s
         self._stopped = threading.Event()
-        self._record = own
-        self._transport = ZmqTransport(context, settings.member_address)
-        self.channel = Channel(
+        self._last_tick_s = now_s()
+        self._own = OwnRecord(own)
+        self._transport = transport or ZmqTransport(context, settings.member_address)
+        self.budget = ByteBudget(settings.member_bytes_per_s, now_s())
+        self.channel = Channel(self._transport, self._sender, self.budget, events)
+        self.knowledge = Knowledge(self._own, directory, events)
+        rng = random.Random(f"{own.node_id}/{own.incarnation}")
+        self._gossiper = Gossiper(self.channel, self.knowledge, rng)
+        self._prober = Prober(
+            self.channel,
             self._transport,
-            self._sender,
-            ByteBudget(BYTES_PER_S, time.monotonic()),
+            self.knowledge,
+            self._gossiper,
+            settings.seed_addresses,
             events,
+            rng,
         )
-        self.channel.register("hello", Hello, self._hello)
+        self.anti_entropy = AntiEntropy(self.channel, self.knowledge, rng)
+        self.channel.on_peer(self._meet)
         SettingsExchange(self.channel, configuration, events)
+        self.knowledge.start(now_s())
+
+    @property
+    def isolated(self) -> bool:
+        """Whether no peer has answered this node lately."""
+        return self._prober.isolated
 
     def run(self) -> None:
         """Take part until `stop` is called."""
-        next_hello_s = time.monotonic()
         while not self._stopped.is_set():
-            now_s = time.monotonic()
-            if now_s >= next_hello_s:
-                self._round(now_s)
-                next_hello_s = now_s + HELLO_INTERVAL_S
-            self.channel.receive(next_hello_s - time.monotonic(), time.monotonic)
+            wait_s = self._last_tick_s + TICK_S - self._now_s()
+            self.channel.receive(wait_s, self._now_s)
+            if self._now_s() >= self._last_tick_s + TICK_S:
+                self.tick(self._now_s())
         self._transport.close()
 
+    def tick(self, now_s: float) -> None:
+        """Do what is due."""
+        gap_s = now_s - self._last_tick_s
+        self._last_tick_s = now_s
+        if gap_s > PAUSE_S:
+            self._wake_up(gap_s, now_s)
+        self.knowledge.refresh(self._backend_servers(), now_s)
+        self._prober.tick(now_s)
+        self.knowledge.expire(now_s)
+        self._gossiper.tick(self._configuration.revision, now_s)
+        self.anti_entropy.tick(now_s)
+
     def stop(self) -> None:
         """End `run` soon."""
         self._stopped.set()
+        self._transport.wake()
 
     def leave(self) -> None:
         """Tell the peers that this node is going."""
-        self._record = msgspec.structs.replace(
-            self._record,
-            version=self._record.version + 1,
-            state=NodeState.LEAVING.value,
-        )
-
-    def _round(self, now_s: float) -> None:
-        self.refresh(now_s)
-        for node_id in self._directory.remove_silent(
-            self._record.node_id, SILENCE_TIMEOUT_S, now_s
-        ):
-            self._events.emit("node_silent", peer=node_id)
-        hello = Hello(self._record, self._directory.records())
-        addresses = self._peer_addresses()
-        chosen = self._random.sample(addresses, min(HELLO_PEERS, len(addresses)))
-        for address in chosen:
-            self.channel.send(address, hello, now_s)
-
-    def refresh(self, now_s: float) -> None:
-        """Bring this node's own record up to date."""
-        servers = self._backend_servers()
-        if servers != self._record.backend_servers:
-            self._record = msgspec.structs.replace(
-                self._record,
-                version=self._record.version + 1,
-                backend_servers=servers,
-            )
-        self._directory.update(self._record, now_s)
-        self._directory.heard(self._record.node_id, now_s)
-
-    def _peer_addresses(self) -> list[str]:
-        known = {record.member_address for record in self._directory.records()}
-        known.update(self._settings.seed_addresses)
-        known.discard(self._record.member_address)
-        return sorted(known)
-
-    def _hello(self, peer: Peer, hello: Hello, now_s: float) -> None:
-        for record in (hello.sender, *hello.records):
-            if record.node_id != self._record.node_id:
-                self._learn(record, now_s)
-        self._directory.heard(peer.node_id, now_s)
-
-    def _learn(self, record: NodeRecord, now_s: float) -> None:
-        if self._directory.update(record, now_s):
-            self._events.emit(
-                "node_learned",
-                peer=record.node_id,
-                peer_incarnation=record.incarnation,
-                version=record.version,
-                state=record.state,
-            )
+        self.channel.call_soon(self._leave)
+
+    def _leave(self) -> None:
+        self.knowledge.leave(self._now_s())
+        self.tick(self._now_s())
+
+    def _wake_up(self, gap_s: float, now_s: float) -> None:
+        """Take up the work after this process did not run for a while.
+
+        All its timers ran out while it slept: acting on them would declare
+        nodes dead that answered well meanwhile. The others may hold this node
+        dead. So it drops its timers and its claims about others, says that
+        it is alive and compares what it knows.
+        """
+        self._events.emit("node_woke_up", gap_s=f"{gap_s:.1f}")
+        self.knowledge.suspicions.clear()
+        self.knowledge.queue.remove_claims()
+        self._prober.restart(now_s)
+        self.knowledge.assert_alive(now_s)
+        self.anti_entropy.hurry(now_s)
+
+    def _meet(self, peer: Peer, now_s: float) -> None:
+        """Compare soon with a peer that this node does not know."""
+        if self.knowledge.directory.view(peer.node_id) is None:
+            self.anti_entropy.greet(peer, now_s)
 
     def _sender(self) -> Sender:
         return Sender(
-            self._record.node_id,
-            self._record.incarnation,
-            self._record.member_address,
+            self._own.node_id,
+            self._own.epoch.incarnation,
+            self._own.header.member_address,
             self._configuration.revision,
             self._events.clock.tick(time.time()),
         )
--- /dev/null
+++ b/balsamspindle/membership/sync.py
@@ -0,0 +1,169 @@
+"""Anti-entropy: two nodes compare digests and exchange what differs.
+
+It repairs what gossip did not deliver, and brings a joiner up to date in
+pages::
+
+    A: SyncRequest(digests)  B: SyncSummary(nodes of some buckets that differ)
+    A: Pull(nodes that B knows newer), Page(nodes that A knows newer)
+    B: Page(records)
+"""
+
+import random
+
+import msgspec
+
+from balsamspindle.membership.channel import Channel, Peer
+from balsamspindle.membership.knowledge import Knowledge
+from balsamspindle.wire import (
+    News,
+    NodeSummary,
+    Page,
+    Pull,
+    SyncRequest,
+    SyncSummary,
+    Want,
+)
+
+__all__ = ["AntiEntropy"]
+
+SYNC_INTERVAL_S = 10.0
+# While much differs, as after a join or a long pause.
+CATCH_UP_INTERVAL_S = 0.4
+SUMMARY_MAX_NODES = 64
+WANTS_MAX = 64
+PAGE_MAX_BYTES = 24 * 1024
+
+_encoder = msgspec.msgpack.Encoder()
+
+
+class AntiEntropy:
+    """Compares with random peers; used by the member task alone."""
+
+    def __init__(
+        self, channel: Channel, knowledge: Knowledge, rng: random.Random
+    ) -> None:
+        self._channel = channel
+        self._knowledge = knowledge
+        self._random = rng
+        self._next_s = float("-inf")
+        self._next_greeting_s = float("-inf")
+        self.pages = 0
+        channel.register("sync_request", SyncRequest, self._request)
+        channel.register("sync_summary", SyncSummary, self._summary)
+        channel.register("pull", Pull, self._pull)
+        channel.register("page", Page, self._page)
+
+    def tick(self, now_s: float) -> None:
+        """Start a comparison when it is due."""
+        if now_s < self._next_s:
+            return
+        peers = self._knowledge.peers()
+        if not peers:
+            return
+        # Not all at the same time after a common cause.
+        self._next_s = now_s + SYNC_INTERVAL_S * self._random.uniform(0.5, 1.5)
+        peer = self._random.choice(peers)
+        request = SyncRequest(self._knowledge.directory.digests())
+        self._channel.send(peer.member_address, request, now_s)
+
+    def greet(self, peer: Peer, now_s: float) -> None:
+        """Compare with a peer that is not known yet, not more often than due."""
+        if now_s < self._next_greeting_s:
+            return
+        self._next_greeting_s = now_s + CATCH_UP_INTERVAL_S
+        request = SyncRequest(self._knowledge.directory.digests())
+        self._channel.answer(peer, request, now_s)
+
+    def hurry(self, now_s: float) -> None:
+        """Compare again soon."""
+        self._next_s = min(self._next_s, now_s + CATCH_UP_INTERVAL_S)
+
+    def _request(self, peer: Peer, request: SyncRequest, now_s: float) -> None:
+        directory = self._knowledge.directory
+        differing = directory.differing(request.buckets)
+        if differing is None:
+            self._channel.drop("garbage", "digests of a wrong size", now_s)
+            return
+        if not differing:
+            return
+        buckets: list[int] = []
+        nodes: list[NodeSummary] = []
+        for bucket in self._random.sample(differing, len(differing)):
+            if len(nodes) >= SUMMARY_MAX_NODES:
+                break
+            buckets.append(bucket)
+            nodes += directory.summaries(bucket)
+        summary = SyncSummary(buckets, nodes, len(differing))
+        self._channel.answer(peer, summary, now_s)
+
+    def _summary(self, peer: Peer, summary: SyncSummary, now_s: float) -> None:
+        if summary.differing > len(summary.buckets):
+            self.hurry(now_s)
+        wants = [want for want in map(self._want, summary.nodes) if want is not None]
+        if wants:
+            self._channel.answer(peer, Pull(wants[:WANTS_MAX]), now_s)
+        if len(wants) > WANTS_MAX:
+            self.hurry(now_s)
+        news = self._newer_here(summary)
+        if news:
+            self._channel.answer(peer, Page(_fitting(news)), now_s)
+
+    def _want(self, summary: NodeSummary) -> Want | None:
+        """Return what to ask of a node, None when we know as much of it."""
+        view = self._knowledge.directory.view(summary.node_id)
+        if view is None or summary.incarnation > view.record.incarnation:
+            return Want(summary.node_id, summary.incarnation, 0)
+        if summary.incarnation < view.record.incarnation or view.is_dead:
+            return None
+        if summary.fingerprint == view.fingerprint:
+            return None
+        # Entries above what we have are most often all that is missing. If
+        # an older one is, the versions are equal next time: then pull all.
+        above = view.version if summary.version > view.version else 0
+        return Want(summary.node_id, summary.incarnation, above)
+
+    def _newer_here(self, summary: SyncSummary) -> list[News]:
+        directory = self._knowledge.directory
+        theirs = {node.node_id: node for node in summary.nodes}
+        news: list[News] = []
+        for bucket in summary.buckets:
+            for own in directory.summaries(bucket):
+                their = theirs.get(own.node_id)
+                view = directory.view(own.node_id)
+                if their is None or their.incarnation < own.incarnation:
+                    news.append(view.news())
+                elif their.incarnation == own.incarnation:
+                    if their.version < own.version:
+                        news.append(view.news(their.version))
+        for their in summary.nodes:
+            view = directory.view(their.node_id)
+            if view is not None and view.is_dead:
+                news.append(self._knowledge.claim_about(their.node_id))
+        return news
+
+    def _pull(self, peer: Peer, pull: Pull, now_s: float) -> None:
+        news: list[News] = []
+        for want in pull.wants[:WANTS_MAX]:
+            view = self._knowledge.directory.view(want.node_id)
+            if view is None or view.is_dead:
+                continue
+            same = want.incarnation == view.record.incarnation
+            news.append(view.news(want.above_version if same else 0))
+        page = _fitting(news)
+        self._channel.answer(peer, Page(page, len(news) - len(page)), now_s)
+
+    def _page(self, peer: Peer, page: Page, now_s: float) -> None:
+        self.pages += 1
+        self._knowledge.take(page.news, now_s, spread=False)
+        if page.left:
+            self.hurry(now_s)
+
+
+def _fitting(news: list[News]) -> list[News]:
+    """Return the first items that fit into a page, at least one."""
+    size_bytes = 0
+    for number, item in enumerate(news):
+        size_bytes += len(_encoder.encode(item))
+        if size_bytes > PAGE_MAX_BYTES:
+            return news[: max(1, number)]
+    return news
--- a/balsamspindle/settings/process.py
+++ b/balsamspindle/settings/process.py
@@ -49,6 +49,8 @@
         The platform's table service and object store.
     seed_addresses : tuple of str
         Member addresses of first peers, for a start with the platform down.
+    member_bytes_per_s : float
+        Cap on what this node sends to peers for control.
     """
 
     node_id: Name
@@ -62,6 +64,7 @@
     member_advertised_address: Address | None = None
     platform_address: Address | None = None
     seed_addresses: tuple[Address, ...] = ()
+    member_bytes_per_s: Annotated[float, msgspec.Meta(ge=1000)] = 9000.0
     connections_max: int = 400
     connection_idle_timeout_s: float = 60.0
     request_body_max_bytes: int = 8 * 1024 * 1024
--- a/balsamspindle/wire/member_messages.py
+++ b/balsamspindle/wire/member_messages.py
@@ -8,18 +8,34 @@
 passed over and missing ones take their default.
 """
 
+from enum import StrEnum
 from typing import Annotated, NamedTuple
 
 import msgspec
 
 __all__ = [
+    "Ack",
     "BackendServerRecord",
+    "Claim",
     "Envelope",
-    "Hello",
+    "Gossip",
+    "News",
+    "NodeHeader",
+    "NodeNews",
     "NodeRecord",
+    "NodeSummary",
+    "Page",
+    "Ping",
+    "PingRequest",
+    "Pull",
     "Sender",
+    "ServerEntry",
     "SettingsRequest",
     "SettingsSnapshot",
+    "SyncRequest",
+    "SyncSummary",
+    "Verdict",
+    "Want",
 ]
 
 # A number above this can't be outbid by one more: garbage, or an attack.
@@ -114,11 +130,190 @@
     backend_servers: tuple[BackendServerRecord, ...] = ()
 
 
-class Hello(msgspec.Struct, frozen=True):
-    """Node to node: what the sender knows."""
+class NodeHeader(msgspec.Struct, array_like=True, frozen=True):
+    """A node's own part of its record, without its backend servers."""
 
-    sender: NodeRecord
-    records: list[NodeRecord]
+    region: str
+    availability_zone: str
+    link_address: PeerAddress
+    member_address: PeerAddress
+    state: str
+
+
+class ServerEntry(NamedTuple):
+    """One backend server at the version of its last change.
+
+    Attributes
+    ----------
+    version : int
+        The node's version when this entry changed.
+    """
+
+    version: Count
+    record: BackendServerRecord
+
+
+class NodeNews(msgspec.Struct, array_like=True, tag="n", frozen=True):
+    """A part of a node's record: what changed, not all of it.
+
+    Attributes
+    ----------
+    version : int
+        Version of the header; unused without one.
+    header : NodeHeader or None
+        None where it did not change.
+    servers : list of ServerEntry
+        The backend servers that changed.
+    """
+
+    node_id: NodeId
+    incarnation: Count
+    version: Count = 0
+    header: NodeHeader | None = None
+    servers: list[ServerEntry] = []
+
+
+class Verdict(StrEnum):
+    """What a claim says of a node."""
+
+    SUSPECT = "suspect"
+    DEAD = "dead"
+
+
+class Claim(msgspec.Struct, array_like=True, tag="c", frozen=True):
+    """What one node says of another: it does not answer, or it is dead.
+
+    It holds for one incarnation and header version. The node refutes it with
+    a higher one.
+
+    Attributes
+    ----------
+    by : str
+        Who says so. A death needs several who say so independently.
+    """
+
+    node_id: NodeId
+    incarnation: Count
+    version: Count
+    verdict: Verdict
+    by: NodeId
+
+
+News = NodeNews | Claim
+
+
+class Ping(msgspec.Struct, array_like=True, frozen=True):
+    """Are you there?
+
+    Attributes
+    ----------
+    target : str
+        Node that is asked; empty when only its address is known.
+    """
+
+    sequence: int
+    target: str = ""
+    news: list[News] = []
+
+
+class Ack(msgspec.Struct, array_like=True, frozen=True):
+    """The answer to a ping, or to a ping request by the one who was asked.
+
+    Attributes
+    ----------
+    reached : bool
+        False from a helper that could not reach the target either.
+    """
+
+    sequence: int
+    reached: bool = True
+    news: list[News] = []
+
+
+class PingRequest(msgspec.Struct, array_like=True, frozen=True):
+    """Ping this node for me: I can't reach it."""
+
+    sequence: int
+    target: NodeId
+    address: PeerAddress
+
+
+class Gossip(msgspec.Struct, array_like=True, frozen=True):
+    """News alone; needs no answer."""
+
+    news: list[News]
+
+
+class SyncRequest(msgspec.Struct, array_like=True, frozen=True):
+    """Compare what we know.
+
+    Attributes
+    ----------
+    buckets : bytes
+        Four bytes for each bucket of node ids, in order.
+    """
+
+    buckets: bytes
+
+
+class NodeSummary(NamedTuple):
+    """What the sender knows of one node, in few bytes.
+
+    Attributes
+    ----------
+    version : int
+        The highest of the header's and the entries' versions.
+    fingerprint : int
+        Over the versions of the header and of all entries.
+    """
+
+    node_id: NodeId
+    incarnation: Count
+    version: Count
+    fingerprint: int
+
+
+class SyncSummary(msgspec.Struct, array_like=True, frozen=True):
+    """All nodes of some of the buckets that differ.
+
+    Attributes
+    ----------
+    buckets : list of int
+        Buckets that `nodes` lists completely.
+    differing : int
+        Number of all buckets that differ.
+    """
+
+    buckets: list[int]
+    nodes: list[NodeSummary]
+    differing: int
+
+
+class Want(NamedTuple):
+    """One node of a pull: entries above a version; 0 for all."""
+
+    node_id: NodeId
+    incarnation: Count
+    above_version: Count
+
+
+class Pull(msgspec.Struct, array_like=True, frozen=True):
+    """Send these nodes' records, as far as one page holds."""
+
+    wants: list[Want]
+
+
+class Page(msgspec.Struct, array_like=True, frozen=True):
+    """Records that were pulled or that the other side lacks.
+
+    Attributes
+    ----------
+    left : int
+        Nodes of the pull that did not fit.
+    """
+
+    news: list[News]
+    left: int = 0
 
 
 class SettingsRequest(msgspec.Struct, frozen=True):
