Keep bytes for probes; test membership under faults in one process

Now probes keep a quarter of the bucket that nothing else takes, urgent news another quarter, and messages carry news only as far as there is room.

--- a/balsamspindle/membership/budget.py
+++ b/balsamspindle/membership/budget.py
@@ -1,21 +1,37 @@
 """The cap on the bytes that one node sends for control."""
 
 import threading
+from enum import IntEnum
 
-__all__ = ["ByteBudget"]
+__all__ = ["ByteBudget", "Importance"]
 
 BURST_S = 4.0
-RESERVE_FRACTION = 0.25
+
+
+class Importance(IntEnum):
+    """What a message may use of the bytes that are left.
+
+    Probes and their answers keep a part of the bucket that nothing else
+    takes, urgent news a further one. Without the first, news of suspicions
+    uses up the bytes, answers to probes stay unsent, this causes more
+    suspicions, and the fleet stays in that state after its cause is gone.
+    """
+
+    ROUTINE = 0
+    URGENT = 1
+    PROBE = 2
+
+
+KEPT_FRACTIONS: dict[Importance, float] = {
+    Importance.ROUTINE: 0.5,
+    Importance.URGENT: 0.25,
+    Importance.PROBE: 0.0,
+}
 
 
 class ByteBudget:
     """A token bucket of bytes; safe to use from several threads.
 
-    The last quarter of the bucket is kept for urgent messages: probes, their
-    answers and news of nodes that leave or fail. Without it a burst of
-    restarts would use up the bytes, acknowledgements would stay unsent, and
-    busy nodes would be taken for dead ones.
-
     Parameters
     ----------
     bytes_per_s : float
@@ -27,18 +43,17 @@
     def __init__(self, bytes_per_s: float, now_s: float) -> None:
         self.bytes_per_s = bytes_per_s
         self._burst_bytes = bytes_per_s * BURST_S
-        self._reserve_bytes = self._burst_bytes * RESERVE_FRACTION
         self._level_bytes = self._burst_bytes
         self._filled_s = now_s
         self._lock = threading.Lock()
         self.spent_bytes = 0
         self.refused = 0
 
-    def take(self, size_bytes: int, now_s: float, urgent: bool = False) -> bool:
+    def take(self, size_bytes: int, now_s: float, importance: Importance) -> bool:
         """Take bytes, or return False when the message has to wait."""
         with self._lock:
             self._fill(now_s)
-            kept_bytes = 0.0 if urgent else self._reserve_bytes
+            kept_bytes = self._burst_bytes * KEPT_FRACTIONS[importance]
             if self._level_bytes - size_bytes < kept_bytes:
                 self.refused += 1
                 return False
@@ -46,11 +61,12 @@
             self.spent_bytes += size_bytes
             return True
 
-    def routine_bytes(self, now_s: float) -> int:
-        """Return how much a routine message may take now."""
+    def room_bytes(self, importance: Importance, now_s: float) -> int:
+        """Return how much a message may take now."""
         with self._lock:
             self._fill(now_s)
-            return max(0, int(self._level_bytes - self._reserve_bytes))
+            kept_bytes = self._burst_bytes * KEPT_FRACTIONS[importance]
+            return max(0, int(self._level_bytes - kept_bytes))
 
     def _fill(self, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - self._filled_s)
--- a/balsamspindle/membership/channel.py
+++ b/balsamspindle/membership/channel.py
@@ -18,7 +18,7 @@
 import msgspec
 from expression import Result
 
-from balsamspindle.membership.budget import ByteBudget
+from balsamspindle.membership.budget import ByteBudget, Importance
 from balsamspindle.membership.transport import Route, Transport
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import Envelope, Sender, decode_member, encode_member
@@ -101,7 +101,13 @@
         """Have each message's sender told to `handler`."""
         self._on_peer.append(handler)
 
-    def send(self, address: str, message, now_s: float, urgent: bool = False) -> bool:
+    def send(
+        self,
+        address: str,
+        message,
+        now_s: float,
+        importance: Importance = Importance.ROUTINE,
+    ) -> bool:
         """Send a message of a registered type, from the member task.
 
         Returns
@@ -112,21 +118,27 @@
         """
         frame = self._frame(message)
         cost_bytes = self._transport.cost_bytes(address, len(frame))
-        return self._pay(cost_bytes, now_s, urgent) and self._count_sent(
+        return self._pay(cost_bytes, now_s, importance) and self._count_sent(
             self._transport.send(address, frame)
         )
 
-    def answer(self, peer: Peer, message, now_s: float, urgent: bool = False) -> bool:
+    def answer(
+        self,
+        peer: Peer,
+        message,
+        now_s: float,
+        importance: Importance = Importance.ROUTINE,
+    ) -> bool:
         """Send back on the connection that the peer's message came on."""
         frame = self._frame(message)
         cost_bytes = self._transport.cost_bytes(peer.route.address, len(frame))
-        return self._pay(cost_bytes, now_s, urgent) and self._count_sent(
+        return self._pay(cost_bytes, now_s, importance) and self._count_sent(
             self._transport.answer(peer.route, frame)
         )
 
-    def routine_bytes(self, now_s: float) -> int:
-        """Return how many bytes a message that is not urgent may take now."""
-        return self._budget.routine_bytes(now_s)
+    def room_bytes(self, importance: Importance, now_s: float) -> int:
+        """Return how many bytes a message may take now."""
+        return self._budget.room_bytes(importance, now_s)
 
     def call_soon(self, function: Callable[[], None]) -> None:
         """Run a function in the member task; callable from any thread."""
@@ -189,8 +201,8 @@
     def _frame(self, message) -> bytes:
         return encode_member(self._names[type(message)], self._sender(), message)
 
-    def _pay(self, cost_bytes: int, now_s: float, urgent: bool) -> bool:
-        if self._budget.take(cost_bytes, now_s, urgent):
+    def _pay(self, cost_bytes: int, now_s: float, importance: Importance) -> bool:
+        if self._budget.take(cost_bytes, now_s, importance):
             return True
         self.counts["over_cap"] += 1
         return False
--- a/balsamspindle/membership/directory.py
+++ b/balsamspindle/membership/directory.py
@@ -52,7 +52,7 @@
         self._lock = threading.RLock()
         self._views: dict[str, NodeView] = {}
         self._buckets = Buckets()
-        self._bucket_ids: dict[int, set[str]] = {}
+        self._bucket_ids: dict[int, dict[str, None]] = {}
         self._nodes_of: dict[str, dict[str, int]] = {}
         self._placements: dict[str, tuple[Placement, ...]] = {}
         self._alive: list[NodeRecord] | None = None
@@ -192,7 +192,7 @@
             self._remove(old)
         view = NodeView(_header_record(news))
         self._views[news.node_id] = view
-        self._bucket_ids.setdefault(view.bucket, set()).add(news.node_id)
+        self._bucket_ids.setdefault(view.bucket, {})[news.node_id] = None
         changed = self._set_entries(view, news)
         self._mix(view)
         self._alive = None
@@ -204,7 +204,7 @@
         for entry in view.entries.values():
             self._count_service(view, entry.record, -1)
         del self._views[view.record.node_id]
-        self._bucket_ids[view.bucket].discard(view.record.node_id)
+        del self._bucket_ids[view.bucket][view.record.node_id]
         self._alive = None
 
     def _set_header(self, view: NodeView, news: NodeNews) -> None:
--- a/balsamspindle/membership/gossip.py
+++ b/balsamspindle/membership/gossip.py
@@ -2,6 +2,7 @@
 
 import random
 
+from balsamspindle.membership.budget import Importance
 from balsamspindle.membership.channel import Channel, Peer
 from balsamspindle.membership.knowledge import Knowledge
 from balsamspindle.wire import Gossip, News, NodeRecord
@@ -38,9 +39,14 @@
         self._revision = -1
         channel.register("gossip", Gossip, self._take)
 
-    def piggyback(self, max_bytes: int = PIGGYBACK_MAX_BYTES) -> list[News]:
+    def piggyback(self, now_s: float) -> list[News]:
         """Return news for a message that is sent anyhow."""
-        return self._knowledge.queue.take(max_bytes)
+        queue = self._knowledge.queue
+        if self._channel.room_bytes(Importance.ROUTINE, now_s) > PIGGYBACK_MAX_BYTES:
+            return queue.take(PIGGYBACK_MAX_BYTES)
+        if self._channel.room_bytes(Importance.URGENT, now_s) > PIGGYBACK_MAX_BYTES:
+            return queue.take(PIGGYBACK_MAX_BYTES, urgent_only=True)
+        return []
 
     def tick(self, settings_revision: int, now_s: float) -> None:
         """Send news to a few neighbours, if there is any.
@@ -59,15 +65,18 @@
 
     def _send_to_next(self, urgent: bool, now_s: float) -> None:
         self._turn = (self._turn + 1) % len(self._neighbours)
-        room_bytes = self._channel.routine_bytes(now_s) / DEFLATED_FRACTION
-        size_bytes = int(min(room_bytes, GOSSIP_MAX_BYTES))
-        if size_bytes < PIGGYBACK_MAX_BYTES and not urgent:
-            return
-        news = self._knowledge.queue.take(
-            max(size_bytes, PIGGYBACK_MAX_BYTES), urgent_only=urgent and not size_bytes
-        )
         address = self._neighbours[self._turn].member_address
-        self._channel.send(address, Gossip(news), now_s, urgent)
+        importance = Importance.ROUTINE
+        room_bytes = self._channel.room_bytes(importance, now_s)
+        urgent_only = urgent and room_bytes < PIGGYBACK_MAX_BYTES
+        if urgent_only:
+            importance = Importance.URGENT
+            room_bytes = self._channel.room_bytes(importance, now_s)
+        if room_bytes < PIGGYBACK_MAX_BYTES:
+            return
+        size_bytes = int(min(room_bytes / DEFLATED_FRACTION, GOSSIP_MAX_BYTES))
+        news = self._knowledge.queue.take(size_bytes, urgent_only)
+        self._channel.send(address, Gossip(news), now_s, importance)
 
     def _take(self, peer: Peer, gossip: Gossip, now_s: float) -> None:
         self._knowledge.take(gossip.news, now_s, spread=True)
--- a/balsamspindle/membership/knowledge.py
+++ b/balsamspindle/membership/knowledge.py
@@ -1,6 +1,6 @@
 """What this node makes of news: the rules of suspicion, death and refutation."""
 
-from collections import Counter, deque
+from collections import Counter
 
 import msgspec
 
@@ -31,7 +31,7 @@
 ENTRIES_PER_ITEM = 8
 # Nodes that a region needs, the target aside, to be judged by itself alone.
 REGION_JUDGES_MIN = 2
-DEATHS_REMEMBERED_S = 60.0
+DEATHS_REMEMBERED_S = 3600.0
 DEAD_KEPT_S = 2 * 3600.0
 SUSPICION_EJECTS = 1.0
 READY = "ready"
@@ -56,7 +56,7 @@
         self.suspicions = Suspicions()
         self.to_check: set[str] = set()
         self._events = events
-        self._recent_deaths: deque[tuple[float, str]] = deque()
+        self._recent_deaths: dict[str, tuple[float, str]] = {}
         self._regions: tuple[list[NodeRecord] | None, Counter[str]] = (None, Counter())
         self._outbids = 0
 
@@ -149,9 +149,7 @@
         for expired in self.suspicions.expire(min(CONFIRMATIONS, others), now_s):
             if not expired.confirmed:
                 self._events.emit("suspicion_lapsed", peer=expired.node_id)
-            elif self._too_many_deaths(expired, now_s):
-                self._events.emit("death_held", peer=expired.node_id)
-            else:
+            elif not self._too_many_deaths(expired.node_id, now_s):
                 self._declare(expired, now_s)
         for node_id in self.directory.forget_dead(now_s - DEAD_KEPT_S):
             self._events.emit("node_forgotten", peer=node_id)
@@ -174,6 +172,8 @@
         before = self.directory.view(news.node_id)
         was_dead = before is not None and before.is_dead
         changes = self.directory.apply(news, now_s)
+        if spread and news.header is None and len(changes.servers) < len(news.servers):
+            self._count_repeated(news, changes)
         if changes.dead:
             # The sender does not know of the death: it has to be told, or to
             # bring a later epoch.
@@ -185,10 +185,19 @@
         if changes.header:
             epoch = Epoch(news.incarnation, news.version)
             urgent |= self.suspicions.refute(news.node_id, epoch)
+            self._recent_deaths.pop(news.node_id, None)
             self._emit_learned(news, "node_refuted" if urgent else "node_learned")
-        if spread:
+        if spread or urgent:
             self._queue_changes(news, changes, urgent)
 
+    def _count_repeated(self, news: NodeNews, changes: Changes) -> None:
+        new = {change.entry for change in changes.servers}
+        for entry in news.servers:
+            if entry not in new:
+                self.queue.heard_again(
+                    NodeNews(news.node_id, news.incarnation, servers=[entry])
+                )
+
     def _emit_learned(self, news: NodeNews, event: str) -> None:
         self._events.emit(
             event,
@@ -233,7 +242,8 @@
         view = self.directory.view(claim.node_id)
         if view is None or view.is_dead or epoch < view.epoch:
             return
-        if claim.verdict is Verdict.DEAD:
+        dead = claim.verdict is Verdict.DEAD
+        if dead and not self._too_many_deaths(claim.node_id, now_s):
             self._declare(Expired(claim.node_id, epoch, True), now_s, claim.by)
         else:
             self._suspect(claim.node_id, epoch, claim.by, now_s)
@@ -241,6 +251,9 @@
 
     def _refute(self, claim: Claim, epoch: Epoch, now_s: float) -> None:
         if epoch < self.own.epoch:
+            # Refuted already, but the sender did not hear it: the answer may
+            # have been lost together with the link that made them suspect us.
+            self._tell_header(now_s)
             return
         self._events.emit("claim_refuted", verdict=claim.verdict.value, by=claim.by)
         if self.own.refute(epoch):
@@ -260,7 +273,8 @@
         if not self.directory.declare_dead(verdict.node_id, verdict.epoch, now_s):
             return
         self.suspicions.drop(verdict.node_id)
-        self._recent_deaths.append((now_s, view.record.region))
+        if view.record.state != NodeState.LEAVING:
+            self._recent_deaths[verdict.node_id] = (now_s, view.record.region)
         by = by or self.own.node_id
         self._events.emit("node_dead", peer=verdict.node_id, by=by)
         claim = Claim(verdict.node_id, *verdict.epoch, Verdict.DEAD, by)
@@ -269,20 +283,25 @@
     def _claim(self, node_id: str, epoch: Epoch, verdict: Verdict) -> Claim:
         return Claim(node_id, *epoch, verdict, self.own.node_id)
 
-    def _too_many_deaths(self, expired: Expired, now_s: float) -> bool:
+    def _too_many_deaths(self, node_id: str, now_s: float) -> bool:
         """Tell whether this node is more likely cut off than the others dead.
 
-        A node on the smaller side of a partition sees most of its region
-        fail at once. Without this bound it would declare them all dead, and
-        its callers would find no backend server that it still could reach.
+        Nodes on the smaller side of a partition see most of their region
+        fail at once and confirm each other's suspicions. Without this bound
+        they would declare all of it dead, and their callers would find no
+        backend server even where a link still works.
         """
-        while self._recent_deaths:
-            if now_s - self._recent_deaths[0][0] < DEATHS_REMEMBERED_S:
-                break
-            self._recent_deaths.popleft()
-        region = self.directory.view(expired.node_id).record.region
-        recent = sum(one == region for _, one in self._recent_deaths)
-        return 2 * (recent + 1) > self._region_sizes()[region] + recent
+        region = self.directory.view(node_id).record.region
+        recent = 0
+        for dead_id, (dead_s, dead_region) in list(self._recent_deaths.items()):
+            if now_s - dead_s > DEATHS_REMEMBERED_S:
+                del self._recent_deaths[dead_id]
+            elif dead_region == region:
+                recent += 1
+        if 2 * (recent + 1) <= self._region_sizes()[region] + recent:
+            return False
+        self._events.emit("death_held", peer=node_id, recent_deaths=recent)
+        return True
 
     def _may_judge(self, node: NodeRecord) -> bool:
         """Tell whether this node's failure to reach another says anything.
--- a/balsamspindle/membership/member.py
+++ b/balsamspindle/membership/member.py
@@ -4,11 +4,12 @@
 import threading
 import time
 from collections.abc import Callable
+from typing import Any
 
 import zmq
 
-from balsamspindle.membership.budget import ByteBudget
-from balsamspindle.membership.channel import Channel, Peer
+from balsamspindle.membership.budget import ByteBudget, Importance
+from balsamspindle.membership.channel import Channel, Handler, Peer
 from balsamspindle.membership.directory import Directory
 from balsamspindle.membership.gossip import Gossiper
 from balsamspindle.membership.knowledge import Knowledge
@@ -86,6 +87,33 @@
         SettingsExchange(self.channel, configuration, events)
         self.knowledge.start(now_s())
 
+    def register(
+        self,
+        handlers: dict[type, Callable[[Any], None]],
+        on_peer_revision: Callable[[str, int], None],
+    ) -> None:
+        """Hand messages of tagged types, and peers' settings revisions, on.
+
+        The callables run in the member task and must return at once.
+        """
+        for message_type, handler in handlers.items():
+            kind = message_type.__struct_config__.tag
+            self.channel.register(kind, message_type, _message_only(handler))
+        self.channel.on_peer(
+            lambda peer, now_s: on_peer_revision(peer.address, peer.settings_revision)
+        )
+
+    def send(self, address: str, message: Any) -> None:
+        """Send a message of a registered type; callable from any thread.
+
+        It is dropped when the byte cap has no room: the sender asks again.
+        """
+        self.channel.call_soon(
+            lambda: self.channel.send(
+                address, message, self._now_s(), Importance.URGENT
+            )
+        )
+
     @property
     def isolated(self) -> bool:
         """Whether no peer has answered this node lately."""
@@ -153,3 +181,7 @@
             self._configuration.revision,
             self._events.clock.tick(time.time()),
         )
+
+
+def _message_only(handler: Callable[[Any], None]) -> Handler:
+    return lambda peer, message, now_s: handler(message)
--- a/balsamspindle/membership/news.py
+++ b/balsamspindle/membership/news.py
@@ -18,7 +18,7 @@
 
 QUEUED_MAX = 20_000
 URGENT_TRANSMISSIONS_FACTOR = 3
-ROUTINE_EXTRA_TRANSMISSIONS = 2
+ROUTINE_EXTRA_TRANSMISSIONS = 3
 
 _encoder = msgspec.msgpack.Encoder()
 
@@ -89,6 +89,21 @@
         items.move_to_end(key, last=False)
         self._priorities[key] = priority
 
+    def heard_again(self, news: News) -> None:
+        """Count news that a peer repeated: there it need not go any more.
+
+        In a burst most transmissions would go to nodes that know already.
+        """
+        key = _key(news)
+        priority = self._priorities.get(key)
+        if priority in (None, Priority.URGENT):
+            return
+        items = self._items[priority]
+        if items[key].left <= 1:
+            self.remove(key)
+        else:
+            items[key] = items[key]._replace(left=items[key].left - 1)
+
     def remove(self, key: Key) -> None:
         """Drop what is queued about one thing."""
         priority = self._priorities.pop(key, None)
--- a/balsamspindle/membership/probing.py
+++ b/balsamspindle/membership/probing.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from balsamspindle.membership.budget import Importance
 from balsamspindle.membership.channel import Channel, Peer
 from balsamspindle.membership.gossip import Gossiper
 from balsamspindle.membership.knowledge import Knowledge
@@ -109,7 +110,7 @@
         Some check at once, not all: thousands of probes would hit the node.
         """
         probed = {probe.node.node_id for probe in self._probes.values()}
-        for node_id in self._knowledge.to_check - probed:
+        for node_id in sorted(self._knowledge.to_check - probed):
             view = self._knowledge.directory.view(node_id)
             if view is None or view.is_dead:
                 continue
@@ -145,15 +146,15 @@
 
     def _probe(self, node: NodeRecord, now_s: float) -> None:
         sequence = next(self._sequences)
-        ping = Ping(sequence, node.node_id, self._news_for(node.node_id))
+        ping = Ping(sequence, node.node_id, self._news_for(node.node_id, now_s))
         # A probe that our own cap held back says nothing about the peer.
-        if self._channel.send(node.member_address, ping, now_s, urgent=True):
+        if self._channel.send(node.member_address, ping, now_s, Importance.PROBE):
             self._probes[sequence] = _Probe(node, now_s)
 
-    def _news_for(self, node_id: str) -> list[News]:
+    def _news_for(self, node_id: str, now_s: float) -> list[News]:
         """Return news, first of all what this peer has to refute."""
         claim = self._knowledge.claim_about(node_id)
-        news = self._gossiper.piggyback()
+        news = self._gossiper.piggyback(now_s)
         return news if claim is None else [claim, *news]
 
     def _check_probes(self, now_s: float) -> None:
@@ -178,7 +179,7 @@
         ]
         request = PingRequest(sequence, node.node_id, node.member_address)
         for helper in self._random.sample(others, min(HELPERS, len(others))):
-            self._channel.send(helper.member_address, request, now_s, urgent=True)
+            self._channel.send(helper.member_address, request, now_s, Importance.PROBE)
 
     def _fail(self, probe: _Probe, now_s: float) -> None:
         node = probe.node
@@ -202,7 +203,7 @@
             if now_s - relayed.sent_s >= HELPER_TIMEOUT_S:
                 del self._relayed[own_sequence]
                 ack = Ack(relayed.sequence, reached=False)
-                self._channel.answer(relayed.requester, ack, now_s, urgent=True)
+                self._channel.answer(relayed.requester, ack, now_s, Importance.PROBE)
 
     def _check_isolated(self, now_s: float) -> None:
         for node_id, answered_s in list(self._answers.items()):
@@ -222,12 +223,14 @@
         known = {node.member_address for node in self._knowledge.directory.alive()}
         strangers = [address for address in self._seeds if address not in known]
         if strangers:
-            ping = Ping(0, "", self._gossiper.piggyback())
-            self._channel.send(self._random.choice(strangers), ping, now_s, urgent=True)
+            ping = Ping(0, "", self._gossiper.piggyback(now_s))
+            self._channel.send(
+                self._random.choice(strangers), ping, now_s, Importance.PROBE
+            )
         dead = self._knowledge.directory.dead()
         if dead:
             node = self._random.choice(dead).record
-            ping = Ping(0, node.node_id, self._news_for(node.node_id))
+            ping = Ping(0, node.node_id, self._news_for(node.node_id, now_s))
             self._channel.send(node.member_address, ping, now_s)
 
     def _ping(self, peer: Peer, ping: Ping, now_s: float) -> None:
@@ -236,13 +239,13 @@
             # Another node has this address now; the one asked for is not here.
             self._channel.drop("other_target", ping.target, now_s)
             return
-        ack = Ack(ping.sequence, news=self._news_for(peer.node_id))
-        self._channel.answer(peer, ack, now_s, urgent=True)
+        ack = Ack(ping.sequence, news=self._news_for(peer.node_id, now_s))
+        self._channel.answer(peer, ack, now_s, Importance.PROBE)
 
     def _ping_request(self, peer: Peer, request: PingRequest, now_s: float) -> None:
         own_sequence = next(self._sequences)
-        ping = Ping(own_sequence, request.target, self._news_for(request.target))
-        if self._channel.send(request.address, ping, now_s, urgent=True):
+        ping = Ping(own_sequence, request.target, self._news_for(request.target, now_s))
+        if self._channel.send(request.address, ping, now_s, Importance.PROBE):
             self._relayed[own_sequence] = _Relayed(peer, request.sequence, now_s)
 
     def _ack(self, peer: Peer, ack: Ack, now_s: float) -> None:
@@ -252,7 +255,7 @@
         relayed = self._relayed.pop(ack.sequence, None)
         if relayed is not None:
             reached = msgspec.structs.replace(ack, sequence=relayed.sequence, news=[])
-            self._channel.answer(relayed.requester, reached, now_s, urgent=True)
+            self._channel.answer(relayed.requester, reached, now_s, Importance.PROBE)
             return
         probe = self._probes.get(ack.sequence)
         if probe is None or not ack.reached:
--- a/balsamspindle/membership/settings_exchange.py
+++ b/balsamspindle/membership/settings_exchange.py
@@ -2,6 +2,7 @@
 
 from expression import Result
 
+from balsamspindle.membership.budget import Importance
 from balsamspindle.membership.channel import Channel, Peer
 from balsamspindle.settings.tree import CurrentConfiguration
 from balsamspindle.timeline import EventLog
@@ -27,7 +28,9 @@
         own_revision = self._configuration.revision
         if peer.settings_revision <= own_revision:
             return
-        if self._channel.answer(peer, SettingsRequest(own_revision), now_s, True):
+        if self._channel.answer(
+            peer, SettingsRequest(own_revision), now_s, Importance.URGENT
+        ):
             self._events.emit("settings_requested", peer=peer.node_id)
 
     def _answer(self, peer: Peer, request: SettingsRequest, now_s: float) -> None:
@@ -35,7 +38,7 @@
         if configuration is None or configuration.revision <= request.above_revision:
             return
         snapshot = SettingsSnapshot(configuration.revision, configuration.documents)
-        self._channel.answer(peer, snapshot, now_s, True)
+        self._channel.answer(peer, snapshot, now_s, Importance.URGENT)
 
     def _offer(self, peer: Peer, snapshot: SettingsSnapshot, now_s: float) -> None:
         match self._configuration.offer(snapshot.revision, snapshot.documents):
--- a/balsamspindle/membership/sync.py
+++ b/balsamspindle/membership/sync.py
@@ -29,6 +29,8 @@
 SYNC_INTERVAL_S = 10.0
 # While much differs, as after a join or a long pause.
 CATCH_UP_INTERVAL_S = 0.4
+# After a comparison that found some differences.
+REPAIR_INTERVAL_S = 2.0
 SUMMARY_MAX_NODES = 64
 WANTS_MAX = 64
 PAGE_MAX_BYTES = 24 * 1024
@@ -64,7 +66,8 @@
         self._next_s = now_s + SYNC_INTERVAL_S * self._random.uniform(0.5, 1.5)
         peer = self._random.choice(peers)
         request = SyncRequest(self._knowledge.directory.digests())
-        self._channel.send(peer.member_address, request, now_s)
+        if not self._channel.send(peer.member_address, request, now_s):
+            self.hurry(now_s, REPAIR_INTERVAL_S)
 
     def greet(self, peer: Peer, now_s: float) -> None:
         """Compare with a peer that is not known yet, not more often than due."""
@@ -74,9 +77,9 @@
         request = SyncRequest(self._knowledge.directory.digests())
         self._channel.answer(peer, request, now_s)
 
-    def hurry(self, now_s: float) -> None:
+    def hurry(self, now_s: float, wait_s: float = CATCH_UP_INTERVAL_S) -> None:
         """Compare again soon."""
-        self._next_s = min(self._next_s, now_s + CATCH_UP_INTERVAL_S)
+        self._next_s = min(self._next_s, now_s + wait_s)
 
     def _request(self, peer: Peer, request: SyncRequest, now_s: float) -> None:
         directory = self._knowledge.directory
@@ -97,8 +100,8 @@
         self._channel.answer(peer, summary, now_s)
 
     def _summary(self, peer: Peer, summary: SyncSummary, now_s: float) -> None:
-        if summary.differing > len(summary.buckets):
-            self.hurry(now_s)
+        some_left = summary.differing > len(summary.buckets)
+        self.hurry(now_s, CATCH_UP_INTERVAL_S if some_left else REPAIR_INTERVAL_S)
         wants = [want for want in map(self._want, summary.nodes) if want is not None]
         if wants:
             self._channel.answer(peer, Pull(wants[:WANTS_MAX]), now_s)
@@ -113,7 +116,9 @@
         view = self._knowledge.directory.view(summary.node_id)
         if view is None or summary.incarnation > view.record.incarnation:
             return Want(summary.node_id, summary.incarnation, 0)
-        if summary.incarnation < view.record.incarnation or view.is_dead:
+        if summary.incarnation < view.record.incarnation:
+            return None
+        if view.is_dead and summary.version <= view.version:
             return None
         if summary.fingerprint == view.fingerprint:
             return None
--- /dev/null
+++ b/tests/member_network.py
@@ -0,0 +1,244 @@
+"""Several real `Member` objects in one process, on a clock that tests move.
+
+Only the transport is a fake: frames wait in a list until their time. A link
+can be cut in one direction.
+"""
+
+import heapq
+import itertools
+from collections import Counter
+from collections.abc import Callable
+
+from balsamspindle.membership.directory import Directory
+from balsamspindle.membership.member import TICK_S, Member
+from balsamspindle.membership.transport import (
+    CONNECT_OVERHEAD_BYTES,
+    MESSAGE_OVERHEAD_BYTES,
+    Route,
+    Transport,
+)
+from balsamspindle.settings.process import NodeSettings
+from balsamspindle.settings.tree import CurrentConfiguration
+from balsamspindle.timeline import HybridClock
+from balsamspindle.wire import BackendServerRecord
+
+LATENCY_S = 0.0015
+OPEN_PEERS = 64
+FIRST_INCARNATION = 1_000
+
+
+class RecordedEvents:
+    """Takes events in place of an `EventLog`."""
+
+    def __init__(self) -> None:
+        self.clock = HybridClock()
+        self.seen: list[tuple[str, dict]] = []
+        self.counts: Counter[str] = Counter()
+
+    def emit(self, event: str, **fields) -> int:
+        self.counts[event] += 1
+        self.seen.append((event, fields))
+        return 0
+
+
+class MemoryTransport(Transport):
+    """One member's end of a `MemberNetwork`."""
+
+    def __init__(self, network: "MemberNetwork", address: str) -> None:
+        self._network = network
+        self.address = address
+        self._open: dict[str, None] = {}
+        self.received_bytes = 0
+
+    def cost_bytes(self, address, size_bytes):
+        connect_bytes = 0
+        if address and address not in self._open:
+            connect_bytes = CONNECT_OVERHEAD_BYTES
+        return size_bytes + MESSAGE_OVERHEAD_BYTES + connect_bytes
+
+    def send(self, address, frame):
+        self._open.pop(address, None)
+        self._open[address] = None
+        if len(self._open) > OPEN_PEERS:
+            self._open.pop(next(iter(self._open)))
+        self._network.post(self.address, address, frame)
+        return True
+
+    def answer(self, route, frame):
+        self._network.post(self.address, route.routing_id.decode(), frame)
+        return True
+
+    def receive(self, wait_s):
+        return []
+
+    def forget(self, address):
+        self._open.pop(address, None)
+
+    def wake(self):
+        pass
+
+    def close(self):
+        pass
+
+
+class FakeNode:
+    """A member with its directory, its events and its backend servers."""
+
+    def __init__(self, network, number, zone, region, incarnation, **settings):
+        self.number = number
+        self.node_id = f"node-{number:05d}"
+        self.address = f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:7000"
+        self.servers: tuple[BackendServerRecord, ...] = ()
+        self.directory = Directory()
+        self.events = RecordedEvents()
+        self.configuration = CurrentConfiguration()
+        self.transport = MemoryTransport(network, self.address)
+        self.running = True
+        self.settings = NodeSettings(
+            self.node_id,
+            region,
+            zone,
+            "127.0.0.1:1",
+            self.address,
+            self.address,
+            "127.0.0.1:2",
+            **settings,
+        )
+        self.member = Member(
+            None,
+            self.settings,
+            self.settings.own_record(incarnation),
+            self.directory,
+            self.configuration,
+            lambda: self.servers,
+            self.events,
+            self.transport,
+            lambda: network.now_s,
+        )
+
+    def alive(self) -> set[str]:
+        """Return the ids of the nodes that this one takes for alive."""
+        return {record.node_id for record in self.directory.alive()}
+
+    def serve(self, count: int, services: int = 50, boot_id: str = "1") -> None:
+        """Have backend servers announced at this node."""
+        self.servers = tuple(
+            BackendServerRecord(
+                f"server-{self.number:05d}-{one:02d}",
+                f"team/service-{(self.number * 7 + one) % services:04d}",
+                boot_id,
+                6,
+                "ready",
+            )
+            for one in range(count)
+        )
+
+    def knows(self, boot_id: str, of: "FakeNode") -> bool:
+        """Tell whether this node knows all of another's present servers."""
+        view = self.directory.view(of.node_id)
+        if view is None or view.is_dead:
+            return not of.servers
+        known = {s.backend_server_id: s for s in view.full_record().backend_servers}
+        return all(
+            known.get(one.backend_server_id, one._replace(boot_id="")).boot_id
+            == boot_id
+            for one in of.servers
+        )
+
+
+class MemberNetwork:
+    """Moves frames and the clock."""
+
+    def __init__(self) -> None:
+        self.now_s = 1_000.0
+        self.nodes: dict[str, FakeNode] = {}
+        self.passes: Callable[[FakeNode, FakeNode], bool] = lambda source, target: True
+        self._pending: list = []
+        self._sequence = itertools.count()
+        self.frames = 0
+
+    def add(
+        self, number, zone="zone-1", region="test", seeds=(), **options
+    ) -> FakeNode:
+        """Start a node; one of the same number is replaced."""
+        incarnation = options.pop("incarnation", FIRST_INCARNATION)
+        options["seed_addresses"] = tuple(node.address for node in seeds)
+        node = FakeNode(self, number, zone, region, incarnation, **options)
+        self.nodes[node.address] = node
+        # Ticks of different nodes fall at different times.
+        self._at(self.now_s + TICK_S * ((number * 37 % 100) / 100), node, None)
+        return node
+
+    def add_many(self, count, zones=3, **options) -> list[FakeNode]:
+        """Start nodes that know each other by their first three."""
+        nodes: list[FakeNode] = []
+        for number in range(count):
+            zone = f"zone-{number % zones}"
+            nodes.append(self.add(number, zone, seeds=nodes[:3], **options))
+        return nodes
+
+    def introduce(self, nodes) -> None:
+        """Let nodes know each other without exchanging messages first."""
+        wholes = [node.member.knowledge.own.whole() for node in nodes]
+        for node in nodes:
+            for whole in wholes:
+                node.directory.apply(whole, self.now_s)
+
+    def post(self, source: str, target: str, frame: bytes) -> None:
+        """Send a frame, unless the link is cut or nobody is there."""
+        self.frames += 1
+        near, far = self.nodes.get(source), self.nodes.get(target)
+        if near is None or far is None or not self.passes(near, far):
+            return
+        self._at(self.now_s + LATENCY_S, far, (source, frame))
+
+    def run(self, duration_s: float, until: Callable[[], bool] | None = None) -> bool:
+        """Let time pass; end early when `until` holds, looked at each tick."""
+        end_s = self.now_s + duration_s
+        look_s = self.now_s
+        while self._pending and self._pending[0][0] <= end_s:
+            at_s, _, node, delivery = heapq.heappop(self._pending)
+            self.now_s = max(self.now_s, at_s)
+            self._step(node, delivery)
+            if until is not None and self.now_s >= look_s:
+                look_s = self.now_s + TICK_S
+                if until():
+                    return True
+        self.now_s = end_s
+        return until is not None and until()
+
+    def pause(self, node: FakeNode) -> None:
+        """Stop a node's process; frames to it wait."""
+        node.running = False
+
+    def resume(self, node: FakeNode) -> None:
+        """Let a paused process run on."""
+        node.running = True
+
+    def kill(self, node: FakeNode) -> None:
+        """End a node at once."""
+        if self.nodes.get(node.address) is node:
+            del self.nodes[node.address]
+
+    def _step(self, node: FakeNode, delivery) -> None:
+        if self.nodes.get(node.address) is not node:
+            return
+        if not node.running:
+            self._at(self.now_s + TICK_S, node, delivery)
+            return
+        if delivery is None:
+            node.member.tick(self.now_s)
+            self._at(self.now_s + TICK_S, node, None)
+            return
+        source, frame = delivery
+        node.transport.received_bytes += len(frame) + MESSAGE_OVERHEAD_BYTES
+        route = Route(routing_id=source.encode())
+        node.member.channel.take(route, frame, self.now_s)
+
+    def _at(self, at_s: float, node: FakeNode, delivery) -> None:
+        heapq.heappush(self._pending, (at_s, next(self._sequence), node, delivery))
+
+
+def count_events(nodes, event: str) -> int:
+    """Return how often nodes emitted an event."""
+    return sum(node.events.counts[event] for node in nodes)
