--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -17,6 +17,7 @@
 from balsamspindle.requests.forwarding import Forwarder
 from balsamspindle.requests.ingress import Ingress
 from balsamspindle.requests.links import LinkPool
+from balsamspindle.services.picker import Picker
 from balsamspindle.settings.process import NodeSettings
 from balsamspindle.settings.reader import SettingsReader
 from balsamspindle.settings.store import SettingsStore
@@ -67,11 +68,12 @@
             self.events,
         )
         self._links = LinkPool(self._context, self.events)
+        self._picker = Picker(own, self._directory, self._configuration)
         self._connections = ThreadPoolExecutor(settings.connections_max, "caller")
         self._ingress = Ingress(
             settings,
             self._configuration,
-            Forwarder(own, self._directory, self._gate, self._links, self.events),
+            Forwarder(own, self._picker, self._gate, self._links, self.events),
             self._connections,
             self.events,
         )
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -7,11 +7,12 @@
 from dataclasses import dataclass, field
 
 from balsamspindle.backend_servers.gate import Gate
-from balsamspindle.membership.directory import Directory, Placement
+from balsamspindle.membership.directory import Placement
 from balsamspindle.requests.http import CallerRequest, HttpConnection
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.requests.outcomes import Execution, Outcome, Reason
-from balsamspindle.services.picker import pick
+from balsamspindle.services.free_slots import FreeSlotViews
+from balsamspindle.services.picker import Picker
 from balsamspindle.settings.documents import RouteDocument
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import AttemptId, Cancel, Dispatch, NodeRecord, Reply, checksum
@@ -42,35 +43,19 @@
     tried: set[str] = field(default_factory=set)
 
 
-class FreeSlotViews:
-    """Free slots as piggybacked on the last reply of each backend server."""
-
-    def __init__(self) -> None:
-        self._free: dict[str, int] = {}
-
-    def note(self, backend_server_id: str, free_slots: int) -> None:
-        """Take what a reply said."""
-        self._free[backend_server_id] = free_slots
-
-    def free_slots(self, placement: Placement) -> int:
-        """See `balsamspindle.services.picker.FreeSlots`."""
-        server = placement.backend_server
-        return self._free.get(server.backend_server_id, server.slots)
-
-
 class Forwarder:
     """Makes attempts until a request has its outcome."""
 
     def __init__(
         self,
         own: NodeRecord,
-        directory: Directory,
+        picker: Picker,
         gate: Gate,
         links: LinkPool,
         events: EventLog,
     ) -> None:
         self._own = own
-        self._directory = directory
+        self._picker = picker
         self._gate = gate
         self._links = links
         self._events = events
@@ -98,10 +83,14 @@
         return AttemptId(self._own.node_id, self._own.incarnation, next(self._sequence))
 
     def _pick(self, forwarded: ForwardedRequest) -> Placement | None:
-        placements = self._directory.placements(forwarded.route.service)
+        now_s = time.monotonic()
         with self._random_lock:
-            return pick(
-                placements, self._own, forwarded.tried, self._free_slots, self._random
+            return self._picker.pick(
+                forwarded.route.service,
+                forwarded.route.execution,
+                forwarded.tried,
+                lambda placement: self._free_slots.free_slots(placement, now_s),
+                self._random,
             )
 
     def _attempt(self, forwarded: ForwardedRequest, placement: Placement) -> Reply:
@@ -112,7 +101,7 @@
             reply = self._gate.handle(dispatch, time.monotonic())
         else:
             reply = self._attempt_over_link(forwarded, placement, dispatch)
-        self._free_slots.note(server_id, reply.free_slots)
+        self._free_slots.note(server_id, reply.free_slots, time.monotonic())
         return reply
 
     def _dispatch_message(self, forwarded, placement) -> Dispatch:
--- a/balsamspindle/services/picker.py
+++ b/balsamspindle/services/picker.py
@@ -1,76 +1,139 @@
 """Which backend server gets a request."""
 
 import random
-from collections.abc import Sequence, Set
-from typing import Protocol
+from collections.abc import Callable, Sequence, Set
 
-from balsamspindle.backend_servers.servers import BackendServerState
-from balsamspindle.membership.directory import NodeState, Placement
+from balsamspindle.membership.directory import Directory, Placement
+from balsamspindle.requests.outcomes import Execution
+from balsamspindle.services.floor import FloorDecision
+from balsamspindle.services.view import ServiceView, make_view
+from balsamspindle.settings.tree import CurrentConfiguration
 from balsamspindle.wire import NodeRecord
 
-__all__ = ["FreeSlots", "pick"]
+__all__ = ["FreeSlots", "Picker"]
 
+FreeSlots = Callable[[Placement], float]
 
-class FreeSlots(Protocol):
-    """What an ingress believes about free slots."""
+# Draws of two in a tier before it counts as busy.
+DRAWS_MAX = 3
 
-    def free_slots(self, placement: Placement) -> int:
-        """Return the free slots of a backend server, as last heard."""
 
+class Picker:
+    """Chooses backend servers for one node's ingress.
 
-def pick(
-    placements: Sequence[Placement],
-    own: NodeRecord,
-    excluded: Set[str],
-    free_slots: FreeSlots,
-    rng: random.Random,
-) -> Placement | None:
-    """Choose a backend server: nearest first, then by two random choices.
+    A view is kept for each service that is asked for, and made anew when the
+    directory's placements of the service or the floor changed. The cost of a
+    choice does not depend on the number of backend servers.
 
     Parameters
     ----------
-    placements : sequence of Placement
-        The service's backend servers.
     own : NodeRecord
         The node that asks.
-    excluded : set of str
-        Ids of backend servers that this request has tried.
-
-    Returns
-    -------
-    Placement or None
-        None when no backend server takes work.
+    directory : Directory
+    configuration : CurrentConfiguration
+        Where the services' floors stand.
     """
-    usable = [
-        placement
-        for placement in placements
-        if placement.backend_server.state == BackendServerState.READY
-        and placement.node.state == NodeState.ALIVE
-        and placement.backend_server.backend_server_id not in excluded
-    ]
-    for tier in _tiers(usable, own):
-        free = [placement for placement in tier if free_slots.free_slots(placement) > 0]
-        if free:
-            return _two_choices(free, free_slots, rng)
-    # All are busy as far as we know: let one of them queue the request.
-    return _two_choices(usable, free_slots, rng) if usable else None
-
-
-def _tiers(usable: list[Placement], own: NodeRecord) -> list[list[Placement]]:
-    """Split into own VM, own availability zone, the rest."""
-    tiers: list[list[Placement]] = [[], [], []]
-    for placement in usable:
-        if placement.node.node_id == own.node_id:
-            tiers[0].append(placement)
-        elif placement.node.availability_zone == own.availability_zone:
-            tiers[1].append(placement)
-        else:
-            tiers[2].append(placement)
-    return tiers
-
-
-def _two_choices(
-    placements: list[Placement], free_slots: FreeSlots, rng: random.Random
-) -> Placement:
-    first, second = rng.choice(placements), rng.choice(placements)
-    return max(first, second, key=free_slots.free_slots)
+
+    def __init__(
+        self,
+        own: NodeRecord,
+        directory: Directory,
+        configuration: CurrentConfiguration,
+    ) -> None:
+        self._own = own
+        self._directory = directory
+        self._configuration = configuration
+        self._views: dict[str, ServiceView] = {}
+
+    def pick(
+        self,
+        service: str,
+        execution: Execution,
+        excluded: Set[str],
+        free_slots: FreeSlots,
+        rng: random.Random,
+    ) -> Placement | None:
+        """Choose a backend server: nearest first, then by two random choices.
+
+        Parameters
+        ----------
+        excluded : set of str
+            Ids of backend servers that this request does not go to.
+        free_slots : callable
+            Returns what is believed about a backend server's free slots.
+
+        Returns
+        -------
+        Placement or None
+            None when no backend server takes work. One without free slots
+            when all that were drawn are busy: it may queue the request.
+        """
+        placement = None
+        for tier in _TIERS[execution](self.view(service)):
+            placement = _choose(tier, excluded, free_slots, rng) or placement
+            # A busy tier spills over to the next wider one, so that a
+            # preference for the own zone does not overload a small one.
+            if placement is not None and free_slots(placement) > 0:
+                return placement
+        return placement
+
+    def view(self, service: str) -> ServiceView:
+        """Return the present view of a service."""
+        floor_fraction = self._floor_fraction(service)
+        placements = self._directory.placements(service)
+        view = self._views.get(service)
+        if view is not None and view.floor_fraction == floor_fraction:
+            if view.placements is placements:
+                return view
+            if view.placements == placements:
+                # Indexed anew, without a change to this service.
+                view = view._replace(placements=placements)
+                self._views[service] = view
+                return view
+        view = make_view(placements, self._own, floor_fraction)
+        self._views[service] = view
+        return view
+
+    def explain(self, service: str) -> FloorDecision:
+        """Return who is left out of a service, and why."""
+        return self.view(service).decision
+
+    def _floor_fraction(self, service: str) -> float:
+        configuration = self._configuration.get()
+        document = configuration and configuration.services.get(service)
+        # A service that is not in the settings (yet): eject nobody.
+        return document.floor_fraction if document else 1.0
+
+
+_TIERS = {
+    Execution.IDEMPOTENT: lambda view: view.tiers,
+    # A trial may fail without telling whether it ran, and no other backend
+    # server may be tried then: the caller would be left with `unknown`.
+    Execution.NON_IDEMPOTENT: lambda view: view.trusted_tiers,
+}
+
+
+def _choose(
+    tier: Sequence[Placement],
+    excluded: Set[str],
+    free_slots: FreeSlots,
+    rng: random.Random,
+) -> Placement | None:
+    """Return one with a free slot if a few draws find one, else a busy one."""
+    if excluded:
+        tier = [
+            placement
+            for placement in tier
+            if placement.backend_server.backend_server_id not in excluded
+        ]
+    if not tier:
+        return None
+    for _ in range(DRAWS_MAX):
+        placement = max(_draw(tier, rng), _draw(tier, rng), key=free_slots)
+        if len(tier) == 1 or free_slots(placement) > 0:
+            break
+    return placement
+
+
+def _draw(tier: Sequence[Placement], rng: random.Random) -> Placement:
+    return tier[int(rng.random() * len(tier))]
