Let the floor decide on backend servers on trial, too

Cause: a trial that cuts a backend server's capacity takes capacity in use below the floor when the floor had kept it. Those on trial are now the last suspects of the decision: what the floor needs is used in full, the others get a fifth of a normal share of the idempotent requests. Ruled out: a smaller capacity in the record while on trial (it lowers the ready slots outside the decision).

--- a/balsamspindle/services/floor.py
+++ b/balsamspindle/services/floor.py
@@ -18,6 +18,7 @@
 from balsamspindle.membership.directory import NodeState, Placement
 
 __all__ = [
+    "ON_TRIAL",
     "SHARED_CAUSE_FRACTION",
     "SUSPECTED",
     "FloorCause",
@@ -28,7 +29,10 @@
     "is_ready",
 ]
 
+# Suspicions of a backend server over its detection threshold, and of one that
+# is being readmitted and should get no more than trial requests.
 SUSPECTED = 1.0
+ON_TRIAL = 0.5
 # When this part of the ready capacity is suspected, the likelier cause is one
 # that they share (the network, the load), and ejection would only move the
 # load onto the rest.
@@ -45,7 +49,7 @@
 
 
 class Suspect(NamedTuple):
-    """One backend server over its detection threshold.
+    """One backend server that is over its detection threshold or on trial.
 
     Attributes
     ----------
@@ -159,7 +163,7 @@
             capacity_slots(placement),
         )
         for placement in ready
-        if placement.backend_server.suspicion >= SUSPECTED
+        if placement.backend_server.suspicion >= ON_TRIAL
     ]
     return sorted(
         suspects,
@@ -173,8 +177,9 @@
 
 def _is_shared(suspects: list[Suspect], ready_slots: float) -> bool:
     """Tell whether nearly everything looks sick."""
-    suspected_slots = sum(suspect.capacity_slots for suspect in suspects)
-    return bool(suspects) and suspected_slots >= SHARED_CAUSE_FRACTION * ready_slots
+    suspected = [suspect for suspect in suspects if suspect.suspicion >= SUSPECTED]
+    suspected_slots = sum(suspect.capacity_slots for suspect in suspected)
+    return bool(suspected) and suspected_slots >= SHARED_CAUSE_FRACTION * ready_slots
 
 
 def _split(
--- a/balsamspindle/services/picker.py
+++ b/balsamspindle/services/picker.py
@@ -68,8 +68,13 @@
             None when no backend server takes work. One without free slots
             when all that were drawn are busy: it may queue the request.
         """
+        view = self.view(service)
+        if _takes_trial(view, execution, rng):
+            placement = _choose(view.trials, excluded, free_slots, rng)
+            if placement is not None:
+                return placement
         placement = None
-        for tier in _TIERS[execution](self.view(service)):
+        for tier in view.tiers:
             placement = _choose(tier, excluded, free_slots, rng) or placement
             # A busy tier spills over to the next wider one, so that a
             # preference for the own zone does not overload a small one.
@@ -105,12 +110,15 @@
         return document.floor_fraction if document else 1.0
 
 
-_TIERS = {
-    Execution.IDEMPOTENT: lambda view: view.tiers,
-    # A trial may fail without telling whether it ran, and no other backend
-    # server may be tried then: the caller would be left with `unknown`.
-    Execution.NON_IDEMPOTENT: lambda view: view.trusted_tiers,
-}
+def _takes_trial(view: ServiceView, execution: Execution, rng: random.Random) -> bool:
+    """Tell whether a request goes to a backend server on trial.
+
+    A trial may fail without telling whether it ran. A non-idempotent request
+    could not go elsewhere then, and its caller would be left with `unknown`.
+    """
+    if not view.trials or execution is not Execution.IDEMPOTENT:
+        return False
+    return rng.random() < view.trial_chance
 
 
 def _choose(
--- a/balsamspindle/services/view.py
+++ b/balsamspindle/services/view.py
@@ -9,15 +9,19 @@
 from typing import NamedTuple
 
 from balsamspindle.membership.directory import Placement
-from balsamspindle.services.floor import FloorDecision, decide_floor, is_ready
+from balsamspindle.services.floor import (
+    SUSPECTED,
+    FloorDecision,
+    decide_floor,
+    is_ready,
+)
 from balsamspindle.services.subset import subset
 from balsamspindle.wire import NodeRecord
 
-__all__ = ["ON_TRIAL", "ServiceView", "is_on_trial", "make_view"]
+__all__ = ["ServiceView", "make_view"]
 
-# Suspicion of a backend server that is being readmitted: below the detection
-# threshold, so the floor does not count it as a suspect.
-ON_TRIAL = 0.5
+# Of a usable backend server's requests, what one on trial gets.
+TRIAL_SHARE = 0.2
 
 Tiers = tuple[tuple[Placement, ...], ...]
 
@@ -36,15 +40,18 @@
     tiers : tuple of tuple of Placement
         Own VM, rest of the own availability zone, rest of the own region,
         and last the whole subset.
-    trusted_tiers : tuple of tuple of Placement
-        The same without those on trial: for non-idempotent requests.
+    trials : tuple of Placement
+        Those on trial that the floor does not need.
+    trial_chance : float
+        Part of the idempotent requests that goes to them.
     """
 
     placements: Sequence[Placement]
     floor_fraction: float
     decision: FloorDecision
     tiers: Tiers
-    trusted_tiers: Tiers
+    trials: tuple[Placement, ...]
+    trial_chance: float
 
 
 def make_view(
@@ -53,32 +60,28 @@
     """Work out a view; costs a few steps for each placement."""
     decision = decide_floor(placements, floor_fraction)
     left_out = {
-        (suspect.node_id, suspect.backend_server_id) for suspect in decision.left_out
+        (suspect.node_id, suspect.backend_server_id): suspect
+        for suspect in decision.left_out
     }
-    usable = [
-        placement
-        for placement in placements
-        if is_ready(placement)
-        and (placement.node.node_id, placement.backend_server.backend_server_id)
-        not in left_out
-    ]
-    trusted = [placement for placement in usable if not is_on_trial(placement)]
+    usable: list[Placement] = []
+    trials: list[Placement] = []
+    for placement in filter(is_ready, placements):
+        server = placement.backend_server
+        suspect = left_out.get((placement.node.node_id, server.backend_server_id))
+        if suspect is None:
+            usable.append(placement)
+        elif suspect.suspicion < SUSPECTED:
+            trials.append(placement)
     return ServiceView(
         placements,
         floor_fraction,
         decision,
         _tiers(subset(usable, own), own),
-        # With nobody but those on trial, they are better than no answer: a
-        # refusal would be certain, a failure is not.
-        _tiers(subset(trusted or usable, own), own),
+        tuple(subset(trials, own)),
+        TRIAL_SHARE * len(trials) / max(1, len(usable) + len(trials)),
     )
 
 
-def is_on_trial(placement: Placement) -> bool:
-    """Tell whether a backend server is being readmitted."""
-    return ON_TRIAL <= placement.backend_server.suspicion < 1
-
-
 def _tiers(usable: Sequence[Placement], own: NodeRecord) -> Tiers:
     tiers: tuple[list[Placement], ...] = ([], [], [])
     for placement in usable:
