Judge a backend server from its work by a sequential test

A CUSUM of log-likelihood ratios over ended requests (failed or slow against good), and over the age of those in flight: a hang says nothing by its end before its timeout. Hold-outs double, trials give work back. Peers' share of bad requests is the base that the test measures against.

Faults found while writing it, each with a test: - silence under the slow limit counted as bad: callers with 5 ms timeouts ejected a healthy server; - one hanging request alone ejected: its age is bounded to two bad ones; - probes that passed during failing work shortened the hold-out.

Settings: hold_out_s, hold_out_max_s and trial_successes join Detection.

--- /dev/null
+++ b/balsamspindle/backend_servers/health.py
@@ -0,0 +1,257 @@
+"""The health of one backend server, from the work that its gate sees."""
+
+from collections import Counter
+from enum import StrEnum
+from typing import NamedTuple
+
+from balsamspindle.backend_servers.evidence import WorkResult
+from balsamspindle.backend_servers.health_latency import SLOW_SHARE, SlowLimit
+from balsamspindle.backend_servers.health_peers import PeerEvidence, PeerView
+from balsamspindle.backend_servers.health_readmission import HealthPhase, Readmission
+from balsamspindle.backend_servers.health_score import (
+    Rates,
+    against_peers,
+    age_weight,
+    bad_weight,
+    good_weight,
+)
+from balsamspindle.settings.documents import Detection
+from balsamspindle.wire import AttemptId
+
+__all__ = ["HealthReport", "ServerHealth", "Verdict"]
+
+# The score stops here, in thresholds: past it more evidence says nothing new.
+SCORE_MAX = 2.0
+# A hold-out ends early when work that came all the same went so well, in
+# thresholds.
+RECOVERED_SCORE = 0.5
+# Latencies teach the slow limit only under this score, in thresholds: a sick
+# backend server would else teach it that slow is normal.
+LEARNING_SCORE = 0.25
+# Suspicion is published in few steps: each change of a record is news to the
+# whole fleet.
+SUSPICION_ON_TRIAL = 0.5
+SUSPICION_HELD_OUT = 1.0
+SUSPICION_STRONG = 2.0
+STRONG_SCORE = 1.5
+
+
+class Verdict(StrEnum):
+    """What one ended request says of the backend server."""
+
+    GOOD = "good"
+    BAD = "bad"
+    NOTHING = "nothing"
+
+
+class HealthReport(NamedTuple):
+    """Why a backend server stands as it does; for operators and events.
+
+    Attributes
+    ----------
+    score, threshold : float
+        Sum of the sequential test, and where it ejects.
+    slow_ms : float
+        Requests over it count as slow.
+    peers_bad_share : float
+        Part of the service's other backend servers that looks bad, too.
+    evidence : dict of str to int
+        Requests by result since the score was last 0.
+    """
+
+    phase: HealthPhase
+    since_s: float
+    score: float
+    threshold: float
+    slow_ms: float
+    peers_bad_share: float
+    evidence: dict[str, int]
+    hold_out_left_s: float
+
+
+class _InFlight:
+    """One dispatched attempt; `counted` is what its age added to the score."""
+
+    __slots__ = ("counted", "started_s")
+
+    def __init__(self, started_s: float) -> None:
+        self.started_s = started_s
+        self.counted = 0.0
+
+
+class ServerHealth:
+    """Score and phase of one backend server; guarded by its owner's lock."""
+
+    def __init__(self, detection: Detection, now_s: float) -> None:
+        self._detection = detection
+        self._readmission = Readmission(detection, now_s)
+        self._peers = PeerView()
+        self._slow = SlowLimit()
+        self._in_flight: dict[AttemptId, _InFlight] = {}
+        self._score = 0.0
+        # Kept through a hold-out, so that a score that goes up and down does
+        # not make news each time.
+        self._strong = False
+        self._evidence: Counter[str] = Counter()
+
+    @property
+    def phase(self) -> HealthPhase:
+        """Where the backend server stands now."""
+        return self._readmission.phase
+
+    @property
+    def has_work(self) -> bool:
+        """Whether attempts are in flight."""
+        return bool(self._in_flight)
+
+    @property
+    def own_slow_ms(self) -> float:
+        """Slow limit learned from this backend server; 0 before it settled."""
+        return self._slow.limit_ms if self._slow.settled else 0.0
+
+    def configure(self, detection: Detection) -> None:
+        """Take changed settings; the evidence stays."""
+        self._detection = detection
+        self._readmission.detection = detection
+
+    def note_peers(self, evidence: PeerEvidence, now_s: float) -> None:
+        """Take what an ingress saw of the service's other backend servers."""
+        self._peers.note(evidence, now_s)
+
+    def started(self, attempt_id: AttemptId, now_s: float) -> None:
+        """Take an attempt into the work in flight."""
+        self._in_flight[attempt_id] = _InFlight(now_s)
+
+    def ended(self, attempt_id: AttemptId, result: WorkResult, now_s: float) -> Verdict:
+        """Take an attempt's end and tell what it says."""
+        attempt = self._in_flight.pop(attempt_id, None)
+        if attempt is None:
+            return Verdict.NOTHING
+        latency_ms = (now_s - attempt.started_s) * 1000
+        verdict = _VERDICTS[result, latency_ms > self.slow_ms()]
+        self._learn(result, latency_ms)
+        self._take(verdict, result, attempt, now_s)
+        self._move(now_s)
+        return verdict
+
+    def probed(self, passed: bool, now_s: float) -> None:
+        """Take a probe, made while no real work told anything.
+
+        A failed one is evidence like bad work. A passed one takes nothing
+        off the score: health endpoints answer while real work hangs.
+        """
+        self._readmission.note_probe(passed)
+        if not passed:
+            self._add(bad_weight(self._rates(now_s)))
+            self._evidence["probe_failed"] += 1
+        self._move(now_s)
+
+    def tick(self, now_s: float) -> None:
+        """Count the age of the work in flight, and the time in a phase."""
+        rates = self._rates(now_s)
+        slow_ms = self.slow_ms()
+        for attempt in self._in_flight.values():
+            weight = age_weight(rates, (now_s - attempt.started_s) * 1000, slow_ms)
+            if weight > attempt.counted:
+                if not attempt.counted:
+                    self._evidence["in_flight_too_long"] += 1
+                self._add(weight - attempt.counted)
+                attempt.counted = weight
+        self._move(now_s)
+
+    def slow_ms(self) -> float:
+        """Return the latency over which a request counts as slow."""
+        return self._peers.slow_ms or self._slow.limit_ms
+
+    def suspicion(self) -> float:
+        """Return what the fleet is told; 1 and more is over the threshold."""
+        if self.phase is HealthPhase.HELD_OUT:
+            return SUSPICION_STRONG if self._strong else SUSPICION_HELD_OUT
+        return SUSPICION_ON_TRIAL if self.phase is HealthPhase.ON_TRIAL else 0.0
+
+    def report(self, now_s: float) -> HealthReport:
+        """Explain the present phase and score."""
+        return HealthReport(
+            self.phase,
+            self._readmission.since_s,
+            self._score,
+            self._detection.threshold,
+            self.slow_ms(),
+            self._peers.bad_share(now_s),
+            dict(self._evidence),
+            self._readmission.hold_out_left_s(now_s),
+        )
+
+    def _rates(self, now_s: float) -> Rates:
+        rates = Rates(
+            self._detection.error_rate_healthy + SLOW_SHARE,
+            self._detection.error_rate_sick,
+        )
+        return against_peers(rates, self._peers.bad_share(now_s))
+
+    def _learn(self, result: WorkResult, latency_ms: float) -> None:
+        calm = self._score <= LEARNING_SCORE * self._detection.threshold
+        if calm and result is WorkResult.ANSWERED:
+            self._slow.learn(latency_ms)
+
+    def _take(self, verdict, result, attempt: _InFlight, now_s: float) -> None:
+        """Add one ended attempt to the score."""
+        rates = self._rates(now_s)
+        match verdict:
+            case Verdict.GOOD:
+                self._add(good_weight(rates))
+            case Verdict.BAD:
+                self._add(max(0.0, bad_weight(rates) - attempt.counted))
+        if verdict is not Verdict.NOTHING:
+            slow = result is WorkResult.ANSWERED and verdict is Verdict.BAD
+            self._evidence["slow" if slow else result.value] += 1
+            if self._readmission.note_work(verdict is Verdict.GOOD):
+                self._readmission.serve(now_s)
+
+    def _add(self, weight: float) -> None:
+        limit = SCORE_MAX * self._detection.threshold
+        self._score = min(limit, max(0.0, self._score + weight))
+        if not self._score:
+            self._evidence.clear()
+
+    def _move(self, now_s: float) -> None:
+        """Change the phase when the score or the time says so."""
+        threshold = self._detection.threshold
+        match self.phase:
+            case HealthPhase.SERVING | HealthPhase.ON_TRIAL:
+                if self._score >= threshold:
+                    self._readmission.eject(now_s)
+                    self._strong = False
+            case HealthPhase.HELD_OUT:
+                self._strong |= self._score >= STRONG_SCORE * threshold
+                recovered = self._score <= RECOVERED_SCORE * threshold
+                if recovered or not self._readmission.hold_out_left_s(now_s):
+                    self._start_trial(now_s)
+
+    def _start_trial(self, now_s: float) -> None:
+        """Begin a trial so near the threshold that one bad request ends it."""
+        weight = bad_weight(self._rates(now_s))
+        near = max(0.0, self._detection.threshold - weight)
+        self._score = min(self._score, near)
+        self._readmission.start_trial(now_s)
+
+
+# Silence counts only past the slow limit: a caller that allows a millisecond
+# would else get a healthy backend server ejected. Shed work is load, and what
+# we cancelled is our own doing.
+_VERDICTS = {
+    (WorkResult.ANSWERED, False): Verdict.GOOD,
+    (WorkResult.ANSWERED, True): Verdict.BAD,
+    (WorkResult.SILENCE, False): Verdict.NOTHING,
+    (WorkResult.SILENCE, True): Verdict.BAD,
+    **{
+        (result, slow): Verdict.BAD
+        for result in (WorkResult.ERROR, WorkResult.BROKEN, WorkResult.UNREACHABLE)
+        for slow in (False, True)
+    },
+    **{
+        (result, slow): Verdict.NOTHING
+        for result in (WorkResult.SHED, WorkResult.CANCELLED)
+        for slow in (False, True)
+    },
+}
--- /dev/null
+++ b/balsamspindle/backend_servers/health_peers.py
@@ -0,0 +1,75 @@
+"""What a gate hears of a service's other backend servers.
+
+Ingresses see the answers of many backend servers; each dispatch carries a
+summary of the others, so that comparison costs no messages of its own.
+"""
+
+import math
+from typing import NamedTuple
+
+__all__ = ["NO_PEERS", "PeerEvidence", "PeerView"]
+
+MEMORY_S = 5.0
+# Counts as so many good peers, so that one bad one of few is not a trend.
+PRIOR_HEARD = 4.0
+# Backend servers of one service may run on unequal hardware.
+SLOW_SLACK = 1.25
+SLOW_BLEND = 0.1
+
+
+class PeerEvidence(NamedTuple):
+    """One ingress's summary of a service's other backend servers.
+
+    Attributes
+    ----------
+    heard : int
+        Backend servers that it heard lately.
+    bad : int
+        Those whose latest request was bad.
+    slow_ms : float
+        Median of the slow limits that their gates told; 0 when unknown.
+    """
+
+    heard: int = 0
+    bad: int = 0
+    slow_ms: float = 0.0
+
+
+NO_PEERS = PeerEvidence()
+
+
+class PeerView:
+    """The summaries of all ingresses, of the last seconds.
+
+    Attributes
+    ----------
+    slow_ms : float
+        The slow limit among peers; 0 when unknown.
+    """
+
+    def __init__(self) -> None:
+        self.slow_ms = 0.0
+        self._heard = 0.0
+        self._bad = 0.0
+        self._noted_s = 0.0
+
+    def note(self, evidence: PeerEvidence, now_s: float) -> None:
+        """Take the summary of one dispatch."""
+        if not evidence.heard:
+            return
+        kept = self._decay(now_s)
+        self._heard = self._heard * kept + evidence.heard
+        self._bad = self._bad * kept + evidence.bad
+        self._noted_s = now_s
+        if evidence.slow_ms > 0:
+            limit_ms = evidence.slow_ms * SLOW_SLACK
+            known_ms = self.slow_ms or limit_ms
+            self.slow_ms = known_ms + SLOW_BLEND * (limit_ms - known_ms)
+
+    def bad_share(self, now_s: float) -> float:
+        """Return the share of the peers that looks bad."""
+        kept = self._decay(now_s)
+        return self._bad * kept / (self._heard * kept + PRIOR_HEARD)
+
+    def _decay(self, now_s: float) -> float:
+        return math.exp(-max(0.0, now_s - self._noted_s) / MEMORY_S)
--- /dev/null
+++ b/balsamspindle/backend_servers/health_score.py
@@ -0,0 +1,79 @@
+"""The sequential test that tells a sick backend server from a healthy one.
+
+Each ended request is good or bad: bad when it failed or was slow. The score
+is a CUSUM of log-likelihood ratios of "sick" against "healthy": good work
+lowers it, never under 0; at the threshold the backend server is suspected.
+For a given rate of false alarms no other test on the same evidence has a
+shorter worst detection delay.
+"""
+
+import math
+from typing import NamedTuple
+
+__all__ = ["Rates", "age_weight", "against_peers", "bad_weight", "good_weight"]
+
+# How the share of healthy requests that are still in flight falls with their
+# age, past the slow limit: the exponent of a heavy tail.
+TAIL_EXPONENT = 1.0
+# A single request, however long it hangs, is no more evidence than this many
+# bad ones: one odd request is not a sick backend server.
+WEIGHT_OF_ONE_MAX = 2.0
+SHARED_CAUSE_SHARE = 0.5
+HEALTHY_RATE_MAX = 0.99
+SICK_RATE_MAX = 0.999
+
+
+class Rates(NamedTuple):
+    """Shares of bad requests that the test tells apart.
+
+    Attributes
+    ----------
+    healthy, sick : float
+        Between 0 and 1, `healthy` below `sick`.
+    """
+
+    healthy: float
+    sick: float
+
+
+def against_peers(rates: Rates, peers_bad_share: float) -> Rates:
+    """Return the rates to test for while a share of the peers is bad, too.
+
+    When all backend servers of a service fail or are slow at once, the cause
+    is the load or something that they share. Measured against a fixed rate
+    each of them would be suspected, and ejection would load the rest more.
+    From half of the peers on nothing counts: the rates returned are equal.
+    """
+    if peers_bad_share >= SHARED_CAUSE_SHARE:
+        return Rates(SHARED_CAUSE_SHARE, SHARED_CAUSE_SHARE)
+    healthy = min(HEALTHY_RATE_MAX, max(rates.healthy, peers_bad_share))
+    sick = healthy + (1 - healthy) * rates.sick
+    return Rates(healthy, min(SICK_RATE_MAX, sick))
+
+
+def bad_weight(rates: Rates) -> float:
+    """Return the score of a bad request; 0 or more."""
+    return math.log(rates.sick / rates.healthy)
+
+
+def good_weight(rates: Rates) -> float:
+    """Return the score of a good request; 0 or less."""
+    return math.log((1 - rates.sick) / (1 - rates.healthy))
+
+
+def age_weight(rates: Rates, age_ms: float, slow_ms: float) -> float:
+    """Return the score of a request in flight, by its age.
+
+    A request that hangs says so only at its timeout. Its age says it sooner:
+    past the slow limit few healthy requests are still in flight.
+
+    Returns
+    -------
+    float
+        0 up to the slow limit, then at least `bad_weight` and growing.
+    """
+    if age_ms <= slow_ms:
+        return 0.0
+    weight = bad_weight(rates)
+    grown = weight + TAIL_EXPONENT * math.log(age_ms / slow_ms)
+    return min(grown, WEIGHT_OF_ONE_MAX * weight)
--- a/balsamspindle/settings/documents.py
+++ b/balsamspindle/settings/documents.py
@@ -32,11 +32,19 @@
         Evidence that ejects: higher is slower and errs less often.
     error_rate_healthy, error_rate_sick : float
         The two error rates that the test tells apart.
+    hold_out_s, hold_out_max_s : float
+        Time without work after an ejection: the first one, and the bound of
+        its doublings.
+    trial_successes : int
+        Good requests in a row that end a trial.
     """
 
     threshold: Positive = 7.0
     error_rate_healthy: Fraction = 0.01
     error_rate_sick: Fraction = 0.3
+    hold_out_s: Positive = 5.0
+    hold_out_max_s: Positive = 300.0
+    trial_successes: Annotated[int, msgspec.Meta(ge=1)] = 5
 
 
 class RetryBudget(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,205 @@
+"""Health of one backend server from its work: evidence fed, time given."""
+
+import math
+
+import pytest
+
+from balsamspindle.backend_servers.evidence import WorkResult
+from balsamspindle.backend_servers.health import ServerHealth, Verdict
+from balsamspindle.backend_servers.health_peers import PeerEvidence
+from balsamspindle.backend_servers.health_readmission import HealthPhase
+from balsamspindle.backend_servers.health_score import (
+    Rates,
+    against_peers,
+    age_weight,
+    bad_weight,
+    good_weight,
+)
+from balsamspindle.settings.documents import Detection
+from balsamspindle.wire import AttemptId
+
+ANSWERED, ERROR = WorkResult.ANSWERED, WorkResult.ERROR
+PEERS_WELL = PeerEvidence(heard=5, bad=0, slow_ms=80.0)
+INTERVAL_S = 0.2
+
+
+class Driver:
+    """Feeds one `ServerHealth` a request every `INTERVAL_S`."""
+
+    def __init__(self, detection=None, peers=PEERS_WELL) -> None:
+        self.health = ServerHealth(detection or Detection(), 0.0)
+        self.peers = peers
+        self.now_s = 0.0
+        self.count = 0
+
+    def start(self) -> AttemptId:
+        self.count += 1
+        attempt_id = AttemptId("node", 1, self.count)
+        self.health.note_peers(self.peers, self.now_s)
+        self.health.started(attempt_id, self.now_s)
+        return attempt_id
+
+    def work(self, result=ANSWERED, latency_ms=20.0, times=1) -> Verdict:
+        """Run requests one after the other."""
+        for _ in range(times):
+            attempt_id = self.start()
+            self.now_s += latency_ms / 1000
+            self.health.tick(self.now_s)
+            verdict = self.health.ended(attempt_id, result, self.now_s)
+            self.now_s += INTERVAL_S
+        return verdict
+
+    def wait(self, seconds: float) -> None:
+        for _ in range(int(seconds / 0.05)):
+            self.now_s += 0.05
+            self.health.tick(self.now_s)
+
+    def requests_until(self, phase, limit=100, **work) -> int:
+        for number in range(limit):
+            if self.health.phase is phase:
+                return number
+            self.work(**work)
+        raise AssertionError(f"not {phase} after {limit} requests")
+
+
+@pytest.mark.parametrize(
+    ("work", "most"),
+    [
+        ({"result": ERROR}, 3),
+        ({"result": WorkResult.BROKEN}, 3),
+        ({"result": WorkResult.UNREACHABLE}, 3),
+        ({"latency_ms": 150.0}, 3),
+    ],
+)
+def test_failing_or_slow_work_ejects_in_a_few_requests(work, most):
+    driver = Driver()
+    driver.work(times=150)
+    assert driver.health.suspicion() == 0
+    assert driver.requests_until(HealthPhase.HELD_OUT, **work) <= most
+    assert driver.health.suspicion() >= 1
+
+
+def test_a_hang_is_seen_while_it_hangs_but_never_from_one_request():
+    """The caller waits; nothing ends, so nothing that ends can tell.
+
+    One hanging request may be an odd one. A second makes a sick server.
+    """
+    driver = Driver()
+    driver.work(times=150)
+    driver.start()
+    driver.wait(30)
+    assert driver.health.phase is HealthPhase.SERVING
+    driver.start()
+    driver.wait(1)
+    assert driver.health.phase is HealthPhase.HELD_OUT
+
+
+@pytest.mark.parametrize("result", [WorkResult.SHED, WorkResult.CANCELLED])
+def test_shed_and_cancelled_work_is_no_sickness(result):
+    driver = Driver()
+    assert driver.work(result, times=50) is Verdict.NOTHING
+    assert driver.health.phase is HealthPhase.SERVING
+
+
+def test_callers_with_tiny_timeouts_eject_nobody():
+    """Each gives up after 5 ms, and the gate sees silence every time."""
+    driver = Driver()
+    driver.work(times=150)
+    assert driver.work(WorkResult.SILENCE, latency_ms=5, times=50) is Verdict.NOTHING
+    assert driver.health.phase is HealthPhase.SERVING
+    driver.work(WorkResult.SILENCE, latency_ms=500, times=3)
+    assert driver.health.phase is HealthPhase.HELD_OUT
+
+
+def test_what_all_peers_suffer_too_is_no_sickness():
+    """Overload: each backend server is slow; ejecting one loads the others."""
+    overloaded = Driver(peers=PeerEvidence(heard=5, bad=4, slow_ms=80.0))
+    overloaded.work(latency_ms=150.0, times=100)
+    assert overloaded.health.phase is HealthPhase.SERVING
+    one_peer_bad = Driver(peers=PeerEvidence(heard=5, bad=1, slow_ms=80.0))
+    assert one_peer_bad.requests_until(HealthPhase.HELD_OUT, latency_ms=150.0) <= 10
+
+
+def test_one_that_was_always_slow_is_seen_against_its_peers():
+    driver = Driver(peers=PeerEvidence(heard=5, bad=0, slow_ms=10.0))
+    assert driver.requests_until(HealthPhase.HELD_OUT, latency_ms=150.0) <= 4
+
+
+def test_without_peers_its_own_latencies_are_the_measure():
+    driver = Driver(peers=PeerEvidence())
+    driver.work(times=150)
+    assert driver.requests_until(HealthPhase.HELD_OUT, latency_ms=300.0) <= 4
+    # Kept at work by the floor, it must not teach that slow is normal.
+    driver.work(latency_ms=300.0, times=200)
+    assert driver.health.slow_ms() < 150
+
+
+def test_trials_take_back_one_that_recovered_and_only_such():
+    driver = Driver()
+    driver.work(ERROR, times=4)
+    driver.wait(5.1)
+    assert driver.health.suspicion() == 0.5
+    driver.work(ERROR)
+    assert driver.health.phase is HealthPhase.HELD_OUT
+    driver.wait(5.1)
+    assert driver.health.phase is HealthPhase.HELD_OUT, "the hold-out has doubled"
+    driver.wait(5.0)
+    assert driver.requests_until(HealthPhase.SERVING) == 5
+
+
+def test_work_that_hung_since_before_the_trial_does_not_fail_it():
+    driver = Driver()
+    hanging = [driver.start() for _ in range(3)]
+    driver.wait(6.5)
+    assert driver.health.phase is HealthPhase.ON_TRIAL
+    for attempt_id in hanging:
+        driver.health.ended(attempt_id, WorkResult.SILENCE, driver.now_s)
+    assert driver.health.phase is HealthPhase.ON_TRIAL
+
+
+def test_a_flapping_backend_server_costs_few_failures_an_hour():
+    """Well whenever it is on trial, sick as soon as it serves again.
+
+    Every trial succeeds, so only the growing hold-out bounds the cost.
+    """
+    failures = 0
+    driver = Driver()
+    while driver.now_s < 3600:
+        match driver.health.phase:
+            case HealthPhase.SERVING:
+                driver.work(ERROR)
+                failures += 1
+            case HealthPhase.ON_TRIAL:
+                driver.work()
+            case HealthPhase.HELD_OUT:
+                driver.wait(1)
+    assert failures <= 60
+    assert driver.health.phase is HealthPhase.HELD_OUT
+
+
+def test_probes_shorten_a_hold_out_but_never_outvote_failing_work():
+    driver = Driver()
+    for _ in range(20):
+        driver.work(ERROR)
+        driver.health.probed(True, driver.now_s)
+    assert driver.health.phase is HealthPhase.HELD_OUT
+    driver.wait(3.0)
+    for _ in range(3):
+        driver.health.probed(True, driver.now_s)
+    assert driver.health.phase is HealthPhase.ON_TRIAL
+    silent = Driver()
+    for _ in range(3):
+        silent.health.probed(False, 1.0)
+    assert silent.health.phase is HealthPhase.HELD_OUT
+
+
+def test_the_weights_are_log_likelihood_ratios_for_any_settings():
+    rates = Rates(0.02, 0.3)
+    assert bad_weight(rates) == pytest.approx(math.log(15))
+    assert age_weight(rates, 79, 80) == 0
+    assert age_weight(rates, 81, 80) >= bad_weight(rates)
+    assert age_weight(rates, 1e9, 80) == 2 * bad_weight(rates)
+    for healthy in (0.0, 0.5, 1.0):
+        for sick in (0.0, 0.3, 1.0):
+            tested = against_peers(Rates(healthy + 0.01, sick), 0.9)
+            assert good_weight(tested) <= 0 <= bad_weight(tested)
