Publish suspicion of a node's backend servers, and probe silent ones

Prober asks health endpoints only where work tells nothing and while somebody asked for the backend server in the last minute. Not wired into the node yet.

--- a/balsamspindle/backend_servers/health.py
+++ b/balsamspindle/backend_servers/health.py
@@ -28,6 +28,9 @@
 # Latencies teach the slow limit only under this score, in thresholds: a sick
 # backend server would else teach it that slow is normal.
 LEARNING_SCORE = 0.25
+# Probes fill silences of this length, while somebody asked so lately.
+SILENCE_S = 2.0
+ASKED_LATELY_S = 60.0
 # Suspicion is published in few steps: each change of a record is news to the
 # whole fleet.
 SUSPICION_ON_TRIAL = 0.5
@@ -89,6 +92,8 @@
         self._slow = SlowLimit()
         self._in_flight: dict[AttemptId, _InFlight] = {}
         self._score = 0.0
+        self._asked_s = -ASKED_LATELY_S
+        self._worked_s = now_s
         # Kept through a hold-out, so that a score that goes up and down does
         # not make news each time.
         self._strong = False
@@ -100,9 +105,9 @@
         return self._readmission.phase
 
     @property
-    def has_work(self) -> bool:
-        """Whether attempts are in flight."""
-        return bool(self._in_flight)
+    def needs_tick(self) -> bool:
+        """Whether time alone may change something."""
+        return bool(self._in_flight) or self.phase is not HealthPhase.SERVING
 
     @property
     def own_slow_ms(self) -> float:
@@ -121,6 +126,7 @@
     def started(self, attempt_id: AttemptId, now_s: float) -> None:
         """Take an attempt into the work in flight."""
         self._in_flight[attempt_id] = _InFlight(now_s)
+        self._asked_s = now_s
 
     def ended(self, attempt_id: AttemptId, result: WorkResult, now_s: float) -> Verdict:
         """Take an attempt's end and tell what it says."""
@@ -134,18 +140,45 @@
         self._move(now_s)
         return verdict
 
+    def wants_probe(self, now_s: float) -> bool:
+        """Tell whether a probe would say what work does not.
+
+        Not while work flows, for it says more; and not when nobody has asked
+        for the backend server lately: then nobody needs to know.
+        """
+        if now_s - self._asked_s > ASKED_LATELY_S:
+            return False
+        if self.phase is not HealthPhase.SERVING:
+            return True
+        return not self._in_flight and now_s - self._worked_s > SILENCE_S
+
     def probed(self, passed: bool, now_s: float) -> None:
-        """Take a probe, made while no real work told anything.
+        """Take a probe.
 
-        A failed one is evidence like bad work. A passed one takes nothing
-        off the score: health endpoints answer while real work hangs.
+        A failed one is evidence like bad work, unless work told something
+        just now. A passed one takes nothing off the score: health endpoints
+        answer while real work hangs. It may shorten a hold-out, and end a
+        trial that no request came to, at a score that one bad request ends.
         """
         self._readmission.note_probe(passed)
-        if not passed:
+        silent = now_s - self._worked_s > SILENCE_S
+        if not passed and silent:
             self._add(bad_weight(self._rates(now_s)))
             self._evidence["probe_failed"] += 1
+        if self._readmission.probes_end_trial(self._worked_s, now_s):
+            self._readmission.serve(now_s)
         self._move(now_s)
 
+    def restarted(self, now_s: float) -> None:
+        """Take a restart of the backend server: its work is gone.
+
+        The doublings of the hold-out stay: a backend server that restarts
+        again and again flaps, too.
+        """
+        self._in_flight.clear()
+        if self.phase is HealthPhase.HELD_OUT:
+            self._start_trial(now_s)
+
     def tick(self, now_s: float) -> None:
         """Count the age of the work in flight, and the time in a phase."""
         rates = self._rates(now_s)
@@ -203,6 +236,7 @@
             case Verdict.BAD:
                 self._add(max(0.0, bad_weight(rates) - attempt.counted))
         if verdict is not Verdict.NOTHING:
+            self._worked_s = now_s
             slow = result is WorkResult.ANSWERED and verdict is Verdict.BAD
             self._evidence["slow" if slow else result.value] += 1
             if self._readmission.note_work(verdict is Verdict.GOOD):
--- /dev/null
+++ b/balsamspindle/backend_servers/health_monitor.py
@@ -0,0 +1,206 @@
+"""The health of all backend servers of a node: takes evidence, publishes."""
+
+import threading
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from balsamspindle.backend_servers.evidence import WorkResult
+from balsamspindle.backend_servers.health import HealthReport, ServerHealth, Verdict
+from balsamspindle.backend_servers.health_peers import PeerEvidence
+from balsamspindle.backend_servers.health_readmission import HealthPhase
+from balsamspindle.backend_servers.servers import (
+    LocalBackendServer,
+    LocalBackendServers,
+)
+from balsamspindle.settings.documents import Detection
+from balsamspindle.timeline import EventLog
+from balsamspindle.wire import AttemptId
+
+__all__ = ["TICK_S", "HealthMonitor"]
+
+TICK_S = 0.05
+# A backend server that went away and came back within this time is the same
+# one: its doublings of the hold-out stay.
+FORGET_S = 900.0
+
+
+class _Known:
+    """A backend server's health, and what of it was published."""
+
+    def __init__(self, health: ServerHealth, server: LocalBackendServer) -> None:
+        self.health = health
+        self.boot_id = server.announcement.boot_id
+        self.phase = health.phase
+        self.seen_s = 0.0
+
+
+class _News(NamedTuple):
+    """A change of phase that is to be told."""
+
+    backend_server_id: str
+    service: str
+    report: HealthReport
+
+
+class HealthMonitor:
+    """Takes the evidence of real work; see `HealthObserver`.
+
+    Parameters
+    ----------
+    detection : callable
+        Returns the detection settings of a service.
+    """
+
+    def __init__(
+        self,
+        servers: LocalBackendServers,
+        detection: Callable[[str], Detection],
+        events: EventLog,
+    ) -> None:
+        self._servers = servers
+        self._detection = detection
+        self._events = events
+        self._lock = threading.Lock()
+        self._known: dict[str, _Known] = {}
+        self._stopped = threading.Event()
+
+    def run(self) -> None:
+        """Look at work in flight and hold-outs until `stop` is called."""
+        while not self._stopped.wait(TICK_S):
+            self.tick(time.monotonic())
+
+    def stop(self) -> None:
+        """End `run` soon."""
+        self._stopped.set()
+
+    def started(
+        self, backend_server_id: str, attempt_id: AttemptId, now_s: float
+    ) -> None:
+        """See `HealthObserver.started`."""
+        with self._lock:
+            known = self._known.get(backend_server_id)
+            if known is not None:
+                known.health.started(attempt_id, now_s)
+
+    def ended(
+        self,
+        backend_server_id: str,
+        attempt_id: AttemptId,
+        result: WorkResult,
+        now_s: float,
+    ) -> Verdict:
+        """See `HealthObserver.ended`; tells what the end says of the server."""
+        with self._lock:
+            known = self._known.get(backend_server_id)
+            if known is None:
+                return Verdict.NOTHING
+            return known.health.ended(attempt_id, result, now_s)
+
+    def note_peers(
+        self, backend_server_id: str, evidence: PeerEvidence, now_s: float
+    ) -> None:
+        """Take what an ingress saw of the service's other backend servers."""
+        with self._lock:
+            known = self._known.get(backend_server_id)
+            if known is not None:
+                known.health.note_peers(evidence, now_s)
+
+    def probed(self, backend_server_id: str, passed: bool, now_s: float) -> None:
+        """Take a probe's result."""
+        with self._lock:
+            known = self._known.get(backend_server_id)
+            if known is not None:
+                known.health.probed(passed, now_s)
+
+    def probes_wanted(self, now_s: float) -> list[str]:
+        """Return the backend servers that a probe would tell something of."""
+        with self._lock:
+            return [
+                backend_server_id
+                for backend_server_id, known in self._known.items()
+                if known.health.wants_probe(now_s)
+            ]
+
+    def own_slow_ms(self, backend_server_id: str) -> float:
+        """Return the slow limit learned from a backend server, 0 for none."""
+        with self._lock:
+            known = self._known.get(backend_server_id)
+            return known.health.own_slow_ms if known is not None else 0.0
+
+    def report(self, backend_server_id: str, now_s: float) -> HealthReport | None:
+        """Explain one backend server; None when it is unknown."""
+        with self._lock:
+            known = self._known.get(backend_server_id)
+            return None if known is None else known.health.report(now_s)
+
+    def tick(self, now_s: float) -> None:
+        """Bring all up to date and publish what changed."""
+        servers = self._servers.all()
+        with self._lock:
+            news = [
+                item for server in servers for item in self._tick_one(server, now_s)
+            ]
+            self._forget(now_s)
+        for item in news:
+            self._emit(item)
+        for server in servers:
+            self._publish(server)
+
+    def _tick_one(self, server: LocalBackendServer, now_s: float) -> list[_News]:
+        service = server.announcement.service
+        known = self._known.get(server.backend_server_id)
+        if known is None:
+            health = ServerHealth(self._detection(service), now_s)
+            known = self._known[server.backend_server_id] = _Known(health, server)
+        known.seen_s = now_s
+        if known.boot_id != server.announcement.boot_id:
+            known.boot_id = server.announcement.boot_id
+            known.health.restarted(now_s)
+        known.health.configure(self._detection(service))
+        if known.health.needs_tick:
+            known.health.tick(now_s)
+        if known.health.phase is known.phase:
+            return []
+        known.phase = known.health.phase
+        report = known.health.report(now_s)
+        return [_News(server.backend_server_id, service, report)]
+
+    def _forget(self, now_s: float) -> None:
+        gone = [
+            backend_server_id
+            for backend_server_id, known in self._known.items()
+            if now_s - known.seen_s > FORGET_S
+        ]
+        for backend_server_id in gone:
+            del self._known[backend_server_id]
+
+    def _publish(self, server: LocalBackendServer) -> None:
+        with self._lock:
+            suspicion = self._known[server.backend_server_id].health.suspicion()
+        if server.suspicion != suspicion:
+            self._servers.set_suspicion(server.backend_server_id, suspicion)
+
+    def _emit(self, news: _News) -> None:
+        report = news.report
+        evidence = ",".join(
+            f"{name}:{count}" for name, count in sorted(report.evidence.items())
+        )
+        self._events.emit(
+            _EVENTS[report.phase],
+            backend_server=news.backend_server_id,
+            service=news.service,
+            cause=evidence or None,
+            score=f"{report.score:.2f}",
+            threshold=report.threshold,
+            slow_ms=f"{report.slow_ms:.0f}",
+            peers_bad_share=f"{report.peers_bad_share:.2f}",
+            hold_out_s=f"{report.hold_out_left_s:.1f}",
+        )
+
+
+_EVENTS = {
+    HealthPhase.HELD_OUT: "backend_server_suspected",
+    HealthPhase.ON_TRIAL: "backend_server_on_trial",
+    HealthPhase.SERVING: "backend_server_readmitted",
+}
--- a/balsamspindle/backend_servers/health_readmission.py
+++ b/balsamspindle/backend_servers/health_readmission.py
@@ -21,8 +21,10 @@
 # Good service that takes one doubling back.
 LEVEL_DECAY_S = 600.0
 LEVEL_MAX = 20
-# Probes passed in a row that end a hold-out at its half.
+# Probes passed in a row that end a hold-out at its half, or a silent trial.
 PROBES_TO_SHORTEN = 3
+# A trial without any request may end by probes after this time.
+TRIAL_SILENCE_S = 10.0
 
 
 class HealthPhase(StrEnum):
@@ -89,6 +91,15 @@
         """Take a probe: passed in a row they shorten a hold-out, no more."""
         self._probes_passed = self._probes_passed + 1 if passed else 0
 
+    def probes_end_trial(self, worked_s: float, now_s: float) -> bool:
+        """Tell whether probes end a trial that no request came to."""
+        return (
+            self.phase is HealthPhase.ON_TRIAL
+            and worked_s < self.since_s
+            and now_s - self.since_s >= TRIAL_SILENCE_S
+            and self._probes_passed >= PROBES_TO_SHORTEN
+        )
+
     def serve(self, now_s: float) -> None:
         """Give the backend server all its work back."""
         self._decayed_s = now_s
--- /dev/null
+++ b/balsamspindle/backend_servers/probes.py
@@ -0,0 +1,74 @@
+"""Probes of the health endpoints, where work does not tell enough.
+
+A probe is weak evidence: health endpoints lag behind or answer while real
+work hangs. See `ServerHealth.probed` for what one counts.
+"""
+
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+from balsamspindle.backend_servers.client import BackendAnswer, BackendServerClient
+from balsamspindle.backend_servers.health_monitor import HealthMonitor
+from balsamspindle.backend_servers.servers import LocalBackendServers
+from balsamspindle.requests.outcomes import Execution
+
+__all__ = ["PROBE_INTERVAL_S", "Prober"]
+
+PROBE_INTERVAL_S = 1.0
+PROBE_TIMEOUT_MS = 1000
+PROBERS_MAX = 4
+
+
+class Prober:
+    """Probes this node's backend servers while somebody asks for them.
+
+    Parameters
+    ----------
+    probe_path : callable
+        Returns the health endpoint's path of a service.
+    """
+
+    def __init__(
+        self,
+        servers: LocalBackendServers,
+        monitor: HealthMonitor,
+        client: BackendServerClient,
+        probe_path: Callable[[str], str],
+    ) -> None:
+        self._servers = servers
+        self._monitor = monitor
+        self._client = client
+        self._probe_path = probe_path
+        self._stopped = threading.Event()
+
+    def run(self) -> None:
+        """Probe until `stop` is called."""
+        with ThreadPoolExecutor(PROBERS_MAX, "probe") as executor:
+            while not self._stopped.wait(PROBE_INTERVAL_S):
+                # One round ends before the next begins: a backend server
+                # that hangs would else gather probes in the queue.
+                wanted = self._monitor.probes_wanted(time.monotonic())
+                list(executor.map(self._probe, wanted))
+
+    def stop(self) -> None:
+        """End `run` soon."""
+        self._stopped.set()
+
+    def _probe(self, backend_server_id: str) -> None:
+        with self._servers.changed:
+            server = self._servers.get(backend_server_id)
+        if server is None:
+            return
+        result = self._client.call(
+            server.announcement.address,
+            "GET",
+            self._probe_path(server.announcement.service),
+            [],
+            b"",
+            Execution.IDEMPOTENT,
+            PROBE_TIMEOUT_MS,
+        )
+        passed = isinstance(result, BackendAnswer) and result.status < 300
+        self._monitor.probed(backend_server_id, passed, time.monotonic())
--- a/balsamspindle/backend_servers/servers.py
+++ b/balsamspindle/backend_servers/servers.py
@@ -110,6 +110,17 @@
         """Let a draining backend server take work again."""
         return self._set_state(backend_server_id, BackendServerState.READY)
 
+    def set_suspicion(self, backend_server_id: str, suspicion: float) -> bool:
+        """Set what the fleet is told; False when the server is unknown."""
+        with self.changed:
+            server = self._servers.get(backend_server_id)
+            if server is None:
+                return False
+            if server.suspicion != suspicion:
+                server.suspicion = suspicion
+                self._note_change()
+            return True
+
     def remove_silent(self, now_s: float) -> list[str]:
         """Remove those whose announcements stopped; return their ids."""
         with self.changed:
