--- a/balsamspindle/backend_servers/health.py
+++ b/balsamspindle/backend_servers/health.py
@@ -9,6 +9,8 @@
 from balsamspindle.backend_servers.health_peers import PeerEvidence, PeerView
 from balsamspindle.backend_servers.health_readmission import HealthPhase, Readmission
 from balsamspindle.backend_servers.health_score import (
+    SHARED_CAUSE_SHARE,
+    LearnedRate,
     Rates,
     against_peers,
     age_weight,
@@ -31,6 +33,8 @@
 # Probes fill silences of this length, while somebody asked so lately.
 SILENCE_S = 2.0
 ASKED_LATELY_S = 60.0
+# A trial starts so far under the threshold, in bad requests: one ends it.
+TRIAL_MARGIN = 0.9
 # Suspicion is published in few steps: each change of a record is news to the
 # whole fleet.
 SUSPICION_ON_TRIAL = 0.5
@@ -90,6 +94,9 @@
         self._readmission = Readmission(detection, now_s)
         self._peers = PeerView()
         self._slow = SlowLimit()
+        self._slow_rate = LearnedRate(SLOW_SHARE)
+        self._error_rate = LearnedRate(detection.error_rate_healthy)
+        self._weight = 0.0
         self._in_flight: dict[AttemptId, _InFlight] = {}
         self._score = 0.0
         self._asked_s = -ASKED_LATELY_S
@@ -135,7 +142,8 @@
             return Verdict.NOTHING
         latency_ms = (now_s - attempt.started_s) * 1000
         verdict = _VERDICTS[result, latency_ms > self.slow_ms()]
-        self._learn(result, latency_ms)
+        self._follow_peers(now_s)
+        self._learn(result, verdict, latency_ms)
         self._take(verdict, result, attempt, now_s)
         self._move(now_s)
         return verdict
@@ -163,7 +171,7 @@
         self._readmission.note_probe(passed)
         silent = now_s - self._worked_s > SILENCE_S
         if not passed and silent:
-            self._add(bad_weight(self._rates(now_s)))
+            self._add(bad_weight(self._error_rates(now_s)))
             self._evidence["probe_failed"] += 1
         if self._readmission.probes_end_trial(self._worked_s, now_s):
             self._readmission.serve(now_s)
@@ -181,7 +189,8 @@
 
     def tick(self, now_s: float) -> None:
         """Count the age of the work in flight, and the time in a phase."""
-        rates = self._rates(now_s)
+        self._follow_peers(now_s)
+        rates = self._slow_rates(now_s)
         slow_ms = self.slow_ms()
         for attempt in self._in_flight.values():
             weight = age_weight(rates, (now_s - attempt.started_s) * 1000, slow_ms)
@@ -215,42 +224,69 @@
             self._readmission.hold_out_left_s(now_s),
         )
 
-    def _rates(self, now_s: float) -> Rates:
-        rates = Rates(
-            self._detection.error_rate_healthy + SLOW_SHARE,
-            self._detection.error_rate_sick,
-        )
+    def _slow_rates(self, now_s: float) -> Rates:
+        return self._rates(self._slow_rate, now_s)
+
+    def _error_rates(self, now_s: float) -> Rates:
+        return self._rates(self._error_rate, now_s)
+
+    def _rates(self, learned: LearnedRate, now_s: float) -> Rates:
+        rates = Rates(learned.value, self._detection.error_rate_sick)
         return against_peers(rates, self._peers.bad_share(now_s))
 
-    def _learn(self, result: WorkResult, latency_ms: float) -> None:
-        calm = self._score <= LEARNING_SCORE * self._detection.threshold
-        if calm and result is WorkResult.ANSWERED:
+    def _follow_peers(self, now_s: float) -> None:
+        """Take the score back as far as the peers turn out to be bad, too.
+
+        The first bad requests of an overload are scored before the peers' are
+        known of; they must not stand once those are.
+        """
+        weight = bad_weight(self._slow_rates(now_s))
+        if weight < self._weight:
+            self._set_score(self._score * weight / self._weight)
+        self._weight = weight
+
+    def _learn(self, result: WorkResult, verdict: Verdict, latency_ms: float) -> None:
+        """Take a calm time's request as healthy."""
+        if verdict is Verdict.NOTHING or self.phase is not HealthPhase.SERVING:
+            return
+        if self._score > LEARNING_SCORE * self._detection.threshold:
+            return
+        answered = result is WorkResult.ANSWERED
+        self._error_rate.learn(not answered)
+        if answered:
+            self._slow_rate.learn(verdict is Verdict.BAD)
             self._slow.learn(latency_ms)
 
     def _take(self, verdict, result, attempt: _InFlight, now_s: float) -> None:
         """Add one ended attempt to the score."""
-        rates = self._rates(now_s)
-        match verdict:
-            case Verdict.GOOD:
-                self._add(good_weight(rates))
-            case Verdict.BAD:
-                self._add(max(0.0, bad_weight(rates) - attempt.counted))
-        if verdict is not Verdict.NOTHING:
-            self._worked_s = now_s
-            slow = result is WorkResult.ANSWERED and verdict is Verdict.BAD
-            self._evidence["slow" if slow else result.value] += 1
-            if self._readmission.note_work(verdict is Verdict.GOOD):
-                self._readmission.serve(now_s)
+        if verdict is Verdict.NOTHING:
+            return
+        self._worked_s = now_s
+        slow = result in (WorkResult.ANSWERED, WorkResult.SILENCE)
+        rates = self._slow_rates(now_s) if slow else self._error_rates(now_s)
+        if verdict is Verdict.GOOD:
+            self._add(good_weight(rates))
+        else:
+            self._add(max(0.0, bad_weight(rates) - attempt.counted))
+        late = result is WorkResult.ANSWERED and verdict is Verdict.BAD
+        self._evidence["slow" if late else result.value] += 1
+        if self._readmission.note_work(verdict is Verdict.GOOD):
+            self._readmission.serve(now_s)
 
     def _add(self, weight: float) -> None:
+        self._set_score(self._score + weight)
+
+    def _set_score(self, score: float) -> None:
         limit = SCORE_MAX * self._detection.threshold
-        self._score = min(limit, max(0.0, self._score + weight))
+        self._score = min(limit, max(0.0, score))
         if not self._score:
             self._evidence.clear()
 
     def _move(self, now_s: float) -> None:
         """Change the phase when the score or the time says so."""
         threshold = self._detection.threshold
+        if self.phase is not HealthPhase.SERVING and self._is_shared(now_s):
+            self._readmission.acquit(now_s)
         match self.phase:
             case HealthPhase.SERVING | HealthPhase.ON_TRIAL:
                 if self._score >= threshold:
@@ -262,10 +298,16 @@
                 if recovered or not self._readmission.hold_out_left_s(now_s):
                     self._start_trial(now_s)
 
+    def _is_shared(self, now_s: float) -> bool:
+        return self._peers.bad_share(now_s) >= SHARED_CAUSE_SHARE
+
     def _start_trial(self, now_s: float) -> None:
         """Begin a trial so near the threshold that one bad request ends it."""
-        weight = bad_weight(self._rates(now_s))
-        near = max(0.0, self._detection.threshold - weight)
+        weights = (
+            bad_weight(self._slow_rates(now_s)),
+            bad_weight(self._error_rates(now_s)),
+        )
+        near = max(0.0, self._detection.threshold - TRIAL_MARGIN * min(weights))
         self._score = min(self._score, near)
         self._readmission.start_trial(now_s)
 
--- a/balsamspindle/backend_servers/health_peers.py
+++ b/balsamspindle/backend_servers/health_peers.py
@@ -9,7 +9,7 @@
 
 __all__ = ["NO_PEERS", "PeerEvidence", "PeerView"]
 
-MEMORY_S = 5.0
+MEMORY_S = 2.0
 # Counts as so many good peers, so that one bad one of few is not a trend.
 PRIOR_HEARD = 4.0
 # Backend servers of one service may run on unequal hardware.
--- a/balsamspindle/backend_servers/health_readmission.py
+++ b/balsamspindle/backend_servers/health_readmission.py
@@ -105,6 +105,11 @@
         self._decayed_s = now_s
         self._enter(HealthPhase.SERVING, now_s)
 
+    def acquit(self, now_s: float) -> None:
+        """Undo an ejection that was for a cause shared with the peers."""
+        self.level = max(0, self.level - 1)
+        self.serve(now_s)
+
     def _enter(self, phase: HealthPhase, now_s: float) -> None:
         self.phase = phase
         self.since_s = now_s
--- a/balsamspindle/backend_servers/health_score.py
+++ b/balsamspindle/backend_servers/health_score.py
@@ -10,7 +10,15 @@
 import math
 from typing import NamedTuple
 
-__all__ = ["Rates", "age_weight", "against_peers", "bad_weight", "good_weight"]
+__all__ = [
+    "SHARED_CAUSE_SHARE",
+    "LearnedRate",
+    "Rates",
+    "age_weight",
+    "against_peers",
+    "bad_weight",
+    "good_weight",
+]
 
 # How the share of healthy requests that are still in flight falls with their
 # age, past the slow limit: the exponent of a heavy tail.
@@ -19,6 +27,8 @@
 # bad ones: one odd request is not a sick backend server.
 WEIGHT_OF_ONE_MAX = 2.0
 SHARED_CAUSE_SHARE = 0.5
+HEALTHY_RATE_MIN = 0.002
+LEARNING_REQUESTS = 2000
 HEALTHY_RATE_MAX = 0.99
 SICK_RATE_MAX = 0.999
 
@@ -36,6 +46,22 @@
     sick: float
 
 
+class LearnedRate:
+    """Share of healthy requests with one kind of fault, learned in calm times.
+
+    A rate that is set too high wastes evidence: each bad request then says
+    less than it could. So the setting is where the estimate starts from.
+    """
+
+    def __init__(self, first: float) -> None:
+        self.value = max(HEALTHY_RATE_MIN, first)
+
+    def learn(self, bad: bool) -> None:
+        """Take one healthy request."""
+        value = self.value + (bad - self.value) / LEARNING_REQUESTS
+        self.value = max(HEALTHY_RATE_MIN, value)
+
+
 def against_peers(rates: Rates, peers_bad_share: float) -> Rates:
     """Return the rates to test for while a share of the peers is bad, too.
 
--- /dev/null
+++ b/balsamspindle/services/peer_evidence.py
@@ -0,0 +1,107 @@
+"""What an ingress sees of a service's backend servers, to compare them by.
+
+A gate sees only the work of its own backend servers. Whether the others of
+the service fail or are slow, too, it learns from the ingresses: each dispatch
+carries a summary of the others (`PeerEvidence`).
+"""
+
+import statistics
+import threading
+
+from balsamspindle.backend_servers.health_peers import PeerEvidence
+
+__all__ = ["PeerEvidenceTracker"]
+
+# What a backend server's latest answer said is believed for this time.
+BELIEVED_S = 10.0
+# Its slow limit changes little and is kept longer.
+FORGET_S = 600.0
+
+
+class _Seen:
+    """The latest of one backend server."""
+
+    __slots__ = ("bad", "heard_s", "in_flight", "slow_ms")
+
+    def __init__(self) -> None:
+        self.bad = False
+        self.heard_s = float("-inf")
+        self.slow_ms = 0.0
+        self.in_flight: list[float] = []
+
+    def is_believed(self, now_s: float) -> bool:
+        return now_s - self.heard_s <= BELIEVED_S
+
+    def hangs(self, now_s: float) -> bool:
+        """Tell whether an attempt is in flight past the slow limit."""
+        if not self.in_flight or not self.slow_ms:
+            return False
+        return (now_s - self.in_flight[0]) * 1000 > self.slow_ms
+
+
+class PeerEvidenceTracker:
+    """The latest of each backend server that this ingress uses."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._services: dict[str, dict[str, _Seen]] = {}
+
+    def started(self, service: str, backend_server_id: str, now_s: float) -> None:
+        """Note that an attempt was sent."""
+        with self._lock:
+            self._seen(service, backend_server_id).in_flight.append(now_s)
+
+    def ended(
+        self,
+        service: str,
+        backend_server_id: str,
+        started_s: float,
+        bad: bool | None,
+        slow_ms: float,
+        now_s: float,
+    ) -> None:
+        """Note an attempt's end.
+
+        Parameters
+        ----------
+        bad : bool or None
+            As the gate judged it; None when the end says nothing of the
+            backend server, as when the link failed.
+        slow_ms : float
+            The slow limit that the gate told; 0 when it told none.
+        """
+        with self._lock:
+            seen = self._seen(service, backend_server_id)
+            if started_s in seen.in_flight:
+                seen.in_flight.remove(started_s)
+            if slow_ms > 0:
+                seen.slow_ms = slow_ms
+            if bad is not None:
+                seen.bad = bad
+                seen.heard_s = now_s
+
+    def about(self, service: str, backend_server_id: str, now_s: float) -> PeerEvidence:
+        """Summarize the service's other backend servers."""
+        heard = bad = 0
+        limits_ms = []
+        with self._lock:
+            servers = self._services.get(service, {})
+            for server_id, seen in list(servers.items()):
+                if now_s - seen.heard_s > FORGET_S and not seen.in_flight:
+                    del servers[server_id]
+                    continue
+                if server_id == backend_server_id:
+                    continue
+                if seen.slow_ms:
+                    limits_ms.append(seen.slow_ms)
+                hangs = seen.hangs(now_s)
+                if hangs or seen.is_believed(now_s):
+                    heard += 1
+                    bad += hangs or seen.bad
+        # One limit may be that of the one sick backend server.
+        slow_ms = statistics.median(limits_ms) if len(limits_ms) > 1 else 0.0
+        return PeerEvidence(heard, bad, slow_ms)
+
+    def _seen(self, service: str, backend_server_id: str) -> _Seen:
+        servers = self._services.setdefault(service, {})
+        return servers.setdefault(backend_server_id, _Seen())
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -120,6 +120,19 @@
     assert one_peer_bad.requests_until(HealthPhase.HELD_OUT, latency_ms=150.0) <= 10
 
 
+def test_an_overload_that_hit_it_first_is_taken_back_when_the_peers_show_it():
+    """The first slow requests come before the peers' slowness is known."""
+    driver = Driver()
+    driver.work(times=150)
+    driver.requests_until(HealthPhase.HELD_OUT, latency_ms=150.0)
+    driver.peers = PeerEvidence(heard=5, bad=5, slow_ms=80.0)
+    driver.work(latency_ms=150.0, times=8)
+    assert driver.health.phase is HealthPhase.SERVING
+    driver.peers = PEERS_WELL
+    driver.work(times=5)
+    assert driver.health.phase is HealthPhase.SERVING
+
+
 def test_one_that_was_always_slow_is_seen_against_its_peers():
     driver = Driver(peers=PeerEvidence(heard=5, bad=0, slow_ms=10.0))
     assert driver.requests_until(HealthPhase.HELD_OUT, latency_ms=150.0) <= 4
@@ -189,7 +202,7 @@
     assert driver.health.phase is HealthPhase.ON_TRIAL
     silent = Driver()
     for _ in range(3):
-        silent.health.probed(False, 1.0)
+        silent.health.probed(False, 5.0)
     assert silent.health.phase is HealthPhase.HELD_OUT
 
 
