Report real work's evidence from the gate to a HealthObserver

The gate alone sees each request of its backend servers whole. It now calls started and ended around the call, with the end as a WorkResult (503 and 429 are shed, other 5xx an error; our own cancellation or deadline says nothing of the server). The default observer keeps nothing, so behaviour is the same.

--- a/balsamspindle/backend_servers/evidence.py
+++ b/balsamspindle/backend_servers/evidence.py
@@ -5,7 +5,7 @@
 
 from balsamspindle.wire import AttemptId
 
-__all__ = ["HealthObserver", "WorkResult"]
+__all__ = ["HealthObserver", "NoObserver", "WorkResult"]
 
 
 class WorkResult(StrEnum):
@@ -43,3 +43,13 @@
         now_s: float,
     ) -> None:
         """An attempt ended."""
+
+
+class NoObserver:
+    """Takes evidence and keeps none."""
+
+    def started(self, backend_server_id, attempt_id, now_s) -> None:
+        """See `HealthObserver.started`."""
+
+    def ended(self, backend_server_id, attempt_id, result, now_s) -> None:
+        """See `HealthObserver.ended`."""
--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -14,6 +14,11 @@
     BackendFailure,
     BackendServerClient,
 )
+from balsamspindle.backend_servers.evidence import (
+    HealthObserver,
+    NoObserver,
+    WorkResult,
+)
 from balsamspindle.backend_servers.servers import (
     BackendServerState,
     LocalBackendServer,
@@ -26,6 +31,8 @@
 __all__ = ["Gate"]
 
 TOMBSTONES_MAX = 10_000
+SHED_STATUSES = frozenset({429, 503})
+ERROR_STATUS_MIN = 500
 
 
 @dataclass(frozen=True)
@@ -46,10 +53,12 @@
         servers: LocalBackendServers,
         client: BackendServerClient,
         events: EventLog,
+        observer: HealthObserver | None = None,
     ) -> None:
         self._servers = servers
         self._client = client
         self._events = events
+        self._observer = observer or NoObserver()
         self._leaving = False
         # Attempts that were cancelled, so that a message which arrives after
         # its cancellation (late, or out of order) is refused.
@@ -131,6 +140,9 @@
             request=dispatch.request_id,
             backend_server=server.backend_server_id,
         )
+        server_id, attempt_id = server.backend_server_id, dispatch.attempt_id
+        self._observer.started(server_id, attempt_id, time.monotonic())
+        result = None
         try:
             result = self._client.call(
                 server.announcement.address,
@@ -143,6 +155,9 @@
             )
         finally:
             free_slots = self._release(server)
+            self._observer.ended(
+                server_id, attempt_id, _work_result(result), time.monotonic()
+            )
         return self._reply(dispatch, result, free_slots)
 
     def _release(self, server: LocalBackendServer) -> int:
@@ -182,6 +197,31 @@
                 )
 
 
+def _work_result(result: BackendAnswer | BackendFailure | None) -> WorkResult:
+    """Return a call's end as evidence of the backend server's health.
+
+    None stands for a fault of our own, which says nothing of the server.
+    """
+    match result:
+        case BackendAnswer(status) if status in SHED_STATUSES:
+            return WorkResult.SHED
+        case BackendAnswer(status) if status >= ERROR_STATUS_MIN:
+            return WorkResult.ERROR
+        case BackendAnswer():
+            return WorkResult.ANSWERED
+        case BackendFailure(reason):
+            return _FAILURE_RESULTS.get(reason, WorkResult.BROKEN)
+    return WorkResult.CANCELLED
+
+
+_FAILURE_RESULTS = {
+    Reason.CANCELLED: WorkResult.CANCELLED,
+    Reason.DEADLINE: WorkResult.CANCELLED,
+    Reason.SILENCE: WorkResult.SILENCE,
+    Reason.UNREACHABLE: WorkResult.UNREACHABLE,
+}
+
+
 def _failure_outcome(failure: BackendFailure) -> tuple[Outcome, Reason]:
     outcome = Outcome.UNKNOWN if failure.sent else Outcome.NOT_RUN
     return outcome, failure.reason
