Tell truthfully whether a call reached a backend server, and cancel it at once

Cause: 'not sent' was read from libcurl's error code. When a reused connection died with a request on it and libcurl's own second try was refused, the code said 'could not connect' and a request that had been read was called not run. A time-out while connecting was called sent. Broken answers passed as whole: Transfer-Encoding: identity (ends with the connection), two lengths, a bare CR inside a header; trailers were passed on as headers.

Now PREREQFUNCTION, which libcurl calls on each connection that is up, right before the request goes out, marks the request as sent; without it nothing reached a socket. The same call looks at the deadline and the cancellation again, for a process that was paused while it connected. A CancelToken shuts the call's socket down from another thread. Handles are pooled by address: the gate's slots bound the connections that a backend server holds, where a cache for each thread made up to threads x servers of them.

Ruled out: counting new connections (NUM_CONNECTS is the same for a resend); reuse with an abort at the second PREREQ (an idle connection that the server closed would turn a lost sign-off into 'unknown'); CurlMulti with a wake-up (its select is bound to descriptors below 1024).

--- /dev/null
+++ b/balsamspindle/backend_servers/cancellation.py
@@ -0,0 +1,55 @@
+"""Taking a call back while it waits for a backend server."""
+
+import socket
+import threading
+
+__all__ = ["CancelToken"]
+
+
+class CancelToken:
+    """Cancels one call from another thread.
+
+    libcurl asks its caller only about once a second whether to go on. Shutting
+    the call's socket down wakes it at once and is what the backend server
+    sees: its connection ends.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._cancelled = False
+        self._socket: socket.socket | None = None
+
+    @property
+    def cancelled(self) -> bool:
+        """Whether `cancel` was called."""
+        return self._cancelled
+
+    def cancel(self) -> None:
+        """End the call now, or as soon as it opens or takes a connection."""
+        with self._lock:
+            self._cancelled = True
+            if self._socket is not None:
+                _shut_down(self._socket)
+
+    def attach(self, connection: socket.socket | None) -> bool:
+        """Take the socket that the call uses now; False when it is cancelled.
+
+        The flag and the socket change under one lock: a cancellation either
+        finds the socket or is found here.
+        """
+        with self._lock:
+            self._socket = connection
+            return not self._cancelled
+
+    def detach(self) -> None:
+        """Forget the socket: the call is over."""
+        with self._lock:
+            self._socket = None
+
+
+def _shut_down(connection: socket.socket) -> None:
+    try:
+        connection.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        # Not connected yet, or closed by the other end: nothing to cut.
+        pass
--- a/balsamspindle/backend_servers/client.py
+++ b/balsamspindle/backend_servers/client.py
@@ -1,65 +1,37 @@
 """One HTTP call to a backend server, whole or not at all."""
 
+import os
+import socket
 import threading
-from collections.abc import Callable
-from typing import NamedTuple
+import time
+from collections import OrderedDict
 
 import pycurl
 
+from balsamspindle.backend_servers.answers import (
+    AnswerReader,
+    BackendAnswer,
+    BackendFailure,
+    end_to_end_headers,
+)
+from balsamspindle.backend_servers.cancellation import CancelToken
 from balsamspindle.requests.outcomes import Execution, Reason
 
 __all__ = ["BackendAnswer", "BackendFailure", "BackendServerClient"]
 
 CONNECT_TIMEOUT_MS = 1000
+IDLE_HANDLES_MAX = 512
 
-# Headers that belong to one connection (RFC 9110, 7.6.1), and those that this
-# client writes itself.
-_STOPPED_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "expect",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-_BODILESS_STATUSES = frozenset({204, 304})
-
-
-class BackendAnswer(NamedTuple):
-    """A whole answer of a backend server."""
-
-    status: int
-    headers: list[tuple[str, str]]
-    body: bytes
-
-
-class BackendFailure(NamedTuple):
-    """No whole answer.
-
-    Attributes
-    ----------
-    sent : bool
-        False only when nothing was handed to a connected socket.
-    """
-
-    reason: Reason
-    sent: bool
-    message: str
+_BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
+_FAILURE_REASONS = {pycurl.E_OPERATION_TIMEDOUT: Reason.SILENCE}
 
 
 class BackendServerClient:
-    """Calls backend servers; each thread has curl handles of its own."""
+    """Calls backend servers; safe to use from many threads."""
 
     def __init__(self, answer_body_max_bytes: int) -> None:
         self._answer_body_max_bytes = answer_body_max_bytes
-        self._handles = threading.local()
+        self._pool = _HandlePool()
 
     def call(
         self,
@@ -70,7 +42,7 @@
         body: bytes,
         execution: Execution,
         timeout_ms: float,
-        should_abort: Callable[[], bool] = lambda: False,
+        token: CancelToken | None = None,
     ) -> BackendAnswer | BackendFailure:
         """Make one call and wait for its end.
 
@@ -80,139 +52,202 @@
             IP:port.
         timeout_ms : float
             For the whole call.
-        should_abort : callable, default=never
-            Asked now and then; True ends the call.
+        token : CancelToken, default=None
+            Ends the call from another thread.
         """
-        exchange = _Exchange(self._answer_body_max_bytes, should_abort)
-        handle = self._handle(execution)
-        handle.setopt(pycurl.URL, f"http://{address}{target}")
-        handle.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_ms)))
-        handle.setopt(
+        deadline_s = time.monotonic() + timeout_ms / 1000
+        call = _Call(
+            token or CancelToken(),
+            deadline_s,
+            AnswerReader(self._answer_body_max_bytes),
+        )
+        handle = self._pool.take(address, execution)
+        handle.curl.setopt(pycurl.URL, f"http://{address}{target}")
+        handle.curl.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_ms)))
+        handle.curl.setopt(
             pycurl.HTTPHEADER, [*_header_lines(headers), "Expect:", "Accept-Encoding:"]
         )
-        _set_method(handle, method, body)
-        exchange.attach(handle)
+        _set_method(handle.curl, method, body)
+        try:
+            return handle.perform(call, method)
+        finally:
+            self._pool.give_back(address, execution, handle)
+
+
+class _Call:
+    """One call: its limits, what it sent and what it received."""
+
+    def __init__(self, token, deadline_s, reader):
+        self.token: CancelToken = token
+        self.deadline_s: float = deadline_s
+        self.reader: AnswerReader = reader
+        self.sent = False
+        self.too_late = False
+
+    def may_send(self, connection: socket.socket | None) -> bool:
+        """Decide, on a connection that is up, whether the request goes out.
+
+        The process may have been stopped since the attempt was admitted, or
+        while it connected. Without this second look a request would run long
+        after its caller was told the end.
+        """
+        if not self.token.attach(connection):
+            return False
+        if time.monotonic() >= self.deadline_s:
+            self.too_late = True
+            return False
+        self.sent = True
+        return True
+
+    def failure(self, code: int, message: str) -> BackendFailure:
+        if self.token.cancelled:
+            reason = Reason.CANCELLED
+        elif self.reader.too_large:
+            reason = Reason.ANSWER_TOO_LARGE
+        elif self.too_late:
+            reason = Reason.DEADLINE
+        elif not self.sent:
+            reason = Reason.UNREACHABLE
+        else:
+            reason = _FAILURE_REASONS.get(code, Reason.BROKEN_ANSWER)
+        return BackendFailure(reason, self.sent, message)
+
+
+class _Handle:
+    """A curl handle with at most one connection, whose socket is known."""
+
+    def __init__(self, execution: Execution) -> None:
+        self.curl = pycurl.Curl()
+        self._connection: socket.socket | None = None
+        self._call: _Call | None = None
+        self._set_options()
+        if execution is Execution.NON_IDEMPOTENT:
+            # When a reused connection turns out dead, libcurl sends the
+            # request again on a fresh one by itself: the backend server
+            # would run it twice. It does so for reused connections only.
+            self.curl.setopt(pycurl.FRESH_CONNECT, 1)
+            self.curl.setopt(pycurl.FORBID_REUSE, 1)
+
+    def perform(self, call: _Call, method: str) -> BackendAnswer | BackendFailure:
+        """Make the call that the handle is set up for."""
+        self._call = call
+        self.curl.setopt(pycurl.WRITEFUNCTION, call.reader.on_body)
+        self.curl.setopt(pycurl.HEADERFUNCTION, call.reader.on_header)
         try:
-            handle.perform()
+            self.curl.perform()
         except pycurl.error as error:
-            code, message = error.args
-            return exchange.failure(code, message)
-        return exchange.answer(handle, method)
-
-    def _handle(self, execution: Execution) -> pycurl.Curl:
-        name = execution.value
-        handle = getattr(self._handles, name, None)
-        if handle is None:
-            handle = _new_handle()
-            if execution is Execution.NON_IDEMPOTENT:
-                # When a reused connection turns out dead, libcurl sends the
-                # request again on a fresh one by itself: the backend server
-                # would run it twice. It does so for reused connections only.
-                handle.setopt(pycurl.FRESH_CONNECT, 1)
-                handle.setopt(pycurl.FORBID_REUSE, 1)
-            setattr(self._handles, name, handle)
-        return handle
-
-
-def _new_handle() -> pycurl.Curl:
-    handle = pycurl.Curl()
-    handle.setopt(pycurl.NOSIGNAL, 1)
-    handle.setopt(pycurl.TCP_NODELAY, 1)
-    handle.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
-    handle.setopt(pycurl.FOLLOWLOCATION, 0)
-    handle.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
-    handle.setopt(pycurl.HTTP09_ALLOWED, 0)
-    handle.setopt(pycurl.PATH_AS_IS, 1)
-    handle.setopt(pycurl.PROXY, "")
-    handle.setopt(pycurl.MAXCONNECTS, 16)
-    return handle
-
-
-def _set_method(handle: pycurl.Curl, method: str, body: bytes) -> None:
-    handle.setopt(pycurl.NOBODY, 0)
-    if body or method in ("POST", "PUT", "PATCH"):
-        handle.setopt(pycurl.POST, 1)
-        handle.setopt(pycurl.POSTFIELDSIZE, len(body))
-        handle.setopt(pycurl.COPYPOSTFIELDS, body)
+            return call.failure(*error.args)
+        finally:
+            call.token.detach()
+            self._call = None
+        return call.reader.answer(self.curl.getinfo(pycurl.RESPONSE_CODE), method)
+
+    def close(self) -> None:
+        """Close the handle and its connection."""
+        self.curl.close()
+
+    def _set_options(self) -> None:
+        curl = self.curl
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.TCP_NODELAY, 1)
+        curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
+        curl.setopt(pycurl.FOLLOWLOCATION, 0)
+        curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+        curl.setopt(pycurl.HTTP09_ALLOWED, 0)
+        curl.setopt(pycurl.PATH_AS_IS, 1)
+        curl.setopt(pycurl.PROXY, "")
+        curl.setopt(pycurl.MAXCONNECTS, 1)
+        curl.setopt(pycurl.OPENSOCKETFUNCTION, self._on_open)
+        curl.setopt(pycurl.CLOSESOCKETFUNCTION, self._on_close)
+        curl.setopt(pycurl.PREREQFUNCTION, self._on_connected)
+
+    def _on_open(self, _purpose, address) -> socket.socket | int:
+        connection = socket.socket(address.family, address.socktype, address.protocol)
+        if not self._call.token.attach(connection):
+            connection.close()
+            return pycurl.SOCKET_BAD
+        self._connection = connection
+        return connection
+
+    def _on_close(self, descriptor: int) -> int:
+        # libcurl has a duplicate of our descriptor; both must close before
+        # the backend server sees the end of the connection.
+        os.close(descriptor)
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+        return 0
+
+    def _on_connected(self, *_) -> int:
+        if self._call.may_send(self._connection):
+            return pycurl.PREREQFUNC_OK
+        return pycurl.PREREQFUNC_ABORT
+
+
+class _HandlePool:
+    """Idle handles; the pool's lock is the barrier when threads change.
+
+    A gate's slots bound the handles in use, and thereby the connections that
+    a backend server holds for us. A cache for each thread would open one
+    connection for each pair of thread and backend server.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._idle: OrderedDict[str, list[_Handle]] = OrderedDict()
+        self._count = 0
+
+    def take(self, address: str, execution: Execution) -> _Handle:
+        key = _pool_key(address, execution)
+        with self._lock:
+            idle = self._idle.get(key)
+            if idle:
+                self._count -= 1
+                return idle.pop()
+        return _Handle(execution)
+
+    def give_back(self, address: str, execution: Execution, handle: _Handle) -> None:
+        key = _pool_key(address, execution)
+        with self._lock:
+            self._idle.setdefault(key, []).append(handle)
+            self._idle.move_to_end(key)
+            self._count += 1
+            surplus = self._take_surplus()
+        if surplus is not None:
+            surplus.close()
+
+    def _take_surplus(self) -> _Handle | None:
+        """Return a handle of the longest unused address, above the bound."""
+        if self._count <= IDLE_HANDLES_MAX:
+            return None
+        while True:
+            key, handles = next(iter(self._idle.items()))
+            if handles:
+                self._count -= 1
+                return handles.pop(0)
+            del self._idle[key]
+
+
+def _pool_key(address: str, execution: Execution) -> str:
+    """Return where a handle belongs; one without a connection fits all."""
+    return address if execution is Execution.IDEMPOTENT else ""
+
+
+def _set_method(curl: pycurl.Curl, method: str, body: bytes) -> None:
+    curl.setopt(pycurl.NOBODY, 0)
+    if body or method in _BODY_METHODS:
+        curl.setopt(pycurl.POST, 1)
+        curl.setopt(pycurl.POSTFIELDSIZE, len(body))
+        curl.setopt(pycurl.COPYPOSTFIELDS, body)
     else:
-        handle.setopt(pycurl.HTTPGET, 1)
+        curl.setopt(pycurl.HTTPGET, 1)
     if method == "HEAD":
-        handle.setopt(pycurl.NOBODY, 1)
-    handle.setopt(pycurl.CUSTOMREQUEST, method)
+        curl.setopt(pycurl.NOBODY, 1)
+    curl.setopt(pycurl.CUSTOMREQUEST, method)
 
 
 def _header_lines(headers: list[tuple[str, str]]) -> list[bytes]:
     return [
         f"{name}: {value}".encode("latin-1") if value else f"{name};".encode("latin-1")
-        for name, value in headers
-        if name.lower() not in _STOPPED_HEADERS
+        for name, value in end_to_end_headers(headers)
     ]
-
-
-class _Exchange:
-    """What one call sent and received."""
-
-    def __init__(self, body_max_bytes, should_abort):
-        self._body_max_bytes = body_max_bytes
-        self._should_abort = should_abort
-        self._chunks: list[bytes] = []
-        self._length = 0
-        self._headers: list[tuple[str, str]] = []
-        self._too_large = False
-
-    def attach(self, handle: pycurl.Curl) -> None:
-        handle.setopt(pycurl.WRITEFUNCTION, self._on_body)
-        handle.setopt(pycurl.HEADERFUNCTION, self._on_header)
-        handle.setopt(pycurl.NOPROGRESS, 0)
-        handle.setopt(pycurl.XFERINFOFUNCTION, self._on_progress)
-
-    def _on_header(self, line: bytes) -> None:
-        if line.startswith(b"HTTP/"):
-            # A new head: an interim answer (1xx) ends here.
-            self._headers = []
-            return
-        name, separator, value = line.decode("latin-1").partition(":")
-        if separator:
-            self._headers.append((name.strip(), value.strip()))
-
-    def _on_body(self, chunk: bytes) -> int | None:
-        self._length += len(chunk)
-        if self._length > self._body_max_bytes:
-            self._too_large = True
-            return 0
-        self._chunks.append(chunk)
-        return None
-
-    def _on_progress(self, *_) -> int:
-        return 1 if self._should_abort() else 0
-
-    def failure(self, code: int, message: str) -> BackendFailure:
-        if code == pycurl.E_COULDNT_CONNECT:
-            return BackendFailure(Reason.UNREACHABLE, False, message)
-        if self._too_large:
-            return BackendFailure(Reason.ANSWER_TOO_LARGE, True, message)
-        reason = _FAILURE_REASONS.get(code, Reason.BROKEN_ANSWER)
-        return BackendFailure(reason, True, message)
-
-    def answer(self, handle, method) -> BackendAnswer | BackendFailure:
-        status = handle.getinfo(pycurl.RESPONSE_CODE)
-        names = {name.lower() for name, _ in self._headers}
-        bounded = bool(names & {"content-length", "transfer-encoding"})
-        if not (bounded or method == "HEAD" or status in _BODILESS_STATUSES):
-            # Without a length the end of the connection ends the body, and a
-            # server that dies half way looks just like one that is done.
-            return BackendFailure(
-                Reason.BROKEN_ANSWER, True, "the answer has no length"
-            )
-        headers = [
-            (name, value)
-            for name, value in self._headers
-            if name.lower() not in _STOPPED_HEADERS
-        ]
-        return BackendAnswer(status, headers, b"".join(self._chunks))
-
-
-_FAILURE_REASONS = {
-    pycurl.E_OPERATION_TIMEDOUT: Reason.SILENCE,
-    pycurl.E_ABORTED_BY_CALLBACK: Reason.CANCELLED,
-}
--- /dev/null
+++ b/tests/raw_server.py
@@ -0,0 +1,91 @@
+"""A backend server of raw bytes: it answers what no library would send."""
+
+import socket
+import threading
+import time
+from collections.abc import Callable
+
+__all__ = ["RawServer", "length_answer"]
+
+HEAD_END = b"\r\n\r\n"
+
+
+def length_answer(body: bytes, head: bytes = b"") -> bytes:
+    """Return a whole answer with its length."""
+    return b"HTTP/1.1 200 OK\r\n%bContent-Length: %d\r\n\r\n%b" % (
+        head,
+        len(body),
+        body,
+    )
+
+
+class RawServer:
+    """Reads requests whole and answers each by a script.
+
+    Parameters
+    ----------
+    answer : callable
+        Takes the request's number, from 1, and returns (bytes, keep open).
+        None as bytes waits until the other end closes.
+    """
+
+    def __init__(self, answer: Callable[[int], tuple[bytes | None, bool]]) -> None:
+        self.answer = answer
+        self._lock = threading.Lock()
+        self.requests: list[bytes] = []
+        self.closed_s: list[float] = []
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        """Refuse new connections from now on; safe to repeat."""
+        try:
+            # Closing alone does not wake the task that waits in accept, and
+            # the kernel would go on listening for it.
+            self._listener.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._serve, args=(connection,), daemon=True
+            ).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        with connection:
+            keep_open = True
+            while keep_open and (request := _read_request(connection)):
+                with self._lock:
+                    self.requests.append(request)
+                    number = len(self.requests)
+                answer, keep_open = self.answer(number)
+                if answer is None:
+                    connection.recv(1)
+                    self.closed_s.append(time.monotonic())
+                    return
+                connection.sendall(answer)
+
+
+def _read_request(connection: socket.socket) -> bytes:
+    data = b""
+    while HEAD_END not in data:
+        chunk = connection.recv(65536)
+        if not chunk:
+            return b""
+        data += chunk
+    head, _, body = data.partition(HEAD_END)
+    length = 0
+    for line in head.split(b"\r\n")[1:]:
+        name, _, value = line.partition(b":")
+        if name.lower() == b"content-length":
+            length = int(value)
+    while len(body) < length:
+        body += connection.recv(65536)
+    return head + HEAD_END + body
--- /dev/null
+++ b/tests/test_backend_client.py
@@ -0,0 +1,204 @@
+"""Calls to a backend server: sent once, told truthfully, taken whole."""
+
+import os
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
+
+from testtools import TestCase
+
+from balsamspindle.backend_servers.cancellation import CancelToken
+from balsamspindle.backend_servers.client import (
+    BackendAnswer,
+    BackendFailure,
+    BackendServerClient,
+)
+from balsamspindle.requests.outcomes import Execution, Reason
+from tests.raw_server import RawServer, length_answer
+from tests.utils import free_address, wait_until
+
+BODY_MAX_BYTES = 1000
+WHOLE = length_answer(b"whole")
+HEAD_200 = b"HTTP/1.1 200 OK\r\n"
+
+# What a backend server sends before it closes, and the reason that the gate
+# gives. Each is a fragment, or can't be told from one.
+BROKEN_ANSWERS = {
+    "no bytes": (b"", Reason.BROKEN_ANSWER),
+    "a head only": (HEAD_200, Reason.BROKEN_ANSWER),
+    "half of its length": (WHOLE[:-2], Reason.BROKEN_ANSWER),
+    "no length": (HEAD_200 + b"\r\nfragment?", Reason.BROKEN_ANSWER),
+    "a coding without an end": (
+        HEAD_200 + b"Transfer-Encoding: identity\r\n\r\nfragment?",
+        Reason.BROKEN_ANSWER,
+    ),
+    "chunks without an end": (
+        HEAD_200 + b"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n",
+        Reason.BROKEN_ANSWER,
+    ),
+    "a bad chunk": (
+        HEAD_200 + b"Transfer-Encoding: chunked\r\n\r\nzz\r\nwhole\r\n0\r\n\r\n",
+        Reason.BROKEN_ANSWER,
+    ),
+    "two lengths": (
+        HEAD_200 + b"Content-Length: 5\r\nContent-Length: 3\r\n\r\nwhole",
+        Reason.BROKEN_ANSWER,
+    ),
+    "a second head inside a header": (
+        length_answer(b"whole", b"X-Note: a\rSet-Cookie: b\r\n"),
+        Reason.BROKEN_ANSWER,
+    ),
+    "no HTTP": (b"SSH-2.0-server\r\n\r\n", Reason.BROKEN_ANSWER),
+    "an interim answer only": (
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        Reason.BROKEN_ANSWER,
+    ),
+    "a switch of protocols": (
+        b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
+        Reason.BROKEN_ANSWER,
+    ),
+    "too much": (length_answer(b"x" * (BODY_MAX_BYTES + 1)), Reason.ANSWER_TOO_LARGE),
+}
+
+WHOLE_ANSWERS = {
+    "a length": WHOLE,
+    "chunks and a trailer": HEAD_200
+    + b"Transfer-Encoding: chunked\r\nTrailer: X-Late\r\n\r\n"
+    + b"5\r\nwhole\r\n0\r\nX-Late: 1\r\n\r\n",
+    "an interim answer first": b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + WHOLE,
+}
+
+
+class BackendClientTests(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.client = BackendServerClient(BODY_MAX_BYTES)
+
+    def _server(self, answer):
+        server = RawServer(answer)
+        self.addCleanup(server.close)
+        return server
+
+    def _call(self, address, execution=Execution.NON_IDEMPOTENT, **changes):
+        arguments = {
+            "method": "POST",
+            "target": "/sign",
+            "headers": [],
+            "body": b"signature",
+            "timeout_ms": 3000,
+            **changes,
+        }
+        return self.client.call(address, execution=execution, **arguments)
+
+    def test_a_reused_connection_that_dies_never_repeats_a_non_idempotent_post(self):
+        # The backend server answers one POST, then reads the next one on the
+        # same connection, runs it and dies before it answers. libcurl takes
+        # that for a stale connection and sends the POST again by itself: one
+        # signature would be executed twice, and nobody would see an error.
+        server = self._server(
+            lambda number: (WHOLE, True) if number == 1 else (b"", False)
+        )
+        self.assertEqual(200, self._call(server.address).status)
+        failure = self._call(server.address)
+        self.assertEqual((Reason.BROKEN_ANSWER, True), failure[:2])
+        self.assertEqual(2, len(server.requests))
+
+    def test_an_idempotent_request_that_was_resent_is_not_called_unsent(self):
+        # A reused connection dies with the request on it, the backend server
+        # stops listening, and libcurl's own second try is refused. The last
+        # error says "could not connect", but the first try may have run.
+        server = self._server(lambda number: (WHOLE, True))
+        self.assertEqual(200, self._call(server.address, Execution.IDEMPOTENT).status)
+
+        def die(number):
+            server.close()
+            return b"", False
+
+        server.answer = die
+        failure = self._call(server.address, Execution.IDEMPOTENT)
+        self.assertEqual(2, len(server.requests))
+        self.assertTrue(failure.sent, failure)
+
+    def test_a_broken_answer_is_never_taken_for_whole(self):
+        for name, (sent, reason) in BROKEN_ANSWERS.items():
+            server = self._server(lambda number, sent=sent: (sent, False))
+            for execution in Execution:
+                failure = self._call(server.address, execution)
+                self.assertIsInstance(failure, BackendFailure, name)
+                self.assertEqual((reason, True), failure[:2], name)
+
+    def test_whole_answers_are_taken_whole(self):
+        for name, sent in WHOLE_ANSWERS.items():
+            server = self._server(lambda number, sent=sent: (sent, True))
+            for execution in Execution:
+                answer = self._call(server.address, execution)
+                self.assertEqual(BackendAnswer(200, [], b"whole"), answer, name)
+
+    def test_a_head_answer_has_a_length_and_no_body(self):
+        head = HEAD_200 + b"Content-Length: 5\r\n\r\n"
+        server = self._server(lambda number: (head, True))
+        for _ in range(2):
+            answer = self._call(
+                server.address, Execution.IDEMPOTENT, method="HEAD", body=b""
+            )
+            self.assertEqual((200, b""), (answer.status, answer.body))
+
+    def test_headers_of_one_connection_stop_here(self):
+        answer = length_answer(
+            b"whole",
+            b"Connection: X-Hop\r\nX-Hop: 1\r\nX-Kept: 2\r\n"
+            b"X-Balsamspindle-Outcome: not_run\r\n",
+        )
+        server = self._server(lambda number: (answer, True))
+        headers = [("Connection", "close, X-Mine"), ("X-Mine", "1"), ("X-Too", "2")]
+        got = self._call(server.address, headers=headers)
+        self.assertEqual([("X-Kept", "2")], got.headers)
+        self.assertNotIn(b"X-Mine", server.requests[0])
+        self.assertIn(b"X-Too: 2", server.requests[0])
+
+    def test_nothing_sent_is_said_only_before_a_connection_is_up(self):
+        refused = self._call(free_address())
+        self.assertEqual((Reason.UNREACHABLE, False), refused[:2])
+        server = self._server(lambda number: (None, False))
+        late = self._call(server.address, timeout_ms=-1)
+        self.assertEqual((Reason.DEADLINE, False), late[:2])
+        self.assertEqual([], server.requests)
+        silent = self._call(server.address, timeout_ms=100)
+        self.assertEqual((Reason.SILENCE, True), silent[:2])
+
+    def test_a_cancelled_call_ends_the_backend_servers_connection_at_once(self):
+        # Without the shutdown libcurl looks at its callback once a second:
+        # the backend server would go on working for nobody meanwhile.
+        server = self._server(lambda number: (None, False))
+        for number, execution in enumerate(Execution, 1):
+            token = CancelToken()
+            with ThreadPoolExecutor(1) as executor:
+                call = executor.submit(
+                    self._call, server.address, execution, token=token
+                )
+                wait_until(partial(_has_requests, server, number), "it is sent")
+                token.cancel()
+                self.assertEqual((Reason.CANCELLED, True), call.result()[:2])
+        wait_until(lambda: len(server.closed_s) == 2, "both connections ended")
+
+    def test_a_call_cancelled_before_its_connection_sends_nothing(self):
+        server = self._server(lambda number: (WHOLE, True))
+        token = CancelToken()
+        token.cancel()
+        failure = self._call(server.address, token=token)
+        self.assertEqual((Reason.CANCELLED, False), failure[:2])
+        self.assertEqual([], server.requests)
+
+    def test_ended_calls_keep_no_descriptors(self):
+        server = self._server(lambda number: (WHOLE, True))
+        self._call(server.address)
+        before = len(os.listdir("/proc/self/fd"))
+        for _ in range(50):
+            self._call(server.address)
+        wait_until(
+            lambda: len(os.listdir("/proc/self/fd")) <= before + 2,
+            "connections of ended calls are closed",
+        )
+
+
+def _has_requests(server: RawServer, number: int) -> bool:
+    return len(server.requests) >= number
