Run each attempt once, and bind it to its deadline on the gate's own clock

- AttemptTable: an attempt id begins once; a second message of it is dropped without a reply, a cancelled one never begins.
Ids are kept until 5 s after their deadline and never forgotten for room (at the bound new ones are refused), so that no id can begin again.
- A duration starts when a message is read: one that waited in a kernel buffer while the gate was stopped looked fresh.
A link now learns the gate's monotonic clock from its greeting and each reply, never ahead of the truth, and attempts carry their end on that clock.
- A link must be heard before it is used, again after 1 s of silence: into a one-way cut nothing is sent, and the caller is told not run in place of unknown.
A peer's end wakes the waiting task at once (socket monitor, was a poll of 100 ms).
A cancellation outlives the closing of its link (LINGER).
- The gate takes all messages that are there, cancellations first; a cancellation ends a call in flight.
Callers that leave are noticed for local attempts, too.
LinkServer.stop waits until replies are out.
- A damaged request body is refused by the gate, and an answer with checksum 0 is no longer taken unchecked.
- RunLedger for Idempotency-Keys; nothing claims keys yet.

--- /dev/null
+++ b/balsamspindle/backend_servers/attempts.py
@@ -0,0 +1,81 @@
+"""The attempts that a gate has seen: each runs once, or never."""
+
+import heapq
+from enum import Enum, auto
+
+from balsamspindle.backend_servers.cancellation import CancelToken
+from balsamspindle.wire import AttemptId
+
+__all__ = ["ATTEMPTS_MAX", "MEMORY_S", "AttemptTable", "Begin"]
+
+ATTEMPTS_MAX = 100_000
+# How long an attempt is remembered after its deadline. A message that comes
+# later is refused by its deadline, and its ingress waits for no reply.
+MEMORY_S = 5.0
+
+
+class Begin(Enum):
+    """What becomes of an attempt that came in."""
+
+    NEW = auto()
+    CANCELLED = auto()
+    DUPLICATE = auto()
+    NO_ROOM = auto()
+
+
+class AttemptTable:
+    """Attempts by id; the gate's lock guards it.
+
+    Memory is bounded by time, not by forgetting the oldest: an attempt that
+    is forgotten before its deadline could run a second time.
+    """
+
+    def __init__(self) -> None:
+        # The token of a cancelled attempt stays: its message may still come.
+        self._tokens: dict[AttemptId, CancelToken] = {}
+        self._begun: set[AttemptId] = set()
+        self._expiries: list[tuple[float, AttemptId]] = []
+
+    def begin(
+        self, attempt_id: AttemptId, token: CancelToken, deadline_s: float, now_s: float
+    ) -> Begin:
+        """Take an attempt in, once.
+
+        Parameters
+        ----------
+        token : CancelToken
+            Cancels the attempt from now on.
+        deadline_s : float
+            On the gate's monotonic clock.
+        """
+        self._expire(now_s)
+        if attempt_id in self._begun:
+            return Begin.DUPLICATE
+        if attempt_id in self._tokens:
+            return Begin.CANCELLED
+        if len(self._tokens) >= ATTEMPTS_MAX:
+            return Begin.NO_ROOM
+        self._begun.add(attempt_id)
+        self._remember(attempt_id, token, deadline_s)
+        return Begin.NEW
+
+    def cancel(self, attempt_id: AttemptId, deadline_s: float, now_s: float) -> None:
+        """Cancel an attempt; one that has not come in yet never begins."""
+        self._expire(now_s)
+        token = self._tokens.get(attempt_id)
+        if token is not None:
+            token.cancel()
+        elif len(self._tokens) < ATTEMPTS_MAX:
+            # Without room the attempt may run for nobody, once: its ingress
+            # said 'unknown' before it cancelled.
+            self._remember(attempt_id, CancelToken(), deadline_s)
+
+    def _remember(self, attempt_id, token, deadline_s) -> None:
+        self._tokens[attempt_id] = token
+        heapq.heappush(self._expiries, (deadline_s + MEMORY_S, attempt_id))
+
+    def _expire(self, now_s: float) -> None:
+        while self._expiries and self._expiries[0][0] <= now_s:
+            _, attempt_id = heapq.heappop(self._expiries)
+            del self._tokens[attempt_id]
+            self._begun.discard(attempt_id)
--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -2,13 +2,18 @@
 
 Refusing, dispatching and cancelling an attempt are steps under one lock, so
 that an attempt is either refused or dispatched, never both, and a cancelled
-one is never dispatched.
+one is never dispatched. An attempt passes, in this order: its id (once only),
+its idempotency key (once over all gates, with its claim), its body's
+checksum, a slot, and right before the request goes out its deadline again.
 """
 
 import time
-from collections import OrderedDict
 from dataclasses import dataclass
 
+import msgspec
+
+from balsamspindle.backend_servers.attempts import AttemptTable, Begin
+from balsamspindle.backend_servers.cancellation import CancelToken
 from balsamspindle.backend_servers.client import (
     BackendAnswer,
     BackendFailure,
@@ -19,18 +24,20 @@
     NoObserver,
     WorkResult,
 )
+from balsamspindle.backend_servers.ledger import Earlier, KeyRefused, RunLedger
 from balsamspindle.backend_servers.servers import (
     BackendServerState,
     LocalBackendServer,
     LocalBackendServers,
 )
-from balsamspindle.requests.outcomes import Outcome, Reason
+from balsamspindle.requests.outcomes import Execution, Outcome, Reason
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import AttemptId, Dispatch, Reply, checksum
 
 __all__ = ["Gate"]
 
-TOMBSTONES_MAX = 10_000
+# How long a cancellation without a deadline holds.
+CANCEL_MEMORY_S = 60.0
 SHED_STATUSES = frozenset({429, 503})
 ERROR_STATUS_MIN = 500
 
@@ -60,9 +67,8 @@
         self._events = events
         self._observer = observer or NoObserver()
         self._leaving = False
-        # Attempts that were cancelled, so that a message which arrives after
-        # its cancellation (late, or out of order) is refused.
-        self._tombstones: OrderedDict[AttemptId, None] = OrderedDict()
+        self._attempts = AttemptTable()
+        self._ledger = RunLedger(events.node_id, events.incarnation)
 
     def leave(self) -> None:
         """Refuse all new attempts: this node is going."""
@@ -75,44 +81,94 @@
         with self._servers.changed:
             return sum(server.in_flight for server in self._servers.all())
 
-    def cancel(self, attempt_id: AttemptId) -> None:
-        """Take an attempt back; without effect once it is dispatched."""
+    def cancel(
+        self, attempt_id: AttemptId, gate_deadline_s: float | None = None
+    ) -> None:
+        """Take an attempt back, also one whose message has not come yet.
+
+        Before its request goes out the attempt is refused; after that its
+        backend server sees the connection end.
+        """
+        now_s = time.monotonic()
         with self._servers.changed:
-            self._tombstones[attempt_id] = None
-            while len(self._tombstones) > TOMBSTONES_MAX:
-                self._tombstones.popitem(last=False)
+            self._attempts.cancel(
+                attempt_id, gate_deadline_s or now_s + CANCEL_MEMORY_S, now_s
+            )
             self._servers.changed.notify_all()
 
-    def handle(self, dispatch: Dispatch, received_s: float) -> Reply:
+    def handle(self, dispatch: Dispatch, received_s: float) -> Reply | None:
         """Run one attempt to its end.
 
         Parameters
         ----------
         received_s : float
             When the message came in, on the monotonic clock.
+
+        Returns
+        -------
+        Reply or None
+            None for a second message of an attempt: the first one's reply
+            stands, and another could contradict it.
         """
-        deadline_s = received_s + dispatch.remaining_ms / 1000
-        match self._admit(dispatch, deadline_s):
+        token = CancelToken()
+        deadline_s = _deadline_s(dispatch, received_s)
+        with self._servers.changed:
+            begin = self._attempts.begin(
+                dispatch.attempt_id, token, deadline_s, time.monotonic()
+            )
+        if begin is Begin.DUPLICATE:
+            self._events.emit(
+                "attempt_dropped", request=dispatch.request_id, cause="it came twice"
+            )
+            return None
+        if begin is not Begin.NEW:
+            return self._refuse(dispatch, _BEGIN_REASONS[begin], _unseen(dispatch))
+        if not _is_keyed(dispatch):
+            return self._handle_new(dispatch, token, deadline_s)
+        return self._handle_keyed(dispatch, token, deadline_s)
+
+    def _handle_keyed(self, dispatch, token, deadline_s) -> Reply:
+        """Run an attempt whose key must run once over all gates."""
+        match self._ledger.begin(dispatch, time.monotonic()):
+            case KeyRefused(outcome, reason):
+                return self._refuse(dispatch, reason, outcome)
+            case Earlier(reply):
+                self._events.emit("answer_repeated", request=dispatch.request_id)
+                return msgspec.structs.replace(reply, attempt_id=dispatch.attempt_id)
+        # Should our own code fail, the key has to stay taken.
+        reply = Reply(dispatch.attempt_id, Outcome.UNKNOWN, Reason.BROKEN_ANSWER)
+        try:
+            reply = self._handle_new(dispatch, token, deadline_s)
+        finally:
+            self._ledger.end(dispatch, reply, time.monotonic())
+        return reply
+
+    def _handle_new(self, dispatch, token, deadline_s) -> Reply:
+        if checksum(dispatch.body) != dispatch.body_checksum:
+            return self._refuse(dispatch, Reason.DAMAGED)
+        match self._admit(dispatch, token, deadline_s):
             case _Refused(reason):
                 return self._refuse(dispatch, reason)
             case _Admitted(server):
-                return self._run(dispatch, server, deadline_s)
+                return self._run(dispatch, server, token, deadline_s)
 
-    def _admit(self, dispatch: Dispatch, deadline_s: float) -> _Admitted | _Refused:
+    def _admit(
+        self, dispatch: Dispatch, token: CancelToken, deadline_s: float
+    ) -> _Admitted | _Refused:
         """Wait for a slot and take it, all under the lock."""
         with self._servers.changed:
             while True:
-                decision = self._decide(dispatch, deadline_s, time.monotonic())
+                decision = self._decide(dispatch, token, deadline_s, time.monotonic())
                 if decision is not None:
                     return decision
                 self._servers.changed.wait(max(0, deadline_s - time.monotonic()))
 
     def _decide(
-        self, dispatch: Dispatch, deadline_s: float, now_s: float
+        self, dispatch: Dispatch, token: CancelToken, deadline_s: float, now_s: float
     ) -> _Admitted | _Refused | None:
         """Admit or refuse an attempt; None lets it wait for a slot."""
         server = self._servers.get(dispatch.backend_server_id)
-        if dispatch.attempt_id in self._tombstones:
+        if token.cancelled:
             return _Refused(Reason.CANCELLED)
         if server is None:
             return _Refused(Reason.NO_BACKEND_SERVER)
@@ -125,16 +181,21 @@
         server.in_flight += 1
         return _Admitted(server)
 
-    def _refuse(self, dispatch: Dispatch, reason: Reason) -> Reply:
+    def _refuse(
+        self,
+        dispatch: Dispatch,
+        reason: Reason,
+        outcome: Outcome = Outcome.NOT_RUN,
+    ) -> Reply:
         hlc = self._events.emit(
             "attempt_refused",
             request=dispatch.request_id,
             backend_server=dispatch.backend_server_id,
             cause=reason,
         )
-        return Reply(dispatch.attempt_id, Outcome.NOT_RUN, reason, hlc=hlc)
+        return Reply(dispatch.attempt_id, outcome, reason, hlc=hlc)
 
-    def _run(self, dispatch, server, deadline_s) -> Reply:
+    def _run(self, dispatch, server, token, deadline_s) -> Reply:
         self._events.emit(
             "attempt_dispatched",
             request=dispatch.request_id,
@@ -152,6 +213,7 @@
                 dispatch.body,
                 dispatch.execution,
                 (deadline_s - time.monotonic()) * 1000,
+                token,
             )
         finally:
             free_slots = self._release(server)
@@ -197,6 +259,32 @@
                 )
 
 
+def _deadline_s(dispatch: Dispatch, received_s: float) -> float:
+    """Return an attempt's end on this gate's monotonic clock."""
+    by_duration_s = received_s + dispatch.remaining_ms / 1000
+    if dispatch.gate_deadline_s is None:
+        return by_duration_s
+    return min(by_duration_s, dispatch.gate_deadline_s)
+
+
+def _is_keyed(dispatch: Dispatch) -> bool:
+    return (
+        dispatch.idempotency_key is not None
+        and dispatch.execution is Execution.NON_IDEMPOTENT
+    )
+
+
+def _unseen(dispatch: Dispatch) -> Outcome:
+    """Return the outcome of an attempt refused before its key was looked at."""
+    return Outcome.UNKNOWN if _is_keyed(dispatch) else Outcome.NOT_RUN
+
+
+_BEGIN_REASONS = {
+    Begin.CANCELLED: Reason.CANCELLED,
+    Begin.NO_ROOM: Reason.NO_FREE_SLOT,
+}
+
+
 def _work_result(result: BackendAnswer | BackendFailure | None) -> WorkResult:
     """Return a call's end as evidence of the backend server's health.
 
--- a/balsamspindle/backend_servers/link_server.py
+++ b/balsamspindle/backend_servers/link_server.py
@@ -2,19 +2,33 @@
 
 import threading
 import time
+from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 
+import msgspec
 import zmq
 from expression import Result
 
 from balsamspindle.backend_servers.gate import Gate
 from balsamspindle.timeline import EventLog
-from balsamspindle.wire import Cancel, Dispatch, Reply, decode_link, encode
+from balsamspindle.wire import (
+    Cancel,
+    Dispatch,
+    Greet,
+    Greeting,
+    LinkMessage,
+    decode_link,
+    encode,
+)
 
 __all__ = ["LinkServer"]
 
 REPLIES_ENDPOINT = "inproc://link-server-replies"
 POLL_MS = 200
+# Messages taken before replies get their turn.
+DRAIN_MAX = 1000
+STOP_TIMEOUT_S = 5.0
+LINGER_MS = 2000
 
 
 class LinkServer:
@@ -38,47 +52,96 @@
         self._events = events
         self._stopped = threading.Event()
         self._thread_sockets = threading.local()
+        # Attempts whose replies have not reached the ROUTER; the owning
+        # task's alone.
+        self._waiting = 0
         self._router = context.socket(zmq.ROUTER)
-        self._router.setsockopt(zmq.LINGER, 0)
+        # Replies that were handed over still go out when the node stops.
+        self._router.setsockopt(zmq.LINGER, LINGER_MS)
         self._router.bind(f"tcp://{address}")
         self._replies = context.socket(zmq.PULL)
         self._replies.setsockopt(zmq.LINGER, 0)
         self._replies.bind(REPLIES_ENDPOINT)
 
     def run(self) -> None:
-        """Take messages until `stop` is called."""
+        """Take messages until `stop` is called and all replies are out."""
         poller = zmq.Poller()
         poller.register(self._router, zmq.POLLIN)
         poller.register(self._replies, zmq.POLLIN)
-        while not self._stopped.is_set():
+        stop_s = None
+        while not self._may_end(stop_s):
             ready = dict(poller.poll(POLL_MS))
             if self._replies in ready:
-                self._router.send_multipart(self._replies.recv_multipart(copy=False))
+                self._send_replies()
             if self._router in ready:
-                self._take(self._router.recv_multipart())
+                self._take_all()
+            if self._stopped.is_set() and stop_s is None:
+                stop_s = time.monotonic() + STOP_TIMEOUT_S
         self._router.close()
         self._replies.close()
 
     def stop(self) -> None:
-        """End `run` soon."""
+        """End `run` soon, once each attempt has its reply."""
         self._stopped.set()
 
-    def _take(self, frames: list[bytes]) -> None:
-        peer, frame = frames[0], frames[-1]
-        match decode_link(frame):
-            case Result(tag="ok", ok=Dispatch() as dispatch):
-                self._executor.submit(self._run, peer, dispatch, time.monotonic())
-            case Result(tag="ok", ok=Cancel(attempt_id)):
-                self._gate.cancel(attempt_id)
-            case Result(tag="ok", ok=Reply()):
-                self._events.emit("message_dropped", cause="a reply at a gate")
-            case Result(error=error):
-                self._events.emit("message_dropped", cause=error.message)
+    def _may_end(self, stop_s: float | None) -> bool:
+        if stop_s is None:
+            return False
+        return not self._waiting or time.monotonic() >= stop_s
+
+    def _send_replies(self) -> None:
+        for frames in _drain(self._replies):
+            self._waiting -= 1
+            # An attempt that came twice has no second reply.
+            if len(frames) > 1:
+                self._router.send_multipart(frames, copy=False)
+
+    def _take_all(self) -> None:
+        """Take all messages that are there, cancellations first.
+
+        A gate that was stopped for a while finds attempts and, behind them,
+        their cancellations: what was given up meanwhile does not begin.
+        """
+        received_s = time.monotonic()
+        dispatches = []
+        for peer, *_, frame in _drain(self._router):
+            match decode_link(frame):
+                case Result(tag="ok", ok=Dispatch() as dispatch):
+                    dispatches.append((peer, dispatch))
+                case Result(tag="ok", ok=message):
+                    self._take(peer, message)
+                case Result(error=error):
+                    self._events.emit("message_dropped", cause=error.message)
+        for peer, dispatch in dispatches:
+            self._waiting += 1
+            self._executor.submit(self._run, peer, dispatch, received_s)
+
+    def _take(self, peer: bytes, message: LinkMessage) -> None:
+        match message:
+            case Cancel(attempt_id, _, gate_deadline_s):
+                self._gate.cancel(attempt_id, gate_deadline_s)
+            case Greet():
+                greeting = Greeting(
+                    self._events.node_id, self._events.incarnation, time.monotonic()
+                )
+                self._router.send_multipart([peer, encode(greeting)])
+            case _:
+                self._events.emit("message_dropped", cause="not for a gate")
 
     def _run(self, peer: bytes, dispatch: Dispatch, received_s: float) -> None:
-        self._events.clock.observe(dispatch.hlc, time.time())
-        reply = self._gate.handle(dispatch, received_s)
-        self._thread_socket().send_multipart([peer, encode(reply)])
+        frames = [peer]
+        try:
+            self._events.clock.observe(dispatch.hlc, time.time())
+            reply = self._gate.handle(dispatch, received_s)
+            if reply is not None:
+                reply = msgspec.structs.replace(reply, gate_time_s=time.monotonic())
+                frames.append(encode(reply))
+        except Exception as error:
+            # The ingress hears nothing and says 'unknown', which is true.
+            self._events.emit("attempt_failed", cause=repr(error))
+            raise
+        finally:
+            self._thread_socket().send_multipart(frames)
 
     def _thread_socket(self) -> zmq.Socket:
         socket = getattr(self._thread_sockets, "push", None)
@@ -88,3 +151,12 @@
             socket.connect(REPLIES_ENDPOINT)
             self._thread_sockets.push = socket
         return socket
+
+
+def _drain(socket: zmq.Socket) -> Iterator[list[bytes]]:
+    """Yield the messages that are there now."""
+    for _ in range(DRAIN_MAX):
+        try:
+            yield socket.recv_multipart(zmq.NOBLOCK)
+        except zmq.Again:
+            return
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -8,13 +8,14 @@
 
 from balsamspindle.backend_servers.gate import Gate
 from balsamspindle.membership.directory import Directory, Placement
+from balsamspindle.requests.caller_watch import CallerWatch
 from balsamspindle.requests.http import CallerRequest, HttpConnection
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.requests.outcomes import Execution, Outcome, Reason
 from balsamspindle.services.picker import pick
 from balsamspindle.settings.documents import RouteDocument
 from balsamspindle.timeline import EventLog
-from balsamspindle.wire import AttemptId, Cancel, Dispatch, NodeRecord, Reply, checksum
+from balsamspindle.wire import AttemptId, Dispatch, NodeRecord, Reply, checksum
 
 __all__ = ["Forwarder", "ForwardedRequest"]
 
@@ -74,6 +75,7 @@
         self._gate = gate
         self._links = links
         self._events = events
+        self._watch = CallerWatch(gate.cancel)
         self._free_slots = FreeSlotViews()
         self._sequence = itertools.count(1)
         self._random = random.Random(f"{own.node_id}/{own.incarnation}")
@@ -109,7 +111,8 @@
         forwarded.tried.add(server_id)
         dispatch = self._dispatch_message(forwarded, placement)
         if placement.node.node_id == self._own.node_id:
-            reply = self._gate.handle(dispatch, time.monotonic())
+            with self._watch.watching(dispatch.attempt_id, forwarded.caller):
+                reply = self._gate.handle(dispatch, time.monotonic())
         else:
             reply = self._attempt_over_link(forwarded, placement, dispatch)
         self._free_slots.note(server_id, reply.free_slots)
@@ -141,8 +144,11 @@
         )
 
     def _attempt_over_link(self, forwarded, placement, dispatch) -> Reply:
-        link = self._links.take(placement.node.link_address)
-        if link is None or not link.send(dispatch):
+        link = self._links.take(placement.node.link_address, forwarded.deadline_s)
+        if link is None:
+            return Reply(dispatch.attempt_id, Outcome.NOT_RUN, Reason.UNREACHABLE)
+        if not link.send_dispatch(dispatch, forwarded.deadline_s):
+            link.close()
             return Reply(dispatch.attempt_id, Outcome.NOT_RUN, Reason.UNREACHABLE)
         reply = link.wait_reply(
             dispatch.attempt_id,
@@ -152,16 +158,19 @@
             lambda cause: self._events.emit("message_dropped", cause=cause),
         )
         if reply is None:
-            link.send(Cancel(dispatch.attempt_id, dispatch.hlc))
-            link.close()
+            link.give_up(dispatch.attempt_id, dispatch.hlc)
             return Reply(dispatch.attempt_id, Outcome.UNKNOWN, Reason.SILENCE)
         self._links.give_back(link)
         self._events.clock.observe(reply.hlc, time.time())
-        if reply.body_checksum != (checksum(reply.body) if reply.body_checksum else 0):
+        if reply.body_checksum != checksum(reply.body) and _is_answer(reply):
             return Reply(dispatch.attempt_id, Outcome.UNKNOWN, Reason.BROKEN_ANSWER)
         return reply
 
 
+def _is_answer(reply: Reply) -> bool:
+    return reply.outcome is Outcome.ANSWERED
+
+
 def _may_try_again(reply: Reply, forwarded: ForwardedRequest, now_s: float) -> bool:
     """Tell whether another backend server may be tried after a reply."""
     if now_s >= forwarded.deadline_s:
--- a/balsamspindle/requests/links.py
+++ b/balsamspindle/requests/links.py
@@ -9,17 +9,56 @@
 import time
 from collections.abc import Callable
 
+import msgspec
 import zmq
 from expression import Result
 
 from balsamspindle.timeline import EventLog
-from balsamspindle.wire import AttemptId, Cancel, Dispatch, Reply, decode_link, encode
+from balsamspindle.wire import (
+    AttemptId,
+    Cancel,
+    Dispatch,
+    Greet,
+    Greeting,
+    LinkMessage,
+    Reply,
+    decode_link,
+    encode,
+)
+
+__all__ = ["GateClock", "Link", "LinkPool"]
+
+CONNECT_TIMEOUT_S = 0.25
+# A link that was silent for longer is asked again before it is used: one way
+# of the network may have been cut meanwhile.
+HEARD_FRESH_S = 1.0
+IDLE_LINKS_PER_PEER_MAX = 8
+CANCEL_LINGER_MS = 1000
+# Two clocks of quartz differ by less than this part of the time.
+CLOCK_DRIFT_MAX = 0.0005
 
-__all__ = ["Link", "LinkPool"]
 
-CONNECT_TIMEOUT_MS = 250
-LIVENESS_POLL_MS = 100
-IDLE_LINKS_PER_PEER_MAX = 8
+class GateClock:
+    """A gate's monotonic clock, as the other end of a link knows it.
+
+    What a gate said of its clock is old by the time that it arrives, so the
+    clock is never guessed ahead of the gate's own: a deadline given on it is
+    at most the way back of one message too early, and never too late.
+    """
+
+    def __init__(self) -> None:
+        self._offset_s = float("-inf")
+        self._noted_s = 0.0
+
+    def note(self, gate_time_s: float, now_s: float) -> None:
+        """Take the gate's time from a message that has just come."""
+        drift_s = (now_s - self._noted_s) * CLOCK_DRIFT_MAX
+        self._offset_s = max(gate_time_s - now_s, self._offset_s - drift_s)
+        self._noted_s = now_s
+
+    def at(self, local_s: float) -> float:
+        """Return the gate's time at a time of ours, or a little less."""
+        return local_s + self._offset_s
 
 
 class Link:
@@ -27,6 +66,9 @@
 
     def __init__(self, context: zmq.Context, address: str) -> None:
         self.address = address
+        self.gate_clock = GateClock()
+        self._heard_s = float("-inf")
+        self._gate_deadline_s: float | None = None
         self._socket = context.socket(zmq.DEALER)
         self._socket.setsockopt(zmq.LINGER, 0)
         # Without IMMEDIATE a message to an absent peer waits in a queue and
@@ -34,22 +76,60 @@
         # run. Without a reconnect no message outlives its connection.
         self._socket.setsockopt(zmq.IMMEDIATE, 1)
         self._socket.setsockopt(zmq.RECONNECT_IVL, -1)
+        self._closed = self._socket.get_monitor_socket(
+            zmq.EVENT_DISCONNECTED | zmq.EVENT_CLOSED
+        )
         self._socket.connect(f"tcp://{address}")
 
-    def connected(self, timeout_ms: int = 0) -> bool:
-        """Tell whether the peer is there, waiting for it a little."""
-        return bool(self._socket.poll(timeout_ms, zmq.POLLOUT))
+    def connected(self) -> bool:
+        """Tell whether the connection is up, as far as this end knows."""
+        return bool(self._socket.poll(0, zmq.POLLOUT))
 
-    def send(self, message: Dispatch | Cancel) -> bool:
-        """Send, or return False when nothing was handed to a connection."""
-        try:
-            self._socket.send(encode(message), zmq.NOBLOCK)
-        except zmq.Again:
+    def ready(self, now_s: float, give_up_s: float) -> bool:
+        """Tell whether both directions work; ask the gate unless it spoke lately.
+
+        A request sent into a link that only looks open would end as
+        'unknown'; found here, it is proven not run.
+        """
+        if now_s - self._heard_s < HEARD_FRESH_S:
+            return self.connected()
+        if not self._wait(zmq.POLLOUT, give_up_s) or not self._send(Greet()):
             return False
-        return True
+        while self._wait(zmq.POLLIN, give_up_s):
+            match decode_link(self._socket.recv()):
+                case Result(tag="ok", ok=Greeting(gate_time_s=gate_time_s)):
+                    self._hear(gate_time_s)
+                    return True
+        return False
+
+    def _wait(self, event: int, give_up_s: float) -> bool:
+        """Wait until the link is readable or writable; False when it can't be."""
+        poller = zmq.Poller()
+        poller.register(self._socket, event)
+        poller.register(self._closed, zmq.POLLIN)
+        return self._socket in dict(poller.poll(_left_ms(give_up_s)))
+
+    def send_dispatch(self, dispatch: Dispatch, deadline_s: float) -> bool:
+        """Send an attempt; False when nothing was handed to a connection."""
+        now_s = time.monotonic()
+        self._gate_deadline_s = self.gate_clock.at(deadline_s)
+        message = msgspec.structs.replace(
+            dispatch,
+            remaining_ms=(deadline_s - now_s) * 1000,
+            gate_deadline_s=self._gate_deadline_s,
+        )
+        return self._send(message)
+
+    def give_up(self, attempt_id: AttemptId, hlc: int) -> None:
+        """Cancel the attempt and end the connection, when that is out."""
+        self._send(Cancel(attempt_id, hlc, self._gate_deadline_s))
+        self._socket.setsockopt(zmq.LINGER, CANCEL_LINGER_MS)
+        self.close()
 
     def close(self) -> None:
         """End the connection."""
+        self._socket.disable_monitor()
+        self._closed.close(0)
         self._socket.close()
 
     def wait_reply(
@@ -69,29 +149,40 @@
             did.
         """
         poller = zmq.Poller()
-        poller.register(self._socket, zmq.POLLIN)
-        poller.register(caller_fd, zmq.POLLIN)
+        for readable in (self._socket, self._closed, caller_fd):
+            poller.register(readable, zmq.POLLIN)
         while True:
-            left_ms = (deadline_s - time.monotonic()) * 1000
-            if left_ms <= 0:
-                return None
-            ready = dict(poller.poll(min(left_ms, LIVENESS_POLL_MS)))
+            # Also past the deadline: a reply that is there counts, however
+            # long this process was stopped.
+            ready = dict(poller.poll(_left_ms(deadline_s)))
             if self._socket in ready:
                 reply = self._matching_reply(attempt_id, on_dropped)
                 if reply is not None:
                     return reply
-            if caller_fd in ready:
-                if caller_gone():
-                    return None
-                # A pipelined request; it waits for its turn.
-                poller.unregister(caller_fd)
-            if not ready and not self.connected():
+                continue
+            if not ready or self._closed in ready:
+                return None
+            if caller_gone():
                 return None
+            # A pipelined request; it waits for its turn.
+            poller.unregister(caller_fd)
+
+    def _send(self, message: LinkMessage) -> bool:
+        try:
+            self._socket.send(encode(message), zmq.NOBLOCK)
+        except zmq.Again:
+            return False
+        return True
+
+    def _hear(self, gate_time_s: float) -> None:
+        self._heard_s = time.monotonic()
+        self.gate_clock.note(gate_time_s, self._heard_s)
 
     def _matching_reply(self, attempt_id, on_dropped) -> Reply | None:
         match decode_link(self._socket.recv()):
             case Result(tag="ok", ok=Reply() as reply):
                 if reply.attempt_id == attempt_id:
+                    self._hear(reply.gate_time_s)
                     return reply
                 # The reply of an attempt that was given up, on a link that
                 # serves another one now. Taken for ours it would be a
@@ -113,22 +204,29 @@
         self._lock = threading.Lock()
         self._idle: dict[str, list[Link]] = {}
 
-    def take(self, address: str) -> Link | None:
-        """Return a connected link that is the caller's alone, or None."""
+    def take(self, address: str, deadline_s: float) -> Link | None:
+        """Return a link that works both ways and is the caller's, or None."""
+        give_up_s = min(deadline_s, time.monotonic() + CONNECT_TIMEOUT_S)
         while True:
             with self._lock:
                 idle = self._idle.get(address)
                 link = idle.pop() if idle else None
-            if link is None:
-                break
-            if link.connected():
+            is_new = link is None
+            link = link or Link(self._context, address)
+            if link.ready(time.monotonic(), give_up_s):
                 return link
+            # One that is open but silent speaks for all links to this peer.
+            is_silent = link.connected()
+            link.close()
+            if is_new or is_silent:
+                self._close_idle(address)
+                return None
+
+    def _close_idle(self, address: str) -> None:
+        with self._lock:
+            links = self._idle.pop(address, [])
+        for link in links:
             link.close()
-        link = Link(self._context, address)
-        if link.connected(CONNECT_TIMEOUT_MS):
-            return link
-        link.close()
-        return None
 
     def give_back(self, link: Link) -> None:
         """Keep a link for the next attempt."""
@@ -141,8 +239,10 @@
 
     def close(self) -> None:
         """Close all idle links."""
-        with self._lock:
-            links = [link for idle in self._idle.values() for link in idle]
-            self._idle.clear()
-        for link in links:
-            link.close()
+        for address in list(self._idle):
+            self._close_idle(address)
+
+
+def _left_ms(deadline_s: float) -> int:
+    """Return the time until then, rounded up so that no poll ends early."""
+    return max(0, int((deadline_s - time.monotonic()) * 1000) + 1)
--- a/balsamspindle/requests/outcomes.py
+++ b/balsamspindle/requests/outcomes.py
@@ -47,6 +47,10 @@
     BROKEN_ANSWER = "broken_answer"
     ANSWER_TOO_LARGE = "answer_too_large"
     DUPLICATE = "duplicate"
+    KEY_REUSED = "key_reused"
+    CLAIM_MOVED = "claim_moved"
+    CLAIMS_UNAVAILABLE = "claims_unavailable"
+    DAMAGED = "damaged"
 
 
 class Problem(NamedTuple):
@@ -96,6 +100,21 @@
         502, "The backend server's answer is too large.", None
     ),
     Reason.DUPLICATE: Problem(
-        409, "A request with this Idempotency-Key is running or has run.", 2
+        409, "A request with this Idempotency-Key is running or may have run.", 2
+    ),
+    Reason.KEY_REUSED: Problem(
+        422, "This Idempotency-Key belongs to another request.", None
+    ),
+    Reason.CLAIM_MOVED: Problem(
+        503, "The Idempotency-Key is being taken by another node.", 1
+    ),
+    Reason.CLAIMS_UNAVAILABLE: Problem(
+        503,
+        "This request was not started, but it can't be told now whether an "
+        "earlier one with the same Idempotency-Key was; come back with that key.",
+        5,
+    ),
+    Reason.DAMAGED: Problem(
+        502, "The request was damaged on its way between two nodes.", 1
     ),
 }
--- a/balsamspindle/wire/__init__.py
+++ b/balsamspindle/wire/__init__.py
@@ -10,7 +10,10 @@
 from balsamspindle.wire.link_messages import (
     AttemptId,
     Cancel,
+    Claim,
     Dispatch,
+    Greet,
+    Greeting,
     LinkMessage,
     Reply,
 )
@@ -27,7 +30,10 @@
     "AttemptId",
     "BackendServerRecord",
     "Cancel",
+    "Claim",
     "Dispatch",
+    "Greet",
+    "Greeting",
     "Hello",
     "LinkMessage",
     "MemberMessage",
--- a/balsamspindle/wire/link_messages.py
+++ b/balsamspindle/wire/link_messages.py
@@ -12,7 +12,16 @@
 
 from balsamspindle.requests.outcomes import Execution, Outcome, Reason
 
-__all__ = ["AttemptId", "Cancel", "Dispatch", "LinkMessage", "Reply"]
+__all__ = [
+    "AttemptId",
+    "Cancel",
+    "Claim",
+    "Dispatch",
+    "Greet",
+    "Greeting",
+    "LinkMessage",
+    "Reply",
+]
 
 
 class AttemptId(NamedTuple):
@@ -33,6 +42,43 @@
     sequence: int
 
 
+class Claim(NamedTuple):
+    """Who alone may run the request with an Idempotency-Key.
+
+    Attributes
+    ----------
+    node_id, incarnation
+        Of the gate.
+    version : int
+        Rises each time that the claim moves.
+    gate_time_s : float
+        The gate's monotonic clock when the claim was made, or a little less.
+    """
+
+    node_id: str
+    incarnation: int
+    version: int
+    gate_time_s: float
+
+
+class Greet(msgspec.Struct, tag="greet", frozen=True):
+    """Ingress to gate, first on a link: do you hear me?"""
+
+
+class Greeting(msgspec.Struct, tag="greeting", frozen=True):
+    """Gate to ingress: I do.
+
+    Attributes
+    ----------
+    gate_time_s : float
+        The gate's monotonic clock.
+    """
+
+    node_id: str
+    incarnation: int
+    gate_time_s: float
+
+
 class Dispatch(msgspec.Struct, tag="dispatch", frozen=True):
     """Ingress to gate: run this request at one of your backend servers.
 
@@ -40,12 +86,18 @@
     ----------
     remaining_ms : float
         Time that the request still has when the message is sent.
+    gate_deadline_s : float or None
+        The same end on the gate's monotonic clock, as far as the sender knows
+        that clock. A duration starts when a message is read, and a message
+        that waited while the gate was stopped would look fresh.
     weight : float
         The route's weight; the lightest is shed first.
     target : str
         Path and query as the caller sent them.
     body_checksum : int
         xxh3_64 of the body.
+    claim : Claim or None
+        With an idempotency key: the claim that this attempt stands on.
     hlc : int
         The sender's hybrid logical clock.
     """
@@ -64,13 +116,22 @@
     body_checksum: int
     idempotency_key: str | None = None
     hlc: int = 0
+    gate_deadline_s: float | None = None
+    claim: Claim | None = None
 
 
 class Cancel(msgspec.Struct, tag="cancel", frozen=True):
-    """Ingress to gate: the attempt is given up; do not start it any more."""
+    """Ingress to gate: the attempt is given up; do not start it any more.
+
+    Attributes
+    ----------
+    gate_deadline_s : float or None
+        As the attempt's own message has it.
+    """
 
     attempt_id: AttemptId
     hlc: int = 0
+    gate_deadline_s: float | None = None
 
 
 class Reply(msgspec.Struct, tag="reply", frozen=True):
@@ -88,6 +149,8 @@
         Free slots of the backend server after this attempt.
     retry_after_ms : float
         When coming back helps; 0 when it does not.
+    gate_time_s : float
+        The gate's monotonic clock when the reply was sent.
     """
 
     attempt_id: AttemptId
@@ -100,6 +163,7 @@
     free_slots: int = 0
     retry_after_ms: float = 0.0
     hlc: int = 0
+    gate_time_s: float = 0.0
 
 
-LinkMessage = Dispatch | Cancel | Reply
+LinkMessage = Greet | Greeting | Dispatch | Cancel | Reply
