--- a/balsamspindle/membership/knowledge.py
+++ b/balsamspindle/membership/knowledge.py
@@ -17,12 +17,12 @@
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import (
     BackendServerRecord,
-    Claim,
     News,
     NodeNews,
     NodeRecord,
     ServerEntry,
     Verdict,
+    VerdictNews,
 )
 
 __all__ = ["Knowledge"]
@@ -104,7 +104,7 @@
         """
         for item in news:
             match item:
-                case Claim():
+                case VerdictNews():
                     self._take_claim(item, now_s)
                 case NodeNews(node_id=self.own.node_id):
                     self._take_own(Epoch(item.incarnation, item.version), now_s)
@@ -133,7 +133,7 @@
         """Note an acknowledgement: both directions work, nothing is suspected."""
         self.suspicions.drop(node_id)
 
-    def claim_about(self, node_id: str) -> Claim | None:
+    def claim_about(self, node_id: str) -> VerdictNews | None:
         """Return what a node has to refute, None when nothing is held against it."""
         view = self.directory.view(node_id)
         if view is None:
@@ -234,7 +234,7 @@
         news = NodeNews(node_id, incarnation, servers=[entry])
         self.queue.add(news, priority, self._size())
 
-    def _take_claim(self, claim: Claim, now_s: float) -> None:
+    def _take_claim(self, claim: VerdictNews, now_s: float) -> None:
         epoch = Epoch(claim.incarnation, claim.version)
         if claim.node_id == self.own.node_id:
             self._refute(claim, epoch, now_s)
@@ -249,7 +249,7 @@
             self._suspect(claim.node_id, epoch, claim.by, now_s)
             self.to_check.add(claim.node_id)
 
-    def _refute(self, claim: Claim, epoch: Epoch, now_s: float) -> None:
+    def _refute(self, claim: VerdictNews, epoch: Epoch, now_s: float) -> None:
         if epoch < self.own.epoch:
             # Refuted already, but the sender did not hear it: the answer may
             # have been lost together with the link that made them suspect us.
@@ -265,7 +265,7 @@
         if not self.suspicions.add(node_id, epoch, by, now_s):
             return
         self._events.emit("node_suspected", peer=node_id, by=by)
-        claim = Claim(node_id, *epoch, Verdict.SUSPECT, by)
+        claim = VerdictNews(node_id, *epoch, Verdict.SUSPECT, by)
         self.queue.add(claim, Priority.URGENT, self._size())
 
     def _declare(self, verdict: Expired, now_s: float, by: str | None = None) -> None:
@@ -277,11 +277,11 @@
             self._recent_deaths[verdict.node_id] = (now_s, view.record.region)
         by = by or self.own.node_id
         self._events.emit("node_dead", peer=verdict.node_id, by=by)
-        claim = Claim(verdict.node_id, *verdict.epoch, Verdict.DEAD, by)
+        claim = VerdictNews(verdict.node_id, *verdict.epoch, Verdict.DEAD, by)
         self.queue.add(claim, Priority.URGENT, self._size())
 
-    def _claim(self, node_id: str, epoch: Epoch, verdict: Verdict) -> Claim:
-        return Claim(node_id, *epoch, verdict, self.own.node_id)
+    def _claim(self, node_id: str, epoch: Epoch, verdict: Verdict) -> VerdictNews:
+        return VerdictNews(node_id, *epoch, verdict, self.own.node_id)
 
     def _too_many_deaths(self, node_id: str, now_s: float) -> bool:
         """Tell whether this node is more likely cut off than the others dead.
--- a/balsamspindle/membership/news.py
+++ b/balsamspindle/membership/news.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from balsamspindle.wire import Claim, News, NodeNews
+from balsamspindle.wire import News, NodeNews, VerdictNews
 
 __all__ = ["NewsQueue", "Priority", "transmissions"]
 
@@ -156,7 +156,7 @@
 
 def _key(news: News) -> Key:
     match news:
-        case Claim(node_id=node_id, by=by):
+        case VerdictNews(node_id=node_id, by=by):
             return node_id, f"claim/{by}"
         case NodeNews(node_id=node_id, header=None, servers=[entry]):
             return node_id, f"server/{entry.record.backend_server_id}"
--- a/balsamspindle/wire/__init__.py
+++ b/balsamspindle/wire/__init__.py
@@ -11,14 +11,16 @@
 from balsamspindle.wire.link_messages import (
     AttemptId,
     Cancel,
+    Claim,
     Dispatch,
+    Greet,
+    Greeting,
     LinkMessage,
     Reply,
 )
 from balsamspindle.wire.member_messages import (
     Ack,
     BackendServerRecord,
-    Claim,
     Envelope,
     Gossip,
     News,
@@ -37,6 +39,7 @@
     SyncRequest,
     SyncSummary,
     Verdict,
+    VerdictNews,
     Want,
 )
 
@@ -49,6 +52,8 @@
     "Dispatch",
     "Envelope",
     "Gossip",
+    "Greet",
+    "Greeting",
     "LinkMessage",
     "News",
     "NodeHeader",
@@ -67,6 +72,7 @@
     "SyncRequest",
     "SyncSummary",
     "Verdict",
+    "VerdictNews",
     "Want",
     "WireError",
     "checksum",
--- a/balsamspindle/wire/member_messages.py
+++ b/balsamspindle/wire/member_messages.py
@@ -16,7 +16,7 @@
 __all__ = [
     "Ack",
     "BackendServerRecord",
-    "Claim",
+    "VerdictNews",
     "Envelope",
     "Gossip",
     "News",
@@ -180,7 +180,7 @@
     DEAD = "dead"
 
 
-class Claim(msgspec.Struct, array_like=True, tag="c", frozen=True):
+class VerdictNews(msgspec.Struct, array_like=True, tag="c", frozen=True):
     """What one node says of another: it does not answer, or it is dead.
 
     It holds for one incarnation and header version. The node refutes it with
@@ -199,7 +199,7 @@
     by: NodeId
 
 
-News = NodeNews | Claim
+News = NodeNews | VerdictNews
 
 
 class Ping(msgspec.Struct, array_like=True, frozen=True):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -9,10 +9,10 @@
 from balsamspindle.membership.news import NewsQueue, Priority
 from balsamspindle.wire import (
     BackendServerRecord,
-    Claim,
     NodeNews,
     ServerEntry,
     Verdict,
+    VerdictNews,
     encode_member,
 )
 from tests.member_network import MemberNetwork, count_events
@@ -124,7 +124,7 @@
             sleeper.directory.view(victim.node_id).record, self.network.now_s
         )
         sleeper.member.knowledge.take(
-            [Claim(victim.node_id, 1000, 0, Verdict.SUSPECT, others[1].node_id)],
+            [VerdictNews(victim.node_id, 1000, 0, Verdict.SUSPECT, others[1].node_id)],
             self.network.now_s,
             spread=True,
         )
