--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: real processes on loopback, figures as ratios where it helps."""
