--- a/balsamspindle/cli/node.py
+++ b/balsamspindle/cli/node.py
@@ -12,7 +12,6 @@
     make_app,
     stop_on_signals,
 )
-import sys; sys.setswitchinterval(0.0005)
 from balsamspindle.node.process import NodeProcess
 from balsamspindle.settings import load_node_settings
 
