List all faults of the settings, each with document and field

Cause: a decoder stops at the first fault of a document, so an operator came back once for each fault.

check_documents moves to settings/validation.py.

Ruled out: parsing the decoder's message (its wording is the library's), and walking every document field by field (slower for the sound ones, which are nearly all).

--- a/balsamspindle/settings/documents.py
+++ b/balsamspindle/settings/documents.py
@@ -4,7 +4,8 @@
 segment is the subtree that one team owns.
 """
 
-from typing import Annotated
+import re
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -12,6 +13,7 @@
 
 __all__ = [
     "DOCUMENT_TYPES",
+    "NAME_PATTERN",
     "Detection",
     "RetryBudget",
     "RouteDocument",
@@ -22,6 +24,30 @@
 Fraction = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 
+NAME_PATTERN = re.compile(r"^[a-z0-9][a-z0-9.-]{0,63}\Z")
+Method = Literal["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
+ServiceName = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r"^[a-z0-9][a-z0-9.-]*/[a-z0-9][a-z0-9.-]*\Z",
+        extra_json_schema={"description": "the name of a service, TEAM/NAME"},
+    ),
+]
+Host = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r"^(\*|[A-Za-z0-9.-]+)\Z",
+        extra_json_schema={"description": "a host name without port, or *"},
+    ),
+]
+AbsolutePath = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r"^/[^?#\s]*\Z",
+        extra_json_schema={"description": "a path that starts with /, without query"},
+    ),
+]
+
 
 class Detection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The trade between detection time and false ejections.
@@ -80,7 +106,7 @@
     floor_fraction: Fraction = 0.6
     detection: Detection = Detection()
     retry_budget: RetryBudget = RetryBudget()
-    probe_path: str = "/health"
+    probe_path: AbsolutePath = "/health"
     cold_start_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     queue_max: Annotated[int, msgspec.Meta(ge=0)] = 32
 
@@ -102,11 +128,11 @@
         Worth of one answered request; the lightest is shed first.
     """
 
-    service: str
+    service: ServiceName
     execution: Execution
-    host: str = "*"
-    path_prefix: Annotated[str, msgspec.Meta(pattern="^/")] = "/"
-    methods: Annotated[tuple[str, ...], msgspec.Meta(min_length=1)] = ("GET",)
+    host: Host = "*"
+    path_prefix: AbsolutePath = "/"
+    methods: Annotated[tuple[Method, ...], msgspec.Meta(min_length=1)] = ("GET",)
     timeout_ms: Positive = 2000.0
     weight: Positive = 1.0
 
@@ -120,6 +146,9 @@
 def document_type(path: str) -> type | None:
     """Return the type of the document at a path, or None for a wrong path."""
     segments = path.split("/")
-    if len(segments) != 3 or not all(segments):
+    if len(segments) != 3:
+        return None
+    team, kind, name = segments
+    if not (NAME_PATTERN.match(team) and NAME_PATTERN.match(name)):
         return None
-    return DOCUMENT_TYPES.get(segments[1])
+    return DOCUMENT_TYPES.get(kind)
--- a/balsamspindle/settings/tree.py
+++ b/balsamspindle/settings/tree.py
@@ -12,17 +12,11 @@
     ServiceDocument,
     document_type,
 )
+from balsamspindle.settings.validation import Fault, check_documents
 
 __all__ = ["Configuration", "CurrentConfiguration", "Fault", "check_documents"]
 
 
-class Fault(msgspec.Struct, frozen=True):
-    """One fault of the settings: where, and what is wrong."""
-
-    path: str
-    message: str
-
-
 class Configuration:
     """All settings at one revision; never changed after it is made.
 
@@ -53,35 +47,6 @@
         self.routes = RouteTable(routes)
 
 
-def check_documents(documents: Mapping[str, bytes]) -> list[Fault]:
-    """Return all faults of a set of documents, not just the first."""
-    faults: list[Fault] = []
-    services = set()
-    routes: dict[str, RouteDocument] = {}
-    for path, document in documents.items():
-        kind = document_type(path)
-        if kind is None:
-            faults.append(
-                Fault(path, "expected TEAM/services/NAME or TEAM/routes/NAME")
-            )
-            continue
-        try:
-            value = msgspec.json.decode(document, type=kind)
-        except (msgspec.ValidationError, msgspec.DecodeError) as error:
-            faults.append(Fault(path, str(error)))
-            continue
-        team, _, name = path.split("/")
-        match value:
-            case ServiceDocument():
-                services.add(f"{team}/{name}")
-            case RouteDocument():
-                routes[path] = value
-    for path, route in routes.items():
-        if route.service not in services:
-            faults.append(Fault(path, f"no service {route.service!r} is defined"))
-    return faults
-
-
 class CurrentConfiguration:
     """The configuration in force at this node; its revision only rises."""
 
