Add balsamspindle-timeline, recent events and service explanations of a node

Cause: events stayed in the log of each process; the order of a request's events over several processes could not be told from wall times.

timeline/merge.py orders by hybrid logical clock, counts lines that are no events (cut ones too) and takes an event read twice once. Each node keeps its latest events in two bounded rings and answers them at /events; requests have a ring of their own, because one ring of 4,096 would forget an ejection within seconds at some hundred requests a second.

wall_clock_offset_s of a node's settings sets the wall clock of its events wrong, for tests.

Seen failing: with the remote time taken out of HybridClock.observe both order tests fail (attempt_dispatched and attempt_ended sort before attempt_sent when the gate's clock is 7 s behind). After: 6 tests pass.

--- /dev/null
+++ b/balsamspindle/cli/admin_client.py
@@ -0,0 +1,120 @@
+"""Calls to the admin addresses of nodes."""
+
+import io
+from collections.abc import Iterator
+from typing import NamedTuple, TypeVar
+
+import msgspec
+import pycurl
+from expression import Error, Ok, Result
+
+from balsamspindle.timeline import EventPage
+
+__all__ = ["AdminClient", "NodeRefused", "NodeUnreachable"]
+
+CONNECT_TIMEOUT_MS = 1_000
+CALL_TIMEOUT_MS = 5_000
+
+T = TypeVar("T")
+
+
+class NodeUnreachable(msgspec.Struct, frozen=True):
+    """The node gave no answer; `message` says what to look at."""
+
+    message: str
+
+
+class NodeRefused(msgspec.Struct, frozen=True):
+    """The node answered that it can't do it; `message` says why."""
+
+    status: int
+    message: str
+
+
+class _Problem(msgspec.Struct):
+    error: str = ""
+
+
+class _Answer(NamedTuple):
+    status: int
+    body: bytes
+
+
+class AdminClient:
+    """The admin address of one node.
+
+    Parameters
+    ----------
+    address : str
+        IP:port.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+
+    def read(
+        self, path: str, kind: type[T]
+    ) -> Result[T, NodeUnreachable | NodeRefused]:
+        """Return what the node answers at a path."""
+        return self._call("GET", path).bind(lambda body: self._decode(body, kind))
+
+    def post(self, path: str) -> Result[None, NodeUnreachable | NodeRefused]:
+        """Ask the node to do something."""
+        return self._call("POST", path).map(lambda _: None)
+
+    def events(self) -> Iterator[Result[EventPage, NodeUnreachable | NodeRefused]]:
+        """Yield all pages of the node's recent events; an error is the last."""
+        after = 0
+        more = True
+        while more:
+            page = self.read(f"/events?after={after}", EventPage)
+            yield page
+            more = page.is_ok() and page.ok.more
+            after = page.ok.last_sequence if more else after
+
+    def _decode(self, body: bytes, kind: type[T]) -> Result[T, NodeRefused]:
+        try:
+            return Ok(msgspec.json.decode(body, type=kind))
+        except msgspec.MsgspecError as error:
+            message = f"{self.address} is no admin address of a node: {error}"
+            return Error(NodeRefused(200, message))
+
+    def _call(
+        self, method: str, path: str
+    ) -> Result[bytes, NodeUnreachable | NodeRefused]:
+        try:
+            answer = _perform(method, f"http://{self.address}{path}")
+        except pycurl.error as error:
+            message = (
+                f"no answer from node {self.address} ({error.args[1]}): check that "
+                "the node runs and that this is its admin address"
+            )
+            return Error(NodeUnreachable(message))
+        if answer.status == 200:
+            return Ok(answer.body)
+        return Error(NodeRefused(answer.status, self._problem(answer)))
+
+    def _problem(self, answer: _Answer) -> str:
+        try:
+            problem = msgspec.json.decode(answer.body, type=_Problem)
+        except msgspec.MsgspecError:
+            problem = _Problem()
+        words = problem.error or f"HTTP status {answer.status}"
+        return f"node {self.address}: {words}"
+
+
+def _perform(method: str, url: str) -> _Answer:
+    handle = pycurl.Curl()
+    body = io.BytesIO()
+    handle.setopt(pycurl.URL, url)
+    handle.setopt(pycurl.CUSTOMREQUEST, method)
+    handle.setopt(pycurl.NOSIGNAL, 1)
+    handle.setopt(pycurl.PROXY, "")
+    handle.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
+    handle.setopt(pycurl.TIMEOUT_MS, CALL_TIMEOUT_MS)
+    handle.setopt(pycurl.WRITEDATA, body)
+    try:
+        handle.perform()
+        return _Answer(handle.getinfo(pycurl.RESPONSE_CODE), body.getvalue())
+    finally:
+        handle.close()
--- a/balsamspindle/cli/exit_status.py
+++ b/balsamspindle/cli/exit_status.py
@@ -6,7 +6,29 @@
 
 
 class ExitStatus(IntEnum):
-    """Exit statuses, the same for all binaries."""
+    """Exit statuses, the same for all binaries.
+
+    Attributes
+    ----------
+    DONE
+        All that was asked is done.
+    FAILED
+        It could not be done and nothing was changed.
+    USAGE
+        The command line, a file or its JSON is wrong; nothing was asked of
+        the fleet.
+    UNAVAILABLE
+        The platform or the node gave no answer; nothing was changed.
+    CONFLICT
+        Somebody else changed the same subtree meanwhile; nothing was changed.
+    NOT_KNOWN
+        A change may or may not have taken effect; the message names the
+        command that settles it.
+    INVALID
+        The settings have faults, which are listed; nothing was changed.
+    NOT_FOUND
+        There is no such document, backend server, service or request.
+    """
 
     DONE = 0
     FAILED = 1
@@ -14,3 +36,5 @@
     UNAVAILABLE = 3
     CONFLICT = 4
     NOT_KNOWN = 5
+    INVALID = 6
+    NOT_FOUND = 7
--- a/balsamspindle/cli/program.py
+++ b/balsamspindle/cli/program.py
@@ -1,4 +1,4 @@
-"""What every binary shares: version, errors, signals."""
+"""What every binary shares: options, errors, signals."""
 
 import signal
 import sys
@@ -10,7 +10,15 @@
 from balsamspindle import __version__
 from balsamspindle.cli.exit_status import ExitStatus
 
-__all__ = ["VERSION_OPTION", "fail", "make_app", "stop_on_signals"]
+__all__ = [
+    "JSON_OPTION",
+    "NODES_OPTION",
+    "VERSION_OPTION",
+    "fail",
+    "make_app",
+    "stop_on_signals",
+    "warn",
+]
 
 
 def _show_version(wanted: bool) -> None:
@@ -26,11 +34,29 @@
     is_eager=True,
     help="Show the version and exit.",
 )
+JSON_OPTION = typer.Option(False, "--json", help="Write JSON, for programs.")
+NODES_OPTION = typer.Option(
+    None,
+    "--node",
+    envvar="BALSAMSPINDLE_NODES",
+    help="Admin address of a node, IP:port; may be given again.",
+)
 
 
 def make_app(help_text: str) -> typer.Typer:
     """Return an application whose help is written for people."""
-    return typer.Typer(help=help_text, add_completion=False, no_args_is_help=False)
+    return typer.Typer(
+        help=help_text,
+        add_completion=False,
+        no_args_is_help=False,
+        pretty_exceptions_enable=False,
+        rich_markup_mode=None,
+    )
+
+
+def warn(message: str) -> None:
+    """Tell the operator something that does not end the program."""
+    typer.echo(f"warning: {message}", err=True)
 
 
 def fail(message: str, status: ExitStatus = ExitStatus.FAILED) -> NoReturn:
--- /dev/null
+++ b/balsamspindle/cli/timeline.py
@@ -0,0 +1,59 @@
+"""``balsamspindle-timeline``: one time line of events over all processes."""
+
+from pathlib import Path
+
+import msgspec
+import typer
+
+from balsamspindle.cli.event_sources import collect_events
+from balsamspindle.cli.exit_status import ExitStatus
+from balsamspindle.cli.program import (
+    JSON_OPTION,
+    NODES_OPTION,
+    VERSION_OPTION,
+    fail,
+    make_app,
+    warn,
+)
+from balsamspindle.timeline.merge import Selection, format_for_people, select
+
+app = make_app("Merge the events of many processes into one time line.")
+
+
+@app.command()
+def show(
+    logs: list[Path] = typer.Argument(None, help="Log files of nodes."),
+    nodes: list[str] = NODES_OPTION,
+    request: str = typer.Option(None, help="Only events of this request id."),
+    service: str = typer.Option(None, help="Only events of this service, TEAM/NAME."),
+    event: str = typer.Option(None, help="Only events of this name."),
+    as_json: bool = JSON_OPTION,
+    version: bool = VERSION_OPTION,
+) -> None:
+    """Show events in an order that never puts an effect before its cause.
+
+    Example: balsamspindle-timeline --request 7f3a node-1.log node-2.log
+
+    Example: balsamspindle-timeline --node 127.0.0.1:8083 --service crew/contracts
+    """
+    if not logs and not nodes:
+        fail("name log files or give --node IP:PORT", ExitStatus.USAGE)
+    collected = collect_events(logs or [], nodes or [])
+    for warning in collected.warnings:
+        warn(warning)
+    if not collected.sources_read:
+        fail("no source could be read", ExitStatus.UNAVAILABLE)
+    for found in select(collected.events, Selection(request, service, event)):
+        if as_json:
+            typer.echo(msgspec.json.encode(found._asdict()).decode())
+        else:
+            typer.echo(format_for_people(found))
+
+
+def main() -> None:
+    """Run the program."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- a/balsamspindle/node/admin.py
+++ b/balsamspindle/node/admin.py
@@ -1,4 +1,4 @@
-"""The admin address: announcements, drain and status.
+"""The admin address: announcements, drain, status and explanations.
 
 ::
 
@@ -7,6 +7,8 @@
     curl -X POST ADMIN/backend-servers/ID/drain
     curl -X POST ADMIN/backend-servers/ID/undrain
     curl ADMIN/status
+    curl ADMIN/services/crew/contracts/explain
+    curl ADMIN/events?after=0
 """
 
 import time
@@ -18,6 +20,7 @@
 from werkzeug.wrappers import Request, Response
 
 from balsamspindle.backend_servers.servers import Announcement, LocalBackendServers
+from balsamspindle.services.explanation import ServiceExplanation
 from balsamspindle.timeline import EventLog
 
 __all__ = ["AdminApplication"]
@@ -30,9 +33,22 @@
             "/backend-servers/<server_id>/undrain", endpoint="undrain", methods=["POST"]
         ),
         Rule("/status", endpoint="status", methods=["GET"]),
+        Rule(
+            "/services/<team>/<name>/explain",
+            endpoint="explain_service",
+            methods=["GET"],
+        ),
+        Rule("/events", endpoint="events", methods=["GET"]),
     ]
 )
 
+EVENTS_LIMIT = 5_000
+REQUEST_MAX_BYTES = 64 * 1024
+
+
+class _AdminRequest(Request):
+    max_content_length = REQUEST_MAX_BYTES
+
 
 class AdminApplication:
     """The WSGI application of the admin address."""
@@ -41,20 +57,22 @@
         self,
         servers: LocalBackendServers,
         status: Callable[[], dict],
+        explain: Callable[[str], ServiceExplanation],
         events: EventLog,
     ) -> None:
         self._servers = servers
         self._read_status = status
-        self._events = events
+        self._explain = explain
+        self._event_log = events
 
     def __call__(self, environ, start_response):
         """Answer one call."""
-        request = Request(environ)
+        request = _AdminRequest(environ)
         try:
             endpoint, arguments = _URLS.bind_to_environ(environ).match()
             response = getattr(self, f"_{endpoint}")(request, **arguments)
         except HTTPException as error:
-            response = error
+            response = _json({"error": error.description}, error.code)
         except msgspec.MsgspecError as error:
             response = _json({"error": str(error)}, 400)
         return response(environ, start_response)
@@ -62,7 +80,7 @@
     def _announce(self, request, server_id):
         announcement = msgspec.json.decode(request.get_data(), type=Announcement)
         if self._servers.announce(server_id, announcement, time.monotonic()):
-            self._events.emit(
+            self._event_log.emit(
                 "backend_server_announced",
                 backend_server=server_id,
                 service=announcement.service,
@@ -73,18 +91,25 @@
     def _drain(self, request, server_id):
         if not self._servers.drain(server_id):
             raise NotFound(f"no backend server {server_id!r} is announced here")
-        self._events.emit("backend_server_draining", backend_server=server_id)
+        self._event_log.emit("backend_server_draining", backend_server=server_id)
         return _json({})
 
     def _undrain(self, request, server_id):
         if not self._servers.undrain(server_id):
             raise NotFound(f"no backend server {server_id!r} is announced here")
-        self._events.emit("backend_server_ready", backend_server=server_id)
+        self._event_log.emit("backend_server_ready", backend_server=server_id)
         return _json({})
 
     def _status(self, request):
         return _json(self._read_status())
 
+    def _explain_service(self, request, team, name):
+        return _json(self._explain(f"{team}/{name}"))
+
+    def _events(self, request):
+        after = request.args.get("after", 0, int)
+        return _json(self._event_log.recent(after, EVENTS_LIMIT))
+
 
 def _json(value, status=200):
     body = msgspec.json.encode(value)
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -5,7 +5,6 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import zmq
-from werkzeug.serving import make_server
 
 from balsamspindle.backend_servers.client import BackendServerClient
 from balsamspindle.backend_servers.gate import Gate
@@ -13,11 +12,13 @@
 from balsamspindle.backend_servers.servers import LocalBackendServers
 from balsamspindle.membership import Directory, Member
 from balsamspindle.node.admin import AdminApplication
+from balsamspindle.node.admin_server import AdminServer
 from balsamspindle.platform import HttpTableService
 from balsamspindle.requests.forwarding import Forwarder
 from balsamspindle.requests.ingress import Ingress
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.services.picker import Picker
+from balsamspindle.services.explanation import ServiceExplanation, explain_service
 from balsamspindle.settings.process import NodeSettings
 from balsamspindle.settings.reader import SettingsReader
 from balsamspindle.settings.store import SettingsStore
@@ -39,7 +40,8 @@
         self._settings = settings
         self._stop_asked = threading.Event()
         incarnation = int(time.time() * 1000)
-        self.events = EventLog(settings.node_id, incarnation, HybridClock())
+        clock = HybridClock(settings.wall_clock_offset_s)
+        self.events = EventLog(settings.node_id, incarnation, clock)
         self._context = zmq.Context()
         self._servers = LocalBackendServers()
         self._directory = Directory()
@@ -139,10 +141,11 @@
             time.sleep(DRAIN_POLL_S)
         self.events.emit("shutdown_timeout")
 
-    def _make_admin_server(self):
-        host, _, port = self._settings.admin_address.partition(":")
-        application = AdminApplication(self._servers, self._status, self.events)
-        return make_server(host, int(port), application, threaded=True)
+    def _make_admin_server(self) -> AdminServer:
+        application = AdminApplication(
+            self._servers, self._status, self._explain_service, self.events
+        )
+        return AdminServer(self._settings.admin_address, application, self.events)
 
     def _make_settings_reader(self) -> SettingsReader | None:
         if self._settings.platform_address is None:
@@ -158,3 +161,14 @@
             "nodes": self._directory.records(),
             "backend_servers": [server.record() for server in self._servers.all()],
         }
+
+    def _explain_service(self, service: str) -> ServiceExplanation:
+        configuration = self._configuration.get()
+        documents = {} if configuration is None else configuration.services
+        return explain_service(
+            service,
+            self._settings.node_id,
+            self._configuration.revision,
+            documents.get(service),
+            self._directory.placements(service),
+        )
--- a/balsamspindle/settings/process.py
+++ b/balsamspindle/settings/process.py
@@ -51,6 +51,8 @@
         Member addresses of first peers, for a start with the platform down.
     member_bytes_per_s : float
         Cap on what this node sends to peers for control.
+    wall_clock_offset_s : float
+        Sets the wall clock of the events wrong, for tests.
     """
 
     node_id: Name
@@ -65,6 +67,7 @@
     platform_address: Address | None = None
     seed_addresses: tuple[Address, ...] = ()
     member_bytes_per_s: Annotated[float, msgspec.Meta(ge=1000)] = 9000.0
+    wall_clock_offset_s: float = 0.0
     connections_max: int = 400
     connection_idle_timeout_s: float = 60.0
     request_body_max_bytes: int = 8 * 1024 * 1024
--- a/balsamspindle/timeline/__init__.py
+++ b/balsamspindle/timeline/__init__.py
@@ -2,5 +2,6 @@
 
 from balsamspindle.timeline.clock import HybridClock
 from balsamspindle.timeline.events import EventLog, format_event, parse_event
+from balsamspindle.timeline.recent import EventPage
 
-__all__ = ["EventLog", "HybridClock", "format_event", "parse_event"]
+__all__ = ["EventLog", "EventPage", "HybridClock", "format_event", "parse_event"]
--- a/balsamspindle/timeline/clock.py
+++ b/balsamspindle/timeline/clock.py
@@ -14,9 +14,16 @@
 
 
 class HybridClock:
-    """The clock of one process; safe to use from all of its threads."""
+    """The clock of one process; safe to use from all of its threads.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    wall_offset_s : float, default=0.0
+        Added to each wall time: sets this VM's clock wrong, for tests.
+    """
+
+    def __init__(self, wall_offset_s: float = 0.0) -> None:
+        self.wall_offset_s = wall_offset_s
         self._lock = threading.Lock()
         self._last = 0
 
@@ -29,12 +36,14 @@
             Present wall time.
         """
         with self._lock:
-            self._last = max(self._last + 1, int(wall_s * 1000) << COUNTER_BITS)
+            self._last = max(self._last + 1, self._wall(wall_s))
             return self._last
 
     def observe(self, remote: int, wall_s: float) -> int:
         """Move past the time that a message carried and return the new time."""
         with self._lock:
-            wall = int(wall_s * 1000) << COUNTER_BITS
-            self._last = max(self._last + 1, remote + 1, wall)
+            self._last = max(self._last + 1, remote + 1, self._wall(wall_s))
             return self._last
+
+    def _wall(self, wall_s: float) -> int:
+        return int((wall_s + self.wall_offset_s) * 1000) << COUNTER_BITS
--- a/balsamspindle/timeline/events.py
+++ b/balsamspindle/timeline/events.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from balsamspindle.timeline.clock import HybridClock
+from balsamspindle.timeline.recent import EventPage, RecentEvents
 
 __all__ = ["EventLog", "format_event", "parse_event"]
 
@@ -92,22 +93,30 @@
         # The interpreter waits for an executor's tasks at its end, so the
         # last batch is written too.
         self._executor = ThreadPoolExecutor(1, "event-log")
+        self._recent = RecentEvents()
 
     def emit(self, event: str, **fields: object) -> int:
         """Write one event soon and return its hybrid time."""
         wall_s = time.time()
         hlc = self.clock.tick(wall_s)
+        wall_s += self.clock.wall_offset_s
         pairs = [
             f" {key}={_value(value)}"
             for key, value in fields.items()
             if value is not None
         ]
-        self._append(
+        line = (
             f"wall_s={wall_s:.6f} hlc={hlc} {self._origin} event={event}"
-            f"{''.join(pairs)}\n"
+            f"{''.join(pairs)}"
         )
+        self._recent.add(line, "request" in fields)
+        self._append(line + "\n")
         return hlc
 
+    def recent(self, after: int, limit: int) -> EventPage:
+        """Return the latest events, for the time line of a live fleet."""
+        return self._recent.page(self.node_id, self.incarnation, after, limit)
+
     def flush(self) -> None:
         """Write what waits."""
         with self._write_lock:
--- /dev/null
+++ b/balsamspindle/timeline/merge.py
@@ -0,0 +1,145 @@
+"""Events of many processes, merged into one time line.
+
+The order is that of the hybrid logical clock: an effect never comes before
+its cause, even when the wall clocks of two VMs are seconds apart.
+"""
+
+from collections.abc import Iterable
+from datetime import UTC, datetime
+from typing import NamedTuple
+
+from balsamspindle.timeline.clock import COUNTER_BITS
+from balsamspindle.timeline.events import format_event, parse_event
+
+__all__ = [
+    "ParsedLines",
+    "Selection",
+    "TimelineEvent",
+    "format_for_people",
+    "merge",
+    "parse_lines",
+    "select",
+]
+
+
+class TimelineEvent(NamedTuple):
+    """One event of one process.
+
+    Attributes
+    ----------
+    hlc : int
+        Hybrid logical time.
+    wall_s : float
+        Wall time as the process's own VM had it.
+    details : dict of str to str
+        All other fields of the line.
+    """
+
+    hlc: int
+    node: str
+    incarnation: int
+    event: str
+    wall_s: float
+    details: dict[str, str]
+
+
+class ParsedLines(NamedTuple):
+    """The events among some lines, and how many lines are none."""
+
+    events: list[TimelineEvent]
+    garbage_lines: int
+
+
+class Selection(NamedTuple):
+    """Which events are wanted; None takes any."""
+
+    request: str | None = None
+    service: str | None = None
+    event: str | None = None
+
+
+def parse_lines(lines: Iterable[str]) -> ParsedLines:
+    """Read the lines of one process.
+
+    A line without its end was cut when the process died; what it says may be
+    cut as well, so it counts as garbage.
+    """
+    events = []
+    garbage_lines = 0
+    for line in lines:
+        event = _parse(line) if line.endswith("\n") else None
+        if event is not None:
+            events.append(event)
+        elif line.strip():
+            garbage_lines += 1
+    return ParsedLines(events, garbage_lines)
+
+
+def _parse(line: str) -> TimelineEvent | None:
+    fields = parse_event(line)
+    if fields is None:
+        return None
+    try:
+        return TimelineEvent(
+            int(fields.pop("hlc")),
+            fields.pop("node"),
+            int(fields.pop("incarnation")),
+            fields.pop("event"),
+            float(fields.pop("wall_s")),
+            fields,
+        )
+    except (KeyError, ValueError):
+        return None
+
+
+def merge(events: Iterable[TimelineEvent]) -> list[TimelineEvent]:
+    """Return the events in order, each once.
+
+    A process gives no hybrid time twice, so an event that was read both from
+    a log file and from the live process is found by its time.
+    """
+    unique = {(event.hlc, event.node, event.incarnation): event for event in events}
+    return [unique[key] for key in sorted(unique)]
+
+
+def select(events: list[TimelineEvent], wanted: Selection) -> list[TimelineEvent]:
+    """Return the events that are wanted, in the order given."""
+    servers = _backend_servers(events, wanted.service)
+    return [
+        event
+        for event in events
+        if _matches(wanted.request, event.details.get("request"))
+        and _matches(wanted.event, event.event)
+        and _is_of_service(event, wanted.service, servers)
+    ]
+
+
+def _matches(wanted: str | None, value: str | None) -> bool:
+    return wanted is None or wanted == value
+
+
+def _backend_servers(events: list[TimelineEvent], service: str | None) -> set[str]:
+    """Return the backend servers that were announced for a service."""
+    return {
+        event.details["backend_server"]
+        for event in events
+        if service is not None
+        and event.details.get("service") == service
+        and "backend_server" in event.details
+    }
+
+
+def _is_of_service(
+    event: TimelineEvent, service: str | None, servers: set[str]
+) -> bool:
+    if service is None or event.details.get("service") == service:
+        return True
+    return event.details.get("backend_server") in servers
+
+
+def format_for_people(event: TimelineEvent) -> str:
+    """Return one line with the time in UTC, the node, and what happened."""
+    hybrid_s = (event.hlc >> COUNTER_BITS) / 1000
+    time = datetime.fromtimestamp(hybrid_s, UTC).strftime("%H:%M:%S.%f")[:-3]
+    line = f"{time}  {event.node:<16} {event.event:<26} {format_event(event.details)}"
+    return line.rstrip()
--- /dev/null
+++ b/tests/test_timeline.py
@@ -0,0 +1,136 @@
+"""The time line over many processes."""
+
+import io
+import json
+
+from testtools import TestCase
+from typer.testing import CliRunner
+
+from balsamspindle.cli.timeline import app
+from balsamspindle.timeline import EventLog, HybridClock
+from balsamspindle.timeline.merge import Selection, merge, parse_lines, select
+from balsamspindle.timeline.recent import RecentEvents
+from tests.utils import Fleet, call, wait_until
+
+SKEW_S = 7.0
+
+
+def event_log(node: str, wall_offset_s: float) -> EventLog:
+    return EventLog(node, 1, HybridClock(wall_offset_s), io.StringIO())
+
+
+def lines(log: EventLog) -> list[str]:
+    return [f"{line}\n" for line in log.recent(0, 1000).lines]
+
+
+class TimelineTests(TestCase):
+    def test_an_effect_never_sorts_before_its_cause_with_clocks_apart(self):
+        """The gate's clock is 7 s behind the ingress's, then 7 s ahead.
+
+        A request goes from ingress to gate and its reply back. Sorted by wall
+        time the gate would run it 7 s before it was sent, and an operator
+        would look for the cause at the wrong node.
+        """
+        for gate_offset_s in (-SKEW_S, SKEW_S):
+            ingress = event_log("ingress", 0.0)
+            gate = event_log("gate", gate_offset_s)
+            sent = ingress.emit("attempt_sent", request="r1")
+            gate.clock.observe(sent, 0.0)
+            gate.emit("attempt_dispatched", request="r1")
+            ended = gate.emit("attempt_ended", request="r1")
+            ingress.clock.observe(ended, 0.0)
+            ingress.emit("request_ended", request="r1")
+            parsed = parse_lines([*lines(gate), *lines(ingress)])
+            self.assertEqual(
+                ["attempt_sent", "attempt_dispatched", "attempt_ended"]
+                + ["request_ended"],
+                [event.event for event in merge(parsed.events)],
+            )
+
+    def test_cut_and_foreign_lines_are_counted_and_left_out(self):
+        log = event_log("node", 0.0)
+        log.emit("node_started", cause='odd "words"\nand = signs')
+        (sound,) = lines(log)
+        parsed = parse_lines(
+            [sound, "Traceback (most recent call last):\n", "\n", "a=1\n", sound[:-9]]
+        )
+        self.assertEqual(3, parsed.garbage_lines)
+        (event,) = parsed.events
+        self.assertEqual('odd "words"\nand = signs', event.details["cause"])
+
+    def test_an_event_from_log_and_live_node_is_shown_once(self):
+        log = event_log("node", 0.0)
+        log.emit("node_started")
+        events = parse_lines(lines(log) * 2).events
+        self.assertEqual(1, len(merge(events)))
+
+    def test_a_service_is_told_with_the_backend_servers_announced_for_it(self):
+        log = event_log("node", 0.0)
+        log.emit("backend_server_announced", backend_server="b1", service="crew/x")
+        log.emit("backend_server_announced", backend_server="b2", service="crew/y")
+        log.emit("backend_server_silent", backend_server="b1")
+        log.emit("backend_server_silent", backend_server="b2")
+        events = merge(parse_lines(lines(log)).events)
+        chosen = select(events, Selection(service="crew/x"))
+        self.assertEqual(["b1", "b1"], [e.details["backend_server"] for e in chosen])
+
+    def test_requests_push_no_other_event_out_of_the_recent_ones(self):
+        """At hundreds of requests a second one ring would forget an ejection
+        within seconds, just when an operator asks why it happened.
+        """
+        recent = RecentEvents(control_max=2, request_max=3)
+        recent.add("ejected", of_request=False)
+        for number in range(10):
+            recent.add(f"request {number}", of_request=True)
+        page = recent.page("node", 1, after=0, limit=2)
+        self.assertEqual(["ejected", "request 7"], page.lines)
+        self.assertTrue(page.more)
+        rest = recent.page("node", 1, page.last_sequence, limit=9)
+        self.assertEqual(["request 8", "request 9"], rest.lines)
+        self.assertEqual((7, 0), (page.lost, rest.lost))
+
+
+class TimelineOfProcessesTests(TestCase):
+    def test_real_processes_with_clocks_apart_tell_one_request_in_order(self):
+        """The ingress's clock is 7 s ahead of the gate's.
+
+        The caller's request enters at one node and runs behind the other. By
+        wall time its attempt would end before the request came in.
+        """
+        fleet = self.start_fleet()
+        ingress = fleet.start_node("ingress", "zone-a", wall_clock_offset_s=SKEW_S)
+        gate = fleet.start_node("gate", "zone-b")
+        fleet.start_backend("contract-1", "crew/contracts", gate)
+        fleet.wait_ready([ingress, gate], ["contract-1"])
+        headers = {"X-Request-Id": "story-1"}
+        answer = call(ingress.caller_address, "/contracts/7", headers=headers)
+        self.assertEqual("answered", answer.outcome)
+        nodes = ["--node", ingress.admin_address, "--node", gate.admin_address]
+        live = self.story(nodes)
+        self.assertEqual("request_received", live[0]["event"])
+        self.assertEqual("request_ended", live[-1]["event"])
+        self.assertEqual({"ingress", "gate"}, {event["node"] for event in live})
+        self.assertNotEqual(live, sorted(live, key=lambda event: event["wall_s"]))
+        logs = [str(program.log_path) for program in (ingress, gate)]
+        wait_until(lambda: self.story(logs) == live, "the logs tell the same")
+
+    def start_fleet(self) -> Fleet:
+        fleet = Fleet()
+        self.addCleanup(fleet.__exit__)
+        fleet.start_platform()
+        fleet.put_settings(
+            {
+                "crew/services/contracts": {},
+                "crew/routes/read": {
+                    "service": "crew/contracts",
+                    "execution": "idempotent",
+                },
+            }
+        )
+        return fleet
+
+    def story(self, sources: list[str]) -> list[dict]:
+        arguments = ["--json", "--request", "story-1", *sources]
+        result = CliRunner().invoke(app, arguments)
+        self.assertEqual(0, result.exit_code, result.output)
+        return [json.loads(line) for line in result.stdout.splitlines()]
