--- a/balsamspindle/node/admin_server.py
+++ b/balsamspindle/node/admin_server.py
@@ -4,7 +4,7 @@
 
 from werkzeug.serving import BaseWSGIServer, WSGIRequestHandler
 
-from balsamspindle.timeline import EventLog
+from balsamspindle.timeline import EventLog, submit_logged
 
 __all__ = ["AdminServer"]
 
@@ -45,7 +45,7 @@
 
     def process_request(self, request, client_address):
         """Hand a connection to a worker."""
-        self._executor.submit(self._serve, request, client_address)
+        submit_logged(self._executor, self.events, self._serve, request, client_address)
 
     def _serve(self, request, client_address) -> None:
         try:
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -17,8 +17,8 @@
 from balsamspindle.requests.forwarding import Forwarder
 from balsamspindle.requests.ingress import Ingress
 from balsamspindle.requests.links import LinkPool
-from balsamspindle.services.picker import Picker
 from balsamspindle.services.explanation import ServiceExplanation, explain_service
+from balsamspindle.services.picker import Picker
 from balsamspindle.settings.process import NodeSettings
 from balsamspindle.settings.reader import SettingsReader
 from balsamspindle.settings.store import SettingsStore
--- a/balsamspindle/requests/ingress.py
+++ b/balsamspindle/requests/ingress.py
@@ -13,7 +13,7 @@
 from balsamspindle.settings.documents import RouteDocument
 from balsamspindle.settings.process import NodeSettings
 from balsamspindle.settings.tree import CurrentConfiguration
-from balsamspindle.timeline import EventLog
+from balsamspindle.timeline import EventLog, submit_logged
 from balsamspindle.wire import Reply
 
 __all__ = [
@@ -64,7 +64,7 @@
             except TimeoutError:
                 continue
             if self._open.acquire(blocking=False):
-                self._executor.submit(self._serve, connection)
+                submit_logged(self._executor, self._events, self._serve, connection)
             else:
                 self._turn_away(connection)
         self._listener.close()
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -2,12 +2,13 @@
 
 import io
 import json
+from concurrent.futures import ThreadPoolExecutor
 
 from testtools import TestCase
 from typer.testing import CliRunner
 
 from balsamspindle.cli.timeline import app
-from balsamspindle.timeline import EventLog, HybridClock
+from balsamspindle.timeline import EventLog, HybridClock, submit_logged
 from balsamspindle.timeline.merge import Selection, merge, parse_lines, select
 from balsamspindle.timeline.recent import RecentEvents
 from tests.utils import Fleet, call, wait_until
@@ -89,6 +90,17 @@
         self.assertEqual(["request 8", "request 9"], rest.lines)
         self.assertEqual((7, 0), (page.lost, rest.lost))
 
+    def test_a_failed_task_of_an_executor_is_an_event(self):
+        """Nobody asks a connection's future: its fault would be lost, and the
+        caller's connection would close for no reason that the log tells.
+        """
+        log = event_log("node", 0.0)
+        with ThreadPoolExecutor(1) as executor:
+            submit_logged(executor, log, lambda: {}["absent"])
+        (event,) = parse_lines(lines(log)).events
+        self.assertEqual("task_failed", event.event)
+        self.assertEqual("KeyError('absent')", event.details["cause"])
+
 
 class TimelineOfProcessesTests(TestCase):
     def test_real_processes_with_clocks_apart_tell_one_request_in_order(self):
