Let operators read, check and change settings, drain and ask why

Commands are small modules: ctl_settings and ctl_fleet. Errors are one line with an exit status of cli/exit_status.py.

drain finds the node beside the backend server among the nodes asked, and names that node where it was not asked: an admin address is not spread, since it may be open on the VM only.

Before: set alone, with a traceback for a missing file or bad JSON.

--- /dev/null
+++ b/balsamspindle/cli/ctl_fleet.py
@@ -0,0 +1,250 @@
+"""``balsamspindle-ctl`` commands that ask nodes: status, drain, explain."""
+
+import difflib
+import re
+from collections import defaultdict
+from pathlib import Path
+from typing import NamedTuple, NoReturn
+
+import msgspec
+import typer
+from expression import Result
+
+from balsamspindle.backend_servers.servers import BackendServerState
+from balsamspindle.cli.admin_client import AdminClient, NodeRefused, NodeUnreachable
+from balsamspindle.cli.event_sources import collect_events
+from balsamspindle.cli.exit_status import ExitStatus
+from balsamspindle.cli.explanations import format_request, format_service
+from balsamspindle.cli.program import JSON_OPTION, NODES_OPTION, fail, warn
+from balsamspindle.cli.tables import format_table
+from balsamspindle.node.status import NodeStatus
+from balsamspindle.services.explanation import ServiceExplanation
+from balsamspindle.timeline.merge import Selection, select
+from balsamspindle.timeline.story import tell_request
+from balsamspindle.wire import NodeRecord
+
+__all__ = ["drain", "explain", "status", "undrain"]
+
+SERVICE_PATTERN = re.compile(r"[a-z0-9][a-z0-9.-]*/[a-z0-9][a-z0-9.-]*")
+NO_NODE = "name a node: --node IP:PORT of its admin address, or BALSAMSPINDLE_NODES"
+
+
+class _AskedNode(NamedTuple):
+    client: AdminClient
+    status: NodeStatus
+
+
+def status(nodes: list[str] = NODES_OPTION, as_json: bool = JSON_OPTION) -> None:
+    """Show all nodes and services, as the nodes asked see them.
+
+    Example: balsamspindle-ctl status --node 127.0.0.1:8083
+    """
+    asked = _ask_nodes(nodes)
+    if as_json:
+        typer.echo(msgspec.json.encode([node.status for node in asked]).decode())
+        return
+    records = _newest_records(asked)
+    revisions = {node.status.node_id: node.status.settings_revision for node in asked}
+    typer.echo(_nodes_table(records, revisions))
+    typer.echo("")
+    typer.echo(_services_table(records))
+
+
+def drain(
+    backend_server: str = typer.Argument(..., help="Id of the backend server."),
+    nodes: list[str] = NODES_OPTION,
+) -> None:
+    """Send a backend server no new work; requests in flight end.
+
+    Example: balsamspindle-ctl drain contract-1 --node 127.0.0.1:8083
+    """
+    _post(backend_server, nodes, "drain")
+    typer.echo(f"{backend_server} takes no new work")
+
+
+def undrain(
+    backend_server: str = typer.Argument(..., help="Id of the backend server."),
+    nodes: list[str] = NODES_OPTION,
+) -> None:
+    """Send a drained backend server work again.
+
+    Example: balsamspindle-ctl undrain contract-1 --node 127.0.0.1:8083
+    """
+    _post(backend_server, nodes, "undrain")
+    typer.echo(f"{backend_server} takes work again")
+
+
+def explain(
+    subject: str = typer.Argument(..., help="A service, TEAM/NAME, or a request id."),
+    nodes: list[str] = NODES_OPTION,
+    logs: list[Path] = typer.Option(None, help="Log file of a node; may be repeated."),
+    as_json: bool = JSON_OPTION,
+) -> None:
+    """Tell who is left out of a service and why, or what became of a request.
+
+    Example: balsamspindle-ctl explain crew/contracts --node 127.0.0.1:8083
+
+    Example: balsamspindle-ctl explain 7f3a --logs node-1.log --logs node-2.log
+    """
+    if SERVICE_PATTERN.fullmatch(subject):
+        _explain_service(subject, nodes, as_json)
+    else:
+        _explain_request(subject, nodes or [], logs or [], as_json)
+
+
+def _explain_service(service: str, nodes: list[str] | None, as_json: bool) -> None:
+    if not nodes:
+        fail(NO_NODE, ExitStatus.USAGE)
+    known = False
+    for address in nodes:
+        client = AdminClient(address)
+        match client.read(f"/services/{service}/explain", ServiceExplanation):
+            case Result(tag="ok", ok=explanation):
+                known = known or _is_known(explanation)
+                text = (
+                    msgspec.json.encode(explanation).decode()
+                    if as_json
+                    else format_service(explanation)
+                )
+                typer.echo(text)
+            case Result(error=error):
+                _fail_at_node(error)
+    if not known:
+        message = f"no service {service!r}: see `balsamspindle-ctl status`"
+        fail(message, ExitStatus.NOT_FOUND)
+
+
+def _is_known(explanation: ServiceExplanation) -> bool:
+    return explanation.floor_fraction is not None or bool(explanation.backend_servers)
+
+
+def _explain_request(
+    request_id: str, nodes: list[str], logs: list[Path], as_json: bool
+) -> None:
+    if not nodes and not logs:
+        fail(f"{NO_NODE}; or --logs FILE", ExitStatus.USAGE)
+    collected = collect_events(logs, nodes)
+    for warning in collected.warnings:
+        warn(warning)
+    if not collected.sources_read:
+        fail("no source could be read", ExitStatus.UNAVAILABLE)
+    events = select(collected.events, Selection(request=request_id))
+    if not events:
+        message = (
+            f"no event of request {request_id!r}: name the log of the node that "
+            "it came in at"
+        )
+        fail(message, ExitStatus.NOT_FOUND)
+    story = tell_request(request_id, events)
+    typer.echo(
+        msgspec.json.encode(story).decode() if as_json else format_request(story)
+    )
+
+
+def _ask_nodes(nodes: list[str] | None) -> list[_AskedNode]:
+    """Return what each node says; fail when none does."""
+    if not nodes:
+        fail(NO_NODE, ExitStatus.USAGE)
+    asked = []
+    for address in nodes:
+        client = AdminClient(address)
+        match client.read("/status", NodeStatus):
+            case Result(tag="ok", ok=node_status):
+                asked.append(_AskedNode(client, node_status))
+            case Result(error=error):
+                warn(error.message)
+    if not asked:
+        fail("no node answered", ExitStatus.UNAVAILABLE)
+    return asked
+
+
+def _newest_records(asked: list[_AskedNode]) -> list[NodeRecord]:
+    """Return one record of each node, the newest that any node has."""
+    newest: dict[str, NodeRecord] = {}
+    for node in asked:
+        for record in node.status.nodes:
+            known = newest.get(record.node_id)
+            if known is None or _age(record) > _age(known):
+                newest[record.node_id] = record
+    return [newest[node_id] for node_id in sorted(newest)]
+
+
+def _age(record: NodeRecord) -> tuple[int, int]:
+    return record.incarnation, record.version
+
+
+def _nodes_table(records: list[NodeRecord], revisions: dict[str, int]) -> str:
+    rows = [
+        (
+            record.node_id,
+            record.region,
+            record.availability_zone,
+            record.state,
+            revisions.get(record.node_id, "-"),
+            len(record.backend_servers),
+        )
+        for record in records
+    ]
+    header = ("NODE", "REGION", "ZONE", "STATE", "REVISION", "BACKEND SERVERS")
+    return format_table(header, rows)
+
+
+def _services_table(records: list[NodeRecord]) -> str:
+    services = defaultdict(list)
+    for record in records:
+        for server in record.backend_servers:
+            services[server.service].append(server)
+    rows = [
+        (
+            service,
+            len(servers),
+            sum(server.state == BackendServerState.READY for server in servers),
+            sum(server.suspicion >= 1 for server in servers),
+            sum(server.slots for server in servers),
+        )
+        for service, servers in sorted(services.items())
+    ]
+    header = ("SERVICE", "BACKEND SERVERS", "READY", "SUSPECTED", "SLOTS")
+    return format_table(header, rows)
+
+
+def _post(backend_server: str, nodes: list[str] | None, action: str) -> None:
+    """Ask the node beside a backend server to change its state."""
+    asked = _ask_nodes(nodes)
+    for node in asked:
+        own = [server.backend_server_id for server in node.status.backend_servers]
+        if backend_server in own:
+            path = f"/backend-servers/{backend_server}/{action}"
+            match node.client.post(path):
+                case Result(tag="error", error=error):
+                    _fail_at_node(error)
+            return
+    _fail_elsewhere(backend_server, _newest_records(asked))
+
+
+def _fail_elsewhere(backend_server: str, records: list[NodeRecord]) -> NoReturn:
+    """Say beside which node a backend server stands, if any is known."""
+    places = {
+        server.backend_server_id: record
+        for record in records
+        for server in record.backend_servers
+    }
+    record = places.get(backend_server)
+    if record is not None:
+        message = (
+            f"{backend_server} stands beside {record.node_id}: give that node's "
+            "admin address with --node"
+        )
+        fail(message, ExitStatus.USAGE)
+    close = difflib.get_close_matches(backend_server, places, 1)
+    hint = f"; did you mean {close[0]!r}?" if close else ""
+    message = f"no backend server {backend_server!r} is known{hint}"
+    fail(message, ExitStatus.NOT_FOUND)
+
+
+def _fail_at_node(error: NodeUnreachable | NodeRefused) -> NoReturn:
+    match error:
+        case NodeUnreachable(message):
+            fail(message, ExitStatus.UNAVAILABLE)
+        case NodeRefused(message=message):
+            fail(message, ExitStatus.FAILED)
--- /dev/null
+++ b/balsamspindle/cli/inputs.py
@@ -0,0 +1,40 @@
+"""JSON from a file or from standard input."""
+
+import sys
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from balsamspindle.cli.exit_status import ExitStatus
+from balsamspindle.cli.program import fail
+
+__all__ = ["STANDARD_INPUT", "read_documents", "read_json"]
+
+STANDARD_INPUT = "-"
+
+
+def read_json(source: str) -> Any:
+    """Return the JSON of a file, of standard input for ``-``."""
+    try:
+        text = (
+            sys.stdin.buffer.read()
+            if source == STANDARD_INPUT
+            else Path(source).read_bytes()
+        )
+    except OSError as error:
+        fail(f"{source}: {error.strerror}: name a JSON file", ExitStatus.USAGE)
+    try:
+        return msgspec.json.decode(text)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        name = "standard input" if source == STANDARD_INPUT else source
+        fail(f"{name} is not JSON: {error}", ExitStatus.USAGE)
+
+
+def read_documents(source: str) -> dict[str, Any]:
+    """Return a map from path to document."""
+    documents = read_json(source)
+    if not isinstance(documents, dict):
+        message = f"{source}: expected a JSON object of path and document"
+        fail(message, ExitStatus.USAGE)
+    return documents
--- a/balsamspindle/node/admin.py
+++ b/balsamspindle/node/admin.py
@@ -20,6 +20,7 @@
 from werkzeug.wrappers import Request, Response
 
 from balsamspindle.backend_servers.servers import Announcement, LocalBackendServers
+from balsamspindle.node.status import NodeStatus
 from balsamspindle.services.explanation import ServiceExplanation
 from balsamspindle.timeline import EventLog
 
@@ -56,7 +57,7 @@
     def __init__(
         self,
         servers: LocalBackendServers,
-        status: Callable[[], dict],
+        status: Callable[[], NodeStatus],
         explain: Callable[[str], ServiceExplanation],
         events: EventLog,
     ) -> None:
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -13,6 +13,7 @@
 from balsamspindle.membership import Directory, Member
 from balsamspindle.node.admin import AdminApplication
 from balsamspindle.node.admin_server import AdminServer
+from balsamspindle.node.status import NodeStatus
 from balsamspindle.platform import HttpTableService
 from balsamspindle.requests.forwarding import Forwarder
 from balsamspindle.requests.ingress import Ingress
@@ -153,14 +154,14 @@
         tables = HttpTableService(self._settings.platform_address)
         return SettingsReader(SettingsStore(tables), self._configuration, self.events)
 
-    def _status(self) -> dict:
-        return {
-            "node_id": self._settings.node_id,
-            "availability_zone": self._settings.availability_zone,
-            "settings_revision": self._configuration.revision,
-            "nodes": self._directory.records(),
-            "backend_servers": [server.record() for server in self._servers.all()],
-        }
+    def _status(self) -> NodeStatus:
+        return NodeStatus(
+            self._settings.node_id,
+            self._settings.availability_zone,
+            self._configuration.revision,
+            self._directory.records(),
+            [server.record() for server in self._servers.all()],
+        )
 
     def _explain_service(self, service: str) -> ServiceExplanation:
         configuration = self._configuration.get()
--- /dev/null
+++ b/tests/test_ctl.py
@@ -0,0 +1,149 @@
+"""The operators' tool: what it says and how it ends."""
+
+import json
+
+from testtools import TestCase
+from typer.testing import CliRunner
+
+from balsamspindle.cli.ctl import app
+from balsamspindle.cli.exit_status import ExitStatus
+from tests.utils import (
+    Fleet,
+    PlatformInProcess,
+    call,
+    free_address,
+    try_call,
+    wait_until,
+)
+
+ROUTE = {"service": "crew/contracts", "execution": "idempotent"}
+
+
+def run(*arguments: str, stdin: str | None = None):
+    return CliRunner().invoke(app, list(arguments), input=stdin)
+
+
+class SettingsCommandTests(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.platform = PlatformInProcess()
+        self.addCleanup(self.platform.stop)
+
+    def settings(self, *arguments: str, stdin=None, status=ExitStatus.DONE):
+        command, *rest = arguments
+        result = run(
+            "settings", command, "--platform", self.platform.address, *rest, stdin=stdin
+        )
+        self.assertEqual(status, result.exit_code, result.output)
+        return result
+
+    def test_documents_are_written_read_compared_and_removed(self):
+        self.settings("set", "crew/services/contracts", stdin="{}")
+        result = self.settings("set", "crew/routes/read", stdin=json.dumps(ROUTE))
+        self.assertEqual("accepted at revision 2\n", result.stdout)
+        result = self.settings("get", "crew")
+        expected = {"crew/services/contracts": {}, "crew/routes/read": ROUTE}
+        self.assertEqual(expected, json.loads(result.stdout))
+        changed = {**expected, "crew/services/contracts": {"queue_max": 8}}
+        result = self.settings("diff", stdin=json.dumps(changed))
+        self.assertIn('+  "queue_max": 8', result.stdout)
+        self.assertNotIn("crew/routes/read", result.stdout)
+        result = self.settings("remove", "crew/routes/read", "--json")
+        self.assertEqual(3, json.loads(result.stdout)["revision"])
+        self.settings("get", "crew/routes/read", status=ExitStatus.NOT_FOUND)
+
+    def test_all_faults_are_listed_and_nothing_is_written(self):
+        wrong = {"service": "crew/contracts", "execution": "once", "timeout": 5}
+        result = self.settings(
+            "set",
+            "crew/routes/read",
+            stdin=json.dumps(wrong),
+            status=ExitStatus.INVALID,
+        )
+        self.assertIn("crew/routes/read execution: expected one of", result.stderr)
+        self.assertIn("crew/routes/read timeout: no such field", result.stderr)
+        self.assertEqual("{}\n", self.settings("get").stdout)
+
+    def test_each_error_is_told_without_a_traceback(self):
+        absent = free_address()
+        cases = [
+            (("settings", "set", "crew/services/a", "absent.json"), "USAGE", None),
+            (("settings", "set", "crew/services/a"), "USAGE", "{not json"),
+            (("settings", "validate"), "USAGE", "[]"),
+            (("settings", "get", "--platform", absent), "UNAVAILABLE", None),
+            (("status", "--node", absent), "UNAVAILABLE", None),
+            (("status", "--node", self.platform.address), "UNAVAILABLE", None),
+            (("status",), "USAGE", None),
+            (("explain", "crew/contracts", "--node", absent), "UNAVAILABLE", None),
+            (("explain", "r1", "--logs", "absent.log"), "UNAVAILABLE", None),
+        ]
+        for arguments, status, stdin in cases:
+            result = run(*arguments, stdin=stdin)
+            self.assertEqual(ExitStatus[status], result.exit_code, arguments)
+            self.assertIsInstance(result.exception, SystemExit)
+            self.assertNotEqual("", result.stderr)
+            self.assertLessEqual(len(result.stderr.splitlines()), 2)
+
+    def test_a_platform_that_is_down_changes_nothing_and_says_so(self):
+        self.platform.set_fault(mode="down")
+        result = self.settings(
+            "set", "crew/services/a", stdin="{}", status=ExitStatus.UNAVAILABLE
+        )
+        self.assertIn("not accepted", result.stderr)
+
+
+class FleetCommandTests(TestCase):
+    def test_an_operator_drains_and_sees_why_requests_go_elsewhere(self):
+        """Two backend servers; the one beside the asked node is drained.
+
+        Requests at its node go to the other one. explain tells that it drains,
+        and explain of one request tells which way it went.
+        """
+        fleet = Fleet()
+        self.addCleanup(fleet.__exit__)
+        fleet.start_platform()
+        fleet.put_settings(
+            {"crew/services/contracts": {}, "crew/routes/read": ROUTE},
+        )
+        nodes = [fleet.start_node(f"node-{n}", f"zone-{n}") for n in range(2)]
+        for number, node in enumerate(nodes):
+            fleet.start_backend(f"contract-{number}", "crew/contracts", node)
+        fleet.wait_ready(nodes, ["contract-0", "contract-1"], revision=2)
+        asked = [option for n in nodes for option in ("--node", n.admin_address)]
+
+        only_second = ("--node", nodes[1].admin_address)
+        result = run("drain", "contract-0", *only_second)
+        self.assertEqual(ExitStatus.USAGE, result.exit_code)
+        self.assertIn("stands beside node-0", result.stderr)
+        result = run("drain", "contract-2", *asked)
+        self.assertEqual(ExitStatus.NOT_FOUND, result.exit_code)
+        result = run("drain", "contract-0", *asked)
+        self.assertEqual(ExitStatus.DONE, result.exit_code, result.output)
+
+        headers = {"X-Request-Id": "drained-1"}
+        answer = call(nodes[0].caller_address, "/7", headers=headers)
+        self.assertEqual("contract-1", answer.json()["server"])
+        result = run("explain", "drained-1", *asked)
+        self.assertIn("contract-1 behind node-1: dispatched, answered", result.stdout)
+        self.assertIn("outcome: answered with status 200", result.stdout)
+
+        def drained_everywhere():
+            result = run("explain", "crew/contracts", "--json", *asked)
+            views = [json.loads(line) for line in result.stdout.splitlines()]
+            rows = [view["backend_servers"][0] for view in views]
+            return [row["evidence"] for row in rows] == [["it is draining"]] * 2
+
+        wait_until(drained_everywhere, "both nodes tell that it drains")
+        result = run("explain", "crew/contracts", *only_second)
+        self.assertIn("6 of 12 slots take work", result.stdout)
+        result = run("status", *asked)
+        self.assertRegex(result.stdout, r"crew/contracts +2 +1 +0 +12\n")
+
+        run("undrain", "contract-0", *asked)
+        wait_until(
+            lambda: (
+                (answer := try_call(nodes[0].caller_address, "/7"))
+                and answer.json().get("server") == "contract-0"
+            ),
+            "contract-0 takes work again",
+        )
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -8,11 +8,15 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 from pathlib import Path
 from typing import NamedTuple
 
 import msgspec
+from werkzeug.serving import WSGIRequestHandler, make_server
+
+from balsamspindle.standins.platform import StandinPlatform
 
 ROOT = Path(__file__).resolve().parent.parent
 READY_TIMEOUT_S = 20.0
@@ -270,3 +274,32 @@
 def encode(value) -> bytes:
     """Return a value as JSON."""
     return msgspec.json.encode(value)
+
+
+class PlatformInProcess:
+    """The stand-in platform in a thread of the test, at a free address."""
+
+    def __init__(self) -> None:
+        self.address = free_address()
+        host, _, port = self.address.partition(":")
+        self._server = make_server(
+            host,
+            int(port),
+            StandinPlatform(),
+            threaded=True,
+            request_handler=_QuietHandler,
+        )
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    def set_fault(self, **switch) -> None:
+        """Set the fault that calls meet."""
+        call(self.address, "/faults", "POST", json.dumps(switch).encode())
+
+    def stop(self) -> None:
+        """End it."""
+        self._server.shutdown()
+
+
+class _QuietHandler(WSGIRequestHandler):
+    def log(self, *_args):
+        """Write nothing for each call."""
