--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: setup demo test lint bench clean
+.PHONY: setup demo demo-full test lint bench clean
 
 setup: .venv/ready
 
@@ -11,6 +11,14 @@
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps -e .
 	touch $@
 
+# Three nodes in three availability zones; about 15 s.
+demo: setup
+	$(BIN)/python examples/demo.py
+
+# Both deployments complete, one after the other; about a minute.
+demo-full: setup
+	$(BIN)/python examples/demo.py --full
+
 test: setup
 	$(BIN)/python -m pytest
 
