--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -125,6 +125,10 @@
         self.assertNotEqual(live, sorted(live, key=lambda event: event["wall_s"]))
         logs = [str(program.log_path) for program in (ingress, gate)]
         wait_until(lambda: self.story(logs) == live, "the logs tell the same")
+        for program in (ingress, gate):
+            self.assertEqual(0, program.stop())
+            with program.log_path.open() as log:
+                self.assertEqual(0, parse_lines(log).garbage_lines)
 
     def start_fleet(self) -> Fleet:
         fleet = Fleet()
