List all faults of a node's own settings; say what is wrong with an address

A node whose link or member address was taken ended with a traceback (a ZMQError is no OSError); a taken admin address let werkzeug end the process by itself with two lines. Faults of the node settings and of an announcement are listed all, by the same check as the fleet's settings. Stand-ins say so when an address has no port.

--- a/balsamspindle/cli/node.py
+++ b/balsamspindle/cli/node.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 import typer
+import zmq
 from expression import Result
 
 from balsamspindle.cli.exit_status import ExitStatus
@@ -25,14 +26,15 @@
 ) -> None:
     """Run one node until SIGTERM, then leave without cutting a request.
 
-    Example: balsamspindle-node --settings examples/node.json
+    Example: balsamspindle-node --settings
+    examples/association/nodes/mvd-puerto-1.json
     """
     match load_node_settings(settings):
         case Result(tag="ok", ok=node_settings):
             try:
                 process = NodeProcess(node_settings)
-            except OSError as error:
-                fail(f"cannot listen: {error}", ExitStatus.FAILED)
+            except (OSError, zmq.ZMQError) as error:
+                fail(f"{settings}: cannot listen: {error}", ExitStatus.FAILED)
             stop_on_signals(process.stop)
             process.run()
         case Result(error=error):
--- a/balsamspindle/cli/program.py
+++ b/balsamspindle/cli/program.py
@@ -16,6 +16,7 @@
     "VERSION_OPTION",
     "fail",
     "make_app",
+    "split_address",
     "stop_on_signals",
     "warn",
 ]
@@ -65,6 +66,14 @@
     sys.exit(status)
 
 
+def split_address(address: str) -> tuple[str, int]:
+    """Return IP and port; end the program when the address has none."""
+    host, _, port = address.partition(":")
+    if not host or not port.isdecimal():
+        fail(f"{address!r} is no address: expected IP:port", ExitStatus.USAGE)
+    return host, int(port)
+
+
 def stop_on_signals(stop: Callable[[], None]) -> None:
     """Call `stop` on SIGTERM and SIGINT."""
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/balsamspindle/cli/standin_backend.py
+++ b/balsamspindle/cli/standin_backend.py
@@ -5,7 +5,12 @@
 
 import typer
 
-from balsamspindle.cli.program import VERSION_OPTION, make_app, stop_on_signals
+from balsamspindle.cli.program import (
+    VERSION_OPTION,
+    make_app,
+    split_address,
+    stop_on_signals,
+)
 from balsamspindle.standins.backend_server import Announcer, StandinBackendServer
 
 app = make_app("Run a stand-in backend server (tests and the demo only).")
@@ -27,8 +32,7 @@
     --address 127.0.0.1:9001 --service crew/contracts
     --node-admin 127.0.0.1:8083
     """
-    host, _, port = address.partition(":")
-    server = StandinBackendServer((host, int(port)), name, work_ms / 1000)
+    server = StandinBackendServer(split_address(address), name, work_ms / 1000)
     announcement = {
         "service": service,
         "address": address,
--- a/balsamspindle/cli/standin_platform.py
+++ b/balsamspindle/cli/standin_platform.py
@@ -5,7 +5,12 @@
 import typer
 from werkzeug.serving import WSGIRequestHandler, make_server
 
-from balsamspindle.cli.program import VERSION_OPTION, make_app, stop_on_signals
+from balsamspindle.cli.program import (
+    VERSION_OPTION,
+    make_app,
+    split_address,
+    stop_on_signals,
+)
 from balsamspindle.standins.platform import StandinPlatform
 
 app = make_app("Run a stand-in for the platform (tests and the demo only).")
@@ -25,9 +30,9 @@
 
     Example: balsamspindle-standin-platform --address 127.0.0.1:9000
     """
-    host, _, port = address.partition(":")
+    host, port = split_address(address)
     server = make_server(
-        host, int(port), StandinPlatform(), threaded=True, request_handler=_QuietHandler
+        host, port, StandinPlatform(), threaded=True, request_handler=_QuietHandler
     )
     stop_on_signals(lambda: threading.Thread(target=server.shutdown).start())
     server.serve_forever()
--- a/balsamspindle/node/admin.py
+++ b/balsamspindle/node/admin.py
@@ -22,6 +22,7 @@
 from balsamspindle.backend_servers.servers import Announcement, LocalBackendServers
 from balsamspindle.node.status import NodeStatus
 from balsamspindle.services.explanation import ServiceExplanation
+from balsamspindle.settings.validation import struct_faults
 from balsamspindle.timeline import EventLog
 
 __all__ = ["AdminApplication"]
@@ -74,12 +75,15 @@
             response = getattr(self, f"_{endpoint}")(request, **arguments)
         except HTTPException as error:
             response = _json({"error": error.description}, error.code)
-        except msgspec.MsgspecError as error:
-            response = _json({"error": str(error)}, 400)
         return response(environ, start_response)
 
     def _announce(self, request, server_id):
-        announcement = msgspec.json.decode(request.get_data(), type=Announcement)
+        body = request.get_data()
+        try:
+            announcement = msgspec.json.decode(body, type=Announcement)
+        except msgspec.MsgspecError:
+            faults = [*struct_faults(server_id, body, Announcement)]
+            return _json({"error": "; ".join(map(str, faults))}, 400)
         if self._servers.announce(server_id, announcement, time.monotonic()):
             self._event_log.emit(
                 "backend_server_announced",
--- a/balsamspindle/node/admin_server.py
+++ b/balsamspindle/node/admin_server.py
@@ -1,5 +1,6 @@
 """The HTTP server of the admin address: a bounded number of threads."""
 
+import socket
 from concurrent.futures import ThreadPoolExecutor
 
 from werkzeug.serving import BaseWSGIServer, WSGIRequestHandler
@@ -9,6 +10,7 @@
 __all__ = ["AdminServer"]
 
 WORKERS_MAX = 8
+BACKLOG = 64
 CONNECTION_TIMEOUT_S = 5.0
 
 
@@ -40,7 +42,12 @@
     def __init__(self, address: str, application, events: EventLog) -> None:
         self.events = events
         host, _, port = address.partition(":")
-        super().__init__(host, int(port), application, handler=_Handler)
+        # werkzeug ends the process by itself when it can't bind; a listener
+        # of our own raises an error that the program can report.
+        with socket.create_server((host, int(port)), backlog=BACKLOG) as listener:
+            super().__init__(
+                host, int(port), application, handler=_Handler, fd=listener.fileno()
+            )
         self._executor = ThreadPoolExecutor(WORKERS_MAX, "admin")
 
     def process_request(self, request, client_address):
@@ -65,7 +72,7 @@
     def handle_error(self, request, client_address):
         """Pass over a connection that ended early; the caller knows."""
 
-    def server_close(self):
-        """Close the listener and let the workers end."""
-        super().server_close()
-        self._executor.shutdown(wait=False)
+    def serve_forever(self, poll_interval=0.5):
+        """Serve until `shutdown`, then let the workers end."""
+        with self._executor:
+            super().serve_forever(poll_interval)
--- a/balsamspindle/settings/process.py
+++ b/balsamspindle/settings/process.py
@@ -10,6 +10,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from balsamspindle.settings.validation import struct_faults
 from balsamspindle.wire import NodeRecord
 
 __all__ = ["Address", "NodeSettings", "SettingsError", "load_node_settings"]
@@ -17,9 +18,21 @@
 NODE_ALIVE = "alive"
 
 Address = Annotated[
-    str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$", max_length=21)
+    str,
+    msgspec.Meta(
+        pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}\Z",
+        max_length=21,
+        extra_json_schema={"description": "IP:port, such as 10.0.0.7:8080"},
+    ),
+]
+Name = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r"^[a-z0-9][a-z0-9.-]*\Z",
+        max_length=64,
+        extra_json_schema={"description": "a name of a-z, 0-9, '.' and '-'"},
+    ),
 ]
-Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9.-]*$", max_length=64)]
 
 
 class SettingsError(msgspec.Struct, frozen=True):
@@ -89,10 +102,13 @@
 
 
 def load_node_settings(path: Path) -> Result[NodeSettings, SettingsError]:
-    """Read and check the JSON file of a node process."""
+    """Read and check the JSON file of a node process; list all its faults."""
     try:
-        return Ok(msgspec.json.decode(path.read_bytes(), type=NodeSettings))
+        document = path.read_bytes()
     except OSError as error:
         return Error(SettingsError(f"{path}: {error.strerror}"))
-    except (msgspec.ValidationError, msgspec.DecodeError) as error:
-        return Error(SettingsError(f"{path}: {error}"))
+    try:
+        return Ok(msgspec.json.decode(document, type=NodeSettings))
+    except msgspec.MsgspecError:
+        faults = struct_faults(str(path), document, NodeSettings)
+        return Error(SettingsError("\n".join(map(str, faults))))
--- a/balsamspindle/settings/validation.py
+++ b/balsamspindle/settings/validation.py
@@ -20,7 +20,7 @@
 )
 from balsamspindle.settings.shapes import shape
 
-__all__ = ["Fault", "Note", "check_documents", "note_documents"]
+__all__ = ["Fault", "Note", "check_documents", "note_documents", "struct_faults"]
 
 SIMILARITY_MIN = 0.6
 VALUE_SHOWN_MAX = 60
@@ -100,7 +100,7 @@
         try:
             value = _decoders[kind].decode(document)
         except msgspec.MsgspecError:
-            faults.extend(_document_faults(path, document, kind))
+            faults.extend(struct_faults(path, document, kind))
             continue
         faults.extend(_agreement_faults(path, value))
         if isinstance(value, RouteDocument):
@@ -141,7 +141,8 @@
     return f"{wrong[0]!r} is no name: use a-z, 0-9, '.' and '-', at most 64 characters"
 
 
-def _document_faults(path: str, document: bytes, kind: type) -> Iterator[Fault]:
+def struct_faults(path: str, document: bytes, kind: type) -> Iterator[Fault]:
+    """Yield all faults of a JSON document that is to be of a struct type."""
     try:
         value = msgspec.json.decode(document)
     except msgspec.MsgspecError as error:
--- a/tests/test_settings_validation.py
+++ b/tests/test_settings_validation.py
@@ -1,11 +1,14 @@
 """Faults of the fleet's settings, as an operator is told of them."""
 
 import json
+import tempfile
+from pathlib import Path
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from testtools import TestCase
 
+from balsamspindle.settings import load_node_settings
 from balsamspindle.settings.validation import check_documents, note_documents
 from tests.utils import encode
 
@@ -108,6 +111,15 @@
         (note,) = note_documents(documents)
         self.assertIn("a service of another team (yard)", note.message)
 
+    def test_all_faults_of_a_nodes_own_settings_are_told(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "node.json"
+            path.write_text('{"node_id": "Node 1", "caller_adress": "127.0.0.1:1"}')
+            told = load_node_settings(path).error.message
+        self.assertIn("node_id: expected a name of a-z", told)
+        self.assertIn("did you mean 'caller_address'?", told)
+        self.assertIn("availability_zone: missing", told)
+
     @settings(max_examples=200, deadline=None, derandomize=True)
     @given(
         st.recursive(
