Explain a service by the floor decision of the node that is asked

The explanation tells what services/floor.py decided (cause, known, floor and in-use slots, who is left out or on trial) and, for a backend server beside the node, what its gate saw, once the node has a health monitor.

--- a/balsamspindle/cli/ctl_fleet.py
+++ b/balsamspindle/cli/ctl_fleet.py
@@ -115,7 +115,7 @@
 
 
 def _is_known(explanation: ServiceExplanation) -> bool:
-    return explanation.floor_fraction is not None or bool(explanation.backend_servers)
+    return explanation.is_defined or bool(explanation.backend_servers)
 
 
 def _explain_request(
--- a/balsamspindle/cli/explanations.py
+++ b/balsamspindle/cli/explanations.py
@@ -41,13 +41,14 @@
         f"{explanation.service} as {explanation.node_id} sees it, at settings "
         f"revision {explanation.settings_revision}"
     )
-    if explanation.floor_fraction is None:
+    if not explanation.is_defined:
         return f"{head}\nno settings define this service"
     return (
         f"{head}\n"
-        f"{explanation.slots_taking_work:g} of {explanation.slots_known:g} slots "
-        f"take work; ejection never goes below {explanation.slots_floor:g} "
-        f"(floor_fraction {explanation.floor_fraction:g})"
+        f"{explanation.in_use_slots:g} of {explanation.known_slots:g} slots "
+        f"take work; ejection never goes below {explanation.floor_slots:g} "
+        f"(floor_fraction {explanation.floor_fraction:g})\n"
+        f"{explanation.cause}"
     )
 
 
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -165,11 +165,12 @@
 
     def _explain_service(self, service: str) -> ServiceExplanation:
         configuration = self._configuration.get()
-        documents = {} if configuration is None else configuration.services
         return explain_service(
             service,
             self._settings.node_id,
             self._configuration.revision,
-            documents.get(service),
+            configuration is not None and service in configuration.services,
             self._directory.placements(service),
+            self._picker.explain(service),
+            {},
         )
--- a/balsamspindle/services/explanation.py
+++ b/balsamspindle/services/explanation.py
@@ -1,21 +1,40 @@
 """Why a node sends a service's requests where it sends them, in words."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import msgspec
 
+from balsamspindle.backend_servers.health import HealthReport
 from balsamspindle.backend_servers.servers import BackendServerState
 from balsamspindle.membership.directory import NodeState, Placement
-from balsamspindle.settings.documents import ServiceDocument
+from balsamspindle.services.floor import (
+    SUSPECTED,
+    FloorCause,
+    FloorDecision,
+    Suspect,
+    capacity_slots,
+)
 
 __all__ = ["BackendServerExplanation", "ServiceExplanation", "explain_service"]
 
+_CAUSE_WORDS = {
+    FloorCause.NOBODY_SUSPECTED: "nobody is suspected",
+    FloorCause.SUSPECTS_LEFT_OUT: "all suspects are left out",
+    FloorCause.FLOOR_BINDS: "the floor keeps some suspects in use",
+    FloorCause.SHARED_CAUSE_SUSPECTED: (
+        "nearly all look sick: the network or the load is suspected, and nobody "
+        "is left out"
+    ),
+}
+
 
 class BackendServerExplanation(msgspec.Struct, frozen=True):
     """How one node sees one backend server.
 
     Attributes
     ----------
+    capacity_slots : float
+        Slots usable now, a cold start counted.
     takes_work : bool
         Whether this node sends requests to it.
     evidence : list of str
@@ -27,7 +46,7 @@
     availability_zone: str
     state: str
     slots: int
-    capacity: float
+    capacity_slots: float
     suspicion: float
     takes_work: bool
     evidence: list[str]
@@ -42,20 +61,24 @@
         The node whose view this is.
     settings_revision : int
         Revision in force there.
-    floor_fraction : float or None
-        None when the settings in force define no such service.
-    slots_known, slots_floor, slots_taking_work : float
+    is_defined : bool
+        Whether the settings in force define the service.
+    cause : str
+        Why the decision on its suspects came out as it did.
+    known_slots, floor_slots, in_use_slots : float
         Slots of all known backend servers, those below which ejection never
-        goes, and those of the backend servers that take work.
+        goes, and those that take this node's work.
     """
 
     service: str
     node_id: str
     settings_revision: int
-    floor_fraction: float | None
-    slots_known: float
-    slots_floor: float
-    slots_taking_work: float
+    is_defined: bool
+    cause: str
+    floor_fraction: float
+    known_slots: float
+    floor_slots: float
+    in_use_slots: float
     backend_servers: list[BackendServerExplanation]
 
 
@@ -63,32 +86,36 @@
     service: str,
     node_id: str,
     settings_revision: int,
-    document: ServiceDocument | None,
+    is_defined: bool,
     placements: Sequence[Placement],
-    left_out: Sequence[Placement] = (),
+    decision: FloorDecision,
+    reports: Mapping[str, HealthReport],
 ) -> ServiceExplanation:
     """Return a node's view of a service.
 
     Parameters
     ----------
-    left_out : sequence of Placement, default=()
-        Those that the node's own decision leaves out as sick.
+    decision : FloorDecision
+        What the node does with the service's suspects.
+    reports : mapping of str to HealthReport
+        For the backend servers beside this node, whose work its gate sees.
     """
-    sick = {placement.backend_server.backend_server_id for placement in left_out}
-    rows = [
-        _explain(placement, placement.backend_server.backend_server_id in sick)
-        for placement in sorted(placements, key=_server_id)
-    ]
-    slots_known = sum(row.slots * row.capacity for row in rows)
-    floor_fraction = None if document is None else document.floor_fraction
+    left_out = {(out.node_id, out.backend_server_id): out for out in decision.left_out}
+    rows = []
+    for placement in sorted(placements, key=_server_id):
+        key = (placement.node.node_id, _server_id(placement))
+        report = reports.get(key[1]) if key[0] == node_id else None
+        rows.append(_explain(placement, left_out.get(key), report))
     return ServiceExplanation(
         service,
         node_id,
         settings_revision,
-        floor_fraction,
-        slots_known,
-        slots_known * (floor_fraction or 0.0),
-        sum(row.slots * row.capacity for row in rows if row.takes_work),
+        is_defined,
+        _CAUSE_WORDS[decision.cause],
+        decision.floor_fraction,
+        decision.known_slots,
+        decision.floor_slots,
+        decision.in_use_slots,
         rows,
     )
 
@@ -97,47 +124,63 @@
     return placement.backend_server.backend_server_id
 
 
-def _explain(placement: Placement, is_sick: bool) -> BackendServerExplanation:
+def _explain(
+    placement: Placement, left_out: Suspect | None, report: HealthReport | None
+) -> BackendServerExplanation:
     node, server = placement
-    obstacles = _obstacles(placement, is_sick)
+    obstacles = _obstacles(placement, left_out)
+    doubts = _doubts(placement, left_out)
+    seen = [] if report is None else _seen_by_gate(report)
     return BackendServerExplanation(
         server.backend_server_id,
         node.node_id,
         node.availability_zone,
         server.state,
         server.slots,
-        server.capacity,
+        capacity_slots(placement),
         server.suspicion,
         not obstacles,
-        obstacles + _doubts(placement, is_sick),
+        obstacles + doubts + seen,
     )
 
 
-def _obstacles(placement: Placement, is_sick: bool) -> list[str]:
+def _obstacles(placement: Placement, left_out: Suspect | None) -> list[str]:
     node, server = placement
     obstacles = []
     if server.state != BackendServerState.READY:
         obstacles.append(f"it is {server.state}")
     if node.state != NodeState.ALIVE:
         obstacles.append(f"its node is {node.state}")
-    if is_sick:
+    if left_out is not None and left_out.suspicion >= SUSPECTED:
         obstacles.append(
-            f"its gate saw work fail: suspicion {server.suspicion:.2f}, "
-            "the threshold is 1"
+            f"left out: its gate saw work fail, suspicion {left_out.suspicion:.2f} "
+            f"of {SUSPECTED:g}"
         )
     return obstacles
 
 
-def _doubts(placement: Placement, is_sick: bool) -> list[str]:
+def _doubts(placement: Placement, left_out: Suspect | None) -> list[str]:
     server = placement.backend_server
     doubts = []
-    if server.suspicion >= 1 and not is_sick:
-        doubts.append(
-            f"suspicion {server.suspicion:.2f} is over the threshold, but the "
-            "floor keeps it"
-        )
-    elif server.suspicion > 0 and not is_sick:
-        doubts.append(f"suspicion {server.suspicion:.2f}, the threshold is 1")
+    if left_out is not None and left_out.suspicion < SUSPECTED:
+        doubts.append("on trial: gets a few idempotent requests only")
+    elif left_out is None and server.suspicion >= SUSPECTED:
+        doubts.append(f"suspicion {server.suspicion:.2f}, kept all the same")
+    elif left_out is None and server.suspicion > 0:
+        doubts.append(f"suspicion {server.suspicion:.2f} of {SUSPECTED:g}")
     if server.capacity < 1:
         doubts.append(f"cold start: {server.capacity:.0%} of its slots")
     return doubts
+
+
+def _seen_by_gate(report: HealthReport) -> list[str]:
+    """Return what the gate beside the backend server saw of its work."""
+    if not report.evidence:
+        return []
+    results = ", ".join(
+        f"{count} {result}" for result, count in sorted(report.evidence.items())
+    )
+    return [
+        f"its gate: {report.phase}, score {report.score:.1f} of "
+        f"{report.threshold:.1f} from {results}"
+    ]
