Claim each Idempotency-Key for one gate in the platform's table service

Before: a resend through another node ran the request again; a key meant nothing. Now the first attempt writes one row that names the only gate, and process of it, that may run the key. A resend goes there and gets the first answer, or 'unknown'. A claim moves only after its gate said 'not run' and thereby declared the claim void (row version = fencing token). The claim is made with a link that was heard just before and for the process that answers there, so that it is not made for a dead gate.

Weighed: key to home node by rendezvous hash (no writes, but two ingresses with split views have two homes, and a new home does not know what its predecessor ran); leased buckets (lapse while the platform is down, or their holders run on while paused).

--- a/balsamspindle/backend_servers/attempts.py
+++ b/balsamspindle/backend_servers/attempts.py
@@ -70,6 +70,11 @@
             # said 'unknown' before it cancelled.
             self._remember(attempt_id, CancelToken(), deadline_s)
 
+    def cancel_all(self) -> None:
+        """Cancel all attempts that came in."""
+        for token in self._tokens.values():
+            token.cancel()
+
     def _remember(self, attempt_id, token, deadline_s) -> None:
         self._tokens[attempt_id] = token
         heapq.heappush(self._expiries, (deadline_s + MEMORY_S, attempt_id))
--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -76,6 +76,12 @@
             self._leaving = True
             self._servers.changed.notify_all()
 
+    def give_up(self) -> None:
+        """End the waiting and running attempts with what is known of them."""
+        with self._servers.changed:
+            self._attempts.cancel_all()
+            self._servers.changed.notify_all()
+
     def in_flight(self) -> int:
         """Return the attempts dispatched and not yet ended."""
         with self._servers.changed:
--- a/balsamspindle/backend_servers/link_server.py
+++ b/balsamspindle/backend_servers/link_server.py
@@ -84,6 +84,10 @@
         """End `run` soon, once each attempt has its reply."""
         self._stopped.set()
 
+    def pending(self) -> int:
+        """Return the attempts whose reply was not sent yet."""
+        return self._waiting
+
     def _may_end(self, stop_s: float | None) -> bool:
         if stop_s is None:
             return False
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -14,6 +14,7 @@
 from balsamspindle.membership import Directory, Member
 from balsamspindle.node.admin import AdminApplication
 from balsamspindle.platform import HttpTableService
+from balsamspindle.requests.claims import ClaimBook
 from balsamspindle.requests.forwarding import Forwarder
 from balsamspindle.requests.ingress import Ingress
 from balsamspindle.requests.links import LinkPool
@@ -73,7 +74,14 @@
         self._ingress = Ingress(
             settings,
             self._configuration,
-            Forwarder(own, self._picker, self._gate, self._links, self.events),
+            Forwarder(
+                own,
+                self._picker,
+                self._gate,
+                self._links,
+                self.events,
+                self._make_claim_book(),
+            ),
             self._connections,
             self.events,
         )
@@ -144,6 +152,10 @@
         application = AdminApplication(self._servers, self._status, self.events)
         return make_server(host, int(port), application, threaded=True)
 
+    def _make_claim_book(self) -> ClaimBook:
+        address = self._settings.platform_address
+        return ClaimBook(None if address is None else HttpTableService(address))
+
     def _make_settings_reader(self) -> SettingsReader | None:
         if self._settings.platform_address is None:
             return None
--- /dev/null
+++ b/balsamspindle/requests/claims.py
@@ -0,0 +1,227 @@
+"""Who may run the request with an Idempotency-Key: one gate, agreed on.
+
+A gate remembers the keys that it ran, but a caller's resend may come to
+another gate, and two ingresses that see different nodes would choose
+different ones. So the first attempt of a key writes one row into the
+platform's table service: the key's claim names the only gate that may run it,
+with the incarnation of its process. The row is written only while it is
+absent, or, to move the claim, while it still has the version that the old
+gate has declared void by saying 'not run'. No lease and no clock is involved:
+a claim does not lapse while its holder is paused.
+"""
+
+import time
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from typing import NamedTuple
+
+import msgspec
+from expression import Error, Ok, Result
+
+from balsamspindle.platform import (
+    Check,
+    Conflict,
+    Put,
+    Row,
+    TableService,
+    Transaction,
+    Unknown,
+)
+from balsamspindle.requests.outcomes import Outcome, Reason
+from balsamspindle.wire import Claim, Reply
+
+__all__ = ["CLAIMS_TABLE", "ClaimBook", "GateIdentity", "KeyClaimant"]
+
+CLAIMS_TABLE = "claims"
+CALLS_AT_ONCE_MAX = 16
+WRITES_MAX = 2
+
+
+class GateIdentity(NamedTuple):
+    """One process of a gate, as it named itself."""
+
+    node_id: str
+    incarnation: int
+
+
+class StoredClaim(msgspec.Struct, frozen=True):
+    """A row of the claims table.
+
+    Attributes
+    ----------
+    claimed_wall_s : float
+        For whoever removes old rows; decides nothing here.
+    """
+
+    node_id: str
+    incarnation: int
+    gate_time_s: float
+    claimed_wall_s: float
+
+
+class ClaimBook:
+    """The claims table, asked by a few threads for a bounded time.
+
+    Parameters
+    ----------
+    tables : TableService or None
+        None when the node has no platform: no key can be claimed.
+    """
+
+    def __init__(self, tables: TableService | None) -> None:
+        self._tables = tables
+        self._executor = ThreadPoolExecutor(CALLS_AT_ONCE_MAX, "claims")
+
+    def write(
+        self,
+        key: str,
+        version: int,
+        gate: GateIdentity,
+        gate_time_s: float,
+        deadline_s: float,
+    ) -> Claim | None:
+        """Claim a key for a gate, unless it changed since `version`.
+
+        Parameters
+        ----------
+        version : int
+            0 for a key that nobody has claimed.
+        deadline_s : float
+            How long to wait for the platform, on the monotonic clock.
+
+        Returns
+        -------
+        Claim or None
+            The claim in force, whoever made it; None when the platform did
+            not say.
+        """
+        value = StoredClaim(*gate, gate_time_s, time.time())
+        return self._ask(deadline_s, lambda: self._write(key, version, value))
+
+    def read(self, key: str, deadline_s: float) -> Result[Claim | None, None]:
+        """Return the claim in force, if any; an error when nobody can tell."""
+        answer = self._ask(deadline_s, lambda: self._tables.read(CLAIMS_TABLE, [key]))
+        match answer:
+            case Result(tag="ok", ok=[row]):
+                return Ok(_claim(row))
+        return Error(None)
+
+    def _ask(self, deadline_s: float, call: Callable):
+        """Make a call in a thread of ours and wait no longer than allowed.
+
+        The platform may hang for longer than the caller waits. A write that
+        takes effect after we gave up harms nobody: the claim it makes is
+        for a gate that may run the key, and a resend will find it.
+        """
+        if self._tables is None:
+            return None
+        future: Future = self._executor.submit(call)
+        try:
+            return future.result(max(0, deadline_s - time.monotonic()))
+        except FutureTimeoutError:
+            future.cancel()
+            return None
+
+    def _write(self, key: str, version: int, value: StoredClaim) -> Claim | None:
+        transaction = Transaction(
+            [Check(CLAIMS_TABLE, key, version)],
+            [Put(CLAIMS_TABLE, key, msgspec.to_builtins(value))],
+        )
+        for _ in range(WRITES_MAX):
+            match self._tables.transact(transaction):
+                case Result(tag="ok"):
+                    return _claim(Row(key, version + 1, msgspec.to_builtins(value)))
+                case Result(error=Conflict(rows)):
+                    # Possibly our own row, from a write whose reply was lost.
+                    return _claim(rows[0])
+                case Result(error=Unknown()):
+                    continue
+            return None
+        return None
+
+
+def _claim(row: Row) -> Claim | None:
+    if row.value is None:
+        return None
+    stored = msgspec.convert(row.value, StoredClaim)
+    return Claim(stored.node_id, stored.incarnation, row.version, stored.gate_time_s)
+
+
+class KeyClaimant:
+    """One request's dealings with the claim of its key.
+
+    Parameters
+    ----------
+    service, key : str
+        A key counts within its service.
+    deadline_s : float
+        Of the request, on the monotonic clock.
+    """
+
+    def __init__(
+        self, book: ClaimBook, service: str, key: str, deadline_s: float
+    ) -> None:
+        self._book = book
+        self._key = f"{service}:{key}"
+        self._deadline_s = deadline_s
+        self._claim: Claim | None = None
+        self._is_void = False
+        self._unavailable = False
+
+    def owner(self) -> str | None:
+        """Return the id of the node that the attempt has to go to, if known."""
+        if self._claim is None or self._is_void:
+            return None
+        return self._claim.node_id
+
+    def claim_for(self, gate: GateIdentity, gate_time_s: float) -> Claim | Reason:
+        """Return the claim for an attempt at a gate, or why there is none.
+
+        Parameters
+        ----------
+        gate_time_s : float
+            The gate's monotonic clock now, or a little less.
+        """
+        if self._claim is None or self._is_void:
+            version = self._claim.version if self._claim else 0
+            claim = self._book.write(
+                self._key, version, gate, gate_time_s, self._deadline_s
+            )
+            if claim is None:
+                self._unavailable = True
+                return Reason.CLAIMS_UNAVAILABLE
+            self._claim, self._is_void = claim, False
+        if self._claim[:2] != gate:
+            return Reason.CLAIM_MOVED
+        return self._claim
+
+    def note(self, reply: Reply) -> None:
+        """Take a gate's own reply to an attempt under the claim."""
+        if reply.outcome is Outcome.NOT_RUN and reply.reason is not Reason.KEY_REUSED:
+            self._is_void = True
+
+    def final(self, reply: Reply) -> Reply:
+        """Return what the caller is told.
+
+        'Not run' is said of the key, not of this attempt alone: a caller
+        that hears it after an earlier 'unknown' would sign again with a
+        fresh key.
+        """
+        if reply.outcome is not Outcome.NOT_RUN or reply.reason is Reason.KEY_REUSED:
+            return reply
+        if self._is_void or (self._claim is None and self._is_unclaimed()):
+            return reply
+        reason = reply.reason
+        if reason is Reason.CLAIM_MOVED:
+            # The gate that holds the claim can't be asked.
+            reason = Reason.DUPLICATE
+        return msgspec.structs.replace(reply, outcome=Outcome.UNKNOWN, reason=reason)
+
+    def _is_unclaimed(self) -> bool:
+        if self._unavailable:
+            return False
+        match self._book.read(self._key, self._deadline_s):
+            case Result(tag="ok", ok=None):
+                return True
+        return False
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -6,9 +6,12 @@
 import time
 from dataclasses import dataclass, field
 
+import msgspec
+
 from balsamspindle.backend_servers.gate import Gate
 from balsamspindle.membership.directory import Placement
 from balsamspindle.requests.caller_watch import CallerWatch
+from balsamspindle.requests.claims import ClaimBook, GateIdentity, KeyClaimant
 from balsamspindle.requests.http import CallerRequest, HttpConnection
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.requests.outcomes import Execution, Outcome, Reason
@@ -16,11 +19,18 @@
 from balsamspindle.services.picker import Picker
 from balsamspindle.settings.documents import RouteDocument
 from balsamspindle.timeline import EventLog
-from balsamspindle.wire import AttemptId, Dispatch, NodeRecord, Reply, checksum
+from balsamspindle.wire import (
+    AttemptId,
+    Dispatch,
+    NodeRecord,
+    Reply,
+    checksum,
+)
 
 __all__ = ["Forwarder", "ForwardedRequest"]
 
 ATTEMPTS_MAX = 3
+KEY_MAX_CHARACTERS = 255
 
 
 @dataclass
@@ -41,6 +51,7 @@
     route: RouteDocument
     deadline_s: float
     idempotency_key: str | None = None
+    claimant: KeyClaimant | None = None
     tried: set[str] = field(default_factory=set)
 
 
@@ -54,12 +65,14 @@
         gate: Gate,
         links: LinkPool,
         events: EventLog,
+        claims: ClaimBook | None = None,
     ) -> None:
         self._own = own
         self._picker = picker
         self._gate = gate
         self._links = links
         self._events = events
+        self._claims = claims or ClaimBook(None)
         self._watch = CallerWatch(gate.cancel)
         self._free_slots = FreeSlotViews()
         self._sequence = itertools.count(1)
@@ -68,6 +81,23 @@
 
     def forward(self, forwarded: ForwardedRequest) -> Reply:
         """Make attempts until one answers or no other is allowed."""
+        if len(forwarded.idempotency_key or "") > KEY_MAX_CHARACTERS:
+            return Reply(self._next_id(), Outcome.NOT_RUN, Reason.BAD_REQUEST)
+        forwarded.claimant = self._claimant(forwarded)
+        reply = self._make_attempts(forwarded)
+        if forwarded.claimant is not None:
+            reply = forwarded.claimant.final(reply)
+        return reply
+
+    def _claimant(self, forwarded: ForwardedRequest) -> KeyClaimant | None:
+        route = forwarded.route
+        if forwarded.idempotency_key is None or route.execution is Execution.IDEMPOTENT:
+            return None
+        return KeyClaimant(
+            self._claims, route.service, forwarded.idempotency_key, forwarded.deadline_s
+        )
+
+    def _make_attempts(self, forwarded: ForwardedRequest) -> Reply:
         reply = self._no_attempt()
         for _ in range(ATTEMPTS_MAX):
             placement = self._pick(forwarded)
@@ -85,6 +115,9 @@
         return AttemptId(self._own.node_id, self._own.incarnation, next(self._sequence))
 
     def _pick(self, forwarded: ForwardedRequest) -> Placement | None:
+        owner = forwarded.claimant and forwarded.claimant.owner()
+        if owner is not None:
+            return self._picker.at_node(owner, forwarded.route.service)
         now_s = time.monotonic()
         with self._random_lock:
             return self._picker.pick(
@@ -100,8 +133,7 @@
         forwarded.tried.add(server_id)
         dispatch = self._dispatch_message(forwarded, placement)
         if placement.node.node_id == self._own.node_id:
-            with self._watch.watching(dispatch.attempt_id, forwarded.caller):
-                reply = self._gate.handle(dispatch, time.monotonic())
+            reply = self._attempt_here(forwarded, dispatch)
         else:
             reply = self._attempt_over_link(forwarded, placement, dispatch)
         self._free_slots.note(server_id, reply.free_slots, time.monotonic())
@@ -132,11 +164,31 @@
             hlc=hlc,
         )
 
+    def _attempt_here(self, forwarded, dispatch) -> Reply:
+        claimed = _claim(
+            forwarded,
+            dispatch,
+            GateIdentity(self._own.node_id, self._own.incarnation),
+            time.monotonic(),
+        )
+        if isinstance(claimed, Reply):
+            return claimed
+        with self._watch.watching(dispatch.attempt_id, forwarded.caller):
+            reply = self._gate.handle(claimed, time.monotonic())
+        return _noted(forwarded, reply)
+
     def _attempt_over_link(self, forwarded, placement, dispatch) -> Reply:
         link = self._links.take(placement.node.link_address, forwarded.deadline_s)
         if link is None:
             return Reply(dispatch.attempt_id, Outcome.NOT_RUN, Reason.UNREACHABLE)
-        if not link.send_dispatch(dispatch, forwarded.deadline_s):
+        # The claim is made only with a link that was heard: made for a gate
+        # that is dead it would hold the key for ever.
+        gate_time_s = link.gate_clock.at(time.monotonic())
+        claimed = _claim(forwarded, dispatch, GateIdentity(*link.gate), gate_time_s)
+        if isinstance(claimed, Reply):
+            self._links.give_back(link)
+            return claimed
+        if not link.send_dispatch(claimed, forwarded.deadline_s):
             link.close()
             return Reply(dispatch.attempt_id, Outcome.NOT_RUN, Reason.UNREACHABLE)
         reply = link.wait_reply(
@@ -153,7 +205,24 @@
         self._events.clock.observe(reply.hlc, time.time())
         if reply.body_checksum != checksum(reply.body) and _is_answer(reply):
             return Reply(dispatch.attempt_id, Outcome.UNKNOWN, Reason.BROKEN_ANSWER)
-        return reply
+        return _noted(forwarded, reply)
+
+
+def _claim(forwarded, dispatch, gate, gate_time_s) -> Dispatch | Reply:
+    """Put the key's claim into an attempt; a reply when it must not be made."""
+    if forwarded.claimant is None:
+        return dispatch
+    match forwarded.claimant.claim_for(gate, gate_time_s):
+        case Reason() as reason:
+            return Reply(dispatch.attempt_id, Outcome.NOT_RUN, reason)
+        case claim:
+            return msgspec.structs.replace(dispatch, claim=claim)
+
+
+def _noted(forwarded, reply: Reply) -> Reply:
+    if forwarded.claimant is not None:
+        forwarded.claimant.note(reply)
+    return reply
 
 
 def _is_answer(reply: Reply) -> bool:
@@ -162,11 +231,13 @@
 
 def _may_try_again(reply: Reply, forwarded: ForwardedRequest, now_s: float) -> bool:
     """Tell whether another backend server may be tried after a reply."""
-    if now_s >= forwarded.deadline_s:
+    if now_s >= forwarded.deadline_s or reply.reason in _FINAL_REASONS:
         return False
     return _TRY_AGAIN[reply.outcome, forwarded.route.execution]
 
 
+_FINAL_REASONS = frozenset({Reason.KEY_REUSED, Reason.CLAIMS_UNAVAILABLE})
+
 # A non-idempotent request goes elsewhere only after a proof that it did not
 # run: silence may mean that it did.
 _TRY_AGAIN = {
--- a/balsamspindle/requests/links.py
+++ b/balsamspindle/requests/links.py
@@ -67,6 +67,8 @@
     def __init__(self, context: zmq.Context, address: str) -> None:
         self.address = address
         self.gate_clock = GateClock()
+        # Who answers here, by its own word; known once the link was `ready`.
+        self.gate: tuple[str, int] = ("", 0)
         self._heard_s = float("-inf")
         self._gate_deadline_s: float | None = None
         self._socket = context.socket(zmq.DEALER)
@@ -97,7 +99,8 @@
             return False
         while self._wait(zmq.POLLIN, give_up_s):
             match decode_link(self._socket.recv()):
-                case Result(tag="ok", ok=Greeting(gate_time_s=gate_time_s)):
+                case Result(tag="ok", ok=Greeting(node_id, incarnation, gate_time_s)):
+                    self.gate = (node_id, incarnation)
                     self._hear(gate_time_s)
                     return True
         return False
--- a/balsamspindle/services/picker.py
+++ b/balsamspindle/services/picker.py
@@ -8,12 +8,14 @@
 from balsamspindle.services.floor import FloorDecision
 from balsamspindle.services.view import ServiceView, make_view
 from balsamspindle.settings.tree import CurrentConfiguration
-from balsamspindle.wire import NodeRecord
+from balsamspindle.wire import BackendServerRecord, NodeRecord
 
 __all__ = ["FreeSlots", "Picker"]
 
 FreeSlots = Callable[[Placement], float]
 
+_NO_BACKEND_SERVER = BackendServerRecord("-", "-", "-", 0, "-")
+
 # Draws of two in a tier before it counts as busy.
 DRAWS_MAX = 3
 
@@ -82,6 +84,20 @@
                 return placement
         return placement
 
+    def at_node(self, node_id: str, service: str) -> Placement | None:
+        """Return a place at one node's gate; None when the node is not known.
+
+        The gate may have no backend server of the service any more: then the
+        place names none, and the gate can still tell what it ran.
+        """
+        for placement in self._directory.placements(service):
+            if placement.node.node_id == node_id:
+                return placement
+        for record in self._directory.alive():
+            if record.node_id == node_id:
+                return Placement(record, _NO_BACKEND_SERVER)
+        return None
+
     def view(self, service: str) -> ServiceView:
         """Return the present view of a service."""
         floor_fraction = self._floor_fraction(service)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -70,6 +70,7 @@
         peer = NodeRecord("gate", 1, 1, "r", "z", gate_address, "-", "alive", (server,))
         directory.update(peer, 0.0)
         self.links = LinkPool(zmq.Context.instance(), events)
+        picker = Picker(OWN, directory, CurrentConfiguration())
         gate = Gate(LocalBackendServers(), BackendServerClient(1000), events)
         picker = Picker(OWN, directory, CurrentConfiguration())
         self._forwarder = Forwarder(OWN, picker, gate, self.links, events)
