--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -15,6 +15,7 @@
 from balsamspindle.node.admin_server import AdminServer
 from balsamspindle.node.status import NodeStatus
 from balsamspindle.platform import HttpTableService
+from balsamspindle.requests.claims import ClaimBook
 from balsamspindle.requests.forwarding import Forwarder
 from balsamspindle.requests.ingress import Ingress
 from balsamspindle.requests.links import LinkPool
@@ -76,7 +77,14 @@
         self._ingress = Ingress(
             settings,
             self._configuration,
-            Forwarder(own, self._picker, self._gate, self._links, self.events),
+            Forwarder(
+                own,
+                self._picker,
+                self._gate,
+                self._links,
+                self.events,
+                self._make_claim_book(),
+            ),
             self._connections,
             self.events,
         )
@@ -148,6 +156,10 @@
         )
         return AdminServer(self._settings.admin_address, application, self.events)
 
+    def _make_claim_book(self) -> ClaimBook:
+        address = self._settings.platform_address
+        return ClaimBook(None if address is None else HttpTableService(address))
+
     def _make_settings_reader(self) -> SettingsReader | None:
         if self._settings.platform_address is None:
             return None
