Decide every edit of the settings once, and tell which way

An edit was one transaction without an identity: a lost reply left the operator unsure, a resend was a second edit, two teams that edited at once refused each other over the fleet's revision row, and each check scanned all subtrees.

Now an edit has an operation id whose row is checked absent and written in the same transaction as the team's row, the change log and the fleet's revision. An attempt that lost only the revision row, or whose reply was lost, is made again with jitter under the same id. `settle` writes absence down, so a late write cannot take effect after "not accepted" was said. Subtrees have an owner (scrypt hash); the fleet key creates teams. A check reads the own row and the rows of teams that it names.

Weighed: settling by a look at the log alone (ruled out: a write held up takes effect after the look); reverse references that stop a team from removing a service others name (ruled out: a reference would give power over another team's subtree; such a route answers that there is no backend server).

Seen failing (tests/test_settings_races.py, one local edit each): a new operation id at each attempt: accepted edits found twice or elsewhere; version of the own subtree not compared: accepted documents missing; settle by look only: the held write takes effect; one attempt only: teams refuse each other; no owner check: another team's key accepted. 9 tests pass with all in place.

--- a/balsamspindle/cli/ctl_settings.py
+++ b/balsamspindle/cli/ctl_settings.py
@@ -14,6 +14,7 @@
 from balsamspindle.settings.store import (
     Accepted,
     InvalidSettings,
+    NotKnown,
     SettingsConflict,
     SettingsStore,
     SettingsUnavailable,
@@ -176,6 +177,11 @@
             fail(f"not accepted: {message}", ExitStatus.CONFLICT)
         case Result(error=SettingsUnavailable(message)):
             fail(f"not accepted: {message}", ExitStatus.UNAVAILABLE)
+        case Result(error=NotKnown(message, operation_id)):
+            message = f"not known: {message}; operation {operation_id}"
+            fail(message, ExitStatus.NOT_KNOWN)
+        case Result(error=error):
+            fail(f"not accepted: {error.message}", ExitStatus.FAILED)
 
 
 def _fail_invalid(faults: list[Fault], as_json: bool) -> NoReturn:
--- /dev/null
+++ b/balsamspindle/settings/history.py
@@ -0,0 +1,125 @@
+"""Reads of the change log: who changed what, and how documents differ."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+from expression import Error, Ok, Result
+
+from balsamspindle.platform import PlatformError, TableService
+from balsamspindle.settings.rows import (
+    CHANGES_TABLE,
+    FLEET_TABLE,
+    REVISION_KEY,
+    SUBTREES_TABLE,
+    Change,
+    FleetRow,
+    SubtreeRow,
+    change_key,
+    row_value,
+)
+
+__all__ = [
+    "DocumentDiff",
+    "change_diffs",
+    "diff_documents",
+    "diff_team",
+    "read_changes",
+    "read_fleet",
+    "read_history",
+    "read_team_history",
+]
+
+HISTORY_LIMIT = 20
+
+
+class DocumentDiff(msgspec.Struct, frozen=True):
+    """One document that differs; None where it is not there."""
+
+    path: str
+    before: Any
+    after: Any
+
+
+def diff_documents(
+    before: Mapping[str, Any], after: Mapping[str, Any]
+) -> list[DocumentDiff]:
+    """Return the documents that differ, by path."""
+    return [
+        DocumentDiff(path, before.get(path), after.get(path))
+        for path in sorted({*before, *after})
+        if before.get(path) != after.get(path)
+    ]
+
+
+def change_diffs(change: Change) -> list[DocumentDiff]:
+    """Return what one accepted change did to each document."""
+    return diff_documents(change.before, change.documents)
+
+
+def diff_team(
+    tables: TableService, team: str, planned: Mapping[str, Any]
+) -> Result[list[DocumentDiff], PlatformError]:
+    """Return what would change if these were all documents of a team."""
+    return tables.read(SUBTREES_TABLE, [team]).map(
+        lambda rows: diff_documents(
+            row_value(rows[0], SubtreeRow, SubtreeRow()).documents, planned
+        )
+    )
+
+
+def read_fleet(tables: TableService) -> Result[FleetRow, PlatformError]:
+    """Return the newest accepted revision: one read of one row."""
+    return tables.read(FLEET_TABLE, [REVISION_KEY]).map(
+        lambda rows: row_value(rows[0], FleetRow, FleetRow())
+    )
+
+
+def read_changes(
+    tables: TableService, first: int, last: int
+) -> Result[list[Change], PlatformError]:
+    """Return the changes of revisions `first` to `last` that are kept."""
+    keys = [change_key(revision) for revision in range(first, last + 1)]
+    return tables.read(CHANGES_TABLE, keys).map(
+        lambda rows: [row_value(row, Change) for row in rows if row.value is not None]
+    )
+
+
+def read_history(
+    tables: TableService, limit: int = HISTORY_LIMIT
+) -> Result[list[Change], PlatformError]:
+    """Return the fleet's latest changes, newest first."""
+    match read_fleet(tables):
+        case Result(tag="ok", ok=fleet):
+            first = max(1, fleet.revision - limit + 1)
+            return read_changes(tables, first, fleet.revision).map(
+                lambda changes: changes[::-1]
+            )
+        case Result(error=error):
+            return Error(error)
+
+
+def read_team_history(
+    tables: TableService, team: str, limit: int = HISTORY_LIMIT
+) -> Result[list[Change], PlatformError]:
+    """Return a team's latest changes, newest first.
+
+    Each change names the one before it, so the cost is one read a change,
+    whatever the other teams did in between.
+    """
+    match tables.read(SUBTREES_TABLE, [team]):
+        case Result(tag="ok", ok=rows):
+            revision = row_value(rows[0], SubtreeRow, SubtreeRow()).revision
+        case Result(error=error):
+            return Error(error)
+    history: list[Change] = []
+    while revision and len(history) < limit:
+        match read_changes(tables, revision, revision):
+            case Result(tag="ok", ok=[change]):
+                history.append(change)
+                revision = change.previous_team_revision
+            case Result(tag="ok"):
+                break
+            case Result(error=error):
+                return Error(error)
+    return Ok(history)
--- /dev/null
+++ b/balsamspindle/settings/loading.py
@@ -0,0 +1,59 @@
+"""All settings at one revision, read from the platform's rows."""
+
+from typing import NamedTuple
+
+from expression import Error, Ok, Result
+
+from balsamspindle.platform import PlatformError, TableService, Unreachable
+from balsamspindle.settings.history import read_changes, read_fleet
+from balsamspindle.settings.rows import (
+    SUBTREES_TABLE,
+    FleetRow,
+    SubtreeRow,
+    row_value,
+)
+from balsamspindle.settings.subtree import changed_documents, encode_documents
+
+__all__ = ["REPLAY_MAX", "StoredSettings", "load_settings"]
+
+REPLAY_MAX = 500
+
+
+class StoredSettings(NamedTuple):
+    """All settings at one revision, as JSON by path."""
+
+    fleet: FleetRow
+    documents: dict[str, bytes]
+
+
+def load_settings(
+    tables: TableService,
+) -> Result[StoredSettings, PlatformError]:
+    """Return all settings as of one revision.
+
+    Rows are read one after the other, so a change in between gives a mix of
+    two revisions that was never accepted. The changes accepted meanwhile are
+    laid over it: they hold whole documents, so what a row has already is
+    written once more and what it lacks is added.
+    """
+    before = read_fleet(tables)
+    rows = tables.scan(SUBTREES_TABLE)
+    after = read_fleet(tables)
+    for result in (before, rows, after):
+        if result.is_error():
+            return Error(result.error)
+    first, last = before.ok.revision + 1, after.ok.revision
+    if last - first >= REPLAY_MAX:
+        return Error(Unreachable("the settings change faster than a read"))
+    documents = {
+        path: document
+        for row in rows.ok
+        for path, document in row_value(row, SubtreeRow).documents.items()
+    }
+    match read_changes(tables, first, last):
+        case Result(tag="ok", ok=changes):
+            for change in changes:
+                documents = changed_documents(documents, change.documents)
+            return Ok(StoredSettings(after.ok, encode_documents(documents)))
+        case Result(error=error):
+            return Error(error)
--- a/balsamspindle/settings/reader.py
+++ b/balsamspindle/settings/reader.py
@@ -46,10 +46,11 @@
             return
         match self._store.load():
             case Result(tag="ok", ok=stored):
-                offered = self._configuration.offer(stored.revision, stored.documents)
+                revision = stored.fleet.revision
+                offered = self._configuration.offer(revision, stored.documents)
                 if offered.is_ok() and offered.ok:
                     self._events.emit(
-                        "settings_in_force", revision=stored.revision, source="platform"
+                        "settings_in_force", revision=revision, source="platform"
                     )
                     self._on_in_force()
             case Result(error=error):
--- /dev/null
+++ b/balsamspindle/settings/subtree.py
@@ -0,0 +1,95 @@
+"""One team's documents: what an edit makes of them, and what is wrong then.
+
+The check reads the team's own documents and those rows of other teams whose
+services it names, so its cost does not grow with the fleet.
+
+A team may remove a service that another team's routes name: a reference must
+not give one team power over another's subtree. The other team's route then
+answers ``not_run`` (no backend server), and its next edits are not refused
+for it: only faults that an edit itself brings in refuse the edit.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import msgspec
+from expression import Ok, Result
+
+from balsamspindle.platform import PlatformError, TableService
+from balsamspindle.settings.rows import SUBTREES_TABLE, SubtreeRow, row_value
+from balsamspindle.settings.tree import Fault, check_documents
+
+__all__ = ["changed_documents", "encode_documents", "new_faults"]
+
+
+def changed_documents(
+    documents: Mapping[str, Any], changes: Mapping[str, Any]
+) -> dict[str, Any]:
+    """Return a subtree's documents after an edit; None removes one."""
+    after = {**documents, **changes}
+    return {path: value for path, value in after.items() if value is not None}
+
+
+def encode_documents(documents: Mapping[str, Any]) -> dict[str, bytes]:
+    """Return documents as JSON, the form in which they are checked."""
+    return {path: msgspec.json.encode(value) for path, value in documents.items()}
+
+
+def new_faults(
+    tables: TableService,
+    team: str,
+    before: Mapping[str, Any],
+    after: Mapping[str, Any],
+) -> Result[list[Fault], PlatformError]:
+    """Return the faults of a team's documents that an edit brings in."""
+    strangers = [
+        Fault(path, f"is not in the subtree of {team!r}")
+        for path in after
+        if path.partition("/")[0] != team
+    ]
+    if strangers:
+        return Ok(strangers)
+    match _named_services(tables, team, [*before.values(), *after.values()]):
+        case Result(tag="ok", ok=others):
+            pass
+        case Result(error=error):
+            return Result.Error(error)
+    faults = check_documents({**others, **encode_documents(after)})
+    if not faults:
+        return Ok([])
+    known = set(check_documents({**others, **encode_documents(before)}))
+    # A fault of an unchanged document that stood before is not this edit's.
+    return Ok(
+        [
+            fault
+            for fault in faults
+            if fault not in known or before.get(fault.path) != after.get(fault.path)
+        ]
+    )
+
+
+def _named_services(
+    tables: TableService, team: str, documents: Iterable[Any]
+) -> Result[dict[str, bytes], PlatformError]:
+    """Return the service documents of other teams that documents name."""
+    paths = set()
+    for document in documents:
+        name = document.get("service") if isinstance(document, dict) else None
+        owner, _, service = name.partition("/") if isinstance(name, str) else ("",) * 3
+        if service and owner != team:
+            paths.add(f"{owner}/services/{service}")
+    if not paths:
+        return Ok({})
+    teams = sorted({path.partition("/")[0] for path in paths})
+    return tables.read(SUBTREES_TABLE, teams).map(
+        lambda rows: encode_documents(
+            {
+                path: document
+                for row in rows
+                for path, document in row_value(
+                    row, SubtreeRow, SubtreeRow()
+                ).documents.items()
+                if path in paths
+            }
+        )
+    )
--- /dev/null
+++ b/tests/settings_utils.py
@@ -0,0 +1,36 @@
+"""Fixtures of the settings' tests: a stand-in platform inside the test."""
+
+import threading
+
+from werkzeug.serving import WSGIRequestHandler, make_server
+
+from balsamspindle.platform import HttpTableService
+from balsamspindle.standins.platform import StandinPlatform
+from tests.utils import free_address
+
+
+class _QuietHandler(WSGIRequestHandler):
+    def log(self, *_args):
+        pass
+
+
+class PlatformServer:
+    """A stand-in platform in this process, with its address."""
+
+    def __init__(self, seed: int = 0) -> None:
+        self.standin = StandinPlatform(seed)
+        self.address = free_address()
+        host, _, port = self.address.partition(":")
+        self._server = make_server(
+            host, int(port), self.standin, threaded=True, request_handler=_QuietHandler
+        )
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    def tables(self) -> HttpTableService:
+        """Return a table service of its own, as each operator has."""
+        return HttpTableService(self.address)
+
+    def stop(self) -> None:
+        """End the server and its port."""
+        self._server.shutdown()
+        self._server.server_close()
--- /dev/null
+++ b/tests/test_settings_races.py
@@ -0,0 +1,274 @@
+"""Operators race on the settings while the platform fails."""
+
+import random
+from concurrent.futures import ThreadPoolExecutor
+from typing import NamedTuple
+
+from expression import Error, Result
+from testtools import TestCase
+
+from balsamspindle.platform import TableService, Unknown, Unreachable
+from balsamspindle.settings.history import (
+    DocumentDiff,
+    change_diffs,
+    read_changes,
+    read_fleet,
+    read_team_history,
+)
+from balsamspindle.settings.rows import next_chain
+from balsamspindle.settings.store import (
+    Accepted,
+    Credentials,
+    InvalidSettings,
+    NotKnown,
+    NotOwner,
+    SettingsConflict,
+    SettingsStore,
+    SettingsUnavailable,
+    Withdrawn,
+    new_operation_id,
+)
+from balsamspindle.standins.platform import FaultMode, FaultSwitch
+from tests.settings_utils import PlatformServer
+from tests.utils import call
+
+WRITERS = 8
+EDITS_EACH = 10
+TEAMS = ("crew", "medical", "board")
+FAULTS = [
+    FaultSwitch(FaultMode.LOST_REPLY, endpoint="transact", probability=0.25),
+    FaultSwitch(FaultMode.REFUSE, endpoint="transact", probability=0.1),
+    FaultSwitch(FaultMode.STALL, delay_s=0.5, endpoint="transact", probability=0.1),
+    FaultSwitch(FaultMode.DOWN, probability=0.05),
+]
+
+
+class Told(NamedTuple):
+    """What one operator was told of one edit."""
+
+    operation_id: str
+    path: str
+    result: Result
+
+
+class SettingsTestCase(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.platform = PlatformServer(seed=5)
+        self.addCleanup(self.platform.stop)
+        self.store = SettingsStore(self.platform.tables())
+
+    def accept(self, path, document, **options):
+        result = self.store.put(path, document, **options)
+        self.assertTrue(result.is_ok(), result)
+        return result.ok.revision
+
+    def changes(self):
+        tables = self.platform.tables()
+        last = read_fleet(tables).ok.revision
+        return read_changes(tables, 1, last).ok
+
+
+class SettingsRaceTests(SettingsTestCase):
+    def _write(self, number: int) -> list[Told]:
+        """Make one operator's edits, each of a document of its own."""
+        store = SettingsStore(self.platform.tables())
+        choice = random.Random(number)
+        told = []
+        for edit in range(EDITS_EACH):
+            path = f"{choice.choice(TEAMS)}/services/s{number}-{edit}"
+            operation_id = new_operation_id()
+            # The edit names its operation at its first call, as a tool does
+            # that writes the id down before it sends.
+            result = store.put(path, {}, operation_id=operation_id)
+            while result.is_error() and isinstance(result.error, NotKnown):
+                result = store.settle(operation_id)
+            told.append(Told(operation_id, path, result))
+        return told
+
+    def test_no_edit_is_lost_or_made_twice_while_the_platform_fails(self):
+        # Operators see: an edit that was reported as accepted is gone, or is
+        # in the log twice, or one that was reported as not accepted is there.
+        # Order: a write takes effect and its reply is lost (or it is held up
+        # and takes effect late); the tool sends it again or gives it up, while
+        # others move the same subtree and the fleet's revision.
+        # Why: without a check on the operation a resend is a second edit, and
+        # to find no effect is no proof while the write is still on its way.
+        self.platform.standin.set_faults(*FAULTS)
+        with ThreadPoolExecutor(WRITERS) as executor:
+            told = [
+                one
+                for many in executor.map(self._write, range(WRITERS))
+                for one in many
+            ]
+        self.platform.standin.set_faults()
+        changes = self.changes()
+        by_operation = {}
+        for change in changes:
+            by_operation.setdefault(change.operation_id, []).append(change)
+        for one in told:
+            found = [
+                change.revision for change in by_operation.get(one.operation_id, [])
+            ]
+            match one.result:
+                case Result(tag="ok", ok=Accepted(revision)):
+                    self.assertEqual([revision], found)
+                case Result(error=error):
+                    self.assertIsInstance(
+                        error, SettingsConflict | Withdrawn | SettingsUnavailable
+                    )
+                    self.assertEqual([], found)
+        self._check_log(changes)
+        accepted = {one.path for one in told if one.result.is_ok()}
+        self.assertEqual(accepted, set(self.store.load().ok.documents))
+        self.assertGreater(len(accepted), len(told) // 3)
+
+    def _check_log(self, changes):
+        """Revisions rise by one and each change builds on the one before."""
+        self.assertEqual(
+            list(range(1, len(changes) + 1)), [change.revision for change in changes]
+        )
+        chain = ""
+        for change in changes:
+            self.assertEqual(chain, change.previous_chain)
+            chain = next_chain(chain, change.operation_id)
+            self.assertEqual(chain, change.chain)
+
+    def test_two_teams_that_edit_at_once_both_succeed(self):
+        # Operators see: a team's edit is refused although nobody touched its
+        # subtree. All edits write the fleet's revision, so one of two that
+        # run at once loses that row; it must be made again by itself.
+        def edit(team):
+            store = SettingsStore(self.platform.tables())
+            return [store.put(f"{team}/services/s{n}", {}) for n in range(8)]
+
+        with ThreadPoolExecutor(6) as executor:
+            results = list(executor.map(edit, [f"team{n}" for n in range(6)]))
+        self.assertEqual(
+            [], [r.error for many in results for r in many if r.is_error()]
+        )
+        self.assertEqual(48, self.store.revision().ok)
+
+    def test_a_write_that_takes_effect_after_it_was_settled_is_refused(self):
+        # Operators see: "not accepted", and later the edit in force.
+        # Order: the write is held up past the tool's patience; the tool looks,
+        # finds nothing and says so; then the write takes effect.
+        tables = FirstWriteHeld(self.platform.tables())
+        store = SettingsStore(tables, sleep=lambda pause_s: None)
+        told = store.put("crew/services/board", {}).error
+        self.assertIsInstance(told, NotKnown)
+        tables.cut = False
+        self.assertIsInstance(store.settle(told.operation_id).error, Withdrawn)
+        self.assertTrue(tables.release().is_error())
+        self.assertEqual(0, self.store.revision().ok)
+
+    def test_a_lost_reply_is_settled_by_the_log(self):
+        # The write took effect, its reply and all later calls were lost.
+        tables = FirstWriteHeld(self.platform.tables())
+        store = SettingsStore(tables, sleep=lambda pause_s: None)
+        told = store.put("crew/services/board", {}).error
+        self.assertTrue(tables.release().is_ok())
+        tables.cut = False
+        self.assertEqual(
+            Accepted(1, told.operation_id), store.settle(told.operation_id).ok
+        )
+        resent = store.put("crew/services/board", {}, operation_id=told.operation_id)
+        self.assertEqual(1, resent.ok.revision)
+        self.assertEqual(1, len(self.changes()))
+
+
+class FirstWriteHeld(TableService):
+    """Tables whose first write is held up and that then are cut off."""
+
+    def __init__(self, tables: TableService) -> None:
+        self._tables = tables
+        self._held = None
+        self.cut = True
+
+    def read(self, table, keys):
+        if self._held and self.cut:
+            return Error(Unreachable("cut off"))
+        return self._tables.read(table, keys)
+
+    def transact(self, transaction):
+        if self._held is None:
+            self._held = transaction
+            return Error(Unknown("no reply"))
+        if self.cut:
+            return Error(Unreachable("cut off"))
+        return self._tables.transact(transaction)
+
+    def release(self):
+        """Let the first write arrive."""
+        return self._tables.transact(self._held)
+
+
+class SettingsEditTests(SettingsTestCase):
+    def test_a_conflict_tells_who_changed_what(self):
+        _, version = self.store.subtree("crew").ok
+        self.accept("crew/services/a", {}, credentials=Credentials("ana"))
+        result = self.store.put("crew/services/b", {}, expected_version=version)
+        self.assertIsInstance(result.error, SettingsConflict)
+        self.assertEqual(
+            ("ana", 1, ["crew/services/a"]),
+            (result.error.author, result.error.revision, result.error.paths),
+        )
+
+    def test_another_teams_key_is_refused(self):
+        # Without the check a wrong path in one team's command would quietly
+        # replace another team's document.
+        self.assertTrue(self.store.set_fleet_key("fleet").is_ok())
+        self.assertIsInstance(self.store.set_fleet_key("other").error, NotOwner)
+        fleet = Credentials("root", fleet_key="fleet")
+        for team in ("crew", "medical"):
+            self.assertTrue(self.store.set_team_key(team, f"{team}-key", fleet).is_ok())
+        crew, nobody = Credentials("ana", "crew-key"), Credentials("eve", "eve-key")
+        self.accept("crew/services/a", {}, credentials=crew)
+        for path in ("medical/services/a", "unowned/services/a"):
+            self.assertIsInstance(self.store.put(path, {}, crew).error, NotOwner)
+        self.assertIsInstance(
+            self.store.put("crew/services/a", {}, nobody).error, NotOwner
+        )
+        self.assertIsInstance(
+            self.store.set_team_key("crew", "stolen", nobody).error, NotOwner
+        )
+        self.assertNotIn("crew-key", str(self.store.subtree("crew").ok))
+
+    def test_a_check_reads_only_the_rows_that_it_needs(self):
+        # A scan of all subtrees at 49,000 routes is megabytes for each edit.
+        for team in range(20):
+            self.accept(f"team{team}/services/s", {})
+        self.accept("crew/routes/r", {"service": "team3/s", "execution": "idempotent"})
+        counts = call(self.platform.address, "/counts").json()
+        self.assertNotIn("scan", counts)
+        unknown = {"service": "team3/none", "execution": "idempotent"}
+        refused = self.store.put("crew/routes/q", unknown).error
+        self.assertIsInstance(refused, InvalidSettings)
+        self.assertEqual("crew/routes/q", refused.faults[0].path)
+
+    def test_a_team_may_remove_a_service_that_another_teams_route_names(self):
+        # Otherwise any team could hold another team's subtree fast by naming
+        # it; and the team left with the dead name could not edit at all.
+        self.accept("medical/services/fit", {})
+        self.accept("crew/services/own", {})
+        route = {"service": "medical/fit", "execution": "idempotent"}
+        self.accept("crew/routes/r", route)
+        self.accept("medical/services/fit", None)
+        self.accept("crew/services/other", {})
+        self.assertIsInstance(
+            self.store.put("crew/routes/r", {**route, "weight": 2}).error,
+            InvalidSettings,
+        )
+
+    def test_the_log_tells_who_changed_what_and_how(self):
+        ana, ben = Credentials("ana"), Credentials("ben")
+        self.accept("crew/services/a", {"queue_max": 1}, credentials=ana)
+        self.accept("medical/services/a", {})
+        self.accept("crew/services/a", {"queue_max": 2}, credentials=ben)
+        newest, oldest = read_team_history(self.platform.tables(), "crew").ok
+        self.assertEqual(["ben", "ana"], [newest.author, oldest.author])
+        self.assertEqual([3, 1], [newest.revision, oldest.revision])
+        self.assertEqual(
+            [DocumentDiff("crew/services/a", {"queue_max": 1}, {"queue_max": 2})],
+            change_diffs(newest),
+        )
