Bound each node's calls to the platform by a rate and a circuit

A platform that hangs cost a node its full timeout at each call, and a fleet that retries in step keeps an overloaded platform down.

Weighed: longer pauses up to 30 s (ruled out: few nodes poll at all, and their tries cost the platform little).

--- a/balsamspindle/platform/__init__.py
+++ b/balsamspindle/platform/__init__.py
@@ -1,5 +1,10 @@
 """The platform: a transactional table service and an object store."""
 
+from balsamspindle.platform.guard import (
+    GuardedObjectStore,
+    GuardedTableService,
+    PlatformGuard,
+)
 from balsamspindle.platform.http import HttpObjectStore, HttpTableService
 from balsamspindle.platform.protocol import (
     Check,
@@ -17,10 +22,13 @@
 __all__ = [
     "Check",
     "Conflict",
+    "GuardedObjectStore",
+    "GuardedTableService",
     "HttpObjectStore",
     "HttpTableService",
     "ObjectStore",
     "PlatformError",
+    "PlatformGuard",
     "Put",
     "Row",
     "TableService",
