Wait for events in the outage tests: they are written a little later

Event lines are now written by a task of their own, so a line may follow the state that a test waits for. The tests wait for the same lines as before.

--- a/tests/test_settings_outage.py
+++ b/tests/test_settings_outage.py
@@ -42,6 +42,10 @@
             lambda: node.revision() >= revision, f"{name} is at revision {revision}"
         )
 
+    def wait_event(self, node, text: str):
+        """Wait for an event's line; a node writes them a little later."""
+        wait_until(lambda: text in node.log_path.read_text(), text)
+
     def platform_state(self, node) -> str:
         return node.status()["settings"]["platform"]
 
@@ -81,7 +85,7 @@
                 "the node says that the platform is older",
             )
             self.assertEqual(revision, node.revision())
-            self.assertIn("state=older", node.log_path.read_text())
+            self.wait_event(node, "event=settings_platform state=older")
         self.assert_served(nodes[-1], "/late")
 
     def test_a_node_without_any_source_refuses_and_says_why(self):
@@ -93,10 +97,7 @@
         answer = call(node.caller_address, "/contracts/7")
         self.assertEqual("not_run", answer.outcome)
         self.assertEqual("no_settings", answer.json()["reason"])
-        wait_until(
-            lambda: "event=settings_no_source" in node.log_path.read_text(),
-            "the node says that it has no source",
-        )
+        self.wait_event(node, "event=settings_no_source")
         self.assertEqual("unreachable", self.platform_state(node))
 
     def test_a_hanging_platform_hangs_nothing_else(self):
@@ -127,5 +128,6 @@
         accepted = json.dumps({"revision": revision}).encode()
         call(nodes[0].admin_address, "/settings/accepted", "POST", accepted)
         self.wait_revision(lonely, revision)
-        text = lonely.log_path.read_text()
-        self.assertIn(f"event=settings_in_force revision={revision} source=peer", text)
+        self.wait_event(
+            lonely, f"event=settings_in_force revision={revision} source=peer"
+        )
