Count what is slow in one pause once; try copies of hanging requests

A stall of 0.15 to 0.4 s makes all work of that moment slow. Counted one by one, a busy healthy backend server is ejected at each. What is slow within `pause_ms` of the last such evidence counts once, unless good work came between; one attempt adds at most 0.6 thresholds.

Tried: a copy of an idempotent request that hangs, to fill the silence at low rates.

--- a/balsamspindle/backend_servers/health.py
+++ b/balsamspindle/backend_servers/health.py
@@ -13,23 +13,28 @@
     LearnedRate,
     Rates,
     against_peers,
-    age_weight,
     bad_weight,
     good_weight,
 )
 from balsamspindle.settings.documents import Detection
 from balsamspindle.wire import AttemptId
 
-__all__ = ["HealthReport", "ServerHealth", "Verdict"]
+__all__ = ["REPEAT_TIMEOUT", "HealthReport", "ServerHealth", "Verdict"]
 
 # The score stops here, in thresholds: past it more evidence says nothing new.
 SCORE_MAX = 2.0
+# What one attempt adds at most, in thresholds: two are needed to eject.
+ONE_ATTEMPT_MAX = 0.6
 # A hold-out ends early when work that came all the same went so well, in
 # thresholds.
 RECOVERED_SCORE = 0.5
 # Latencies teach the slow limit only under this score, in thresholds: a sick
 # backend server would else teach it that slow is normal.
 LEARNING_SCORE = 0.25
+# From this share on the load may be the cause, and copies would add to it.
+REPEAT_PEERS_BAD_MAX = 0.25
+# In slow limits, for a copy.
+REPEAT_TIMEOUT = 2.0
 # Probes fill silences of this length, while somebody asked so lately.
 SILENCE_S = 2.0
 ASKED_LATELY_S = 60.0
@@ -77,13 +82,14 @@
 
 
 class _InFlight:
-    """One dispatched attempt; `counted` is what its age added to the score."""
+    """One dispatched attempt, and what it added to the score so far."""
 
-    __slots__ = ("counted", "started_s")
+    __slots__ = ("counted", "started_s", "weight")
 
     def __init__(self, started_s: float) -> None:
         self.started_s = started_s
-        self.counted = 0.0
+        self.counted = 0
+        self.weight = 0.0
 
 
 class ServerHealth:
@@ -97,7 +103,10 @@
         self._slow_rate = LearnedRate(SLOW_SHARE)
         self._error_rate = LearnedRate(detection.error_rate_healthy)
         self._weight = 0.0
+        self._slow_s = float("-inf")
+        self._good_since_slow = False
         self._in_flight: dict[AttemptId, _InFlight] = {}
+        self._repeats: set[AttemptId] = set()
         self._score = 0.0
         self._asked_s = -ASKED_LATELY_S
         self._worked_s = now_s
@@ -137,6 +146,7 @@
 
     def ended(self, attempt_id: AttemptId, result: WorkResult, now_s: float) -> Verdict:
         """Take an attempt's end and tell what it says."""
+        self._repeats.discard(attempt_id)
         attempt = self._in_flight.pop(attempt_id, None)
         if attempt is None:
             return Verdict.NOTHING
@@ -171,12 +181,34 @@
         self._readmission.note_probe(passed)
         silent = now_s - self._worked_s > SILENCE_S
         if not passed and silent:
-            self._add(bad_weight(self._error_rates(now_s)))
+            self._add_bad(_InFlight(now_s), bad_weight(self._error_rates(now_s)))
             self._evidence["probe_failed"] += 1
         if self._readmission.probes_end_trial(self._worked_s, now_s):
             self._readmission.serve(now_s)
         self._move(now_s)
 
+    def wants_repeat(self, now_s: float) -> bool:
+        """Tell whether a request that hangs should be sent once more.
+
+        At low rates the next request, and with it the next evidence, is
+        seconds away. A second copy of an idempotent request that hangs tells
+        an odd request from a sick backend server at once. One copy at a time,
+        each so late that it can't share a pause with the last evidence.
+        """
+        if self.phase is not HealthPhase.SERVING or self._repeats:
+            return False
+        if self._peers.bad_share(now_s) >= REPEAT_PEERS_BAD_MAX:
+            return False
+        wait_ms = max(0.0, self._detection.pause_ms - self.slow_ms())
+        if (now_s - self._slow_s) * 1000 < wait_ms:
+            return False
+        return any(attempt.counted for attempt in self._in_flight.values())
+
+    def repeat_started(self, attempt_id: AttemptId, now_s: float) -> None:
+        """Take a copy of a request that hangs into the work in flight."""
+        self._repeats.add(attempt_id)
+        self.started(attempt_id, now_s)
+
     def restarted(self, now_s: float) -> None:
         """Take a restart of the backend server: its work is gone.
 
@@ -184,21 +216,20 @@
         again and again flaps, too.
         """
         self._in_flight.clear()
+        self._repeats.clear()
         if self.phase is HealthPhase.HELD_OUT:
             self._start_trial(now_s)
 
     def tick(self, now_s: float) -> None:
         """Count the age of the work in flight, and the time in a phase."""
         self._follow_peers(now_s)
-        rates = self._slow_rates(now_s)
         slow_ms = self.slow_ms()
-        for attempt in self._in_flight.values():
-            weight = age_weight(rates, (now_s - attempt.started_s) * 1000, slow_ms)
-            if weight > attempt.counted:
-                if not attempt.counted:
-                    self._evidence["in_flight_too_long"] += 1
-                self._add(weight - attempt.counted)
-                attempt.counted = weight
+        for attempt in sorted(self._in_flight.values(), key=_times_counted):
+            age_ms = (now_s - attempt.started_s) * 1000
+            # In flight past the limit is evidence already: a request that
+            # hangs says so by its end only at its timeout.
+            if age_ms > _AGES[attempt.counted] * slow_ms:
+                self._count_slow(attempt, "in_flight_too_long", now_s)
         self._move(now_s)
 
     def slow_ms(self) -> float:
@@ -262,17 +293,42 @@
         if verdict is Verdict.NOTHING:
             return
         self._worked_s = now_s
-        slow = result in (WorkResult.ANSWERED, WorkResult.SILENCE)
-        rates = self._slow_rates(now_s) if slow else self._error_rates(now_s)
         if verdict is Verdict.GOOD:
-            self._add(good_weight(rates))
+            self._good_since_slow |= attempt.started_s >= self._slow_s
+            self._add(good_weight(self._slow_rates(now_s)))
+            self._evidence[result.value] += 1
+        elif result in _SLOW_RESULTS:
+            if not attempt.counted:
+                self._count_slow(attempt, _SLOW_RESULTS[result], now_s)
         else:
-            self._add(max(0.0, bad_weight(rates) - attempt.counted))
-        late = result is WorkResult.ANSWERED and verdict is Verdict.BAD
-        self._evidence["slow" if late else result.value] += 1
+            self._add_bad(attempt, bad_weight(self._error_rates(now_s)))
+            self._evidence[result.value] += 1
         if self._readmission.note_work(verdict is Verdict.GOOD):
             self._readmission.serve(now_s)
 
+    def _count_slow(self, attempt: _InFlight, evidence: str, now_s: float) -> None:
+        """Count a slow attempt, unless it shares a pause with the last one.
+
+        A backend server that stands still for a moment makes all work of
+        that moment slow: one event, however many requests. Counted one by
+        one, a busy healthy one would be suspected at its every pause.
+        """
+        paused = (now_s - self._slow_s) * 1000 < self._detection.pause_ms
+        if paused and not self._good_since_slow:
+            return
+        self._slow_s = now_s
+        self._good_since_slow = False
+        attempt.counted += 1
+        self._add_bad(attempt, bad_weight(self._slow_rates(now_s)))
+        self._evidence[evidence] += 1
+
+    def _add_bad(self, attempt: _InFlight, weight: float) -> None:
+        """Add bad work; one attempt alone never reaches the threshold."""
+        limit = ONE_ATTEMPT_MAX * self._detection.threshold
+        weight = min(weight, limit - attempt.weight)
+        attempt.weight += weight
+        self._add(weight)
+
     def _add(self, weight: float) -> None:
         self._set_score(self._score + weight)
 
@@ -312,6 +368,19 @@
         self._readmission.start_trial(now_s)
 
 
+def _times_counted(attempt: _InFlight) -> int:
+    return attempt.counted
+
+
+# Ages, in slow limits, from which an attempt in flight counts once and twice;
+# it never counts more often.
+_AGES = (1.0, 4.0, float("inf"))
+
+_SLOW_RESULTS = {
+    WorkResult.ANSWERED: "slow",
+    WorkResult.SILENCE: WorkResult.SILENCE.value,
+}
+
 # Silence counts only past the slow limit: a caller that allows a millisecond
 # would else get a healthy backend server ejected. Shed work is load, and what
 # we cancelled is our own doing.
--- a/balsamspindle/backend_servers/health_score.py
+++ b/balsamspindle/backend_servers/health_score.py
@@ -14,18 +14,11 @@
     "SHARED_CAUSE_SHARE",
     "LearnedRate",
     "Rates",
-    "age_weight",
     "against_peers",
     "bad_weight",
     "good_weight",
 ]
 
-# How the share of healthy requests that are still in flight falls with their
-# age, past the slow limit: the exponent of a heavy tail.
-TAIL_EXPONENT = 1.0
-# A single request, however long it hangs, is no more evidence than this many
-# bad ones: one odd request is not a sick backend server.
-WEIGHT_OF_ONE_MAX = 2.0
 SHARED_CAUSE_SHARE = 0.5
 HEALTHY_RATE_MIN = 0.002
 LEARNING_REQUESTS = 2000
@@ -85,21 +78,3 @@
 def good_weight(rates: Rates) -> float:
     """Return the score of a good request; 0 or less."""
     return math.log((1 - rates.sick) / (1 - rates.healthy))
-
-
-def age_weight(rates: Rates, age_ms: float, slow_ms: float) -> float:
-    """Return the score of a request in flight, by its age.
-
-    A request that hangs says so only at its timeout. Its age says it sooner:
-    past the slow limit few healthy requests are still in flight.
-
-    Returns
-    -------
-    float
-        0 up to the slow limit, then at least `bad_weight` and growing.
-    """
-    if age_ms <= slow_ms:
-        return 0.0
-    weight = bad_weight(rates)
-    grown = weight + TAIL_EXPONENT * math.log(age_ms / slow_ms)
-    return min(grown, WEIGHT_OF_ONE_MAX * weight)
--- a/balsamspindle/settings/documents.py
+++ b/balsamspindle/settings/documents.py
@@ -58,6 +58,9 @@
         Evidence that ejects: higher is slower and errs less often.
     error_rate_healthy, error_rate_sick : float
         The two error rates that the test tells apart.
+    pause_ms : float
+        Time that a healthy backend server may stand still (a pause of its
+        runtime, a lock): what is slow within it counts once.
     hold_out_s, hold_out_max_s : float
         Time without work after an ejection: the first one, and the bound of
         its doublings.
@@ -68,6 +71,7 @@
     threshold: Positive = 7.0
     error_rate_healthy: Fraction = 0.01
     error_rate_sick: Fraction = 0.3
+    pause_ms: Positive = 500.0
     hold_out_s: Positive = 5.0
     hold_out_max_s: Positive = 300.0
     trial_successes: Annotated[int, msgspec.Meta(ge=1)] = 5
