--- a/balsamspindle/backend_servers/health.py
+++ b/balsamspindle/backend_servers/health.py
@@ -19,7 +19,7 @@
 from balsamspindle.settings.documents import Detection
 from balsamspindle.wire import AttemptId
 
-__all__ = ["REPEAT_TIMEOUT", "HealthReport", "ServerHealth", "Verdict"]
+__all__ = ["HealthReport", "ServerHealth", "Verdict"]
 
 # The score stops here, in thresholds: past it more evidence says nothing new.
 SCORE_MAX = 2.0
@@ -31,10 +31,6 @@
 # Latencies teach the slow limit only under this score, in thresholds: a sick
 # backend server would else teach it that slow is normal.
 LEARNING_SCORE = 0.25
-# From this share on the load may be the cause, and copies would add to it.
-REPEAT_PEERS_BAD_MAX = 0.25
-# In slow limits, for a copy.
-REPEAT_TIMEOUT = 2.0
 # Probes fill silences of this length, while somebody asked so lately.
 SILENCE_S = 2.0
 ASKED_LATELY_S = 60.0
@@ -106,7 +102,6 @@
         self._slow_s = float("-inf")
         self._good_since_slow = False
         self._in_flight: dict[AttemptId, _InFlight] = {}
-        self._repeats: set[AttemptId] = set()
         self._score = 0.0
         self._asked_s = -ASKED_LATELY_S
         self._worked_s = now_s
@@ -146,7 +141,6 @@
 
     def ended(self, attempt_id: AttemptId, result: WorkResult, now_s: float) -> Verdict:
         """Take an attempt's end and tell what it says."""
-        self._repeats.discard(attempt_id)
         attempt = self._in_flight.pop(attempt_id, None)
         if attempt is None:
             return Verdict.NOTHING
@@ -187,28 +181,6 @@
             self._readmission.serve(now_s)
         self._move(now_s)
 
-    def wants_repeat(self, now_s: float) -> bool:
-        """Tell whether a request that hangs should be sent once more.
-
-        At low rates the next request, and with it the next evidence, is
-        seconds away. A second copy of an idempotent request that hangs tells
-        an odd request from a sick backend server at once. One copy at a time,
-        each so late that it can't share a pause with the last evidence.
-        """
-        if self.phase is not HealthPhase.SERVING or self._repeats:
-            return False
-        if self._peers.bad_share(now_s) >= REPEAT_PEERS_BAD_MAX:
-            return False
-        wait_ms = max(0.0, self._detection.pause_ms - self.slow_ms())
-        if (now_s - self._slow_s) * 1000 < wait_ms:
-            return False
-        return any(attempt.counted for attempt in self._in_flight.values())
-
-    def repeat_started(self, attempt_id: AttemptId, now_s: float) -> None:
-        """Take a copy of a request that hangs into the work in flight."""
-        self._repeats.add(attempt_id)
-        self.started(attempt_id, now_s)
-
     def restarted(self, now_s: float) -> None:
         """Take a restart of the backend server: its work is gone.
 
@@ -216,7 +188,6 @@
         again and again flaps, too.
         """
         self._in_flight.clear()
-        self._repeats.clear()
         if self.phase is HealthPhase.HELD_OUT:
             self._start_trial(now_s)
 
--- a/balsamspindle/backend_servers/health_score.py
+++ b/balsamspindle/backend_servers/health_score.py
@@ -21,7 +21,9 @@
 
 SHARED_CAUSE_SHARE = 0.5
 HEALTHY_RATE_MIN = 0.002
-LEARNING_REQUESTS = 2000
+# What the first value weighs, in requests, and how many are remembered.
+LEARNING_REQUESTS_MIN = 100
+LEARNING_REQUESTS_MAX = 2000
 HEALTHY_RATE_MAX = 0.99
 SICK_RATE_MAX = 0.999
 
@@ -48,11 +50,13 @@
 
     def __init__(self, first: float) -> None:
         self.value = max(HEALTHY_RATE_MIN, first)
+        self._memory = LEARNING_REQUESTS_MIN
 
     def learn(self, bad: bool) -> None:
         """Take one healthy request."""
-        value = self.value + (bad - self.value) / LEARNING_REQUESTS
+        value = self.value + (bad - self.value) / self._memory
         self.value = max(HEALTHY_RATE_MIN, value)
+        self._memory = min(LEARNING_REQUESTS_MAX, self._memory + 1)
 
 
 def against_peers(rates: Rates, peers_bad_share: float) -> Rates:
--- a/bench/detection_detectors.py
+++ b/bench/detection_detectors.py
@@ -9,11 +9,7 @@
 from typing import Protocol
 
 from balsamspindle.backend_servers.evidence import WorkResult
-from balsamspindle.backend_servers.health import (
-    REPEAT_TIMEOUT,
-    ServerHealth,
-    Verdict,
-)
+from balsamspindle.backend_servers.health import ServerHealth, Verdict
 from balsamspindle.services.peer_evidence import PeerEvidenceTracker
 from balsamspindle.settings.documents import Detection
 from balsamspindle.wire import AttemptId
@@ -61,16 +57,11 @@
     ----------
     detection : Detection
     servers : int
-    repeats : bool, default=True
-        Whether idempotent requests that hang are sent a second time.
     """
 
     uses_ages = True
 
-    def __init__(
-        self, detection: Detection, servers: int, repeats: bool = True
-    ) -> None:
-        self._repeats = repeats
+    def __init__(self, detection: Detection, servers: int) -> None:
         self._health = [ServerHealth(detection, 0.0) for _ in range(servers)]
         # Callers come in through several ingresses; each sees a part.
         self._trackers = [PeerEvidenceTracker() for _ in range(INGRESSES)]
@@ -90,24 +81,10 @@
         """See `Detector`."""
         health = self._health[server]
         verdict = health.ended(AttemptId("", 0, attempt), result, now_s)
-        if attempt not in self._attempts:
-            return
         tracker, started_s = self._attempts.pop(attempt)
         bad = None if verdict is Verdict.NOTHING else verdict is Verdict.BAD
         tracker.ended("s", str(server), started_s, bad, health.own_slow_ms, now_s)
 
-    def wants_repeat(self, server, now_s):
-        """See `Detector`."""
-        return self._repeats and self._health[server].wants_repeat(now_s)
-
-    def repeat_started(self, server, attempt, now_s):
-        """See `Detector`."""
-        self._health[server].repeat_started(AttemptId("", 0, attempt), now_s)
-
-    def repeat_timeout_ms(self, server):
-        """Return the time after which a copy is given up."""
-        return REPEAT_TIMEOUT * self._health[server].slow_ms()
-
     def link_failed(self, server, now_s):
         """Stay with the ingress: it routes around its own link."""
 
--- a/bench/detection_runs.py
+++ b/bench/detection_runs.py
@@ -15,7 +15,7 @@
 from balsamspindle.services.view import TRIAL_SHARE
 from balsamspindle.wire import BackendServerRecord, NodeRecord
 from bench.detection_detectors import Detector
-from bench.detection_traces import FAULT_START_S, Ending, Fault, ServerWork, Service
+from bench.detection_traces import FAULT_START_S, Fault, ServerWork, Service
 
 __all__ = ["RunResult", "run_service"]
 
@@ -43,8 +43,6 @@
         Requests, weighted by kind, from the fault's start on.
     failed_at_sick : int
         Requests that failed at the sick one, from the fault's start on.
-    repeats : int
-        Copies sent of requests that hung.
     """
 
     detection_s: float | None
@@ -54,7 +52,6 @@
     answered: float
     asked: float
     failed_at_sick: int
-    repeats: int
 
 
 class _Run:
@@ -81,7 +78,6 @@
         self.capacity_lost_s = 0.0
         self.answered = self.asked = 0.0
         self.failed_at_sick = 0
-        self.repeats = 0
 
     def run(self) -> RunResult:
         rate = self._service.rate_per_server * self._service.servers
@@ -103,7 +99,6 @@
             self.answered,
             self.asked,
             self.failed_at_sick,
-            self.repeats,
         )
 
     def _fault_of(self, server: int) -> Fault:
@@ -116,10 +111,6 @@
             now_s, _, kind, server, attempt, result = heapq.heappop(self._events)
             if kind == "tick":
                 self._detector.tick(server, now_s)
-                if attempt and self._detector.wants_repeat(server, now_s):
-                    self._repeat(server, now_s)
-            elif kind == "repeat":
-                self._detector.ended(server, attempt, result, now_s)
             else:
                 self._end(server, attempt, result, now_s)
             self._look(server, now_s)
@@ -142,37 +133,24 @@
             if not near:
                 return
             server = self._random.choice(near)
-        self._dispatch(server, idempotent, now_s)
+        self._dispatch(server, now_s)
 
-    def _dispatch(self, server: int, idempotent: bool, now_s: float) -> None:
+    def _dispatch(self, server: int, now_s: float) -> None:
         attempt = next(self._order)
         ending = self._work[server].end(now_s)
         self._detector.started(server, attempt, now_s)
         ends_s = now_s + ending.latency_ms / 1000
         self._push(ends_s, "end", server, attempt, ending.result)
         if self._detector.uses_ages:
-            self._push_ticks(server, now_s, ends_s, idempotent)
+            self._push_ticks(server, now_s, ends_s)
         self._look(server, now_s)
 
-    def _push_ticks(self, server, now_s, ends_s, may_repeat) -> None:
+    def _push_ticks(self, server, now_s, ends_s) -> None:
         tick_s = now_s + TICK_S
         while tick_s < ends_s:
-            self._push(tick_s, "tick", server, int(may_repeat))
+            self._push(tick_s, "tick", server)
             tick_s += TICK_S
 
-    def _repeat(self, server: int, now_s: float) -> None:
-        """Send a copy of a request that hangs; its answer goes nowhere."""
-        self.repeats += 1
-        attempt = next(self._order)
-        ending = self._work[server].end(now_s)
-        timeout_ms = self._detector.repeat_timeout_ms(server)
-        if ending.latency_ms > timeout_ms:
-            ending = Ending(WorkResult.SILENCE, timeout_ms)
-        self._detector.repeat_started(server, attempt, now_s)
-        ends_s = now_s + ending.latency_ms / 1000
-        self._push(ends_s, "repeat", server, attempt, ending.result)
-        self._push_ticks(server, now_s, ends_s, False)
-
     def _end(self, server, attempt, result, now_s) -> None:
         self._detector.ended(server, attempt, result, now_s)
         if now_s < FAULT_START_S:
