--- a/balsamspindle/backend_servers/health_monitor.py
+++ b/balsamspindle/backend_servers/health_monitor.py
@@ -128,11 +128,13 @@
             known = self._known.get(backend_server_id)
             return known.health.own_slow_ms if known is not None else 0.0
 
-    def report(self, backend_server_id: str, now_s: float) -> HealthReport | None:
-        """Explain one backend server; None when it is unknown."""
+    def reports(self, now_s: float) -> dict[str, HealthReport]:
+        """Explain all backend servers of this node, by id."""
         with self._lock:
-            known = self._known.get(backend_server_id)
-            return None if known is None else known.health.report(now_s)
+            return {
+                backend_server_id: known.health.report(now_s)
+                for backend_server_id, known in self._known.items()
+            }
 
     def tick(self, now_s: float) -> None:
         """Bring all up to date and publish what changed."""
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -8,7 +8,9 @@
 
 from balsamspindle.backend_servers.client import BackendServerClient
 from balsamspindle.backend_servers.gate import Gate
+from balsamspindle.backend_servers.health_monitor import HealthMonitor
 from balsamspindle.backend_servers.link_server import LinkServer
+from balsamspindle.backend_servers.probes import Prober
 from balsamspindle.backend_servers.servers import LocalBackendServers
 from balsamspindle.membership import Directory, Member
 from balsamspindle.node.admin import AdminApplication
@@ -21,6 +23,7 @@
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.services.explanation import ServiceExplanation, explain_service
 from balsamspindle.services.picker import Picker
+from balsamspindle.settings.documents import ServiceDocument
 from balsamspindle.settings.process import NodeSettings
 from balsamspindle.settings.reader import SettingsReader
 from balsamspindle.settings.store import SettingsStore
@@ -33,6 +36,7 @@
 HOUSEKEEPING_INTERVAL_S = 1.0
 LEAVE_NOTICE_S = 1.0
 DRAIN_POLL_S = 0.05
+_DEFAULT_SERVICE = ServiceDocument()
 
 
 class NodeProcess:
@@ -48,11 +52,19 @@
         self._servers = LocalBackendServers()
         self._directory = Directory()
         self._configuration = CurrentConfiguration()
-        self._gate = Gate(
+        client = BackendServerClient(settings.answer_body_max_bytes)
+        self._health = HealthMonitor(
             self._servers,
-            BackendServerClient(settings.answer_body_max_bytes),
+            lambda service: self._service_document(service).detection,
             self.events,
         )
+        self._prober = Prober(
+            self._servers,
+            self._health,
+            client,
+            lambda service: self._service_document(service).probe_path,
+        )
+        self._gate = Gate(self._servers, client, self.events, self._health)
         own = settings.own_record(incarnation)
         self._member = Member(
             self._context,
@@ -102,6 +114,8 @@
             self._link_server.run,
             self._ingress.run,
             self._admin.serve_forever,
+            self._health.run,
+            self._prober.run,
         ]
         if self._reader is not None:
             tasks.append(self._reader.run)
@@ -138,6 +152,8 @@
         self._member.stop()
         self._link_server.stop()
         self._admin.shutdown()
+        self._health.stop()
+        self._prober.stop()
         if self._reader is not None:
             self._reader.stop()
         self.events.emit("node_stopped")
@@ -166,6 +182,13 @@
         tables = HttpTableService(self._settings.platform_address)
         return SettingsReader(SettingsStore(tables), self._configuration, self.events)
 
+    def _service_document(self, service: str) -> ServiceDocument:
+        """Return a service's settings; defaults for one not in them (yet)."""
+        configuration = self._configuration.get()
+        if configuration is None:
+            return _DEFAULT_SERVICE
+        return configuration.services.get(service, _DEFAULT_SERVICE)
+
     def _status(self) -> NodeStatus:
         return NodeStatus(
             self._settings.node_id,
@@ -184,5 +207,5 @@
             configuration is not None and service in configuration.services,
             self._directory.placements(service),
             self._picker.explain(service),
-            {},
+            self._health.reports(time.monotonic()),
         )
