--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -8,7 +8,9 @@
 
 from balsamspindle.backend_servers.client import BackendServerClient
 from balsamspindle.backend_servers.gate import Gate
+from balsamspindle.backend_servers.health_monitor import HealthMonitor
 from balsamspindle.backend_servers.link_server import LinkServer
+from balsamspindle.backend_servers.probes import Prober
 from balsamspindle.backend_servers.servers import LocalBackendServers
 from balsamspindle.membership import Directory, Member
 from balsamspindle.node.admin import AdminApplication
@@ -22,6 +24,7 @@
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.services.explanation import ServiceExplanation, explain_service
 from balsamspindle.services.picker import Picker
+from balsamspindle.settings.documents import ServiceDocument
 from balsamspindle.settings.process import NodeSettings
 from balsamspindle.settings.tree import CurrentConfiguration
 from balsamspindle.timeline import EventLog, HybridClock
@@ -32,6 +35,7 @@
 HOUSEKEEPING_INTERVAL_S = 1.0
 LEAVE_NOTICE_S = 1.0
 DRAIN_POLL_S = 0.05
+_DEFAULT_SERVICE = ServiceDocument()
 
 
 class NodeProcess:
@@ -47,11 +51,19 @@
         self._servers = LocalBackendServers()
         self._directory = Directory()
         self._configuration = CurrentConfiguration()
-        self._gate = Gate(
+        client = BackendServerClient(settings.answer_body_max_bytes)
+        self._health = HealthMonitor(
             self._servers,
-            BackendServerClient(settings.answer_body_max_bytes),
+            lambda service: self._service_document(service).detection,
             self.events,
         )
+        self._prober = Prober(
+            self._servers,
+            self._health,
+            client,
+            lambda service: self._service_document(service).probe_path,
+        )
+        self._gate = Gate(self._servers, client, self.events, self._health)
         own = settings.own_record(incarnation)
         self._member = Member(
             self._context,
@@ -109,6 +121,8 @@
             self._ingress.run,
             self._admin.serve_forever,
             *self._settings_tasks.tasks(),
+            self._health.run,
+            self._prober.run,
         ]
         with ThreadPoolExecutor(len(tasks), "task") as executor:
             for task in tasks:
@@ -144,6 +158,8 @@
         self._member.stop()
         self._link_server.stop()
         self._admin.shutdown()
+        self._health.stop()
+        self._prober.stop()
         self.events.emit("node_stopped")
 
     def _wait_for_requests(self) -> None:
@@ -168,6 +184,13 @@
         address = self._settings.platform_address
         return ClaimBook(None if address is None else HttpTableService(address))
 
+    def _service_document(self, service: str) -> ServiceDocument:
+        """Return a service's settings; defaults for one not in them (yet)."""
+        configuration = self._configuration.get()
+        if configuration is None:
+            return _DEFAULT_SERVICE
+        return configuration.services.get(service, _DEFAULT_SERVICE)
+
     def _status(self) -> NodeStatus:
         return NodeStatus(
             self._settings.node_id,
@@ -187,5 +210,5 @@
             configuration is not None and service in configuration.services,
             self._directory.placements(service),
             self._picker.explain(service),
-            {},
+            self._health.reports(time.monotonic()),
         )
--- a/bench/detection_runs.py
+++ b/bench/detection_runs.py
@@ -121,7 +121,8 @@
 
     def _arrive(self, now_s: float) -> None:
         self._refresh(now_s)
-        server = self._choose()
+        idempotent = self._random.random() < self._service.idempotent_share
+        server = self._choose(idempotent)
         if now_s >= FAULT_START_S:
             self.asked += self._service.weight
         if self._is_cut(server, now_s):
@@ -141,12 +142,15 @@
         ends_s = now_s + ending.latency_ms / 1000
         self._push(ends_s, "end", server, attempt, ending.result)
         if self._detector.uses_ages:
-            tick_s = now_s + TICK_S
-            while tick_s < ends_s:
-                self._push(tick_s, "tick", server)
-                tick_s += TICK_S
+            self._push_ticks(server, now_s, ends_s)
         self._look(server, now_s)
 
+    def _push_ticks(self, server, now_s, ends_s) -> None:
+        tick_s = now_s + TICK_S
+        while tick_s < ends_s:
+            self._push(tick_s, "tick", server)
+            tick_s += TICK_S
+
     def _end(self, server, attempt, result, now_s) -> None:
         self._detector.ended(server, attempt, result, now_s)
         if now_s < FAULT_START_S:
@@ -156,9 +160,9 @@
         elif self._fault in _ONE_SICK and server == SICK_SERVER:
             self.failed_at_sick += 1
 
-    def _choose(self) -> int:
+    def _choose(self, idempotent: bool) -> int:
         chance = TRIAL_SHARE * len(self._trials) / self._service.servers
-        if self._trials and self._service.idempotent and self._random.random() < chance:
+        if self._trials and idempotent and self._random.random() < chance:
             return self._random.choice(self._trials)
         return self._random.choice(self._usable)
 
