--- a/balsamspindle/cli/ctl_fleet.py
+++ b/balsamspindle/cli/ctl_fleet.py
@@ -95,23 +95,23 @@
 def _explain_service(service: str, nodes: list[str] | None, as_json: bool) -> None:
     if not nodes:
         fail(NO_NODE, ExitStatus.USAGE)
-    known = False
-    for address in nodes:
-        client = AdminClient(address)
-        match client.read(f"/services/{service}/explain", ServiceExplanation):
-            case Result(tag="ok", ok=explanation):
-                known = known or _is_known(explanation)
-                text = (
-                    msgspec.json.encode(explanation).decode()
-                    if as_json
-                    else format_service(explanation)
-                )
-                typer.echo(text)
-            case Result(error=error):
-                _fail_at_node(error)
-    if not known:
+    views = [_read_explanation(address, service) for address in nodes]
+    if not any(map(_is_known, views)):
         message = f"no service {service!r}: see `balsamspindle-ctl status`"
         fail(message, ExitStatus.NOT_FOUND)
+    if as_json:
+        typer.echo(msgspec.json.encode(views).decode())
+    else:
+        typer.echo("\n\n".join(map(format_service, views)))
+
+
+def _read_explanation(address: str, service: str) -> ServiceExplanation:
+    path = f"/services/{service}/explain"
+    match AdminClient(address).read(path, ServiceExplanation):
+        case Result(tag="ok", ok=explanation):
+            return explanation
+        case Result(error=error):
+            _fail_at_node(error)
 
 
 def _is_known(explanation: ServiceExplanation) -> bool:
--- a/balsamspindle/cli/ctl_settings.py
+++ b/balsamspindle/cli/ctl_settings.py
@@ -11,6 +11,7 @@
 from balsamspindle.cli.inputs import STANDARD_INPUT, read_documents, read_json
 from balsamspindle.cli.program import JSON_OPTION, fail, make_app, warn
 from balsamspindle.platform import HttpTableService
+from balsamspindle.settings.documents import RouteDocument, document_type
 from balsamspindle.settings.store import (
     Accepted,
     InvalidSettings,
@@ -81,6 +82,27 @@
     _tell_notes({path: value})
 
 
+@app.command("apply")
+def apply(
+    documents: str = DOCUMENTS_ARGUMENT,
+    platform: str = PLATFORM_OPTION,
+    as_json: bool = JSON_OPTION,
+) -> None:
+    """Write all documents of a file, services first; null removes one.
+
+    Example: balsamspindle-ctl settings apply examples/association/settings.json
+    """
+    wanted = read_documents(documents)
+    store = SettingsStore(HttpTableService(platform))
+    for path in sorted(wanted, key=_is_route):
+        _report(store.put(path, wanted[path]), as_json)
+    _tell_notes(wanted)
+
+
+def _is_route(path: str) -> bool:
+    return document_type(path) is RouteDocument
+
+
 @app.command("remove")
 def remove(
     path: str = PATH_ARGUMENT,
@@ -160,7 +182,8 @@
 
 
 def _tell_notes(documents: dict[str, Any]) -> None:
-    for note in note_documents(_encode(documents)):
+    kept = {path: value for path, value in documents.items() if value is not None}
+    for note in note_documents(_encode(kept)):
         warn(f"{note.path}: {note.message}")
 
 
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -137,10 +137,7 @@
     def _put_settings(self) -> None:
         options = ["--platform", self.platform_address]
         run("ctl", "settings", "validate", str(self.settings_file))
-        # Services first: a route to a service that is not there is refused.
-        for path in sorted(self.documents, key=lambda path: "/routes/" in path):
-            document = json.dumps(self.documents[path])
-            run("ctl", "settings", "set", path, *options, stdin=document)
+        run("ctl", "settings", "apply", str(self.settings_file), *options)
 
     def _start(self, name: str, module: str, arguments: list[str]) -> None:
         log = self._folder / f"{self.name}-{name}.log"
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -129,8 +129,7 @@
 
         def drained_everywhere():
             result = run("explain", "crew/contracts", "--json", *asked)
-            views = [json.loads(line) for line in result.stdout.splitlines()]
-            rows = [view["backend_servers"][0] for view in views]
+            rows = [view["backend_servers"][0] for view in json.loads(result.stdout)]
             return [row["evidence"] for row in rows] == [["it is draining"]] * 2
 
         wait_until(drained_everywhere, "both nodes tell that it drains")
