Ask without waiting whether a caller is gone

Cause: a socket with a timeout waits in recv for data, MSG_DONTWAIT or not. The watch of callers at the own gate asked under its lock: it stood still for the connection's idle timeout (60 s), every request of the node's own gate waited for that lock, and a caller in silence would then be taken for gone.

Found by make demo: GET /contracts had its attempt_ended at once and its request_ended 15 s later, when the client gave up. Ruled out: the gate's lock (released: later attempts were admitted) and the event log.

--- a/balsamspindle/requests/http.py
+++ b/balsamspindle/requests/http.py
@@ -5,6 +5,7 @@
 control characters in the head.
 """
 
+import select
 import socket
 from collections import deque
 from dataclasses import dataclass, field
@@ -87,7 +88,14 @@
         return self._complete.popleft()
 
     def caller_gone(self) -> bool:
-        """Tell whether a readable connection was closed by the caller."""
+        """Tell whether the caller closed the connection; never waits."""
+        # A socket with a timeout waits in recv for data to come, whatever the
+        # flags say: whoever asks would stand still for the idle timeout and
+        # then take a caller that waits for its answer for gone.
+        poller = select.poll()
+        poller.register(self._socket, select.POLLIN)
+        if not poller.poll(0):
+            return False
         try:
             return not self._socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
