--- a/examples/demo.py
+++ b/examples/demo.py
@@ -171,6 +171,8 @@
             connection.request(method, path, body.encode() or None)
             response = connection.getresponse()
             text = response.read()
+        except (OSError, http.client.HTTPException) as error:
+            raise DemoFailed(f"{method} {path} got no answer: {error}") from error
         finally:
             connection.close()
         return Answer(
