Tell operators a node's admin address, where it has one to tell

Cause: at thousands of nodes an operator who drains a backend server does not know beside which node it stands, and ctl could only name that node. A node with admin_advertised_address spreads it in its header, and ctl drain at any node reaches the right one. Trailing optional field, empty by default: 1 byte a header. Small changes in membership/ and wire/member_messages.py.

--- a/balsamspindle/cli/ctl_fleet.py
+++ b/balsamspindle/cli/ctl_fleet.py
@@ -180,12 +180,21 @@
             record.region,
             record.availability_zone,
             record.state,
+            record.admin_address or "-",
             revisions.get(record.node_id, "-"),
             len(record.backend_servers),
         )
         for record in records
     ]
-    header = ("NODE", "REGION", "ZONE", "STATE", "REVISION", "BACKEND SERVERS")
+    header = (
+        "NODE",
+        "REGION",
+        "ZONE",
+        "STATE",
+        "ADMIN ADDRESS",
+        "REVISION",
+        "BACKEND SERVERS",
+    )
     return format_table(header, rows)
 
 
@@ -210,36 +219,36 @@
 
 def _post(backend_server: str, nodes: list[str] | None, action: str) -> None:
     """Ask the node beside a backend server to change its state."""
-    asked = _ask_nodes(nodes)
+    client = _node_beside(backend_server, _ask_nodes(nodes))
+    match client.post(f"/backend-servers/{backend_server}/{action}"):
+        case Result(tag="error", error=error):
+            _fail_at_node(error)
+
+
+def _node_beside(backend_server: str, asked: list[_AskedNode]) -> AdminClient:
+    """Return the node beside a backend server, asked or told by another."""
     for node in asked:
         own = [server.backend_server_id for server in node.status.backend_servers]
         if backend_server in own:
-            path = f"/backend-servers/{backend_server}/{action}"
-            match node.client.post(path):
-                case Result(tag="error", error=error):
-                    _fail_at_node(error)
-            return
-    _fail_elsewhere(backend_server, _newest_records(asked))
-
-
-def _fail_elsewhere(backend_server: str, records: list[NodeRecord]) -> NoReturn:
-    """Say beside which node a backend server stands, if any is known."""
+            return node.client
     places = {
         server.backend_server_id: record
-        for record in records
+        for record in _newest_records(asked)
         for server in record.backend_servers
     }
     record = places.get(backend_server)
-    if record is not None:
+    if record is None:
+        close = difflib.get_close_matches(backend_server, places, 1)
+        hint = f"; did you mean {close[0]!r}?" if close else ""
+        message = f"no backend server {backend_server!r} is known{hint}"
+        fail(message, ExitStatus.NOT_FOUND)
+    if not record.admin_address:
         message = (
             f"{backend_server} stands beside {record.node_id}: give that node's "
             "admin address with --node"
         )
         fail(message, ExitStatus.USAGE)
-    close = difflib.get_close_matches(backend_server, places, 1)
-    hint = f"; did you mean {close[0]!r}?" if close else ""
-    message = f"no backend server {backend_server!r} is known{hint}"
-    fail(message, ExitStatus.NOT_FOUND)
+    return AdminClient(record.admin_address)
 
 
 def _fail_at_node(error: NodeUnreachable | NodeRefused) -> NoReturn:
--- a/balsamspindle/membership/directory.py
+++ b/balsamspindle/membership/directory.py
@@ -65,6 +65,7 @@
             record.link_address,
             record.member_address,
             record.state,
+            record.admin_address,
         )
         with self._lock:
             servers = record.backend_servers + self._missing_in(record)
@@ -286,6 +287,7 @@
         header.link_address,
         header.member_address,
         sys.intern(header.state),
+        admin_address=header.admin_address,
     )
 
 
--- a/balsamspindle/membership/node_view.py
+++ b/balsamspindle/membership/node_view.py
@@ -139,6 +139,7 @@
             record.link_address,
             record.member_address,
             record.state,
+            record.admin_address,
         )
 
     def news(self, above_version: int = 0) -> NodeNews:
--- a/balsamspindle/membership/own_record.py
+++ b/balsamspindle/membership/own_record.py
@@ -130,4 +130,5 @@
             header.link_address,
             header.member_address,
             header.state,
+            admin_address=header.admin_address,
         )
--- a/balsamspindle/settings/process.py
+++ b/balsamspindle/settings/process.py
@@ -58,6 +58,9 @@
     link_advertised_address, member_advertised_address : str, optional
         What other nodes are told, where it differs from the address that
         this process listens on.
+    admin_advertised_address : str, optional
+        Where operators reach the admin address from other VMs; without it
+        they have to name the node's address themselves.
     platform_address : str
         The platform's table service and object store.
     seed_addresses : tuple of str
@@ -77,6 +80,7 @@
     admin_address: Address
     link_advertised_address: Address | None = None
     member_advertised_address: Address | None = None
+    admin_advertised_address: Address | None = None
     platform_address: Address | None = None
     seed_addresses: tuple[Address, ...] = ()
     member_bytes_per_s: Annotated[float, msgspec.Meta(ge=1000)] = 9000.0
@@ -98,6 +102,7 @@
             self.link_advertised_address or self.link_address,
             self.member_advertised_address or self.member_address,
             NODE_ALIVE,
+            admin_address=self.admin_advertised_address or "",
         )
 
 
--- a/balsamspindle/wire/member_messages.py
+++ b/balsamspindle/wire/member_messages.py
@@ -117,6 +117,8 @@
         Rises with each change of the record within an incarnation.
     state : str
         A `NodeState` value.
+    admin_address : str
+        Where operators reach the node; empty when it tells none.
     """
 
     node_id: str
@@ -128,6 +130,7 @@
     member_address: str
     state: str
     backend_servers: tuple[BackendServerRecord, ...] = ()
+    admin_address: str = ""
 
 
 class NodeHeader(msgspec.Struct, array_like=True, frozen=True):
@@ -138,6 +141,7 @@
     link_address: PeerAddress
     member_address: PeerAddress
     state: str
+    admin_address: Annotated[str, msgspec.Meta(max_length=21)] = ""
 
 
 class ServerEntry(NamedTuple):
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -105,7 +105,16 @@
         fleet.put_settings(
             {"crew/services/contracts": {}, "crew/routes/read": ROUTE},
         )
-        nodes = [fleet.start_node(f"node-{n}", f"zone-{n}") for n in range(2)]
+        told = free_address()
+        nodes = [
+            fleet.start_node("node-0", "zone-0"),
+            fleet.start_node(
+                "node-1",
+                "zone-1",
+                admin_address=told,
+                admin_advertised_address=told,
+            ),
+        ]
         for number, node in enumerate(nodes):
             fleet.start_backend(f"contract-{number}", "crew/contracts", node)
         fleet.wait_ready(nodes, ["contract-0", "contract-1"], revision=2)
@@ -138,6 +147,9 @@
         result = run("status", *asked)
         self.assertRegex(result.stdout, r"crew/contracts +2 +1 +0 +12\n")
 
+        only_first = ("--node", nodes[0].admin_address)
+        result = run("drain", "contract-1", *only_first)
+        self.assertEqual(ExitStatus.DONE, result.exit_code, result.output)
         run("undrain", "contract-0", *asked)
         wait_until(
             lambda: (
