--- a/Makefile
+++ b/Makefile
@@ -26,5 +26,12 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 
+# Timed figures of this machine; each module of bench/ says what it measures.
+BENCHES := latency
+
+bench: setup
+	@set -e; for name in $(BENCHES); do \
+	    echo "== bench.$$name"; $(BIN)/python -m bench.$$name; done
+
 clean:
 	rm -rf .venv
