Tell a backend server's owner what is wrong with its announcement

A name of another alphabet is refused, all faults are listed, and a service that no settings define is noted in the answer and in the log: a typo showed only as a backend server without requests.

--- a/balsamspindle/cli/ctl_fleet.py
+++ b/balsamspindle/cli/ctl_fleet.py
@@ -5,6 +5,7 @@
 from collections import defaultdict
 from pathlib import Path
 from typing import NamedTuple, NoReturn
+from urllib.parse import quote
 
 import msgspec
 import typer
@@ -220,7 +221,7 @@
 def _post(backend_server: str, nodes: list[str] | None, action: str) -> None:
     """Ask the node beside a backend server to change its state."""
     client = _node_beside(backend_server, _ask_nodes(nodes))
-    match client.post(f"/backend-servers/{backend_server}/{action}"):
+    match client.post(f"/backend-servers/{quote(backend_server)}/{action}"):
         case Result(tag="error", error=error):
             _fail_at_node(error)
 
--- a/balsamspindle/node/admin.py
+++ b/balsamspindle/node/admin.py
@@ -15,13 +15,14 @@
 from collections.abc import Callable
 
 import msgspec
-from werkzeug.exceptions import HTTPException, NotFound
+from werkzeug.exceptions import BadRequest, HTTPException, NotFound
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
 
 from balsamspindle.backend_servers.servers import Announcement, LocalBackendServers
 from balsamspindle.node.status import NodeStatus
 from balsamspindle.services.explanation import ServiceExplanation
+from balsamspindle.settings.documents import NAME_PATTERN
 from balsamspindle.settings.validation import struct_faults
 from balsamspindle.timeline import EventLog
 
@@ -82,16 +83,27 @@
         try:
             announcement = msgspec.json.decode(body, type=Announcement)
         except msgspec.MsgspecError:
-            faults = [*struct_faults(server_id, body, Announcement)]
-            return _json({"error": "; ".join(map(str, faults))}, 400)
-        if self._servers.announce(server_id, announcement, time.monotonic()):
-            self._event_log.emit(
-                "backend_server_announced",
-                backend_server=server_id,
-                service=announcement.service,
-                boot_id=announcement.boot_id,
-            )
-        return _json({})
+            faults = struct_faults(server_id, body, Announcement)
+            raise BadRequest("; ".join(map(str, faults))) from None
+        if not NAME_PATTERN.match(server_id):
+            raise BadRequest(f"{server_id!r} is no name: use a-z, 0-9, '.' and '-'")
+        if not self._servers.announce(server_id, announcement, time.monotonic()):
+            return _json({})
+        self._event_log.emit(
+            "backend_server_announced",
+            backend_server=server_id,
+            service=announcement.service,
+            boot_id=announcement.boot_id,
+        )
+        if self._explain(announcement.service).is_defined:
+            return _json({})
+        # Else a typo in the service's name would show as a backend server
+        # that announces itself well and never gets a request.
+        note = f"no settings in force define the service {announcement.service!r}"
+        self._event_log.emit(
+            "backend_server_without_service", backend_server=server_id, cause=note
+        )
+        return _json({"note": note})
 
     def _drain(self, request, server_id):
         if not self._servers.drain(server_id):
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -11,6 +11,7 @@
     Fleet,
     PlatformInProcess,
     call,
+    encode,
     free_address,
     try_call,
     wait_until,
@@ -118,6 +119,7 @@
         for number, node in enumerate(nodes):
             fleet.start_backend(f"contract-{number}", "crew/contracts", node)
         fleet.wait_ready(nodes, ["contract-0", "contract-1"], revision=2)
+        self.check_announcements(nodes[0])
         asked = [option for n in nodes for option in ("--node", n.admin_address)]
 
         only_second = ("--node", nodes[1].admin_address)
@@ -158,3 +160,17 @@
             ),
             "contract-0 takes work again",
         )
+
+    def check_announcements(self, node):
+        """A wrong announcement is told all its faults; a typo in the service's
+        name is told at the first one, since nothing else would show it.
+        """
+        path = "/backend-servers/typo"
+        body = {"service": "crew/contract", "slots": 0, "boot_id": "1"}
+        refused = call(node.admin_address, path, "PUT", encode(body))
+        self.assertEqual(400, refused.status)
+        self.assertIn("slots: expected a whole number", refused.json()["error"])
+        self.assertIn("address: missing", refused.json()["error"])
+        body = {**body, "slots": 1, "address": "127.0.0.1:1"}
+        noted = call(node.admin_address, path, "PUT", encode(body))
+        self.assertIn("no settings in force define", noted.json()["note"])
