--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -11,6 +11,7 @@
     Fleet,
     PlatformInProcess,
     call,
+    encode,
     free_address,
     try_call,
     wait_until,
@@ -105,10 +106,20 @@
         fleet.put_settings(
             {"crew/services/contracts": {}, "crew/routes/read": ROUTE},
         )
-        nodes = [fleet.start_node(f"node-{n}", f"zone-{n}") for n in range(2)]
+        told = free_address()
+        nodes = [
+            fleet.start_node("node-0", "zone-0"),
+            fleet.start_node(
+                "node-1",
+                "zone-1",
+                admin_address=told,
+                admin_advertised_address=told,
+            ),
+        ]
         for number, node in enumerate(nodes):
             fleet.start_backend(f"contract-{number}", "crew/contracts", node)
         fleet.wait_ready(nodes, ["contract-0", "contract-1"], revision=2)
+        self.check_announcements(nodes[0])
         asked = [option for n in nodes for option in ("--node", n.admin_address)]
 
         only_second = ("--node", nodes[1].admin_address)
@@ -129,8 +140,7 @@
 
         def drained_everywhere():
             result = run("explain", "crew/contracts", "--json", *asked)
-            views = [json.loads(line) for line in result.stdout.splitlines()]
-            rows = [view["backend_servers"][0] for view in views]
+            rows = [view["backend_servers"][0] for view in json.loads(result.stdout)]
             return [row["evidence"] for row in rows] == [["it is draining"]] * 2
 
         wait_until(drained_everywhere, "both nodes tell that it drains")
@@ -139,6 +149,9 @@
         result = run("status", *asked)
         self.assertRegex(result.stdout, r"crew/contracts +2 +1 +0 +12\n")
 
+        only_first = ("--node", nodes[0].admin_address)
+        result = run("drain", "contract-1", *only_first)
+        self.assertEqual(ExitStatus.DONE, result.exit_code, result.output)
         run("undrain", "contract-0", *asked)
         wait_until(
             lambda: (
@@ -147,3 +160,17 @@
             ),
             "contract-0 takes work again",
         )
+
+    def check_announcements(self, node):
+        """A wrong announcement is told all its faults; a typo in the service's
+        name is told at the first one, since nothing else would show it.
+        """
+        path = "/backend-servers/typo"
+        body = {"service": "crew/contract", "slots": 0, "boot_id": "1"}
+        refused = call(node.admin_address, path, "PUT", encode(body))
+        self.assertEqual(400, refused.status)
+        self.assertIn("slots: expected a whole number", refused.json()["error"])
+        self.assertIn("address: missing", refused.json()["error"])
+        body = {**body, "slots": 1, "address": "127.0.0.1:1"}
+        noted = call(node.admin_address, path, "PUT", encode(body))
+        self.assertIn("no settings in force define", noted.json()["note"])
