--- a/balsamspindle/requests/claims.py
+++ b/balsamspindle/requests/claims.py
@@ -167,8 +167,22 @@
         self._deadline_s = deadline_s
         self._claim: Claim | None = None
         self._is_void = False
+        self._is_unclaimed = False
         self._unavailable = False
 
+    def look_up(self) -> None:
+        """Read the key's claim, for a request that has nowhere to go.
+
+        The gate that holds the claim can still tell what it ran.
+        """
+        if self._claim is not None or self._unavailable:
+            return
+        match self._book.read(self._key, self._deadline_s):
+            case Result(tag="ok", ok=claim):
+                self._claim, self._is_unclaimed = claim, claim is None
+            case _:
+                self._unavailable = True
+
     def owner(self) -> str | None:
         """Return the id of the node that the attempt has to go to, if known."""
         if self._claim is None or self._is_void:
@@ -210,18 +224,12 @@
         """
         if reply.outcome is not Outcome.NOT_RUN or reply.reason is Reason.KEY_REUSED:
             return reply
-        if self._is_void or (self._claim is None and self._is_unclaimed()):
+        if self._claim is None:
+            self.look_up()
+        if self._is_void or (self._claim is None and self._is_unclaimed):
             return reply
         reason = reply.reason
         if reason is Reason.CLAIM_MOVED:
             # The gate that holds the claim can't be asked.
             reason = Reason.DUPLICATE
         return msgspec.structs.replace(reply, outcome=Outcome.UNKNOWN, reason=reason)
-
-    def _is_unclaimed(self) -> bool:
-        if self._unavailable:
-            return False
-        match self._book.read(self._key, self._deadline_s):
-            case Result(tag="ok", ok=None):
-                return True
-        return False
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -115,10 +115,17 @@
         return AttemptId(self._own.node_id, self._own.incarnation, next(self._sequence))
 
     def _pick(self, forwarded: ForwardedRequest) -> Placement | None:
-        owner = forwarded.claimant and forwarded.claimant.owner()
-        if owner is not None:
-            return self._picker.at_node(owner, forwarded.route.service)
-        now_s = time.monotonic()
+        claimant = forwarded.claimant
+        if claimant is not None and claimant.owner() is not None:
+            return self._picker.at_node(claimant.owner(), forwarded.route.service)
+        placement = self._pick_any(forwarded, time.monotonic())
+        if placement is None and claimant is not None:
+            claimant.look_up()
+            if claimant.owner() is not None:
+                return self._picker.at_node(claimant.owner(), forwarded.route.service)
+        return placement
+
+    def _pick_any(self, forwarded: ForwardedRequest, now_s: float) -> Placement | None:
         with self._random_lock:
             return self._picker.pick(
                 forwarded.route.service,
--- a/balsamspindle/standins/backend_server.py
+++ b/balsamspindle/standins/backend_server.py
@@ -3,11 +3,12 @@
 It announces itself to the node beside it, counts how often it ran each
 request, and answers with what it was asked, so that a test can tell whose
 answer it holds. ``POST /faults`` sets its fault, ``GET /runs`` tells its
-counts.
+counts; each run with a run key is also a line on standard error.
 """
 
 import json
 import socket
+import sys
 import threading
 import time
 from collections import Counter
@@ -118,6 +119,10 @@
             self._send(503, b'{"shed": true}')
             return
         key = self.headers.get(RUN_KEY_HEADER)
+        if key:
+            # Written at once and outside this process: a count in memory is
+            # gone when the process is killed.
+            print(f"event=run run_key={key}", file=sys.stderr, flush=True)
         with self.server.lock:
             if key:
                 self.server.runs[key] += 1
