Let a burst find warm links when the fault strikes

The burst before dispatch opened new links, saw that the frozen gate did not answer, and never waited in its kernel buffer.

--- a/tests/at_most_once_utils.py
+++ b/tests/at_most_once_utils.py
@@ -209,19 +209,22 @@
     def __init__(self, fleet: ScheduleFleet) -> None:
         self._fleet = fleet
         self._lock = threading.Lock()
+        self._bursts: dict[str, list[str]] = {}
         self._told: dict[str, str] = {}
         self._answers: dict[str, bytes] = {}
         self.executor = ThreadPoolExecutor(8 * BURST)
         self.outcomes: dict[str, Counter] = {}
 
-    def begin(self, name: str) -> list:
+    def begin(self, name: str, size: int = BURST) -> list:
         """Send a burst through ingress i; return the pending answers."""
-        keys = [f"{name}/{number}" for number in range(BURST)]
-        return [self.executor.submit(self._send, key, "i") for key in keys]
+        self._bursts[name] = [f"{name}/{number}" for number in range(size)]
+        return [
+            self.executor.submit(self._send, key, "i") for key in self._bursts[name]
+        ]
 
     def resend(self, name: str, ingress: str) -> list:
         """Send those with an Idempotency-Key again; return what is pending."""
-        keys = [f"{name}/{number}" for number in range(0, BURST, 2)]
+        keys = self._bursts[name][::2]
         return [self.executor.submit(self._send, key, ingress) for key in keys]
 
     def reach_gate_a(self) -> bool:
@@ -237,9 +240,7 @@
     def wait_running(self, name: str) -> None:
         """Wait until one of a burst runs at a backend server."""
         wait_until(
-            lambda: any(
-                self._fleet.runs(f"{name}/{number}") for number in range(BURST)
-            ),
+            lambda: any(map(self._fleet.runs, self._bursts[name])),
             f"{name} runs",
         )
 
@@ -249,8 +250,7 @@
 
     def check(self, name: str) -> None:
         """Check all that was told of a burst against what ran."""
-        for number in range(BURST):
-            key = f"{name}/{number}"
+        for key in self._bursts[name]:
             runs = self._fleet.runs(key)
             assert runs <= 1, f"{key} ran {runs} times"
             assert not (runs and self._told.get(key) == "not_run"), (
@@ -309,7 +309,9 @@
         requests = self.requests
         bursts = {moment: f"{name}/{moment}" for moment in MOMENTS}
         wait_until(requests.reach_gate_a, "ingress i turns to gate a")
-        _results(requests.begin(bursts["after"]))
+        # Twice the others, so that the burst before dispatch finds idle links
+        # that were heard just now and sends into whatever became of them.
+        _results(requests.begin(bursts["after"], 2 * BURST))
         pending = requests.begin(bursts["during"])
         requests.wait_running(bursts["during"])
         fault.strike()
