--- /dev/null
+++ b/tests/test_caller_gone.py
@@ -0,0 +1,81 @@
+"""A caller that leaves: its backend server hears so, near and far."""
+
+import json
+import socket
+
+from testtools import TestCase
+
+from tests.raw_server import RawServer, length_answer
+from tests.utils import Fleet, call, wait_until
+
+SERVICE = "crew/contracts"
+SETTINGS = {
+    "crew/services/contracts": {},
+    "crew/routes/sign": {
+        "service": SERVICE,
+        "execution": "non_idempotent",
+        "methods": ["POST"],
+        # No deadline helps: what ends the call is the caller's leaving.
+        "timeout_ms": 600_000,
+    },
+}
+
+
+class CallerGoneTests(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.__exit__)
+        self.fleet.start_platform()
+        self.fleet.put_settings(SETTINGS)
+        self.gate = self.fleet.start_node("gate", "zone-1")
+        self.ingress = self.fleet.start_node("ingress", "zone-2")
+        self.server = RawServer(self._answer)
+        self.addCleanup(self.server.close)
+        self.fleet.wait_ready([self.gate, self.ingress], [])
+        self._announce()
+        self.fleet.wait_ready([self.gate, self.ingress], ["contract"])
+
+    def _answer(self, number):
+        """Answer probes; let a signature wait until its connection ends."""
+        if self.server.requests[number - 1].startswith(b"GET"):
+            return length_answer(b"{}"), False
+        return None, False
+
+    def _signatures(self) -> int:
+        return sum(request.startswith(b"POST") for request in self.server.requests)
+
+    def _announce(self):
+        announcement = {
+            "service": SERVICE,
+            "address": self.server.address,
+            "slots": 6,
+            "boot_id": "1",
+        }
+        call(
+            self.gate.admin_address,
+            "/backend-servers/contract",
+            "PUT",
+            json.dumps(announcement).encode(),
+        )
+
+    def test_the_backend_servers_connection_ends_when_the_caller_leaves(self):
+        # The caller closes while its signature is at the backend server. At
+        # the node of that backend server no thread is left to look at the
+        # caller; at another node the news has to go over a link.
+        for number, node in enumerate((self.gate, self.ingress), 1):
+            host, _, port = node.caller_address.partition(":")
+            with socket.create_connection((host, int(port))) as caller:
+                caller.sendall(
+                    b"POST /sign HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
+                )
+                wait_until(
+                    lambda number=number: self._signatures() == number,
+                    "the backend server has the request",
+                )
+                self._announce()
+                self.assertEqual(number - 1, len(self.server.closed_s))
+            wait_until(
+                lambda number=number: len(self.server.closed_s) == number,
+                f"the connection ends, caller at {node.settings['node_id']}",
+            )
