Say 'unknown' when an earlier attempt of a refused request may have run

An idempotent request that was lost at one backend server and then refused by the next was told 'not run': the last attempt's outcome stood for all. Seen failing first (not_run for a request whose first attempt ended as unknown).

--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -43,6 +43,8 @@
         On the monotonic clock.
     tried : set of str
         Backend servers that had an attempt.
+    may_have_run : bool
+        An attempt ended as unknown.
     """
 
     request_id: str
@@ -53,6 +55,7 @@
     idempotency_key: str | None = None
     claimant: KeyClaimant | None = None
     tried: set[str] = field(default_factory=set)
+    may_have_run: bool = False
 
 
 class Forwarder:
@@ -87,6 +90,9 @@
         reply = self._make_attempts(forwarded)
         if forwarded.claimant is not None:
             reply = forwarded.claimant.final(reply)
+        if reply.outcome is Outcome.NOT_RUN and forwarded.may_have_run:
+            # The last attempt did not run; an earlier one may have.
+            return msgspec.structs.replace(reply, outcome=Outcome.UNKNOWN)
         return reply
 
     def _claimant(self, forwarded: ForwardedRequest) -> KeyClaimant | None:
@@ -143,6 +149,7 @@
             reply = self._attempt_here(forwarded, dispatch)
         else:
             reply = self._attempt_over_link(forwarded, placement, dispatch)
+        forwarded.may_have_run |= reply.outcome is Outcome.UNKNOWN
         self._free_slots.note(server_id, reply.free_slots, time.monotonic())
         return reply
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -62,12 +62,15 @@
 class Ingress:
     """The ingress's side of one node, with one peer in its directory."""
 
-    def __init__(self, gate_address: str) -> None:
+    def __init__(self, gate_address: str, servers_count: int = 1) -> None:
         self.events = io.StringIO()
         events = EventLog("own", 1, HybridClock(), self.events)
         directory = Directory()
-        server = BackendServerRecord("server", ROUTE.service, "1", 1000, "ready")
-        peer = NodeRecord("gate", 1, 1, "r", "z", gate_address, "-", "alive", (server,))
+        servers = tuple(
+            BackendServerRecord(f"server-{number}", ROUTE.service, "1", 1000, "ready")
+            for number in range(servers_count)
+        )
+        peer = NodeRecord("gate", 1, 1, "r", "z", gate_address, "-", "alive", servers)
         directory.update(peer, 0.0)
         self.links = LinkPool(zmq.Context.instance(), events)
         picker = Picker(OWN, directory, CurrentConfiguration())
@@ -98,8 +101,8 @@
         self.addCleanup(gate.close)
         return gate, address
 
-    def _ingress(self, address):
-        ingress = Ingress(address)
+    def _ingress(self, address, servers_count=1):
+        ingress = Ingress(address, servers_count)
         self.addCleanup(ingress.links.close)
         return ingress
 
@@ -251,6 +254,21 @@
         self.assertEqual(dispatch.attempt_id, cancel.attempt_id)
         self.assertEqual(dispatch.gate_deadline_s, cancel.gate_deadline_s)
 
+    def test_not_run_after_an_attempt_that_may_have_run_is_unknown(self):
+        # An idempotent request is lost at one backend server and refused at
+        # the next. The last reply says 'not run', of its own attempt only.
+        ends = [Outcome.UNKNOWN, Outcome.NOT_RUN]
+
+        def answer(dispatch):
+            outcome = ends[len(gate.dispatches) - 1]
+            return [(0, answer_frame(dispatch, outcome=outcome))]
+
+        gate, address = self._gate(answer)
+        ingress = self._ingress(address, servers_count=2)
+        reply = ingress.request(execution=Execution.IDEMPOTENT)
+        self.assertEqual(2, len(gate.dispatches))
+        self.assertEqual(Outcome.UNKNOWN, reply.outcome)
+
     def test_a_deadline_on_the_gates_clock_is_never_late(self):
         # Seeded clocks that start apart and drift, messages that take their
         # time: the deadline given to the gate is never after the true one.
