Send the target as it is, not as a part of a URL

In a URL '@host' chose another host (seen: the other server got the request), and '#' cut the rest off. llhttp refuses '@' at the start for callers, so this was a second line only; '#' and absolute targets came through. A target with a byte above 127 raised inside the gate. The new test failed on that before.

--- a/balsamspindle/backend_servers/client.py
+++ b/balsamspindle/backend_servers/client.py
@@ -62,7 +62,9 @@
             AnswerReader(self._answer_body_max_bytes),
         )
         handle = self._pool.take(address, execution)
-        handle.curl.setopt(pycurl.URL, f"http://{address}{target}")
+        handle.curl.setopt(pycurl.URL, f"http://{address}/")
+        # Not a part of the URL: there `@` in it would choose another host.
+        handle.curl.setopt(pycurl.REQUEST_TARGET, target.encode("latin-1"))
         handle.curl.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_ms)))
         handle.curl.setopt(
             pycurl.HTTPHEADER, [*_header_lines(headers), "Expect:", "Accept-Encoding:"]
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -155,6 +155,19 @@
         self.assertNotIn(b"X-Mine", server.requests[0])
         self.assertIn(b"X-Too: 2", server.requests[0])
 
+    def test_a_target_goes_out_as_it_is_and_never_chooses_the_host(self):
+        # Put into a URL, `@` makes the backend server's address a user name
+        # and what follows the host, dots are folded and `#` cuts the rest.
+        server = self._server(lambda number: (WHOLE, True))
+        other = self._server(lambda number: (WHOLE, True))
+        targets = [f"@{other.address}/", "/a/../b/./c?x=1#y", "//a", "*", "/\xe9"]
+        for target in targets:
+            for execution in Execution:
+                self._call(server.address, execution, target=target)
+        self.assertEqual([], other.requests)
+        sent = [request.split(b" ")[1].decode("latin-1") for request in server.requests]
+        self.assertEqual([target for target in targets for _ in Execution], sent)
+
     def test_nothing_sent_is_said_only_before_a_connection_is_up(self):
         refused = self._call(free_address())
         self.assertEqual((Reason.UNREACHABLE, False), refused[:2])
