--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	$(BIN)/ruff check .
 
 # Timed figures of this machine; each module of bench/ says what it measures.
-BENCHES := latency
+BENCHES := latency claims
 
 bench: setup
 	@set -e; for name in $(BENCHES); do \
