--- /dev/null
+++ b/tests/test_closing.py
@@ -0,0 +1,87 @@
+"""The end of a listener and of a connection, on plain sockets."""
+
+import socket
+import threading
+
+from testtools import TestCase
+
+from balsamspindle.requests.closing import close_listener, close_politely
+
+REQUEST = b"GET / HTTP/1.1\r\n\r\n"
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+CALLERS = 8
+
+
+def serve(connection: socket.socket) -> None:
+    """Answer one request and close."""
+    connection.recv(len(REQUEST))
+    connection.sendall(ANSWER)
+    close_politely(connection)
+
+
+class ClosingTests(TestCase):
+    def test_connections_that_wait_in_the_backlog_are_served(self):
+        # The caller's connection is made and its request sent, but nobody
+        # has accepted it when the listener closes. A plain close resets it.
+        listener = socket.create_server(("127.0.0.1", 0), backlog=CALLERS)
+        callers = [
+            socket.create_connection(listener.getsockname(), 5) for _ in range(CALLERS)
+        ]
+        for caller in callers:
+            caller.sendall(REQUEST)
+            self.addCleanup(caller.close)
+        close_listener(
+            listener, lambda taken: threading.Thread(target=serve, args=[taken]).start()
+        )
+        self.assertEqual([ANSWER] * CALLERS, [caller.recv(100) for caller in callers])
+
+    def test_callers_that_come_during_the_close_are_served_or_refused(self):
+        # Callers connect one after the other, as fast as they can, while the
+        # listener closes. Each is either answered or not let in at all; a
+        # reset after it has sent its request would leave it in doubt.
+        listener = socket.create_server(("127.0.0.1", 0), backlog=512)
+        address = listener.getsockname()
+        faults, answered = [], []
+
+        def call_until_refused():
+            while True:
+                try:
+                    caller = socket.create_connection(address, 10)
+                except ConnectionRefusedError:
+                    return
+                try:
+                    with caller:
+                        caller.sendall(REQUEST)
+                        answered.append(caller.recv(100) == ANSWER)
+                except OSError as error:
+                    faults.append(error)
+
+        callers = [threading.Thread(target=call_until_refused) for _ in range(CALLERS)]
+        for caller in callers:
+            caller.start()
+        for _ in range(100):
+            serve(listener.accept()[0])
+        close_listener(listener, serve)
+        for caller in callers:
+            caller.join()
+        self.assertEqual([], faults)
+        self.assertTrue(all(answered))
+        self.assertGreaterEqual(len(answered), 100)
+
+    def test_an_answer_survives_bytes_that_nobody_read(self):
+        # A request crosses the last answer. A plain close with unread bytes
+        # resets the connection and the answer is thrown away.
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        caller = socket.create_connection(listener.getsockname(), 5)
+        self.addCleanup(caller.close)
+        connection, _ = listener.accept()
+        caller.sendall(REQUEST)
+        connection.sendall(ANSWER)
+        closing = threading.Thread(target=close_politely, args=[connection])
+        closing.start()
+        self.assertEqual(ANSWER, caller.recv(100))
+        caller.sendall(REQUEST)
+        self.assertEqual(b"", caller.recv(100))
+        caller.close()
+        closing.join()
