Leave without cutting a request: nodes and backend servers

Cause: a node closed its listener and links at once, dropped replies that were still queued, took callers before it knew a backend server, and was held by idle connections (60 s) and by hanging work; the stand-in backend server ended with work in it. Now: the news first, answers with Connection: close, the listener in order, idle connections end with 408 (not_run), the gate last, replies flushed, a bound (shutdown_timeout_s) with unknown for what is left. The link server refuses (no_free_slot) what its workers can't take. Ruled out: ending idle connections without an answer (a request that crosses it is in doubt); shutting the receiving side to wake their tasks (the kernel then resets on bytes that cross).

--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -82,6 +82,10 @@
             self._attempts.cancel_all()
             self._servers.changed.notify_all()
 
+    def refuse_busy(self, dispatch: Dispatch) -> Reply:
+        """Refuse an attempt that there is no worker for."""
+        return self._refuse(dispatch, Reason.NO_FREE_SLOT, _unseen(dispatch))
+
     def in_flight(self) -> int:
         """Return the attempts dispatched and not yet ended."""
         with self._servers.changed:
--- a/balsamspindle/backend_servers/link_server.py
+++ b/balsamspindle/backend_servers/link_server.py
@@ -29,6 +29,9 @@
 DRAIN_MAX = 1000
 STOP_TIMEOUT_S = 5.0
 LINGER_MS = 2000
+# As many as the executor has threads: one more would wait in the executor's
+# queue, which has no end and knows no deadline.
+WAITING_MAX = 256
 
 
 class LinkServer:
@@ -117,8 +120,7 @@
                 case Result(error=error):
                     self._events.emit("message_dropped", cause=error.message)
         for peer, dispatch in dispatches:
-            self._waiting += 1
-            self._executor.submit(self._run, peer, dispatch, received_s)
+            self._start(peer, dispatch, received_s)
 
     def _take(self, peer: bytes, message: LinkMessage) -> None:
         match message:
@@ -132,6 +134,14 @@
             case _:
                 self._events.emit("message_dropped", cause="not for a gate")
 
+    def _start(self, peer: bytes, dispatch: Dispatch, received_s: float) -> None:
+        if self._waiting >= WAITING_MAX:
+            refusal = self._gate.refuse_busy(dispatch)
+            self._router.send_multipart([peer, encode(refusal)])
+            return
+        self._waiting += 1
+        self._executor.submit(self._run, peer, dispatch, received_s)
+
     def _run(self, peer: bytes, dispatch: Dispatch, received_s: float) -> None:
         frames = [peer]
         try:
--- a/balsamspindle/cli/standin_backend.py
+++ b/balsamspindle/cli/standin_backend.py
@@ -1,6 +1,7 @@
 """``balsamspindle-standin-backend``: a backend server with fault switches."""
 
 import threading
+import time
 import uuid
 
 import typer
@@ -13,6 +14,10 @@
 )
 from balsamspindle.standins.backend_server import Announcer, StandinBackendServer
 
+FINISH_TIMEOUT_S = 30.0
+QUIET_S = 0.5
+POLL_S = 0.02
+
 app = make_app("Run a stand-in backend server (tests and the demo only).")
 
 
@@ -44,12 +49,27 @@
 
     def leave() -> None:
         announcer.leave()
+        _finish_work(server)
         server.shutdown()
 
     stop_on_signals(lambda: threading.Thread(target=leave).start())
     server.serve_forever(poll_interval=0.05)
 
 
+def _finish_work(server: StandinBackendServer) -> None:
+    """Wait until nothing was running for a while.
+
+    An attempt that the gate admitted just before the drain may still be on
+    its way here.
+    """
+    give_up_s = time.monotonic() + FINISH_TIMEOUT_S
+    quiet_since_s = time.monotonic()
+    while quiet_since_s + QUIET_S > time.monotonic() < give_up_s:
+        time.sleep(POLL_S)
+        if server.running:
+            quiet_since_s = time.monotonic()
+
+
 def main() -> None:
     """Run the program."""
     app()
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
 import zmq
@@ -34,7 +35,12 @@
 GATE_WORKERS_MAX = 256
 HOUSEKEEPING_INTERVAL_S = 1.0
 LEAVE_NOTICE_S = 1.0
-DRAIN_POLL_S = 0.05
+# The gate refuses at the latest this long after the listener was told to stop.
+GATE_OPEN_S = 2.0
+LINK_TAIL_S = 0.5
+LAST_ANSWERS_S = 3.0
+DRAIN_POLL_S = 0.02
+FLUSH_MS = 1000
 _DEFAULT_SERVICE = ServiceDocument()
 
 
@@ -85,17 +91,18 @@
         self._links = LinkPool(self._context, self.events)
         self._picker = Picker(own, self._directory, self._configuration)
         self._connections = ThreadPoolExecutor(settings.connections_max, "caller")
+        self._forwarder = Forwarder(
+            own,
+            self._picker,
+            self._gate,
+            self._links,
+            self.events,
+            self._make_claim_book(),
+        )
         self._ingress = Ingress(
             settings,
             self._configuration,
-            Forwarder(
-                own,
-                self._picker,
-                self._gate,
-                self._links,
-                self.events,
-                self._make_claim_book(),
-            ),
+            self._forwarder,
             self._connections,
             self.events,
         )
@@ -118,7 +125,7 @@
         tasks = [
             self._member.run,
             self._link_server.run,
-            self._ingress.run,
+            lambda: self._ingress.run(self._ready),
             self._admin.serve_forever,
             *self._settings_tasks.tasks(),
             self._health.run,
@@ -131,6 +138,15 @@
             while not self._stop_asked.wait(HOUSEKEEPING_INTERVAL_S):
                 self._remove_silent_backend_servers()
             self._shut_down()
+        # Sends what the closed links still hold, for a bounded time.
+        self._context.destroy(linger=FLUSH_MS)
+
+    def _ready(self) -> bool:
+        """Tell whether settings are in force and each service has a place."""
+        configuration = self._configuration.get()
+        if configuration is None:
+            return False
+        return all(map(self._directory.placements, configuration.services))
 
     def _guard(self, task) -> None:
         """Run a task; a fault in it ends the process, never half of it."""
@@ -146,29 +162,63 @@
             self.events.emit("backend_server_silent", backend_server=server_id)
 
     def _shut_down(self) -> None:
-        """Leave without cutting a request in flight."""
+        """Leave without cutting a request in flight.
+
+        The news goes first, so that peers and callers turn to other nodes
+        while this one still serves. The gate closes only after this node's
+        own callers have their answers: when the whole fleet leaves at once,
+        each ingress still needs the gates for its last requests.
+        """
         self.events.emit("node_leaving")
+        give_up_s = time.monotonic() + self._settings.shutdown_timeout_s
         self._member.leave()
-        self._gate.leave()
+        self._ingress.leave()
         time.sleep(LEAVE_NOTICE_S)
         self._ingress.stop()
-        self._wait_for_requests()
-        self._connections.shutdown(wait=False, cancel_futures=True)
+        _wait_until(self._ingress.ended, time.monotonic() + GATE_OPEN_S)
+        self._gate.leave()
+        if not _wait_until(self._idle, give_up_s):
+            self._give_up()
+        # A peer that has not heard yet gets a refusal, which proves that its
+        # attempt was not run, in place of silence.
+        time.sleep(LINK_TAIL_S)
+        self._end_tasks()
+        self.events.emit("node_stopped")
+
+    def _idle(self) -> bool:
+        return (
+            self._ingress.ended()
+            and not self._gate.in_flight()
+            and not self._link_server.pending()
+        )
+
+    def _give_up(self) -> None:
+        """Answer what is still in flight with what is known: nothing.
+
+        A backend server that hangs or is frozen would hold the shutdown for
+        as long as its callers' deadlines allow.
+        """
+        self.events.emit(
+            "shutdown_timeout",
+            attempts=self._gate.in_flight(),
+            replies=self._link_server.pending(),
+        )
+        self._gate.give_up()
+        self._forwarder.give_up()
+        _wait_until(self._idle, time.monotonic() + LAST_ANSWERS_S)
+        # What is left are connections whose callers do not read.
+        self._ingress.cut()
+
+    def _end_tasks(self) -> None:
+        """End all tasks and threads; none may keep the process alive."""
         self._settings_tasks.stop()
         self._member.stop()
         self._link_server.stop()
         self._admin.shutdown()
         self._health.stop()
         self._prober.stop()
-        self.events.emit("node_stopped")
-
-    def _wait_for_requests(self) -> None:
-        give_up_s = time.monotonic() + self._settings.shutdown_timeout_s
-        while time.monotonic() < give_up_s:
-            if not self._gate.in_flight() and not self._ingress.in_flight():
-                return
-            time.sleep(DRAIN_POLL_S)
-        self.events.emit("shutdown_timeout")
+        self._connections.shutdown(wait=False)
+        self._gate_executor.shutdown(wait=False)
 
     def _make_admin_server(self) -> AdminServer:
         application = AdminApplication(
@@ -199,6 +249,7 @@
             self._directory.records(),
             [server.record() for server in self._servers.all()],
             self._settings_tasks.status(),
+            self._ingress.accepting(),
         )
 
     def _explain_service(self, service: str) -> ServiceExplanation:
@@ -212,3 +263,12 @@
             self._picker.explain(service),
             self._health.reports(time.monotonic()),
         )
+
+
+def _wait_until(condition: Callable[[], bool], give_up_s: float) -> bool:
+    """Wait for a condition; return whether it came true in time."""
+    while not condition():
+        if time.monotonic() >= give_up_s:
+            return False
+        time.sleep(DRAIN_POLL_S)
+    return True
--- a/balsamspindle/node/status.py
+++ b/balsamspindle/node/status.py
@@ -41,6 +41,8 @@
         All nodes that it knows, itself included.
     backend_servers : list of BackendServerRecord
         Those that stand beside it.
+    accepting : bool
+        Whether callers can connect.
     """
 
     node_id: str
@@ -49,3 +51,4 @@
     nodes: list[NodeRecord]
     backend_servers: list[BackendServerRecord]
     settings: SettingsStatus | None = None
+    accepting: bool = True
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -78,6 +78,11 @@
         self._sequence = itertools.count(1)
         self._random = random.Random(f"{own.node_id}/{own.incarnation}")
         self._random_lock = threading.Lock()
+        self._given_up = threading.Event()
+
+    def give_up(self) -> None:
+        """End the waiting requests with what is known of them."""
+        self._given_up.set()
 
     def forward(self, forwarded: ForwardedRequest) -> Reply:
         """Make attempts until one answers or no other is allowed."""
@@ -104,6 +109,8 @@
             if placement is None:
                 return reply
             reply = self._attempt(forwarded, placement)
+            if self._given_up.is_set():
+                return reply
             if not _may_try_again(reply, forwarded, time.monotonic()):
                 return reply
         return reply
@@ -197,6 +204,7 @@
             forwarded.caller.fileno(),
             forwarded.caller.caller_gone,
             lambda cause: self._events.emit("message_dropped", cause=cause),
+            self._given_up.is_set,
         )
         if reply is None:
             link.give_up(dispatch.attempt_id, dispatch.hlc)
--- a/balsamspindle/requests/http.py
+++ b/balsamspindle/requests/http.py
@@ -60,6 +60,7 @@
         self._socket = connection
         self._body_max_bytes = body_max_bytes
         self._complete: deque[CallerRequest] = deque()
+        self._reading = False
         self._begin()
         self._parser = httptools.HttpRequestParser(self)
 
@@ -67,6 +68,10 @@
         """Return the socket's descriptor, to be polled."""
         return self._socket.fileno()
 
+    def idle(self) -> bool:
+        """Tell whether no part of a request was read."""
+        return not self._complete and not self._reading
+
     def read_request(self) -> CallerRequest | None:
         """Return the next request; None when the caller is done.
 
@@ -142,6 +147,7 @@
 
     def on_message_begin(self) -> None:
         """Start a request."""
+        self._reading = True
         self._begin()
 
     def on_url(self, url: bytes) -> None:
@@ -171,6 +177,7 @@
 
     def on_message_complete(self) -> None:
         """End a request."""
+        self._reading = False
         self._request.body = b"".join(self._body)
         self._complete.append(self._request)
 
--- a/balsamspindle/requests/links.py
+++ b/balsamspindle/requests/links.py
@@ -32,6 +32,7 @@
 # A link that was silent for longer is asked again before it is used: one way
 # of the network may have been cut meanwhile.
 HEARD_FRESH_S = 1.0
+GIVE_UP_POLL_MS = 200
 IDLE_LINKS_PER_PEER_MAX = 8
 CANCEL_LINGER_MS = 1000
 # Two clocks of quartz differ by less than this part of the time.
@@ -142,14 +143,15 @@
         caller_fd: int,
         caller_gone: Callable[[], bool],
         on_dropped: Callable[[str], None],
+        given_up: Callable[[], bool] = lambda: False,
     ) -> Reply | None:
         """Wait for the attempt's own reply.
 
         Returns
         -------
         Reply or None
-            None at the deadline, when the peer went away, or when the caller
-            did.
+            None at the deadline, when the peer or the caller went away, or
+            when this node gave up waiting.
         """
         poller = zmq.Poller()
         for readable in (self._socket, self._closed, caller_fd):
@@ -157,14 +159,19 @@
         while True:
             # Also past the deadline: a reply that is there counts, however
             # long this process was stopped.
-            ready = dict(poller.poll(_left_ms(deadline_s)))
+            left_ms = _left_ms(deadline_s)
+            ready = dict(poller.poll(min(left_ms, GIVE_UP_POLL_MS)))
             if self._socket in ready:
                 reply = self._matching_reply(attempt_id, on_dropped)
                 if reply is not None:
                     return reply
                 continue
-            if not ready or self._closed in ready:
+            if self._closed in ready or given_up():
                 return None
+            if not ready:
+                if left_ms <= GIVE_UP_POLL_MS:
+                    return None
+                continue
             if caller_gone():
                 return None
             # A pipelined request; it waits for its turn.
--- a/balsamspindle/requests/outcomes.py
+++ b/balsamspindle/requests/outcomes.py
@@ -35,6 +35,7 @@
     HEAD_TOO_LARGE = "head_too_large"
     BODY_TOO_LARGE = "body_too_large"
     TOO_MANY_CONNECTIONS = "too_many_connections"
+    NODE_LEAVING = "node_leaving"
     NO_SETTINGS = "no_settings"
     NO_BACKEND_SERVER = "no_backend_server"
     DRAINING = "draining"
@@ -80,6 +81,10 @@
     Reason.HEAD_TOO_LARGE: Problem(431, "The request head is too large.", None),
     Reason.BODY_TOO_LARGE: Problem(413, "The request body is too large.", None),
     Reason.TOO_MANY_CONNECTIONS: Problem(503, "Too many connections are open.", 1),
+    # RFC 9110, 15.5.9: the caller may repeat a request that crossed this.
+    Reason.NODE_LEAVING: Problem(
+        408, "The node is leaving; no request was read from this connection.", None
+    ),
     Reason.NO_SETTINGS: Problem(503, "This node has no settings yet.", 2),
     Reason.NO_BACKEND_SERVER: Problem(
         503, "No backend server of the service takes requests now.", 2
--- /dev/null
+++ b/tests/leaving_utils.py
@@ -0,0 +1,124 @@
+"""Callers that keep sending while parts of the fleet leave."""
+
+import http.client
+import itertools
+import json
+import threading
+from collections import Counter
+from pathlib import Path
+from typing import NamedTuple
+
+from balsamspindle.timeline import parse_event
+from tests.utils import HttpAnswer
+
+CONNECT_TRIES_MAX = 200
+CALL_TIMEOUT_S = 20.0
+
+
+def read_events(log_path: Path) -> list[dict[str, str]]:
+    """Return the events that a process has written so far."""
+    events = map(parse_event, log_path.read_text().splitlines())
+    return [event for event in events if event and "event" in event]
+
+
+class Call(NamedTuple):
+    """One request of a caller and how it ended."""
+
+    run_key: str
+    method: str
+    status: int
+    outcome: str | None
+    server: str | None
+    reason: str | None
+
+
+class SteadyCaller(threading.Thread):
+    """Sends requests one after the other on kept-alive connections.
+
+    A refused connection is no fault (nothing was sent; the next node is
+    asked), a connection that ends without a whole answer is.
+
+    Parameters
+    ----------
+    fresh : bool, default=False
+        Use a new connection for each request.
+
+    Attributes
+    ----------
+    calls : list of Call
+    faults : list of str
+        Requests that got no whole answer of their own.
+    """
+
+    def __init__(self, name, addresses, method="GET", pause_s=0.01, fresh=False):
+        super().__init__(name=name, daemon=True)
+        self._addresses = itertools.cycle(addresses)
+        self._method = method
+        self._pause_s = pause_s
+        self._fresh = fresh
+        self._stopped = threading.Event()
+        self._connection: http.client.HTTPConnection | None = None
+        self.calls: list[Call] = []
+        self.faults: list[str] = []
+
+    def run(self) -> None:
+        for number in itertools.count():
+            if self._stopped.wait(self._pause_s):
+                return
+            self._call(f"{self.name}-{number}")
+
+    def stop(self) -> None:
+        self._stopped.set()
+        self.join(CALL_TIMEOUT_S)
+
+    def outcomes(self) -> Counter:
+        return Counter(call.outcome for call in self.calls)
+
+    def _call(self, run_key: str) -> None:
+        target = f"/contracts/{run_key}"
+        body = run_key.encode() if self._method == "POST" else None
+        try:
+            connection = self._connection
+            if connection is None or connection.sock is None or self._fresh:
+                self._connect()
+            self._connection.request(self._method, target, body, {"X-Run-Key": run_key})
+            response = self._connection.getresponse()
+            answer = HttpAnswer(
+                response.status,
+                {name.lower(): value for name, value in response.getheaders()},
+                response.read(),
+            )
+        except (OSError, http.client.HTTPException) as error:
+            self.faults.append(f"{run_key}: {error!r}")
+            self._connection = None
+            return
+        self._note(run_key, target, answer)
+
+    def _connect(self) -> None:
+        for _ in range(CONNECT_TRIES_MAX):
+            connection = http.client.HTTPConnection(
+                next(self._addresses), timeout=CALL_TIMEOUT_S
+            )
+            try:
+                connection.connect()
+            except ConnectionRefusedError:
+                self._stopped.wait(0.05)
+                continue
+            self._connection = connection
+            return
+        raise ConnectionRefusedError("no node takes connections")
+
+    def _note(self, run_key: str, target: str, answer: HttpAnswer) -> None:
+        report = json.loads(answer.body)
+        if answer.outcome == "answered" and report["target"] != target:
+            self.faults.append(f"{run_key}: the answer to {report['target']}")
+        self.calls.append(
+            Call(
+                run_key,
+                self._method,
+                answer.status,
+                answer.outcome,
+                report.get("server"),
+                report.get("reason"),
+            )
+        )
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,243 @@
+"""Backend servers and nodes that leave, under load."""
+
+import http.client
+import signal
+import threading
+import time
+from collections import Counter
+
+from testtools import TestCase
+
+from tests.leaving_utils import SteadyCaller, read_events
+from tests.utils import Fleet, call, wait_until
+
+SETTINGS = {
+    "crew/services/contracts": {},
+    "crew/routes/read": {
+        "service": "crew/contracts",
+        "execution": "idempotent",
+        "path_prefix": "/contracts",
+        "methods": ["GET"],
+        "timeout_ms": 8000,
+    },
+    "crew/routes/sign": {
+        "service": "crew/contracts",
+        "execution": "non_idempotent",
+        "path_prefix": "/contracts",
+        "methods": ["POST"],
+        "timeout_ms": 8000,
+    },
+}
+SLOW_SETTINGS = {
+    "crew/routes/slow": {
+        "service": "crew/contracts",
+        "execution": "non_idempotent",
+        "path_prefix": "/slow",
+        "methods": ["POST"],
+        "timeout_ms": 60000,
+    },
+}
+WORK_MS = 60
+
+
+def count_events(node, name: str) -> int:
+    return sum(event["event"] == name for event in read_events(node.log_path))
+
+
+class RollingRestartTests(TestCase):
+    # The caller sees a reset connection, or an answer that never comes.
+    # A node gets SIGTERM while requests come in on kept-alive connections,
+    # while others wait in the listener's backlog, and while peers have
+    # attempts at its gate. Closing the listener resets what waits in it; a
+    # closed idle connection crosses a request on its way; a reply that is
+    # still queued when the link closes is lost.
+
+    def setUp(self):
+        super().setUp()
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.__exit__)
+        self.fleet.start_platform()
+        self.fleet.put_settings(SETTINGS)
+        self.nodes = [
+            self.fleet.start_node(f"node-{number}", f"zone-{number}")
+            for number in range(3)
+        ]
+        self.servers = [
+            self.fleet.start_backend(
+                f"contract-{number}",
+                "crew/contracts",
+                self.nodes[number % 3],
+                work_ms=WORK_MS,
+            )
+            for number in range(6)
+        ]
+        self.server_ids = [server.name for server in self.servers]
+        self.fleet.wait_ready(self.nodes, self.server_ids)
+        addresses = [node.caller_address for node in self.nodes]
+        self.callers = [
+            SteadyCaller(
+                f"caller-{number}",
+                addresses[number % 3 :] + addresses[: number % 3],
+                "POST" if number % 2 else "GET",
+                pause_s=1.3 if number >= 12 else 0.01,
+                fresh=6 <= number < 12,
+            )
+            for number in range(15)
+        ]
+        for caller in self.callers:
+            caller.start()
+            self.addCleanup(caller.stop)
+
+    def _restart(self, node):
+        self.assertEqual(0, node.stop(timeout_s=20))
+        settings = dict(node.settings)
+        return self.fleet.start_node(
+            settings.pop("node_id"), settings.pop("availability_zone"), **settings
+        )
+
+    def _end_callers(self) -> list:
+        for caller in self.callers:
+            caller.stop()
+        return [call for caller in self.callers for call in caller.calls]
+
+    def test_every_node_in_turn_is_replaced_and_no_request_is_cut(self):
+        for number in range(3):
+            time.sleep(0.5)
+            self.nodes[number] = self._restart(self.nodes[number])
+            self.fleet.wait_ready(self.nodes, self.server_ids)
+        time.sleep(0.5)
+        calls = self._end_callers()
+        faults = [fault for caller in self.callers for fault in caller.faults]
+        self.assertEqual([], faults)
+        self.assertGreater(len(calls), 300)
+        # 408 ends an idle connection that a request may have crossed.
+        others = [
+            call
+            for call in calls
+            if call.outcome != "answered"
+            and (call.outcome, call.status) != ("not_run", 408)
+        ]
+        self.assertEqual([], others)
+        runs = Counter()
+        for server in self.servers:
+            runs.update(server.runs())
+        for made in calls:
+            expected = 1 if made.outcome == "answered" else 0
+            if made.method == "POST" or not expected:
+                self.assertEqual(expected, runs[made.run_key], made)
+
+    def test_a_backend_server_that_gets_sigterm_finishes_its_work_and_leaves(self):
+        time.sleep(0.5)
+        for server in self.servers[:2]:
+            self.assertEqual(0, server.stop(timeout_s=10))
+        gone = set(self.server_ids[:2])
+        wait_until(
+            lambda: not any(node.sees(name) for node in self.nodes for name in gone),
+            "the nodes forgot the backend servers that left",
+        )
+        calls = self._end_callers()
+        faults = [fault for caller in self.callers for fault in caller.faults]
+        self.assertEqual([], faults)
+        self.assertEqual({"answered"}, {call.outcome for call in calls})
+
+
+class LeavingTests(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.__exit__)
+        self.fleet.start_platform()
+        self.fleet.put_settings(SETTINGS | SLOW_SETTINGS)
+
+    def _start(self, work_ms: float, slots: int):
+        self.nodes = [
+            self.fleet.start_node(f"node-{number}", "zone-0", shutdown_timeout_s=3.0)
+            for number in range(2)
+        ]
+        self.servers = [
+            self.fleet.start_backend(
+                f"contract-{number}",
+                "crew/contracts",
+                node,
+                work_ms=work_ms,
+                slots=slots,
+            )
+            for number, node in enumerate(self.nodes)
+        ]
+        self.fleet.wait_ready(self.nodes, ["contract-0", "contract-1"])
+
+    def test_requests_that_wait_for_a_slot_go_elsewhere_at_a_drain(self):
+        # Five requests wait at one gate for the only slot, when the backend
+        # server announces that it leaves. Served there, they would hold its
+        # VM; refused to their callers, they would be lost for no reason.
+        self._start(work_ms=400, slots=1)
+        callers = [
+            SteadyCaller(f"caller-{number}", [self.nodes[0].caller_address], "POST")
+            for number in range(5)
+        ]
+        for caller in callers:
+            caller.start()
+        time.sleep(0.2)
+        call(self.nodes[0].admin_address, "/backend-servers/contract-0/drain", "POST")
+        time.sleep(1.5)
+        for caller in callers:
+            caller.stop()
+        calls = [call for caller in callers for call in caller.calls]
+        self.assertEqual([], [fault for caller in callers for fault in caller.faults])
+        self.assertEqual({"answered"}, {call.outcome for call in calls})
+        events = read_events(self.nodes[0].log_path)
+        names = [
+            event["event"]
+            for event in events
+            if event.get("backend_server") == "contract-0"
+        ]
+        after = names[names.index("backend_server_draining") :]
+        self.assertIn("attempt_refused", after)
+        self.assertEqual(0, after.count("attempt_dispatched"))
+
+    def test_a_frozen_backend_server_does_not_hold_the_shutdown(self):
+        # The backend server is frozen with a request in it that may take a
+        # minute. The node's shutdown waits for its bound, tells the caller
+        # that nobody knows whether the request ran, and ends.
+        self._start(work_ms=100, slots=4)
+        answers = []
+        callers = [
+            threading.Thread(
+                target=lambda node=node: answers.append(
+                    call(node.caller_address, "/slow/1", "POST", b"x", timeout_s=50)
+                )
+            )
+            for node in self.nodes
+        ]
+        self.servers[1].kill()
+        wait_until(
+            lambda: not self.nodes[1].sees("contract-1"), "contract-1 is forgotten"
+        )
+        self.servers[0].signal(signal.SIGSTOP)
+        self.addCleanup(self.servers[0].signal, signal.SIGCONT)
+        for caller in callers:
+            caller.start()
+        wait_until(
+            lambda: count_events(self.nodes[0], "attempt_dispatched") == 2,
+            "both requests are at the backend server",
+        )
+        self.assertEqual(0, self.nodes[0].stop(timeout_s=20))
+        for caller in callers:
+            caller.join()
+        self.assertEqual(["unknown"] * 2, [answer.outcome for answer in answers])
+
+    def test_an_idle_connection_ends_with_an_answer_and_does_not_hold_the_node(self):
+        # The caller keeps a connection open and sends nothing. It must learn
+        # that a request which crosses the end of the connection was not run,
+        # and the node must not wait for the idle timeout of a minute.
+        self._start(work_ms=0, slots=4)
+        host, _, port = self.nodes[0].caller_address.partition(":")
+        caller = http.client.HTTPConnection(host, int(port), timeout=20)
+        self.addCleanup(caller.close)
+        caller.request("GET", "/contracts/1")
+        self.assertEqual(200, caller.getresponse().read() and 200)
+        self.assertEqual(0, self.nodes[0].stop(timeout_s=20))
+        last = b"".join(iter(lambda: caller.sock.recv(4096), b""))
+        self.assertTrue(last.startswith(b"HTTP/1.1 408 "), last)
+        self.assertIn(b"\r\nX-Balsamspindle-Outcome: not_run\r\n", last)
+        self.assertIn(b"\r\nConnection: close\r\n", last)
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -164,7 +164,16 @@
         """Tell whether the node has settings and knows the backend servers."""
         if self.process.poll() is not None:
             raise AssertionError(f"the node ended:\n{self.log_path.read_text()}")
-        return self.revision() >= revision and all(map(self.sees, backend_ids))
+        return (
+            self.revision() >= revision
+            and all(map(self.sees, backend_ids))
+            and self.accepts()
+        )
+
+    def accepts(self) -> bool:
+        """Tell whether callers can connect."""
+        status = self.status()
+        return status is not None and status["accepting"]
 
     def revision(self) -> int:
         """Return the revision of the settings in force."""
