--- /dev/null
+++ b/balsamspindle/backend_servers/queue.py
@@ -0,0 +1,171 @@
+"""The short queue of attempts that wait for a slot at one gate.
+
+One queue for each service. It decides who starts, who waits, who is shed; the
+waiting itself is done by the tasks of the attempts, which ask again at each
+change. All of it is under the gate's lock.
+"""
+
+import math
+from dataclasses import dataclass
+from enum import StrEnum
+
+__all__ = ["Order", "SlotQueue", "Ticket", "Verdict"]
+
+
+class Order(StrEnum):
+    """Who starts first among attempts of the same weight."""
+
+    FIFO = "fifo"
+    LIFO = "lifo"
+
+
+class Verdict(StrEnum):
+    """What an attempt is told when it asks for a slot."""
+
+    START = "start"
+    WAIT = "wait"
+    # The queue was full, and no lighter attempt waited.
+    SHED = "shed"
+    # It could not be finished in its time any more.
+    TOO_LATE = "too_late"
+
+
+_DIRECTIONS = {Order.FIFO: 1, Order.LIFO: -1}
+
+
+@dataclass(eq=False)
+class Ticket:
+    """One attempt that wants a slot.
+
+    Attributes
+    ----------
+    weight : float
+        Of its route; the lightest is shed first.
+    deadline_s : float
+        When its caller stops waiting.
+    is_shed : bool
+        Set when a heavier attempt took its place.
+    key : tuple or None
+        Its place in the order of starts, while it waits.
+    """
+
+    backend_server_id: str
+    weight: float
+    deadline_s: float
+    is_shed: bool = False
+    key: tuple[float, int] | None = None
+
+
+class SlotQueue:
+    """Attempts of one service, heaviest first, within a weight by `order`.
+
+    The heaviest starts first, so that an attempt which can't be finished in
+    time was never held up by lighter ones.
+
+    Parameters
+    ----------
+    queue_max : int
+        Attempts that may wait.
+    """
+
+    def __init__(self, queue_max: int, order: Order = Order.FIFO) -> None:
+        self.queue_max = queue_max
+        self._order = order
+        # In the order of arrival.
+        self._waiting: list[Ticket] = []
+        self._sequence = 0
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def ask(
+        self,
+        ticket: Ticket,
+        free_slots: int,
+        slots: int,
+        service_time_s: float,
+        now_s: float,
+    ) -> Verdict:
+        """Decide on an attempt, at its arrival and again at each change.
+
+        After any verdict but ``WAIT`` the attempt is out of the queue.
+
+        Parameters
+        ----------
+        free_slots, slots : int
+            Of the ticket's backend server, now.
+        service_time_s : float
+            Time that the backend server takes for a request; 0 when unknown.
+        """
+        verdict = self._decide(ticket, free_slots, slots, service_time_s, now_s)
+        if verdict is not Verdict.WAIT:
+            self.withdraw(ticket)
+        return verdict
+
+    def withdraw(self, ticket: Ticket) -> None:
+        """Take an attempt out of the queue, if it is in it."""
+        if ticket.key is not None:
+            ticket.key = None
+            if not ticket.is_shed:
+                self._waiting.remove(ticket)
+
+    def _decide(self, ticket, free_slots, slots, service_time_s, now_s) -> Verdict:
+        if now_s >= ticket.deadline_s:
+            return Verdict.TOO_LATE
+        if ticket.is_shed:
+            return Verdict.SHED
+        ahead, rivals = self._rivals(ticket)
+        rounds = _rounds_before(ahead, free_slots, slots)
+        ends_s = now_s + (rounds + 1) * service_time_s
+        # The service time is an estimate, and only attempts that run correct
+        # it. Without rivals one starts whatever the estimate says: else one
+        # that was too high once would refuse all attempts for ever.
+        if ends_s > ticket.deadline_s and (rivals or rounds):
+            return Verdict.TOO_LATE
+        if not rounds:
+            return Verdict.START
+        return self._enter(ticket)
+
+    def _rivals(self, ticket: Ticket) -> tuple[int, int]:
+        """Return who waits for the same backend server: before it, and all."""
+        key = ticket.key or self._next_key(ticket)
+        ahead = rivals = 0
+        for other in self._waiting:
+            if other.backend_server_id != ticket.backend_server_id:
+                continue
+            if other is not ticket:
+                rivals += 1
+                ahead += other.key < key
+        return ahead, rivals
+
+    def _next_key(self, ticket: Ticket) -> tuple[float, int]:
+        sequence = self._sequence + 1
+        return -ticket.weight, sequence * _DIRECTIONS[self._order]
+
+    def _enter(self, ticket: Ticket) -> Verdict:
+        if ticket.key is not None:
+            return Verdict.WAIT
+        if len(self._waiting) >= self.queue_max and not self._make_room(ticket):
+            return Verdict.SHED
+        ticket.key = self._next_key(ticket)
+        self._sequence += 1
+        self._waiting.append(ticket)
+        return Verdict.WAIT
+
+    def _make_room(self, ticket: Ticket) -> bool:
+        """Shed the newest of the lightest, if it is lighter than the ticket."""
+        lightest = min(
+            reversed(self._waiting), key=lambda other: other.weight, default=ticket
+        )
+        if lightest.weight >= ticket.weight:
+            return False
+        lightest.is_shed = True
+        self._waiting.remove(lightest)
+        return True
+
+
+def _rounds_before(ahead: int, free_slots: int, slots: int) -> int:
+    """Return how many requests, one after the other, a slot serves first."""
+    if ahead < free_slots:
+        return 0
+    return math.ceil((ahead - max(0, free_slots) + 1) / max(1, slots))
--- /dev/null
+++ b/tests/test_queue.py
@@ -0,0 +1,154 @@
+"""Who gets a slot, who waits and who is shed."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from balsamspindle.backend_servers.queue import Order, SlotQueue, Ticket, Verdict
+from balsamspindle.backend_servers.slots import SlotAccount, ramped_slots
+
+SERVICE_TIME_S = 1.0
+QUEUE_MAX = 4
+SLOTS = 2
+
+
+class GateModel:
+    """A queue with its slots, asked again by all that wait at each change."""
+
+    def __init__(self, order=Order.FIFO, queue_max=QUEUE_MAX, slots=SLOTS):
+        self.queue = SlotQueue(queue_max, order)
+        self.accounts = {"a": SlotAccount(), "b": SlotAccount()}
+        self.slots = slots
+        self.waiting: list[Ticket] = []
+        self.running: list[Ticket] = []
+        self.late: list[Ticket] = []
+        self.shed: list[Ticket] = []
+        self.now_s = 0.0
+
+    def arrive(self, ticket: Ticket) -> Verdict:
+        verdict = self._ask(ticket)
+        self._wake()
+        return verdict
+
+    def end(self, ticket: Ticket, is_answered: bool) -> None:
+        self.running.remove(ticket)
+        account = self.accounts[ticket.backend_server_id]
+        account.give_back(is_answered, SERVICE_TIME_S, self.now_s)
+        self._wake()
+
+    def pass_time(self, duration_s: float) -> None:
+        self.now_s += duration_s
+        self._wake()
+
+    def free(self, server: str) -> int:
+        return self.accounts[server].free(self.slots, self.now_s)
+
+    def _wake(self) -> None:
+        waiting, self.waiting = self.waiting, []
+        for ticket in waiting:
+            self._ask(ticket)
+
+    def _ask(self, ticket: Ticket) -> Verdict:
+        server = ticket.backend_server_id
+        account = self.accounts[server]
+        verdict = self.queue.ask(
+            ticket, self.free(server), self.slots, account.service_time_s, self.now_s
+        )
+        match verdict:
+            case Verdict.START:
+                account.take()
+                self.running.append(ticket)
+            case Verdict.WAIT:
+                self.waiting.append(ticket)
+            case Verdict.SHED:
+                self.shed.append(ticket)
+            case Verdict.TOO_LATE:
+                self.late.append(ticket)
+        return verdict
+
+
+arrivals = st.tuples(
+    st.just("arrive"),
+    st.sampled_from("ab"),
+    st.sampled_from([1.0, 2.0, 5.0]),
+    st.floats(0.1, 8.0),
+)
+ends = st.tuples(st.just("end"), st.integers(0, 9), st.booleans())
+pauses = st.tuples(st.just("pass"), st.floats(0.05, 2.0))
+steps = st.lists(st.one_of(arrivals, arrivals, ends, pauses), max_size=60)
+
+
+class SlotQueueProperties(TestCase):
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(steps, st.sampled_from(Order))
+    def test_limits_hold_in_any_order_of_arrivals_ends_and_time_outs(
+        self, steps, order
+    ):
+        model = GateModel(order)
+        for step in steps:
+            shed_before = len(model.shed)
+            match step:
+                case ("arrive", server, weight, patience_s):
+                    model.arrive(Ticket(server, weight, model.now_s + patience_s))
+                case ("end", number, is_answered) if model.running:
+                    ticket = model.running[number % len(model.running)]
+                    model.end(ticket, is_answered)
+                case ("pass", duration_s):
+                    model.pass_time(duration_s)
+            self._check(model, model.shed[shed_before:])
+
+    def _check(self, model: GateModel, shed: list[Ticket]) -> None:
+        for server in "ab":
+            running = [
+                ticket for ticket in model.running if ticket.backend_server_id == server
+            ]
+            self.assertLessEqual(len(running), model.slots)
+        self.assertLessEqual(len(model.waiting), QUEUE_MAX)
+        self.assertEqual(len(model.waiting), len(model.queue))
+        for ticket in model.waiting:
+            self.assertGreater(ticket.deadline_s, model.now_s)
+            # A slot stands empty only when nobody waits for it.
+            self.assertLessEqual(model.free(ticket.backend_server_id), 0)
+        for ticket in shed:
+            lighter = [other for other in model.waiting if other.weight < ticket.weight]
+            self.assertEqual([], lighter)
+
+
+class SlotQueueTests(TestCase):
+    def test_a_full_queue_sheds_the_newest_of_the_lightest(self):
+        model = GateModel(slots=1, queue_max=2)
+        running, old, new = (Ticket("a", 1.0, 100.0) for _ in range(3))
+        heavy, light = Ticket("a", 3.0, 100.0), Ticket("a", 0.5, 100.0)
+        verdicts = [model.arrive(ticket) for ticket in (running, old, new, heavy)]
+        self.assertEqual([Verdict.START] + [Verdict.WAIT] * 3, verdicts)
+        self.assertEqual([new], model.shed)
+        self.assertIs(Verdict.SHED, model.arrive(light))
+
+    def test_a_request_that_can_not_be_finished_in_time_is_told_at_once(self):
+        model = GateModel(slots=1)
+        model.accounts["a"].service_time_s = SERVICE_TIME_S
+        self.assertIs(Verdict.START, model.arrive(Ticket("a", 1.0, 100.0)))
+        self.assertIs(Verdict.TOO_LATE, model.arrive(Ticket("a", 1.0, 1.9)))
+        self.assertIs(Verdict.WAIT, model.arrive(Ticket("a", 1.0, 2.1)))
+
+    def test_an_estimate_that_is_far_too_high_does_not_stop_the_work(self):
+        # A backend server hung once and the mean service time is an hour. An
+        # attempt that finds a free slot and no rivals starts none the less.
+        model = GateModel()
+        model.accounts["a"].service_time_s = 3600.0
+        self.assertIs(Verdict.START, model.arrive(Ticket("a", 1.0, 2.0)))
+
+    def test_a_slot_is_held_for_as_long_again_after_a_time_out(self):
+        account = SlotAccount()
+        account.take()
+        account.give_back(is_answered=False, ran_s=2.0, now_s=10.0)
+        self.assertEqual(0, account.free(1, 11.9))
+        self.assertEqual(12.0, account.next_change_s())
+        self.assertEqual(1, account.free(1, 12.0))
+
+    def test_a_cold_backend_server_gets_its_slots_step_by_step(self):
+        ages_s = (0, 5, 10, 15, 20, 60)
+        self.assertEqual(
+            [1, 1, 3, 4, 6, 6], [ramped_slots(6, age_s, 20.0) for age_s in ages_s]
+        )
+        self.assertEqual(6, ramped_slots(6, 0.0, 0.0))
