Admit attempts by the queue: slots, weights, deadlines, cold start

Cause: attempts waited for a slot without a bound and woke in any order; a slot was free again as soon as its attempt timed out, although the backend server may still work; a backend server whose announcements stopped got new work for as long as it was never quite idle; in_flight forgot the work of a backend server that announced itself anew. Ruled out: holding a slot until the backend server proves to be free (one lost answer would cost it for ever); no hold (a hanging backend server gets one more request with each time-out).

--- /dev/null
+++ b/balsamspindle/backend_servers/admission.py
@@ -0,0 +1,184 @@
+"""Which attempts get a slot: the gate's one place where that is decided.
+
+All of it is under the lock of the node's backend servers.
+"""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from balsamspindle.backend_servers.cancellation import CancelToken
+from balsamspindle.backend_servers.queue import SlotQueue, Ticket, Verdict
+from balsamspindle.backend_servers.servers import (
+    BackendServerState,
+    LocalBackendServer,
+    LocalBackendServers,
+)
+from balsamspindle.backend_servers.slots import WorkEnd, ramped_slots
+from balsamspindle.requests.outcomes import Reason
+from balsamspindle.settings.documents import ServiceDocument
+from balsamspindle.wire import Dispatch
+
+__all__ = ["Admission", "Admitted", "Refused"]
+
+CAPACITY_STEPS = 4
+# A waiting attempt asks again at each change, and after this time: the slots
+# of a cold backend server grow without one.
+ASK_AGAIN_S = 0.5
+WAIT_MIN_S = 0.005
+
+
+@dataclass(frozen=True)
+class Admitted:
+    """An attempt has a slot; give it back by `Admission.release`."""
+
+    server: LocalBackendServer
+    started_s: float
+
+
+@dataclass(frozen=True)
+class Refused:
+    """An attempt was not dispatched and never will be."""
+
+    reason: Reason
+    retry_after_ms: float = 0.0
+
+
+def _default_document(service: str) -> ServiceDocument:
+    return ServiceDocument()
+
+
+class Admission:
+    """Slots, waiting and refusals for the backend servers of one node.
+
+    Parameters
+    ----------
+    service_document : callable, default=the defaults
+        Returns the settings in force of a service.
+    """
+
+    def __init__(
+        self,
+        servers: LocalBackendServers,
+        service_document: Callable[[str], ServiceDocument] = _default_document,
+    ) -> None:
+        self._servers = servers
+        self._service_document = service_document
+        self._queues: dict[str, SlotQueue] = {}
+        self._leaving = False
+        self._running = 0
+
+    def leave(self) -> None:
+        """Refuse all new attempts: this node is going."""
+        with self._servers.changed:
+            self._leaving = True
+            self._servers.changed.notify_all()
+
+    def in_flight(self) -> int:
+        """Return the attempts admitted and not yet ended."""
+        with self._servers.changed:
+            return self._running
+
+    def waiting(self) -> int:
+        """Return the attempts that wait for a slot."""
+        with self._servers.changed:
+            return sum(map(len, self._queues.values()))
+
+    def admit(
+        self, dispatch: Dispatch, token: CancelToken, deadline_s: float
+    ) -> Admitted | Refused:
+        """Wait for a slot and take it, all under the lock."""
+        ticket = Ticket(dispatch.backend_server_id, dispatch.weight, deadline_s)
+        with self._servers.changed:
+            queue = self._queue(dispatch.service)
+            try:
+                while True:
+                    now_s = time.monotonic()
+                    decision = self._decide(dispatch, token, queue, ticket, now_s)
+                    if decision is not None:
+                        return decision
+                    self._servers.changed.wait(self._wait_s(ticket, now_s))
+            finally:
+                queue.withdraw(ticket)
+
+    def _queue(self, service: str) -> SlotQueue:
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = SlotQueue(0, on_change=self._servers.changed.notify_all)
+            self._queues[service] = queue
+        queue.queue_max = self._service_document(service).queue_max
+        return queue
+
+    def _wait_s(self, ticket: Ticket, now_s: float) -> float:
+        """Return after which time a waiting attempt asks again by itself."""
+        account = self._servers.get(ticket.backend_server_id).account
+        # Then it could not be finished any more after one that runs now.
+        last_chance_s = ticket.deadline_s - 2 * account.service_time_s
+        until_s = min(last_chance_s, account.next_change_s(), now_s + ASK_AGAIN_S)
+        return max(until_s - now_s, WAIT_MIN_S)
+
+    def _decide(
+        self,
+        dispatch: Dispatch,
+        token: CancelToken,
+        queue: SlotQueue,
+        ticket: Ticket,
+        now_s: float,
+    ) -> Admitted | Refused | None:
+        """Admit or refuse an attempt; None lets it wait for a slot."""
+        server = self._servers.get(dispatch.backend_server_id)
+        if token.cancelled:
+            return Refused(Reason.CANCELLED)
+        if server is None:
+            return Refused(Reason.NO_BACKEND_SERVER)
+        if self._leaving or server.state is not BackendServerState.READY:
+            return Refused(Reason.DRAINING)
+        if now_s >= ticket.deadline_s:
+            return Refused(Reason.DEADLINE)
+        account, slots = server.account, self._slots(server, now_s)
+        free = account.free(slots, now_s)
+        match queue.ask(ticket, free, slots, account.service_time_s, now_s):
+            case Verdict.WAIT:
+                return None
+            case Verdict.START:
+                account.take()
+                server.in_flight += 1
+                self._running += 1
+                return Admitted(server, now_s)
+        return Refused(
+            Reason.NO_FREE_SLOT, _busy_ms(len(queue), slots, account.service_time_s)
+        )
+
+    def _slots(self, server: LocalBackendServer, now_s: float) -> int:
+        """Return the slots that a backend server may use now."""
+        announcement = server.announcement
+        document = self._service_document(announcement.service)
+        return ramped_slots(
+            announcement.slots, now_s - server.started_s, document.cold_start_s
+        )
+
+    def capacity(self, server: LocalBackendServer, now_s: float) -> float:
+        """Return the part of its slots that a backend server may use now.
+
+        In quarters, so that the fleet hears of a cold start in few steps.
+        """
+        part = self._slots(server, now_s) / server.announcement.slots
+        return max(1, int(part * CAPACITY_STEPS)) / CAPACITY_STEPS
+
+    def release(self, admitted: Admitted, end: WorkEnd) -> int:
+        """Give the slot back; return the free ones, below 0 those who wait."""
+        server = admitted.server
+        with self._servers.changed:
+            now_s = time.monotonic()
+            server.in_flight -= 1
+            self._running -= 1
+            server.account.give_back(end, now_s - admitted.started_s, now_s)
+            self._servers.changed.notify_all()
+            queue = self._queue(server.announcement.service)
+            waiting = queue.waiting_for(server.backend_server_id)
+            return server.account.free(self._slots(server, now_s), now_s) - waiting
+
+
+def _busy_ms(waiting: int, slots: int, service_time_s: float) -> float:
+    """Return the time in which the queue's present work is done."""
+    return (waiting / max(1, slots) + 1) * service_time_s * 1000
--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -8,10 +8,10 @@
 """
 
 import time
-from dataclasses import dataclass
 
 import msgspec
 
+from balsamspindle.backend_servers.admission import Admission, Admitted, Refused
 from balsamspindle.backend_servers.attempts import AttemptTable, Begin
 from balsamspindle.backend_servers.cancellation import CancelToken
 from balsamspindle.backend_servers.client import (
@@ -26,10 +26,9 @@
 )
 from balsamspindle.backend_servers.ledger import Earlier, KeyRefused, RunLedger
 from balsamspindle.backend_servers.servers import (
-    BackendServerState,
-    LocalBackendServer,
     LocalBackendServers,
 )
+from balsamspindle.backend_servers.slots import WorkEnd
 from balsamspindle.requests.outcomes import Execution, Outcome, Reason
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import AttemptId, Dispatch, Reply, checksum
@@ -42,18 +41,13 @@
 ERROR_STATUS_MIN = 500
 
 
-@dataclass(frozen=True)
-class _Admitted:
-    server: LocalBackendServer
-
-
-@dataclass(frozen=True)
-class _Refused:
-    reason: Reason
-
-
 class Gate:
-    """Runs attempts at the backend servers of this node."""
+    """Runs attempts at the backend servers of this node.
+
+    Parameters
+    ----------
+    admission : Admission, default=one with the services' default settings
+    """
 
     def __init__(
         self,
@@ -61,20 +55,19 @@
         client: BackendServerClient,
         events: EventLog,
         observer: HealthObserver | None = None,
+        admission: Admission | None = None,
     ) -> None:
         self._servers = servers
         self._client = client
         self._events = events
         self._observer = observer or NoObserver()
-        self._leaving = False
+        self._admission = admission or Admission(servers)
         self._attempts = AttemptTable()
         self._ledger = RunLedger(events.node_id, events.incarnation)
 
     def leave(self) -> None:
         """Refuse all new attempts: this node is going."""
-        with self._servers.changed:
-            self._leaving = True
-            self._servers.changed.notify_all()
+        self._admission.leave()
 
     def give_up(self) -> None:
         """End the waiting and running attempts with what is known of them."""
@@ -88,8 +81,7 @@
 
     def in_flight(self) -> int:
         """Return the attempts dispatched and not yet ended."""
-        with self._servers.changed:
-            return sum(server.in_flight for server in self._servers.all())
+        return self._admission.in_flight()
 
     def cancel(
         self, attempt_id: AttemptId, gate_deadline_s: float | None = None
@@ -156,40 +148,12 @@
     def _handle_new(self, dispatch, token, deadline_s) -> Reply:
         if checksum(dispatch.body) != dispatch.body_checksum:
             return self._refuse(dispatch, Reason.DAMAGED)
-        match self._admit(dispatch, token, deadline_s):
-            case _Refused(reason):
-                return self._refuse(dispatch, reason)
-            case _Admitted(server):
-                return self._run(dispatch, server, token, deadline_s)
-
-    def _admit(
-        self, dispatch: Dispatch, token: CancelToken, deadline_s: float
-    ) -> _Admitted | _Refused:
-        """Wait for a slot and take it, all under the lock."""
-        with self._servers.changed:
-            while True:
-                decision = self._decide(dispatch, token, deadline_s, time.monotonic())
-                if decision is not None:
-                    return decision
-                self._servers.changed.wait(max(0, deadline_s - time.monotonic()))
-
-    def _decide(
-        self, dispatch: Dispatch, token: CancelToken, deadline_s: float, now_s: float
-    ) -> _Admitted | _Refused | None:
-        """Admit or refuse an attempt; None lets it wait for a slot."""
-        server = self._servers.get(dispatch.backend_server_id)
-        if token.cancelled:
-            return _Refused(Reason.CANCELLED)
-        if server is None:
-            return _Refused(Reason.NO_BACKEND_SERVER)
-        if self._leaving or server.state is not BackendServerState.READY:
-            return _Refused(Reason.DRAINING)
-        if now_s >= deadline_s:
-            return _Refused(Reason.DEADLINE)
-        if server.in_flight >= server.announcement.slots:
-            return None
-        server.in_flight += 1
-        return _Admitted(server)
+        match self._admission.admit(dispatch, token, deadline_s):
+            case Refused(reason, retry_after_ms):
+                reply = self._refuse(dispatch, reason)
+                return msgspec.structs.replace(reply, retry_after_ms=retry_after_ms)
+            case Admitted() as admitted:
+                return self._run(dispatch, admitted, token, deadline_s)
 
     def _refuse(
         self,
@@ -205,7 +169,8 @@
         )
         return Reply(dispatch.attempt_id, outcome, reason, hlc=hlc)
 
-    def _run(self, dispatch, server, token, deadline_s) -> Reply:
+    def _run(self, dispatch, admitted: Admitted, token, deadline_s) -> Reply:
+        server = admitted.server
         self._events.emit(
             "attempt_dispatched",
             request=dispatch.request_id,
@@ -226,18 +191,12 @@
                 token,
             )
         finally:
-            free_slots = self._release(server)
+            free_slots = self._admission.release(admitted, _work_end(result))
             self._observer.ended(
                 server_id, attempt_id, _work_result(result), time.monotonic()
             )
         return self._reply(dispatch, result, free_slots)
 
-    def _release(self, server: LocalBackendServer) -> int:
-        with self._servers.changed:
-            server.in_flight -= 1
-            self._servers.changed.notify_all()
-            return server.announcement.slots - server.in_flight
-
     def _reply(self, dispatch, result, free_slots) -> Reply:
         outcome, reason = _OUTCOMES[type(result)](result)
         hlc = self._events.emit(
@@ -329,3 +288,21 @@
     BackendAnswer: lambda answer: (Outcome.ANSWERED, None),
     BackendFailure: _failure_outcome,
 }
+
+
+def _work_end(result: BackendAnswer | BackendFailure | None) -> WorkEnd:
+    """Return whether the backend server may still work on an attempt."""
+    if isinstance(result, BackendFailure) and not result.sent:
+        return WorkEnd.DONE
+    return _WORK_ENDS[_work_result(result)]
+
+
+_WORK_ENDS = {
+    WorkResult.ANSWERED: WorkEnd.ANSWERED,
+    WorkResult.ERROR: WorkEnd.DONE,
+    WorkResult.SHED: WorkEnd.DONE,
+    WorkResult.BROKEN: WorkEnd.DONE,
+    WorkResult.UNREACHABLE: WorkEnd.DONE,
+    WorkResult.SILENCE: WorkEnd.IN_DOUBT,
+    WorkResult.CANCELLED: WorkEnd.IN_DOUBT,
+}
--- a/balsamspindle/backend_servers/queue.py
+++ b/balsamspindle/backend_servers/queue.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -66,11 +67,19 @@
     ----------
     queue_max : int
         Attempts that may wait.
+    on_change : callable, default=nothing
+        Called when those who wait have to ask again.
     """
 
-    def __init__(self, queue_max: int, order: Order = Order.FIFO) -> None:
+    def __init__(
+        self,
+        queue_max: int,
+        order: Order = Order.FIFO,
+        on_change: Callable[[], None] = lambda: None,
+    ) -> None:
         self.queue_max = queue_max
         self._order = order
+        self._on_change = on_change
         # In the order of arrival.
         self._waiting: list[Ticket] = []
         self._sequence = 0
@@ -102,12 +111,19 @@
             self.withdraw(ticket)
         return verdict
 
+    def waiting_for(self, backend_server_id: str) -> int:
+        """Return the attempts that wait for one backend server."""
+        return sum(
+            ticket.backend_server_id == backend_server_id for ticket in self._waiting
+        )
+
     def withdraw(self, ticket: Ticket) -> None:
         """Take an attempt out of the queue, if it is in it."""
         if ticket.key is not None:
             ticket.key = None
             if not ticket.is_shed:
                 self._waiting.remove(ticket)
+                self._on_change()
 
     def _decide(self, ticket, free_slots, slots, service_time_s, now_s) -> Verdict:
         if now_s >= ticket.deadline_s:
@@ -161,6 +177,7 @@
             return False
         lightest.is_shed = True
         self._waiting.remove(lightest)
+        self._on_change()
         return True
 
 
--- a/balsamspindle/backend_servers/servers.py
+++ b/balsamspindle/backend_servers/servers.py
@@ -1,11 +1,13 @@
 """The backend servers that announced themselves to this node."""
 
 import threading
+from collections.abc import Callable
 from enum import StrEnum
 from typing import Annotated
 
 import msgspec
 
+from balsamspindle.backend_servers.slots import SlotAccount
 from balsamspindle.wire import BackendServerRecord
 
 __all__ = [
@@ -24,6 +26,8 @@
 
     READY = "ready"
     DRAINING = "draining"
+    # Its announcements stopped while it had work.
+    SILENT = "silent"
 
 
 class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -57,9 +61,10 @@
         self.started_s: float = now_s
         self.announced_s: float = now_s
         self.in_flight = 0
+        self.account = SlotAccount()
         self.suspicion = 0.0
 
-    def record(self) -> BackendServerRecord:
+    def record(self, capacity: float = 1.0) -> BackendServerRecord:
         """Return what the fleet is told."""
         return BackendServerRecord(
             self.backend_server_id,
@@ -68,6 +73,7 @@
             self.announcement.slots,
             self.state.value,
             self.suspicion,
+            capacity,
         )
 
 
@@ -95,6 +101,9 @@
             server = self._servers.get(backend_server_id)
             if server is not None and server.announcement == announcement:
                 server.announced_s = now_s
+                if server.state is BackendServerState.SILENT:
+                    server.state = BackendServerState.READY
+                    self._note_change()
                 return False
             self._servers[backend_server_id] = LocalBackendServer(
                 backend_server_id, announcement, now_s
@@ -122,19 +131,30 @@
             return True
 
     def remove_silent(self, now_s: float) -> list[str]:
-        """Remove those whose announcements stopped; return their ids."""
+        """Let those whose announcements stopped go; return their ids.
+
+        One that still has work gets no more and is removed after it. Kept as
+        it was, a backend server that left without a word would get new work
+        for as long as its old work never quite ends.
+        """
         with self.changed:
             silent = [
-                server.backend_server_id
+                server
                 for server in self._servers.values()
                 if now_s - server.announced_s > ANNOUNCEMENT_TTL_S
-                and not server.in_flight
             ]
-            for backend_server_id in silent:
-                del self._servers[backend_server_id]
+            news = [
+                server
+                for server in silent
+                if server.state is not BackendServerState.SILENT
+            ]
+            for server in silent:
+                server.state = BackendServerState.SILENT
+                if not server.in_flight:
+                    del self._servers[server.backend_server_id]
             if silent:
                 self._note_change()
-            return silent
+            return [server.backend_server_id for server in news]
 
     def get(self, backend_server_id: str) -> LocalBackendServer | None:
         """Return one backend server; call with the lock held."""
@@ -145,10 +165,20 @@
         with self.changed:
             return list(self._servers.values())
 
-    def records(self) -> tuple[BackendServerRecord, ...]:
-        """Return what the fleet is told of each."""
+    def records(
+        self, capacity: Callable[[LocalBackendServer], float] = lambda server: 1.0
+    ) -> tuple[BackendServerRecord, ...]:
+        """Return what the fleet is told of each.
+
+        Parameters
+        ----------
+        capacity : callable, default=all of it
+            Returns the part of the slots that is usable now.
+        """
         with self.changed:
-            return tuple(server.record() for server in self._servers.values())
+            return tuple(
+                server.record(capacity(server)) for server in self._servers.values()
+            )
 
     def _set_state(self, backend_server_id, state) -> bool:
         with self.changed:
--- a/balsamspindle/backend_servers/slots.py
+++ b/balsamspindle/backend_servers/slots.py
@@ -1,8 +1,9 @@
 """The slots of one backend server: how many there are, and which are taken."""
 
 import math
+from enum import StrEnum
 
-__all__ = ["SlotAccount", "ramped_slots"]
+__all__ = ["SlotAccount", "WorkEnd", "ramped_slots"]
 
 # Of the newest sample in the mean service time.
 SAMPLE_SHARE = 0.1
@@ -10,6 +11,17 @@
 HOLD_MAX_S = 5.0
 
 
+class WorkEnd(StrEnum):
+    """What is known of the backend server's work when an attempt ends."""
+
+    # Answered: done, and it shows how long a request takes.
+    ANSWERED = "answered"
+    # Done or never begun: refused, an error, a closed connection.
+    DONE = "done"
+    # It may still run.
+    IN_DOUBT = "in_doubt"
+
+
 class SlotAccount:
     """Counts the work that a backend server has, as far as its gate can know.
 
@@ -41,24 +53,17 @@
         """Take one slot for an attempt."""
         self._running += 1
 
-    def give_back(self, is_answered: bool, ran_s: float, now_s: float) -> None:
-        """End an attempt.
-
-        Parameters
-        ----------
-        is_answered : bool
-            The backend server is done with it for certain.
-        ran_s : float
-            Since the attempt was dispatched.
-        """
+    def give_back(self, end: WorkEnd, ran_s: float, now_s: float) -> None:
+        """End an attempt that ran for `ran_s`."""
         self._running -= 1
-        if not is_answered:
-            hold_s = min(max(ran_s, HOLD_MIN_S), HOLD_MAX_S)
-            self._held_until_s.append(now_s + hold_s)
-            return
-        if not self.service_time_s:
-            self.service_time_s = ran_s
-        self.service_time_s += SAMPLE_SHARE * (ran_s - self.service_time_s)
+        match end:
+            case WorkEnd.IN_DOUBT:
+                hold_s = min(max(ran_s, HOLD_MIN_S), HOLD_MAX_S)
+                self._held_until_s.append(now_s + hold_s)
+            case WorkEnd.ANSWERED:
+                if not self.service_time_s:
+                    self.service_time_s = ran_s
+                self.service_time_s += SAMPLE_SHARE * (ran_s - self.service_time_s)
 
     def next_change_s(self) -> float:
         """Return when the next held slot becomes free; infinity for none."""
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -7,6 +7,7 @@
 
 import zmq
 
+from balsamspindle.backend_servers.admission import Admission
 from balsamspindle.backend_servers.client import BackendServerClient
 from balsamspindle.backend_servers.gate import Gate
 from balsamspindle.backend_servers.health_monitor import HealthMonitor
@@ -29,6 +30,7 @@
 from balsamspindle.settings.process import NodeSettings
 from balsamspindle.settings.tree import CurrentConfiguration
 from balsamspindle.timeline import EventLog, HybridClock
+from balsamspindle.wire import BackendServerRecord
 
 __all__ = ["NodeProcess"]
 
@@ -69,7 +71,10 @@
             client,
             lambda service: self._service_document(service).probe_path,
         )
-        self._gate = Gate(self._servers, client, self.events, self._health)
+        self._admission = Admission(self._servers, self._service_document)
+        self._gate = Gate(
+            self._servers, client, self.events, self._health, self._admission
+        )
         own = settings.own_record(incarnation)
         self._member = Member(
             self._context,
@@ -77,7 +82,7 @@
             own,
             self._directory,
             self._configuration,
-            self._servers.records,
+            self._backend_server_records,
             self.events,
         )
         self._gate_executor = ThreadPoolExecutor(GATE_WORKERS_MAX, "gate")
@@ -141,6 +146,12 @@
         # Sends what the closed links still hold, for a bounded time.
         self._context.destroy(linger=FLUSH_MS)
 
+    def _backend_server_records(self) -> tuple[BackendServerRecord, ...]:
+        now_s = time.monotonic()
+        return self._servers.records(
+            lambda server: self._admission.capacity(server, now_s)
+        )
+
     def _ready(self) -> bool:
         """Tell whether settings are in force and each service has a place."""
         configuration = self._configuration.get()
@@ -247,7 +258,7 @@
             self._settings.availability_zone,
             self._configuration.revision,
             self._directory.records(),
-            [server.record() for server in self._servers.all()],
+            list(self._backend_server_records()),
             self._settings_tasks.status(),
             self._ingress.accepting(),
         )
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -5,7 +5,7 @@
 from testtools import TestCase
 
 from balsamspindle.backend_servers.queue import Order, SlotQueue, Ticket, Verdict
-from balsamspindle.backend_servers.slots import SlotAccount, ramped_slots
+from balsamspindle.backend_servers.slots import SlotAccount, WorkEnd, ramped_slots
 
 SERVICE_TIME_S = 1.0
 QUEUE_MAX = 4
@@ -33,7 +33,8 @@
     def end(self, ticket: Ticket, is_answered: bool) -> None:
         self.running.remove(ticket)
         account = self.accounts[ticket.backend_server_id]
-        account.give_back(is_answered, SERVICE_TIME_S, self.now_s)
+        end = WorkEnd.ANSWERED if is_answered else WorkEnd.IN_DOUBT
+        account.give_back(end, SERVICE_TIME_S, self.now_s)
         self._wake()
 
     def pass_time(self, duration_s: float) -> None:
@@ -141,7 +142,7 @@
     def test_a_slot_is_held_for_as_long_again_after_a_time_out(self):
         account = SlotAccount()
         account.take()
-        account.give_back(is_answered=False, ran_s=2.0, now_s=10.0)
+        account.give_back(WorkEnd.IN_DOUBT, ran_s=2.0, now_s=10.0)
         self.assertEqual(0, account.free(1, 11.9))
         self.assertEqual(12.0, account.next_change_s())
         self.assertEqual(1, account.free(1, 12.0))
