Let a joining node take settings from many peers, or from one object

One peer sends at most its byte cap, so the megabyte of a full-size fleet's settings would take it minutes, while the new node refuses its callers. Nodes at one revision now make the same pages and a joining node asks up to 16 of them, one page each at a time; a lost page is asked for again. A node does not begin below what its peers offer.

Found by the tests and mended before it landed: a peer that first had to make its pages answered with page 0 whatever was asked.

--- a/balsamspindle/node/settings_tasks.py
+++ b/balsamspindle/node/settings_tasks.py
@@ -5,7 +5,9 @@
 from balsamspindle.membership import Directory, Member
 from balsamspindle.node.status import SettingsStatus
 from balsamspindle.platform import (
+    GuardedObjectStore,
     GuardedTableService,
+    HttpObjectStore,
     HttpTableService,
     PlatformGuard,
 )
@@ -47,12 +49,15 @@
         if settings.platform_address is not None:
             guard = PlatformGuard(f"{own.node_id}/{own.incarnation}")
             tables = HttpTableService(settings.platform_address)
+            objects = HttpObjectStore(settings.platform_address)
             self._reader = SettingsReader(
                 GuardedTableService(tables, guard),
                 configuration,
                 events,
                 PollPlan(own, directory.records, bool(settings.seed_addresses)),
+                GuardedObjectStore(objects, guard),
                 self._spread.wake,
+                lambda: self._spread.offered_revision,
             )
 
     def tasks(self) -> list[Callable[[], None]]:
--- a/balsamspindle/settings/loading.py
+++ b/balsamspindle/settings/loading.py
@@ -1,10 +1,15 @@
-"""All settings at one revision, read from the platform's rows."""
+"""All settings at one revision, read from the platform."""
 
 from typing import NamedTuple
 
 from expression import Error, Ok, Result
 
-from balsamspindle.platform import PlatformError, TableService, Unreachable
+from balsamspindle.platform import (
+    ObjectStore,
+    PlatformError,
+    TableService,
+    Unreachable,
+)
 from balsamspindle.settings.history import read_changes, read_fleet
 from balsamspindle.settings.rows import (
     SUBTREES_TABLE,
@@ -12,9 +17,15 @@
     SubtreeRow,
     row_value,
 )
-from balsamspindle.settings.subtree import changed_documents, encode_documents
+from balsamspindle.settings.snapshots import read_snapshot
+from balsamspindle.settings.subtree import (
+    changed_documents,
+    delta_of_change,
+    encode_documents,
+)
+from balsamspindle.settings.tree import Applied, Configuration, CurrentConfiguration
 
-__all__ = ["REPLAY_MAX", "StoredSettings", "load_settings"]
+__all__ = ["REPLAY_MAX", "StoredSettings", "load_from_snapshot", "load_settings"]
 
 REPLAY_MAX = 500
 
@@ -57,3 +68,27 @@
             return Ok(StoredSettings(after.ok, encode_documents(documents)))
         case Result(error=error):
             return Error(error)
+
+
+def load_from_snapshot(
+    tables: TableService, objects: ObjectStore, fleet: FleetRow
+) -> Configuration | None:
+    """Return the settings of a revision from the snapshot and the change log.
+
+    None when there is no snapshot, or none on the way to that revision: it may
+    be of a history that the tables no longer have.
+    """
+    snapshot = read_snapshot(objects)
+    if snapshot is None or fleet.revision - snapshot.revision > REPLAY_MAX:
+        return None
+    current = CurrentConfiguration()
+    current.install(snapshot)
+    changes = read_changes(tables, snapshot.revision + 1, fleet.revision)
+    if changes.is_error():
+        return None
+    applied = current.apply([delta_of_change(change) for change in changes.ok])
+    if applied not in (Applied.IN_FORCE, Applied.OLD):
+        return None
+    configuration = current.get()
+    reached = FleetRow(configuration.revision, configuration.chain)
+    return configuration if reached == fleet else None
--- a/balsamspindle/settings/pages.py
+++ b/balsamspindle/settings/pages.py
@@ -11,7 +11,8 @@
 
 __all__ = ["PAGE_BYTES", "documents_of_pages", "pages_of_documents"]
 
-PAGE_BYTES = 256 * 1024
+# About 10 KiB compressed: it fits the burst of a node's byte cap.
+PAGE_BYTES = 96 * 1024
 PAGE_MAX_BYTES = 8 * 1024 * 1024
 COMPRESSION_LEVEL = 1
 
@@ -19,10 +20,14 @@
 
 
 def pages_of_documents(documents: Mapping[str, bytes]) -> list[bytes]:
-    """Return pages that together hold all documents; at least one page."""
+    """Return pages that together hold all documents; at least one page.
+
+    Nodes at the same revision make the same pages, so that a joining node can
+    take them from many.
+    """
     pages: list[dict[str, bytes]] = [{}]
     page_bytes = 0
-    for path, document in documents.items():
+    for path, document in sorted(documents.items()):
         if page_bytes > PAGE_BYTES:
             pages.append({})
             page_bytes = 0
--- a/balsamspindle/settings/reader.py
+++ b/balsamspindle/settings/reader.py
@@ -8,16 +8,22 @@
 
 import random
 import threading
+import time
 from collections.abc import Callable, Iterable
 from enum import StrEnum
 
 import xxhash
 from expression import Result
 
-from balsamspindle.platform import TableService
+from balsamspindle.platform import ObjectStore, TableService
 from balsamspindle.settings.history import read_changes, read_fleet
-from balsamspindle.settings.loading import REPLAY_MAX, load_settings
+from balsamspindle.settings.loading import (
+    REPLAY_MAX,
+    load_from_snapshot,
+    load_settings,
+)
 from balsamspindle.settings.rows import FleetRow
+from balsamspindle.settings.snapshots import SNAPSHOT_EVERY, write_snapshot
 from balsamspindle.settings.subtree import delta_of_change
 from balsamspindle.settings.tree import Applied, CurrentConfiguration
 from balsamspindle.timeline import EventLog
@@ -30,6 +36,7 @@
 POLL_INTERVAL_MAX_S = 3.0
 SPARE_POLL_INTERVAL_S = 60.0
 FIRST_POLL_S = 1.0
+PEERS_FIRST_S = 15.0
 JITTER = 0.2
 
 
@@ -98,6 +105,11 @@
         """
         return FIRST_POLL_S * self._random.uniform(0.5, 1) if self.has_seeds else 0.0
 
+    def is_first(self) -> bool:
+        """Tell whether this node comes first of all that it knows."""
+        node_ids = {record.node_id for record in self._records()}
+        return min({*node_ids, self._own.node_id}, key=_weight) == self._own.node_id
+
     def next_wait_s(self, has_settings: bool) -> float:
         """Return the time until the next poll."""
         records = self._records()
@@ -117,8 +129,12 @@
     ----------
     plan : PollPlan
         Says when to poll.
+    objects : ObjectStore or None
+        Where snapshots of all settings are.
     on_in_force : callable
         Called after each change that came in force.
+    offered_revision : callable
+        Returns the highest revision that peers offered this node.
     """
 
     def __init__(
@@ -127,9 +143,15 @@
         configuration: CurrentConfiguration,
         events: EventLog,
         plan: PollPlan,
+        objects: ObjectStore | None = None,
         on_in_force: Callable[[], None] = lambda: None,
+        offered_revision: Callable[[], int] = lambda: -1,
     ) -> None:
         self._tables = tables
+        self._objects = objects
+        self._offered_revision = offered_revision
+        self._snapshot_revision = -SNAPSHOT_EVERY
+        self._started_s = time.monotonic()
         self._configuration = configuration
         self._events = events
         self._plan = plan
@@ -170,7 +192,7 @@
     def _compare(self, fleet: FleetRow) -> None:
         own = self._configuration.get()
         if own is None:
-            self._load()
+            self._load_first(fleet)
         elif fleet.revision > own.revision:
             self._catch_up(own.revision, fleet.revision)
         elif fleet.revision < own.revision:
@@ -200,6 +222,32 @@
             case Applied.GAP:
                 self._load()
 
+    def _load_first(self, fleet: FleetRow) -> None:
+        # A replaced node must not begin below what its peers have in force,
+        # or callers would meet settings that were replaced before. It waits
+        # for the peers' pages, but not for ever: a peer may be gone.
+        waited_s = time.monotonic() - self._started_s
+        if fleet.revision < self._offered_revision() and waited_s < PEERS_FIRST_S:
+            self._note(PlatformState.OLDER, "peers offer a newer revision")
+            return
+        configuration = None
+        if self._objects is not None:
+            configuration = load_from_snapshot(self._tables, self._objects, fleet)
+        if configuration is None:
+            self._load()
+        elif self._configuration.install(configuration) is Applied.IN_FORCE:
+            self._in_force([])
+
+    def _write_snapshot(self) -> None:
+        """Write a snapshot once in many changes, at one node of the fleet."""
+        own = self._configuration.get()
+        if self._objects is None or not self._plan.is_first():
+            return
+        if own.revision - self._snapshot_revision < SNAPSHOT_EVERY:
+            return
+        if write_snapshot(self._objects, own).is_ok():
+            self._snapshot_revision = own.revision
+
     def _load(self) -> None:
         match load_settings(self._tables):
             case Result(tag="ok", ok=stored):
@@ -222,6 +270,7 @@
             accepted_ms=accepted_ms,
         )
         self._on_in_force()
+        self._write_snapshot()
 
     def _note(self, state: PlatformState, cause: str | None = None) -> None:
         """Write an event at each change of the platform's state."""
--- /dev/null
+++ b/balsamspindle/settings/snapshots.py
@@ -0,0 +1,52 @@
+"""Snapshots of all settings in the platform's object store.
+
+A joining node reads one object and the changes accepted since, where a scan
+of all teams' rows would cost the platform megabytes for each of the 45,000
+restarts of a day. A snapshot may be old or missing: it only saves work.
+"""
+
+import msgspec
+from expression import Result
+
+from balsamspindle.platform import ObjectStore, PlatformError
+from balsamspindle.settings.pages import documents_of_pages, pages_of_documents
+from balsamspindle.settings.tree import Configuration
+
+__all__ = ["SNAPSHOT_EVERY", "SNAPSHOT_NAME", "read_snapshot", "write_snapshot"]
+
+SNAPSHOT_NAME = "settings/snapshot"
+SNAPSHOT_EVERY = 200
+
+
+class _Snapshot(msgspec.Struct, frozen=True):
+    revision: int
+    chain: str
+    pages: list[bytes]
+
+
+_decoder = msgspec.msgpack.Decoder(_Snapshot)
+
+
+def write_snapshot(
+    objects: ObjectStore, configuration: Configuration
+) -> Result[None, PlatformError]:
+    """Write a configuration as the object that joining nodes read."""
+    snapshot = _Snapshot(
+        configuration.revision,
+        configuration.chain,
+        pages_of_documents(configuration.documents),
+    )
+    return objects.put(SNAPSHOT_NAME, msgspec.msgpack.encode(snapshot))
+
+
+def read_snapshot(objects: ObjectStore) -> Configuration | None:
+    """Return the settings of the snapshot; None when there is no sound one."""
+    match objects.get(SNAPSHOT_NAME):
+        case Result(tag="ok", ok=bytes() as body):
+            try:
+                snapshot = _decoder.decode(body)
+                documents = documents_of_pages(snapshot.pages)
+            except (ValueError, msgspec.MsgspecError):
+                return None
+            return Configuration(snapshot.revision, documents, snapshot.chain)
+    return None
--- a/balsamspindle/settings/spread.py
+++ b/balsamspindle/settings/spread.py
@@ -32,7 +32,7 @@
 NOTICE_INTERVAL_S = 0.05
 PULL_TIMEOUT_S = 0.5
 ASK_INTERVAL_S = 0.5
-ASK_PEERS = 3
+ASK_PEERS = 16
 NO_SOURCE_AFTER_S = 3.0
 NO_SOURCE_REPEAT_S = 10.0
 INBOX_MAX = 1000
@@ -89,6 +89,11 @@
         except queue.Full:
             self._events.emit("message_dropped", cause="settings inbox is full")
 
+    @property
+    def offered_revision(self) -> int:
+        """Highest revision that peers offered a node without settings."""
+        return self._join.offered_revision
+
     def note_revision(self, address: str, revision: int) -> None:
         """Take the revision that a peer's message between members carried."""
         if revision > self._configuration.revision:
@@ -213,7 +218,8 @@
             return
         if revision not in self._snapshots:
             self._snapshot(own)
-            revision, page = own.revision, 0
+            if revision != own.revision:
+                revision, page = own.revision, 0
         chain, pages = self._snapshots[revision]
         if 0 <= page < len(pages):
             body = pages[page]
@@ -233,10 +239,8 @@
     def _take_page(self, page: SettingsPage, now_s: float) -> None:
         if page.revision <= self._configuration.revision:
             return
-        missing = self._join.take(page, now_s)
-        if missing is not None:
-            pull = SettingsPagePull(self._address, page.revision, missing)
-            self._send(page.address, pull)
+        if not self._join.take(page):
+            self._request_pages(now_s)
             return
         try:
             documents = self._join.documents()
@@ -250,8 +254,7 @@
     def _ask_for_all(self, now_s: float) -> None:
         match self._join.next_step(now_s):
             case JoinStep.PULL:
-                pull = SettingsPagePull(self._address, -1, 0)
-                self._send(self._join.source, pull)
+                self._request_pages(now_s)
             case JoinStep.ASK if now_s >= self._next_ask_s:
                 self._next_ask_s = now_s + ASK_INTERVAL_S
                 addresses = self._addresses()
@@ -260,6 +263,11 @@
                     self._send(address, SettingsPull(self._address, -1))
         self._complain(now_s)
 
+    def _request_pages(self, now_s: float) -> None:
+        for address, revision, page in self._join.requests(now_s):
+            pull = SettingsPagePull(self._address, revision, page)
+            self._send(address, pull)
+
     def _complain(self, now_s: float) -> None:
         if self._next_complaint_s is None:
             self._next_complaint_s = now_s + NO_SOURCE_AFTER_S
--- a/balsamspindle/settings/tree.py
+++ b/balsamspindle/settings/tree.py
@@ -157,12 +157,15 @@
         """Put whole settings in force unless the node has as new ones."""
         if revision <= self.revision:
             return Applied.OLD
-        configuration = Configuration(revision, documents, chain)
+        return self.install(Configuration(revision, documents, chain))
+
+    def install(self, configuration: Configuration) -> Applied:
+        """Put a configuration in force unless the node has as new ones."""
         with self._lock:
             # Two sources (a peer and the platform) may offer at once. Without
             # this second look the slower, older one would win and a node
             # would go back to an older revision.
-            if revision <= self.revision:
+            if configuration.revision <= self.revision:
                 return Applied.OLD
             self._configuration = configuration
             self._recent.clear()
--- a/tests/settings_utils.py
+++ b/tests/settings_utils.py
@@ -6,8 +6,20 @@
 
 from balsamspindle.platform import HttpTableService
 from balsamspindle.standins.platform import StandinPlatform
+from balsamspindle.wire import NodeRecord
 from tests.utils import free_address
 
+ZONES = 23
+
+
+def node_record(number: int, zones: int = ZONES) -> NodeRecord:
+    """Return the record of one made-up node."""
+    zone = number % zones
+    address = f"n{number}"
+    return NodeRecord(
+        f"node-{number}", 1, 0, f"region-{zone % 7}", f"zone-{zone}", "", address, ""
+    )
+
 
 class _QuietHandler(WSGIRequestHandler):
     def log(self, *_args):
--- a/tests/test_settings_races.py
+++ b/tests/test_settings_races.py
@@ -2,12 +2,13 @@
 
 import random
 from concurrent.futures import ThreadPoolExecutor
+from types import SimpleNamespace
 from typing import NamedTuple
 
 from expression import Error, Result
 from testtools import TestCase
 
-from balsamspindle.platform import TableService, Unknown, Unreachable
+from balsamspindle.platform import HttpObjectStore, TableService, Unknown, Unreachable
 from balsamspindle.settings.history import (
     DocumentDiff,
     change_diffs,
@@ -15,7 +16,10 @@
     read_fleet,
     read_team_history,
 )
+from balsamspindle.settings.loading import load_from_snapshot
+from balsamspindle.settings.reader import PollPlan, SettingsReader
 from balsamspindle.settings.rows import next_chain
+from balsamspindle.settings.snapshots import write_snapshot
 from balsamspindle.settings.store import (
     Accepted,
     Credentials,
@@ -28,8 +32,9 @@
     Withdrawn,
     new_operation_id,
 )
+from balsamspindle.settings.tree import Configuration, CurrentConfiguration
 from balsamspindle.standins.platform import FaultMode, FaultSwitch
-from tests.settings_utils import PlatformServer
+from tests.settings_utils import PlatformServer, node_record
 from tests.utils import call
 
 WRITERS = 8
@@ -177,6 +182,70 @@
         self.assertEqual(1, len(self.changes()))
 
 
+class SnapshotTests(SettingsTestCase):
+    def setUp(self):
+        super().setUp()
+        self.objects = HttpObjectStore(self.platform.address)
+        for number in range(4):
+            self.accept(f"crew/services/s{number}", {})
+
+    def load(self):
+        tables = self.platform.tables()
+        return load_from_snapshot(tables, self.objects, read_fleet(tables).ok)
+
+    def snapshot_now(self):
+        stored = self.store.load().ok
+        write_snapshot(
+            self.objects,
+            Configuration(stored.fleet.revision, stored.documents, stored.fleet.chain),
+        )
+
+    def test_a_snapshot_and_the_log_give_what_the_rows_give(self):
+        self.assertIsNone(self.load())
+        self.snapshot_now()
+        self.assertEqual(self.store.load().ok.documents, self.load().documents)
+        self.accept("crew/services/s0", None)
+        self.accept("crew/services/late", {})
+        loaded = self.load()
+        self.assertEqual(self.store.load().ok.documents, loaded.documents)
+        self.assertEqual(6, loaded.revision)
+
+    def test_a_snapshot_of_a_lost_history_is_not_used(self):
+        # The tables come back from a backup, the objects stay: a node that
+        # trusted the snapshot would serve changes that the platform no longer
+        # has, mixed with new ones of the same numbers.
+        backup = call(self.platform.address, "/v1/backup").body
+        self.accept("crew/services/lost", {})
+        self.snapshot_now()
+        call(self.platform.address, "/v1/backup", "PUT", backup)
+        self.assertIsNone(self.load())
+        self.accept("crew/services/new", {})
+        self.accept("crew/services/newer", {})
+        self.assertIsNone(self.load())
+
+
+class ReaderTests(SettingsTestCase):
+    def test_a_replaced_node_does_not_begin_below_its_peers(self):
+        # The platform was restored from a backup. Callers of a node that boots
+        # from it would meet settings older than those in force all around.
+        self.accept("crew/services/old", {})
+        offered = [4]
+        events, configuration = [], CurrentConfiguration()
+        reader = SettingsReader(
+            self.platform.tables(),
+            configuration,
+            SimpleNamespace(emit=lambda event, **fields: events.append(fields)),
+            PollPlan(node_record(0), lambda: []),
+            offered_revision=lambda: offered[0],
+        )
+        reader.poll()
+        self.assertEqual(-1, configuration.revision)
+        self.assertEqual("older", events[0]["state"])
+        offered[0] = -1
+        reader.poll()
+        self.assertEqual(1, configuration.revision)
+
+
 class FirstWriteHeld(TableService):
     """Tables whose first write is held up and that then are cut off."""
 
--- a/tests/test_settings_spread.py
+++ b/tests/test_settings_spread.py
@@ -1,6 +1,7 @@
 """Accepted changes on their way to all nodes: order, joins and cost."""
 
 import random
+from collections import Counter
 from collections.abc import Mapping
 
 import msgspec
@@ -13,23 +14,20 @@
 from balsamspindle.settings.rows import next_chain
 from balsamspindle.settings.spread import SettingsSpread
 from balsamspindle.settings.tree import Applied, Configuration, CurrentConfiguration
-from balsamspindle.wire import NodeRecord, encode
-from balsamspindle.wire.settings_messages import SettingsDelta, SettingsNotice
+from balsamspindle.wire import encode
+from balsamspindle.wire.settings_messages import (
+    SettingsDelta,
+    SettingsNotice,
+    SettingsPage,
+    SettingsPagePull,
+)
+from tests.settings_utils import ZONES, node_record
 from tests.utils import encode as json_bytes
 
-FLEET_NODES, ZONES = 5_600, 23
+FLEET_NODES = 5_600
 PLATFORM_READS_PER_S = 2_000
 
 
-def node_record(number: int, zones: int = ZONES) -> NodeRecord:
-    """Return the record of one made-up node."""
-    zone = number % zones
-    address = f"n{number}"
-    return NodeRecord(
-        f"node-{number}", 1, 0, f"region-{zone % 7}", f"zone-{zone}", "", address, ""
-    )
-
-
 def route(service: str, prefix: str, **fields) -> bytes:
     """Return a route document."""
     fields = {"service": service, "path_prefix": prefix, **fields}
@@ -299,6 +297,47 @@
         self.assertIn("settings_no_source", network.events[0].names)
         self.assertEqual(-1, network.configurations[0].revision)
 
+    def test_many_peers_send_the_pages_of_one_revision(self):
+        # Each peer sends within its own byte cap: one alone would need minutes
+        # for the megabyte of a full-size fleet, while the node refuses callers.
+        network = Network(9, zones=1)
+        documents = {
+            f"t/routes/{n}": route("t/s", f"/{n}", host=f"h{n}") for n in range(12_000)
+        }
+        for configuration in network.configurations[1:]:
+            configuration.offer(7, documents)
+        for node in network.nodes[1:]:
+            node._noticed_revision = 7
+        page_count = len(pages_of_documents(documents))
+        asked = []
+        send = network.nodes[0]._send
+        network.nodes[0]._send = lambda address, message: (
+            asked.append((address, type(message))) or send(address, message)
+        )
+        network.run(10)
+        self.assertEqual(documents, network.configurations[0].get().documents)
+        pulls = Counter(address for address, kind in asked if kind is SettingsPagePull)
+        self.assertEqual(page_count, pulls.total())
+        self.assertGreater(len(pulls), 4)
+
+    def test_a_page_that_is_lost_is_asked_for_again(self):
+        # A peer at its byte cap drops a page. It must not be given up for it.
+        network = Network(2, zones=1)
+        network.configurations[1].offer(7, {"t/services/s": b"{}"})
+        lost = []
+        send = network.nodes[1]._send
+
+        def lose_first_page(address, message):
+            if isinstance(message, SettingsPage) and not lost:
+                lost.append(message)
+                return
+            send(address, message)
+
+        network.nodes[1]._send = lose_first_page
+        network.run(40)
+        self.assertEqual(1, len(lost))
+        self.assertEqual(7, network.configurations[0].revision)
+
     def test_pages_hold_all_settings_and_damage_is_refused(self):
         network = Network(2, zones=1)
         documents = {
