--- a/balsamspindle/node/settings_tasks.py
+++ b/balsamspindle/node/settings_tasks.py
@@ -37,7 +37,7 @@
         self._configuration = configuration
         self._spread = SettingsSpread(
             own,
-            directory.records,
+            directory.alive,
             member.send,
             configuration,
             events,
@@ -54,7 +54,7 @@
                 GuardedTableService(tables, guard),
                 configuration,
                 events,
-                PollPlan(own, directory.records, bool(settings.seed_addresses)),
+                PollPlan(own, directory.alive, bool(settings.seed_addresses)),
                 GuardedObjectStore(objects, guard),
                 self._spread.wake,
                 lambda: self._spread.offered_revision,
