Give operators a way on after the platform lost accepted changes

After a restore from a backup nodes rightly keep their newer revision, and so no later edit would ever come in force: it counts a revision that they have behind them. An operator can now declare the platform's rows to be in force (`restart_history`): a change above every revision of the nodes, at which they load all settings anew. Weighed: nodes following a platform with a lower revision or another history by themselves (ruled out: accepted changes would leave force without anybody's decision).

Seen failing with the nodes' part switched off: not within 20 s at the new revision (tests/test_settings_outage.py, the test of an older platform).

--- /dev/null
+++ b/balsamspindle/settings/recovery.py
@@ -0,0 +1,115 @@
+"""The operator's way on after the platform was restored from a backup.
+
+Nodes hold a newer revision than the platform then, and keep it: new edits
+would count the same revisions again and come in force nowhere. Only an
+operator can decide that what the backup holds is to be in force, since
+accepted changes are lost by it. That decision is a change of its own, above
+every revision that nodes hold; nodes load all settings anew for it.
+"""
+
+import msgspec
+from expression import Error, Ok, Result
+
+from balsamspindle.platform import (
+    Check,
+    Conflict,
+    Put,
+    TableService,
+    Transaction,
+    Unknown,
+)
+from balsamspindle.settings.editing import new_operation_id
+from balsamspindle.settings.ownership import Credentials, key_matches
+from balsamspindle.settings.results import (
+    Accepted,
+    EditError,
+    NotKnown,
+    NotOwner,
+    SettingsConflict,
+    SettingsUnavailable,
+)
+from balsamspindle.settings.rows import (
+    CHANGES_TABLE,
+    FLEET_KEY_KEY,
+    FLEET_TABLE,
+    OPERATIONS_TABLE,
+    REVISION_KEY,
+    Change,
+    FleetKeyRow,
+    FleetRow,
+    OperationRow,
+    change_key,
+    next_chain,
+    row_value,
+)
+
+__all__ = ["restart_history"]
+
+
+def restart_history(
+    tables: TableService,
+    above_revision: int,
+    credentials: Credentials,
+    now_s: float,
+) -> Result[Accepted, EditError]:
+    """Put what the platform holds in force, above a revision of the nodes.
+
+    Parameters
+    ----------
+    tables : TableService
+    above_revision : int
+        Highest revision that any node has in force.
+    credentials : Credentials
+        The fleet key, where the fleet has one.
+    now_s : float
+        Present wall time.
+
+    Returns
+    -------
+    Result of Accepted
+        `NotKnown` is settled by `SettingsStore.settle`, as for any edit.
+    """
+    rows = tables.read(FLEET_TABLE, [REVISION_KEY, FLEET_KEY_KEY])
+    if rows.is_error():
+        return Error(SettingsUnavailable(rows.error.message))
+    fleet_row, key_row = rows.ok
+    owner = row_value(key_row, FleetKeyRow, FleetKeyRow("")).owner
+    if owner and not key_matches(credentials.fleet_key, owner):
+        return Error(NotOwner("the fleet key is needed"))
+    fleet = row_value(fleet_row, FleetRow, FleetRow())
+    operation_id = new_operation_id()
+    change = Change(
+        max(fleet.revision, above_revision) + 1,
+        "",
+        operation_id,
+        credentials.author,
+        int(now_s * 1000),
+        {},
+        {},
+        0,
+        fleet.chain,
+        next_chain(fleet.chain, operation_id),
+        restart=True,
+    )
+    checks = [
+        Check(FLEET_TABLE, REVISION_KEY, fleet_row.version),
+        Check(OPERATIONS_TABLE, operation_id, 0),
+    ]
+    values = {
+        (FLEET_TABLE, REVISION_KEY): FleetRow(change.revision, change.chain),
+        (OPERATIONS_TABLE, operation_id): OperationRow(change.revision),
+        (CHANGES_TABLE, change_key(change.revision)): change,
+    }
+    puts = [
+        Put(table, key, msgspec.to_builtins(value))
+        for (table, key), value in values.items()
+    ]
+    match tables.transact(Transaction(checks, puts)):
+        case Result(tag="ok"):
+            return Ok(Accepted(change.revision, operation_id))
+        case Result(error=Conflict()):
+            return Error(SettingsConflict("an edit came first: look again"))
+        case Result(error=Unknown(message)):
+            return Error(NotKnown(message, operation_id))
+        case Result(error=error):
+            return Error(SettingsUnavailable(error.message))
--- a/balsamspindle/settings/rows.py
+++ b/balsamspindle/settings/rows.py
@@ -110,6 +110,9 @@
         `FleetRow.chain` before and after the change.
     wall_ms : int
         Wall time at the writer.
+    restart : bool
+        Whether an operator declared the platform's rows to be in force after
+        changes were lost (see `balsamspindle.settings.recovery`).
     """
 
     revision: int
@@ -122,6 +125,7 @@
     previous_team_revision: int
     previous_chain: str
     chain: str
+    restart: bool = False
 
     @property
     def paths(self) -> list[str]:
--- a/balsamspindle/settings/subtree.py
+++ b/balsamspindle/settings/subtree.py
@@ -52,6 +52,7 @@
             for path, document in change.documents.items()
         },
         change.wall_ms,
+        change.restart,
     )
 
 
--- a/balsamspindle/settings/tree.py
+++ b/balsamspindle/settings/tree.py
@@ -211,6 +211,8 @@
     backup counts the same numbers again for other changes. Laid over each
     other, two histories would give settings that nobody ever accepted.
     """
+    if delta.restart and delta.revision > revision:
+        return Applied.GAP
     if delta.revision == revision + 1:
         same = delta.previous_chain == chain
         return Applied.IN_FORCE if same else Applied.DIVERGED
--- a/balsamspindle/wire/settings_messages.py
+++ b/balsamspindle/wire/settings_messages.py
@@ -27,6 +27,8 @@
         Whole documents as JSON; None for one that was removed.
     accepted_ms : int
         Wall time at the writer.
+    restart : bool
+        Follows on no change: all settings have to be loaded anew.
     """
 
     revision: int
@@ -34,6 +36,7 @@
     chain: str
     documents: dict[str, bytes | None]
     accepted_ms: int = 0
+    restart: bool = False
 
 
 class SettingsNotice(msgspec.Struct, tag="settings_notice", frozen=True):
--- a/tests/test_settings_outage.py
+++ b/tests/test_settings_outage.py
@@ -2,11 +2,13 @@
 
 import json
 import signal
+import time
 
 from testtools import TestCase
 
 from balsamspindle.platform import HttpTableService
-from balsamspindle.settings.store import SettingsStore
+from balsamspindle.settings.recovery import restart_history
+from balsamspindle.settings.store import Credentials, SettingsStore
 from tests.test_whole_path import SETTINGS
 from tests.utils import Fleet, call, try_call, wait_until
 
@@ -87,6 +89,17 @@
             self.assertEqual(revision, node.revision())
             self.wait_event(node, "event=settings_platform state=older")
         self.assert_served(nodes[-1], "/late")
+        # An edit now counts a revision that the nodes have behind them. Only
+        # an operator can declare that what the backup holds is in force.
+        tables = HttpTableService(self.fleet.platform_address)
+        restarted = restart_history(tables, revision, Credentials(), time.time())
+        for node in nodes[1:]:
+            self.wait_revision(node, restarted.ok.revision)
+        revision = self.put("crew/services/after", {})
+        for node in nodes[1:]:
+            self.wait_revision(node, revision)
+            self.assert_served(node)
+            self.assertEqual(404, call(node.caller_address, "/late").status)
 
     def test_a_node_without_any_source_refuses_and_says_why(self):
         # The caller is told that the request was not run, at once, and the
