Wire keys, versions, history and the three ends of a change into ctl

settings apply writes a file in one change; history, settle, team-key and fleet-key are new; a change whose reply is lost ends with NOT_KNOWN and names the command that decides it. A wrong key ends with NOT_OWNER (8).

The admin address answered 500 to a malformed /settings/accepted since announcements list their own faults; it answers 400 again.

--- a/balsamspindle/cli/admin_client.py
+++ b/balsamspindle/cli/admin_client.py
@@ -58,9 +58,11 @@
         """Return what the node answers at a path."""
         return self._call("GET", path).bind(lambda body: self._decode(body, kind))
 
-    def post(self, path: str) -> Result[None, NodeUnreachable | NodeRefused]:
+    def post(
+        self, path: str, body: bytes = b""
+    ) -> Result[None, NodeUnreachable | NodeRefused]:
         """Ask the node to do something."""
-        return self._call("POST", path).map(lambda _: None)
+        return self._call("POST", path, body).map(lambda _: None)
 
     def events(self) -> Iterator[Result[EventPage, NodeUnreachable | NodeRefused]]:
         """Yield all pages of the node's recent events; an error is the last."""
@@ -80,10 +82,10 @@
             return Error(NodeRefused(200, message))
 
     def _call(
-        self, method: str, path: str
+        self, method: str, path: str, body: bytes = b""
     ) -> Result[bytes, NodeUnreachable | NodeRefused]:
         try:
-            answer = _perform(method, f"http://{self.address}{path}")
+            answer = _perform(method, f"http://{self.address}{path}", body)
         except pycurl.error as error:
             message = (
                 f"no answer from node {self.address} ({error.args[1]}): check that "
@@ -103,18 +105,19 @@
         return f"node {self.address}: {words}"
 
 
-def _perform(method: str, url: str) -> _Answer:
+def _perform(method: str, url: str, body: bytes) -> _Answer:
     handle = pycurl.Curl()
-    body = io.BytesIO()
+    answer = io.BytesIO()
     handle.setopt(pycurl.URL, url)
-    handle.setopt(pycurl.CUSTOMREQUEST, method)
+    if method == "POST":
+        handle.setopt(pycurl.POSTFIELDS, body)
     handle.setopt(pycurl.NOSIGNAL, 1)
     handle.setopt(pycurl.PROXY, "")
     handle.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
     handle.setopt(pycurl.TIMEOUT_MS, CALL_TIMEOUT_MS)
-    handle.setopt(pycurl.WRITEDATA, body)
+    handle.setopt(pycurl.WRITEDATA, answer)
     try:
         handle.perform()
-        return _Answer(handle.getinfo(pycurl.RESPONSE_CODE), body.getvalue())
+        return _Answer(handle.getinfo(pycurl.RESPONSE_CODE), answer.getvalue())
     finally:
         handle.close()
--- a/balsamspindle/cli/ctl_settings.py
+++ b/balsamspindle/cli/ctl_settings.py
@@ -1,47 +1,48 @@
 """``balsamspindle-ctl settings``: read, check and change the settings."""
 
 import difflib
+from collections.abc import Iterator
+from datetime import UTC, datetime
 from typing import Any, NoReturn
 
 import msgspec
 import typer
 from expression import Result
 
+from balsamspindle.cli import ctl_edits
+from balsamspindle.cli.ctl_edits import fail_invalid
 from balsamspindle.cli.exit_status import ExitStatus
-from balsamspindle.cli.inputs import STANDARD_INPUT, read_documents, read_json
+from balsamspindle.cli.inputs import read_documents
 from balsamspindle.cli.program import JSON_OPTION, fail, make_app, warn
+from balsamspindle.cli.settings_options import DOCUMENTS_ARGUMENT, PLATFORM_OPTION
+from balsamspindle.cli.tables import format_table
 from balsamspindle.platform import HttpTableService
-from balsamspindle.settings.documents import RouteDocument, document_type
-from balsamspindle.settings.store import (
-    Accepted,
-    InvalidSettings,
-    NotKnown,
-    SettingsConflict,
-    SettingsStore,
-    SettingsUnavailable,
-    StoredSettings,
+from balsamspindle.settings.history import (
+    HISTORY_LIMIT,
+    DocumentDiff,
+    change_diffs,
+    diff_documents,
+    read_history,
+    read_team_history,
 )
-from balsamspindle.settings.validation import Fault, check_documents, note_documents
+from balsamspindle.settings.rows import Change
+from balsamspindle.settings.store import SettingsStore, StoredSettings
+from balsamspindle.settings.subtree import encode_documents
+from balsamspindle.settings.validation import check_documents, note_documents
 
 __all__ = ["app"]
 
-app = make_app("Read, check and change the fleet's settings.")
+HISTORY_HEADER = ("REVISION", "TIME (UTC)", "AUTHOR", "DOCUMENTS", "OPERATION")
 
-PLATFORM_OPTION = typer.Option(
-    "127.0.0.1:9000",
-    "--platform",
-    envvar="BALSAMSPINDLE_PLATFORM",
-    help="IP:port of the platform.",
-)
-PATH_ARGUMENT = typer.Argument(..., help="TEAM/services/NAME or TEAM/routes/NAME.")
-DOCUMENTS_ARGUMENT = typer.Argument(
-    STANDARD_INPUT, help="JSON file, path to document; - reads standard input."
-)
+app = make_app("Read, check and change the fleet's settings.")
 
 
 @app.command("get")
 def get(
     path: str = typer.Argument("", help="A document, or the start of paths."),
+    show_version: bool = typer.Option(
+        False, help="Tell the version of the team's documents on standard error."
+    ),
     platform: str = PLATFORM_OPTION,
 ) -> None:
     """Write one document, or all documents below a path, as JSON.
@@ -50,6 +51,9 @@
 
     Example: balsamspindle-ctl settings get crew > crew.json
     """
+    if show_version:
+        # Before the documents: a change in between is met by a refusal.
+        _tell_version(path.partition("/")[0], platform)
     stored = _load(platform)
     if path in stored.documents:
         typer.echo(_pretty(msgspec.json.decode(stored.documents[path])))
@@ -65,61 +69,6 @@
     typer.echo(_pretty(below))
 
 
-@app.command("set")
-def set_document(
-    path: str = PATH_ARGUMENT,
-    document: str = typer.Argument(
-        STANDARD_INPUT, help="JSON file; - reads standard input."
-    ),
-    platform: str = PLATFORM_OPTION,
-    as_json: bool = JSON_OPTION,
-) -> None:
-    """Write one document.
-
-    Example: balsamspindle-ctl settings set crew/services/contracts contracts.json
-    """
-    value = read_json(document)
-    _report(SettingsStore(HttpTableService(platform)).put(path, value), as_json)
-    _tell_notes({path: value})
-
-
-@app.command("apply")
-def apply(
-    documents: str = DOCUMENTS_ARGUMENT,
-    platform: str = PLATFORM_OPTION,
-    as_json: bool = JSON_OPTION,
-) -> None:
-    """Write all documents of a file, services first; null removes one.
-
-    Example: balsamspindle-ctl settings apply examples/association/settings.json
-    """
-    wanted = read_documents(documents)
-    store = SettingsStore(HttpTableService(platform))
-    for path in sorted(wanted, key=_is_route):
-        _report(store.put(path, wanted[path]), as_json)
-    _tell_notes(wanted)
-
-
-def _is_route(path: str) -> bool:
-    return document_type(path) is RouteDocument
-
-
-@app.command("remove")
-def remove(
-    path: str = PATH_ARGUMENT,
-    platform: str = PLATFORM_OPTION,
-    as_json: bool = JSON_OPTION,
-) -> None:
-    """Remove one document.
-
-    Example: balsamspindle-ctl settings remove crew/routes/old
-    """
-    stored = _load(platform)
-    if path not in stored.documents:
-        _fail_not_found(path, stored)
-    _report(SettingsStore(HttpTableService(platform)).put(path, None), as_json)
-
-
 @app.command("validate")
 def validate(
     documents: str = DOCUMENTS_ARGUMENT,
@@ -133,18 +82,22 @@
 
     Example: balsamspindle-ctl settings validate examples/association/settings.json
     """
-    encoded = _encode(read_documents(documents))
+    encoded = encode_documents(read_documents(documents))
     together = {**_load(platform).documents, **encoded} if with_stored else encoded
     faults = check_documents(together)
     if faults:
-        _fail_invalid(faults, as_json)
+        fail_invalid(faults, as_json)
     typer.echo("[]" if as_json else f"{len(encoded)} documents, no fault")
     for note in note_documents(encoded):
         warn(f"{note.path}: {note.message}")
 
 
 @app.command("diff")
-def diff(documents: str = DOCUMENTS_ARGUMENT, platform: str = PLATFORM_OPTION) -> None:
+def diff(
+    documents: str = DOCUMENTS_ARGUMENT,
+    platform: str = PLATFORM_OPTION,
+    as_json: bool = JSON_OPTION,
+) -> None:
     """Show how stored documents differ from a file's.
 
     Documents of teams that the file does not name are left out.
@@ -152,17 +105,55 @@
     Example: balsamspindle-ctl settings diff crew.json
     """
     wanted = read_documents(documents)
-    stored = _load(platform).documents
     teams = {path.partition("/")[0] for path in wanted}
-    paths = {path for path in stored if path.partition("/")[0] in teams}
-    for path in sorted(paths | set(wanted)):
-        before = _pretty(msgspec.json.decode(stored[path])) if path in stored else ""
-        after = _pretty(wanted[path]) if path in wanted else ""
-        lines = difflib.unified_diff(
-            before.splitlines(), after.splitlines(), path, path, lineterm=""
-        )
-        for line in lines:
-            typer.echo(line)
+    stored = {
+        path: msgspec.json.decode(document)
+        for path, document in _load(platform).documents.items()
+        if path.partition("/")[0] in teams
+    }
+    _show_diffs(diff_documents(stored, wanted), as_json)
+
+
+@app.command("history")
+def history(
+    team: str = typer.Argument("", help="Only this team's changes."),
+    limit: int = typer.Option(HISTORY_LIMIT, min=1, help="Changes shown."),
+    show_diffs: bool = typer.Option(False, "--diff", help="Show what each changed."),
+    platform: str = PLATFORM_OPTION,
+    as_json: bool = JSON_OPTION,
+) -> None:
+    """Show who changed what, the newest first.
+
+    Example: balsamspindle-ctl settings history crew --limit 5 --diff
+    """
+    tables = HttpTableService(platform)
+    found = (
+        read_team_history(tables, team, limit) if team else read_history(tables, limit)
+    )
+    match found:
+        case Result(tag="ok", ok=changes):
+            _show_changes(changes, show_diffs, as_json)
+        case Result(error=error):
+            _fail_unread(platform, error.message)
+
+
+for name, command in {
+    "set": ctl_edits.set_document,
+    "apply": ctl_edits.apply,
+    "remove": ctl_edits.remove,
+    "settle": ctl_edits.settle,
+    "team-key": ctl_edits.team_key,
+    "fleet-key": ctl_edits.fleet_key,
+}.items():
+    app.command(name)(command)
+
+
+def _tell_version(team: str, platform: str) -> None:
+    match SettingsStore(HttpTableService(platform)).subtree(team):
+        case Result(tag="ok", ok=(_, version)):
+            typer.echo(f"version {version} of {team!r}", err=True)
+        case Result(error=error):
+            _fail_unread(platform, error.message)
 
 
 def _load(platform: str) -> StoredSettings:
@@ -170,48 +161,57 @@
         case Result(tag="ok", ok=stored):
             return stored
         case Result(error=error):
-            message = f"the platform at {platform} gave no settings: {error.message}"
-            fail(message, ExitStatus.UNAVAILABLE)
+            _fail_unread(platform, error.message)
 
 
-def _encode(documents: dict[str, Any]) -> dict[str, bytes]:
-    return {path: msgspec.json.encode(document) for path, document in documents.items()}
+def _fail_unread(platform: str, cause: str) -> NoReturn:
+    message = f"the platform at {platform} gave no settings: {cause}"
+    fail(message, ExitStatus.UNAVAILABLE)
 
 
-def _pretty(value: Any) -> str:
-    return msgspec.json.format(msgspec.json.encode(value), indent=2).decode()
+def _show_changes(changes: list[Change], show_diffs: bool, as_json: bool) -> None:
+    if as_json:
+        typer.echo(msgspec.json.encode(changes).decode())
+        return
+    if not show_diffs:
+        typer.echo(format_table(HISTORY_HEADER, list(map(_history_row, changes))))
+        return
+    for change in changes:
+        typer.echo("  ".join(map(str, _history_row(change))))
+        _show_diffs(change_diffs(change), as_json=False)
 
 
-def _tell_notes(documents: dict[str, Any]) -> None:
-    kept = {path: value for path, value in documents.items() if value is not None}
-    for note in note_documents(_encode(kept)):
-        warn(f"{note.path}: {note.message}")
+def _history_row(change: Change) -> tuple[object, ...]:
+    time = datetime.fromtimestamp(change.wall_ms / 1000, UTC)
+    return (
+        change.revision,
+        time.strftime("%Y-%m-%d %H:%M:%S"),
+        change.author,
+        ", ".join(change.paths) or f"key of {change.team}",
+        change.operation_id,
+    )
 
 
-def _report(result: Result, as_json: bool) -> None:
-    """Say what became of a change, and end the program if it did not hold."""
-    match result:
-        case Result(tag="ok", ok=Accepted() as accepted):
-            words = f"accepted at revision {accepted.revision}"
-            typer.echo(msgspec.json.encode(accepted).decode() if as_json else words)
-        case Result(error=InvalidSettings(faults)):
-            _fail_invalid(faults, as_json)
-        case Result(error=SettingsConflict(message)):
-            fail(f"not accepted: {message}", ExitStatus.CONFLICT)
-        case Result(error=SettingsUnavailable(message)):
-            fail(f"not accepted: {message}", ExitStatus.UNAVAILABLE)
-        case Result(error=NotKnown(message, operation_id)):
-            message = f"not known: {message}; operation {operation_id}"
-            fail(message, ExitStatus.NOT_KNOWN)
-        case Result(error=error):
-            fail(f"not accepted: {error.message}", ExitStatus.FAILED)
+def _show_diffs(diffs: list[DocumentDiff], as_json: bool) -> None:
+    if as_json:
+        typer.echo(msgspec.json.encode(diffs).decode())
+        return
+    for found in diffs:
+        for line in _diff_lines(found):
+            typer.echo(line)
 
 
-def _fail_invalid(faults: list[Fault], as_json: bool) -> NoReturn:
-    if as_json:
-        typer.echo(msgspec.json.encode(faults).decode())
-    lines = [str(fault) for fault in faults]
-    fail("\n".join([*lines, f"{len(faults)} faults"]), ExitStatus.INVALID)
+def _diff_lines(found: DocumentDiff) -> Iterator[str]:
+    before, after = (
+        "" if value is None else _pretty(value) for value in (found.before, found.after)
+    )
+    return difflib.unified_diff(
+        before.splitlines(), after.splitlines(), found.path, found.path, lineterm=""
+    )
+
+
+def _pretty(value: Any) -> str:
+    return msgspec.json.format(msgspec.json.encode(value), indent=2).decode()
 
 
 def _fail_not_found(path: str, stored: StoredSettings) -> NoReturn:
--- a/balsamspindle/cli/exit_status.py
+++ b/balsamspindle/cli/exit_status.py
@@ -28,6 +28,8 @@
         The settings have faults, which are listed; nothing was changed.
     NOT_FOUND
         There is no such document, backend server, service or request.
+    NOT_OWNER
+        The key shown does not open the team's documents; nothing was changed.
     """
 
     DONE = 0
@@ -38,3 +40,4 @@
     NOT_KNOWN = 5
     INVALID = 6
     NOT_FOUND = 7
+    NOT_OWNER = 8
--- a/balsamspindle/node/admin.py
+++ b/balsamspindle/node/admin.py
@@ -81,6 +81,8 @@
             response = getattr(self, f"_{endpoint}")(request, **arguments)
         except HTTPException as error:
             response = _json({"error": error.description}, error.code)
+        except msgspec.MsgspecError as error:
+            response = _json({"error": str(error)}, 400)
         return response(environ, start_response)
 
     def _announce(self, request, server_id):
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -2,11 +2,21 @@
 
 import json
 
+from expression import Error
 from testtools import TestCase
 from typer.testing import CliRunner
 
+from balsamspindle.cli import ctl_edits
 from balsamspindle.cli.ctl import app
 from balsamspindle.cli.exit_status import ExitStatus
+from balsamspindle.settings.results import (
+    NotKnown,
+    NotOwner,
+    SettingsConflict,
+    SettingsUnavailable,
+    Withdrawn,
+)
+from balsamspindle.settings.store import SettingsStore
 from tests.utils import (
     Fleet,
     PlatformInProcess,
@@ -85,6 +95,55 @@
             self.assertNotEqual("", result.stderr)
             self.assertLessEqual(len(result.stderr.splitlines()), 2)
 
+    def test_each_end_of_a_change_has_its_words_and_status(self):
+        """A change ends as accepted, not accepted, or not known.
+
+        When no reply came, the operator must not be told that nothing
+        happened: the message names the command that decides it.
+        """
+        ends = [
+            (NotKnown("no reply", "op1"), "NOT_KNOWN", "settings settle op1"),
+            (NotOwner("wrong key"), "NOT_OWNER", "not accepted: wrong key"),
+            (SettingsConflict("ana was first"), "CONFLICT", "ana was first"),
+            (SettingsUnavailable("down"), "UNAVAILABLE", "not accepted: down"),
+            (Withdrawn("settled"), "FAILED", "not accepted: settled"),
+        ]
+        for error, status, words in ends:
+            store = SettingsStore(None)
+            store.apply = lambda *_, error=error: Error(error)
+            self.patch(ctl_edits, "_store", lambda _, store=store: store)
+            result = run("settings", "set", "crew/services/a", stdin="{}")
+            self.assertEqual(ExitStatus[status], result.exit_code)
+            self.assertIn(words, result.stderr)
+
+    def test_a_file_is_one_change_with_key_version_and_history(self):
+        new_key = ("--new-key", "open", "--author", "ana")
+        self.settings("team-key", "crew", *new_key)
+        file = json.dumps({"crew/services/contracts": {}, "crew/routes/read": ROUTE})
+        wrong = ("apply", "--team-key", "shut")
+        self.settings(*wrong, stdin=file, status=ExitStatus.NOT_OWNER)
+        key = ("--team-key", "open", "--author", "bo")
+        result = self.settings("apply", *key, stdin=file)
+        self.assertEqual("accepted at revision 2\n", result.stdout)
+        version = self.settings("get", "crew", "--show-version").stderr.split()[1]
+        expect = (*key, "--expect-version", version)
+        self.settings("remove", "crew/routes/read", *expect)
+        again = ("set", "crew/services/contracts", *expect)
+        result = self.settings(*again, stdin="{}", status=ExitStatus.CONFLICT)
+        self.assertIn("bo changed crew/routes/read at revision 3", result.stderr)
+        result = self.settings("history", "crew", "--json")
+        changes = json.loads(result.stdout)
+        self.assertEqual([3, 2, 1], [change["revision"] for change in changes])
+        self.assertEqual("bo", changes[0]["author"])
+        operation = changes[1]["operation_id"]
+        result = self.settings("settle", operation)
+        self.assertEqual("accepted at revision 2\n", result.stdout)
+        self.settings("settle", "never-sent", status=ExitStatus.FAILED)
+        result = self.settings("history", "--diff", "--limit", "1")
+        self.assertIn('-  "service": "crew/contracts"', result.stdout)
+        two_teams = json.dumps({"crew/services/a": {}, "yard/services/b": {}})
+        self.settings("apply", stdin=two_teams, status=ExitStatus.USAGE)
+
     def test_a_platform_that_is_down_changes_nothing_and_says_so(self):
         self.platform.set_fault(mode="down")
         result = self.settings(
