Refuse ambiguous requests, bound slow callers and connections

Callers' heads have a module of rules (heads.py) beyond llhttp's: one length, coding, Host, Idempotency-Key; only chunked and only in 1.1; versions 1.0 and 1.1; origin form, or absolute form of the same host; no dot segments (a route decides whether a request may run twice). Headers named by Connection and trailers stop here. An upgrade offer is passed by; llhttp leaves its body unread, which then was taken for the next request. A head and a body have a total time (408); idle connections end without an answer, give way at the bound, and end at once when the node stops (they held the process for up to 60 s). A refused caller's bytes are read on for a while, as a reset overtook the answer. Our own headers in a backend server's answer are dropped. A 405 carries Allow; a prefix's routes decide alone. Failed accepts no longer end the process. Undelivered answers are events. Socket timeouts by the kernel instead of a poll before each call. settings/process.py: request_head_timeout_s, request_body_timeout_s.

--- /dev/null
+++ b/balsamspindle/requests/heads.py
@@ -0,0 +1,236 @@
+"""What the head of a caller's request says, and which heads are refused.
+
+llhttp refuses what breaks the framing of one request (two lengths, a length
+together with a transfer coding, bad chunks, control characters). The rules
+here refuse what it lets through and what two readers could take in two ways.
+"""
+
+import re
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from balsamspindle.requests.outcomes import Reason
+
+__all__ = [
+    "HEADERS_MAX",
+    "HOP_BY_HOP_HEADERS",
+    "IDEMPOTENCY_KEY_HEADER",
+    "OUTCOME_HEADER",
+    "REQUEST_ID_HEADER",
+    "TIMEOUT_HEADER",
+    "BadRequest",
+    "RequestHead",
+    "end_to_end",
+    "read_head",
+]
+
+OUTCOME_HEADER = "X-Balsamspindle-Outcome"
+REQUEST_ID_HEADER = "X-Request-Id"
+TIMEOUT_HEADER = "X-Request-Timeout-Ms"
+IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
+
+HEADERS_MAX = 100
+
+# Headers that belong to one connection (RFC 9110, 7.6.1).
+HOP_BY_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+# Headers that decide where a request goes, where it ends or how often it
+# runs. Twice, two readers may each believe another one.
+_SINGLE_HEADERS = frozenset(
+    {
+        "content-length",
+        "expect",
+        "host",
+        "idempotency-key",
+        "transfer-encoding",
+        "x-request-timeout-ms",
+    }
+)
+_NOT_PASSED_ON = HOP_BY_HOP_HEADERS | {
+    "content-length",
+    "expect",
+    "x-request-id",
+    "x-request-timeout-ms",
+    OUTCOME_HEADER.lower(),
+}
+_NOTED_HEADERS = _SINGLE_HEADERS | {"connection", "x-request-id"}
+_VERSIONS = ("1.1", "1.0")
+
+_is_host = re.compile(r"(\[[0-9A-Fa-f:.]+\]|[A-Za-z0-9._-]*)(:[0-9]{1,5})?").fullmatch
+_is_target = re.compile(r"/[!\"$-~]*").fullmatch
+_absolute_target = re.compile(r"https?://([^/?]*)(.*)", re.IGNORECASE).fullmatch
+# A route's prefix decides whether a request may run twice. A backend server
+# that resolves "/read/../sign" would run a request of another route.
+_has_dot_segment = re.compile(
+    r"/(\.|%2e){1,2}(?=[/\\?]|%2f|%5c|$)", re.IGNORECASE
+).search
+_is_idempotency_key = re.compile(r"[!-~]{1,255}").fullmatch
+
+
+class BadRequest(Exception):
+    """A request that can't be taken; the connection ends with its answer."""
+
+    def __init__(self, reason: Reason, detail: str) -> None:
+        super().__init__(detail)
+        self.reason = reason
+        self.detail = detail
+
+
+class RequestHead(NamedTuple):
+    """The head of a request that is taken.
+
+    Attributes
+    ----------
+    target : str
+        Path and query.
+    host : str
+        Host header; empty when an HTTP/1.0 caller sent none.
+    headers : list of tuple of str
+        Those that are passed on.
+    noted : dict of str to str
+        Headers that the fleet itself reads, by lower-case name.
+    """
+
+    method: str
+    target: str
+    host: str
+    headers: list[tuple[str, str]]
+    noted: dict[str, str]
+
+
+def read_head(
+    method: str, target: str, version: str, raw_headers: list[tuple[bytes, bytes]]
+) -> RequestHead:
+    """Check a head and sort its headers.
+
+    Raises
+    ------
+    BadRequest
+    """
+    if version not in _VERSIONS:
+        raise BadRequest(
+            Reason.HTTP_VERSION, "Only HTTP/1.0 and HTTP/1.1 are taken here."
+        )
+    headers, noted = _sort_headers(raw_headers)
+    _check_framing(version, noted)
+    host = _check_host(version, noted)
+    key = noted.get("idempotency-key")
+    if key is not None and not _is_idempotency_key(key):
+        raise BadRequest(
+            Reason.BAD_REQUEST,
+            "Idempotency-Key must have 1 to 255 visible ASCII characters.",
+        )
+    return RequestHead(method, _check_target(target, host), host, headers, noted)
+
+
+def end_to_end(headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Return the headers that don't belong to one connection."""
+    headers = list(headers)
+    stopped = HOP_BY_HOP_HEADERS
+    for name, value in headers:
+        if name.lower() == "connection":
+            stopped = stopped | _named_by_connection(value)
+    return [pair for pair in headers if pair[0].lower() not in stopped]
+
+
+def _sort_headers(raw_headers) -> tuple[list[tuple[str, str]], dict[str, str]]:
+    headers: list[tuple[str, str]] = []
+    noted: dict[str, str] = {}
+    for raw_name, raw_value in raw_headers:
+        name, value = raw_name.decode("latin-1"), raw_value.decode("latin-1")
+        lower = name.lower()
+        if lower in _NOTED_HEADERS:
+            _note(lower, value, noted)
+        if lower not in _NOT_PASSED_ON:
+            headers.append((name, value))
+    if "connection" in noted:
+        named = _named_by_connection(noted["connection"]) - {"host"}
+        headers = [pair for pair in headers if pair[0].lower() not in named]
+    return headers, noted
+
+
+def _note(name: str, value: str, noted: dict[str, str]) -> None:
+    if name not in noted:
+        noted[name] = value
+    elif name in _SINGLE_HEADERS:
+        raise BadRequest(
+            Reason.BAD_REQUEST, f"The header {name} may be given only once."
+        )
+    else:
+        noted[name] += f",{value}"
+
+
+def _named_by_connection(value: str) -> set[str]:
+    return {name.strip().lower() for name in value.split(",")}
+
+
+def _check_framing(version: str, noted: dict[str, str]) -> None:
+    coding = noted.get("transfer-encoding")
+    if coding is not None and (coding.lower() != "chunked" or version != "1.1"):
+        # A coding that the next reader does not know or ignores ends the
+        # body at another byte for it.
+        raise BadRequest(
+            Reason.BAD_REQUEST,
+            "The only transfer coding taken is chunked, with HTTP/1.1.",
+        )
+    expected = noted.get("expect")
+    if expected is not None and expected.lower() != "100-continue":
+        raise BadRequest(
+            Reason.EXPECTATION, "The only expectation taken is 100-continue."
+        )
+
+
+def _check_host(version: str, noted: dict[str, str]) -> str:
+    host = noted.get("host")
+    if host is None and version == "1.0":
+        return ""
+    if host is None or not _is_host(host):
+        raise BadRequest(
+            Reason.BAD_REQUEST, "The request needs one Host header with a valid name."
+        )
+    return host
+
+
+def _check_target(target: str, host: str) -> str:
+    if not target.startswith("/"):
+        target = _origin_form(target, host)
+    if not _is_target(target):
+        raise BadRequest(
+            Reason.BAD_REQUEST,
+            "The request target must be a path of visible ASCII characters.",
+        )
+    path = target.partition("?")[0]
+    if "." in path or "%" in path:
+        _check_segments(path)
+    return target
+
+
+def _origin_form(target: str, host: str) -> str:
+    found = _absolute_target(target)
+    if found is None:
+        raise BadRequest(
+            Reason.BAD_REQUEST, "The request target must start with a slash."
+        )
+    if found[1].lower() != host.lower():
+        raise BadRequest(
+            Reason.BAD_REQUEST, "The request target and the Host header differ."
+        )
+    return found[2] if found[2].startswith("/") else f"/{found[2]}"
+
+
+def _check_segments(path: str) -> None:
+    if _has_dot_segment(path):
+        raise BadRequest(
+            Reason.BAD_REQUEST, "The path must not have the segments '.' or '..'."
+        )
--- a/balsamspindle/requests/http.py
+++ b/balsamspindle/requests/http.py
@@ -1,42 +1,55 @@
 """Callers' HTTP/1.1: requests read whole, answers written whole.
 
-The parser is llhttp (by httptools), which refuses what request smuggling
-needs: a length together with a transfer coding, two lengths, bad chunks,
-control characters in the head.
+The parser is llhttp (by httptools). A connection is read and written by one
+task. Its socket blocks and the kernel keeps its time limits (SO_RCVTIMEO,
+SO_SNDTIMEO): Python's own would cost a poll before each call.
 """
 
 import select
 import socket
+import struct
+import time
 from collections import deque
 from dataclasses import dataclass, field
-from http import HTTPStatus
+from typing import NamedTuple
 
 import httptools
 
+from balsamspindle.requests.heads import (
+    HEADERS_MAX,
+    BadRequest,
+    RequestHead,
+    read_head,
+)
 from balsamspindle.requests.outcomes import Reason
 
-__all__ = ["BadRequest", "CallerRequest", "HttpConnection"]
+__all__ = ["CallerRequest", "HttpConnection", "HttpLimits"]
 
-HEAD_MAX_BYTES = 32 * 1024
 RECEIVE_BYTES = 64 * 1024
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_FRAMING_HEAD = b"POST / HTTP/1.1\r\n"
 
 
-class BadRequest(Exception):
-    """A request that can't be taken; the connection ends with its answer."""
+class HttpLimits(NamedTuple):
+    """What one caller may take of this node."""
 
-    def __init__(self, reason: Reason) -> None:
-        super().__init__(reason.value)
-        self.reason = reason
+    head_max_bytes: int = 32 * 1024
+    body_max_bytes: int = 8 * 1024 * 1024
+    idle_timeout_s: float = 60.0
+    head_timeout_s: float = 10.0
+    body_timeout_s: float = 60.0
+    answer_timeout_s: float = 60.0
 
 
 @dataclass
 class CallerRequest:
-    """One whole request of a caller."""
+    """One whole request of a caller; fields as in `RequestHead`."""
 
     method: str = ""
     target: str = ""
+    host: str = ""
     headers: list[tuple[str, str]] = field(default_factory=list)
+    noted: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
     keep_alive: bool = True
 
@@ -46,7 +59,9 @@
         return self.target.partition("?")[0]
 
     def header(self, name: str) -> str | None:
-        """Return the first value of a header, by its lower-case name."""
+        """Return a header's value, by its lower-case name."""
+        if name in self.noted:
+            return self.noted[name]
         for known, value in self.headers:
             if known.lower() == name:
                 return value
@@ -56,41 +71,50 @@
 class HttpConnection:
     """Reads requests from one connection and writes answers to it."""
 
-    def __init__(self, connection: socket.socket, body_max_bytes: int) -> None:
+    def __init__(self, connection: socket.socket, limits: HttpLimits) -> None:
         self._socket = connection
-        self._body_max_bytes = body_max_bytes
+        self._limits = limits
         self._complete: deque[CallerRequest] = deque()
-        self._reading = False
-        self._begin()
+        # A request may be whole and the bytes after it wrong: it is answered
+        # before the connection ends.
+        self._failure: BadRequest | None = None
+        self._head_without_body: RequestHead | None = None
+        self._started = False
+        self._head_done = False
+        self._set_timeout(socket.SO_RCVTIMEO, limits.idle_timeout_s)
+        self._set_timeout(socket.SO_SNDTIMEO, limits.answer_timeout_s)
         self._parser = httptools.HttpRequestParser(self)
 
     def fileno(self) -> int:
         """Return the socket's descriptor, to be polled."""
         return self._socket.fileno()
 
-    def idle(self) -> bool:
-        """Tell whether no part of a request was read."""
-        return not self._complete and not self._reading
+    def wait_for_start(self) -> bool:
+        """Wait for a request's first byte; False when none comes.
+
+        Nothing is lost when the connection is closed while this waits.
+        """
+        if self._complete or self._failure or self._started:
+            return True
+        try:
+            data = self._socket.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return False
+        if data:
+            self._feed(data)
+        return bool(data)
 
     def read_request(self) -> CallerRequest | None:
-        """Return the next request; None when the caller is done.
+        """Return the request that has started; None when it is cut off.
 
         Raises
         ------
         BadRequest
-            When the bytes are no request that we take.
-        TimeoutError
-            When the connection stays idle.
+            When the bytes are no request that we take, or come too slowly.
         """
-        while not self._complete:
-            data = self._socket.recv(RECEIVE_BYTES)
-            if not data:
-                return None
-            self._feed(data)
-            if self._expects_continue and not self._complete:
-                self._expects_continue = False
-                self._socket.sendall(_CONTINUE)
-        return self._complete.popleft()
+        if not self._complete:
+            self._read_rest()
+        return self._complete.popleft() if self._complete else None
 
     def caller_gone(self) -> bool:
         """Tell whether the caller closed the connection; never waits."""
@@ -108,47 +132,124 @@
         except OSError:
             return True
 
-    def write_answer(
-        self,
-        status: int,
-        headers: list[tuple[str, str]],
-        body: bytes,
-        keep_alive: bool,
-        is_head: bool = False,
-    ) -> None:
-        """Write one whole answer."""
-        self._socket.sendall(_encode_answer(status, headers, body, keep_alive, is_head))
+    def write(self, data: bytes) -> None:
+        """Write one whole answer.
+
+        Raises
+        ------
+        OSError
+            When the caller is gone or takes the answer too slowly.
+        """
+        sent = self._socket.send(data)
+        if sent == len(data):
+            return
+        # A caller that takes a byte now and then would hold its task for
+        # ever: each send makes some progress, so the whole has a bound too.
+        give_up_s = time.monotonic() + self._limits.answer_timeout_s
+        rest = memoryview(data)[sent:]
+        while rest:
+            if time.monotonic() >= give_up_s:
+                raise TimeoutError
+            rest = rest[self._socket.send(rest) :]
+
+    def _read_rest(self) -> None:
+        limits = self._limits
+        head_deadline_s = time.monotonic() + limits.head_timeout_s
+        try:
+            while not self._complete:
+                if self._failure is not None:
+                    raise self._failure
+                deadline_s = head_deadline_s
+                if self._head_done:
+                    deadline_s += limits.body_timeout_s
+                    self._continue_if_expected()
+                data = self._receive(deadline_s - time.monotonic())
+                if not data:
+                    return
+                self._feed(data)
+        finally:
+            self._set_timeout(socket.SO_RCVTIMEO, limits.idle_timeout_s)
+
+    def _receive(self, timeout_s: float) -> bytes:
+        # Each receive gets only what is left of the whole time: a caller that
+        # sends a byte now and then would else hold a task for ever.
+        try:
+            if timeout_s > 0:
+                self._set_timeout(socket.SO_RCVTIMEO, timeout_s)
+                return self._socket.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            pass
+        raise BadRequest(
+            Reason.REQUEST_TIMEOUT,
+            "The request's head or body was still not whole after "
+            f"{self._limits.head_timeout_s:g} or {self._limits.body_timeout_s:g} s.",
+        )
+
+    def _set_timeout(self, option: int, timeout_s: float) -> None:
+        micros = max(1, int(timeout_s * 1_000_000))
+        value = struct.pack("ll", *divmod(micros, 1_000_000))
+        self._socket.setsockopt(socket.SOL_SOCKET, option, value)
+
+    def _continue_if_expected(self) -> None:
+        if self._head.noted.pop("expect", None) is not None:
+            self._socket.send(_CONTINUE)
 
     def _feed(self, data: bytes) -> None:
-        if not self._head_done:
-            self._head_bytes += len(data)
+        """Parse what came; what is wrong with it is kept in `_failure`."""
+        if self._started and not self._head_done:
+            # llhttp keeps an unfinished header itself, without a bound.
+            self._unfinished_bytes += len(data)
+        while data and self._failure is None:
+            data = self._parse(data)
+        if self._started and not self._head_done:
+            self._failure = self._failure or self._head_fault(self._unfinished_bytes)
+
+    def _parse(self, data: bytes) -> bytes:
+        """Parse and return what is left, which another parser has to read."""
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
-            raise BadRequest(Reason.BAD_REQUEST) from error
+            # The offer of another protocol, which a server may pass by.
+            # llhttp stops behind the head that makes it.
+            self._parser = httptools.HttpRequestParser(self)
+            return self._body_framing() + data[error.args[0] :]
         except httptools.HttpParserError as error:
-            cause = error.__context__
-            if isinstance(cause, BadRequest):
-                raise cause from None
-            raise BadRequest(Reason.BAD_REQUEST) from error
-        if not self._head_done and self._head_bytes > HEAD_MAX_BYTES:
-            raise BadRequest(Reason.HEAD_TOO_LARGE)
-
-    def _begin(self) -> None:
-        self._request = CallerRequest()
-        self._target = b""
-        self._body: list[bytes] = []
-        self._body_bytes = 0
-        self._head_bytes = 0
-        self._head_done = False
-        self._expects_continue = False
+            self._failure = _bad_request(error)
+        return b""
+
+    def _body_framing(self) -> bytes:
+        """Return a head for the body that llhttp has not read.
+
+        Without it the body would be read as the next request.
+        """
+        if self._head_without_body is None:
+            return b""
+        noted = self._head.noted
+        if "transfer-encoding" in noted:
+            return _FRAMING_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+        length = noted["content-length"].encode()
+        return _FRAMING_HEAD + b"Content-Length: " + length + b"\r\n\r\n"
+
+    def _head_fault(self, count: int) -> BadRequest | None:
+        if count <= self._limits.head_max_bytes:
+            return None
+        return BadRequest(
+            Reason.HEAD_TOO_LARGE,
+            f"The request's head is over {self._limits.head_max_bytes} bytes.",
+        )
 
     # Callbacks of httptools.
 
     def on_message_begin(self) -> None:
         """Start a request."""
-        self._reading = True
-        self._begin()
+        self._started = True
+        self._head_done = False
+        self._target = b""
+        self._raw_headers: list[tuple[bytes, bytes]] = []
+        self._head_bytes = 0
+        self._unfinished_bytes = 0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
 
     def on_url(self, url: bytes) -> None:
         """Take a part of the target."""
@@ -156,42 +257,79 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take one header."""
-        text = name.decode("latin-1")
-        self._request.headers.append((text, value.decode("latin-1")))
-        if text.lower() == "expect" and value.lower() == b"100-continue":
-            self._expects_continue = True
+        self._head_bytes += len(name) + len(value) + 4
+        self._raw_headers.append((name, value))
+        if len(self._raw_headers) > HEADERS_MAX:
+            raise BadRequest(
+                Reason.HEAD_TOO_LARGE,
+                f"The request has more than {HEADERS_MAX} headers.",
+            )
 
     def on_headers_complete(self) -> None:
         """Take the end of the head."""
+        if self._head_without_body is not None:
+            self._head_without_body = None
+            self._head_done = True
+            return
+        fault = self._head_fault(self._head_bytes + len(self._target))
+        if fault is not None:
+            raise fault
+        parser = self._parser
+        method = parser.get_method().decode("latin-1")
+        if method == "CONNECT":
+            raise BadRequest(Reason.BAD_REQUEST, "CONNECT is not taken here.")
+        self._head: RequestHead = read_head(
+            method,
+            self._target.decode("latin-1"),
+            parser.get_http_version(),
+            self._raw_headers,
+        )
+        # What comes after the body (trailers) is no part of the head: a
+        # "Host" there would be believed by some readers and not by others.
+        self._raw_headers = []
+        self._keep_alive = (
+            parser.should_keep_alive() and parser.get_http_version() == "1.1"
+        )
+        self._check_body_bytes(int(self._head.noted.get("content-length", 0)))
         self._head_done = True
-        self._request.method = self._parser.get_method().decode("latin-1")
-        self._request.target = self._target.decode("latin-1")
-        self._request.keep_alive = self._parser.should_keep_alive()
 
     def on_body(self, body: bytes) -> None:
         """Take a part of the body."""
         self._body_bytes += len(body)
-        if self._body_bytes > self._body_max_bytes:
-            raise BadRequest(Reason.BODY_TOO_LARGE)
+        self._check_body_bytes(self._body_bytes)
         self._body.append(body)
 
     def on_message_complete(self) -> None:
         """End a request."""
-        self._reading = False
-        self._request.body = b"".join(self._body)
-        self._complete.append(self._request)
-
-
-def _encode_answer(status, headers, body, keep_alive, is_head) -> bytes:
-    try:
-        phrase = HTTPStatus(status).phrase
-    except ValueError:
-        phrase = "Unknown"
-    lines = [f"HTTP/1.1 {status} {phrase}"]
-    lines.extend(f"{name}: {value}" for name, value in headers)
-    if status not in (204, 304) and not is_head:
-        lines.append(f"Content-Length: {len(body)}")
-    if not keep_alive:
-        lines.append("Connection: close")
-    head = "\r\n".join(lines) + "\r\n\r\n"
-    return head.encode("latin-1") + (b"" if is_head else body)
+        noted = self._head.noted
+        has_body = "content-length" in noted or "transfer-encoding" in noted
+        if has_body and self._parser.should_upgrade():
+            self._head_without_body = self._head
+            return
+        method, target, host, headers, noted = self._head
+        self._complete.append(
+            CallerRequest(
+                method,
+                target,
+                host,
+                headers,
+                noted,
+                b"".join(self._body),
+                self._keep_alive,
+            )
+        )
+        self._body = []
+        self._started = False
+
+    def _check_body_bytes(self, count: int) -> None:
+        if count > self._limits.body_max_bytes:
+            raise BadRequest(
+                Reason.BODY_TOO_LARGE,
+                f"The request's body is over {self._limits.body_max_bytes} bytes.",
+            )
+
+
+def _bad_request(error: httptools.HttpParserError) -> BadRequest:
+    if isinstance(error.__context__, BadRequest):
+        return error.__context__
+    return BadRequest(Reason.BAD_REQUEST, f"The request is not valid HTTP: {error}.")
--- a/balsamspindle/requests/ingress.py
+++ b/balsamspindle/requests/ingress.py
@@ -1,18 +1,28 @@
 """Callers' connections: one task each, from accept to close."""
 
-import json
-import select
+import os
+import random
+import re
 import socket
 import threading
 import time
-import uuid
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
+from balsamspindle.requests.answers import encode_answer, encode_problem
 from balsamspindle.requests.closing import close_listener, close_politely
+from balsamspindle.requests.connections import OpenConnections
 from balsamspindle.requests.forwarding import ForwardedRequest, Forwarder
-from balsamspindle.requests.http import BadRequest, CallerRequest, HttpConnection
-from balsamspindle.requests.outcomes import PROBLEMS, Outcome, Reason
+from balsamspindle.requests.heads import (
+    IDEMPOTENCY_KEY_HEADER,
+    OUTCOME_HEADER,
+    REQUEST_ID_HEADER,
+    TIMEOUT_HEADER,
+    BadRequest,
+)
+from balsamspindle.requests.http import CallerRequest, HttpConnection, HttpLimits
+from balsamspindle.requests.outcomes import Outcome, Reason
+from balsamspindle.services.routes import MethodNotAllowed
 from balsamspindle.settings.documents import RouteDocument
 from balsamspindle.settings.process import NodeSettings
 from balsamspindle.settings.tree import CurrentConfiguration
@@ -27,17 +37,21 @@
     "Ingress",
 ]
 
-OUTCOME_HEADER = "X-Balsamspindle-Outcome"
-REQUEST_ID_HEADER = "X-Request-Id"
-TIMEOUT_HEADER = "X-Request-Timeout-Ms"
-IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
 ACCEPT_POLL_S = 0.2
+ACCEPT_FAILED_PAUSE_S = 0.05
 BACKLOG = 512
+TURN_AWAY_TASKS_MAX = 4
+TURN_AWAY_WAITING_MAX = 64
+LOGGED_PATH_MAX = 256
 START_WAIT_S = 2.0
 START_POLL_S = 0.02
 # Time for the first request of a connection that was open when the node left.
 FIRST_REQUEST_S = 1.0
 
+_is_request_id = re.compile(r"[A-Za-z0-9._:-]{1,128}").fullmatch
+_is_timeout = re.compile(r"[0-9]{1,9}(\.[0-9]{1,6})?").fullmatch
+_request_ids = random.Random(os.urandom(32))
+
 
 class Ingress:
     """Takes callers' requests and gives each its one answer."""
@@ -50,7 +64,12 @@
         executor: ThreadPoolExecutor,
         events: EventLog,
     ) -> None:
-        self._settings = settings
+        self._limits = HttpLimits(
+            body_max_bytes=settings.request_body_max_bytes,
+            idle_timeout_s=settings.connection_idle_timeout_s,
+            head_timeout_s=settings.request_head_timeout_s,
+            body_timeout_s=settings.request_body_timeout_s,
+        )
         self._configuration = configuration
         self._forwarder = forwarder
         self._executor = executor
@@ -59,15 +78,14 @@
         self._stopped = threading.Event()
         self._accepting = threading.Event()
         self._listener_closed = threading.Event()
-        # Its end of stream, at the closing of the listener, wakes the tasks
-        # of all idle connections.
-        self._wake_reader, self._wake_writer = socket.socketpair()
-        self._open = threading.Semaphore(settings.connections_max)
-        self._connections: set[socket.socket] = set()
-        self._connections_lock = threading.Lock()
+        self._connections = OpenConnections(settings.connections_max)
+        self._turn_away_executor = ThreadPoolExecutor(TURN_AWAY_TASKS_MAX, "turn-away")
+        self._turn_away_places = threading.Semaphore(TURN_AWAY_WAITING_MAX)
         host, _, port = settings.caller_address.partition(":")
         self._listener = socket.socket()
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted connections inherit it.
+        self._listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._listener.bind((host, int(port)))
         self._listener.settimeout(ACCEPT_POLL_S)
 
@@ -87,13 +105,13 @@
         self._listener.listen(BACKLOG)
         self._accepting.set()
         while not self._stopped.is_set():
-            try:
-                connection, _ = self._listener.accept()
-            except TimeoutError:
-                continue
-            self._take(connection)
+            self._accept()
         close_listener(self._listener, self._take)
-        self._wake_writer.close()
+        self._connections.close_idle()
+        # A connection that was just accepted has its first request on its way.
+        self._connections.wait_for_first_requests(FIRST_REQUEST_S)
+        self._connections.close_idle(first_too=True)
+        self._turn_away_executor.shutdown(wait=False)
         self._listener_closed.set()
 
     def leave(self) -> None:
@@ -111,192 +129,215 @@
 
     def ended(self) -> bool:
         """Tell whether the listener and all connections are closed."""
-        with self._connections_lock:
-            return self._listener_closed.is_set() and not self._connections
+        return self._listener_closed.is_set() and not self._connections.open()
 
     def cut(self) -> None:
         """End the connections that are still open."""
-        with self._connections_lock:
-            for connection in self._connections:
-                try:
-                    connection.shutdown(socket.SHUT_RDWR)
-                except OSError:
-                    # Closed by its own task or by the caller.
-                    pass
+        self._connections.cut()
 
-    def _take(self, connection: socket.socket) -> None:
-        if not self._open.acquire(blocking=False):
-            self._turn_away(connection)
+    def _accept(self) -> None:
+        try:
+            connection, _ = self._listener.accept()
+        except TimeoutError:
             return
-        with self._connections_lock:
-            self._connections.add(connection)
-        submit_logged(self._executor, self._events, self._serve, connection)
+        except OSError as error:
+            # Out of descriptors, or the caller left at once: the node goes
+            # on with the connections that it has.
+            self._events.emit("accept_failed", cause=error)
+            time.sleep(ACCEPT_FAILED_PAUSE_S)
+            return
+        self._take(connection)
 
-    def _turn_away(self, connection: socket.socket) -> None:
-        with connection:
-            caller = HttpConnection(connection, 0)
-            self._answer_problem(
-                caller, "-", Reason.TOO_MANY_CONNECTIONS, Outcome.NOT_RUN, False
+    def _take(self, connection: socket.socket) -> None:
+        if self._connections.admit(connection):
+            submit_logged(self._executor, self._events, self._serve, connection)
+        elif self._turn_away_places.acquire(blocking=False):
+            submit_logged(
+                self._turn_away_executor, self._events, self._turn_away, connection
             )
+        else:
+            connection.close()
+
+    def _turn_away(self, connection: socket.socket) -> None:
+        try:
+            caller = HttpConnection(connection, self._limits)
+            self._refuse(caller, Reason.TOO_MANY_CONNECTIONS)
+        except OSError:
+            # The caller did not wait for its answer.
+            pass
+        finally:
+            close_politely(connection)
+            self._turn_away_places.release()
 
     def _serve(self, connection: socket.socket) -> None:
         """Serve one connection to its end."""
         try:
-            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            connection.settimeout(self._settings.connection_idle_timeout_s)
-            caller = HttpConnection(connection, self._settings.request_body_max_bytes)
-            self._serve_requests(caller)
+            self._serve_requests(HttpConnection(connection, self._limits), connection)
         except OSError:
-            # The caller went away or stayed silent; no request waits.
+            # The caller went away; no request of it waits here.
             pass
         finally:
             close_politely(connection)
-            with self._connections_lock:
-                self._connections.discard(connection)
-            self._open.release()
+            self._connections.left(connection)
 
-    def _serve_requests(self, caller: HttpConnection) -> None:
-        waiter = _RequestWaiter(
-            caller, self._wake_reader, self._settings.connection_idle_timeout_s
-        )
-        while True:
-            if caller.idle() and not waiter.wait():
-                self._answer_problem(
-                    caller, "-", Reason.NODE_LEAVING, Outcome.NOT_RUN, keep_alive=False
-                )
-                return
+    def _serve_requests(self, caller: HttpConnection, connection) -> None:
+        keep_alive = True
+        while keep_alive:
+            self._connections.set_idle(connection)
+            started = caller.wait_for_start()
+            was_shut = self._connections.set_busy(connection)
             try:
-                request = caller.read_request()
+                request = caller.read_request() if started else None
             except BadRequest as error:
-                self._answer_problem(
-                    caller, "-", error.reason, Outcome.NOT_RUN, keep_alive=False
-                )
+                self._refuse(caller, error.reason, error.detail)
                 return
             if request is None:
+                if was_shut:
+                    # A request that crosses the close is never read: its
+                    # caller is told so, where a reset would leave it in doubt.
+                    self._refuse(caller, self._closing_reason())
                 return
-            if not self._serve_request(caller, request):
-                return
+            keep_alive = self._serve_request(caller, request) and not was_shut
 
-    def _keep_alive(self, request: CallerRequest) -> bool:
-        return request.keep_alive and not self._leaving.is_set()
+    def _closing_reason(self) -> Reason:
+        return Reason.NODE_LEAVING if self._leaving.is_set() else Reason.GAVE_WAY
 
     def _serve_request(self, caller, request: CallerRequest) -> bool:
-        """Answer one request; return whether the connection stays open."""
+        """Answer one request; False when the connection ends with it."""
         received_s = time.monotonic()
-        request_id = request.header("x-request-id") or uuid.uuid4().hex
+        request_id = _request_id(request)
         self._events.emit(
             "request_received",
             request=request_id,
             method=request.method,
-            path=request.path,
+            path=request.path[:LOGGED_PATH_MAX],
         )
         match self._find_route(request):
             case Reason() as reason:
-                keep_alive = self._keep_alive(request)
-                self._answer_problem(
-                    caller, request_id, reason, Outcome.NOT_RUN, keep_alive
+                answer = self._problem(request, request_id, reason)
+            case MethodNotAllowed(methods):
+                answer = self._problem(
+                    request, request_id, Reason.METHOD_NOT_ALLOWED, allow=methods
                 )
             case RouteDocument() as route:
-                forwarded = ForwardedRequest(
-                    request_id,
-                    caller,
-                    request,
-                    route,
-                    received_s + _timeout_ms(request, route) / 1000,
-                    request.header("idempotency-key"),
-                )
-                reply = self._forwarder.forward(forwarded)
-                # Asked only now: the node may have begun to leave meanwhile.
-                keep_alive = self._keep_alive(request)
-                self._answer(caller, request, request_id, reply, keep_alive)
-        return keep_alive
+                answer = self._forward(caller, request, request_id, route, received_s)
+        self._write(caller, request_id, answer)
+        return request.keep_alive
+
+    def _settle_keep_alive(self, request: CallerRequest) -> bool:
+        """Decide as late as can be whether the connection goes on."""
+        request.keep_alive = request.keep_alive and not self._leaving.is_set()
+        return request.keep_alive
 
-    def _find_route(self, request: CallerRequest) -> RouteDocument | Reason:
+    def _find_route(self, request) -> RouteDocument | MethodNotAllowed | Reason:
         configuration = self._configuration.get()
         if configuration is None:
             return Reason.NO_SETTINGS
-        return configuration.routes.find(
-            request.header("host") or "", request.path, request.method
+        return configuration.routes.find(request.host, request.path, request.method)
+
+    def _forward(self, caller, request, request_id, route, received_s) -> bytes:
+        try:
+            timeout_ms = _timeout_ms(request, route)
+        except BadRequest as error:
+            return self._problem(request, request_id, error.reason, error.detail)
+        # The backend server's log can be matched with the time line.
+        request.headers.append((REQUEST_ID_HEADER, request_id))
+        forwarded = ForwardedRequest(
+            request_id,
+            caller,
+            request,
+            route,
+            received_s + timeout_ms / 1000,
+            request.noted.get("idempotency-key"),
+        )
+        reply = self._forwarder.forward(forwarded)
+        self._note_end(request_id, reply.outcome, reply.reason, reply.status)
+        return _encode_reply(
+            reply, request, request_id, self._settle_keep_alive(request)
         )
 
-    def _answer(self, caller, request, request_id, reply: Reply, keep_alive):
+    def _problem(self, request, request_id, reason, detail=None, allow=()) -> bytes:
+        self._note_end(request_id, Outcome.NOT_RUN, reason)
+        return encode_problem(
+            reason,
+            Outcome.NOT_RUN,
+            request_id,
+            self._settle_keep_alive(request),
+            request.method == "HEAD",
+            detail,
+            allow,
+        )
+
+    def _refuse(self, caller, reason: Reason, detail: str | None = None) -> None:
+        """Answer what is no request, and end the connection."""
+        request_id = _new_request_id()
+        self._note_end(request_id, Outcome.NOT_RUN, reason)
+        answer = encode_problem(
+            reason, Outcome.NOT_RUN, request_id, keep_alive=False, detail=detail
+        )
+        self._write(caller, request_id, answer)
+
+    def _note_end(self, request_id, outcome, reason, status=None) -> None:
         self._events.emit(
             "request_ended",
             request=request_id,
-            outcome=reply.outcome,
-            cause=reply.reason,
-            status=reply.status,
-        )
-        if reply.outcome is not Outcome.ANSWERED:
-            self._answer_problem(
-                caller, request_id, reply.reason, reply.outcome, keep_alive
-            )
-            return
-        headers = [
-            *reply.headers,
-            (OUTCOME_HEADER, Outcome.ANSWERED.value),
-            (REQUEST_ID_HEADER, request_id),
-        ]
-        caller.write_answer(
-            reply.status, headers, reply.body, keep_alive, request.method == "HEAD"
+            outcome=outcome,
+            cause=reason,
+            status=status or None,
         )
 
-    def _answer_problem(self, caller, request_id, reason, outcome, keep_alive):
-        problem = PROBLEMS[reason]
-        body = {
-            "title": problem.sentence,
-            "status": problem.status,
-            "outcome": outcome.value,
-            "reason": reason.value,
-            "request_id": request_id,
-        }
-        headers = [
-            ("Content-Type", "application/problem+json"),
-            (OUTCOME_HEADER, outcome.value),
-            (REQUEST_ID_HEADER, request_id),
-        ]
-        if problem.retry_after_s is not None:
-            headers.append(("Retry-After", str(problem.retry_after_s)))
-        caller.write_answer(
-            problem.status, headers, json.dumps(body).encode(), keep_alive
-        )
+    def _write(self, caller: HttpConnection, request_id: str, answer: bytes) -> None:
+        try:
+            caller.write(answer)
+        except OSError as error:
+            # What was done stays done, and the caller does not know of it.
+            self._events.emit("answer_not_delivered", request=request_id, cause=error)
+            raise
 
 
-class _RequestWaiter:
-    """Waits for the next request of one connection, or for the node to leave."""
+def _encode_reply(reply: Reply, request, request_id, keep_alive) -> bytes:
+    is_head = request.method == "HEAD"
+    if reply.outcome is Outcome.ANSWERED:
+        return encode_answer(
+            reply.status, reply.headers, reply.body, request_id, keep_alive, is_head
+        )
+    retry_after_s = -int(-reply.retry_after_ms // 1000) or None
+    return encode_problem(
+        reply.reason,
+        reply.outcome,
+        request_id,
+        keep_alive,
+        is_head,
+        retry_after_s=retry_after_s,
+    )
 
-    def __init__(self, caller: HttpConnection, wake: socket.socket, idle_timeout_s):
-        self._idle_timeout_s = idle_timeout_s
-        self._first = True
-        self._caller_fd = caller.fileno()
-        self._wake_fd = wake.fileno()
-        self._poll = select.poll()
-        self._poll.register(self._caller_fd, select.POLLIN)
-        self._poll.register(self._wake_fd, select.POLLIN)
 
-    def wait(self) -> bool:
-        """Return True when there is something to read, False when we leave.
+def _request_id(request: CallerRequest) -> str:
+    """Return the caller's own id where it is harmless, else a new one."""
+    given = request.noted.get("x-request-id")
+    if given is not None and _is_request_id(given):
+        return given
+    return _new_request_id()
 
-        Raises
-        ------
-        TimeoutError
-            When the connection stays idle.
-        """
-        ready = dict(self._poll.poll(self._idle_timeout_s * 1000))
-        if not ready:
-            raise TimeoutError
-        if self._caller_fd not in ready and self._first:
-            # Just accepted: its first request is on its way.
-            self._poll.unregister(self._wake_fd)
-            ready = dict(self._poll.poll(FIRST_REQUEST_S * 1000))
-        self._first = False
-        return self._caller_fd in ready
+
+def _new_request_id() -> str:
+    return f"{_request_ids.getrandbits(128):032x}"
 
 
 def _timeout_ms(request: CallerRequest, route: RouteDocument) -> float:
-    """Return the shorter of the caller's and the route's time."""
-    try:
-        asked_ms = float(request.header(TIMEOUT_HEADER.lower()) or route.timeout_ms)
-    except ValueError:
+    """Return the shorter of the caller's and the route's time.
+
+    Raises
+    ------
+    BadRequest
+        When the caller's time is no positive number.
+    """
+    asked = request.noted.get(TIMEOUT_HEADER.lower())
+    if asked is None:
         return route.timeout_ms
-    return min(route.timeout_ms, asked_ms) if asked_ms > 0 else route.timeout_ms
+    if not _is_timeout(asked) or float(asked) == 0:
+        raise BadRequest(
+            Reason.BAD_TIMEOUT,
+            f"{TIMEOUT_HEADER} must be a positive number of milliseconds.",
+        )
+    return min(route.timeout_ms, float(asked))
--- a/balsamspindle/requests/outcomes.py
+++ b/balsamspindle/requests/outcomes.py
@@ -32,10 +32,15 @@
     NO_ROUTE = "no_route"
     METHOD_NOT_ALLOWED = "method_not_allowed"
     BAD_REQUEST = "bad_request"
+    BAD_TIMEOUT = "bad_timeout"
+    EXPECTATION = "expectation"
+    HTTP_VERSION = "http_version"
+    REQUEST_TIMEOUT = "request_timeout"
     HEAD_TOO_LARGE = "head_too_large"
     BODY_TOO_LARGE = "body_too_large"
     TOO_MANY_CONNECTIONS = "too_many_connections"
     NODE_LEAVING = "node_leaving"
+    GAVE_WAY = "gave_way"
     NO_SETTINGS = "no_settings"
     NO_BACKEND_SERVER = "no_backend_server"
     DRAINING = "draining"
@@ -78,10 +83,21 @@
         405, "The route does not take this method.", None
     ),
     Reason.BAD_REQUEST: Problem(400, "The request is not valid HTTP.", None),
+    Reason.BAD_TIMEOUT: Problem(
+        400, "The header X-Request-Timeout-Ms is not a time.", None
+    ),
+    Reason.EXPECTATION: Problem(417, "The request expects what is not done.", None),
+    Reason.HTTP_VERSION: Problem(505, "The HTTP version is not taken here.", None),
+    Reason.REQUEST_TIMEOUT: Problem(
+        408, "The request did not arrive whole in time.", None
+    ),
     Reason.HEAD_TOO_LARGE: Problem(431, "The request head is too large.", None),
     Reason.BODY_TOO_LARGE: Problem(413, "The request body is too large.", None),
     Reason.TOO_MANY_CONNECTIONS: Problem(503, "Too many connections are open.", 1),
     # RFC 9110, 15.5.9: the caller may repeat a request that crossed this.
+    Reason.GAVE_WAY: Problem(
+        408, "The idle connection made room; no request was read from it.", None
+    ),
     Reason.NODE_LEAVING: Problem(
         408, "The node is leaving; no request was read from this connection.", None
     ),
--- a/balsamspindle/services/routes.py
+++ b/balsamspindle/services/routes.py
@@ -1,17 +1,24 @@
 """Which route takes a request."""
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 import msgspec
 
 from balsamspindle.requests.outcomes import Reason
 from balsamspindle.settings.documents import RouteDocument
 
-__all__ = ["ANY_HOST", "RouteTable"]
+__all__ = ["ANY_HOST", "MethodNotAllowed", "RouteTable"]
 
 ANY_HOST = "*"
 
 
+class MethodNotAllowed(NamedTuple):
+    """Routes take this host and path, none of them this method."""
+
+    methods: tuple[str, ...]
+
+
 class RouteTable:
     """Routes by host, then by longest path prefix of whole segments.
 
@@ -43,17 +50,39 @@
             table._routes[key] = _ordered([*table._routes.get(key, ()), route])
         return table
 
-    def find(self, host: str, path: str, method: str) -> RouteDocument | Reason:
-        """Return the route, or why there is none."""
-        reason = Reason.NO_ROUTE
-        host = host.partition(":")[0].lower()
-        for known_host in (host, ANY_HOST):
+    def find(
+        self, host: str, path: str, method: str
+    ) -> RouteDocument | MethodNotAllowed | Reason:
+        """Return the route, or why there is none.
+
+        A host of its own goes before ``*``; the longest path prefix before
+        shorter ones; the method comes last. So a request that the routes of
+        its prefix refuse never reaches a shorter prefix, which may be another
+        team's.
+        """
+        for known_host in (_host_name(host), ANY_HOST):
             for prefix in _prefixes(path):
-                for route in self._routes.get((known_host, prefix), ()):
-                    if method in route.methods:
-                        return route
-                    reason = Reason.METHOD_NOT_ALLOWED
-        return reason
+                routes = self._routes.get((known_host, prefix))
+                if routes is not None:
+                    return _by_method(routes, method)
+        return Reason.NO_ROUTE
+
+
+def _by_method(
+    routes: list[RouteDocument], method: str
+) -> RouteDocument | MethodNotAllowed:
+    for route in routes:
+        if method in route.methods:
+            return route
+    methods = {method: None for route in routes for method in route.methods}
+    return MethodNotAllowed(tuple(methods))
+
+
+def _host_name(host: str) -> str:
+    """Return a Host header's name: lower case, without port and final dot."""
+    if host.startswith("["):
+        return host.partition("]")[0].lower() + "]"
+    return host.partition(":")[0].rstrip(".").lower()
 
 
 def _key(route: RouteDocument) -> tuple[str, str]:
--- a/balsamspindle/settings/process.py
+++ b/balsamspindle/settings/process.py
@@ -87,6 +87,8 @@
     wall_clock_offset_s: float = 0.0
     connections_max: int = 400
     connection_idle_timeout_s: float = 60.0
+    request_head_timeout_s: float = 10.0
+    request_body_timeout_s: float = 60.0
     request_body_max_bytes: int = 8 * 1024 * 1024
     answer_body_max_bytes: int = 8 * 1024 * 1024
     shutdown_timeout_s: float = 30.0
--- /dev/null
+++ b/tests/caller_side.py
@@ -0,0 +1,178 @@
+"""An ingress within the test's process, before a forwarder that answers itself."""
+
+import json
+import re
+import socket
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from io import StringIO
+from typing import NamedTuple
+
+from balsamspindle.requests import Outcome
+from balsamspindle.requests.ingress import Ingress
+from balsamspindle.settings.process import NodeSettings
+from balsamspindle.settings.tree import CurrentConfiguration
+from balsamspindle.timeline import EventLog, HybridClock
+from balsamspindle.wire import AttemptId, Reply
+from tests.utils import free_address
+
+DOCUMENTS = {
+    "crew/services/contracts": b"{}",
+    "crew/routes/read": b"""{"service": "crew/contracts", "execution": "idempotent",
+        "path_prefix": "/contracts", "methods": ["GET", "HEAD"],
+        "timeout_ms": 2000}""",
+    "crew/routes/sign": b"""{"service": "crew/contracts", "path_prefix": "/contracts",
+        "execution": "non_idempotent", "methods": ["POST"]}""",
+}
+SOCKET_TIMEOUT_S = 10.0
+
+
+class EchoForwarder:
+    """Answers each request with what it was asked; keeps what it was given."""
+
+    def __init__(self) -> None:
+        self.forwarded = []
+        self.remaining_ms = []
+        self.headers = [("Content-Type", "application/json")]
+        self.hold = threading.Event()
+        self.hold.set()
+        self.padding = ""
+
+    def forward(self, forwarded) -> Reply:
+        """See `balsamspindle.requests.forwarding.Forwarder`."""
+        self.forwarded.append(forwarded)
+        self.remaining_ms.append((forwarded.deadline_s - time.monotonic()) * 1000)
+        self.hold.wait(SOCKET_TIMEOUT_S)
+        request = forwarded.request
+        body = {
+            "method": request.method,
+            "target": request.target,
+            "body": request.body.decode("latin-1"),
+            "padding": self.padding,
+        }
+        return Reply(
+            AttemptId("test", 1, len(self.forwarded)),
+            Outcome.ANSWERED,
+            status=200,
+            headers=self.headers,
+            body=json.dumps(body).encode(),
+        )
+
+
+class Answer(NamedTuple):
+    """An answer as it came over the connection."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+    def all(self, name: str) -> list[str]:
+        """Return all values of a header."""
+        return [value for known, value in self.headers if known.lower() == name]
+
+    def one(self, name: str) -> str | None:
+        """Return a header that may be there only once."""
+        values = self.all(name)
+        assert len(values) <= 1, values
+        return values[0] if values else None
+
+    def json(self):
+        """Return the body as JSON."""
+        return json.loads(self.body)
+
+
+class RawCaller:
+    """A caller that sends bytes as they are."""
+
+    def __init__(self, address: str) -> None:
+        host, _, port = address.partition(":")
+        self.socket = socket.create_connection((host, int(port)), SOCKET_TIMEOUT_S)
+        self._data = b""
+
+    def send(self, data: bytes) -> "RawCaller":
+        """Send bytes."""
+        self.socket.sendall(data)
+        return self
+
+    def read(self, is_head: bool = False) -> Answer:
+        """Read one answer by its own length."""
+        while b"\r\n\r\n" not in self._data:
+            self._receive()
+        head, _, self._data = self._data.partition(b"\r\n\r\n")
+        lines = head.decode("latin-1").split("\r\n")
+        status = int(re.fullmatch(r"HTTP/1\.1 (\d{3}) .+", lines[0])[1])
+        headers = [tuple(line.split(": ", 1)) for line in lines[1:]]
+        answer = Answer(status, headers, b"")
+        length = 0 if is_head or status < 200 else int(answer.one("content-length"))
+        while len(self._data) < length:
+            self._receive()
+        body, self._data = self._data[:length], self._data[length:]
+        return answer._replace(body=body)
+
+    def at_end(self) -> bool:
+        """Wait for the connection's orderly end; False when bytes come first."""
+        return not self._data and self.socket.recv(1) == b""
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.socket.close()
+
+    def _receive(self) -> None:
+        data = self.socket.recv(65536)
+        if not data:
+            raise ConnectionError(f"the connection ended after {self._data!r}")
+        self._data += data
+
+
+class IngressFixture:
+    """A running ingress; `changes` replace fields of the node's settings."""
+
+    def __init__(self, **changes) -> None:
+        address = free_address()
+        settings = NodeSettings(
+            **{
+                "node_id": "node-1",
+                "region": "test",
+                "availability_zone": "zone-1",
+                "caller_address": address,
+                "link_address": address,
+                "member_address": address,
+                "admin_address": address,
+                "connections_max": 16,
+                **changes,
+            }
+        )
+        self.address = address
+        self.log = StringIO()
+        self.events = EventLog("node-1", 1, HybridClock(), self.log)
+        self.forwarder = EchoForwarder()
+        configuration = CurrentConfiguration()
+        assert configuration.offer(1, DOCUMENTS).ok
+        self.executor = ThreadPoolExecutor(settings.connections_max)
+        self.ingress = Ingress(
+            settings, configuration, self.forwarder, self.executor, self.events
+        )
+        self._task = threading.Thread(target=self.ingress.run)
+        self._task.start()
+        self._callers: list[RawCaller] = []
+
+    def caller(self) -> RawCaller:
+        """Return a new connection to the ingress."""
+        caller = RawCaller(self.address)
+        self._callers.append(caller)
+        return caller
+
+    def logged(self) -> str:
+        """Return the events so far."""
+        self.events.flush()
+        return self.log.getvalue()
+
+    def close(self) -> None:
+        """End the ingress and all callers."""
+        self.forwarder.hold.set()
+        self.ingress.stop()
+        for caller in self._callers:
+            caller.close()
+        self._task.join()
+        self.executor.shutdown()
