--- a/tests/caller_side.py
+++ b/tests/caller_side.py
@@ -12,7 +12,7 @@
 from balsamspindle.requests import Outcome
 from balsamspindle.requests.ingress import Ingress
 from balsamspindle.settings.process import NodeSettings
-from balsamspindle.settings.tree import CurrentConfiguration
+from balsamspindle.settings.tree import Applied, CurrentConfiguration
 from balsamspindle.timeline import EventLog, HybridClock
 from balsamspindle.wire import AttemptId, Reply
 from tests.utils import free_address
@@ -148,7 +148,7 @@
         self.events = EventLog("node-1", 1, HybridClock(), self.log)
         self.forwarder = EchoForwarder()
         configuration = CurrentConfiguration()
-        assert configuration.offer(1, DOCUMENTS).ok
+        assert configuration.offer(1, DOCUMENTS) is Applied.IN_FORCE
         self.executor = ThreadPoolExecutor(settings.connections_max)
         self.ingress = Ingress(
             settings, configuration, self.forwarder, self.executor, self.events
--- a/tests/test_caller_watch.py
+++ b/tests/test_caller_watch.py
@@ -4,7 +4,7 @@
 
 from testtools import TestCase
 
-from balsamspindle.requests.http import HttpConnection
+from balsamspindle.requests.http import HttpConnection, HttpLimits
 
 
 class CallerGoneTests(TestCase):
@@ -14,7 +14,7 @@
         self.addCleanup(self.caller.close)
         self.addCleanup(served.close)
         served.settimeout(0.2)
-        self.connection = HttpConnection(served, 0)
+        self.connection = HttpConnection(served, HttpLimits())
 
     def test_a_caller_that_waits_in_silence_is_not_gone(self):
         """A caller waits for its answer and its request runs at the own gate.
