--- /dev/null
+++ b/bench/caller_heads.py
@@ -0,0 +1,170 @@
+"""Processor time of a caller's request on three ways to read HTTP.
+
+Each way reads one keep-alive request from a socket pair and writes its answer,
+in one thread, with no work behind it:
+
+- ``connection``: `balsamspindle.requests.http.HttpConnection`;
+- ``ingress``: the same with route look-up, events and our headers, before a
+  forwarder that answers at once;
+- ``werkzeug``: werkzeug's own request handler before a small WSGI application.
+
+The caller's own send and receive are part of every figure.
+
+::
+
+    python -m bench.caller_heads
+    python -m bench.caller_heads --json
+"""
+
+import json
+import socket
+import time
+from collections.abc import Callable
+from types import SimpleNamespace
+
+import typer
+from werkzeug.serving import WSGIRequestHandler
+from werkzeug.wrappers import Request, Response
+
+from balsamspindle.requests import Outcome
+from balsamspindle.requests.answers import encode_answer
+from balsamspindle.requests.http import HttpConnection, HttpLimits
+from balsamspindle.wire import AttemptId, Reply
+from bench.paced_calls import Target, encode_request
+from tests.caller_side import IngressFixture
+
+__all__ = ["main"]
+
+BODY = b'{"server": "contract-1", "status": "signed", "contract": 7}'
+HEADERS = [("Content-Type", "application/json"), ("Server", "backend")]
+REQUEST = encode_request(Target("127.0.0.1:8080", "/contracts/7?full=1"))
+ROUNDS = 3
+RECEIVE_BYTES = 64 * 1024
+
+
+class QuietHandler(WSGIRequestHandler):
+    """werkzeug's handler with HTTP/1.1 and without its log."""
+
+    protocol_version = "HTTP/1.1"
+
+    def log_request(self, *_):
+        """Write no line for each request."""
+
+
+@Request.application
+def application(request: Request) -> Response:
+    """Read what an ingress reads and answer."""
+    request.get_data()
+    _ = request.host, request.path, request.method, list(request.headers)
+    return Response(BODY, headers=HEADERS)
+
+
+def serve_connection(connection: socket.socket) -> Callable[[], None]:
+    """Return a function that serves one request with the bare connection."""
+    caller = HttpConnection(connection, HttpLimits())
+
+    def serve() -> None:
+        caller.wait_for_start()
+        request = caller.read_request()
+        caller.write(
+            encode_answer(200, HEADERS, BODY, "-", request.keep_alive, is_head=False)
+        )
+
+    return serve
+
+
+def serve_werkzeug(connection: socket.socket) -> Callable[[], None]:
+    """Return a function that serves one request with werkzeug's handler."""
+    server = SimpleNamespace(
+        app=application,
+        server_address=("127.0.0.1", 8080),
+        multithread=True,
+        multiprocess=False,
+        ssl_context=None,
+        passthrough_errors=True,
+        shutdown_signal=False,
+    )
+    handler = QuietHandler.__new__(QuietHandler)
+    handler.request, handler.server = connection, server
+    handler.client_address = ("127.0.0.1", 1)
+    handler.setup()
+    handler.close_connection = False
+    return handler.handle_one_request
+
+
+def cpu_us(serve: Callable[[], None], caller: socket.socket, count: int) -> float:
+    """Return the best round's processor time for a request, in microseconds."""
+    used_us = []
+    for _ in range(ROUNDS):
+        before_s = time.thread_time()
+        for _ in range(count):
+            caller.sendall(REQUEST)
+            serve()
+            answer = caller.recv(RECEIVE_BYTES)
+            while not answer.endswith(BODY):
+                answer += caller.recv(RECEIVE_BYTES)
+        used_us.append((time.thread_time() - before_s) / count * 1_000_000)
+    return min(used_us)
+
+
+def measure_ingress(count: int) -> float:
+    """Return the time of a request through an ingress.
+
+    The task that serves a connection is the ingress's own; here it is called
+    for one request at a time by the measuring thread.
+    """
+    fixture = IngressFixture()
+    caller, served = socket.socketpair()
+    try:
+        fixture.forwarder.forward = _answer_at_once
+        connection = HttpConnection(served, HttpLimits())
+
+        def serve() -> None:
+            connection.wait_for_start()
+            request = connection.read_request()
+            fixture.ingress._serve_request(connection, request)
+
+        used_us = cpu_us(serve, caller, count)
+    finally:
+        fixture.close()
+        caller.close()
+        served.close()
+    return used_us
+
+
+def _answer_at_once(forwarded):
+    return Reply(
+        AttemptId("bench", 1, 1),
+        Outcome.ANSWERED,
+        status=200,
+        headers=HEADERS,
+        body=BODY,
+    )
+
+
+def measure(count: int) -> dict[str, float]:
+    """Return the processor time of a request for each way, in microseconds."""
+    figures = {}
+    for name, make in (("connection", serve_connection), ("werkzeug", serve_werkzeug)):
+        caller, served = socket.socketpair()
+        with caller, served:
+            figures[name] = round(cpu_us(make(served), caller, count), 1)
+    figures["ingress"] = round(measure_ingress(count), 1)
+    return figures
+
+
+def main(
+    count: int = typer.Option(200, help="Requests in each of three rounds."),
+    as_json: bool = typer.Option(False, "--json", help="Print JSON."),
+) -> None:
+    """Measure the CPU of a caller's request, ours and werkzeug's."""
+    figures = measure(count)
+    if as_json:
+        print(json.dumps(figures))
+        return
+    for name, used_us in figures.items():
+        print(f"{name:12} {used_us:7.1f} us of CPU for a request")
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/bench/paced_calls.py
+++ b/bench/paced_calls.py
@@ -9,7 +9,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-__all__ = ["LATENCY_MAX_US", "PacedCalls", "Target", "new_histogram"]
+__all__ = ["LATENCY_MAX_US", "PacedCalls", "Target", "encode_request", "new_histogram"]
 
 LATENCY_MAX_US = 60_000_000
 SIGNIFICANT_FIGURES = 3
@@ -51,7 +51,7 @@
         self.histogram = new_histogram()
         self.failures = 0
         self._rate_per_s = rate_per_s / connections
-        self._request = _encode_request(target)
+        self._request = encode_request(target)
         self._lock = threading.Lock()
         self._random = random.Random(seed)
         self._sockets = [_connect(target.address) for _ in range(connections)]
@@ -98,7 +98,8 @@
     return connection
 
 
-def _encode_request(target: Target) -> bytes:
+def encode_request(target: Target) -> bytes:
+    """Return a GET with the headers of a browser."""
     return (
         f"GET {target.path} HTTP/1.1\r\n"
         f"Host: {target.address}\r\n"
