Tell each gate how a service's other backend servers do

A gate sees only its own work. Ingresses hear many gates: a reply now carries the gate's judgement (bad or not, slow limit) and a dispatch a summary of the others (heard, bad, median slow limit), so the comparison costs no message. An ingress counts what hangs at a peer before it ends. A failed link and shed work carry no judgement and spread nothing.

--- a/balsamspindle/backend_servers/evidence.py
+++ b/balsamspindle/backend_servers/evidence.py
@@ -1,11 +1,11 @@
 """What the gate sees of real work, and who is told."""
 
 from enum import StrEnum
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
-from balsamspindle.wire import AttemptId
+from balsamspindle.wire import AttemptId, PeerEvidence
 
-__all__ = ["HealthObserver", "NoObserver", "WorkResult"]
+__all__ = ["HealthObserver", "Judgement", "NoObserver", "WorkResult"]
 
 
 class WorkResult(StrEnum):
@@ -24,6 +24,21 @@
     CANCELLED = "cancelled"
 
 
+class Judgement(NamedTuple):
+    """What an ended attempt says; goes back with its reply.
+
+    Attributes
+    ----------
+    bad : bool or None
+        None when it says nothing of the backend server.
+    slow_ms : float
+        Over this latency its requests count as slow; 0 when unknown.
+    """
+
+    bad: bool | None = None
+    slow_ms: float = 0.0
+
+
 class HealthObserver(Protocol):
     """Takes the evidence of real work, as the gate sees it.
 
@@ -35,13 +50,18 @@
     ) -> None:
         """An attempt was dispatched; it is in flight from now."""
 
+    def note_peers(
+        self, backend_server_id: str, evidence: PeerEvidence, now_s: float
+    ) -> None:
+        """An ingress told of the service's other backend servers."""
+
     def ended(
         self,
         backend_server_id: str,
         attempt_id: AttemptId,
         result: WorkResult,
         now_s: float,
-    ) -> None:
+    ) -> Judgement:
         """An attempt ended."""
 
 
@@ -51,5 +71,9 @@
     def started(self, backend_server_id, attempt_id, now_s) -> None:
         """See `HealthObserver.started`."""
 
-    def ended(self, backend_server_id, attempt_id, result, now_s) -> None:
+    def note_peers(self, backend_server_id, evidence, now_s) -> None:
+        """See `HealthObserver.note_peers`."""
+
+    def ended(self, backend_server_id, attempt_id, result, now_s) -> Judgement:
         """See `HealthObserver.ended`."""
+        return Judgement()
--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -177,6 +177,7 @@
             backend_server=server.backend_server_id,
         )
         server_id, attempt_id = server.backend_server_id, dispatch.attempt_id
+        self._observer.note_peers(server_id, dispatch.peers, time.monotonic())
         self._observer.started(server_id, attempt_id, time.monotonic())
         result = None
         try:
@@ -192,12 +193,12 @@
             )
         finally:
             free_slots = self._admission.release(admitted, _work_end(result))
-            self._observer.ended(
+            judgement = self._observer.ended(
                 server_id, attempt_id, _work_result(result), time.monotonic()
             )
-        return self._reply(dispatch, result, free_slots)
+        return self._reply(dispatch, result, free_slots, judgement)
 
-    def _reply(self, dispatch, result, free_slots) -> Reply:
+    def _reply(self, dispatch, result, free_slots, judgement) -> Reply:
         outcome, reason = _OUTCOMES[type(result)](result)
         hlc = self._events.emit(
             "attempt_ended",
@@ -217,6 +218,8 @@
                     body_checksum=checksum(body),
                     free_slots=free_slots,
                     hlc=hlc,
+                    bad=judgement.bad,
+                    slow_ms=judgement.slow_ms,
                 )
             case BackendFailure():
                 return Reply(
@@ -225,6 +228,8 @@
                     reason,
                     free_slots=free_slots,
                     hlc=hlc,
+                    bad=judgement.bad,
+                    slow_ms=judgement.slow_ms,
                 )
 
 
--- a/balsamspindle/backend_servers/health.py
+++ b/balsamspindle/backend_servers/health.py
@@ -6,7 +6,7 @@
 
 from balsamspindle.backend_servers.evidence import WorkResult
 from balsamspindle.backend_servers.health_latency import SLOW_SHARE, SlowLimit
-from balsamspindle.backend_servers.health_peers import PeerEvidence, PeerView
+from balsamspindle.backend_servers.health_peers import PeerView
 from balsamspindle.backend_servers.health_readmission import HealthPhase, Readmission
 from balsamspindle.backend_servers.health_score import (
     SHARED_CAUSE_SHARE,
@@ -17,7 +17,7 @@
     good_weight,
 )
 from balsamspindle.settings.documents import Detection
-from balsamspindle.wire import AttemptId
+from balsamspindle.wire import AttemptId, PeerEvidence
 
 __all__ = ["HealthReport", "ServerHealth", "Verdict"]
 
--- a/balsamspindle/backend_servers/health_monitor.py
+++ b/balsamspindle/backend_servers/health_monitor.py
@@ -5,9 +5,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from balsamspindle.backend_servers.evidence import WorkResult
+from balsamspindle.backend_servers.evidence import Judgement, WorkResult
 from balsamspindle.backend_servers.health import HealthReport, ServerHealth, Verdict
-from balsamspindle.backend_servers.health_peers import PeerEvidence
 from balsamspindle.backend_servers.health_readmission import HealthPhase
 from balsamspindle.backend_servers.servers import (
     LocalBackendServer,
@@ -15,7 +14,7 @@
 )
 from balsamspindle.settings.documents import Detection
 from balsamspindle.timeline import EventLog
-from balsamspindle.wire import AttemptId
+from balsamspindle.wire import AttemptId, PeerEvidence
 
 __all__ = ["TICK_S", "HealthMonitor"]
 
@@ -89,18 +88,19 @@
         attempt_id: AttemptId,
         result: WorkResult,
         now_s: float,
-    ) -> Verdict:
-        """See `HealthObserver.ended`; tells what the end says of the server."""
+    ) -> Judgement:
+        """See `HealthObserver.ended`."""
         with self._lock:
             known = self._known.get(backend_server_id)
             if known is None:
-                return Verdict.NOTHING
-            return known.health.ended(attempt_id, result, now_s)
+                return Judgement()
+            verdict = known.health.ended(attempt_id, result, now_s)
+            return Judgement(_BAD[verdict], known.health.own_slow_ms)
 
     def note_peers(
         self, backend_server_id: str, evidence: PeerEvidence, now_s: float
     ) -> None:
-        """Take what an ingress saw of the service's other backend servers."""
+        """See `HealthObserver.note_peers`."""
         with self._lock:
             known = self._known.get(backend_server_id)
             if known is not None:
@@ -122,12 +122,6 @@
                 if known.health.wants_probe(now_s)
             ]
 
-    def own_slow_ms(self, backend_server_id: str) -> float:
-        """Return the slow limit learned from a backend server, 0 for none."""
-        with self._lock:
-            known = self._known.get(backend_server_id)
-            return known.health.own_slow_ms if known is not None else 0.0
-
     def reports(self, now_s: float) -> dict[str, HealthReport]:
         """Explain all backend servers of this node, by id."""
         with self._lock:
@@ -201,6 +195,8 @@
         )
 
 
+_BAD = {Verdict.GOOD: False, Verdict.BAD: True, Verdict.NOTHING: None}
+
 _EVENTS = {
     HealthPhase.HELD_OUT: "backend_server_suspected",
     HealthPhase.ON_TRIAL: "backend_server_on_trial",
--- a/balsamspindle/backend_servers/health_peers.py
+++ b/balsamspindle/backend_servers/health_peers.py
@@ -5,9 +5,10 @@
 """
 
 import math
-from typing import NamedTuple
 
-__all__ = ["NO_PEERS", "PeerEvidence", "PeerView"]
+from balsamspindle.wire import PeerEvidence
+
+__all__ = ["PeerView"]
 
 MEMORY_S = 2.0
 # Counts as so many good peers, so that one bad one of few is not a trend.
@@ -17,27 +18,6 @@
 SLOW_BLEND = 0.1
 
 
-class PeerEvidence(NamedTuple):
-    """One ingress's summary of a service's other backend servers.
-
-    Attributes
-    ----------
-    heard : int
-        Backend servers that it heard lately.
-    bad : int
-        Those whose latest request was bad.
-    slow_ms : float
-        Median of the slow limits that their gates told; 0 when unknown.
-    """
-
-    heard: int = 0
-    bad: int = 0
-    slow_ms: float = 0.0
-
-
-NO_PEERS = PeerEvidence()
-
-
 class PeerView:
     """The summaries of all ingresses, of the last seconds.
 
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -16,6 +16,7 @@
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.requests.outcomes import Execution, Outcome, Reason
 from balsamspindle.services.free_slots import FreeSlotViews
+from balsamspindle.services.peer_evidence import PeerEvidenceTracker
 from balsamspindle.services.picker import Picker
 from balsamspindle.settings.documents import RouteDocument
 from balsamspindle.timeline import EventLog
@@ -78,6 +79,7 @@
         self._claims = claims or ClaimBook(None)
         self._watch = CallerWatch(gate.cancel)
         self._free_slots = FreeSlotViews()
+        self._peers = PeerEvidenceTracker()
         self._sequence = itertools.count(1)
         self._random = random.Random(f"{own.node_id}/{own.incarnation}")
         self._random_lock = threading.Lock()
@@ -149,17 +151,27 @@
             )
 
     def _attempt(self, forwarded: ForwardedRequest, placement: Placement) -> Reply:
+        service = forwarded.route.service
         server_id = placement.backend_server.backend_server_id
         forwarded.tried.add(server_id)
         dispatch = self._dispatch_message(forwarded, placement)
-        if placement.node.node_id == self._own.node_id:
-            reply = self._attempt_here(forwarded, dispatch)
-        else:
-            reply = self._attempt_over_link(forwarded, placement, dispatch)
+        started_s = time.monotonic()
+        self._peers.started(service, server_id, started_s)
+        reply = None
+        try:
+            reply = self._send(forwarded, placement, dispatch)
+        finally:
+            now_s = time.monotonic()
+            self._peers.ended(service, server_id, started_s, reply, now_s)
         forwarded.may_have_run |= reply.outcome is Outcome.UNKNOWN
-        self._free_slots.note(server_id, reply.free_slots, time.monotonic())
+        self._free_slots.note(server_id, reply.free_slots, now_s)
         return reply
 
+    def _send(self, forwarded, placement, dispatch) -> Reply:
+        if placement.node.node_id == self._own.node_id:
+            return self._attempt_here(forwarded, dispatch)
+        return self._attempt_over_link(forwarded, placement, dispatch)
+
     def _dispatch_message(self, forwarded, placement) -> Dispatch:
         request, route = forwarded.request, forwarded.route
         hlc = self._events.emit(
@@ -183,6 +195,11 @@
             body_checksum=checksum(request.body),
             idempotency_key=forwarded.idempotency_key,
             hlc=hlc,
+            peers=self._peers.about(
+                route.service,
+                placement.backend_server.backend_server_id,
+                time.monotonic(),
+            ),
         )
 
     def _attempt_here(self, forwarded, dispatch) -> Reply:
--- a/balsamspindle/services/peer_evidence.py
+++ b/balsamspindle/services/peer_evidence.py
@@ -8,7 +8,7 @@
 import statistics
 import threading
 
-from balsamspindle.backend_servers.health_peers import PeerEvidence
+from balsamspindle.wire import PeerEvidence, Reply
 
 __all__ = ["PeerEvidenceTracker"]
 
@@ -56,28 +56,27 @@
         service: str,
         backend_server_id: str,
         started_s: float,
-        bad: bool | None,
-        slow_ms: float,
+        reply: Reply | None,
         now_s: float,
     ) -> None:
         """Note an attempt's end.
 
         Parameters
         ----------
-        bad : bool or None
-            As the gate judged it; None when the end says nothing of the
-            backend server, as when the link failed.
-        slow_ms : float
-            The slow limit that the gate told; 0 when it told none.
+        reply : Reply or None
+            Tells what the gate judged. Without a judgement (the link failed,
+            the work was shed) the end says nothing of the backend server.
         """
         with self._lock:
             seen = self._seen(service, backend_server_id)
             if started_s in seen.in_flight:
                 seen.in_flight.remove(started_s)
-            if slow_ms > 0:
-                seen.slow_ms = slow_ms
-            if bad is not None:
-                seen.bad = bad
+            if reply is None:
+                return
+            if reply.slow_ms > 0:
+                seen.slow_ms = reply.slow_ms
+            if reply.bad is not None:
+                seen.bad = reply.bad
                 seen.heard_s = now_s
 
     def about(self, service: str, backend_server_id: str, now_s: float) -> PeerEvidence:
--- a/balsamspindle/wire/__init__.py
+++ b/balsamspindle/wire/__init__.py
@@ -16,6 +16,7 @@
     Greet,
     Greeting,
     LinkMessage,
+    PeerEvidence,
     Reply,
 )
 from balsamspindle.wire.member_messages import (
@@ -59,6 +60,7 @@
     "NodeRecord",
     "NodeSummary",
     "Page",
+    "PeerEvidence",
     "Ping",
     "PingRequest",
     "Pull",
--- a/balsamspindle/wire/link_messages.py
+++ b/balsamspindle/wire/link_messages.py
@@ -20,6 +20,7 @@
     "Greet",
     "Greeting",
     "LinkMessage",
+    "PeerEvidence",
     "Reply",
 ]
 
@@ -79,6 +80,24 @@
     gate_time_s: float
 
 
+class PeerEvidence(NamedTuple):
+    """An ingress's summary of a service's other backend servers.
+
+    Attributes
+    ----------
+    heard : int
+        Backend servers that it heard lately.
+    bad : int
+        Those whose latest request failed or was slow.
+    slow_ms : float
+        Median of the slow limits that their gates told; 0 when unknown.
+    """
+
+    heard: int = 0
+    bad: int = 0
+    slow_ms: float = 0.0
+
+
 class Dispatch(msgspec.Struct, tag="dispatch", frozen=True):
     """Ingress to gate: run this request at one of your backend servers.
 
@@ -98,6 +117,8 @@
         xxh3_64 of the body.
     claim : Claim or None
         With an idempotency key: the claim that this attempt stands on.
+    peers : PeerEvidence
+        What to compare the backend server with.
     hlc : int
         The sender's hybrid logical clock.
     """
@@ -118,6 +139,7 @@
     hlc: int = 0
     gate_deadline_s: float | None = None
     claim: Claim | None = None
+    peers: PeerEvidence = PeerEvidence()
 
 
 class Cancel(msgspec.Struct, tag="cancel", frozen=True):
@@ -151,6 +173,11 @@
         When coming back helps; 0 when it does not.
     gate_time_s : float
         The gate's monotonic clock when the reply was sent.
+    bad : bool or None
+        Whether the backend server failed or was slow, as the gate judges;
+        None when the attempt says nothing of it.
+    slow_ms : float
+        Over this latency its requests count as slow; 0 when unknown.
     """
 
     attempt_id: AttemptId
@@ -164,6 +191,8 @@
     retry_after_ms: float = 0.0
     hlc: int = 0
     gate_time_s: float = 0.0
+    bad: bool | None = None
+    slow_ms: float = 0.0
 
 
 LinkMessage = Greet | Greeting | Dispatch | Cancel | Reply
--- a/bench/detection_detectors.py
+++ b/bench/detection_detectors.py
@@ -10,9 +10,10 @@
 
 from balsamspindle.backend_servers.evidence import WorkResult
 from balsamspindle.backend_servers.health import ServerHealth, Verdict
+from balsamspindle.requests.outcomes import Outcome
 from balsamspindle.services.peer_evidence import PeerEvidenceTracker
 from balsamspindle.settings.documents import Detection
-from balsamspindle.wire import AttemptId
+from balsamspindle.wire import AttemptId, Reply
 
 __all__ = ["ConsecutiveFailures", "Detector", "IntervalSuccessRate", "Sequential"]
 
@@ -83,7 +84,13 @@
         verdict = health.ended(AttemptId("", 0, attempt), result, now_s)
         tracker, started_s = self._attempts.pop(attempt)
         bad = None if verdict is Verdict.NOTHING else verdict is Verdict.BAD
-        tracker.ended("s", str(server), started_s, bad, health.own_slow_ms, now_s)
+        reply = Reply(
+            AttemptId("", 0, attempt),
+            Outcome.ANSWERED,
+            bad=bad,
+            slow_ms=health.own_slow_ms,
+        )
+        tracker.ended("s", str(server), started_s, reply, now_s)
 
     def link_failed(self, server, now_s):
         """Stay with the ingress: it routes around its own link."""
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -12,7 +12,7 @@
 from balsamspindle.backend_servers.attempts import MEMORY_S, AttemptTable, Begin
 from balsamspindle.backend_servers.cancellation import CancelToken
 from balsamspindle.backend_servers.client import BackendServerClient
-from balsamspindle.backend_servers.evidence import WorkResult
+from balsamspindle.backend_servers.evidence import Judgement, NoObserver, WorkResult
 from balsamspindle.backend_servers.gate import Gate
 from balsamspindle.backend_servers.servers import Announcement, LocalBackendServers
 from balsamspindle.requests.outcomes import Execution, Outcome, Reason
@@ -26,7 +26,7 @@
 NODE, INCARNATION = "gate", 7
 
 
-class Observer:
+class Observer(NoObserver):
     """Keeps the evidence that the gate reports."""
 
     def __init__(self):
@@ -37,6 +37,7 @@
 
     def ended(self, backend_server_id, attempt_id, result, now_s):
         self.results.append(result)
+        return Judgement()
 
 
 class GateTests(TestCase):
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -6,7 +6,6 @@
 
 from balsamspindle.backend_servers.evidence import WorkResult
 from balsamspindle.backend_servers.health import ServerHealth, Verdict
-from balsamspindle.backend_servers.health_peers import PeerEvidence
 from balsamspindle.backend_servers.health_readmission import HealthPhase
 from balsamspindle.backend_servers.health_score import (
     Rates,
@@ -15,7 +14,7 @@
     good_weight,
 )
 from balsamspindle.settings.documents import Detection
-from balsamspindle.wire import AttemptId
+from balsamspindle.wire import AttemptId, PeerEvidence
 
 ANSWERED, ERROR = WorkResult.ANSWERED, WorkResult.ERROR
 PEERS_WELL = PeerEvidence(heard=5, bad=0, slow_ms=80.0)
