Count as slow what is over twice the peers' 99th percentile, a setting

Slow requests of healthy backend servers were half of the false evidence. What travels is the 99th percentile itself; each gate applies its factor.

--- a/balsamspindle/backend_servers/evidence.py
+++ b/balsamspindle/backend_servers/evidence.py
@@ -31,12 +31,12 @@
     ----------
     bad : bool or None
         None when it says nothing of the backend server.
-    slow_ms : float
-        Over this latency its requests count as slow; 0 when unknown.
+    limit_ms : float
+        The backend server's 99th percentile of latency; 0 when unknown.
     """
 
     bad: bool | None = None
-    slow_ms: float = 0.0
+    limit_ms: float = 0.0
 
 
 class HealthObserver(Protocol):
--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -219,7 +219,7 @@
                     free_slots=free_slots,
                     hlc=hlc,
                     bad=judgement.bad,
-                    slow_ms=judgement.slow_ms,
+                    limit_ms=judgement.limit_ms,
                 )
             case BackendFailure():
                 return Reply(
@@ -229,7 +229,7 @@
                     free_slots=free_slots,
                     hlc=hlc,
                     bad=judgement.bad,
-                    slow_ms=judgement.slow_ms,
+                    limit_ms=judgement.limit_ms,
                 )
 
 
--- a/balsamspindle/backend_servers/health.py
+++ b/balsamspindle/backend_servers/health.py
@@ -121,8 +121,8 @@
         return bool(self._in_flight) or self.phase is not HealthPhase.SERVING
 
     @property
-    def own_slow_ms(self) -> float:
-        """Slow limit learned from this backend server; 0 before it settled."""
+    def own_limit_ms(self) -> float:
+        """Its own 99th percentile of latency; 0 before enough was seen."""
         return self._slow.limit_ms if self._slow.settled else 0.0
 
     def configure(self, detection: Detection) -> None:
@@ -205,7 +205,8 @@
 
     def slow_ms(self) -> float:
         """Return the latency over which a request counts as slow."""
-        return self._peers.slow_ms or self._slow.limit_ms
+        limit_ms = self._peers.limit_ms or self._slow.limit_ms
+        return self._detection.slow_factor * limit_ms
 
     def suspicion(self) -> float:
         """Return what the fleet is told; 1 and more is over the threshold."""
--- a/balsamspindle/backend_servers/health_monitor.py
+++ b/balsamspindle/backend_servers/health_monitor.py
@@ -95,7 +95,7 @@
             if known is None:
                 return Judgement()
             verdict = known.health.ended(attempt_id, result, now_s)
-            return Judgement(_BAD[verdict], known.health.own_slow_ms)
+            return Judgement(_BAD[verdict], known.health.own_limit_ms)
 
     def note_peers(
         self, backend_server_id: str, evidence: PeerEvidence, now_s: float
--- a/balsamspindle/backend_servers/health_peers.py
+++ b/balsamspindle/backend_servers/health_peers.py
@@ -13,9 +13,8 @@
 MEMORY_S = 2.0
 # Counts as so many good peers, so that one bad one of few is not a trend.
 PRIOR_HEARD = 4.0
-# Backend servers of one service may run on unequal hardware.
-SLOW_SLACK = 1.25
-SLOW_BLEND = 0.1
+# How much of a new summary's limit is taken over.
+LIMIT_BLEND = 0.1
 
 
 class PeerView:
@@ -23,12 +22,12 @@
 
     Attributes
     ----------
-    slow_ms : float
-        The slow limit among peers; 0 when unknown.
+    limit_ms : float
+        The peers' 99th percentile of latency; 0 when unknown.
     """
 
     def __init__(self) -> None:
-        self.slow_ms = 0.0
+        self.limit_ms = 0.0
         self._heard = 0.0
         self._bad = 0.0
         self._noted_s = 0.0
@@ -41,10 +40,9 @@
         self._heard = self._heard * kept + evidence.heard
         self._bad = self._bad * kept + evidence.bad
         self._noted_s = now_s
-        if evidence.slow_ms > 0:
-            limit_ms = evidence.slow_ms * SLOW_SLACK
-            known_ms = self.slow_ms or limit_ms
-            self.slow_ms = known_ms + SLOW_BLEND * (limit_ms - known_ms)
+        if evidence.limit_ms > 0:
+            known_ms = self.limit_ms or evidence.limit_ms
+            self.limit_ms = known_ms + LIMIT_BLEND * (evidence.limit_ms - known_ms)
 
     def bad_share(self, now_s: float) -> float:
         """Return the share of the peers that looks bad."""
--- a/balsamspindle/services/peer_evidence.py
+++ b/balsamspindle/services/peer_evidence.py
@@ -14,29 +14,31 @@
 
 # What a backend server's latest answer said is believed for this time.
 BELIEVED_S = 10.0
-# Its slow limit changes little and is kept longer.
+# Its limit changes little and is kept longer.
 FORGET_S = 600.0
+# In limits, for an attempt in flight.
+HANGING_FACTOR = 2.0
 
 
 class _Seen:
     """The latest of one backend server."""
 
-    __slots__ = ("bad", "heard_s", "in_flight", "slow_ms")
+    __slots__ = ("bad", "heard_s", "in_flight", "limit_ms")
 
     def __init__(self) -> None:
         self.bad = False
         self.heard_s = float("-inf")
-        self.slow_ms = 0.0
+        self.limit_ms = 0.0
         self.in_flight: list[float] = []
 
     def is_believed(self, now_s: float) -> bool:
         return now_s - self.heard_s <= BELIEVED_S
 
     def hangs(self, now_s: float) -> bool:
-        """Tell whether an attempt is in flight past the slow limit."""
-        if not self.in_flight or not self.slow_ms:
+        """Tell whether an attempt is in flight for longer than is normal."""
+        if not self.in_flight or not self.limit_ms:
             return False
-        return (now_s - self.in_flight[0]) * 1000 > self.slow_ms
+        return (now_s - self.in_flight[0]) * 1000 > HANGING_FACTOR * self.limit_ms
 
 
 class PeerEvidenceTracker:
@@ -73,8 +75,8 @@
                 seen.in_flight.remove(started_s)
             if reply is None:
                 return
-            if reply.slow_ms > 0:
-                seen.slow_ms = reply.slow_ms
+            if reply.limit_ms > 0:
+                seen.limit_ms = reply.limit_ms
             if reply.bad is not None:
                 seen.bad = reply.bad
                 seen.heard_s = now_s
@@ -91,15 +93,15 @@
                     continue
                 if server_id == backend_server_id:
                     continue
-                if seen.slow_ms:
-                    limits_ms.append(seen.slow_ms)
+                if seen.limit_ms:
+                    limits_ms.append(seen.limit_ms)
                 hangs = seen.hangs(now_s)
                 if hangs or seen.is_believed(now_s):
                     heard += 1
                     bad += hangs or seen.bad
         # One limit may be that of the one sick backend server.
-        slow_ms = statistics.median(limits_ms) if len(limits_ms) > 1 else 0.0
-        return PeerEvidence(heard, bad, slow_ms)
+        limit_ms = statistics.median(limits_ms) if len(limits_ms) > 1 else 0.0
+        return PeerEvidence(heard, bad, limit_ms)
 
     def _seen(self, service: str, backend_server_id: str) -> _Seen:
         servers = self._services.setdefault(service, {})
--- a/balsamspindle/settings/documents.py
+++ b/balsamspindle/settings/documents.py
@@ -58,6 +58,9 @@
         Evidence that ejects: higher is slower and errs less often.
     error_rate_healthy, error_rate_sick : float
         The two error rates that the test tells apart.
+    slow_factor : float
+        What counts as slow: over so many times the 99th percentile of the
+        service's other backend servers.
     pause_ms : float
         Time that a healthy backend server may stand still (a pause of its
         runtime, a lock): what is slow within it counts once.
@@ -71,6 +74,7 @@
     threshold: Positive = 7.0
     error_rate_healthy: Fraction = 0.01
     error_rate_sick: Fraction = 0.3
+    slow_factor: Annotated[float, msgspec.Meta(ge=1)] = 2.0
     pause_ms: Positive = 500.0
     hold_out_s: Positive = 5.0
     hold_out_max_s: Positive = 300.0
--- a/balsamspindle/wire/link_messages.py
+++ b/balsamspindle/wire/link_messages.py
@@ -89,13 +89,14 @@
         Backend servers that it heard lately.
     bad : int
         Those whose latest request failed or was slow.
-    slow_ms : float
-        Median of the slow limits that their gates told; 0 when unknown.
+    limit_ms : float
+        Median of the 99th percentiles of latency that their gates told; 0
+        when unknown.
     """
 
     heard: int = 0
     bad: int = 0
-    slow_ms: float = 0.0
+    limit_ms: float = 0.0
 
 
 class Dispatch(msgspec.Struct, tag="dispatch", frozen=True):
@@ -176,8 +177,8 @@
     bad : bool or None
         Whether the backend server failed or was slow, as the gate judges;
         None when the attempt says nothing of it.
-    slow_ms : float
-        Over this latency its requests count as slow; 0 when unknown.
+    limit_ms : float
+        The backend server's 99th percentile of latency; 0 when unknown.
     """
 
     attempt_id: AttemptId
@@ -192,7 +193,7 @@
     hlc: int = 0
     gate_time_s: float = 0.0
     bad: bool | None = None
-    slow_ms: float = 0.0
+    limit_ms: float = 0.0
 
 
 LinkMessage = Greet | Greeting | Dispatch | Cancel | Reply
--- a/bench/detection_detectors.py
+++ b/bench/detection_detectors.py
@@ -88,7 +88,7 @@
             AttemptId("", 0, attempt),
             Outcome.ANSWERED,
             bad=bad,
-            slow_ms=health.own_slow_ms,
+            limit_ms=health.own_limit_ms,
         )
         tracker.ended("s", str(server), started_s, reply, now_s)
 
--- a/bench/detection_runs.py
+++ b/bench/detection_runs.py
@@ -32,6 +32,9 @@
 
     Attributes
     ----------
+    first_request_s : float or None
+        From the fault's start to the first request at the sick one: no
+        detector that goes by work is faster.
     detection_s : float or None
         From the fault's start to the first ejection of the sick one.
     false_ejections : int
@@ -45,6 +48,7 @@
         Requests that failed at the sick one, from the fault's start on.
     """
 
+    first_request_s: float | None
     detection_s: float | None
     false_ejections: int
     healthy_server_s: float
@@ -73,6 +77,7 @@
         self._usable: list[int] = []
         self._trials: list[int] = []
         self._decide()
+        self.first_request_s: float | None = None
         self.detection_s: float | None = None
         self.false_ejections = 0
         self.capacity_lost_s = 0.0
@@ -92,6 +97,7 @@
         sick = self._fault in _ONE_SICK
         healthy = self._service.servers - sick
         return RunResult(
+            self.first_request_s,
             self.detection_s,
             self.false_ejections,
             healthy * self._duration_s,
@@ -137,6 +143,8 @@
 
     def _dispatch(self, server: int, now_s: float) -> None:
         attempt = next(self._order)
+        if self.first_request_s is None and self._is_sick(server, now_s):
+            self.first_request_s = now_s - FAULT_START_S
         ending = self._work[server].end(now_s)
         self._detector.started(server, attempt, now_s)
         ends_s = now_s + ending.latency_ms / 1000
