--- a/balsamspindle/backend_servers/health.py
+++ b/balsamspindle/backend_servers/health.py
@@ -25,6 +25,10 @@
 SCORE_MAX = 2.0
 # What one attempt adds at most, in thresholds: two are needed to eject.
 ONE_ATTEMPT_MAX = 0.6
+# Hanging requests that make a standstill, unless from this share on of the
+# peers look bad, too: the load may be the cause then.
+STANDSTILL_REQUESTS = 2
+STANDSTILL_PEERS_BAD_MAX = 0.1
 # A hold-out ends early when work that came all the same went so well, in
 # thresholds.
 RECOVERED_SCORE = 0.5
@@ -101,6 +105,8 @@
         self._weight = 0.0
         self._slow_s = float("-inf")
         self._good_since_slow = False
+        self._good_s = float("-inf")
+        self._stood_still_s = float("-inf")
         self._in_flight: dict[AttemptId, _InFlight] = {}
         self._score = 0.0
         self._asked_s = -ASKED_LATELY_S
@@ -201,6 +207,7 @@
             # hangs says so by its end only at its timeout.
             if age_ms > _AGES[attempt.counted] * slow_ms:
                 self._count_slow(attempt, "in_flight_too_long", now_s)
+        self._look_for_standstill(now_s)
         self._move(now_s)
 
     def slow_ms(self) -> float:
@@ -266,6 +273,7 @@
             return
         self._worked_s = now_s
         if verdict is Verdict.GOOD:
+            self._good_s = now_s
             self._good_since_slow |= attempt.started_s >= self._slow_s
             self._add(good_weight(self._slow_rates(now_s)))
             self._evidence[result.value] += 1
@@ -294,6 +302,31 @@
         self._add_bad(attempt, bad_weight(self._slow_rates(now_s)))
         self._evidence[evidence] += 1
 
+    def _look_for_standstill(self, now_s: float) -> None:
+        """Count a stop of all work for longer than a healthy pause.
+
+        Two requests that hang while nothing at all comes back, for longer
+        than the settings say that a healthy backend server pauses, decide by
+        themselves: waiting for more evidence would only cost callers.
+        """
+        slow_ms = self.slow_ms()
+        hanging_s = [
+            attempt.started_s
+            for attempt in self._in_flight.values()
+            if (now_s - attempt.started_s) * 1000 > slow_ms
+        ]
+        if len(hanging_s) < STANDSTILL_REQUESTS:
+            return
+        oldest_s = min(hanging_s)
+        paused = (now_s - oldest_s) * 1000 <= self._detection.pause_ms
+        if paused or self._good_s >= oldest_s or self._stood_still_s >= oldest_s:
+            return
+        if self._peers.bad_share(now_s) >= STANDSTILL_PEERS_BAD_MAX:
+            return
+        self._stood_still_s = now_s
+        self._evidence["standstill"] += 1
+        self._add(self._detection.threshold)
+
     def _add_bad(self, attempt: _InFlight, weight: float) -> None:
         """Add bad work; one attempt alone never reaches the threshold."""
         limit = ONE_ATTEMPT_MAX * self._detection.threshold
--- a/balsamspindle/backend_servers/health_peers.py
+++ b/balsamspindle/backend_servers/health_peers.py
@@ -10,9 +10,9 @@
 
 __all__ = ["PeerView"]
 
-MEMORY_S = 2.0
+MEMORY_S = 3.0
 # Counts as so many good peers, so that one bad one of few is not a trend.
-PRIOR_HEARD = 4.0
+PRIOR_HEARD = 2.0
 # How much of a new summary's limit is taken over.
 LIMIT_BLEND = 0.1
 
--- a/bench/detection_traces.py
+++ b/bench/detection_traces.py
@@ -57,11 +57,18 @@
 
 
 class Deployment(NamedTuple):
-    """Services, and the availability zones that their VMs are spread over."""
+    """Services, and the availability zones that their VMs are spread over.
+
+    Attributes
+    ----------
+    bench_share : float
+        Of the seeds and hours that the bench runs.
+    """
 
     name: str
     zones: int
     services: tuple[Service, ...]
+    bench_share: float = 1.0
 
 
 DEPLOYMENTS = (
@@ -83,6 +90,11 @@
             Service("nozzle-check", 10, 7, 1.0, 60.0, 2000.0, 3.0, 1.0),
         ),
     ),
+    # The rate of one backend server at the size of the long run: 1.8 million
+    # requests a second over 140,000. Few of them, for the bench's time.
+    Deployment(
+        "long-run", 3, (Service("typical", 6, 7, 13.0, 20.0, 2000.0, 1.0, 1.0),), 0.4
+    ),
 )
 
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -92,6 +92,24 @@
     assert driver.health.phase is HealthPhase.HELD_OUT
 
 
+def test_a_standstill_ejects_even_under_a_careful_setting():
+    """Two requests hang and nothing comes back for longer than a pause."""
+    careful = Driver(Detection(threshold=14.0))
+    careful.work(times=150)
+    careful.start()
+    careful.start()
+    careful.wait(0.4)
+    assert careful.health.phase is HealthPhase.SERVING
+    careful.wait(0.2)
+    assert careful.health.phase is HealthPhase.HELD_OUT
+    working = Driver(Detection(threshold=14.0))
+    working.work(times=150)
+    working.start()
+    working.start()
+    working.work(times=3)
+    assert working.health.phase is HealthPhase.SERVING
+
+
 @pytest.mark.parametrize("requests", [2, 10, 40])
 def test_a_pause_of_a_busy_healthy_one_counts_once(requests):
     """All work of a pause of 0.4 s is slow, at one moment, then all is well."""
