--- a/bench/detection.py
+++ b/bench/detection.py
@@ -6,9 +6,10 @@
     python -m bench.detection --short    # the regression bounds, seconds
 
 The project's detector and two baselines judge the same traces of the two
-deployments, and of one service at the rate that the long run expects. Times run from a fault's start, with the wait for the first
-request that meets it; a fault that was not detected in two minutes counts as
-missed and stands at the end of the order.
+deployments, and of one service at the rate that the long run expects. Times
+run from a fault's start, with the wait for the first request that meets it; a
+fault that was not detected in two minutes counts as missed and stands at the
+end of the order.
 """
 
 import math
