--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -116,6 +116,11 @@
             lambda: not self._left_out(node) and not self._suspicions(node),
             "it takes work as before",
         )
-        log = self.nodes[1].log_path.read_text()
         for event in ("suspected", "on_trial", "readmitted"):
-            self.assertIn(f"event=backend_server_{event} ", log)
+            wait_until(
+                lambda event=event: (
+                    f"event=backend_server_{event} "
+                    in self.nodes[1].log_path.read_text()
+                ),
+                f"the log tells that it was {event}",
+            )
--- /dev/null
+++ b/tests/test_health_monitor.py
@@ -0,0 +1,111 @@
+"""The monitor of a node's backend servers: restarts, news and probes."""
+
+import io
+
+import pytest
+
+from balsamspindle.backend_servers.evidence import WorkResult
+from balsamspindle.backend_servers.health_monitor import FORGET_S, HealthMonitor
+from balsamspindle.backend_servers.servers import Announcement, LocalBackendServers
+from balsamspindle.settings.documents import Detection
+from balsamspindle.timeline import EventLog, HybridClock
+from balsamspindle.wire import AttemptId
+
+SERVICE, SERVER = "crew/contracts", "contract-0"
+ERROR, ANSWERED = WorkResult.ERROR, WorkResult.ANSWERED
+
+
+class Node:
+    """A monitor with one announced backend server, and time to give it."""
+
+    def __init__(self) -> None:
+        self.servers = LocalBackendServers()
+        self.events = EventLog("node", 1, HybridClock(), io.StringIO())
+        self.monitor = HealthMonitor(self.servers, lambda _: Detection(), self.events)
+        self.now_s = 0.0
+        self.count = 0
+        self.announce("1")
+
+    def announce(self, boot_id: str) -> None:
+        announcement = Announcement(SERVICE, "127.0.0.1:9", 6, boot_id)
+        self.servers.announce(SERVER, announcement, self.now_s)
+        self.monitor.tick(self.now_s)
+
+    def work(self, result, times=1) -> None:
+        for _ in range(times):
+            self.count += 1
+            attempt_id = AttemptId("n", 1, self.count)
+            self.monitor.started(SERVER, attempt_id, self.now_s)
+            self.wait(0.02)
+            self.monitor.ended(SERVER, attempt_id, result, self.now_s)
+            self.wait(0.5)
+
+    def wait(self, seconds: float) -> None:
+        self.now_s += seconds
+        self.monitor.tick(self.now_s)
+
+    @property
+    def suspicion(self) -> float:
+        return self.servers.records()[0].suspicion
+
+
+def test_a_long_hour_of_mixed_work_makes_little_news():
+    """Each change of a record goes to all nodes of the fleet.
+
+    A backend server that only fails has hold-outs of 5 s and 10 s in these
+    21 s, and each makes three steps at most: left out, strongly, on trial.
+    """
+    node = Node()
+    version = node.servers.version
+    for _ in range(60):
+        node.work(ANSWERED, 50)
+        node.work(ERROR)
+        node.work(WorkResult.SHED, 5)
+    assert node.servers.version == version
+    node.work(ERROR, 40)
+    assert node.suspicion >= 1
+    assert node.servers.version <= version + 9
+
+
+def test_one_that_restarts_while_held_out_is_tried_at_once():
+    """A restart may have mended it, but its record starts without a doubt."""
+    node = Node()
+    node.work(ERROR, 4)
+    assert node.suspicion >= 1
+    node.announce("2")
+    assert node.suspicion == 0.5
+    node.work(ERROR)
+    assert node.suspicion >= 1
+    node.wait(5.1)
+    assert node.suspicion >= 1, "the restart has not taken the doubling back"
+
+
+def test_one_that_went_away_for_long_is_forgotten():
+    node = Node()
+    node.work(ERROR, 4)
+    assert node.servers.remove_silent(node.now_s + 100) == [SERVER]
+    node.wait(FORGET_S + 1)
+    node.announce("3")
+    assert node.suspicion == 0
+    assert list(node.monitor.reports(node.now_s)) == [SERVER]
+
+
+@pytest.mark.parametrize(("idle_s", "wanted"), [(0.5, []), (5.0, [SERVER]), (61.0, [])])
+def test_probes_fill_silences_and_sleep_when_nobody_asks(idle_s, wanted):
+    node = Node()
+    node.work(ANSWERED)
+    assert node.monitor.probes_wanted(node.now_s + idle_s) == wanted
+
+
+def test_phases_are_told_with_their_evidence():
+    node = Node()
+    node.work(ERROR, 4)
+    node.wait(6)
+    node.work(ANSWERED, 6)
+    lines = node.events.recent(0, 100).lines
+    assert [line.split("event=")[1].split()[0] for line in lines] == [
+        "backend_server_suspected",
+        "backend_server_on_trial",
+        "backend_server_readmitted",
+    ]
+    assert "cause=error:" in lines[0].replace('"', "")
