--- /dev/null
+++ b/bench/health_cost.py
@@ -0,0 +1,85 @@
+"""CPU that health takes at a node, as process time.
+
+::
+
+    python -m bench.health_cost
+
+One request is what the gate and the ingress do for it: the summary of the
+peers, its start, its end. A tick looks at all backend servers of the node,
+`TICK_S` apart. Both are given as a share of one core.
+"""
+
+import io
+import time
+
+import typer
+
+from balsamspindle.backend_servers.evidence import WorkResult
+from balsamspindle.backend_servers.health_monitor import TICK_S, HealthMonitor
+from balsamspindle.backend_servers.servers import Announcement, LocalBackendServers
+from balsamspindle.requests.outcomes import Outcome
+from balsamspindle.services.peer_evidence import PeerEvidenceTracker
+from balsamspindle.settings.documents import Detection
+from balsamspindle.timeline import EventLog, HybridClock
+from balsamspindle.wire import AttemptId, Reply
+
+__all__ = ["main"]
+
+SERVERS = 25
+SUBSET = 16
+REQUESTS_PER_S = 320
+REQUESTS = 40_000
+TICKS = 4_000
+
+
+def main() -> None:
+    """Print the cost of a request, of a tick, and both at a node's load."""
+    servers = LocalBackendServers()
+    for number in range(SERVERS):
+        servers.announce(
+            f"server-{number}", Announcement("s/s", "127.0.0.1:9", 7, "1"), 0.0
+        )
+    events = EventLog("node", 1, HybridClock(), io.StringIO())
+    monitor = HealthMonitor(servers, lambda service: Detection(), events)
+    monitor.tick(0.0)
+    request_s = _cpu_s(lambda: _requests(monitor)) / REQUESTS
+    tick_s = _cpu_s(lambda: [monitor.tick(number * TICK_S) for number in range(TICKS)])
+    tick_s /= TICKS
+    share = request_s * REQUESTS_PER_S + tick_s / TICK_S
+    print(f"a request: {request_s * 1e6:.1f} us; a tick: {tick_s * 1e6:.1f} us")
+    print(
+        f"{REQUESTS_PER_S} requests/s, {SERVERS} backend servers:"
+        f" {share:.2%} of a core, ticks {tick_s / TICK_S:.2%}"
+    )
+
+
+def _requests(monitor: HealthMonitor) -> None:
+    tracker = PeerEvidenceTracker()
+    for number in range(REQUESTS):
+        now_s = number / REQUESTS_PER_S
+        server_id = f"server-{number % SUBSET}"
+        attempt_id = AttemptId("node", 1, number)
+        peers = tracker.about("s/s", server_id, now_s)
+        tracker.started("s/s", server_id, now_s)
+        monitor.note_peers(server_id, peers, now_s)
+        monitor.started(server_id, attempt_id, now_s)
+        judgement = monitor.ended(
+            server_id, attempt_id, WorkResult.ANSWERED, now_s + 0.02
+        )
+        reply = Reply(
+            attempt_id,
+            Outcome.ANSWERED,
+            bad=judgement.bad,
+            limit_ms=judgement.limit_ms,
+        )
+        tracker.ended("s/s", server_id, now_s, reply, now_s + 0.02)
+
+
+def _cpu_s(work) -> float:
+    start_s = time.process_time()
+    work()
+    return time.process_time() - start_s
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/bench/picker.py
@@ -0,0 +1,92 @@
+"""The choice of a backend server: CPU time, and how even the subsets are.
+
+::
+
+    python -m bench.picker
+
+Evenness is counted over the subsets of 5,600 nodes: how many hold a backend
+server, least and most against the mean.
+"""
+
+import random
+import time
+from collections import Counter
+from types import SimpleNamespace
+
+import typer
+
+from balsamspindle.membership.directory import Placement
+from balsamspindle.requests.outcomes import Execution
+from balsamspindle.services.free_slots import FreeSlotViews
+from balsamspindle.services.picker import Picker
+from balsamspindle.services.subset import subset
+from balsamspindle.settings.documents import ServiceDocument
+from balsamspindle.wire import BackendServerRecord, NodeRecord
+
+__all__ = ["main"]
+
+SERVICE = "team/service"
+NODES = 5_600
+SIZES = (8, 20, 50, 200, 600)
+PICKS = 20_000
+ZONES = 3
+
+
+def main() -> None:
+    """Print both for services of several sizes."""
+    print(
+        f"{'servers':>7} {'us a choice':>11} {'ms a view':>9} {'least':>6} {'most':>6}"
+    )
+    for size in SIZES:
+        view = tuple(_placement(number) for number in range(size))
+        nodes = [_placement(number).node for number in range(size, size + NODES)]
+        start_s = time.process_time()
+        held = Counter(
+            known.backend_server.backend_server_id
+            for own in nodes
+            for known in subset(view, own)
+        )
+        subset_ms = (time.process_time() - start_s) * 1000 / NODES
+        mean = sum(held.values()) / size
+        counts = [held[known.backend_server.backend_server_id] for known in view]
+        print(
+            f"{size:>7} {_choice_us(view, nodes[0]):>11.1f} {subset_ms:>9.3f}"
+            f" {min(counts) / mean:>6.2f} {max(counts) / mean:>6.2f}"
+        )
+
+
+def _choice_us(view: tuple[Placement, ...], own: NodeRecord) -> float:
+    directory = SimpleNamespace(placements=lambda service: view)
+    services = {SERVICE: ServiceDocument()}
+    configuration = SimpleNamespace(get=lambda: SimpleNamespace(services=services))
+    picker = Picker(own, directory, configuration)
+    slots = FreeSlotViews()
+    rng = random.Random(1)
+
+    def pick() -> None:
+        picker.pick(
+            SERVICE,
+            Execution.IDEMPOTENT,
+            frozenset(),
+            lambda known: slots.free_slots(known, 1.0),
+            rng,
+        )
+
+    pick()
+    start_s = time.process_time()
+    for _ in range(PICKS):
+        pick()
+    return (time.process_time() - start_s) * 1e6 / PICKS
+
+
+def _placement(number: int) -> Placement:
+    server = BackendServerRecord(f"server-{number}", SERVICE, "1", 7, "ready")
+    zone = f"zone-{number % ZONES}"
+    node = NodeRecord(
+        f"node-{number}", 1, 1, "region", zone, "", "", "alive", (server,)
+    )
+    return Placement(node, server)
+
+
+if __name__ == "__main__":
+    typer.run(main)
