--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -1,10 +1,12 @@
 """Ejection through real processes, with the platform down all the while."""
 
 import threading
+import time
 
 from testtools import TestCase
 
-from tests.utils import Fleet, call, try_call, wait_until
+from tests.relay import Flow, Relay
+from tests.utils import Fleet, call, free_address, try_call, wait_until
 
 
 def settings(hold_out_s: float) -> dict:
@@ -26,6 +28,7 @@
 FLOOR_SLOTS = 0.6 * SERVERS * 6
 CALLERS = 3
 PACE_S = 0.02
+CUT_S = 5.0
 
 
 class _FleetUnderWork(TestCase):
@@ -37,8 +40,17 @@
         self.addCleanup(self.fleet.__exit__)
         platform = self.fleet.start_platform()
         self.fleet.put_settings(settings(self.hold_out_s))
+        link_address = free_address()
+        self.relay = Relay(link_address)
+        self.addCleanup(self.relay.close)
+        addresses = {
+            "link_address": link_address,
+            "link_advertised_address": self.relay.address,
+        }
         self.nodes = [
-            self.fleet.start_node(f"node-{number}", f"zone-{number}")
+            self.fleet.start_node(
+                f"node-{number}", f"zone-{number}", **({} if number else addresses)
+            )
             for number in range(3)
         ]
         self.servers = [
@@ -124,3 +136,24 @@
                 ),
                 f"the log tells that it was {event}",
             )
+
+
+class CutLinkTests(_FleetUnderWork):
+    def test_a_cut_link_makes_nobody_a_suspect(self):
+        """Requests to one node's gate vanish, then its replies do.
+
+        Callers' attempts there fail, one after the other, and other backend
+        servers answer. The gate saw no work fail, so nobody is told that its
+        backend servers are sick.
+        """
+        for direction in ("forward", "backward"):
+            setattr(self.relay, direction, Flow.DROP)
+            give_up_s = time.monotonic() + CUT_S
+            while time.monotonic() < give_up_s:
+                answer = call(self.nodes[2].caller_address, "/contracts/7")
+                if answer.outcome == "answered":
+                    self.assertIn(answer.json()["server"], ("contract-1", "contract-3"))
+                for node in self.nodes:
+                    self.assertEqual({}, self._suspicions(node))
+            self.relay.cut()
+            setattr(self.relay, direction, Flow.PASS)
