Let failing probes bring a score near the threshold, never over it

Cause: three failed probes in a silence ejected a backend server whose work went well; a wrong probe_path would have ejected all of a quiet service, again and again. A refused connection still counts like bad work.

--- a/balsamspindle/backend_servers/evidence.py
+++ b/balsamspindle/backend_servers/evidence.py
@@ -5,7 +5,7 @@
 
 from balsamspindle.wire import AttemptId, PeerEvidence
 
-__all__ = ["HealthObserver", "Judgement", "NoObserver", "WorkResult"]
+__all__ = ["HealthObserver", "Judgement", "NoObserver", "ProbeResult", "WorkResult"]
 
 
 class WorkResult(StrEnum):
@@ -24,6 +24,18 @@
     CANCELLED = "cancelled"
 
 
+class ProbeResult(StrEnum):
+    """How a probe of a health endpoint ended.
+
+    ``FAILED`` is an answer that says so, or none in time; ``UNREACHABLE`` is a
+    connection that was refused, at the address that takes real work, too.
+    """
+
+    PASSED = "passed"
+    FAILED = "failed"
+    UNREACHABLE = "unreachable"
+
+
 class Judgement(NamedTuple):
     """What an ended attempt says; goes back with its reply.
 
--- a/balsamspindle/backend_servers/health.py
+++ b/balsamspindle/backend_servers/health.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from balsamspindle.backend_servers.evidence import WorkResult
+from balsamspindle.backend_servers.evidence import ProbeResult, WorkResult
 from balsamspindle.backend_servers.health_latency import SLOW_SHARE, SlowLimit
 from balsamspindle.backend_servers.health_peers import PeerView
 from balsamspindle.backend_servers.health_readmission import HealthPhase, Readmission
@@ -170,23 +170,31 @@
             return True
         return not self._in_flight and now_s - self._worked_s > SILENCE_S
 
-    def probed(self, passed: bool, now_s: float) -> None:
+    def probed(self, result: ProbeResult, now_s: float) -> None:
         """Take a probe.
 
-        A failed one is evidence like bad work, unless work told something
-        just now. A passed one takes nothing off the score: health endpoints
-        answer while real work hangs. It may shorten a hold-out, and end a
-        trial that no request came to, at a score that one bad request ends.
+        Health endpoints answer while real work hangs, and fail while it goes
+        well. A passed probe takes nothing off the score; it may shorten a
+        hold-out, and end a trial that no request came to, at a score that one
+        bad request ends. A failed one brings the score near the threshold and
+        never over it. Only an address that nobody listens at is like bad
+        work, unless work told something just now.
         """
-        self._readmission.note_probe(passed)
-        silent = now_s - self._worked_s > SILENCE_S
-        if not passed and silent:
-            self._add_bad(_InFlight(now_s), bad_weight(self._error_rates(now_s)))
-            self._evidence["probe_failed"] += 1
+        self._readmission.note_probe(result is ProbeResult.PASSED)
+        if result is not ProbeResult.PASSED and now_s - self._worked_s > SILENCE_S:
+            self._add_failed_probe(result, now_s)
         if self._readmission.probes_end_trial(self._worked_s, now_s):
             self._readmission.serve(now_s)
         self._move(now_s)
 
+    def _add_failed_probe(self, result: ProbeResult, now_s: float) -> None:
+        self._evidence[f"probe_{result}"] += 1
+        limit = ONE_ATTEMPT_MAX * self._detection.threshold
+        weight = bad_weight(self._error_rates(now_s))
+        if result is ProbeResult.FAILED:
+            weight = min(weight, limit - self._score)
+        self._add(max(0.0, min(weight, limit)))
+
     def restarted(self, now_s: float) -> None:
         """Take a restart of the backend server: its work is gone.
 
--- a/balsamspindle/backend_servers/health_monitor.py
+++ b/balsamspindle/backend_servers/health_monitor.py
@@ -5,7 +5,11 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from balsamspindle.backend_servers.evidence import Judgement, WorkResult
+from balsamspindle.backend_servers.evidence import (
+    Judgement,
+    ProbeResult,
+    WorkResult,
+)
 from balsamspindle.backend_servers.health import HealthReport, ServerHealth, Verdict
 from balsamspindle.backend_servers.health_readmission import HealthPhase
 from balsamspindle.backend_servers.servers import (
@@ -106,12 +110,12 @@
             if known is not None:
                 known.health.note_peers(evidence, now_s)
 
-    def probed(self, backend_server_id: str, passed: bool, now_s: float) -> None:
+    def probed(self, backend_server_id: str, result: ProbeResult, now_s: float) -> None:
         """Take a probe's result."""
         with self._lock:
             known = self._known.get(backend_server_id)
             if known is not None:
-                known.health.probed(passed, now_s)
+                known.health.probed(result, now_s)
 
     def probes_wanted(self, now_s: float) -> list[str]:
         """Return the backend servers that a probe would tell something of."""
--- a/balsamspindle/backend_servers/probes.py
+++ b/balsamspindle/backend_servers/probes.py
@@ -9,16 +9,22 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
-from balsamspindle.backend_servers.client import BackendAnswer, BackendServerClient
+from balsamspindle.backend_servers.client import (
+    BackendAnswer,
+    BackendFailure,
+    BackendServerClient,
+)
+from balsamspindle.backend_servers.evidence import ProbeResult
 from balsamspindle.backend_servers.health_monitor import HealthMonitor
 from balsamspindle.backend_servers.servers import LocalBackendServers
-from balsamspindle.requests.outcomes import Execution
+from balsamspindle.requests.outcomes import Execution, Reason
 
 __all__ = ["PROBE_INTERVAL_S", "Prober"]
 
 PROBE_INTERVAL_S = 1.0
 PROBE_TIMEOUT_MS = 1000
 PROBERS_MAX = 4
+PASSED_STATUS_END = 300
 
 
 class Prober:
@@ -70,5 +76,13 @@
             Execution.IDEMPOTENT,
             PROBE_TIMEOUT_MS,
         )
-        passed = isinstance(result, BackendAnswer) and result.status < 300
-        self._monitor.probed(backend_server_id, passed, time.monotonic())
+        self._monitor.probed(backend_server_id, _result(result), time.monotonic())
+
+
+def _result(result: BackendAnswer | BackendFailure) -> ProbeResult:
+    match result:
+        case BackendAnswer(status) if status < PASSED_STATUS_END:
+            return ProbeResult.PASSED
+        case BackendFailure(Reason.UNREACHABLE):
+            return ProbeResult.UNREACHABLE
+    return ProbeResult.FAILED
--- a/bench/probes.py
+++ b/bench/probes.py
@@ -12,6 +12,7 @@
 
 import typer
 
+from balsamspindle.backend_servers.evidence import ProbeResult
 from balsamspindle.backend_servers.health import ServerHealth
 from balsamspindle.settings.documents import Detection
 from balsamspindle.wire import AttemptId
@@ -43,7 +44,7 @@
             arrival_s += rng.expovariate(service.rate_per_server)
         if health.wants_probe(second):
             counts[second >= HOUR_S] += 1
-            health.probed(True, second)
+            health.probed(ProbeResult.PASSED, second)
     return counts[0], counts[1]
 
 
