--- a/balsamspindle/backend_servers/health.py
+++ b/balsamspindle/backend_servers/health.py
@@ -4,9 +4,9 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from balsamspindle.backend_servers.evidence import WorkResult
+from balsamspindle.backend_servers.evidence import ProbeResult, WorkResult
 from balsamspindle.backend_servers.health_latency import SLOW_SHARE, SlowLimit
-from balsamspindle.backend_servers.health_peers import PeerEvidence, PeerView
+from balsamspindle.backend_servers.health_peers import PeerView
 from balsamspindle.backend_servers.health_readmission import HealthPhase, Readmission
 from balsamspindle.backend_servers.health_score import (
     SHARED_CAUSE_SHARE,
@@ -17,7 +17,7 @@
     good_weight,
 )
 from balsamspindle.settings.documents import Detection
-from balsamspindle.wire import AttemptId
+from balsamspindle.wire import AttemptId, PeerEvidence
 
 __all__ = ["HealthReport", "ServerHealth", "Verdict"]
 
@@ -25,6 +25,10 @@
 SCORE_MAX = 2.0
 # What one attempt adds at most, in thresholds: two are needed to eject.
 ONE_ATTEMPT_MAX = 0.6
+# Hanging requests that make a standstill, unless from this share on of the
+# peers look bad, too: the load may be the cause then.
+STANDSTILL_REQUESTS = 2
+STANDSTILL_PEERS_BAD_MAX = 0.1
 # A hold-out ends early when work that came all the same went so well, in
 # thresholds.
 RECOVERED_SCORE = 0.5
@@ -101,6 +105,8 @@
         self._weight = 0.0
         self._slow_s = float("-inf")
         self._good_since_slow = False
+        self._good_s = float("-inf")
+        self._stood_still_s = float("-inf")
         self._in_flight: dict[AttemptId, _InFlight] = {}
         self._score = 0.0
         self._asked_s = -ASKED_LATELY_S
@@ -121,8 +127,8 @@
         return bool(self._in_flight) or self.phase is not HealthPhase.SERVING
 
     @property
-    def own_slow_ms(self) -> float:
-        """Slow limit learned from this backend server; 0 before it settled."""
+    def own_limit_ms(self) -> float:
+        """Its own 99th percentile of latency; 0 before enough was seen."""
         return self._slow.limit_ms if self._slow.settled else 0.0
 
     def configure(self, detection: Detection) -> None:
@@ -164,23 +170,31 @@
             return True
         return not self._in_flight and now_s - self._worked_s > SILENCE_S
 
-    def probed(self, passed: bool, now_s: float) -> None:
+    def probed(self, result: ProbeResult, now_s: float) -> None:
         """Take a probe.
 
-        A failed one is evidence like bad work, unless work told something
-        just now. A passed one takes nothing off the score: health endpoints
-        answer while real work hangs. It may shorten a hold-out, and end a
-        trial that no request came to, at a score that one bad request ends.
+        Health endpoints answer while real work hangs, and fail while it goes
+        well. A passed probe takes nothing off the score; it may shorten a
+        hold-out, and end a trial that no request came to, at a score that one
+        bad request ends. A failed one brings the score near the threshold and
+        never over it. Only an address that nobody listens at is like bad
+        work, unless work told something just now.
         """
-        self._readmission.note_probe(passed)
-        silent = now_s - self._worked_s > SILENCE_S
-        if not passed and silent:
-            self._add_bad(_InFlight(now_s), bad_weight(self._error_rates(now_s)))
-            self._evidence["probe_failed"] += 1
+        self._readmission.note_probe(result is ProbeResult.PASSED)
+        if result is not ProbeResult.PASSED and now_s - self._worked_s > SILENCE_S:
+            self._add_failed_probe(result, now_s)
         if self._readmission.probes_end_trial(self._worked_s, now_s):
             self._readmission.serve(now_s)
         self._move(now_s)
 
+    def _add_failed_probe(self, result: ProbeResult, now_s: float) -> None:
+        self._evidence[f"probe_{result}"] += 1
+        limit = ONE_ATTEMPT_MAX * self._detection.threshold
+        weight = bad_weight(self._error_rates(now_s))
+        if result is ProbeResult.FAILED:
+            weight = min(weight, limit - self._score)
+        self._add(max(0.0, min(weight, limit)))
+
     def restarted(self, now_s: float) -> None:
         """Take a restart of the backend server: its work is gone.
 
@@ -201,11 +215,13 @@
             # hangs says so by its end only at its timeout.
             if age_ms > _AGES[attempt.counted] * slow_ms:
                 self._count_slow(attempt, "in_flight_too_long", now_s)
+        self._look_for_standstill(now_s)
         self._move(now_s)
 
     def slow_ms(self) -> float:
         """Return the latency over which a request counts as slow."""
-        return self._peers.slow_ms or self._slow.limit_ms
+        limit_ms = self._peers.limit_ms or self._slow.limit_ms
+        return self._detection.slow_factor * limit_ms
 
     def suspicion(self) -> float:
         """Return what the fleet is told; 1 and more is over the threshold."""
@@ -265,6 +281,7 @@
             return
         self._worked_s = now_s
         if verdict is Verdict.GOOD:
+            self._good_s = now_s
             self._good_since_slow |= attempt.started_s >= self._slow_s
             self._add(good_weight(self._slow_rates(now_s)))
             self._evidence[result.value] += 1
@@ -293,6 +310,31 @@
         self._add_bad(attempt, bad_weight(self._slow_rates(now_s)))
         self._evidence[evidence] += 1
 
+    def _look_for_standstill(self, now_s: float) -> None:
+        """Count a stop of all work for longer than a healthy pause.
+
+        Two requests that hang while nothing at all comes back, for longer
+        than the settings say that a healthy backend server pauses, decide by
+        themselves: waiting for more evidence would only cost callers.
+        """
+        slow_ms = self.slow_ms()
+        hanging_s = [
+            attempt.started_s
+            for attempt in self._in_flight.values()
+            if (now_s - attempt.started_s) * 1000 > slow_ms
+        ]
+        if len(hanging_s) < STANDSTILL_REQUESTS:
+            return
+        oldest_s = min(hanging_s)
+        paused = (now_s - oldest_s) * 1000 <= self._detection.pause_ms
+        if paused or self._good_s >= oldest_s or self._stood_still_s >= oldest_s:
+            return
+        if self._peers.bad_share(now_s) >= STANDSTILL_PEERS_BAD_MAX:
+            return
+        self._stood_still_s = now_s
+        self._evidence["standstill"] += 1
+        self._add(self._detection.threshold)
+
     def _add_bad(self, attempt: _InFlight, weight: float) -> None:
         """Add bad work; one attempt alone never reaches the threshold."""
         limit = ONE_ATTEMPT_MAX * self._detection.threshold
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -4,9 +4,8 @@
 
 import pytest
 
-from balsamspindle.backend_servers.evidence import WorkResult
+from balsamspindle.backend_servers.evidence import ProbeResult, WorkResult
 from balsamspindle.backend_servers.health import ServerHealth, Verdict
-from balsamspindle.backend_servers.health_peers import PeerEvidence
 from balsamspindle.backend_servers.health_readmission import HealthPhase
 from balsamspindle.backend_servers.health_score import (
     Rates,
@@ -15,10 +14,10 @@
     good_weight,
 )
 from balsamspindle.settings.documents import Detection
-from balsamspindle.wire import AttemptId
+from balsamspindle.wire import AttemptId, PeerEvidence
 
 ANSWERED, ERROR = WorkResult.ANSWERED, WorkResult.ERROR
-PEERS_WELL = PeerEvidence(heard=5, bad=0, slow_ms=80.0)
+PEERS_WELL = PeerEvidence(heard=5, bad=0, limit_ms=40.0)
 INTERVAL_S = 0.5
 
 
@@ -93,6 +92,24 @@
     assert driver.health.phase is HealthPhase.HELD_OUT
 
 
+def test_a_standstill_ejects_even_under_a_careful_setting():
+    """Two requests hang and nothing comes back for longer than a pause."""
+    careful = Driver(Detection(threshold=14.0))
+    careful.work(times=150)
+    careful.start()
+    careful.start()
+    careful.wait(0.4)
+    assert careful.health.phase is HealthPhase.SERVING
+    careful.wait(0.2)
+    assert careful.health.phase is HealthPhase.HELD_OUT
+    working = Driver(Detection(threshold=14.0))
+    working.work(times=150)
+    working.start()
+    working.start()
+    working.work(times=3)
+    assert working.health.phase is HealthPhase.SERVING
+
+
 @pytest.mark.parametrize("requests", [2, 10, 40])
 def test_a_pause_of_a_busy_healthy_one_counts_once(requests):
     """All work of a pause of 0.4 s is slow, at one moment, then all is well."""
@@ -126,10 +143,10 @@
 
 def test_what_all_peers_suffer_too_is_no_sickness():
     """Overload: each backend server is slow; ejecting one loads the others."""
-    overloaded = Driver(peers=PeerEvidence(heard=5, bad=4, slow_ms=80.0))
+    overloaded = Driver(peers=PeerEvidence(heard=5, bad=4, limit_ms=40.0))
     overloaded.work(latency_ms=150.0, times=100)
     assert overloaded.health.phase is HealthPhase.SERVING
-    one_peer_bad = Driver(peers=PeerEvidence(heard=5, bad=1, slow_ms=80.0))
+    one_peer_bad = Driver(peers=PeerEvidence(heard=5, bad=1, limit_ms=40.0))
     assert one_peer_bad.requests_until(HealthPhase.HELD_OUT, latency_ms=150.0) <= 10
 
 
@@ -138,7 +155,7 @@
     driver = Driver()
     driver.work(times=150)
     driver.requests_until(HealthPhase.HELD_OUT, latency_ms=150.0)
-    driver.peers = PeerEvidence(heard=5, bad=5, slow_ms=80.0)
+    driver.peers = PeerEvidence(heard=5, bad=5, limit_ms=40.0)
     driver.work(latency_ms=150.0, times=8)
     assert driver.health.phase is HealthPhase.SERVING
     driver.peers = PEERS_WELL
@@ -147,7 +164,7 @@
 
 
 def test_one_that_was_always_slow_is_seen_against_its_peers():
-    driver = Driver(peers=PeerEvidence(heard=5, bad=0, slow_ms=10.0))
+    driver = Driver(peers=PeerEvidence(heard=5, bad=0, limit_ms=10.0))
     assert driver.requests_until(HealthPhase.HELD_OUT, latency_ms=150.0) <= 4
 
 
@@ -207,15 +224,35 @@
     driver = Driver()
     for _ in range(20):
         driver.work(ERROR)
-        driver.health.probed(True, driver.now_s)
+        driver.health.probed(ProbeResult.PASSED, driver.now_s)
     assert driver.health.phase is HealthPhase.HELD_OUT
     driver.wait(3.0)
     for _ in range(3):
-        driver.health.probed(True, driver.now_s)
+        driver.health.probed(ProbeResult.PASSED, driver.now_s)
     assert driver.health.phase is HealthPhase.ON_TRIAL
+
+
+def test_a_health_endpoint_that_fails_ejects_nobody_by_itself():
+    """Its path is wrong in the settings, and all requests are answered.
+
+    At a request in some seconds, probes fill the time between and all fail.
+    """
+    driver = Driver()
+    for _ in range(50):
+        driver.work()
+        for _ in range(5):
+            driver.wait(1.0)
+            driver.health.probed(ProbeResult.FAILED, driver.now_s)
+        assert driver.health.phase is HealthPhase.SERVING
+    driver.work(ERROR)
+    assert driver.health.phase is HealthPhase.HELD_OUT
+
+
+def test_a_silent_one_that_refuses_connections_is_ejected_by_probes():
     silent = Driver()
     for _ in range(3):
-        silent.health.probed(False, 5.0)
+        silent.wait(2.1)
+        silent.health.probed(ProbeResult.UNREACHABLE, silent.now_s)
     assert silent.health.phase is HealthPhase.HELD_OUT
 
 
