Measure what each role costs and write the capacity page

The page's table is computed from bench/baselines/capacity.json, which one command measures; a test holds the page against the baseline.

Before: no page. Ruled out: ticks of /proc/PID/stat for processor time (an idle node showed 0.0%; its POSIX clock shows 0.29%).

--- /dev/null
+++ b/bench/capacity/__init__.py
@@ -0,0 +1,13 @@
+"""What each role costs at the long-run size, worked out from measured slopes.
+
+::
+
+    python -m bench.capacity            # all parts, writes the baseline
+    python -m bench.capacity memory     # one part, prints its figures
+    python -m bench.capacity --json look_ups
+"""
+
+from bench.capacity.sizes import LIMITS, LONG_RUN, FleetSize, Limits
+from bench.capacity.slopes import Line, fit_line
+
+__all__ = ["LIMITS", "LONG_RUN", "FleetSize", "Limits", "Line", "fit_line"]
--- /dev/null
+++ b/bench/capacity/__main__.py
@@ -0,0 +1,57 @@
+"""``python -m bench.capacity``: run the parts and keep their figures."""
+
+import json
+import platform
+import sys
+from pathlib import Path
+
+import typer
+
+from bench.capacity import look_ups, members, memory, page, processes, settings
+
+__all__ = ["BASELINE", "PARTS"]
+
+BASELINE = Path(__file__).parent.parent / "baselines" / "capacity.json"
+PARTS = {
+    "memory": memory.measure,
+    "look_ups": look_ups.measure,
+    "members": members.measure,
+    "settings": settings.measure,
+    "processes": processes.measure,
+}
+
+
+def run(
+    parts: list[str] = typer.Argument(None, help=f"Any of: {', '.join(PARTS)}."),
+    write: bool = typer.Option(
+        False, help="Put the figures into the baseline and the page."
+    ),
+    as_json: bool = typer.Option(False, "--json", help="Print JSON only."),
+) -> None:
+    """Measure what each role costs.
+
+    Example: python -m bench.capacity memory look_ups --write
+    """
+    unknown = set(parts or ()) - set(PARTS)
+    if unknown:
+        raise typer.BadParameter(f"no such part: {', '.join(sorted(unknown))}")
+    figures = {}
+    for name in parts or PARTS:
+        if not as_json:
+            typer.echo(f"measuring {name}", err=True)
+        figures[name] = PARTS[name]()
+    typer.echo(json.dumps(figures, indent=2))
+    if write:
+        _write(figures)
+
+
+def _write(figures: dict) -> None:
+    baseline = json.loads(BASELINE.read_text()) if BASELINE.exists() else {}
+    baseline["python"] = platform.python_version()
+    baseline.setdefault("measured", {}).update(figures)
+    BASELINE.write_text(json.dumps(baseline, indent=2, sort_keys=True) + "\n")
+    page.update(baseline["measured"])
+
+
+if __name__ == "__main__":
+    sys.exit(typer.run(run))
--- /dev/null
+++ b/bench/capacity/look_ups.py
@@ -0,0 +1,73 @@
+"""Processor time of the decisions that each request takes, by fleet size."""
+
+import random
+import time
+from collections.abc import Callable
+
+from balsamspindle.membership import Directory
+from balsamspindle.membership.directory import Placement
+from balsamspindle.services.picker import pick
+from balsamspindle.services.routes import RouteTable
+from balsamspindle.settings.tree import Configuration
+from bench.capacity import synthetic
+from bench.capacity.sizes import LONG_RUN
+
+__all__ = ["cpu_us_per_call", "measure"]
+
+CALLS = 3000
+ROUNDS = 5
+SMALL_NODES = 56
+# The long run has some 22 backend servers a service; a large one has 500.
+SERVICE_SIZES = (22, 500)
+
+
+class _AllSlotsFree:
+    def free_slots(self, placement: Placement) -> int:
+        """See `balsamspindle.services.picker.FreeSlots`."""
+        return placement.backend_server.slots
+
+
+def cpu_us_per_call(function: Callable[[int], object], calls: int = CALLS) -> float:
+    """Return the processor time of one call: the least of a few rounds."""
+    rounds = []
+    for _ in range(ROUNDS):
+        started_s = time.process_time()
+        for number in range(calls):
+            function(number)
+        rounds.append(time.process_time() - started_s)
+    return min(rounds) / calls * 1e6
+
+
+def measure() -> dict[str, float]:
+    """Return microseconds of processor time for each look-up."""
+    figures = {}
+    for name, size in (
+        ("few_routes", LONG_RUN.scaled(SMALL_NODES)),
+        ("all_routes", LONG_RUN),
+    ):
+        table = Configuration(1, synthetic.documents(size)).routes
+        figures[f"route_{name}_us"] = cpu_us_per_call(_route_call(table, size.routes))
+    for servers in SERVICE_SIZES:
+        figures[f"pick_of_{servers}_us"] = cpu_us_per_call(_pick_call(servers), 300)
+    return figures
+
+
+def _route_call(table: RouteTable, routes: int) -> Callable[[int], object]:
+    def call(number: int) -> object:
+        wanted = number * 7919 % routes
+        host = f"host-{wanted // 50:04d}.example"
+        return table.find(host, f"/part-{wanted % 50}/items/4711", "GET")
+
+    return call
+
+
+def _pick_call(servers: int) -> Callable[[int], object]:
+    size = LONG_RUN._replace(nodes=servers, backend_servers=servers, services=1)
+    directory = Directory()
+    for record in synthetic.node_records(size):
+        directory.update(record, now_s=0.0)
+    placements = directory.placements(synthetic.service_name(0))
+    assert len(placements) == servers
+    own = synthetic.node_record(0, size)
+    rng = random.Random(1)
+    return lambda _: pick(placements, own, frozenset(), _AllSlotsFree(), rng)
--- /dev/null
+++ b/bench/capacity/memory.py
@@ -0,0 +1,130 @@
+"""Resident memory of one node's state, in a process of its own.
+
+Each size is filled in a fresh interpreter that has imported the whole node,
+because memory that was once taken does not go back to the kernel.
+"""
+
+import gc
+import json
+import os
+import resource
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from balsamspindle.membership import Directory
+from balsamspindle.node.process import NodeProcess
+from balsamspindle.settings.tree import CurrentConfiguration
+from bench.capacity import synthetic
+from bench.capacity.sizes import LONG_RUN, FleetSize
+from bench.capacity.slopes import Line, fit_line
+
+__all__ = ["measure", "resident_bytes"]
+
+# The index of all services is built anew for each record: filling the whole
+# fleet takes minutes, so the largest size is a quarter.
+SHARES = (1 / 16, 1 / 8, 1 / 4)
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+def resident_bytes(pid: int | str = "self") -> int:
+    """Return the resident set of a process."""
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES
+
+
+def measure() -> dict[str, float]:
+    """Return bytes per record and the whole state at the long-run size."""
+    samples = {
+        state: [_in_fresh_process(state, round(LONG_RUN.nodes * x)) for x in SHARES]
+        for state in _FILLS
+    }
+    nodes = _line(samples["directory"], "nodes")
+    bare = _line(samples["bare_directory"], "nodes")
+    routes = _line(samples["settings"], "routes")
+    whole = samples["whole"][-1]
+    peak = fit_line([(s["nodes"], s["peak_bytes"]) for s in samples["whole"]])
+    per_server = (nodes.slope - bare.slope) / LONG_RUN.backend_servers_per_node
+    return {
+        "measured_nodes": whole["nodes"],
+        "imported_mb": whole["imported_bytes"] / 1e6,
+        "node_record_bytes": bare.slope,
+        "backend_server_record_bytes": per_server,
+        "directory_mb": nodes.at(LONG_RUN.nodes) / 1e6,
+        "directory_fill_cpu_s": samples["directory"][-1]["cpu_s"],
+        "directory_fill_cpu_s_at_half": samples["directory"][-2]["cpu_s"],
+        "settings_mb": routes.at(LONG_RUN.routes) / 1e6,
+        "settings_bytes_per_route": routes.slope,
+        "settings_load_cpu_s": samples["settings"][-1]["cpu_s"],
+        "whole_rss_mb": whole["rss_bytes"] / 1e6,
+        "whole_rss_peak_mb": peak.at(LONG_RUN.nodes) / 1e6,
+    }
+
+
+def _line(samples: list[dict[str, float]], size_name: str) -> Line:
+    return fit_line([(s[size_name], s["state_bytes"]) for s in samples])
+
+
+def _in_fresh_process(state: str, nodes: int) -> dict[str, float]:
+    command = [sys.executable, "-m", "bench.capacity.memory", state, str(nodes)]
+    answer = subprocess.run(command, check=True, capture_output=True, text=True)
+    return json.loads(answer.stdout)
+
+
+def _fill_directory(size: FleetSize) -> Directory:
+    directory = Directory()
+    for record in synthetic.node_records(size):
+        directory.update(record, now_s=0.0)
+    return directory
+
+
+def _fill_bare_directory(size: FleetSize) -> Directory:
+    return _fill_directory(size._replace(backend_servers=0))
+
+
+def _fill_settings(size: FleetSize) -> CurrentConfiguration:
+    configuration = CurrentConfiguration()
+    assert configuration.offer(1, synthetic.documents(size)).is_ok()
+    return configuration
+
+
+def _fill_whole(size: FleetSize) -> tuple[Directory, CurrentConfiguration]:
+    """Fill everything, then put one more revision in force beside the old."""
+    directory = _fill_directory(size)
+    configuration = _fill_settings(size)
+    assert configuration.offer(2, synthetic.documents(size)).is_ok()
+    return directory, configuration
+
+
+_FILLS = {
+    "bare_directory": _fill_bare_directory,
+    "directory": _fill_directory,
+    "settings": _fill_settings,
+    "whole": _fill_whole,
+}
+
+
+def _sample(state: str, nodes: int) -> dict[str, float]:
+    size = LONG_RUN.scaled(nodes)
+    gc.collect()
+    imported = resident_bytes()
+    started_s = time.process_time()
+    filled = _FILLS[state](size)
+    cpu_s = time.process_time() - started_s
+    gc.collect()
+    resident = resident_bytes()
+    assert filled
+    return {
+        "nodes": size.nodes,
+        "routes": size.routes,
+        "imported_bytes": imported,
+        "state_bytes": resident - imported,
+        "rss_bytes": resident,
+        "peak_bytes": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024,
+        "cpu_s": cpu_s,
+    }
+
+
+if __name__ == "__main__":
+    assert NodeProcess, "the whole node is imported, as in a real process"
+    print(json.dumps(_sample(sys.argv[1], int(sys.argv[2]))))
--- /dev/null
+++ b/tests/test_capacity_page.py
@@ -0,0 +1,34 @@
+"""The capacity page says what the baseline's run measured, and no more."""
+
+import json
+
+from testtools import TestCase
+
+from bench.capacity.__main__ import BASELINE, PARTS
+from bench.capacity.page import PAGE, render_tables
+from bench.capacity.rows import Row
+from bench.capacity.slopes import fit_line
+
+
+class CapacityPageTests(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.measured = json.loads(BASELINE.read_text())["measured"]
+
+    def test_the_tables_of_the_page_are_those_of_the_baseline(self):
+        # A reader plans by the page. When somebody measures anew and forgets
+        # the page, or edits a figure by hand, the two say different things.
+        self.assertIn(render_tables(self.measured), PAGE.read_text())
+
+    def test_each_part_has_its_figures(self):
+        self.assertEqual(set(PARTS), set(PARTS) & set(self.measured))
+
+    def test_a_row_over_its_target_says_that_it_misses(self):
+        row = Row("node", "memory", "MB", 256.0, 512.0, "", "", "")
+        self.assertFalse(row.met)
+        self.assertEqual("**missed** 2x", row.margin)
+
+    def test_a_line_goes_on_beyond_the_measured_sizes(self):
+        line = fit_line([(10, 25.0), (20, 45.0)])
+        self.assertEqual((5.0, 2.0, 20), line[:3])
+        self.assertEqual(2005.0, line.at(1000))
