--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -4,6 +4,7 @@
 import platform
 import sys
 from pathlib import Path
+from typing import Annotated
 
 import typer
 
@@ -22,11 +23,13 @@
 
 
 def run(
-    parts: list[str] = typer.Argument(None, help=f"Any of: {', '.join(PARTS)}."),
-    write: bool = typer.Option(
-        False, help="Put the figures into the baseline and the page."
-    ),
-    as_json: bool = typer.Option(False, "--json", help="Print JSON only."),
+    parts: Annotated[
+        list[str] | None, typer.Argument(help=f"Any of: {', '.join(PARTS)}.")
+    ] = None,
+    write: Annotated[
+        bool, typer.Option(help="Put the figures into the baseline and the page.")
+    ] = False,
+    as_json: Annotated[bool, typer.Option("--json", help="Print JSON only.")] = False,
 ) -> None:
     """Measure what each role costs.
 
