Add balsamspindle-load: seeded arrivals, faults and an audit of outcomes

A plan in JSON gives Poisson arrivals by kind and a schedule of the stand-ins' fault switches. Each request has its own nonce, held against its answer; at the end the backend servers' counts are held against what callers were told. Detection time is taken from the sick server's own count, up to the last request before a quiet time, so that later trials do not count as slowness.

--- /dev/null
+++ b/balsamspindle/cli/load.py
@@ -0,0 +1,97 @@
+"""``balsamspindle-load``: load, faults, and what became of each request."""
+
+import uuid
+from pathlib import Path
+
+import msgspec
+import typer
+from expression import Result
+
+from balsamspindle.cli.exit_status import ExitStatus
+from balsamspindle.cli.program import VERSION_OPTION, fail, make_app
+from balsamspindle.load import (
+    LoadPlan,
+    Report,
+    load_plan,
+    report_lines,
+    run_experiment,
+)
+from balsamspindle.load.plan import DURATION_MAX_S
+
+EXAMPLES = """
+Example of a plan:
+
+    {"nodes": {"node-0": "127.0.0.1:8080"},
+     "node_admins": {"node-0": "127.0.0.1:8083"},
+     "backend_servers": {"board-0": "127.0.0.1:9001"},
+     "duration_s": 20, "seed": 7,
+     "arrivals": [{"kind": "read", "target": "/board", "rate_per_s": 20}],
+     "faults": [{"target": "board-0", "start_s": 5, "end_s": 15,
+                 "switch": {"mode": "hang", "delay_s": 30}}]}
+
+Examples:
+
+    balsamspindle-load plan.json
+
+    balsamspindle-load plan.json --json --seed 8 --duration-s 60
+"""
+
+app = make_app("Drive the fleet with load and faults, and audit the outcomes.")
+
+
+@app.command(epilog="Exit status: 0 truthful, 1 a promise was broken, 2 usage.")
+def run(
+    plan: Path = typer.Argument(..., help="JSON file with the plan."),
+    as_json: bool = typer.Option(False, "--json", help="Report as JSON."),
+    seed: int | None = typer.Option(None, help="In place of the plan's."),
+    duration_s: float | None = typer.Option(
+        None, min=0.1, max=DURATION_MAX_S, help="In place of the plan's."
+    ),
+    version: bool = VERSION_OPTION,
+) -> None:
+    """Send a plan's requests, set its faults and report what came of them.
+
+    Reports outcomes and latency by kind, the answered part weighted by kind,
+    how long a sick backend server went on meeting requests (by its own
+    count), false ejections, and broken promises: requests that were told
+    not_run and ran, non-idempotent ones that ran twice, answers that were not
+    whole or not the caller's own.
+    """
+    match load_plan(plan):
+        case Result(tag="ok", ok=loaded):
+            report = run_experiment(_changed(loaded, seed, duration_s), _run_id())
+            _print(report, as_json)
+            if not report.truthfulness.holds:
+                raise typer.Exit(ExitStatus.FAILED)
+        case Result(error=error):
+            fail(error.message, ExitStatus.USAGE)
+
+
+run.__doc__ += EXAMPLES
+
+
+def _run_id() -> str:
+    return uuid.uuid4().hex[:12]
+
+
+def _changed(plan: LoadPlan, seed: int | None, duration_s: float | None) -> LoadPlan:
+    changes = {"seed": seed, "duration_s": duration_s}
+    given = {name: value for name, value in changes.items() if value is not None}
+    return msgspec.structs.replace(plan, **given)
+
+
+def _print(report: Report, as_json: bool) -> None:
+    if as_json:
+        typer.echo(msgspec.json.encode(report).decode())
+        return
+    for line in report_lines(report):
+        typer.echo(line)
+
+
+def main() -> None:
+    """Run the program."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/balsamspindle/load/caller.py
@@ -0,0 +1,141 @@
+"""One caller: sends a request, and checks that the answer is its own."""
+
+import io
+import json
+import threading
+import time
+from typing import NamedTuple
+
+import pycurl
+
+from balsamspindle.load.schedule import ScheduledCall
+from balsamspindle.requests.ingress import OUTCOME_HEADER
+from balsamspindle.requests.outcomes import Execution, Outcome
+
+__all__ = [
+    "NO_ANSWER",
+    "NOT_CONNECTED",
+    "Caller",
+    "CallEnd",
+    "answer_fault",
+    "call_body",
+]
+
+# What a caller sees when the fleet says nothing.
+NO_ANSWER = "no_answer"
+NOT_CONNECTED = "not_connected"
+CONNECT_TIMEOUT_MS = 1000
+
+
+class CallEnd(NamedTuple):
+    """What the caller holds at the end.
+
+    Attributes
+    ----------
+    outcome : str
+        As the fleet says, or `NO_ANSWER`, or `NOT_CONNECTED`.
+    fault : str or None
+        What is wrong with an answer that should be whole and the caller's own.
+    """
+
+    outcome: str
+    status: int
+    latency_s: float
+    fault: str | None = None
+
+
+def call_body(call: ScheduledCall) -> bytes:
+    """Return the body of a request: its nonce, repeated to the full length."""
+    length = call.arrival.body_bytes
+    nonce = call.run_key.encode()
+    return (nonce * (length // len(nonce) + 1))[:length]
+
+
+class Caller:
+    """Makes calls; each thread has handles of its own."""
+
+    def __init__(self, nodes: dict[str, str]) -> None:
+        self._nodes = nodes
+        self._handles = threading.local()
+
+    def call(self, call: ScheduledCall) -> CallEnd:
+        """Send one request and wait for its end."""
+        handle = self._handle(call.arrival.execution)
+        body, headers = io.BytesIO(), []
+        target = f"{call.arrival.target}?nonce={call.run_key}"
+        self._set(handle, call, target)
+        handle.setopt(pycurl.WRITEDATA, body)
+        handle.setopt(pycurl.HEADERFUNCTION, headers.append)
+        started_s = time.monotonic()
+        try:
+            handle.perform()
+        except pycurl.error:
+            connected = handle.getinfo(pycurl.CONNECT_TIME) > 0
+            outcome = NO_ANSWER if connected else NOT_CONNECTED
+            return CallEnd(outcome, 0, time.monotonic() - started_s)
+        latency_s = time.monotonic() - started_s
+        status = handle.getinfo(pycurl.RESPONSE_CODE)
+        outcome = _outcome(headers)
+        fault = None
+        if outcome == Outcome.ANSWERED and status == 200:
+            fault = answer_fault(call, target, body.getvalue())
+        return CallEnd(outcome, status, latency_s, fault)
+
+    def _handle(self, execution: Execution) -> pycurl.Curl:
+        handle = getattr(self._handles, execution.value, None)
+        if handle is None:
+            handle = pycurl.Curl()
+            handle.setopt(pycurl.NOSIGNAL, 1)
+            handle.setopt(pycurl.TCP_NODELAY, 1)
+            handle.setopt(pycurl.PROXY, "")
+            handle.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
+            if execution is Execution.NON_IDEMPOTENT:
+                # libcurl sends a request again by itself when a reused
+                # connection turns out dead: the fleet would get it twice and
+                # the audit would blame the fleet for the caller's fault.
+                handle.setopt(pycurl.FRESH_CONNECT, 1)
+                handle.setopt(pycurl.FORBID_REUSE, 1)
+            setattr(self._handles, execution.value, handle)
+        return handle
+
+    def _set(self, handle: pycurl.Curl, call: ScheduledCall, target: str) -> None:
+        arrival = call.arrival
+        body = call_body(call)
+        headers = [f"X-Run-Key: {call.run_key}", "Expect:", "Content-Type: text/plain"]
+        if arrival.host is not None:
+            headers.append(f"Host: {arrival.host}")
+        handle.setopt(pycurl.URL, f"http://{self._nodes[call.node]}{target}")
+        handle.setopt(pycurl.TIMEOUT_MS, int(arrival.timeout_ms))
+        handle.setopt(pycurl.HTTPHEADER, headers)
+        if body:
+            handle.setopt(pycurl.POST, 1)
+            handle.setopt(pycurl.POSTFIELDSIZE, len(body))
+            handle.setopt(pycurl.COPYPOSTFIELDS, body)
+        else:
+            handle.setopt(pycurl.HTTPGET, 1)
+        handle.setopt(pycurl.CUSTOMREQUEST, arrival.method)
+
+
+def _outcome(headers: list[bytes]) -> str:
+    wanted = OUTCOME_HEADER.lower().encode()
+    for line in headers:
+        name, _, value = line.partition(b":")
+        if name.lower() == wanted:
+            return value.strip().decode("latin-1")
+    return NO_ANSWER
+
+
+def answer_fault(call: ScheduledCall, target: str, body: bytes) -> str | None:
+    """Say what is wrong with an answer of a stand-in, None when it is right."""
+    try:
+        answer = json.loads(body)
+    except ValueError:
+        return "fragment"
+    expected = {
+        "run_key": call.run_key,
+        "target": target,
+        "body_length": call.arrival.body_bytes,
+        "body": call_body(call).decode(),
+    }
+    wrong = [name for name, value in expected.items() if answer.get(name) != value]
+    return f"not its own: {', '.join(wrong)}" if wrong else None
--- /dev/null
+++ b/balsamspindle/load/experiment.py
@@ -0,0 +1,111 @@
+"""One bounded run: sends what is due, sets faults, then asks who ran what."""
+
+import threading
+import time
+from collections.abc import Sequence
+from concurrent.futures import ThreadPoolExecutor
+
+from balsamspindle.load.audit import CallResult, audit, detections
+from balsamspindle.load.caller import Caller
+from balsamspindle.load.ejections import EjectionSampler
+from balsamspindle.load.http_json import ask
+from balsamspindle.load.plan import LoadPlan
+from balsamspindle.load.report import Report, kind_reports
+from balsamspindle.load.schedule import (
+    FaultChange,
+    ScheduledCall,
+    schedule_calls,
+    schedule_faults,
+)
+
+__all__ = ["run_experiment"]
+
+# After its fault a backend server may be held out for so long before an
+# ejection counts as false.
+READMISSION_GRACE_S = 30.0
+
+
+def run_experiment(plan: LoadPlan, run_id: str) -> Report:
+    """Run a plan to its end and report.
+
+    Parameters
+    ----------
+    run_id : str
+        Starts each run key; must differ between runs against the same
+        backend servers, whose counts go on.
+    """
+    experiment = _Experiment(plan, run_id)
+    results = experiment.run()
+    runs = {name: _counts(address) for name, address in plan.backend_servers.items()}
+    known = {name: counts for name, counts in runs.items() if counts is not None}
+    kinds, answered_weighted = kind_reports(plan.arrivals, results)
+    return Report(
+        run_id=run_id,
+        seed=plan.seed,
+        kinds=kinds,
+        answered_weighted=answered_weighted,
+        detections=detections(results, known, plan.faults, plan.quiet_s),
+        ejections=experiment.sampler.judge(plan.faults, READMISSION_GRACE_S),
+        truthfulness=audit(results, known),
+        late_max_ms=1000 * max((r.sent_s - r.call.at_s for r in results), default=0.0),
+        counts_missing=sorted(set(runs) - set(known)),
+        faults_not_set=experiment.faults_not_set,
+    )
+
+
+def _counts(address: str) -> dict[str, int] | None:
+    report = ask(address, "/runs")
+    return None if report is None else report["runs"]
+
+
+class _Experiment:
+    def __init__(self, plan: LoadPlan, run_id: str) -> None:
+        self._plan = plan
+        self._calls = schedule_calls(plan, run_id)
+        self._changes = schedule_faults(plan.faults)
+        self._caller = Caller(plan.nodes)
+        self._stopped = threading.Event()
+        self._start_s = 0.0
+        self.sampler = EjectionSampler(plan.node_admins, self._now_s)
+        self.faults_not_set: list[str] = []
+
+    def run(self) -> list[CallResult]:
+        """Send all requests and return their ends."""
+        self._start_s = time.monotonic()
+        with ThreadPoolExecutor(2, "experiment") as tasks:
+            sampling = tasks.submit(self.sampler.run)
+            switching = tasks.submit(self._switch_faults, self._changes)
+            try:
+                results = self._send(self._calls)
+            finally:
+                self._stopped.set()
+                self.sampler.stop()
+            # A fault in a task must not pass for a run without findings.
+            sampling.result()
+            switching.result()
+        return results
+
+    def _now_s(self) -> float:
+        return time.monotonic() - self._start_s
+
+    def _send(self, calls: Sequence[ScheduledCall]) -> list[CallResult]:
+        with ThreadPoolExecutor(self._plan.workers, "caller") as executor:
+            pending = []
+            for call in calls:
+                time.sleep(max(0.0, call.at_s - self._now_s()))
+                pending.append(executor.submit(self._send_one, call))
+            return [future.result() for future in pending]
+
+    def _send_one(self, call: ScheduledCall) -> CallResult:
+        sent_s = self._now_s()
+        return CallResult(call, sent_s, self._caller.call(call))
+
+    def _switch_faults(self, changes: Sequence[FaultChange]) -> None:
+        """Set each fault at its time; end those that a short run leaves."""
+        for change in changes:
+            self._stopped.wait(max(0.0, change.at_s - self._now_s()))
+            if self._stopped.is_set() and change.switch["mode"] != "none":
+                continue
+            address = self._plan.fault_address(change.target)
+            if ask(address, "/faults", change.switch) is None:
+                self.faults_not_set.append(f"{change.target}@{change.at_s:g}")
--- /dev/null
+++ b/balsamspindle/load/http_json.py
@@ -0,0 +1,43 @@
+"""Small JSON calls to switches, counts and status."""
+
+import io
+from typing import Any
+
+import msgspec
+import pycurl
+
+__all__ = ["ask"]
+
+CONNECT_TIMEOUT_MS = 500
+CALL_TIMEOUT_MS = 3000
+
+
+def ask(address: str, path: str, body: Any = None) -> Any | None:
+    """Return the JSON of a GET, or of a POST when there is a body.
+
+    Returns
+    -------
+    object or None
+        None when there was no good answer.
+    """
+    handle = pycurl.Curl()
+    answer = io.BytesIO()
+    handle.setopt(pycurl.URL, f"http://{address}{path}")
+    handle.setopt(pycurl.NOSIGNAL, 1)
+    handle.setopt(pycurl.PROXY, "")
+    handle.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
+    handle.setopt(pycurl.TIMEOUT_MS, CALL_TIMEOUT_MS)
+    handle.setopt(pycurl.WRITEDATA, answer)
+    if body is not None:
+        handle.setopt(pycurl.POST, 1)
+        handle.setopt(pycurl.COPYPOSTFIELDS, msgspec.json.encode(body))
+        handle.setopt(pycurl.HTTPHEADER, ["Content-Type: application/json", "Expect:"])
+    try:
+        handle.perform()
+        if handle.getinfo(pycurl.RESPONSE_CODE) != 200:
+            return None
+        return msgspec.json.decode(answer.getvalue())
+    except (pycurl.error, msgspec.DecodeError):
+        return None
+    finally:
+        handle.close()
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,190 @@
+"""The load program tells the truth about the fleet, and about its own run."""
+
+import json
+import subprocess
+import sys
+
+import msgspec
+from testtools import TestCase
+
+from balsamspindle.load.audit import CallResult, audit, detections
+from balsamspindle.load.caller import CallEnd, Caller, answer_fault, call_body
+from balsamspindle.load.ejections import judge_ejections
+from balsamspindle.load.plan import Arrival, FaultPeriod, LoadPlan
+from balsamspindle.load.schedule import ScheduledCall, schedule_calls, schedule_faults
+from balsamspindle.requests.outcomes import Execution
+from tests.utils import ROOT, Fleet
+from tests.utils import call as call_server
+
+READ = Arrival("read", "/board", rate_per_s=20.0)
+SIGN = Arrival(
+    "sign", "/contracts", 10.0, Execution.NON_IDEMPOTENT, "POST", body_bytes=300
+)
+SETTINGS = {
+    "crew/services/board": {},
+    "crew/routes/read": {
+        "service": "crew/board",
+        "execution": "idempotent",
+        "path_prefix": "/board",
+    },
+    "crew/routes/sign": {
+        "service": "crew/board",
+        "execution": "non_idempotent",
+        "path_prefix": "/contracts",
+        "methods": ["POST"],
+        "timeout_ms": 1000,
+    },
+}
+
+
+def result(key, outcome="answered", arrival=READ, sent_s=0.0, fault=None):
+    call = ScheduledCall(sent_s, key, "node-0", arrival)
+    return CallResult(call, sent_s, CallEnd(outcome, 200, 0.001, fault))
+
+
+class AuditTests(TestCase):
+    def test_a_request_told_not_run_that_ran_is_found(self):
+        # The caller is told that its request was not run and sends it again
+        # by another way; the backend server had run it after all.
+        found = audit([result("a", "not_run"), result("b", "unknown")], {"s": {"a": 1}})
+        self.assertEqual(["a"], found.not_run_but_ran)
+        self.assertFalse(found.holds)
+
+    def test_a_non_idempotent_request_that_ran_at_two_servers_is_found(self):
+        # One contract is signed twice: the first server hung after it had
+        # run the request, and a second one was tried. Only the sum over all
+        # servers shows it.
+        results = [result("a", arrival=SIGN), result("b", arrival=READ)]
+        runs = {"s": {"a": 1, "b": 1}, "t": {"a": 1, "b": 1}}
+        self.assertEqual(["a"], audit(results, runs).non_idempotent_ran_twice)
+
+    def test_a_strangers_answer_is_found(self):
+        found = audit([result("a", fault="not its own: run_key")], {})
+        self.assertEqual(["a: not its own: run_key"], found.wrong_answers)
+
+    def test_detection_ends_with_the_last_request_before_the_quiet(self):
+        # A hanging server goes on meeting requests for 1.5 s, then none; a
+        # trial meets it much later and must not count as slow detection.
+        fault = FaultPeriod("s", {"mode": "hang"}, start_s=10.0, end_s=30.0)
+        times = {"a": 9.0, "b": 10.5, "c": 11.5, "trial": 20.0}
+        results = [result(key, sent_s=sent_s) for key, sent_s in times.items()]
+        [found] = detections(results, {"s": dict.fromkeys(times, 1)}, [fault], 2.0)
+        self.assertEqual((1.5, 2, 1), (found.detection_s, found.met, found.met_later))
+
+    def test_a_server_that_meets_requests_to_the_end_was_not_detected(self):
+        fault = FaultPeriod("s", {"mode": "hang"}, start_s=0.0, end_s=4.0)
+        results = [result(str(at_s), sent_s=float(at_s)) for at_s in range(4)]
+        runs = {"s": {str(at_s): 1 for at_s in range(4)}}
+        [found] = detections(results, runs, [fault], 2.0)
+        self.assertIsNone(found.detection_s)
+
+    def test_an_ejection_without_a_fault_is_false(self):
+        fault = FaultPeriod("s", {"mode": "hang"}, start_s=10.0, end_s=20.0)
+        seen = [(5.0, "s"), (12.0, "s"), (12.0, "t"), (14.0, "t"), (22.0, "s")]
+        found = judge_ejections(seen, 9, [fault], grace_s=5.0)
+        self.assertEqual(["s"], found.ejected_with_fault)
+        false = [(each.backend_server, each.from_s, each.to_s) for each in found.false]
+        self.assertEqual([("s", 5.0, 5.0), ("t", 12.0, 14.0)], false)
+
+
+class ScheduleTests(TestCase):
+    def test_the_same_seed_gives_the_same_run_within_its_bounds(self):
+        plan = LoadPlan(
+            {"node-0": "127.0.0.1:1", "node-1": "127.0.0.1:2"}, [READ, SIGN], 30.0, 3
+        )
+        calls = schedule_calls(plan, "x")
+        self.assertEqual(calls, schedule_calls(plan, "x"))
+        other = msgspec.structs.replace(plan, seed=4)
+        self.assertNotEqual(calls, schedule_calls(other, "x"))
+        self.assertEqual(sorted(calls, key=lambda call: call.at_s), calls)
+        self.assertEqual(len(calls), len({call.run_key for call in calls}))
+        # Poisson: 900 are due in all, give or take five standard deviations.
+        self.assertLess(abs(len(calls) - 900), 150)
+        bounded = msgspec.structs.replace(plan, requests_max=10)
+        self.assertEqual(calls[:10], schedule_calls(bounded, "x"))
+
+    def test_a_flapping_fault_comes_and_goes_and_ends(self):
+        fault = FaultPeriod("s", {"mode": "hang"}, 1.0, 4.0, flap_period_s=2.0)
+        changes = [
+            (each.at_s, each.switch["mode"]) for each in schedule_faults([fault])
+        ]
+        expected = [(1.0, "hang"), (2.0, "none"), (3.0, "hang"), (4.0, "none")]
+        self.assertEqual(expected, changes)
+
+
+class WholeRunTests(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.__exit__)
+        self.fleet.start_platform()
+        self.fleet.put_settings(SETTINGS)
+        self.node = self.fleet.start_node("node-0", "zone-0")
+        self.servers = [
+            self.fleet.start_backend(name, "crew/board", self.node)
+            for name in ("board-0", "board-1")
+        ]
+        self.fleet.wait_ready([self.node], ["board-0", "board-1"])
+
+    def test_a_run_under_a_gray_fault_accounts_for_every_request(self):
+        plan = {
+            "nodes": {"node-0": self.node.caller_address},
+            "node_admins": {"node-0": self.node.admin_address},
+            "backend_servers": {each.name: each.address for each in self.servers},
+            "platform": self.fleet.platform_address,
+            "duration_s": 4,
+            "arrivals": msgspec.to_builtins([READ, SIGN]),
+            "faults": [
+                {
+                    "target": "board-0",
+                    "switch": {"mode": "hang", "delay_s": 3, "share": 0.3},
+                    "start_s": 1,
+                    "end_s": 3,
+                },
+                {
+                    "target": "platform",
+                    "switch": {"mode": "down"},
+                    "start_s": 0.5,
+                    "end_s": 2,
+                },
+            ],
+        }
+        path = self.fleet.folder / "plan.json"
+        path.write_text(json.dumps(plan))
+        command = [sys.executable, "-m", "balsamspindle.cli.load", str(path), "--json"]
+        done = subprocess.run(command, cwd=ROOT, capture_output=True, timeout=50)
+        self.assertEqual(0, done.returncode, done.stderr)
+        report = json.loads(done.stdout)
+        due = len(schedule_calls(msgspec.convert(plan, LoadPlan), "x"))
+        self.assertEqual(due, sum(kind["sent"] for kind in report["kinds"]))
+        for kind in report["kinds"]:
+            self.assertEqual(kind["sent"], sum(kind["outcomes"].values()))
+            self.assertGreater(kind["outcomes"]["answered"], 0)
+        self.assertEqual([], report["faults_not_set"])
+        self.assertEqual([], report["counts_missing"])
+        self.assertEqual("board-0", report["detections"][0]["backend_server"])
+        self.assertGreater(report["detections"][0]["met"], 0)
+        self.assertGreater(report["ejections"]["samples"], 0)
+
+    def test_the_caller_takes_its_own_whole_answer_and_no_other(self):
+        # An answer that arrives late on a connection in use again belongs to
+        # somebody else; a cut one is a fragment. Both have status 200.
+        caller = Caller({"node-0": self.node.caller_address})
+        call = ScheduledCall(0.0, "own-1", "node-0", SIGN)
+        self.assertEqual(("answered", None), caller.call(call)[::3])
+        # The stand-in itself answers as asked, but says no outcome: nothing
+        # that bypasses the fleet may pass for its answer.
+        direct = Caller({"node-0": self.servers[0].address})
+        self.assertEqual("no_answer", direct.call(call).outcome)
+        body = call_server(
+            self.servers[0].address,
+            "/contracts?nonce=own-1",
+            "POST",
+            call_body(call),
+            {"X-Run-Key": "own-1"},
+        ).body
+        target = "/contracts?nonce=own-1"
+        self.assertIsNone(answer_fault(call, target, body))
+        self.assertEqual("fragment", answer_fault(call, target, body[:50]))
+        other = call._replace(run_key="own-2")
+        self.assertIn("run_key", answer_fault(other, target, body))
