--- a/balsamspindle/load/caller.py
+++ b/balsamspindle/load/caller.py
@@ -69,9 +69,12 @@
         started_s = time.monotonic()
         try:
             handle.perform()
-        except pycurl.error:
-            connected = handle.getinfo(pycurl.CONNECT_TIME) > 0
-            outcome = NO_ANSWER if connected else NOT_CONNECTED
+        except pycurl.error as error:
+            # Only a refused connection proves that nothing was sent. A time
+            # out does not: libcurl gives no connect time for a reused
+            # connection, and the request may well have been on it.
+            refused = error.args[0] == pycurl.E_COULDNT_CONNECT
+            outcome = NOT_CONNECTED if refused else NO_ANSWER
             return CallEnd(outcome, 0, time.monotonic() - started_s)
         latency_s = time.monotonic() - started_s
         status = handle.getinfo(pycurl.RESPONSE_CODE)
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -35,6 +35,7 @@
 
 NODES_PER_ZONE = 2
 WORK_MS = 10
+WORKERS = 200
 RUN_S = 24.0
 FAULT_START_S, FAULT_END_S = 4.0, 18.0
 FREEZE_S = 6.0
@@ -230,6 +231,7 @@
             duration_s=RUN_S,
             seed=seed,
             faults=faults,
+            workers=WORKERS,
         )
 
     @contextmanager
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -13,6 +13,7 @@
 from balsamspindle.load.plan import Arrival, FaultPeriod, LoadPlan
 from balsamspindle.load.schedule import ScheduledCall, schedule_calls, schedule_faults
 from balsamspindle.requests.outcomes import Execution
+from tests.raw_server import RawServer, length_answer
 from tests.utils import ROOT, Fleet
 from tests.utils import call as call_server
 
@@ -188,3 +189,26 @@
         self.assertEqual("fragment", answer_fault(call, target, body[:50]))
         other = call._replace(run_key="own-2")
         self.assertIn("run_key", answer_fault(other, target, body))
+
+
+class SilenceTests(TestCase):
+    def test_silence_on_a_reused_connection_is_not_told_as_not_connected(self):
+        # The second request goes out on the connection of the first and is
+        # read, but never answered. libcurl then gives no connect time, as
+        # before a connection; taken for 'nothing was sent' the audit would
+        # blame the fleet for a request that ran.
+        server = RawServer(
+            lambda number: (length_answer(b"{}") if number == 1 else None, True)
+        )
+        self.addCleanup(server.close)
+        caller = Caller({"node-0": server.address})
+        quick = msgspec.structs.replace(READ, timeout_ms=300.0)
+        ends = [
+            caller.call(ScheduledCall(0.0, key, "node-0", quick)) for key in ("a", "b")
+        ]
+        self.assertEqual(2, len(server.requests))
+        self.assertEqual("no_answer", ends[1].outcome)
+        server.close()
+        refused = Caller({"node-0": server.address})
+        end = refused.call(ScheduledCall(0.0, "c", "node-0", quick))
+        self.assertEqual("not_connected", end.outcome)
