Keep settings pages and answers under what the byte cap ever has room for

At 9 KB/s a node's bucket holds 36 KB, of which one urgent message may take 27.

Ruled out: letting an oversize message overdraw the bucket; the debt would hold back answers to probes for seconds and the node would be suspected. Pages of 48 KB: 192 instead of 37 for 49,000 routes, 923 instead of 883 KB in all; largest 5 KB (varied documents: 23 KB). Open: one change that alone is larger does not travel between peers; nodes then have it from their own poll, within a minute.

--- a/balsamspindle/settings/pages.py
+++ b/balsamspindle/settings/pages.py
@@ -11,8 +11,9 @@
 
 __all__ = ["PAGE_BYTES", "documents_of_pages", "pages_of_documents"]
 
-# About 10 KiB compressed: it fits the burst of a node's byte cap.
-PAGE_BYTES = 96 * 1024
+# Compressed well under the 27 KB that a sender's byte cap ever has for one
+# message: a larger page would be refused each time, and the joiner never served.
+PAGE_BYTES = 48 * 1024
 PAGE_MAX_BYTES = 8 * 1024 * 1024
 COMPRESSION_LEVEL = 1
 
--- a/balsamspindle/settings/recent.py
+++ b/balsamspindle/settings/recent.py
@@ -8,7 +8,8 @@
 
 CHANGES_MAX = 512
 BYTES_MAX = 1024 * 1024
-ANSWER_MAX_BYTES = 64 * 1024
+# As for pages: what the byte cap never has room for would never be sent.
+ANSWER_MAX_BYTES = 32 * 1024
 
 
 class RecentChanges:
