--- /dev/null
+++ b/bench/capacity/processes.py
@@ -0,0 +1,109 @@
+"""A real node process: its memory, threads and files, and its cost a request."""
+
+import time
+from pathlib import Path
+
+from hdrh.histogram import HdrHistogram
+
+from bench.capacity.memory import resident_bytes
+from bench.capacity.sizes import LIMITS
+from bench.paced_calls import PacedCalls, Target
+from bench.process_time import cpu_s
+from tests.utils import Fleet, NodeProgram
+
+__all__ = ["measure"]
+
+CONNECTIONS = 400
+LOAD_CONNECTIONS = 8
+IDLE_S = 5.0
+LOAD_S = 8.0
+SERVICE = "crew/board"
+SETTINGS = {
+    "crew/services/board": {},
+    "crew/routes/board": {"service": SERVICE, "execution": "idempotent"},
+}
+
+
+def measure() -> dict[str, float]:
+    """Return figures of an ingress and a gate, each a process of its own."""
+    with Fleet() as fleet:
+        fleet.start_platform()
+        fleet.put_settings(SETTINGS)
+        gate = fleet.start_node("gate-0", "zone-0")
+        ingress = fleet.start_node("ingress-0", "zone-1")
+        server = fleet.start_backend("board-0", SERVICE, gate, slots=50)
+        fleet.wait_ready([gate, ingress], ["board-0"])
+        figures = _idle(ingress)
+        figures.update(_requests(ingress, gate, server.address))
+        figures.update(_connections(ingress))
+        return figures
+
+
+def _threads(node: NodeProgram) -> int:
+    return len(list(Path(f"/proc/{node.process.pid}/task").iterdir()))
+
+
+def _files(node: NodeProgram) -> int:
+    return len(list(Path(f"/proc/{node.process.pid}/fd").iterdir()))
+
+
+def _idle(node: NodeProgram) -> dict[str, float]:
+    before_s = cpu_s(node.process.pid)
+    time.sleep(IDLE_S)
+    return {
+        "idle_cpu_percent": (cpu_s(node.process.pid) - before_s) / IDLE_S * 100,
+        "idle_rss_mb": resident_bytes(node.process.pid) / 1e6,
+        "idle_threads": _threads(node),
+        "idle_files": _files(node),
+    }
+
+
+def _requests(ingress: NodeProgram, gate: NodeProgram, direct: str) -> dict:
+    """Send paced requests, through both nodes and past them."""
+    before_s = cpu_s(ingress.process.pid), cpu_s(gate.process.pid)
+    through, done = _latency(ingress.caller_address)
+    used_s = cpu_s(ingress.process.pid), cpu_s(gate.process.pid)
+    past, _ = _latency(direct)
+    return {
+        "ingress_cpu_us_per_request": (used_s[0] - before_s[0]) / done * 1e6,
+        "gate_cpu_us_per_request": (used_s[1] - before_s[1]) / done * 1e6,
+        "load_requests_per_s": done / LOAD_S,
+    } | {
+        f"added_p{percentile}_ms": (
+            through.get_value_at_percentile(percentile)
+            - past.get_value_at_percentile(percentile)
+        )
+        / 1000
+        for percentile in (50, 99)
+    }
+
+
+def _latency(address: str) -> tuple[HdrHistogram, int]:
+    calls = PacedCalls(
+        Target(address, "/board/7"),
+        LOAD_CONNECTIONS,
+        LIMITS.requests_per_s_per_node,
+        seed=1,
+    )
+    done = calls.run(LOAD_S)
+    calls.close()
+    assert not calls.failures
+    return calls.histogram, done
+
+
+def _connections(node: NodeProgram) -> dict[str, float]:
+    """Open connections, one request each, and see what they hold when idle."""
+    first_bytes = resident_bytes(node.process.pid)
+    target = Target(node.caller_address, "/board/7")
+    calls = PacedCalls(target, CONNECTIONS, CONNECTIONS, seed=1)
+    assert calls.run(1.0) == CONNECTIONS and not calls.failures
+    connected_bytes = resident_bytes(node.process.pid)
+    figures = {
+        "connections": CONNECTIONS,
+        "connection_rss_bytes": (connected_bytes - first_bytes) / CONNECTIONS,
+        "connected_rss_mb": connected_bytes / 1e6,
+        "connected_threads": _threads(node),
+        "connected_files": _files(node),
+    }
+    calls.close()
+    return figures
--- /dev/null
+++ b/bench/capacity/rows.py
@@ -0,0 +1,321 @@
+"""The capacity table: each target against what the measured slopes give.
+
+Every row is computed here from the figures of the baseline, so that a row
+can't say what no run has shown.
+"""
+
+from typing import NamedTuple
+
+from balsamspindle.settings.reader import (
+    POLL_INTERVAL_MAX_S,
+    POLL_INTERVAL_S,
+    READERS_PER_ZONE,
+    SPARE_POLL_INTERVAL_S,
+)
+from bench.capacity.sizes import LIMITS, LONG_RUN
+
+__all__ = [
+    "RECORD_CHANGES_PER_REPLACEMENT",
+    "RECORD_CHANGES_PER_S",
+    "SETTINGS_CHANGES_PER_S",
+    "Row",
+    "capacity_rows",
+]
+
+DAY_S = 86_400
+# A replaced VM: drains, goes, is announced, has warmed up.
+RECORD_CHANGES_PER_REPLACEMENT = 4
+RECORD_CHANGES_PER_S = (
+    LONG_RUN.replacements_per_day * RECORD_CHANGES_PER_REPLACEMENT / DAY_S
+)
+SETTINGS_CHANGES_PER_S = LONG_RUN.changes_per_day / DAY_S
+# One core, less a fifth for what comes in bursts.
+REQUEST_CPU_PERCENT = 80.0
+# An edit reads its subtree, its operation and the fleet's revision.
+READS_PER_EDIT = 3
+# It writes these, its change's row as well.
+PUTS_PER_EDIT = 4
+# An assumption: what callers send is not known yet.
+KEYED_SHARE = 0.001
+# A part of a request's time that nobody notices.
+LOOK_UP_US = 100.0
+# Open files that most distributions let a process have.
+FILES_MAX = 1024
+
+
+class Row(NamedTuple):
+    """One target and how the fleet stands to it.
+
+    Attributes
+    ----------
+    target : float
+        Not to be passed.
+    extrapolated : float
+        At the long-run size, in the unit of the target.
+    measured_up_to : str
+        The largest size that a run has seen.
+    breaks_first : str
+        What gives way first as the size grows, or the next step of a row
+        that misses.
+    """
+
+    role: str
+    quantity: str
+    unit: str
+    target: float
+    extrapolated: float
+    mechanism: str
+    measured_up_to: str
+    breaks_first: str
+
+    @property
+    def met(self) -> bool:
+        """Tell whether the target is kept."""
+        return self.extrapolated <= self.target
+
+    @property
+    def margin(self) -> str:
+        """Say by how much the target is kept or missed."""
+        if self.met:
+            return f"{self.target / max(self.extrapolated, 1e-9):.2g}x"
+        return f"**missed** {self.extrapolated / self.target:.2g}x"
+
+
+def capacity_rows(measured: dict[str, dict[str, float]]) -> list[Row]:
+    """Return all rows, role by role."""
+    return [
+        *_request_rows(measured["processes"], measured["look_ups"]),
+        *_node_rows(measured["processes"], measured["memory"]),
+        *_member_rows(measured["members"], measured["bad_days"]),
+        *_settings_rows(measured["settings"], measured["members"]),
+        *_platform_rows(measured["settings"]),
+    ]
+
+
+def _request_rows(processes, look_ups) -> list[Row]:
+    per_s = LIMITS.requests_per_s_per_node
+    ingress = processes["ingress_cpu_us_per_request"] * per_s / 1e4
+    gate = processes["gate_cpu_us_per_request"] * per_s / 1e4
+    look_up = look_ups["route_all_routes_us"] + look_ups["pick_of_22_us"]
+    paced = f"{processes['load_requests_per_s']:.0f} requests/s, 8 connections"
+    return [
+        Row(
+            "ingress and gate",
+            "latency added for 99 in 100",
+            "ms",
+            LIMITS.added_latency_p99_ms,
+            processes["added_p99_ms"],
+            "one link and one hand-over of a thread between caller and backend server",
+            paced + ", a shared machine",
+            "threads that wait for the interpreter lock; next: fewer hand-overs",
+        ),
+        Row(
+            "ingress and gate",
+            "processor at 320 requests/s",
+            "% of a core",
+            REQUEST_CPU_PERCENT,
+            ingress + gate,
+            "one task a connection; ingress and gate in one process",
+            paced,
+            "the interpreter lock: one core is all that a process has",
+        ),
+        Row(
+            "ingress",
+            "route look-up and pick",
+            "us a request",
+            LOOK_UP_US,
+            look_up,
+            "one dictionary access a path segment; two draws from a ready view",
+            "49,000 routes; services of 22 and 500",
+            f"a service's view made anew: {look_ups['view_of_500_us']:.0f} us for 500"
+            " backend servers at each change of one of them",
+        ),
+    ]
+
+
+def _node_rows(processes, memory) -> list[Row]:
+    beside = processes["idle_rss_mb"] - memory["imported_mb"]
+    connections = processes["connected_rss_mb"] - processes["idle_rss_mb"]
+    ordinary = memory["whole_rss_peak_mb"] - memory["ledgers_mb"]
+    per_server = f"{memory['backend_server_record_bytes']:.0f} bytes"
+    per_route = f"{memory['settings_bytes_per_route']:.0f} bytes"
+    measured = f"{memory['measured_nodes']:.0f} nodes of state in one process"
+    return [
+        Row(
+            "node",
+            "memory at a settings change, 400 connections",
+            "MB",
+            LIMITS.memory_mb,
+            ordinary + beside + connections,
+            "records and documents decoded once, equal strings shared",
+            measured,
+            f"backend server records ({per_server} each), routes ({per_route} each)",
+        ),
+        Row(
+            "node",
+            "the same with every ledger full",
+            "MB",
+            LIMITS.memory_mb,
+            memory["whole_rss_peak_mb"] + beside + connections,
+            "ledgers bounded by count, time and bytes",
+            measured,
+            f"50,000 keys of one gate ({memory['ledgers_mb']:.0f} MB): 28 keyed"
+            " requests/s for half an hour; next: pack a key's entry",
+        ),
+        Row(
+            "node",
+            "open files at 400 connections",
+            "files",
+            FILES_MAX,
+            processes["connected_files"],
+            "bounds on connections, on member links (64) and on a gate's links (8)",
+            f"{processes['connections']:.0f} connections",
+            "links to the gates of many services: 16 gates a service, 8 links each",
+        ),
+    ]
+
+
+def _member_rows(members, bad_days) -> list[Row]:
+    measured = f"{members['measured_nodes']:.0f} nodes of state, one member"
+    cap = LIMITS.control_bytes_per_s
+    carried = (cap - members["sent_bytes_per_s_quiet"]) / members[
+        "sent_bytes_per_change"
+    ]
+    return [
+        Row(
+            "member",
+            "processor on an ordinary day",
+            "% of a core",
+            LIMITS.control_cpu_percent,
+            members["cpu_percent"],
+            "news of what changed; digests by bucket; services indexed when asked for",
+            measured,
+            f"scans of all nodes: {members['cpu_percent_per_1000_nodes']:.2g}% for"
+            " each 1,000 nodes",
+        ),
+        Row(
+            "member",
+            "bytes sent on an ordinary day",
+            "bytes/s",
+            cap,
+            members["sent_bytes_per_s"],
+            "news passed on a number of times that grows with the logarithm; a cap",
+            measured,
+            f"changes: {members['sent_bytes_per_change']:.0f} bytes each;"
+            f" the cap carries {carried:.1f} a second",
+        ),
+        Row(
+            "member",
+            "processor while a zone is lost",
+            "% of a core",
+            LIMITS.control_cpu_percent,
+            bad_days["zone_lost_cpu_percent"],
+            "claims of death pass on before all else",
+            f"250 nodes lost, for {bad_days['zone_lost_settled_s']:.0f} s",
+            "each claim scans all nodes; next: count the nodes of a region once",
+        ),
+        Row(
+            "member",
+            "bytes sent while a zone is back",
+            "bytes/s",
+            cap,
+            bad_days["zone_back_sent_bytes_per_s"],
+            "the cap; urgent news first",
+            "250 nodes, 6,250 backend servers",
+            f"the time: {bad_days['zone_back_settled_s']:.0f} s until all is told",
+        ),
+    ]
+
+
+def _settings_rows(settings, members) -> list[Row]:
+    change_ms = settings["change_cpu_ms"] + settings["choose_peers_cpu_ms"]
+    cpu_percent = change_ms * SETTINGS_CHANGES_PER_S / 10
+    reader_percent = settings["poll_wait_cpu_ms"] / POLL_INTERVAL_S / 10
+    sent = settings["change_sent_bytes"] * SETTINGS_CHANGES_PER_S
+    measured = f"{settings['measured_routes']:,.0f} routes"
+    return [
+        Row(
+            "settings reader",
+            "processor: 45,000 changes a day, and polls",
+            "% of a core",
+            LIMITS.control_cpu_percent,
+            cpu_percent + reader_percent,
+            "a change decodes its own documents and copies the dictionaries",
+            measured,
+            f"the copies: {settings['change_cpu_ms_per_1000_routes']:.2g} ms a change"
+            " for each 1,000 routes",
+        ),
+        Row(
+            "node",
+            "control in all: processor on an ordinary day",
+            "% of a core",
+            LIMITS.control_cpu_percent,
+            members["cpu_percent"] + cpu_percent + reader_percent,
+            "as member and settings reader",
+            measured,
+            "as above",
+        ),
+        Row(
+            "node",
+            "control in all: bytes sent on an ordinary day",
+            "bytes/s",
+            LIMITS.control_bytes_per_s,
+            members["sent_bytes_per_s"] + sent,
+            "one cap over both; a change travels to each node once",
+            "5,600 nodes of state; message sizes",
+            f"fresh connections: {settings['change_sent_bytes']:,.0f} bytes a change,"
+            " 400 for each of 7 connections; next: tell the member's neighbours",
+        ),
+    ]
+
+
+def _platform_rows(settings) -> list[Row]:
+    readers = READERS_PER_ZONE * LONG_RUN.availability_zones
+    ordinary = readers * (1 / POLL_INTERVAL_S + SETTINGS_CHANGES_PER_S)
+    spare = LONG_RUN.nodes / SPARE_POLL_INTERVAL_S
+    edits = SETTINGS_CHANGES_PER_S * READS_PER_EDIT
+    alone = LONG_RUN.nodes / POLL_INTERVAL_MAX_S
+    row_bytes = settings["subtree_row_bytes"]
+    return [
+        Row(
+            "platform tables",
+            "reads on an ordinary day",
+            "reads/s",
+            LIMITS.platform_reads_per_s,
+            ordinary + spare + edits,
+            "two readers a zone; all others look once a minute",
+            "by count from the intervals",
+            "nothing that grows with the nodes but one look a minute",
+        ),
+        Row(
+            "platform tables",
+            "reads when each node believes itself alone",
+            "reads/s",
+            LIMITS.platform_reads_per_s,
+            alone,
+            "a reader that sees fewer nodes polls as much more slowly, to 3 s",
+            "by count from the intervals",
+            "6,000 nodes: the bound of 3 s would have to grow",
+        ),
+        Row(
+            "platform tables",
+            "row writes for settings",
+            "writes/s",
+            LIMITS.platform_writes_per_s,
+            SETTINGS_CHANGES_PER_S * PUTS_PER_EDIT,
+            "one transaction of four rows a change",
+            "by count",
+            f"a team's row ({row_bytes / 1000:.0f} kB) is written whole at each change;"
+            " all changes check the one row of the revision",
+        ),
+        Row(
+            "platform tables",
+            "claims, if 1 in 1,000 requests has an Idempotency-Key",
+            "writes/s",
+            LIMITS.platform_writes_per_s,
+            LONG_RUN.requests_per_s * KEYED_SHARE,
+            "one row written for each key; beyond that refused with not_run",
+            "by count",
+            "next: a home gate for each key, and a row only where the home changes",
+        ),
+    ]
