--- a/tests/at_most_once_utils.py
+++ b/tests/at_most_once_utils.py
@@ -22,6 +22,7 @@
     Fleet,
     HttpAnswer,
     NodeProgram,
+    Program,
     call,
     free_address,
     try_call,
@@ -202,6 +203,34 @@
             lambda: find().signal(signal.SIGCONT),
         )
 
+    def replaced_while_frozen(self) -> Fault:
+        """Return a gate's replacement while its predecessor is frozen.
+
+        Both have the same name, and new connections to the one address lead
+        to the replacement. The predecessor thaws and is ended only then.
+        """
+        old: list[Program] = []
+
+        def strike():
+            node = self.nodes["a"]
+            old.extend([node, self.servers["a"]])
+            node.signal(signal.SIGSTOP)
+            settings = dict(node.settings)
+            for name in ("caller", "link", "member", "admin"):
+                settings[f"{name}_address"] = free_address()
+            settings["seed_addresses"] = [self.nodes["b"].settings["member_address"]]
+            self.relay.target = settings["link_address"]
+            self.nodes["a"] = self._add(NodeProgram(settings, self.folder))
+            self.start_server("a", free_address())
+
+        def heal():
+            old[0].signal(signal.SIGCONT)
+            time.sleep(HOLD_S)
+            for program in old:
+                program.kill()
+
+        return Fault(strike, heal)
+
 
 class Requests:
     """Requests of callers, and the checks of what they were told."""
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -14,6 +14,7 @@
 
 SWITCHES = {
     "hang": {"mode": "hang", "delay_s": 1.0},
+    "flap": {"mode": "hang", "share": 0.5, "delay_s": 1.0},
     "shed": {"mode": "shed"},
     "close": {"mode": "close"},
     "truncate": {"mode": "truncate"},
--- a/tests/test_at_most_once_frozen.py
+++ b/tests/test_at_most_once_frozen.py
@@ -28,3 +28,8 @@
             key = f"node-a-frozen/before/{number}"
             if requests.told(key) == "unknown":
                 self.assertEqual(0, fleet.runs(key), key)
+
+    def test_a_gate_is_replaced_while_its_predecessor_is_frozen(self):
+        # The replacement does not know what its predecessor ran, and the
+        # predecessor, when it thaws, does not know that it was replaced.
+        self.strike("node-a-replaced", self.fleet.replaced_while_frozen(), 3.0)
