Remember attempts that a busy gate refused, and look once more for a reply

A refusal for want of a worker left no trace: the same message coming again could run after 'not run' was said (seen failing with the id not taken in). A reply that came between the poll's look at the link and at its end was lost as 'unknown' (found by reading; not seen).

--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -75,8 +75,11 @@
             self._attempts.cancel_all()
             self._servers.changed.notify_all()
 
-    def refuse_busy(self, dispatch: Dispatch) -> Reply:
-        """Refuse an attempt that there is no worker for."""
+    def refuse_busy(self, dispatch: Dispatch, received_s: float) -> Reply | None:
+        """Refuse an attempt that there is no worker for; see `handle`."""
+        begin = self._begin(dispatch, CancelToken(), _deadline_s(dispatch, received_s))
+        if begin is Begin.DUPLICATE:
+            return None
         return self._refuse(dispatch, Reason.NO_FREE_SLOT, _unseen(dispatch))
 
     def in_flight(self) -> int:
@@ -114,6 +117,16 @@
         """
         token = CancelToken()
         deadline_s = _deadline_s(dispatch, received_s)
+        begin = self._begin(dispatch, token, deadline_s)
+        if begin is Begin.DUPLICATE:
+            return None
+        if begin is not Begin.NEW:
+            return self._refuse(dispatch, _BEGIN_REASONS[begin], _unseen(dispatch))
+        if not _is_keyed(dispatch):
+            return self._handle_new(dispatch, token, deadline_s)
+        return self._handle_keyed(dispatch, token, deadline_s)
+
+    def _begin(self, dispatch, token, deadline_s) -> Begin:
         with self._servers.changed:
             begin = self._attempts.begin(
                 dispatch.attempt_id, token, deadline_s, time.monotonic()
@@ -122,12 +135,7 @@
             self._events.emit(
                 "attempt_dropped", request=dispatch.request_id, cause="it came twice"
             )
-            return None
-        if begin is not Begin.NEW:
-            return self._refuse(dispatch, _BEGIN_REASONS[begin], _unseen(dispatch))
-        if not _is_keyed(dispatch):
-            return self._handle_new(dispatch, token, deadline_s)
-        return self._handle_keyed(dispatch, token, deadline_s)
+        return begin
 
     def _handle_keyed(self, dispatch, token, deadline_s) -> Reply:
         """Run an attempt whose key must run once over all gates."""
--- a/balsamspindle/backend_servers/link_server.py
+++ b/balsamspindle/backend_servers/link_server.py
@@ -17,6 +17,7 @@
     Greet,
     Greeting,
     LinkMessage,
+    Reply,
     decode_link,
     encode,
 )
@@ -136,8 +137,9 @@
 
     def _start(self, peer: bytes, dispatch: Dispatch, received_s: float) -> None:
         if self._waiting >= WAITING_MAX:
-            refusal = self._gate.refuse_busy(dispatch)
-            self._router.send_multipart([peer, encode(refusal)])
+            refusal = self._gate.refuse_busy(dispatch, received_s)
+            if refusal is not None:
+                self._router.send_multipart([peer, _encode_now(refusal)])
             return
         self._waiting += 1
         self._executor.submit(self._run, peer, dispatch, received_s)
@@ -148,8 +150,7 @@
             self._events.clock.observe(dispatch.hlc, time.time())
             reply = self._gate.handle(dispatch, received_s)
             if reply is not None:
-                reply = msgspec.structs.replace(reply, gate_time_s=time.monotonic())
-                frames.append(encode(reply))
+                frames.append(_encode_now(reply))
         except Exception as error:
             # The ingress hears nothing and says 'unknown', which is true.
             self._events.emit("attempt_failed", cause=repr(error))
@@ -167,6 +168,11 @@
         return socket
 
 
+def _encode_now(reply: Reply) -> bytes:
+    """Return a reply with the gate's present time."""
+    return encode(msgspec.structs.replace(reply, gate_time_s=time.monotonic()))
+
+
 def _drain(socket: zmq.Socket) -> Iterator[list[bytes]]:
     """Yield the messages that are there now."""
     for _ in range(DRAIN_MAX):
--- a/balsamspindle/requests/links.py
+++ b/balsamspindle/requests/links.py
@@ -166,7 +166,12 @@
                 if reply is not None:
                     return reply
                 continue
-            if self._closed in ready or given_up():
+            if given_up():
+                return None
+            if self._closed in ready:
+                if self._socket.poll(0):
+                    # The reply came between the look at it and this one.
+                    continue
                 return None
             if not ready:
                 if left_ms <= GIVE_UP_POLL_MS:
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -103,6 +103,9 @@
         draining = self._dispatch(backend_server_id="elsewhere")
         self.assertEqual(Outcome.NOT_RUN, self._handle(draining).outcome)
         self.assertIsNone(self._handle(self._dispatch()))
+        busy = self.gate.refuse_busy(self._dispatch(2), time.monotonic())
+        self.assertEqual(Outcome.NOT_RUN, busy.outcome)
+        self.assertIsNone(self._handle(self._dispatch(2)))
         self.assertEqual([], self.server.requests)
 
     def test_a_cancellation_that_overtakes_its_attempt_holds(self):
