--- a/balsamspindle/membership/knowledge.py
+++ b/balsamspindle/membership/knowledge.py
@@ -47,6 +47,8 @@
     ----------
     to_check : set of str
         Nodes that a peer suspects and that may need a probe of our own.
+    disputed : Epoch or None
+        Epoch at which others hold this node suspect or dead.
     """
 
     def __init__(self, own: OwnRecord, directory: Directory, events: EventLog) -> None:
@@ -55,6 +57,7 @@
         self.queue = NewsQueue()
         self.suspicions = Suspicions()
         self.to_check: set[str] = set()
+        self.disputed: Epoch | None = None
         self._events = events
         self._recent_deaths: dict[str, tuple[float, str]] = {}
         self._regions: tuple[list[NodeRecord] | None, Counter[str]] = (None, Counter())
@@ -237,7 +240,7 @@
     def _take_claim(self, claim: VerdictNews, now_s: float) -> None:
         epoch = Epoch(claim.incarnation, claim.version)
         if claim.node_id == self.own.node_id:
-            self._refute(claim, epoch, now_s)
+            self._dispute(epoch, now_s)
             return
         view = self.directory.view(claim.node_id)
         if view is None or view.is_dead or epoch < view.epoch:
@@ -249,14 +252,27 @@
             self._suspect(claim.node_id, epoch, claim.by, now_s)
             self.to_check.add(claim.node_id)
 
-    def _refute(self, claim: VerdictNews, epoch: Epoch, now_s: float) -> None:
+    def _dispute(self, epoch: Epoch, now_s: float) -> None:
         if epoch < self.own.epoch:
             # Refuted already, but the sender did not hear it: the answer may
             # have been lost together with the link that made them suspect us.
             self._tell_header(now_s)
             return
-        self._events.emit("claim_refuted", verdict=claim.verdict.value, by=claim.by)
-        if self.own.refute(epoch):
+        self.disputed = max(epoch, self.disputed or epoch)
+
+    def confirm_reachable(self, now_s: float) -> None:
+        """Refute what others say of this node, now that a peer reached it.
+
+        Without this proof a node that nobody can call, but whose own
+        connections work, would refute its death each time it reads of it:
+        dead and alive in turns everywhere, and useless all the time.
+        """
+        if self.disputed is None:
+            return
+        self._events.emit("claim_refuted", version=self.disputed.version)
+        new_incarnation = self.own.refute(self.disputed)
+        self.disputed = None
+        if new_incarnation:
             self._tell_whole(now_s)
         else:
             self._tell_header(now_s)
--- a/balsamspindle/membership/probing.py
+++ b/balsamspindle/membership/probing.py
@@ -26,6 +26,8 @@
 # Without any answer for this long this node takes itself for cut off.
 ISOLATED_AFTER_S = 4.0
 CONTACT_INTERVAL_S = 3.0
+# A node that others hold dead asks peers so often whether they reach it.
+SELF_CHECK_INTERVAL_S = 0.6
 # About so many nodes check a suspicion that they hear of.
 CHECKERS = 6
 
@@ -72,6 +74,8 @@
         self._sequences = itertools.count(1)
         self._probes: dict[int, _Probe] = {}
         self._relayed: dict[int, _Relayed] = {}
+        self._self_check: int | None = None
+        self._next_self_check_s = float("-inf")
         self._order: list[str] = []
         self._next_probe_s = float("-inf")
         self._next_contact_s = float("-inf")
@@ -87,6 +91,7 @@
         self._check_probes(now_s)
         self._check_relayed(now_s)
         self._check_suspects(now_s)
+        self._check_self(now_s)
         self._check_isolated(now_s)
         if now_s >= self._next_probe_s:
             self._next_probe_s = now_s + PROBE_INTERVAL_S
@@ -205,6 +210,18 @@
                 ack = Ack(relayed.sequence, reached=False)
                 self._channel.answer(relayed.requester, ack, now_s, Importance.PROBE)
 
+    def _check_self(self, now_s: float) -> None:
+        """Ask peers to ping this node at its address, while others doubt it."""
+        if self._knowledge.disputed is None or now_s < self._next_self_check_s:
+            return
+        self._next_self_check_s = now_s + SELF_CHECK_INTERVAL_S
+        self._self_check = next(self._sequences)
+        own = self._knowledge.own
+        request = PingRequest(self._self_check, own.node_id, own.header.member_address)
+        peers = self._knowledge.peers()
+        for helper in self._random.sample(peers, min(HELPERS, len(peers))):
+            self._channel.send(helper.member_address, request, now_s, Importance.PROBE)
+
     def _check_isolated(self, now_s: float) -> None:
         for node_id, answered_s in list(self._answers.items()):
             if now_s - answered_s > ISOLATED_AFTER_S:
@@ -235,6 +252,7 @@
 
     def _ping(self, peer: Peer, ping: Ping, now_s: float) -> None:
         self._knowledge.take(ping.news, now_s, spread=True)
+        self._check_self(now_s)
         if ping.target not in ("", self._knowledge.own.node_id):
             # Another node has this address now; the one asked for is not here.
             self._channel.drop("other_target", ping.target, now_s)
@@ -250,6 +268,7 @@
 
     def _ack(self, peer: Peer, ack: Ack, now_s: float) -> None:
         self._knowledge.take(ack.news, now_s, spread=True)
+        self._check_self(now_s)
         self._last_answer_s = now_s
         self._answers[peer.node_id] = now_s
         relayed = self._relayed.pop(ack.sequence, None)
@@ -257,6 +276,9 @@
             reached = msgspec.structs.replace(ack, sequence=relayed.sequence, news=[])
             self._channel.answer(relayed.requester, reached, now_s, Importance.PROBE)
             return
+        if ack.sequence == self._self_check and ack.reached:
+            self._knowledge.confirm_reachable(now_s)
+            return
         probe = self._probes.get(ack.sequence)
         if probe is None or not ack.reached:
             return
--- a/tests/member_network.py
+++ b/tests/member_network.py
@@ -61,7 +61,7 @@
         self._open[address] = None
         if len(self._open) > OPEN_PEERS:
             self._open.pop(next(iter(self._open)))
-        self._network.post(self.address, address, frame)
+        self._network.post(self.address, address, frame, opened=True)
         return True
 
     def answer(self, route, frame):
@@ -153,6 +153,8 @@
         self.now_s = 1_000.0
         self.nodes: dict[str, FakeNode] = {}
         self.passes: Callable[[FakeNode, FakeNode], bool] = lambda source, target: True
+        # Like `passes`, for frames on connections that their sender opened.
+        self.opens: Callable[[FakeNode, FakeNode], bool] = lambda source, target: True
         self._pending: list = []
         self._sequence = itertools.count()
         self.frames = 0
@@ -184,12 +186,14 @@
             for whole in wholes:
                 node.directory.apply(whole, self.now_s)
 
-    def post(self, source: str, target: str, frame: bytes) -> None:
+    def post(self, source: str, target: str, frame: bytes, opened=False) -> None:
         """Send a frame, unless the link is cut or nobody is there."""
         self.frames += 1
         near, far = self.nodes.get(source), self.nodes.get(target)
         if near is None or far is None or not self.passes(near, far):
             return
+        if opened and not self.opens(near, far):
+            return
         self._at(self.now_s + LATENCY_S, far, (source, frame))
 
     def run(self, duration_s: float, until: Callable[[], bool] | None = None) -> bool:
--- /dev/null
+++ b/tests/test_member_processes.py
@@ -0,0 +1,93 @@
+"""Membership between real node processes: one-way partitions and pauses."""
+
+import signal
+import time
+
+from testtools import TestCase
+
+from tests.relay import Flow, Relay
+from tests.utils import Fleet, free_address, wait_until
+
+
+class MemberProcessTests(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.__exit__)
+
+    def start_nodes(self, count, relayed=()):
+        """Start nodes without a platform; some behind a relay of their own."""
+        self.relays = {}
+        nodes = []
+        for number in range(count):
+            changes = {"platform_address": None}
+            if number in relayed:
+                address = free_address()
+                relay = Relay(address)
+                self.addCleanup(relay.close)
+                self.relays[number] = relay
+                changes["member_address"] = address
+                changes["member_advertised_address"] = relay.address
+            changes["seed_addresses"] = [
+                node.settings.get("member_advertised_address")
+                or node.settings["member_address"]
+                for node in nodes
+            ]
+            nodes.append(self.fleet.start_node(f"node-{number}", "zone", **changes))
+        self.nodes = nodes
+        for node in nodes:
+            self.wait_sees(node, nodes)
+        return nodes
+
+    def ids_seen(self, node):
+        status = node.status()
+        return None if status is None else {one["node_id"] for one in status["nodes"]}
+
+    def wait_sees(self, node, nodes):
+        expected = {one.settings["node_id"] for one in nodes}
+        wait_until(
+            lambda: self.ids_seen(node) == expected,
+            f"{node.settings['node_id']} sees {sorted(expected)}",
+            30,
+        )
+
+    def events(self, node, event):
+        lines = node.log_path.read_text().splitlines()
+        return [line for line in lines if f" event={event} " in line + " "]
+
+    def test_a_killed_node_is_found_dead_by_the_others(self):
+        nodes = self.start_nodes(4)
+        nodes[3].kill()
+        for node in nodes[:3]:
+            self.wait_sees(node, nodes[:3])
+
+    def test_a_node_that_nobody_can_call_does_not_flap(self):
+        # What others send to node-0 vanishes on connections that stay open;
+        # node-0's own connections work both ways. The others take it out
+        # once; it declares nobody dead and does not refute its own death as
+        # long as nobody reaches its address.
+        nodes = self.start_nodes(4, relayed={0})
+        self.relays[0].forward = Flow.DROP
+        time.sleep(20)
+        dead = [line for node in nodes for line in self.events(node, "node_dead")]
+        away = [line for line in dead if "peer=node-0" not in line]
+        self.assertEqual([], away)
+        self.assertLessEqual(len(dead), 3)
+        self.relays[0].forward = Flow.PASS
+        self.relays[0].cut()
+        for node in nodes:
+            self.wait_sees(node, nodes)
+
+    def test_a_stopped_process_that_runs_on_declares_nobody_dead(self):
+        # SIGSTOP for longer than all time-outs: the others hold node-0 dead.
+        # After SIGCONT all its timers have run out at once; it must drop
+        # them, refute its own death and know of the node that died meanwhile.
+        nodes = self.start_nodes(4)
+        nodes[0].signal(signal.SIGSTOP)
+        for node in nodes[1:]:
+            self.wait_sees(node, nodes[1:])
+        nodes[0].signal(signal.SIGCONT)
+        for node in nodes:
+            self.wait_sees(node, nodes)
+        self.assertEqual([], self.events(nodes[0], "node_dead"))
+        self.assertEqual(1, len(self.events(nodes[0], "node_woke_up")))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -96,6 +96,18 @@
         self.assert_all_alive(30)
         self.assertFalse(b.member.isolated)
 
+    def test_a_node_that_nobody_can_call_does_not_flap(self):
+        # Nobody can open a connection to B, so no request reaches its gate.
+        # B's own connections work both ways: it reads that it is held dead.
+        # If it refuted that, it would be dead and alive in turns everywhere.
+        b, *others = self.start(8)
+        self.network.opens = lambda source, target: target is not b
+        self.network.run(180)
+        self.assertEqual(len(others), count_events(others, "node_dead"))
+        self.assertFalse(any(b.node_id in node.alive() for node in others))
+        self.network.opens = lambda source, target: True
+        self.assert_all_alive(30)
+
     def test_a_node_that_nobody_hears_comes_back_when_the_link_heals(self):
         # B receives, but what it sends is lost: it reads that it is suspected
         # and can't refute. Others hold it dead once, not again and again.
