Leave new revisions to the settings' own notices

The gossiper told eight neighbours of each risen revision; the settings' own task now does that with fewer messages, and every member message carries the revision anyhow.

--- a/balsamspindle/membership/gossip.py
+++ b/balsamspindle/membership/gossip.py
@@ -36,7 +36,6 @@
         self._neighbours: list[NodeRecord] = []
         self._turn = 0
         self._changed_s = float("-inf")
-        self._revision = -1
         channel.register("gossip", Gossip, self._take)
 
     def piggyback(self, now_s: float) -> list[News]:
@@ -48,20 +47,14 @@
             return queue.take(PIGGYBACK_MAX_BYTES, urgent_only=True)
         return []
 
-    def tick(self, settings_revision: int, now_s: float) -> None:
-        """Send news to a few neighbours, if there is any.
-
-        A risen settings revision is news too: each message carries it.
-        """
+    def tick(self, now_s: float) -> None:
+        """Send news to a few neighbours, if there is any."""
         self._refresh_neighbours(now_s)
-        risen = settings_revision > self._revision
-        self._revision = settings_revision
-        targets = len(self._neighbours) if risen else FANOUT
-        for _ in range(min(targets, len(self._neighbours))):
-            queue = self._knowledge.queue
-            if not len(queue) and not risen:
+        queue = self._knowledge.queue
+        for _ in range(min(FANOUT, len(self._neighbours))):
+            if not len(queue):
                 return
-            self._send_to_next(risen or queue.has_urgent(), now_s)
+            self._send_to_next(queue.has_urgent(), now_s)
 
     def _send_to_next(self, urgent: bool, now_s: float) -> None:
         self._turn = (self._turn + 1) % len(self._neighbours)
--- a/balsamspindle/membership/member.py
+++ b/balsamspindle/membership/member.py
@@ -135,7 +135,7 @@
         self.knowledge.refresh(self._backend_servers(), now_s)
         self._prober.tick(now_s)
         self.knowledge.expire(now_s)
-        self._gossiper.tick(self._configuration.revision, now_s)
+        self._gossiper.tick(now_s)
         self.anti_entropy.tick(now_s)
 
     def stop(self) -> None:
