Read nodes without their backend servers where only addresses count

Directory.records() copies the records with all backend servers of each node; the settings' tasks use id, zone and member address only: Directory.alive() gives the headers from a list that is kept.

--- a/balsamspindle/node/settings_tasks.py
+++ b/balsamspindle/node/settings_tasks.py
@@ -35,7 +35,7 @@
         self._configuration = configuration
         self._spread = SettingsSpread(
             own,
-            directory.records,
+            directory.alive,
             member.send,
             configuration,
             events,
@@ -51,7 +51,7 @@
                 GuardedTableService(tables, guard),
                 configuration,
                 events,
-                PollPlan(own, directory.records, bool(settings.seed_addresses)),
+                PollPlan(own, directory.alive, bool(settings.seed_addresses)),
                 self._spread.wake,
             )
 
