Do not follow a clock that is minutes ahead; flag it

Cause: one VM with a clock years ahead moved the hybrid clock of every node it reached, and these moved others, for as long as the wall clocks needed to catch up.

--- a/balsamspindle/membership/channel.py
+++ b/balsamspindle/membership/channel.py
@@ -26,6 +26,7 @@
 __all__ = ["Channel", "Handler", "Peer"]
 
 DROP_EVENT_INTERVAL_S = 1.0
+CLOCK_EVENT_S = 60.0
 
 
 class Peer(NamedTuple):
@@ -89,6 +90,7 @@
         self._names: dict[type, str] = {}
         self._calls: queue.SimpleQueue[Callable[[], None]] = queue.SimpleQueue()
         self._drop_event_s = float("-inf")
+        self._clock_event_s = float("-inf")
         self._on_peer: list[Callable[[Peer, float], None]] = []
         self.counts: Counter[str] = Counter()
 
@@ -186,7 +188,7 @@
             self.drop("garbage", f"{envelope.kind}: {error}", now_s)
             return
         self.counts["received"] += 1
-        self._events.clock.observe(sender.hlc, time.time())
+        self._observe_clock(sender, now_s)
         peer = Peer(
             sender.node_id,
             sender.incarnation,
@@ -198,6 +200,16 @@
             handler(peer, now_s)
         kind.handler(peer, message, now_s)
 
+    def _observe_clock(self, sender: Sender, now_s: float) -> None:
+        clock, wall_s = self._events.clock, time.time()
+        refused = clock.refused
+        clock.observe(sender.hlc, wall_s)
+        if clock.refused == refused or now_s - self._clock_event_s < CLOCK_EVENT_S:
+            return
+        self._clock_event_s = now_s
+        ahead_s = f"{clock.ahead_s(sender.hlc, wall_s):.1f}"
+        self._events.emit("clock_ahead", peer=sender.node_id, ahead_s=ahead_s)
+
     def _frame(self, message) -> bytes:
         return encode_member(self._names[type(message)], self._sender(), message)
 
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+import time
 from concurrent.futures import ThreadPoolExecutor
 
 from testtools import TestCase
@@ -36,10 +37,10 @@
             ingress = event_log("ingress", 0.0)
             gate = event_log("gate", gate_offset_s)
             sent = ingress.emit("attempt_sent", request="r1")
-            gate.clock.observe(sent, 0.0)
+            gate.clock.observe(sent, time.time())
             gate.emit("attempt_dispatched", request="r1")
             ended = gate.emit("attempt_ended", request="r1")
-            ingress.clock.observe(ended, 0.0)
+            ingress.clock.observe(ended, time.time())
             ingress.emit("request_ended", request="r1")
             parsed = parse_lines([*lines(gate), *lines(ingress)])
             self.assertEqual(
