Join through a bounded table of members at the platform

Cause: a node without a seed address found nobody.

Ruled out: a row for each node (5,600 heartbeats a minute are 93 writes/s, and each join reads 5,600 rows).

Seen failing: with the task not started, real nodes without seeds did not meet in 30 s; with every node writing every slot, the bound on writes; with the error of a garbled row uncaught, that test. After: 4 passed. NodeProcess starts the task (small change in node/process.py).

Anti-entropy of a joiner asks four peers at once for different buckets.

--- a/balsamspindle/membership/member.py
+++ b/balsamspindle/membership/member.py
@@ -112,6 +112,10 @@
             )
         )
 
+    def contact(self, addresses: tuple[str, ...]) -> None:
+        """Try nodes at these member addresses; callable from any thread."""
+        self.channel.call_soon(lambda: self._prober.contact(addresses, self._now_s()))
+
     @property
     def isolated(self) -> bool:
         """Whether no peer has answered this node lately."""
--- a/balsamspindle/membership/probing.py
+++ b/balsamspindle/membership/probing.py
@@ -26,6 +26,7 @@
 # Without any answer for this long this node takes itself for cut off.
 ISOLATED_AFTER_S = 4.0
 CONTACT_INTERVAL_S = 3.0
+CONTACTS_AT_ONCE = 3
 # A node that others hold dead asks peers so often whether they reach it.
 SELF_CHECK_INTERVAL_S = 0.6
 # About so many nodes check a suspicion that they hear of.
@@ -69,6 +70,7 @@
         self._knowledge = knowledge
         self._gossiper = gossiper
         self._seeds = seed_addresses
+        self._contacts = seed_addresses
         self._events = events
         self._random = rng
         self._sequences = itertools.count(1)
@@ -100,6 +102,14 @@
             self._next_contact_s = now_s + CONTACT_INTERVAL_S
             self._contact(now_s)
 
+    def contact(self, addresses: tuple[str, ...], now_s: float) -> None:
+        """Try further addresses besides the seeds, from now on."""
+        own_address = self._knowledge.own.header.member_address
+        found = dict.fromkeys([*self._seeds, *addresses])
+        found.pop(own_address, None)
+        self._contacts = tuple(found)
+        self._next_contact_s = now_s
+
     def restart(self, now_s: float) -> None:
         """Forget all unanswered probes: their time ran out while we slept."""
         self._probes.clear()
@@ -238,12 +248,11 @@
         one another again.
         """
         known = {node.member_address for node in self._knowledge.directory.alive()}
-        strangers = [address for address in self._seeds if address not in known]
-        if strangers:
+        strangers = [one for one in self._contacts if one not in known]
+        count = min(CONTACTS_AT_ONCE, len(strangers))
+        for address in self._random.sample(strangers, count):
             ping = Ping(0, "", self._gossiper.piggyback(now_s))
-            self._channel.send(
-                self._random.choice(strangers), ping, now_s, Importance.PROBE
-            )
+            self._channel.send(address, ping, now_s, Importance.PROBE)
         dead = self._knowledge.directory.dead()
         if dead:
             node = self._random.choice(dead).record
--- a/balsamspindle/membership/sync.py
+++ b/balsamspindle/membership/sync.py
@@ -29,6 +29,7 @@
 SYNC_INTERVAL_S = 10.0
 # While much differs, as after a join or a long pause.
 CATCH_UP_INTERVAL_S = 0.4
+CATCH_UP_PEERS = 4
 # After a comparison that found some differences.
 REPAIR_INTERVAL_S = 2.0
 SUMMARY_MAX_NODES = 64
@@ -39,7 +40,15 @@
 
 
 class AntiEntropy:
-    """Compares with random peers; used by the member task alone."""
+    """Compares with random peers; used by the member task alone.
+
+    Attributes
+    ----------
+    pages : int
+        Pages of records taken so far.
+    catching_up : bool
+        Whether the last comparison left much to fetch, as after a join.
+    """
 
     def __init__(
         self, channel: Channel, knowledge: Knowledge, rng: random.Random
@@ -50,6 +59,7 @@
         self._next_s = float("-inf")
         self._next_greeting_s = float("-inf")
         self.pages = 0
+        self.catching_up = False
         channel.register("sync_request", SyncRequest, self._request)
         channel.register("sync_summary", SyncSummary, self._summary)
         channel.register("pull", Pull, self._pull)
@@ -64,10 +74,13 @@
             return
         # Not all at the same time after a common cause.
         self._next_s = now_s + SYNC_INTERVAL_S * self._random.uniform(0.5, 1.5)
-        peer = self._random.choice(peers)
-        request = SyncRequest(self._knowledge.directory.digests())
-        if not self._channel.send(peer.member_address, request, now_s):
-            self.hurry(now_s, REPAIR_INTERVAL_S)
+        asked = min(len(peers), CATCH_UP_PEERS if self.catching_up else 1)
+        self.catching_up = False
+        digests = self._knowledge.directory.digests()
+        for part, peer in enumerate(self._random.sample(peers, asked)):
+            request = SyncRequest(digests, part, asked)
+            if not self._channel.send(peer.member_address, request, now_s):
+                self.hurry(now_s, REPAIR_INTERVAL_S)
 
     def greet(self, peer: Peer, now_s: float) -> None:
         """Compare with a peer that is not known yet, not more often than due."""
@@ -87,6 +100,7 @@
         if differing is None:
             self._channel.drop("garbage", "digests of a wrong size", now_s)
             return
+        differing = [b for b in differing if b % request.step == request.first]
         if not differing:
             return
         buckets: list[int] = []
@@ -101,12 +115,11 @@
 
     def _summary(self, peer: Peer, summary: SyncSummary, now_s: float) -> None:
         some_left = summary.differing > len(summary.buckets)
+        self.catching_up |= some_left
         self.hurry(now_s, CATCH_UP_INTERVAL_S if some_left else REPAIR_INTERVAL_S)
         wants = [want for want in map(self._want, summary.nodes) if want is not None]
         if wants:
             self._channel.answer(peer, Pull(wants[:WANTS_MAX]), now_s)
-        if len(wants) > WANTS_MAX:
-            self.hurry(now_s)
         news = self._newer_here(summary)
         if news:
             self._channel.answer(peer, Page(_fitting(news)), now_s)
@@ -161,6 +174,7 @@
         self.pages += 1
         self._knowledge.take(page.news, now_s, spread=False)
         if page.left:
+            self.catching_up = True
             self.hurry(now_s)
 
 
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -13,11 +13,16 @@
 from balsamspindle.backend_servers.probes import Prober
 from balsamspindle.backend_servers.servers import LocalBackendServers
 from balsamspindle.membership import Directory, Member
+from balsamspindle.membership.registry import Registry
 from balsamspindle.node.admin import AdminApplication
 from balsamspindle.node.admin_server import AdminServer
 from balsamspindle.node.settings_tasks import SettingsTasks
 from balsamspindle.node.status import NodeStatus
-from balsamspindle.platform import HttpTableService
+from balsamspindle.platform import (
+    GuardedTableService,
+    HttpTableService,
+    PlatformGuard,
+)
 from balsamspindle.requests.claims import ClaimBook
 from balsamspindle.requests.forwarding import Forwarder
 from balsamspindle.requests.ingress import Ingress
@@ -28,6 +33,7 @@
 from balsamspindle.settings.process import NodeSettings
 from balsamspindle.settings.tree import CurrentConfiguration
 from balsamspindle.timeline import EventLog, HybridClock
+from balsamspindle.wire import NodeRecord
 
 __all__ = ["NodeProcess"]
 
@@ -107,6 +113,7 @@
             self._configuration,
             self.events,
         )
+        self._registry = self._make_registry(own)
         self._admin = self._make_admin_server()
 
     def stop(self) -> None:
@@ -124,6 +131,8 @@
             self._health.run,
             self._prober.run,
         ]
+        if self._registry is not None:
+            tasks.append(self._registry.run)
         with ThreadPoolExecutor(len(tasks), "task") as executor:
             for task in tasks:
                 executor.submit(self._guard, task)
@@ -155,6 +164,8 @@
         self._wait_for_requests()
         self._connections.shutdown(wait=False, cancel_futures=True)
         self._settings_tasks.stop()
+        if self._registry is not None:
+            self._registry.stop()
         self._member.stop()
         self._link_server.stop()
         self._admin.shutdown()
@@ -180,6 +191,20 @@
         )
         return AdminServer(self._settings.admin_address, application, self.events)
 
+    def _make_registry(self, own: NodeRecord) -> Registry | None:
+        if self._settings.platform_address is None:
+            return None
+        tables = HttpTableService(self._settings.platform_address)
+        guard = PlatformGuard(f"{own.node_id}/{own.incarnation}/registry")
+        return Registry(
+            GuardedTableService(tables, guard),
+            own,
+            self._directory,
+            self._member.contact,
+            lambda: self._member.isolated,
+            self.events,
+        )
+
     def _make_claim_book(self) -> ClaimBook:
         address = self._settings.platform_address
         return ClaimBook(None if address is None else HttpTableService(address))
--- a/balsamspindle/wire/member_messages.py
+++ b/balsamspindle/wire/member_messages.py
@@ -253,9 +253,14 @@
     ----------
     buckets : bytes
         Four bytes for each bucket of node ids, in order.
+    first, step : int
+        Look only at every so manieth bucket from a first one on: a joiner
+        asks several peers at once for different parts.
     """
 
     buckets: bytes
+    first: int = 0
+    step: Annotated[int, msgspec.Meta(ge=1, le=256)] = 1
 
 
 class NodeSummary(NamedTuple):
