--- a/balsamspindle/membership/directory.py
+++ b/balsamspindle/membership/directory.py
@@ -56,6 +56,7 @@
         self._nodes_of: dict[str, dict[str, int]] = {}
         self._placements: dict[str, tuple[Placement, ...]] = {}
         self._alive: list[NodeRecord] | None = None
+        self._dead: dict[str, NodeView] = {}
 
     def update(self, record: NodeRecord, now_s: float) -> bool:
         """Take a whole record; return True when it was news."""
@@ -106,6 +107,7 @@
                 return False
             self._mix(view)
             view.dead_since_s = now_s
+            self._dead[node_id] = view
             self._alive = None
             self._index_all(view)
             return True
@@ -115,8 +117,8 @@
         with self._lock:
             old = [
                 node_id
-                for node_id, view in self._views.items()
-                if view.is_dead and view.dead_since_s < dead_before_s
+                for node_id, view in self._dead.items()
+                if view.dead_since_s < dead_before_s
             ]
             for node_id in old:
                 self._remove(self._views[node_id])
@@ -140,7 +142,7 @@
     def dead(self) -> list[NodeView]:
         """Return the nodes that were declared dead and are not yet forgotten."""
         with self._lock:
-            return [view for view in self._views.values() if view.is_dead]
+            return list(self._dead.values())
 
     def records(self) -> list[NodeRecord]:
         """Return the whole records of all nodes that are not dead."""
@@ -205,11 +207,13 @@
         for entry in view.entries.values():
             self._count_service(view, entry.record, -1)
         del self._views[view.record.node_id]
+        self._dead.pop(view.record.node_id, None)
         del self._bucket_ids[view.bucket][view.record.node_id]
         self._alive = None
 
     def _set_header(self, view: NodeView, news: NodeNews) -> None:
         view.set_header(_header_record(news))
+        self._dead.pop(news.node_id, None)
         self._alive = None
         self._index_all(view)
 
--- a/balsamspindle/membership/knowledge.py
+++ b/balsamspindle/membership/knowledge.py
@@ -60,6 +60,8 @@
         self.disputed: Epoch | None = None
         self._events = events
         self._recent_deaths: dict[str, tuple[float, str]] = {}
+        # Kept for as long as the directory's list of live nodes is the same.
+        self._peers: tuple[list[NodeRecord] | None, list[NodeRecord]] = (None, [])
         self._regions: tuple[list[NodeRecord] | None, Counter[str]] = (None, Counter())
         self._outbids = 0
 
@@ -69,8 +71,12 @@
 
     def peers(self) -> list[NodeRecord]:
         """Return all nodes but this one that are not dead."""
-        own_id = self.own.node_id
-        return [node for node in self.directory.alive() if node.node_id != own_id]
+        alive = self.directory.alive()
+        if self._peers[0] is not alive:
+            own_id = self.own.node_id
+            others = [node for node in alive if node.node_id != own_id]
+            self._peers = (alive, others)
+        return self._peers[1]
 
     def refresh(self, servers: tuple[BackendServerRecord, ...], now_s: float) -> None:
         """Tell what changed of this node's backend servers."""
--- /dev/null
+++ b/bench/membership.py
@@ -0,0 +1,455 @@
+"""Cost of membership against the number of nodes, and of a directory at size.
+
+    python -m bench.membership             # a table
+    python -m bench.membership --json      # slopes for docs/CAPACITY.md
+    python -m bench.membership --quick     # small sizes, for CI
+
+Real members exchange real frames over an in-memory transport; the clock is
+virtual, so bytes, messages and seconds of protocol time do not depend on the
+machine. CPU is process time.
+"""
+
+import gc
+import json
+import math
+import resource
+import sys
+import time
+from collections.abc import Callable
+
+import msgspec
+import typer
+import zmq
+
+from balsamspindle.membership.directory import Directory
+from balsamspindle.membership.transport import ZmqTransport
+from balsamspindle.wire import (
+    BackendServerRecord,
+    NodeHeader,
+    NodeNews,
+    ServerEntry,
+)
+from tests.member_network import FakeNode, MemberNetwork
+from tests.utils import free_address
+
+SIZES = (30, 60, 120, 240)
+QUICK_SIZES = (10, 20)
+SERVERS_PER_NODE = 5
+IDLE_S = 60.0
+# Backend servers that change each second in the whole fleet, whatever its
+# size: 45,000 a day, each gone and back.
+CHANGES_PER_S = 2 * 45_000 / 86_400
+TARGET_NODES = 5_600
+DIRECTORY_NODES = (1_400, 2_800, TARGET_NODES)
+TARGET_SERVERS_PER_NODE = 25
+TARGET_SERVICES = 6_500
+BURST_NODES_FRACTION = 0.1
+ZMQ_MESSAGES = 2_000
+ZMQ_CONNECTS = 200
+
+
+def start_fleet(size: int) -> tuple[MemberNetwork, list[FakeNode]]:
+    """Return nodes that know each other and each other's backend servers."""
+    network = MemberNetwork()
+    nodes = [network.add(number, f"zone-{number % 3}") for number in range(size)]
+    for node in nodes:
+        node.serve(SERVERS_PER_NODE, services=max(1, size // 4))
+        node.member.knowledge.refresh(node.servers, network.now_s)
+    network.introduce(nodes)
+    network.run(30)
+    return network, nodes
+
+
+def measure_rate(network: MemberNetwork, nodes, seconds: float, each_s=None) -> dict:
+    """Return bytes, messages and CPU of one node and second."""
+    sent = sum(node.member.budget.spent_bytes for node in nodes)
+    received = sum(node.transport.received_bytes for node in nodes)
+    frames = network.frames
+    started = time.process_time()
+    for second in range(int(seconds)):
+        if each_s is not None:
+            each_s(second)
+        network.run(1.0)
+    node_seconds = len(nodes) * seconds
+    cpu_s = time.process_time() - started
+    sent = sum(node.member.budget.spent_bytes for node in nodes) - sent
+    received = sum(node.transport.received_bytes for node in nodes) - received
+    return {
+        "sent_bytes_per_s": sent / node_seconds,
+        "received_bytes_per_s": received / node_seconds,
+        "messages_per_s": (network.frames - frames) / node_seconds,
+        "cpu_fraction": cpu_s / node_seconds,
+    }
+
+
+def churn(nodes) -> Callable[[int], None]:
+    """Return what restarts backend servers at the target's rate."""
+    boots = [0.0]
+
+    def restart(second: int) -> None:
+        boots[0] += CHANGES_PER_S
+        while boots[0] >= 1:
+            boots[0] -= 1
+            node = nodes[(second * 7919) % len(nodes)]
+            first, *others = node.servers
+            node.servers = (first._replace(boot_id=str(second)), *others)
+
+    return restart
+
+
+def time_of_news(network, nodes) -> float:
+    """Return seconds until all know that a backend server drains."""
+    source = nodes[len(nodes) // 2]
+    first, *others = source.servers
+    source.servers = (first._replace(state="draining"), *others)
+    started_s = network.now_s
+
+    def all_know() -> bool:
+        return all(
+            node.directory.view(source.node_id)
+            .entries[first.backend_server_id]
+            .record.state
+            == "draining"
+            for node in nodes
+        )
+
+    return network.now_s - started_s if network.run(120, all_know) else math.inf
+
+
+def time_of_death(network, nodes) -> float:
+    """Return seconds until all have removed a node that crashed."""
+    victim, *others = nodes
+    network.kill(victim)
+    started_s = network.now_s
+    gone = network.run(
+        120, lambda: all(victim.node_id not in node.alive() for node in others)
+    )
+    return network.now_s - started_s if gone else math.inf
+
+
+def join(network, nodes) -> dict:
+    """Return how long a joiner needs to know all, and what it receives."""
+    joiner = network.add(len(nodes) + 1, "zone-0", seeds=nodes[1:3])
+    started_s = network.now_s
+    expected = len(nodes) * SERVERS_PER_NODE
+
+    def known() -> int:
+        records = joiner.directory.records()
+        return sum(len(record.backend_servers) for record in records)
+
+    done = network.run(240, lambda: known() >= expected)
+    return {
+        "s": network.now_s - started_s if done else math.inf,
+        "received_bytes_per_server": joiner.transport.received_bytes / expected,
+    }
+
+
+def burst(size: int) -> dict:
+    """Return what a tenth of the nodes, back at once, costs the others."""
+    network, nodes = start_fleet(size)
+    count = int(size * BURST_NODES_FRACTION)
+    for node in nodes[-count:]:
+        network.kill(node)
+    network.run(30)
+    back = []
+    for node in nodes[-count:]:
+        new = network.add(node.number, "zone-0", seeds=nodes[:3], incarnation=5_000)
+        new.serve(TARGET_SERVERS_PER_NODE, boot_id="2")
+        back.append(new)
+    stayed = nodes[:-count]
+    before = [node.member.budget.spent_bytes for node in stayed]
+    started_s = network.now_s
+    done = network.run(
+        300, lambda: all(node.knows("2", one) for node in stayed for one in back)
+    )
+    took_s = network.now_s - started_s
+    spent = [
+        node.member.budget.spent_bytes - one
+        for node, one in zip(stayed, before, strict=True)
+    ]
+    return {
+        "nodes": size,
+        "servers_changed": count * TARGET_SERVERS_PER_NODE,
+        "s": took_s if done else math.inf,
+        "sent_bytes_per_s_max": max(spent) / took_s,
+        "false_deaths": sum(
+            fields["peer"] in {node.node_id for node in stayed}
+            for node in stayed
+            for event, fields in node.events.seen
+            if event == "node_dead"
+        ),
+    }
+
+
+def measure_size(size: int) -> dict:
+    """Return all measures of one fleet size."""
+    network, nodes = start_fleet(size)
+    idle = measure_rate(network, nodes, IDLE_S)
+    busy = measure_rate(network, nodes, IDLE_S, churn(nodes))
+    network.run(20)
+    news_s = time_of_news(network, nodes)
+    joined = join(network, nodes)
+    death_s = time_of_death(network, nodes)
+    return {
+        "nodes": size,
+        "idle": idle,
+        "churn": busy,
+        "news_s": news_s,
+        "death_s": death_s,
+        "join": joined,
+    }
+
+
+def node_news(number: int, servers: int, services: int) -> NodeNews:
+    """Return a synthetic node with its backend servers."""
+    address = f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}"
+    header = NodeHeader(
+        f"region-{number % 7}",
+        f"zone-{number % 23}",
+        f"{address}:7001",
+        f"{address}:7002",
+        "alive",
+    )
+    entries = []
+    for one in range(servers):
+        service = (number * servers + one) % services
+        record = BackendServerRecord(
+            f"server-{number:05d}-{one:02d}",
+            f"team-{service % 40}/service-{service:05d}",
+            f"{number:08x}{one:02x}",
+            6,
+            "ready",
+        )
+        entries.append(ServerEntry(1, record))
+    return NodeNews(f"node-{number:05d}", 1_764_700_000_000, 1, header, entries)
+
+
+def measure_directory(nodes: int, kept: list[Directory]) -> dict:
+    """Return memory and CPU of one directory.
+
+    `kept` takes it, so that the next one's memory is not what this one freed.
+    """
+    gc.collect()
+    before_kb = _resident_kb()
+    directory = Directory()
+    kept.append(directory)
+    started = time.process_time()
+    for number in range(nodes):
+        news = node_news(number, TARGET_SERVERS_PER_NODE, TARGET_SERVICES)
+        frame = msgspec.msgpack.encode(news)
+        directory.apply(msgspec.msgpack.decode(frame, type=NodeNews), 0.0)
+    load_s = time.process_time() - started
+    for service in directory.services():
+        directory.placements(service)
+    gc.collect()
+    memory_mb = (_resident_kb() - before_kb) / 1024
+    sample = range(0, nodes, max(1, nodes // 1000))
+    updates_s = _time_updates(directory, sample)
+    reads_s = _time_updates(directory, sample, read=True)
+    return {
+        "nodes": nodes,
+        "servers": nodes * TARGET_SERVERS_PER_NODE,
+        "services": len(directory.services()),
+        "memory_mb": memory_mb,
+        "load_s": load_s,
+        "update_us": 1e6 * updates_s / len(sample),
+        "update_and_index_us": 1e6 * reads_s / len(sample),
+        "read_us": 1e6 * _time_reads(directory),
+        "digests_us": 1e6 * _time_digests(directory),
+    }
+
+
+def measure_directories(sizes) -> list[dict]:
+    """Return `measure_directory` of each size, the largest last."""
+    kept: list[Directory] = []
+    return [measure_directory(nodes, kept) for nodes in sizes]
+
+
+def _time_updates(directory: Directory, sample, read: bool = False) -> float:
+    version = 2 + read
+    started = time.process_time()
+    for number in sample:
+        known = directory.view(f"node-{number:05d}").entries
+        record = next(iter(known.values())).record._replace(boot_id=str(version))
+        news = NodeNews(
+            f"node-{number:05d}",
+            1_764_700_000_000,
+            servers=[ServerEntry(version, record)],
+        )
+        directory.apply(news, 0.0)
+        if read:
+            directory.placements(record.service)
+    return time.process_time() - started
+
+
+def _time_reads(directory: Directory) -> float:
+    services = directory.services()
+    started = time.process_time()
+    for service in services:
+        directory.placements(service)
+    return (time.process_time() - started) / len(services)
+
+
+def _time_digests(directory: Directory) -> float:
+    started = time.process_time()
+    for _ in range(100):
+        directory.differing(directory.digests())
+    return (time.process_time() - started) / 100
+
+
+def measure_member_at_size(nodes: int) -> dict:
+    """Return CPU of one member's own work when it knows so many nodes.
+
+    None of them answers, so each probe also asks helpers: an upper bound of
+    the work that grows with the directory.
+    """
+    network = MemberNetwork()
+    member = network.add(nodes + 1, "zone-0", "region-0")
+    for number in range(nodes):
+        news = node_news(number, TARGET_SERVERS_PER_NODE, TARGET_SERVICES)
+        member.directory.apply(news, network.now_s)
+    network.run(5)
+    started = time.process_time()
+    network.run(IDLE_S)
+    quiet = (time.process_time() - started) / IDLE_S
+    started = time.process_time()
+    for second in range(int(IDLE_S)):
+        # A node joins or leaves each second: the lists are built anew.
+        news = node_news(nodes + 10 + second, 1, TARGET_SERVICES)
+        member.directory.apply(news, network.now_s)
+        network.run(1)
+    joins = (time.process_time() - started) / IDLE_S
+    return {
+        "nodes": nodes,
+        "cpu_fraction": quiet,
+        "cpu_fraction_join_each_s": joins,
+    }
+
+
+def measure_zmq() -> dict:
+    """Return CPU of real sockets: one message there and back, one connect.
+
+    Both ends and the library's I/O thread are in this process.
+    """
+    context = zmq.Context()
+    address = free_address()
+    near = ZmqTransport(context, free_address())
+    far = ZmqTransport(context, address)
+    _echo(near, far, address)
+    started = time.process_time()
+    for _ in range(ZMQ_MESSAGES):
+        _echo(near, far, address)
+    message_us = 1e6 * (time.process_time() - started) / ZMQ_MESSAGES
+    started = time.process_time()
+    for _ in range(ZMQ_CONNECTS):
+        near.forget(address)
+        _echo(near, far, address)
+    connect_us = 1e6 * (time.process_time() - started) / ZMQ_CONNECTS
+    near.close()
+    far.close()
+    context.term()
+    return {
+        "ping_and_ack_us_both_ends": message_us,
+        "connect_ping_and_ack_us_both_ends": connect_us,
+    }
+
+
+def _echo(near: ZmqTransport, far: ZmqTransport, address: str) -> None:
+    near.send(address, b"x" * 120)
+    for received in far.receive(5.0):
+        far.answer(received.route, received.frame)
+    near.receive(5.0)
+
+
+def _resident_kb() -> int:
+    with open("/proc/self/statm", encoding="ascii") as statm:
+        return int(statm.read().split()[1]) * resource.getpagesize() // 1024
+
+
+def slope_per_decade(sizes: list[int], values: list[float]) -> float:
+    """Return the least-squares growth for each tenfold of nodes."""
+    xs = [math.log10(size) for size in sizes]
+    mean_x, mean_y = sum(xs) / len(xs), sum(values) / len(values)
+    covariance = sum(
+        (x - mean_x) * (y - mean_y) for x, y in zip(xs, values, strict=True)
+    )
+    return covariance / sum((x - mean_x) ** 2 for x in xs)
+
+
+def extrapolate(sizes: list[int], values: list[float]) -> dict:
+    """Return the slope per tenfold and the value at the target's size."""
+    slope = slope_per_decade(sizes, values)
+    last = values[-1] + slope * math.log10(TARGET_NODES / sizes[-1])
+    return {
+        "measured": dict(zip(sizes, values, strict=True)),
+        "per_decade": slope,
+        "at_target": last,
+    }
+
+
+def summarize(rows: list[dict]) -> dict:
+    """Return slopes over all sizes."""
+    sizes = [row["nodes"] for row in rows]
+    measures = {
+        "idle_sent_bytes_per_s": [row["idle"]["sent_bytes_per_s"] for row in rows],
+        "churn_sent_bytes_per_s": [row["churn"]["sent_bytes_per_s"] for row in rows],
+        "churn_messages_per_s": [row["churn"]["messages_per_s"] for row in rows],
+        "churn_cpu_fraction": [row["churn"]["cpu_fraction"] for row in rows],
+        "news_s": [row["news_s"] for row in rows],
+        "death_s": [row["death_s"] for row in rows],
+    }
+    return {name: extrapolate(sizes, values) for name, values in measures.items()}
+
+
+def main(
+    as_json: bool = typer.Option(False, "--json", help="Print JSON."),
+    quick: bool = typer.Option(False, help="Small sizes."),
+) -> None:
+    """Measure membership and print what was found."""
+    sizes = QUICK_SIZES if quick else SIZES
+    # First: what the fleets free would hide the directory's memory.
+    directories = measure_directories(QUICK_SIZES if quick else DIRECTORY_NODES)
+    rows = []
+    for size in sizes:
+        rows.append(measure_size(size))
+        print(f"measured {size} nodes", file=sys.stderr)
+    result = {
+        "sizes": rows,
+        "slopes": summarize(rows),
+        "burst": [burst(size) for size in sizes[-2:]],
+        "directory": directories,
+        "member": [
+            measure_member_at_size(nodes)
+            for nodes in (QUICK_SIZES if quick else DIRECTORY_NODES)
+        ],
+        "zmq": measure_zmq(),
+    }
+    if as_json:
+        print(json.dumps(result, indent=1))
+        return
+    _print_table(result)
+
+
+def _print_table(result: dict) -> None:
+    print("nodes  idle B/s  churn B/s  msgs/s  CPU %  news s  death s  join s")
+    for row in result["sizes"]:
+        print(
+            f"{row['nodes']:5d} {row['idle']['sent_bytes_per_s']:9.0f} "
+            f"{row['churn']['sent_bytes_per_s']:10.0f} "
+            f"{row['churn']['messages_per_s']:7.2f} "
+            f"{100 * row['churn']['cpu_fraction']:6.3f} {row['news_s']:7.1f} "
+            f"{row['death_s']:8.1f} {row['join']['s']:7.1f}"
+        )
+    for name, slope in result["slopes"].items():
+        print(
+            f"{name}: {slope['per_decade']:.4g} per tenfold, "
+            f"{slope['at_target']:.4g} at {TARGET_NODES}"
+        )
+    for part in ("burst", "directory", "member"):
+        for row in result[part]:
+            print(part, {key: round(value, 5) for key, value in row.items()})
+    print("zmq", {key: round(value, 1) for key, value in result["zmq"].items()})
+
+
+if __name__ == "__main__":
+    typer.run(main)
