Trust only nodes that hold the fleet's key, on member and link sockets

Cause: any machine that reached a node's member or link address could add nodes to the directory or run a request at a gate. With fleet_keys in a node's settings both listeners use CURVE with an authenticator; a stranger's connection ends in the handshake. Without fleet_keys all is as before.

Small changes in files of others: keys as a last argument of LinkServer, LinkPool and Link; NodeProcess starts and ends the authenticator.

Open: one key pair for the fleet, so a change of keys needs a restart of all nodes with the new pair at the same time; no command makes the pair.

--- a/balsamspindle/backend_servers/link_server.py
+++ b/balsamspindle/backend_servers/link_server.py
@@ -20,6 +20,7 @@
     decode_link,
     encode,
 )
+from balsamspindle.wire.security import FleetKeys, protect_listener
 
 __all__ = ["LinkServer"]
 
@@ -45,6 +46,7 @@
         gate: Gate,
         executor: ThreadPoolExecutor,
         events: EventLog,
+        keys: FleetKeys | None = None,
     ) -> None:
         self._context = context
         self._gate = gate
@@ -58,6 +60,7 @@
         self._router = context.socket(zmq.ROUTER)
         # Replies that were handed over still go out when the node stops.
         self._router.setsockopt(zmq.LINGER, LINGER_MS)
+        protect_listener(self._router, keys)
         self._router.bind(f"tcp://{address}")
         self._replies = context.socket(zmq.PULL)
         self._replies.setsockopt(zmq.LINGER, 0)
--- a/balsamspindle/membership/member.py
+++ b/balsamspindle/membership/member.py
@@ -66,7 +66,9 @@
         self._stopped = threading.Event()
         self._last_tick_s = now_s()
         self._own = OwnRecord(own)
-        self._transport = transport or ZmqTransport(context, settings.member_address)
+        self._transport = transport or ZmqTransport(
+            context, settings.member_address, settings.fleet_keys
+        )
         self.budget = ByteBudget(settings.member_bytes_per_s, now_s())
         self.channel = Channel(self._transport, self._sender, self.budget, events)
         self.knowledge = Knowledge(self._own, directory, events)
--- a/balsamspindle/membership/transport.py
+++ b/balsamspindle/membership/transport.py
@@ -7,6 +7,11 @@
 import zmq
 
 from balsamspindle.wire.codec import MEMBER_MESSAGE_MAX_BYTES
+from balsamspindle.wire.security import (
+    FleetKeys,
+    protect_connection,
+    protect_listener,
+)
 
 __all__ = ["Received", "Route", "Transport", "ZmqTransport"]
 
@@ -19,6 +24,8 @@
 MESSAGE_OVERHEAD_BYTES = 80
 # TCP and ZMTP handshakes of one new connection, our half.
 CONNECT_OVERHEAD_BYTES = 400
+# CURVE's further handshake messages, our half.
+CURVE_OVERHEAD_BYTES = 500
 
 
 class Route(NamedTuple):
@@ -85,12 +92,19 @@
     All but `wake` is called from one thread.
     """
 
-    def __init__(self, context: zmq.Context, address: str) -> None:
+    def __init__(
+        self, context: zmq.Context, address: str, keys: FleetKeys | None = None
+    ) -> None:
         self._context = context
+        self._keys = keys
+        self._connect_bytes = CONNECT_OVERHEAD_BYTES
+        if keys is not None:
+            self._connect_bytes += CURVE_OVERHEAD_BYTES
         self._peers: OrderedDict[str, zmq.Socket] = OrderedDict()
         self._addresses: dict[zmq.Socket, str] = {}
         self._wake_fd = os.eventfd(0, os.EFD_NONBLOCK)
         self._router = self._socket(zmq.ROUTER)
+        protect_listener(self._router, keys)
         self._router.bind(f"tcp://{address}")
         self._poller = zmq.Poller()
         self._poller.register(self._router, zmq.POLLIN)
@@ -100,7 +114,7 @@
     def cost_bytes(self, address, size_bytes):
         """See `Transport.cost_bytes`."""
         known = not address or address in self._peers
-        connect_bytes = 0 if known else CONNECT_OVERHEAD_BYTES
+        connect_bytes = 0 if known else self._connect_bytes
         return size_bytes + MESSAGE_OVERHEAD_BYTES + connect_bytes
 
     def send(self, address, frame):
@@ -161,6 +175,7 @@
         while len(self._peers) >= OPEN_PEERS_MAX:
             self.forget(next(iter(self._peers)))
         socket = self._socket(zmq.DEALER)
+        protect_connection(socket, self._keys)
         socket.connect(f"tcp://{address}")
         self._peers[address] = socket
         self._addresses[socket] = address
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -34,6 +34,7 @@
 from balsamspindle.settings.tree import CurrentConfiguration
 from balsamspindle.timeline import EventLog, HybridClock
 from balsamspindle.wire import NodeRecord
+from balsamspindle.wire.security import start_authenticator
 
 __all__ = ["NodeProcess"]
 
@@ -54,6 +55,7 @@
         clock = HybridClock(settings.wall_clock_offset_s)
         self.events = EventLog(settings.node_id, incarnation, clock)
         self._context = zmq.Context()
+        self._authenticator = start_authenticator(self._context, settings.fleet_keys)
         self._servers = LocalBackendServers()
         self._directory = Directory()
         self._configuration = CurrentConfiguration()
@@ -87,8 +89,9 @@
             self._gate,
             self._gate_executor,
             self.events,
+            settings.fleet_keys,
         )
-        self._links = LinkPool(self._context, self.events)
+        self._links = LinkPool(self._context, self.events, settings.fleet_keys)
         self._picker = Picker(own, self._directory, self._configuration)
         self._connections = ThreadPoolExecutor(settings.connections_max, "caller")
         self._ingress = Ingress(
@@ -169,6 +172,8 @@
         self._member.stop()
         self._link_server.stop()
         self._admin.shutdown()
+        if self._authenticator is not None:
+            self._authenticator.stop()
         self._health.stop()
         self._prober.stop()
         self.events.emit("node_stopped")
--- a/balsamspindle/requests/links.py
+++ b/balsamspindle/requests/links.py
@@ -25,6 +25,7 @@
     decode_link,
     encode,
 )
+from balsamspindle.wire.security import FleetKeys, protect_connection
 
 __all__ = ["GateClock", "Link", "LinkPool"]
 
@@ -64,7 +65,9 @@
 class Link:
     """One connection to one peer's gate."""
 
-    def __init__(self, context: zmq.Context, address: str) -> None:
+    def __init__(
+        self, context: zmq.Context, address: str, keys: FleetKeys | None = None
+    ) -> None:
         self.address = address
         self.gate_clock = GateClock()
         # Who answers here, by its own word; known once the link was `ready`.
@@ -81,6 +84,7 @@
         self._closed = self._socket.get_monitor_socket(
             zmq.EVENT_DISCONNECTED | zmq.EVENT_CLOSED
         )
+        protect_connection(self._socket, keys)
         self._socket.connect(f"tcp://{address}")
 
     def connected(self) -> bool:
@@ -201,8 +205,11 @@
 class LinkPool:
     """Idle links to all peers."""
 
-    def __init__(self, context: zmq.Context, events: EventLog) -> None:
+    def __init__(
+        self, context: zmq.Context, events: EventLog, keys: FleetKeys | None = None
+    ) -> None:
         self._context = context
+        self._keys = keys
         self._events = events
         self._lock = threading.Lock()
         self._idle: dict[str, list[Link]] = {}
@@ -215,7 +222,7 @@
                 idle = self._idle.get(address)
                 link = idle.pop() if idle else None
             is_new = link is None
-            link = link or Link(self._context, address)
+            link = link or Link(self._context, address, self._keys)
             if link.ready(time.monotonic(), give_up_s):
                 return link
             # One that is open but silent speaks for all links to this peer.
--- a/balsamspindle/settings/process.py
+++ b/balsamspindle/settings/process.py
@@ -12,6 +12,7 @@
 
 from balsamspindle.settings.validation import struct_faults
 from balsamspindle.wire import NodeRecord
+from balsamspindle.wire.security import FleetKeys
 
 __all__ = ["Address", "NodeSettings", "SettingsError", "load_node_settings"]
 
@@ -67,6 +68,9 @@
         Member addresses of first peers, for a start with the platform down.
     member_bytes_per_s : float
         Cap on what this node sends to peers for control.
+    fleet_keys : FleetKeys, optional
+        Without them any machine that reaches the member and link addresses
+        is trusted as a node. All nodes of a fleet have them, or none.
     wall_clock_offset_s : float
         Sets the wall clock of the events wrong, for tests.
     """
@@ -84,6 +88,7 @@
     platform_address: Address | None = None
     seed_addresses: tuple[Address, ...] = ()
     member_bytes_per_s: Annotated[float, msgspec.Meta(ge=1000)] = 9000.0
+    fleet_keys: FleetKeys | None = None
     wall_clock_offset_s: float = 0.0
     connections_max: int = 400
     connection_idle_timeout_s: float = 60.0
--- /dev/null
+++ b/tests/test_node_trust.py
@@ -0,0 +1,122 @@
+"""Nodes with fleet keys: a stranger's messages change nothing."""
+
+import time
+
+import zmq
+from testtools import TestCase
+
+from balsamspindle.requests.outcomes import Execution
+from balsamspindle.wire import (
+    AttemptId,
+    Dispatch,
+    Gossip,
+    NodeHeader,
+    NodeNews,
+    Sender,
+    checksum,
+    encode,
+    encode_member,
+)
+from tests.utils import Fleet, call, wait_until
+
+STRANGER_WAIT_S = 3.0
+SETTINGS = {
+    "crew/services/contracts": {},
+    "crew/routes/sign": {
+        "service": "crew/contracts",
+        "execution": "non_idempotent",
+        "path_prefix": "/contracts",
+        "methods": ["POST"],
+    },
+}
+
+
+def new_keys() -> dict:
+    public_key, secret_key = (key.decode() for key in zmq.curve_keypair())
+    return {"public_key": public_key, "secret_key": secret_key}
+
+
+class NodeTrustTests(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.__exit__)
+        self.fleet.start_platform()
+        self.fleet.put_settings(SETTINGS)
+        self.keys = new_keys()
+        self.nodes = [
+            self.fleet.start_node(f"node-{number}", "zone", fleet_keys=self.keys)
+            for number in range(2)
+        ]
+        self.server = self.fleet.start_backend(
+            "contract-0", "crew/contracts", self.nodes[0]
+        )
+        self.fleet.wait_ready(self.nodes, ["contract-0"])
+
+    def strangers(self):
+        """Return sockets without keys, and with a key that nobody allowed."""
+        context = zmq.Context()
+        self.addCleanup(context.destroy, 0)
+        plain = context.socket(zmq.DEALER)
+        other = context.socket(zmq.DEALER)
+        foreign = new_keys()
+        other.curve_publickey = foreign["public_key"].encode()
+        other.curve_secretkey = foreign["secret_key"].encode()
+        other.curve_serverkey = self.keys["public_key"].encode()
+        return plain, other
+
+    def forged_news(self):
+        header = NodeHeader("test", "zone", "127.0.0.1:9", "127.0.0.1:9", "alive")
+        sender = Sender("stranger", 1, "127.0.0.1:9", 99)
+        news = NodeNews("stranger", 1, 1, header)
+        return encode_member("gossip", sender, Gossip([news]))
+
+    def forged_dispatch(self):
+        return encode(
+            Dispatch(
+                attempt_id=AttemptId("stranger", 1, 1),
+                request_id="forged",
+                service="crew/contracts",
+                backend_server_id="contract-0",
+                execution=Execution.NON_IDEMPOTENT,
+                remaining_ms=60_000,
+                weight=1.0,
+                method="POST",
+                target="/contracts/1",
+                headers=[("X-Run-Key", "forged")],
+                body=b"",
+                body_checksum=checksum(b""),
+            )
+        )
+
+    def test_nodes_with_the_key_serve_each_other_and_end_in_order(self):
+        answer = call(self.nodes[1].caller_address, "/contracts/1", "POST", b"x")
+        self.assertEqual("answered", answer.outcome)
+        self.assertEqual(0, self.nodes[1].stop())
+
+    def test_a_strangers_messages_change_nothing(self):
+        # A machine that reaches the nodes' addresses sends news of a node of
+        # its own, and a request straight to the gate. It would draw callers'
+        # requests to itself, or run work that no caller asked for.
+        settings = self.nodes[0].settings
+        for socket in self.strangers():
+            for address, frame in (
+                (settings["member_address"], self.forged_news()),
+                (settings["link_address"], self.forged_dispatch()),
+            ):
+                socket.connect(f"tcp://{address}")
+                socket.send(frame)
+                time.sleep(STRANGER_WAIT_S / 2)
+                socket.disconnect(f"tcp://{address}")
+        time.sleep(STRANGER_WAIT_S / 2)
+        self.assertEqual({}, self.server.runs())
+        for node in self.nodes:
+            seen = {one["node_id"] for one in node.status()["nodes"]}
+            self.assertEqual({"node-0", "node-1"}, seen)
+
+    def test_a_node_without_the_key_joins_nobody(self):
+        stranger = self.fleet.start_node("node-9", "zone", platform_address=None)
+        wait_until(stranger.status, "the stranger runs")
+        time.sleep(STRANGER_WAIT_S)
+        self.assertEqual(1, len(stranger.status()["nodes"]))
+        self.assertEqual(2, len(self.nodes[0].status()["nodes"]))
