--- a/balsamspindle/membership/member.py
+++ b/balsamspindle/membership/member.py
@@ -66,7 +66,9 @@
         self._stopped = threading.Event()
         self._last_tick_s = now_s()
         self._own = OwnRecord(own)
-        self._transport = transport or ZmqTransport(context, settings.member_address)
+        self._transport = transport or ZmqTransport(
+            context, settings.member_address, settings.fleet_keys
+        )
         self.budget = ByteBudget(settings.member_bytes_per_s, now_s())
         self.channel = Channel(self._transport, self._sender, self.budget, events)
         self.knowledge = Knowledge(self._own, directory, events)
@@ -112,6 +114,10 @@
             )
         )
 
+    def contact(self, addresses: tuple[str, ...]) -> None:
+        """Try nodes at these member addresses; callable from any thread."""
+        self.channel.call_soon(lambda: self._prober.contact(addresses, self._now_s()))
+
     @property
     def isolated(self) -> bool:
         """Whether no peer has answered this node lately."""
@@ -135,7 +141,7 @@
         self.knowledge.refresh(self._backend_servers(), now_s)
         self._prober.tick(now_s)
         self.knowledge.expire(now_s)
-        self._gossiper.tick(self._configuration.revision, now_s)
+        self._gossiper.tick(now_s)
         self.anti_entropy.tick(now_s)
 
     def stop(self) -> None:
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -15,11 +15,16 @@
 from balsamspindle.backend_servers.probes import Prober
 from balsamspindle.backend_servers.servers import LocalBackendServers
 from balsamspindle.membership import Directory, Member
+from balsamspindle.membership.registry import Registry
 from balsamspindle.node.admin import AdminApplication
 from balsamspindle.node.admin_server import AdminServer
 from balsamspindle.node.settings_tasks import SettingsTasks
 from balsamspindle.node.status import NodeStatus
-from balsamspindle.platform import HttpTableService
+from balsamspindle.platform import (
+    GuardedTableService,
+    HttpTableService,
+    PlatformGuard,
+)
 from balsamspindle.requests.claims import ClaimBook
 from balsamspindle.requests.forwarding import Forwarder
 from balsamspindle.requests.ingress import Ingress
@@ -30,7 +35,8 @@
 from balsamspindle.settings.process import NodeSettings
 from balsamspindle.settings.tree import CurrentConfiguration
 from balsamspindle.timeline import EventLog, HybridClock
-from balsamspindle.wire import BackendServerRecord
+from balsamspindle.wire import BackendServerRecord, NodeRecord
+from balsamspindle.wire.security import start_authenticator
 
 __all__ = ["NodeProcess"]
 
@@ -56,6 +62,7 @@
         clock = HybridClock(settings.wall_clock_offset_s)
         self.events = EventLog(settings.node_id, incarnation, clock)
         self._context = zmq.Context()
+        self._authenticator = start_authenticator(self._context, settings.fleet_keys)
         self._servers = LocalBackendServers()
         self._directory = Directory()
         self._configuration = CurrentConfiguration()
@@ -92,8 +99,9 @@
             self._gate,
             self._gate_executor,
             self.events,
+            settings.fleet_keys,
         )
-        self._links = LinkPool(self._context, self.events)
+        self._links = LinkPool(self._context, self.events, settings.fleet_keys)
         self._picker = Picker(own, self._directory, self._configuration)
         self._connections = ThreadPoolExecutor(settings.connections_max, "caller")
         self._forwarder = Forwarder(
@@ -119,6 +127,7 @@
             self._configuration,
             self.events,
         )
+        self._registry = self._make_registry(own)
         self._admin = self._make_admin_server()
 
     def stop(self) -> None:
@@ -136,6 +145,8 @@
             self._health.run,
             self._prober.run,
         ]
+        if self._registry is not None:
+            tasks.append(self._registry.run)
         with ThreadPoolExecutor(len(tasks), "task") as executor:
             for task in tasks:
                 executor.submit(self._guard, task)
@@ -223,9 +234,13 @@
     def _end_tasks(self) -> None:
         """End all tasks and threads; none may keep the process alive."""
         self._settings_tasks.stop()
+        if self._registry is not None:
+            self._registry.stop()
         self._member.stop()
         self._link_server.stop()
         self._admin.shutdown()
+        if self._authenticator is not None:
+            self._authenticator.stop()
         self._health.stop()
         self._prober.stop()
         self._connections.shutdown(wait=False)
@@ -241,6 +256,20 @@
         )
         return AdminServer(self._settings.admin_address, application, self.events)
 
+    def _make_registry(self, own: NodeRecord) -> Registry | None:
+        if self._settings.platform_address is None:
+            return None
+        tables = HttpTableService(self._settings.platform_address)
+        guard = PlatformGuard(f"{own.node_id}/{own.incarnation}/registry")
+        return Registry(
+            GuardedTableService(tables, guard),
+            own,
+            self._directory,
+            self._member.contact,
+            lambda: self._member.isolated,
+            self.events,
+        )
+
     def _make_claim_book(self) -> ClaimBook:
         address = self._settings.platform_address
         return ClaimBook(None if address is None else HttpTableService(address))
