--- a/balsamspindle/backend_servers/health_monitor.py
+++ b/balsamspindle/backend_servers/health_monitor.py
@@ -10,8 +10,9 @@
     ProbeResult,
     WorkResult,
 )
-from balsamspindle.backend_servers.health import HealthReport, ServerHealth, Verdict
+from balsamspindle.backend_servers.health import HealthReport, ServerHealth
 from balsamspindle.backend_servers.health_readmission import HealthPhase
+from balsamspindle.backend_servers.health_verdicts import Verdict
 from balsamspindle.backend_servers.servers import (
     LocalBackendServer,
     LocalBackendServers,
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -5,7 +5,7 @@
 import pytest
 
 from balsamspindle.backend_servers.evidence import ProbeResult, WorkResult
-from balsamspindle.backend_servers.health import ServerHealth, Verdict
+from balsamspindle.backend_servers.health import ServerHealth
 from balsamspindle.backend_servers.health_readmission import HealthPhase
 from balsamspindle.backend_servers.health_score import (
     Rates,
@@ -13,6 +13,7 @@
     bad_weight,
     good_weight,
 )
+from balsamspindle.backend_servers.health_verdicts import Verdict
 from balsamspindle.settings.documents import Detection
 from balsamspindle.wire import AttemptId, PeerEvidence
 
