Take work that ends with a pause as part of the pause

Good work now parts two slow ones only when it ended before the second one began, or has overtaken it for 50 ms. Seen failing: with such a late request in the pause the three cases of test_a_pause_of_a_busy_healthy_one_counts_once failed before, and pass now.

--- a/balsamspindle/backend_servers/health_work.py
+++ b/balsamspindle/backend_servers/health_work.py
@@ -27,6 +27,7 @@
 # peers look bad, too: the load may be the cause then.
 STANDSTILL_REQUESTS = 2
 STANDSTILL_PEERS_BAD_MAX = 0.1
+SAME_MOMENT_S = 0.05
 # Latencies teach the slow limit only under this score, in thresholds: a sick
 # backend server would else teach it that slow is normal.
 LEARNING_SCORE = 0.25
@@ -72,7 +73,7 @@
         self._error_rate = LearnedRate(detection.error_rate_healthy)
         self._weight = 0.0
         self._slow_s = float("-inf")
-        self._good_since_slow = False
+        self._good_started_s = float("-inf")
         self._good_s = float("-inf")
         self._stood_still_s = float("-inf")
 
@@ -201,7 +202,7 @@
         self.worked_s = now_s
         if verdict is Verdict.GOOD:
             self._good_s = now_s
-            self._good_since_slow |= attempt.started_s >= self._slow_s
+            self._good_started_s = max(self._good_started_s, attempt.started_s)
             self._add(good_weight(self._slow_rates(now_s)))
             self.evidence[result.value] += 1
         elif result in SLOW_RESULTS:
@@ -219,14 +220,27 @@
         one, a busy healthy one would be suspected at its every pause.
         """
         paused = (now_s - self._slow_s) * 1000 < self.detection.pause_ms
-        if paused and not self._good_since_slow:
+        if paused and not self._is_apart(attempt, now_s):
             return
         self._slow_s = now_s
-        self._good_since_slow = False
         attempt.counted += 1
         self._add_bad(attempt, bad_weight(self._slow_rates(now_s)))
         self.evidence[evidence] += 1
 
+    def _is_apart(self, attempt: _InFlight, now_s: float) -> bool:
+        """Tell whether an attempt was slow by itself, not in the last pause.
+
+        Either good work came between, or good work that started later has
+        overtaken it. Work that ends at the same moment shows nothing: so it
+        does at the end of a pause.
+        """
+        between = self._slow_s < self._good_s <= attempt.started_s
+        overtaken = (
+            self._good_started_s > attempt.started_s
+            and now_s - self._good_s > SAME_MOMENT_S
+        )
+        return between or overtaken
+
     def _look_for_standstill(self, now_s: float) -> None:
         """Count a stop of all work for longer than a healthy pause.
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -118,6 +118,9 @@
     driver.work(times=150)
     hanging = [driver.start() for _ in range(requests)]
     driver.wait(0.4)
+    # This one came late in the pause, and is not slow.
+    hanging.insert(0, driver.start())
+    driver.now_s += 0.01
     for attempt_id in hanging:
         driver.health.ended(attempt_id, ANSWERED, driver.now_s)
     assert driver.health.phase is HealthPhase.SERVING
