--- a/bench/health_cost.py
+++ b/bench/health_cost.py
@@ -6,7 +6,8 @@
 
 One request is what the gate and the ingress do for it: the summary of the
 peers, its start, its end. A tick looks at all backend servers of the node,
-`TICK_S` apart. Both are given as a share of one core.
+`TICK_S` apart, here with all slots at work. Both are given as a share of one
+core.
 """
 
 import io
@@ -26,6 +27,7 @@
 __all__ = ["main"]
 
 SERVERS = 25
+SLOTS = 7
 SUBSET = 16
 REQUESTS_PER_S = 320
 REQUESTS = 40_000
@@ -37,12 +39,13 @@
     servers = LocalBackendServers()
     for number in range(SERVERS):
         servers.announce(
-            f"server-{number}", Announcement("s/s", "127.0.0.1:9", 7, "1"), 0.0
+            f"server-{number}", Announcement("s/s", "127.0.0.1:9", SLOTS, "1"), 0.0
         )
     events = EventLog("node", 1, HybridClock(), io.StringIO())
     monitor = HealthMonitor(servers, lambda service: Detection(), events)
     monitor.tick(0.0)
     request_s = _cpu_s(lambda: _requests(monitor)) / REQUESTS
+    _fill_slots(monitor)
     tick_s = _cpu_s(lambda: [monitor.tick(number * TICK_S) for number in range(TICKS)])
     tick_s /= TICKS
     share = request_s * REQUESTS_PER_S + tick_s / TICK_S
@@ -75,6 +78,12 @@
         tracker.ended("s/s", server_id, now_s, reply, now_s + 0.02)
 
 
+def _fill_slots(monitor: HealthMonitor) -> None:
+    for number in range(SERVERS * SLOTS):
+        attempt_id = AttemptId("node", 2, number)
+        monitor.started(f"server-{number % SERVERS}", attempt_id, 0.0)
+
+
 def _cpu_s(work) -> float:
     start_s = time.process_time()
     work()
