--- a/bench/settings.py
+++ b/bench/settings.py
@@ -1,6 +1,6 @@
 """How soon an accepted change is in force on all nodes, and what it costs.
 
-Five parts:
+Six parts:
 
 - ``spread``: real node processes in two availability zones and a stand-in
   platform; an operator's edits are accepted one by one, and each node's event
@@ -14,6 +14,8 @@
   services and 49,000 routes, against a rebuild of all of it.
 - ``join``: a node that starts while six others hold settings of that size:
   with the platform up, and with it down, from the peers alone.
+- ``fan_out``: messages and bytes of one change among up to 5,600 nodes, with
+  queues in one process instead of sockets.
 
 ::
 
@@ -38,7 +40,7 @@
 from balsamspindle.timeline import parse_event
 from bench.percentiles import percentile
 from bench.process_time import cpu_s
-from bench.settings_full_size import change_cost, join
+from bench.settings_full_size import change_cost, fan_out, join
 from tests.settings_utils import PlatformServer
 from tests.utils import Fleet, NodeProgram, call, wait_until
 
@@ -51,6 +53,7 @@
 IDLE_S = 10.0
 IN_FORCE_LIMIT_S = 3.0
 JOIN_NODES = 7
+FAN_OUT_NODES = (250, 1000, 5600)
 CONTROL_CPU_MAX = 0.02
 
 
@@ -232,6 +235,8 @@
                 typer.echo(f"  {way:7} {name:20} {summary}")
     for name, value in report["join"].items():
         typer.echo(f"join: {name}: {value}")
+    for size in report["fan_out"]:
+        typer.echo(f"fan_out: {size}")
     for run in report["edits"]:
         typer.echo(f"edits: {run}")
     for name, value in report["change"].items():
@@ -252,6 +257,7 @@
         "edits": [edits(8, 0.5, 30), edits(8, 0.0, 30), edits(20, 0.0, 12)],
         "spread": [spread(count) for count in nodes],
         "join": join(JOIN_NODES),
+        "fan_out": [fan_out(count) for count in FAN_OUT_NODES],
     }
     if as_json:
         typer.echo(json.dumps(report, indent=2))
--- a/bench/settings_full_size.py
+++ b/bench/settings_full_size.py
@@ -11,6 +11,7 @@
 
 from balsamspindle.platform import HttpTableService
 from balsamspindle.settings.pages import pages_of_documents
+from balsamspindle.settings.reader import is_reader
 from balsamspindle.settings.rows import next_chain
 from balsamspindle.settings.store import (
     Credentials,
@@ -22,12 +23,15 @@
 from balsamspindle.timeline import parse_event
 from balsamspindle.wire.settings_messages import SettingsDelta
 from bench.percentiles import percentile
+from tests.settings_network import History, Network
 from tests.utils import Fleet, NodeProgram, wait_until
 
-__all__ = ["change_cost", "join"]
+__all__ = ["change_cost", "fan_out", "join"]
 
 SEED = 1
 ZONES = 2
+FLEET_ZONES = 23
+FAN_OUT_ROUNDS = 30
 SERVICES, ROUTES, TEAMS = 6_500, 49_000, 650
 APPLIED = 200
 CHANGES_PER_DAY = 45_000
@@ -59,6 +63,39 @@
     return f"{team}/routes/route-{number:05}", json.dumps(value).encode()
 
 
+def fan_out(count: int) -> dict[str, Any]:
+    """Count the messages of one change among many nodes, without sockets.
+
+    Only notices and pulls: who is missed learns the revision from the next
+    message between members. Bytes are payload, without the envelope.
+    """
+    network = Network(count, zones=FLEET_ZONES)
+    for configuration in network.configurations:
+        configuration.offer(0, {})
+    network.run(2)
+    network.received_bytes = [0] * count
+    network.received = [0] * count
+    by_zone: dict[str, list] = {}
+    for record in network.records:
+        by_zone.setdefault(record.availability_zone, []).append(record)
+    path, document = _route(0, 1000.0)
+    change = History().change({path: document})
+    for record, configuration in zip(
+        network.records, network.configurations, strict=True
+    ):
+        if is_reader(record, by_zone[record.availability_zone]):
+            configuration.apply([change])
+    network.run(FAN_OUT_ROUNDS)
+    reached = sum(one.revision == 1 for one in network.configurations)
+    return {
+        "nodes": count,
+        "reached_by_notices_percent": round(reached / count * 100, 2),
+        "received_bytes_mean": round(sum(network.received_bytes) / count),
+        "received_bytes_p99": percentile(network.received_bytes, 0.99),
+        "messages_mean": round(sum(network.received) / count, 1),
+    }
+
+
 def join(count: int) -> dict[str, Any]:
     """Measure nodes that join a fleet with settings of full size."""
     with Fleet() as fleet:
--- a/tests/test_settings_spread.py
+++ b/tests/test_settings_spread.py
@@ -11,16 +11,13 @@
 from balsamspindle.platform import PlatformGuard, Unreachable
 from balsamspindle.settings.pages import pages_of_documents
 from balsamspindle.settings.reader import PollPlan, is_reader
-from balsamspindle.settings.rows import next_chain
-from balsamspindle.settings.spread import SettingsSpread
 from balsamspindle.settings.tree import Applied, Configuration, CurrentConfiguration
-from balsamspindle.wire import encode
 from balsamspindle.wire.settings_messages import (
-    SettingsDelta,
     SettingsNotice,
     SettingsPage,
     SettingsPagePull,
 )
+from tests.settings_network import History, Network
 from tests.settings_utils import ZONES, node_record
 from tests.utils import encode as json_bytes
 
@@ -34,29 +31,6 @@
     return json_bytes({"execution": "idempotent", **fields})
 
 
-class History:
-    """Accepted changes in their order, as the platform's log keeps them."""
-
-    def __init__(self) -> None:
-        self.revision, self.chain = 0, ""
-
-    def change(self, documents) -> SettingsDelta:
-        previous = self.chain
-        self.revision += 1
-        self.chain = next_chain(previous, f"operation-{self.revision}")
-        return SettingsDelta(self.revision, previous, self.chain, documents)
-
-
-class Quiet:
-    """An event log that keeps the names of events."""
-
-    def __init__(self) -> None:
-        self.names = []
-
-    def emit(self, event, **_fields):
-        self.names.append(event)
-
-
 class TreeTests(TestCase):
     def test_a_node_never_goes_back_and_never_skips_a_change(self):
         # A caller would be routed by settings that were replaced, or by a mix
@@ -199,49 +173,6 @@
         self.assertTrue(guard.read(lambda: Ok([])).is_ok())
 
 
-class Network:
-    """Spread tasks of many nodes, joined by queues instead of sockets."""
-
-    def __init__(self, count: int, zones: int = 3) -> None:
-        self.records = [node_record(number, zones) for number in range(count)]
-        self.configurations = [CurrentConfiguration() for _ in self.records]
-        self.events = [Quiet() for _ in self.records]
-        self.sent: list[tuple[str, object]] = []
-        self.received_bytes = [0] * count
-        self.cut: set[str] = set()
-        self.now_s = 0.0
-        self.nodes = [
-            SettingsSpread(
-                record,
-                lambda: self.records,
-                lambda address, message: self.sent.append((address, message)),
-                self.configurations[number],
-                self.events[number],
-            )
-            for number, record in enumerate(self.records)
-        ]
-
-    def run(self, rounds: int = 1) -> None:
-        """Deliver all messages and let each node do what is due."""
-        for _ in range(rounds):
-            self.now_s += 0.1
-            for node in self.nodes:
-                node.tick(self.now_s)
-            while self.sent:
-                messages, self.sent = self.sent, []
-                for address, message in messages:
-                    if address not in self.cut:
-                        self._deliver(int(address[1:]), message)
-
-    def _deliver(self, number, message) -> None:
-        self.received_bytes[number] += len(encode(message))
-        self.nodes[number].handle(message, self.now_s)
-
-    def revisions(self) -> set[int]:
-        """Return the revisions that are in force somewhere."""
-        return {configuration.revision for configuration in self.configurations}
-
-
 class SpreadTests(TestCase):
     def test_a_change_reaches_every_node_once(self):
         network, history = Network(250), History()
