--- a/bench/settings.py
+++ b/bench/settings.py
@@ -1,6 +1,6 @@
 """How soon an accepted change is in force on all nodes, and what it costs.
 
-Three parts:
+Six parts:
 
 - ``spread``: real node processes in two availability zones and a stand-in
   platform; an operator's edits are accepted one by one, and each node's event
@@ -8,8 +8,14 @@
   platform and a node that hears from peers are counted apart.
 - ``hint``: the same, with the operator's tool telling one node of each
   acceptance.
+- ``edits``: teams that edit at once, each its own subtree, at 27 times the
+  mean rate of a day of 45,000 changes and without any pause.
 - ``change``: processor time of one change in one process that holds 6,500
   services and 49,000 routes, against a rebuild of all of it.
+- ``join``: a node that starts while six others hold settings of that size:
+  with the platform up, and with it down, from the peers alone.
+- ``fan_out``: messages and bytes of one change among up to 5,600 nodes, with
+  queues in one process instead of sockets.
 
 ::
 
@@ -22,19 +28,20 @@
 import json
 import random
 import time
-from pathlib import Path
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any, NamedTuple
 
 import typer
 
 from balsamspindle.platform import HttpTableService
-from balsamspindle.settings.pages import pages_of_documents
-from balsamspindle.settings.rows import next_chain
-from balsamspindle.settings.store import SettingsStore
-from balsamspindle.settings.tree import Applied, CurrentConfiguration
+from balsamspindle.settings.store import (
+    SettingsStore,
+)
 from balsamspindle.timeline import parse_event
-from balsamspindle.wire.settings_messages import SettingsDelta
+from bench.percentiles import percentile
 from bench.process_time import cpu_s
+from bench.settings_full_size import change_cost, fan_out, join
+from tests.settings_utils import PlatformServer
 from tests.utils import Fleet, NodeProgram, call, wait_until
 
 __all__ = ["main"]
@@ -45,32 +52,25 @@
 CHANGE_GAP_S = 0.6
 IDLE_S = 10.0
 IN_FORCE_LIMIT_S = 3.0
-SERVICES, ROUTES, TEAMS = 6_500, 49_000, 650
-APPLIED = 200
-CHANGES_PER_DAY = 45_000
-DAY_S = 86_400
+JOIN_NODES = 7
+FAN_OUT_NODES = (250, 1000, 5600)
 CONTROL_CPU_MAX = 0.02
 
 
-class Accepted(NamedTuple):
+class Acceptance(NamedTuple):
     """One accepted change."""
 
     revision: int
     accepted_s: float
 
 
-def _percentile(values: list[float], fraction: float) -> float:
-    ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(fraction * len(ordered)))]
-
-
 def _summary(values_s: list[float]) -> dict[str, float]:
     if not values_s:
         return {"count": 0}
     return {
         "count": len(values_s),
-        "p50_ms": round(_percentile(values_s, 0.5) * 1000),
-        "p99_ms": round(_percentile(values_s, 0.99) * 1000),
+        "p50_ms": round(percentile(values_s, 0.5) * 1000),
+        "p99_ms": round(percentile(values_s, 0.99) * 1000),
         "max_ms": round(max(values_s) * 1000),
     }
 
@@ -119,7 +119,7 @@
             ),
         }
 
-    def change(self, hint: bool) -> list[Accepted]:
+    def change(self, hint: bool) -> list[Acceptance]:
         """Have changes accepted one by one."""
         accepted = []
         for number in range(CHANGES):
@@ -128,7 +128,7 @@
             accepted_s = time.time()
             result = self._store.put(f"bench/services/s{number % 7}", {})
             revision = result.ok.revision
-            accepted.append(Accepted(revision, accepted_s))
+            accepted.append(Acceptance(revision, accepted_s))
             if hint:
                 node = self._random.choice(self.nodes)
                 body = json.dumps({"revision": revision}).encode()
@@ -139,7 +139,7 @@
         time.sleep(1.0)
         return accepted
 
-    def delays(self, accepted: list[Accepted]) -> dict[str, Any]:
+    def delays(self, accepted: list[Acceptance]) -> dict[str, Any]:
         """Return the times until each change was in force at each node."""
         by_source: dict[str, list[float]] = {"platform": [], "peer": []}
         whole = []
@@ -180,75 +180,35 @@
     return {"nodes": count, "idle": idle, "polled": polled, "hinted": hinted}
 
 
-def _documents() -> dict[str, bytes]:
-    documents: dict[str, bytes] = {}
-    for number in range(SERVICES):
-        team = f"team-{number % TEAMS:04}"
-        value = {"floor_fraction": 0.6, "probe_path": "/health", "queue_max": 32}
-        documents[f"{team}/services/service-{number:05}"] = json.dumps(value).encode()
-    for number in range(ROUTES):
-        path, document = _route(number, 1500.0)
-        documents[path] = document
-    return documents
-
-
-def _route(number: int, timeout_ms: float) -> tuple[str, bytes]:
-    service = number % SERVICES
-    team = f"team-{service % TEAMS:04}"
-    value = {
-        "service": f"{team}/service-{service:05}",
-        "execution": "idempotent",
-        "host": f"host-{number % 3000:04}.example",
-        "path_prefix": f"/area/{number}",
-        "timeout_ms": timeout_ms,
-    }
-    return f"{team}/routes/route-{number:05}", json.dumps(value).encode()
-
-
-def _resident_mb() -> float:
-    pages = int(Path("/proc/self/statm").read_text().split()[1])
-    return pages * 4096 / 1e6
-
-
-def change_cost() -> dict[str, float]:
-    """Measure one change at full size against a rebuild."""
-    draw = random.Random(SEED)
-    before_mb = _resident_mb()
-    current = CurrentConfiguration()
-    documents = _documents()
-    began_s = time.process_time()
-    current.offer(0, documents)
-    rebuild_s = time.process_time() - began_s
-    del documents
-    resident_mb = _resident_mb() - before_mb
-    applied_s = []
-    chain = ""
-    for revision in range(1, APPLIED + 1):
-        previous, chain = chain, next_chain(chain, str(revision))
-        path, document = _route(draw.randrange(ROUTES), 1000.0 + revision)
-        delta = SettingsDelta(revision, previous, chain, {path: document})
-        began_s = time.process_time()
-        applied = current.apply([delta])
-        applied_s.append(time.process_time() - began_s)
-        assert applied is Applied.IN_FORCE
-    began_s = time.process_time()
-    pages = pages_of_documents(current.get().documents)
-    pages_s = time.process_time() - began_s
-    per_s = CHANGES_PER_DAY / DAY_S
-    mean_s = sum(applied_s) / len(applied_s)
+def edits(teams: int, gap_s: float, each: int) -> dict[str, Any]:
+    """Measure teams that edit at once; all write the fleet's revision row."""
+    platform = PlatformServer(SEED)
+
+    def edit(number: int) -> list[float | None]:
+        store = SettingsStore(platform.tables())
+        draw = random.Random(number)
+        took_s: list[float | None] = []
+        for document in range(each):
+            time.sleep(gap_s * draw.uniform(0.5, 1.5))
+            began_s = time.monotonic()
+            result = store.put(f"team{number}/services/s{document}", {})
+            took_s.append(time.monotonic() - began_s if result.is_ok() else None)
+        return took_s
+
+    began_s = time.monotonic()
+    with ThreadPoolExecutor(teams) as executor:
+        results = [one for many in executor.map(edit, range(teams)) for one in many]
+    elapsed_s = time.monotonic() - began_s
+    counts = call(platform.address, "/counts").json()
+    platform.stop()
+    accepted = [took_s for took_s in results if took_s is not None]
     return {
-        "services": SERVICES,
-        "routes": ROUTES,
-        "rebuild_cpu_ms": round(rebuild_s * 1000, 1),
-        "change_cpu_ms_p50": round(_percentile(applied_s, 0.5) * 1000, 2),
-        "change_cpu_ms_p99": round(_percentile(applied_s, 0.99) * 1000, 2),
-        "core_percent_with_changes": round(mean_s * per_s * 100, 2),
-        "core_percent_with_rebuilds": round(rebuild_s * per_s * 100, 2),
-        "resident_mb": round(resident_mb, 1),
-        "pages": len(pages),
-        "pages_kb": round(sum(map(len, pages)) / 1000),
-        "page_max_kb": round(max(map(len, pages)) / 1000, 1),
-        "pages_cpu_ms": round(pages_s * 1000, 1),
+        "teams": teams,
+        "accepted_per_s": round(len(accepted) / elapsed_s, 1),
+        "refused": len(results) - len(accepted),
+        "writes_per_edit": round(counts["transact"] / len(results), 2),
+        "reads_per_edit": round(counts["read"] / len(results), 2),
+        **_summary(accepted),
     }
 
 
@@ -260,6 +220,7 @@
             slowest_ms = size[way]["last_node"]["p99_ms"]
             if slowest_ms > IN_FORCE_LIMIT_S * 1000:
                 faults.append(f"{size['nodes']} nodes, {way}: {slowest_ms} ms")
+    faults += [f"edits refused: {run}" for run in report["edits"] if run["refused"]]
     cost = report["change"]["core_percent_with_changes"]
     if cost > CONTROL_CPU_MAX * 100:
         faults.append(f"changes take {cost}% of a core")
@@ -272,6 +233,12 @@
         for way in ("polled", "hinted"):
             for name, summary in size[way].items():
                 typer.echo(f"  {way:7} {name:20} {summary}")
+    for name, value in report["join"].items():
+        typer.echo(f"join: {name}: {value}")
+    for size in report["fan_out"]:
+        typer.echo(f"fan_out: {size}")
+    for run in report["edits"]:
+        typer.echo(f"edits: {run}")
     for name, value in report["change"].items():
         typer.echo(f"{name:28} {value}")
 
@@ -285,7 +252,13 @@
 
     Example: python -m bench.settings --nodes 3 --nodes 10 --json
     """
-    report = {"change": change_cost(), "spread": [spread(count) for count in nodes]}
+    report = {
+        "change": change_cost(),
+        "edits": [edits(8, 0.5, 30), edits(8, 0.0, 30), edits(20, 0.0, 12)],
+        "spread": [spread(count) for count in nodes],
+        "join": join(JOIN_NODES),
+        "fan_out": [fan_out(count) for count in FAN_OUT_NODES],
+    }
     if as_json:
         typer.echo(json.dumps(report, indent=2))
     else:
