Run both example deployments under faults; tell when a sick server was held out

The bench takes nodes, backend servers and settings from examples/. A hold-out that probes shorten lasts 2.5 s, so a quiet time of 4 s missed detections that the nodes' status showed (medical-fitness-2: 37 requests met, held out all the same); it is 2 s now, at three requests a second for each backend server, and the first sample that shows the hold-out is reported beside it.

--- a/balsamspindle/load/audit.py
+++ b/balsamspindle/load/audit.py
@@ -1,7 +1,7 @@
 """Holds what callers were told against what the backend servers ran."""
 
 from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
 import msgspec
@@ -53,6 +53,9 @@
         Requests that met it up to then.
     met_later : int
         Requests that met it after that: trials, or a relapse.
+    held_out_s : float or None
+        From the fault to the first sample of a node's status that held it
+        for sick.
     """
 
     backend_server: str
@@ -60,6 +63,7 @@
     detection_s: float | None
     met: int
     met_later: int
+    held_out_s: float | None = None
 
 
 def audit(results: Sequence[CallResult], runs: Runs) -> Truthfulness:
@@ -92,21 +96,28 @@
     runs: Runs,
     faults: Sequence[FaultPeriod],
     quiet_s: float,
+    held_out: Callable[[str, float, float], float | None],
 ) -> list[Detection]:
     """Return the detection of each fault of a backend server.
 
+    Parameters
+    ----------
+    held_out : callable
+        Takes a backend server, a start and an end; returns when it was first
+        seen held out in between.
+
     The times are those at which the caller sent the requests that the sick
     backend server counted: its own count can't be argued with.
     """
     sent_s = {result.call.run_key: result.sent_s for result in results}
     return [
-        _detection(fault, runs[fault.target], sent_s, quiet_s)
+        _detection(fault, runs[fault.target], sent_s, quiet_s, held_out)
         for fault in faults
         if fault.target in runs
     ]
 
 
-def _detection(fault, counts, sent_s, quiet_s) -> Detection:
+def _detection(fault, counts, sent_s, quiet_s, held_out) -> Detection:
     met_s = sorted(
         sent_s[key]
         for key in counts
@@ -114,6 +125,7 @@
     )
     before_quiet = _before_quiet(met_s, quiet_s)
     last_s = before_quiet[-1] if before_quiet else None
+    held_out_s = held_out(fault.target, fault.start_s, fault.end_s)
     was_left = last_s is not None and fault.end_s - last_s >= quiet_s
     return Detection(
         fault.target,
@@ -121,6 +133,7 @@
         last_s - fault.start_s if was_left else None,
         len(before_quiet),
         len(met_s) - len(before_quiet),
+        held_out_s and held_out_s - fault.start_s,
     )
 
 
--- a/balsamspindle/load/ejections.py
+++ b/balsamspindle/load/ejections.py
@@ -73,6 +73,13 @@
         """End `run` soon."""
         self._stopped.set()
 
+    def first_seen(self, server: str, start_s: float, end_s: float) -> float | None:
+        """Return when a backend server was first held for sick in a time."""
+        for seen in self._seen:
+            if seen.backend_server == server and start_s <= seen.at_s <= end_s:
+                return seen.at_s
+        return None
+
     def judge(self, faults: Sequence[FaultPeriod], grace_s: float) -> Ejections:
         """Return what was seen, held against the faults that there were."""
         return judge_ejections(self._seen, self._samples, faults, grace_s)
--- a/balsamspindle/load/experiment.py
+++ b/balsamspindle/load/experiment.py
@@ -44,7 +44,9 @@
         seed=plan.seed,
         kinds=kinds,
         answered_weighted=answered_weighted,
-        detections=detections(results, known, plan.faults, plan.quiet_s),
+        detections=detections(
+            results, known, plan.faults, plan.quiet_s, experiment.sampler.first_seen
+        ),
         ejections=experiment.sampler.judge(plan.faults, READMISSION_GRACE_S),
         truthfulness=audit(results, known),
         late_max_ms=1000 * max((r.sent_s - r.call.at_s for r in results), default=0.0),
--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -10,6 +10,7 @@
 
 from bench.capacity import (
     bad_days,
+    in_force,
     joining,
     look_ups,
     members,
@@ -28,6 +29,7 @@
     "members": members.measure,
     "bad_days": bad_days.measure,
     "joining": joining.measure,
+    "in_force": in_force.measure,
     "settings": settings.measure,
     "processes": processes.measure,
 }
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -1,13 +1,14 @@
-"""Both deployments of today's sizes under faults, as real processes.
+"""Both deployments of the examples under faults, as real processes.
 
 ::
 
     python -m bench.deployments --markdown     # both, one after the other
     python -m bench.deployments association --scenario gray
 
-Nodes and stand-ins share one machine and its loopback: latencies between
-availability zones are not in it, and two nodes a zone stand before several
-backend servers each.
+Nodes, backend servers and settings are those of ``examples/``, on addresses
+that are free. All share one machine and its loopback: latencies between
+availability zones are not in it. Each scenario makes another backend server of
+each service sick, and starts when all of the one before are readmitted.
 """
 
 import json
@@ -15,8 +16,10 @@
 import threading
 import time
 import uuid
+from collections.abc import Iterable
 from contextlib import contextmanager
-from typing import Annotated, NamedTuple
+from pathlib import Path
+from typing import Annotated, Any, NamedTuple
 
 import msgspec
 import typer
@@ -31,65 +34,36 @@
 from balsamspindle.requests.outcomes import Execution
 from tests.utils import Fleet, NodeProgram
 
-__all__ = ["DEPLOYMENTS", "SCENARIOS", "Deployment", "Scenario", "Service"]
+__all__ = ["DEPLOYMENTS", "SCENARIOS", "RunningDeployment", "Scenario"]
 
-NODES_PER_ZONE = 2
-WORK_MS = 10
+EXAMPLES = Path(__file__).parent.parent / "examples"
+DEPLOYMENTS = ("association", "kelvale")
 WORKERS = 200
+# At three requests a second a backend server that meets none for the quiet time
+# was left on purpose; a hold-out that probes shorten lasts 2.5 s.
+REQUESTS_PER_S_PER_BACKEND_SERVER = 3.0
+QUIET_S = 2.0
+# Of the requests of a service's routes, those of each other than the first.
+LATER_ROUTE_SHARE = 0.3
 RUN_S = 24.0
 FAULT_START_S, FAULT_END_S = 4.0, 18.0
 FREEZE_S = 6.0
-SETTLE_S = 6.0
+READMITTED_WITHIN_S = 120.0
+CALLER_TIMEOUT_MS = 9000.0
+BODY_BYTES = 400
 GRAY = {"mode": "hang", "delay_s": 20.0, "share": 0.5}
 ERRORS = {"mode": "error"}
 SLOW = {"mode": "slow", "delay_s": 0.5}
 DOWN = {"mode": "down"}
-
-
-class Service(NamedTuple):
-    """One service, its backend servers, and what callers ask of it."""
-
-    name: str
-    backend_servers: int
-    read_per_s: float
-    write_per_s: float
-    weight: float
-
-
-class Deployment(NamedTuple):
-    """One user's deployment."""
-
-    team: str
-    zones: tuple[str, ...]
-    slots: int
-    services: tuple[Service, ...]
-    threshold: float
-
-
-DEPLOYMENTS = {
-    "association": Deployment(
-        "crew",
-        ("mvd-puerto", "mvd-centro", "canelones"),
-        6,
-        (
-            Service("board", 6, 20.0, 0.0, 1.0),
-            Service("fitness", 6, 15.0, 0.0, 2.0),
-            Service("contracts", 10, 10.0, 6.0, 4.0),
-        ),
-        threshold=5.0,
-    ),
-    "kelvale": Deployment(
-        "stress",
-        ("osborne-hall", "malaga-hall", "welshpool-hall", "canning-hall"),
-        7,
-        (
-            Service("support-load", 8, 15.0, 0.0, 1.0),
-            Service("sign-off", 8, 8.0, 6.0, 4.0),
-            Service("nozzle", 10, 20.0, 0.0, 3.0),
-        ),
-        threshold=9.0,
-    ),
-}
+ADDRESS_FIELDS = (
+    "caller_address",
+    "link_address",
+    "member_address",
+    "admin_address",
+    "admin_advertised_address",
+    "platform_address",
+    "seed_addresses",
+)
 
 
 class Scenario(NamedTuple):
@@ -99,10 +73,13 @@
     ----------
     sick : dict or None
         Switch of one backend server of each service.
+    number : int
+        Which one, so that no two scenarios meet the same.
     """
 
     name: str
     sick: dict | None = None
+    number: int = 1
     flap_period_s: float | None = None
     platform: dict | None = None
     freezes_zone: bool = False
@@ -110,138 +87,144 @@
 
 SCENARIOS = (
     Scenario("healthy"),
-    Scenario("gray", GRAY),
-    Scenario("errors", ERRORS),
-    Scenario("slow", SLOW),
-    Scenario("flapping", ERRORS, flap_period_s=4.0),
-    Scenario("platform down, gray", GRAY, platform=DOWN),
+    Scenario("gray", GRAY, 1),
+    Scenario("errors", ERRORS, 2),
+    Scenario("slow", SLOW, 3),
+    Scenario("flapping", ERRORS, 4, flap_period_s=4.0),
+    Scenario("platform down, gray", GRAY, 5, platform=DOWN),
     Scenario("zone frozen", freezes_zone=True),
 )
 
 
-def settings(deployment: Deployment) -> dict[str, dict]:
-    """Return the settings documents of a deployment."""
-    documents: dict[str, dict] = {}
-    team = deployment.team
-    for service in deployment.services:
-        documents[f"{team}/services/{service.name}"] = {
-            "floor_fraction": 0.6,
-            "detection": {"threshold": deployment.threshold},
-        }
-        route = {
-            "service": f"{team}/{service.name}",
-            "path_prefix": f"/{service.name}",
-            "weight": service.weight,
-        }
-        documents[f"{team}/routes/{service.name}-read"] = {
-            **route,
-            "execution": "idempotent",
-            "methods": ["GET"],
-        }
-        documents[f"{team}/routes/{service.name}-write"] = {
-            **route,
-            "execution": "non_idempotent",
-            "methods": ["POST"],
-        }
-    return documents
-
-
-def arrivals(deployment: Deployment) -> list[Arrival]:
-    """Return what callers send."""
-    found = []
-    for service in deployment.services:
-        path, weight = f"/{service.name}", service.weight
-        read = Arrival(f"{service.name} read", path, service.read_per_s, weight=weight)
-        found.append(read)
-        if service.write_per_s:
-            found.append(
-                Arrival(
-                    f"{service.name} write",
-                    path,
-                    service.write_per_s,
-                    Execution.NON_IDEMPOTENT,
-                    "POST",
-                    weight=weight,
-                    body_bytes=400,
-                )
-            )
-    return found
-
-
 class RunningDeployment:
     """The processes of one deployment."""
 
-    def __init__(self, fleet: Fleet, deployment: Deployment) -> None:
-        self.deployment = deployment
+    def __init__(self, fleet: Fleet, name: str) -> None:
+        folder = EXAMPLES / name
+        self.settings = _read(folder / "settings.json")
         self._fleet = fleet
         fleet.start_platform()
-        fleet.put_settings(settings(deployment))
-        self.nodes = [
-            fleet.start_node(f"{zone}-{number}", zone)
-            for number in range(NODES_PER_ZONE)
-            for zone in deployment.zones
-        ]
+        fleet.put_settings(self.settings)
+        self.nodes = {
+            path.stem: self._start_node(_read(path))
+            for path in sorted((folder / "nodes").glob("*.json"))
+        }
         self.backend_servers = {}
+        self._of_service: dict[str, list[str]] = {}
         self._beside: dict[str, NodeProgram] = {}
-        for service in deployment.services:
-            for number in range(service.backend_servers):
-                self._start(service, f"{service.name}-{number}", number)
-        fleet.wait_ready(self.nodes, self.backend_servers)
+        for server in _read(folder / "backend-servers.json"):
+            self._start_backend(server)
+        fleet.wait_ready(self.nodes.values(), self.backend_servers)
 
-    def _start(self, service: Service, name: str, number: int) -> None:
-        node = self.nodes[number % len(self.nodes)]
+    def run(self, scenario: Scenario, seed: int) -> Report:
+        """Run one scenario."""
+        with self._frozen_zone(scenario):
+            return run_experiment(self._plan(scenario, seed), uuid.uuid4().hex[:12])
+
+    def wait_readmitted(self) -> bool:
+        """Wait until no backend server is held out or on trial."""
+        give_up_s = time.monotonic() + READMITTED_WITHIN_S
+        while time.monotonic() < give_up_s:
+            if not any(map(_has_suspects, self.nodes.values())):
+                return True
+            time.sleep(1.0)
+        return False
+
+    def _start_node(self, settings: dict[str, Any]) -> NodeProgram:
+        changes = {
+            field: value
+            for field, value in settings.items()
+            if field not in ADDRESS_FIELDS
+        }
+        node_id = changes.pop("node_id")
+        zone = changes.pop("availability_zone")
+        return self._fleet.start_node(node_id, zone, **changes)
+
+    def _start_backend(self, server: dict[str, Any]) -> None:
+        name, node = server["name"], self.nodes[server["node"]]
         self._beside[name] = node
+        self._of_service.setdefault(server["service"], []).append(name)
         self.backend_servers[name] = self._fleet.start_backend(
             name,
-            f"{self.deployment.team}/{service.name}",
+            server["service"],
             node,
-            slots=self.deployment.slots,
-            work_ms=WORK_MS,
+            slots=server["slots"],
+            work_ms=server["work_ms"],
         )
 
-    def run(self, scenario: Scenario, seed: int) -> Report:
-        """Run one scenario."""
-        with self._frozen_zone(scenario):
-            return run_experiment(self._plan(scenario, seed), uuid.uuid4().hex[:12])
-
     def _plan(self, scenario: Scenario, seed: int) -> LoadPlan:
-        period = FAULT_START_S, FAULT_END_S
-        faults = []
-        if scenario.sick is not None:
-            faults += [
-                FaultPeriod(
-                    f"{service.name}-0", scenario.sick, *period, scenario.flap_period_s
-                )
-                for service in self.deployment.services
-            ]
-        if scenario.platform is not None:
-            faults.append(FaultPeriod("platform", scenario.platform, *period))
         return LoadPlan(
-            nodes={
-                node.settings["node_id"]: node.caller_address for node in self.nodes
-            },
-            node_admins={
-                node.settings["node_id"]: node.admin_address for node in self.nodes
-            },
+            nodes={name: node.caller_address for name, node in self.nodes.items()},
+            node_admins={name: node.admin_address for name, node in self.nodes.items()},
             backend_servers={
                 name: server.address for name, server in self.backend_servers.items()
             },
             platform=self._fleet.platform_address,
-            arrivals=arrivals(self.deployment),
+            arrivals=[
+                arrival
+                for service, names in self._of_service.items()
+                for arrival in self._arrivals(service, len(names))
+            ],
             duration_s=RUN_S,
             seed=seed,
-            faults=faults,
+            faults=self._faults(scenario),
             workers=WORKERS,
+            quiet_s=QUIET_S,
         )
 
+    def _faults(self, scenario: Scenario) -> list[FaultPeriod]:
+        period = FAULT_START_S, FAULT_END_S
+        faults = []
+        if scenario.sick is not None:
+            faults += [
+                FaultPeriod(
+                    names[scenario.number],
+                    scenario.sick,
+                    *period,
+                    scenario.flap_period_s,
+                )
+                for names in self._of_service.values()
+            ]
+        if scenario.platform is not None:
+            faults.append(FaultPeriod("platform", scenario.platform, *period))
+        return faults
+
+    def _arrivals(self, service: str, servers: int) -> list[Arrival]:
+        """Return what callers send to a service: its routes share the rate."""
+        routes = [
+            (path.rpartition("/")[2], document)
+            for path, document in self.settings.items()
+            if "/routes/" in path and document["service"] == service
+        ]
+        rate_per_s = servers * REQUESTS_PER_S_PER_BACKEND_SERVER
+        later = LATER_ROUTE_SHARE * rate_per_s
+        first = rate_per_s - later * (len(routes) - 1)
+        return [
+            Arrival(
+                name,
+                route["path_prefix"],
+                later if number else first,
+                Execution(route["execution"]),
+                route["methods"][0],
+                weight=route["weight"],
+                body_bytes=0 if route["methods"][0] == "GET" else BODY_BYTES,
+                timeout_ms=CALLER_TIMEOUT_MS,
+            )
+            for number, (name, route) in enumerate(routes)
+        ]
+
     @contextmanager
     def _frozen_zone(self, scenario: Scenario):
         """Stop the last zone's processes for a time, and let them go on."""
         if not scenario.freezes_zone:
             yield
             return
-        zone = self.deployment.zones[-1]
-        nodes = [n for n in self.nodes if n.settings["availability_zone"] == zone]
+        zones = {node.settings["availability_zone"] for node in self.nodes.values()}
+        nodes = [
+            node
+            for node in self.nodes.values()
+            if node.settings["availability_zone"] == max(zones)
+        ]
         frozen = nodes + [
             server
             for name, server in self.backend_servers.items()
@@ -263,26 +246,41 @@
             _signal(frozen, signal.SIGCONT)
 
 
+def _read(path: Path) -> Any:
+    return json.loads(path.read_text())
+
+
 def _signal(programs, number) -> None:
     for program in programs:
         program.signal(number)
 
 
+def _has_suspects(node: NodeProgram) -> bool:
+    status = node.status()
+    records = status["backend_servers"] if status else []
+    return any(record[5] > 0 for record in records)
+
+
 def run_deployment(name: str, scenario: str | None, seed: int) -> dict[str, Report]:
     """Run the scenarios of one deployment and return their reports."""
     reports = {}
     with Fleet() as fleet:
-        running = RunningDeployment(fleet, DEPLOYMENTS[name])
+        running = RunningDeployment(fleet, name)
         for each in SCENARIOS:
-            if scenario in (None, each.name):
-                reports[each.name] = running.run(each, seed)
-                time.sleep(SETTLE_S)
+            if scenario not in (None, each.name):
+                continue
+            reports[each.name] = running.run(each, seed)
+            if not running.wait_readmitted():
+                typer.echo(f"{name}, {each.name}: not all are readmitted", err=True)
     return reports
 
 
 def _markdown(name: str, reports: dict[str, Report]) -> str:
-    titles = "scenario | sent | answered, weighted | not_run | unknown | silence |"
-    titles += " p99 ms | detection s | false ejections | broken promises"
+    titles = (
+        "scenario | sent | answered, weighted | not_run | unknown | silence"
+        " | worst kind's p99 ms | last met s | held out s | met | false ejections"
+        " | broken promises"
+    )
     lines = [f"| {titles} |", "|" + " --- |" * (titles.count("|") + 1)]
     lines += [f"| {_cells(scenario, report)} |" for scenario, report in reports.items()]
     return f"\n{name}:\n\n" + "\n".join(lines)
@@ -293,10 +291,6 @@
         return sum(kind.outcomes.get(n, 0) for kind in report.kinds for n in names)
 
     truth = msgspec.to_builtins(report.truthfulness)
-    found = [
-        "-" if each.detection_s is None else f"{each.detection_s:.1f}"
-        for each in report.detections
-    ]
     cells = [
         scenario,
         sum(kind.sent for kind in report.kinds),
@@ -305,13 +299,19 @@
         total("unknown"),
         total("no_answer"),
         f"{max(kind.latency_ms.get('p99', 0) for kind in report.kinds):.0f}",
-        ", ".join(found),
+        _seconds(each.detection_s for each in report.detections),
+        _seconds(each.held_out_s for each in report.detections),
+        ", ".join(str(each.met + each.met_later) for each in report.detections),
         len(report.ejections.false),
         sum(len(broken) for broken in truth.values()),
     ]
     return " | ".join(map(str, cells))
 
 
+def _seconds(times: Iterable[float | None]) -> str:
+    return ", ".join("-" if time_s is None else f"{time_s:.1f}" for time_s in times)
+
+
 def run(
     deployments: Annotated[list[str] | None, typer.Argument()] = None,
     scenario: str | None = None,
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -69,14 +69,17 @@
         fault = FaultPeriod("s", {"mode": "hang"}, start_s=10.0, end_s=30.0)
         times = {"a": 9.0, "b": 10.5, "c": 11.5, "trial": 20.0}
         results = [result(key, sent_s=sent_s) for key, sent_s in times.items()]
-        [found] = detections(results, {"s": dict.fromkeys(times, 1)}, [fault], 2.0)
+        [found] = detections(
+            results, {"s": dict.fromkeys(times, 1)}, [fault], 2.0, lambda *_: 11.9
+        )
         self.assertEqual((1.5, 2, 1), (found.detection_s, found.met, found.met_later))
+        self.assertAlmostEqual(1.9, found.held_out_s)
 
     def test_a_server_that_meets_requests_to_the_end_was_not_detected(self):
         fault = FaultPeriod("s", {"mode": "hang"}, start_s=0.0, end_s=4.0)
         results = [result(str(at_s), sent_s=float(at_s)) for at_s in range(4)]
         runs = {"s": {str(at_s): 1 for at_s in range(4)}}
-        [found] = detections(results, runs, [fault], 2.0)
+        [found] = detections(results, runs, [fault], 2.0, lambda *_: 11.9)
         self.assertIsNone(found.detection_s)
 
     def test_an_ejection_without_a_fault_is_false(self):
