--- a/balsamspindle/membership/directory.py
+++ b/balsamspindle/membership/directory.py
@@ -25,6 +25,7 @@
 __all__ = ["Directory", "NodeState", "Placement"]
 
 NOTHING_NEW = Changes()
+_USUAL_VALUES = {value: value for value in (0.0, 0.5, 1.0)}
 
 
 class Placement(NamedTuple):
@@ -296,7 +297,14 @@
 
 
 def _interned(record: BackendServerRecord) -> BackendServerRecord:
-    """Share equal strings: a service's name stands in many records."""
+    """Share equal values: a service's name stands in many records.
+
+    Off the wire each record brings strings and floats of its own; at 140,000
+    records the usual suspicion and capacity alone would take megabytes.
+    """
     return record._replace(
-        service=sys.intern(record.service), state=sys.intern(record.state)
+        service=sys.intern(record.service),
+        state=sys.intern(record.state),
+        suspicion=_USUAL_VALUES.get(record.suspicion, record.suspicion),
+        capacity=_USUAL_VALUES.get(record.capacity, record.capacity),
     )
