--- a/balsamspindle/requests/http.py
+++ b/balsamspindle/requests/http.py
@@ -47,11 +47,11 @@
 
     method: str = ""
     target: str = ""
-    host: str = ""
     headers: list[tuple[str, str]] = field(default_factory=list)
-    noted: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
     keep_alive: bool = True
+    host: str = ""
+    noted: dict[str, str] = field(default_factory=dict)
 
     @property
     def path(self) -> str:
@@ -311,11 +311,11 @@
             CallerRequest(
                 method,
                 target,
-                host,
                 headers,
-                noted,
                 b"".join(self._body),
                 self._keep_alive,
+                host,
+                noted,
             )
         )
         self._body = []
--- a/tests/caller_side.py
+++ b/tests/caller_side.py
@@ -15,7 +15,7 @@
 from balsamspindle.settings.tree import Applied, CurrentConfiguration
 from balsamspindle.timeline import EventLog, HybridClock
 from balsamspindle.wire import AttemptId, Reply
-from tests.utils import free_address
+from tests.utils import free_address, wait_until
 
 DOCUMENTS = {
     "crew/services/contracts": b"{}",
@@ -155,6 +155,7 @@
         )
         self._task = threading.Thread(target=self.ingress.run)
         self._task.start()
+        wait_until(self.ingress.accepting, "the ingress listens")
         self._callers: list[RawCaller] = []
 
     def caller(self) -> RawCaller:
