--- a/balsamspindle/cli/timeline.py
+++ b/balsamspindle/cli/timeline.py
@@ -26,6 +26,9 @@
     nodes: list[str] = NODES_OPTION,
     request: str = typer.Option(None, help="Only events of this request id."),
     service: str = typer.Option(None, help="Only events of this service, TEAM/NAME."),
+    with_requests: bool = typer.Option(
+        False, help="With --service: show the events of its requests, too."
+    ),
     event: str = typer.Option(None, help="Only events of this name."),
     as_json: bool = JSON_OPTION,
     version: bool = VERSION_OPTION,
@@ -43,7 +46,8 @@
         warn(warning)
     if not collected.sources_read:
         fail("no source could be read", ExitStatus.UNAVAILABLE)
-    for found in select(collected.events, Selection(request, service, event)):
+    wanted = Selection(request, service, event, with_requests)
+    for found in select(collected.events, wanted):
         if as_json:
             typer.echo(msgspec.json.encode(found._asdict()).decode())
         else:
--- a/balsamspindle/node/admin.py
+++ b/balsamspindle/node/admin.py
@@ -102,7 +102,8 @@
             service=announcement.service,
             boot_id=announcement.boot_id,
         )
-        if self._explain(announcement.service).is_defined:
+        explanation = self._explain(announcement.service)
+        if explanation.is_defined or explanation.settings_revision < 0:
             return _json({})
         # Else a typo in the service's name would show as a backend server
         # that announces itself well and never gets a request.
--- a/balsamspindle/timeline/merge.py
+++ b/balsamspindle/timeline/merge.py
@@ -51,11 +51,19 @@
 
 
 class Selection(NamedTuple):
-    """Which events are wanted; None takes any."""
+    """Which events are wanted; None takes any.
+
+    Attributes
+    ----------
+    with_requests : bool
+        Whether a service's story holds its requests, too: the few lines that
+        tell why a backend server was left out would drown in them.
+    """
 
     request: str | None = None
     service: str | None = None
     event: str | None = None
+    with_requests: bool = False
 
 
 def parse_lines(lines: Iterable[str]) -> ParsedLines:
@@ -110,7 +118,7 @@
         for event in events
         if _matches(wanted.request, event.details.get("request"))
         and _matches(wanted.event, event.event)
-        and _is_of_service(event, wanted.service, servers)
+        and _is_of_service(event, wanted, servers)
     ]
 
 
@@ -129,10 +137,12 @@
     }
 
 
-def _is_of_service(
-    event: TimelineEvent, service: str | None, servers: set[str]
-) -> bool:
-    if service is None or event.details.get("service") == service:
+def _is_of_service(event: TimelineEvent, wanted: Selection, servers: set[str]) -> bool:
+    if wanted.service is None:
+        return True
+    if "request" in event.details and not wanted.with_requests:
+        return False
+    if event.details.get("service") == wanted.service:
         return True
     return event.details.get("backend_server") in servers
 
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -22,6 +22,7 @@
 READY_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 45.0
 REQUESTS_AFTER_LOSS = 60
+GRAY_REQUESTS_MAX = 400
 DEPLOYMENTS = ("association", "kelvale")
 
 
@@ -292,11 +293,55 @@
     first = answers[0].request_id
     show("timeline", "--request", first, *deployment.node_options)
     wait_until(lambda: _is_told(deployment, lost), f"the loss of {lost['name']}")
-    event = "backend_server_silent"
-    show("timeline", "--event", event, *deployment.node_options)
+    show("timeline", "--service", lost["service"], *deployment.node_options)
     show("ctl", "explain", lost["service"], "--node", near["admin_address"])
 
 
+def show_gray_failure(deployment: Deployment) -> None:
+    """Let one backend server fail at real work while its health stays well."""
+    route = next(
+        route
+        for route in reversed(deployment.routes())
+        if route["execution"] == "idempotent" and "GET" in route["methods"]
+    )
+    sick = next(
+        server
+        for server in deployment.backend_servers
+        if server["service"] == route["service"]
+    )
+    near = next(n for n in deployment.nodes if n["node_id"] == sick["node"])
+    say(f"\n{sick['name']} fails at real work; its health endpoint says it is well:")
+    set_fault(sick["address"], "error")
+    failed = 0
+    for number in range(GRAY_REQUESTS_MAX):
+        answer = deployment.call(near, "GET", f"{route['path_prefix']}/{number}")
+        failed += answer.status != 200
+        if number % 10 == 9 and _is_left_out(near, sick):
+            break
+    say(f"  left out after {number + 1} requests; {failed} callers met its error")
+    show("ctl", "explain", sick["service"], "--node", near["admin_address"])
+    show("timeline", "--service", sick["service"], "--node", near["admin_address"])
+    if not _is_left_out(near, sick):
+        raise DemoFailed(f"{sick['name']} still gets requests")
+    set_fault(sick["address"], "none")
+
+
+def _is_left_out(node: dict, server: dict) -> bool:
+    view = get(node["admin_address"], f"/services/{server['service']}/explain")
+    rows = {row["backend_server_id"]: row for row in view["backend_servers"]}
+    return not rows[server["name"]]["takes_work"]
+
+
+def set_fault(address: str, mode: str) -> None:
+    """Set the fault that a stand-in backend server's work meets."""
+    connection = http.client.HTTPConnection(address, timeout=2)
+    try:
+        connection.request("POST", "/faults", json.dumps({"mode": mode}))
+        connection.getresponse().read()
+    finally:
+        connection.close()
+
+
 def _is_told(deployment: Deployment, lost: dict) -> bool:
     told = run("timeline", "--event", "backend_server_silent", *deployment.node_options)
     return f"backend_server={lost['name']}" in told
@@ -315,6 +360,7 @@
         show("ctl", "status", *deployment.node_options)
         show_requests(deployment)
         show_loss(deployment)
+        show_gray_failure(deployment)
     finally:
         ended = deployment.stop()
     say(f"\nAll processes of {name} ended in order: {'yes' if ended else 'no'}")
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -72,9 +72,12 @@
         log.emit("backend_server_announced", backend_server="b2", service="crew/y")
         log.emit("backend_server_silent", backend_server="b1")
         log.emit("backend_server_silent", backend_server="b2")
+        log.emit("attempt_sent", backend_server="b1", request="r1")
         events = merge(parse_lines(lines(log)).events)
         chosen = select(events, Selection(service="crew/x"))
         self.assertEqual(["b1", "b1"], [e.details["backend_server"] for e in chosen])
+        wanted = Selection(service="crew/x", with_requests=True)
+        self.assertEqual(3, len(select(events, wanted)))
 
     def test_requests_push_no_other_event_out_of_the_recent_ones(self):
         """At hundreds of requests a second one ring would forget an ejection
