--- a/balsamspindle/cli/ctl.py
+++ b/balsamspindle/cli/ctl.py
@@ -1,12 +1,12 @@
 """``balsamspindle-ctl``: the operators' tool."""
 
-from balsamspindle.cli import ctl_fleet, ctl_settings
+from balsamspindle.cli import ctl_fleet, ctl_settings, ctl_status
 from balsamspindle.cli.program import VERSION_OPTION, make_app
 
 app = make_app("Drive the fleet: its settings, its nodes, its explanations.")
 app.add_typer(ctl_settings.app, name="settings")
 for command in (
-    ctl_fleet.status,
+    ctl_status.status,
     ctl_fleet.drain,
     ctl_fleet.undrain,
     ctl_fleet.explain,
--- a/balsamspindle/cli/ctl_fleet.py
+++ b/balsamspindle/cli/ctl_fleet.py
@@ -1,54 +1,33 @@
-"""``balsamspindle-ctl`` commands that ask nodes: status, drain, explain."""
+"""``balsamspindle-ctl`` commands that ask nodes: drain, explain."""
 
 import difflib
 import re
-from collections import defaultdict
 from pathlib import Path
-from typing import NamedTuple, NoReturn
+from typing import NoReturn
 from urllib.parse import quote
 
 import msgspec
 import typer
 from expression import Result
 
-from balsamspindle.backend_servers.servers import BackendServerState
 from balsamspindle.cli.admin_client import AdminClient, NodeRefused, NodeUnreachable
+from balsamspindle.cli.asked_nodes import (
+    NO_NODE,
+    AskedNode,
+    ask_nodes,
+    newest_records,
+)
 from balsamspindle.cli.event_sources import collect_events
 from balsamspindle.cli.exit_status import ExitStatus
 from balsamspindle.cli.explanations import format_request, format_service
 from balsamspindle.cli.program import JSON_OPTION, NODES_OPTION, fail, warn
-from balsamspindle.cli.tables import format_table
-from balsamspindle.node.status import NodeStatus
 from balsamspindle.services.explanation import ServiceExplanation
 from balsamspindle.timeline.merge import Selection, select
 from balsamspindle.timeline.story import tell_request
-from balsamspindle.wire import NodeRecord
 
-__all__ = ["drain", "explain", "status", "undrain"]
+__all__ = ["drain", "explain", "undrain"]
 
 SERVICE_PATTERN = re.compile(r"[a-z0-9][a-z0-9.-]*/[a-z0-9][a-z0-9.-]*")
-NO_NODE = "name a node: --node IP:PORT of its admin address, or BALSAMSPINDLE_NODES"
-
-
-class _AskedNode(NamedTuple):
-    client: AdminClient
-    status: NodeStatus
-
-
-def status(nodes: list[str] = NODES_OPTION, as_json: bool = JSON_OPTION) -> None:
-    """Show all nodes and services, as the nodes asked see them.
-
-    Example: balsamspindle-ctl status --node 127.0.0.1:8083
-    """
-    asked = _ask_nodes(nodes)
-    if as_json:
-        typer.echo(msgspec.json.encode([node.status for node in asked]).decode())
-        return
-    records = _newest_records(asked)
-    revisions = {node.status.node_id: node.status.settings_revision for node in asked}
-    typer.echo(_nodes_table(records, revisions))
-    typer.echo("")
-    typer.echo(_services_table(records))
 
 
 def drain(
@@ -142,91 +121,15 @@
     )
 
 
-def _ask_nodes(nodes: list[str] | None) -> list[_AskedNode]:
-    """Return what each node says; fail when none does."""
-    if not nodes:
-        fail(NO_NODE, ExitStatus.USAGE)
-    asked = []
-    for address in nodes:
-        client = AdminClient(address)
-        match client.read("/status", NodeStatus):
-            case Result(tag="ok", ok=node_status):
-                asked.append(_AskedNode(client, node_status))
-            case Result(error=error):
-                warn(error.message)
-    if not asked:
-        fail("no node answered", ExitStatus.UNAVAILABLE)
-    return asked
-
-
-def _newest_records(asked: list[_AskedNode]) -> list[NodeRecord]:
-    """Return one record of each node, the newest that any node has."""
-    newest: dict[str, NodeRecord] = {}
-    for node in asked:
-        for record in node.status.nodes:
-            known = newest.get(record.node_id)
-            if known is None or _age(record) > _age(known):
-                newest[record.node_id] = record
-    return [newest[node_id] for node_id in sorted(newest)]
-
-
-def _age(record: NodeRecord) -> tuple[int, int]:
-    return record.incarnation, record.version
-
-
-def _nodes_table(records: list[NodeRecord], revisions: dict[str, int]) -> str:
-    rows = [
-        (
-            record.node_id,
-            record.region,
-            record.availability_zone,
-            record.state,
-            record.admin_address or "-",
-            revisions.get(record.node_id, "-"),
-            len(record.backend_servers),
-        )
-        for record in records
-    ]
-    header = (
-        "NODE",
-        "REGION",
-        "ZONE",
-        "STATE",
-        "ADMIN ADDRESS",
-        "REVISION",
-        "BACKEND SERVERS",
-    )
-    return format_table(header, rows)
-
-
-def _services_table(records: list[NodeRecord]) -> str:
-    services = defaultdict(list)
-    for record in records:
-        for server in record.backend_servers:
-            services[server.service].append(server)
-    rows = [
-        (
-            service,
-            len(servers),
-            sum(server.state == BackendServerState.READY for server in servers),
-            sum(server.suspicion >= 1 for server in servers),
-            sum(server.slots for server in servers),
-        )
-        for service, servers in sorted(services.items())
-    ]
-    header = ("SERVICE", "BACKEND SERVERS", "READY", "SUSPECTED", "SLOTS")
-    return format_table(header, rows)
-
-
 def _post(backend_server: str, nodes: list[str] | None, action: str) -> None:
     """Ask the node beside a backend server to change its state."""
-    client = _node_beside(backend_server, _ask_nodes(nodes))
+    client = _node_beside(backend_server, ask_nodes(nodes))
     match client.post(f"/backend-servers/{quote(backend_server)}/{action}"):
         case Result(tag="error", error=error):
             _fail_at_node(error)
 
 
-def _node_beside(backend_server: str, asked: list[_AskedNode]) -> AdminClient:
+def _node_beside(backend_server: str, asked: list[AskedNode]) -> AdminClient:
     """Return the node beside a backend server, asked or told by another."""
     for node in asked:
         own = [server.backend_server_id for server in node.status.backend_servers]
@@ -234,7 +137,7 @@
             return node.client
     places = {
         server.backend_server_id: record
-        for record in _newest_records(asked)
+        for record in newest_records(asked)
         for server in record.backend_servers
     }
     record = places.get(backend_server)
--- a/balsamspindle/cli/ctl_settings.py
+++ b/balsamspindle/cli/ctl_settings.py
@@ -9,8 +9,8 @@
 import typer
 from expression import Result
 
-from balsamspindle.cli import ctl_edits
-from balsamspindle.cli.ctl_edits import fail_invalid
+from balsamspindle.cli import ctl_edits, ctl_keys, ctl_recovery
+from balsamspindle.cli.edit_ends import fail_invalid
 from balsamspindle.cli.exit_status import ExitStatus
 from balsamspindle.cli.inputs import read_documents
 from balsamspindle.cli.program import JSON_OPTION, fail, make_app, warn
@@ -141,9 +141,10 @@
     "set": ctl_edits.set_document,
     "apply": ctl_edits.apply,
     "remove": ctl_edits.remove,
-    "settle": ctl_edits.settle,
-    "team-key": ctl_edits.team_key,
-    "fleet-key": ctl_edits.fleet_key,
+    "settle": ctl_recovery.settle,
+    "restart": ctl_recovery.restart,
+    "team-key": ctl_keys.team_key,
+    "fleet-key": ctl_keys.fleet_key,
 }.items():
     app.command(name)(command)
 
@@ -187,11 +188,17 @@
         change.revision,
         time.strftime("%Y-%m-%d %H:%M:%S"),
         change.author,
-        ", ".join(change.paths) or f"key of {change.team}",
+        _changed_words(change),
         change.operation_id,
     )
 
 
+def _changed_words(change: Change) -> str:
+    if change.restart:
+        return "all settings of the platform, anew"
+    return ", ".join(change.paths) or f"key of {change.team}"
+
+
 def _show_diffs(diffs: list[DocumentDiff], as_json: bool) -> None:
     if as_json:
         typer.echo(msgspec.json.encode(diffs).decode())
--- /dev/null
+++ b/balsamspindle/cli/edit_ends.py
@@ -0,0 +1,73 @@
+"""How a change of the settings ended, in words and exit statuses."""
+
+from typing import NoReturn
+
+import msgspec
+import typer
+from expression import Result
+
+from balsamspindle.cli.exit_status import ExitStatus
+from balsamspindle.cli.program import fail
+from balsamspindle.platform import HttpTableService
+from balsamspindle.settings.results import (
+    Accepted,
+    EditError,
+    InvalidSettings,
+    NotKnown,
+    NotOwner,
+    SettingsConflict,
+    SettingsUnavailable,
+    Withdrawn,
+)
+from balsamspindle.settings.store import SettingsStore
+from balsamspindle.settings.validation import Fault
+
+__all__ = ["fail_edit", "fail_invalid", "open_store", "report_edit"]
+
+_STATUSES = {
+    NotOwner: ExitStatus.NOT_OWNER,
+    SettingsConflict: ExitStatus.CONFLICT,
+    SettingsUnavailable: ExitStatus.UNAVAILABLE,
+    Withdrawn: ExitStatus.FAILED,
+}
+
+
+def open_store(platform: str) -> SettingsStore:
+    """Return the settings at a platform."""
+    return SettingsStore(HttpTableService(platform))
+
+
+def report_edit(result: Result, as_json: bool) -> Accepted:
+    """Say what became of a change, and end the program if it did not hold."""
+    match result:
+        case Result(tag="ok", ok=accepted):
+            words = f"accepted at revision {accepted.revision}"
+            typer.echo(msgspec.json.encode(accepted).decode() if as_json else words)
+            return accepted
+        case Result(error=error):
+            fail_edit(error, as_json)
+
+
+def fail_edit(error: EditError, as_json: bool) -> NoReturn:
+    """End the program with what became of a change that did not hold."""
+    match error:
+        case InvalidSettings(faults):
+            fail_invalid(faults, as_json)
+        case NotKnown(message, operation_id):
+            command = (
+                f"balsamspindle-ctl settings settle {operation_id}"
+                if operation_id
+                else "balsamspindle-ctl settings fleet-key"
+            )
+            message = f"not known ({message}): decide it with `{command}`"
+            fail(message, ExitStatus.NOT_KNOWN)
+        case _:
+            fail(f"not accepted: {error.message}", _STATUSES[type(error)])
+
+
+def fail_invalid(faults: list[Fault], as_json: bool) -> NoReturn:
+    """List all faults and end the program."""
+    if as_json:
+        typer.echo(msgspec.json.encode(faults).decode())
+    lines = [str(fault) for fault in faults]
+    fail("\n".join([*lines, f"{len(faults)} faults"]), ExitStatus.INVALID)
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -111,7 +111,7 @@
         for error, status, words in ends:
             store = SettingsStore(None)
             store.apply = lambda *_, error=error: Error(error)
-            self.patch(ctl_edits, "_store", lambda _, store=store: store)
+            self.patch(ctl_edits, "open_store", lambda _, store=store: store)
             result = run("settings", "set", "crew/services/a", stdin="{}")
             self.assertEqual(ExitStatus[status], result.exit_code)
             self.assertIn(words, result.stderr)
@@ -141,6 +141,10 @@
         self.settings("settle", "never-sent", status=ExitStatus.FAILED)
         result = self.settings("history", "--diff", "--limit", "1")
         self.assertIn('-  "service": "crew/contracts"', result.stdout)
+        result = self.settings("restart", "--above", "10")
+        self.assertEqual("accepted at revision 11\n", result.stdout)
+        result = self.settings("history", "--limit", "1")
+        self.assertIn("all settings of the platform, anew", result.stdout)
         two_teams = json.dumps({"crew/services/a": {}, "yard/services/b": {}})
         self.settings("apply", stdin=two_teams, status=ExitStatus.USAGE)
 
