--- a/balsamspindle/cli/explanations.py
+++ b/balsamspindle/cli/explanations.py
@@ -46,7 +46,7 @@
     return (
         f"{head}\n"
         f"{explanation.in_use_slots:g} of {explanation.known_slots:g} slots "
-        f"take work; ejection leaves at least {explanation.floor_slots:g} "
+        f"take work; the floor is {explanation.floor_slots:g} "
         f"(floor_fraction {explanation.floor_fraction:g})\n"
         f"{explanation.cause}"
     )
--- a/balsamspindle/settings/shapes.py
+++ b/balsamspindle/settings/shapes.py
@@ -67,4 +67,7 @@
 
 
 def _description(info: inspect.StrType) -> str:
-    return f" that matches {info.pattern}" if info.pattern else ""
+    length = f" of {info.max_length} characters" if info.max_length else ""
+    if info.max_length != info.min_length:
+        length = length.replace("of", "of at most")
+    return f"{length} that matches {info.pattern}" if info.pattern else length
