--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -133,6 +133,17 @@
                 answer = self._call(server.address, execution)
                 self.assertEqual(BackendAnswer(200, [], b"whole"), answer, name)
 
+    def test_an_answer_that_nobody_asked_for_is_not_the_next_ones(self):
+        # The backend server sends two answers to one request. On a connection
+        # that is used again the second one would be the next caller's.
+        stray = WHOLE + length_answer(b"stray")
+        server = self._server(
+            lambda number: (stray, True) if number == 1 else (WHOLE, True)
+        )
+        for _ in range(3):
+            answer = self._call(server.address, Execution.IDEMPOTENT)
+            self.assertEqual(b"whole", answer.body)
+
     def test_a_head_answer_has_a_length_and_no_body(self):
         head = HEAD_200 + b"Content-Length: 5\r\n\r\n"
         server = self._server(lambda number: (head, True))
