Ask idle links of idempotent requests after 10 s only; allow for drift ahead

A greeting costs a round trip of its own, more than the 1.7 ms that may be added at all once zones are apart; a request that may be tried again does not need the proof. The gate's clock was estimated without drift between the last message and the deadline, so a deadline could be late by 0.02 % of that time: the stricter clock test failed on it (also with the drift in 'note' off).

--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -216,7 +216,9 @@
         return _noted(forwarded, reply)
 
     def _attempt_over_link(self, forwarded, placement, dispatch) -> Reply:
-        link = self._links.take(placement.node.link_address, forwarded.deadline_s)
+        link = self._links.take(
+            placement.node.link_address, forwarded.deadline_s, dispatch.execution
+        )
         if link is None:
             return Reply(dispatch.attempt_id, Outcome.NOT_RUN, Reason.UNREACHABLE)
         # The claim is made only with a link that was heard: made for a gate
--- a/balsamspindle/requests/links.py
+++ b/balsamspindle/requests/links.py
@@ -13,6 +13,7 @@
 import zmq
 from expression import Result
 
+from balsamspindle.requests.outcomes import Execution
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import (
     AttemptId,
@@ -31,8 +32,9 @@
 
 CONNECT_TIMEOUT_S = 0.25
 # A link that was silent for longer is asked again before it is used: one way
-# of the network may have been cut meanwhile.
-HEARD_FRESH_S = 1.0
+# of the network may have been cut meanwhile. That costs a round trip, which a
+# request that may be tried again elsewhere does not need.
+HEARD_FRESH_S = {Execution.NON_IDEMPOTENT: 1.0, Execution.IDEMPOTENT: 10.0}
 GIVE_UP_POLL_MS = 200
 IDLE_LINKS_PER_PEER_MAX = 8
 CANCEL_LINGER_MS = 1000
@@ -60,7 +62,8 @@
 
     def at(self, local_s: float) -> float:
         """Return the gate's time at a time of ours, or a little less."""
-        return local_s + self._offset_s
+        drift_s = max(0.0, local_s - self._noted_s) * CLOCK_DRIFT_MAX
+        return local_s + self._offset_s - drift_s
 
 
 class Link:
@@ -92,13 +95,13 @@
         """Tell whether the connection is up, as far as this end knows."""
         return bool(self._socket.poll(0, zmq.POLLOUT))
 
-    def ready(self, now_s: float, give_up_s: float) -> bool:
+    def ready(self, now_s: float, give_up_s: float, execution: Execution) -> bool:
         """Tell whether both directions work; ask the gate unless it spoke lately.
 
         A request sent into a link that only looks open would end as
         'unknown'; found here, it is proven not run.
         """
-        if now_s - self._heard_s < HEARD_FRESH_S:
+        if now_s - self._heard_s < HEARD_FRESH_S[execution]:
             return self.connected()
         if not self._wait(zmq.POLLOUT, give_up_s) or not self._send(Greet()):
             return False
@@ -226,7 +229,9 @@
         self._lock = threading.Lock()
         self._idle: dict[str, list[Link]] = {}
 
-    def take(self, address: str, deadline_s: float) -> Link | None:
+    def take(
+        self, address: str, deadline_s: float, execution: Execution
+    ) -> Link | None:
         """Return a link that works both ways and is the caller's, or None."""
         give_up_s = min(deadline_s, time.monotonic() + CONNECT_TIMEOUT_S)
         while True:
@@ -235,7 +240,7 @@
                 link = idle.pop() if idle else None
             is_new = link is None
             link = link or Link(self._context, address, self._keys)
-            if link.ready(time.monotonic(), give_up_s):
+            if link.ready(time.monotonic(), give_up_s, execution):
                 return link
             # One that is open but silent speaks for all links to this peer.
             is_silent = link.connected()
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -211,7 +211,7 @@
         # open. Requests would vanish, or run with their answers lost: each an
         # 'unknown'. The link is asked first, so that the caller hears 'not
         # run', truthfully.
-        self.patch(links, "HEARD_FRESH_S", 0.0)
+        self.patch(links, "HEARD_FRESH_S", dict.fromkeys(Execution, 0.0))
         for direction in ("forward", "backward"):
             gate, relay, ingress = self._relayed()
             self.assertEqual(Outcome.ANSWERED, ingress.request().outcome)
@@ -276,13 +276,15 @@
         for _ in range(50):
             start_s = rng.uniform(-1e6, 1e6)
             rate = 1 + rng.uniform(-1, 1) * 2e-4
-            clock, now_s, best_s = GateClock(), rng.uniform(0, 1e6), 0.0
+            clock, now_s = GateClock(), rng.uniform(0, 1e6)
             begin_s = now_s
             for _ in range(50):
                 now_s += rng.choice([0.01, 1, 600])
                 one_way_s = rng.expovariate(100)
                 said_s = start_s + (now_s - one_way_s - begin_s) * rate
                 clock.note(said_s, now_s)
-                true_s = start_s + (now_s + 2 - begin_s) * rate
-                best_s = true_s - clock.at(now_s + 2)
-                self.assertTrue(-2 * 2e-4 <= best_s <= one_way_s + 0.01, best_s)
+                for later_s in (0, 2, 60):
+                    true_s = start_s + (now_s + later_s - begin_s) * rate
+                    early_s = true_s - clock.at(now_s + later_s)
+                    early_max_s = one_way_s * 1.001 + later_s / 1000
+                    self.assertTrue(-1e-6 <= early_s <= early_max_s, early_s)
