Fit the link tests to callers' limits as a type

HttpConnection takes HttpLimits since callers' bounds were gathered there; the tests passed a number and all failed for it (their checks are unchanged).

--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -17,7 +17,7 @@
 from balsamspindle.membership import Directory
 from balsamspindle.requests import links
 from balsamspindle.requests.forwarding import ForwardedRequest, Forwarder
-from balsamspindle.requests.http import CallerRequest, HttpConnection
+from balsamspindle.requests.http import CallerRequest, HttpConnection, HttpLimits
 from balsamspindle.requests.links import GateClock, LinkPool
 from balsamspindle.requests.outcomes import Execution, Outcome, Reason
 from balsamspindle.services.picker import Picker
@@ -82,11 +82,11 @@
         """Forward one request of a caller that waits."""
         near, far = socket.socketpair()
         with near, far:
-            request = CallerRequest("POST", "/sign", [], body)
+            request = CallerRequest("POST", "/sign", body=body)
             return self._forwarder.forward(
                 ForwardedRequest(
                     "id",
-                    HttpConnection(near, 1000),
+                    HttpConnection(near, HttpLimits()),
                     request,
                     msgspec.structs.replace(ROUTE, **route),
                     time.monotonic() + timeout_s,
