--- a/balsamspindle/membership/sync.py
+++ b/balsamspindle/membership/sync.py
@@ -13,9 +13,11 @@
 import msgspec
 
 from balsamspindle.membership.channel import Channel, Peer
+from balsamspindle.membership.fingerprints import BUCKETS
 from balsamspindle.membership.knowledge import Knowledge
 from balsamspindle.wire import (
     News,
+    NodeRecord,
     NodeSummary,
     Page,
     Pull,
@@ -34,7 +36,12 @@
 REPAIR_INTERVAL_S = 2.0
 SUMMARY_MAX_NODES = 64
 WANTS_MAX = 64
-PAGE_MAX_BYTES = 24 * 1024
+PAGE_MAX_BYTES = 64 * 1024
+# With more buckets that differ than these a node fetches all, bucket by
+# bucket: it would spend its bytes on digests and lists of nodes.
+FETCH_ALL_ABOVE = 64
+FETCHES_PER_TICK = 4
+BUCKETS_PER_PULL_MAX = 4
 
 _encoder = msgspec.msgpack.Encoder()
 
@@ -60,6 +67,7 @@
         self._next_greeting_s = float("-inf")
         self.pages = 0
         self.catching_up = False
+        self._to_fetch: list[int] = []
         channel.register("sync_request", SyncRequest, self._request)
         channel.register("sync_summary", SyncSummary, self._summary)
         channel.register("pull", Pull, self._pull)
@@ -67,11 +75,12 @@
 
     def tick(self, now_s: float) -> None:
         """Start a comparison when it is due."""
-        if now_s < self._next_s:
-            return
         peers = self._knowledge.peers()
         if not peers:
             return
+        self._fetch(peers, now_s)
+        if now_s < self._next_s or self._to_fetch:
+            return
         # Not all at the same time after a common cause.
         self._next_s = now_s + SYNC_INTERVAL_S * self._random.uniform(0.5, 1.5)
         asked = min(len(peers), CATCH_UP_PEERS if self.catching_up else 1)
@@ -82,6 +91,15 @@
             if not self._channel.send(peer.member_address, request, now_s):
                 self.hurry(now_s, REPAIR_INTERVAL_S)
 
+    def _fetch(self, peers: list[NodeRecord], now_s: float) -> None:
+        """Pull whole buckets from different peers, as the byte cap allows."""
+        for _ in range(min(FETCHES_PER_TICK, len(self._to_fetch))):
+            peer = self._random.choice(peers)
+            pull = Pull([], [self._to_fetch[-1]])
+            if not self._channel.send(peer.member_address, pull, now_s):
+                return
+            self._to_fetch.pop()
+
     def greet(self, peer: Peer, now_s: float) -> None:
         """Compare with a peer that is not known yet, not more often than due."""
         if now_s < self._next_greeting_s:
@@ -117,6 +135,10 @@
         some_left = summary.differing > len(summary.buckets)
         self.catching_up |= some_left
         self.hurry(now_s, CATCH_UP_INTERVAL_S if some_left else REPAIR_INTERVAL_S)
+        if summary.differing > FETCH_ALL_ABOVE and not self._to_fetch:
+            self._to_fetch = self._random.sample(range(BUCKETS), BUCKETS)
+        if self._to_fetch:
+            return
         wants = [want for want in map(self._want, summary.nodes) if want is not None]
         if wants:
             self._channel.answer(peer, Pull(wants[:WANTS_MAX]), now_s)
@@ -167,6 +189,9 @@
                 continue
             same = want.incarnation == view.record.incarnation
             news.append(view.news(want.above_version if same else 0))
+        for bucket in pull.buckets[:BUCKETS_PER_PULL_MAX]:
+            for summary in self._knowledge.directory.summaries(bucket):
+                news.append(self._knowledge.directory.view(summary.node_id).news())
         page = _fitting(news)
         self._channel.answer(peer, Page(page, len(news) - len(page)), now_s)
 
--- a/balsamspindle/wire/member_messages.py
+++ b/balsamspindle/wire/member_messages.py
@@ -305,9 +305,16 @@
 
 
 class Pull(msgspec.Struct, array_like=True, frozen=True):
-    """Send these nodes' records, as far as one page holds."""
+    """Send these nodes' records, as far as one page holds.
+
+    Attributes
+    ----------
+    buckets : list of int
+        Buckets whose nodes are wanted altogether: a joiner knows none.
+    """
 
     wants: list[Want]
+    buckets: list[int] = []
 
 
 class Page(msgspec.Struct, array_like=True, frozen=True):
--- a/bench/membership.py
+++ b/bench/membership.py
@@ -44,6 +44,7 @@
 TARGET_SERVERS_PER_NODE = 25
 TARGET_SERVICES = 6_500
 BURST_NODES_FRACTION = 0.1
+ANSWERING = 8
 ZMQ_MESSAGES = 2_000
 ZMQ_CONNECTS = 200
 
@@ -326,6 +327,42 @@
     }
 
 
+def measure_join_at_size(nodes: int) -> dict:
+    """Return how a joiner catches up in a fleet of so many nodes.
+
+    A few real members know all of a synthetic fleet and answer for any of
+    its addresses, each within its cap. Nobody probes.
+    """
+    network = MemberNetwork()
+    known = [node_news(number, 25, TARGET_SERVICES) for number in range(nodes)]
+    answering = []
+    for number in range(ANSWERING):
+        member = network.add(nodes + number, "zone-0", "region-0")
+        for news in known:
+            member.directory.apply(news, network.now_s)
+        answering.append(member)
+    for number, news in enumerate(known):
+        network.nodes[news.header.member_address] = answering[number % ANSWERING]
+    joiner = network.add(nodes + ANSWERING, "zone-0", "region-0", answering[:1])
+    for node in (*answering, joiner):
+        node.member._prober.tick = lambda now_s: None
+    joiner.directory.apply(answering[0].member.knowledge.own.whole(), network.now_s)
+    started_s = network.now_s
+    shares = {}
+    for share in (0.5, 0.9, 0.99, 1.0):
+        done = network.run(
+            600, lambda share=share: len(joiner.alive()) >= share * nodes
+        )
+        shares[str(share)] = network.now_s - started_s if done else math.inf
+    return {
+        "nodes": nodes,
+        "answering_nodes": ANSWERING,
+        "s_until_share": shares,
+        "received_bytes": joiner.transport.received_bytes,
+        "sent_bytes": joiner.member.budget.spent_bytes,
+    }
+
+
 def measure_zmq() -> dict:
     """Return CPU of real sockets: one message there and back, one connect.
 
@@ -422,6 +459,7 @@
             measure_member_at_size(nodes)
             for nodes in (QUICK_SIZES if quick else DIRECTORY_NODES)
         ],
+        "join_at_size": measure_join_at_size(200 if quick else TARGET_NODES),
         "zmq": measure_zmq(),
     }
     if as_json:
@@ -448,6 +486,7 @@
     for part in ("burst", "directory", "member"):
         for row in result[part]:
             print(part, {key: round(value, 5) for key, value in row.items()})
+    print("join_at_size", result["join_at_size"])
     print("zmq", {key: round(value, 1) for key, value in result["zmq"].items()})
 
 
