Let a joiner that knows nobody take its first nodes; pulls before comparisons

A joiner whose first comparison differs in more than 64 buckets waits until it can fetch whole buckets from its peers. One that knows no node yet has none: in a fleet where nobody else joins it compared for ever and knew one node. It now takes its first nodes from that summary.

--- a/balsamspindle/membership/sync.py
+++ b/balsamspindle/membership/sync.py
@@ -138,13 +138,20 @@
         some_left = summary.differing > len(summary.buckets)
         self.catching_up |= some_left
         self.hurry(now_s, CATCH_UP_INTERVAL_S if some_left else REPAIR_INTERVAL_S)
-        if summary.differing > FETCH_ALL_ABOVE and not self._to_fetch:
+        # A joiner that knows nobody yet has no peers to fetch from: it takes
+        # its first nodes from this summary, or it would wait for ever.
+        much = summary.differing > FETCH_ALL_ABOVE and self._knowledge.peers()
+        if much and not self._to_fetch:
             self._to_fetch = self._random.sample(range(BUCKETS), BUCKETS)
         if self._to_fetch:
             return
         wants = [want for want in map(self._want, summary.nodes) if want is not None]
         if wants:
-            self._channel.answer(peer, Pull(wants[:WANTS_MAX]), now_s)
+            # Before comparisons with further peers: those would take all the
+            # bytes, no pull would go out, and the next comparison would find
+            # the same difference again.
+            pull = Pull(wants[:WANTS_MAX])
+            self._channel.answer(peer, pull, now_s, Importance.URGENT)
         news = self._newer_here(summary)
         if news:
             self._channel.answer(peer, Page(self._page_of(news, now_s)), now_s)
--- a/bench/capacity/joining.py
+++ b/bench/capacity/joining.py
@@ -18,7 +18,7 @@
 from bench.capacity.slopes import fit_line
 from tests.member_network import MemoryTransport, RecordedEvents
 
-__all__ = ["measure"]
+__all__ = ["Join", "measure"]
 
 NODES = (700, 1400, 2800, 5600)
 GIVE_UP_S = 3600.0
@@ -29,7 +29,7 @@
 
 def measure() -> dict[str, float]:
     """Return time and bytes of a join, from its slopes."""
-    joins = [(nodes, _Join(LONG_RUN.scaled(nodes))) for nodes in NODES]
+    joins = [(nodes, Join(LONG_RUN.scaled(nodes))) for nodes in NODES]
     times = [(nodes, join.run()) for nodes, join in joins]
     largest = joins[-1][1]
     return {
@@ -41,7 +41,7 @@
     }
 
 
-class _Join:
+class Join:
     """One joiner before one source, on a clock of their own."""
 
     def __init__(self, size: FleetSize) -> None:
@@ -100,7 +100,7 @@
             lambda: self.now_s,
         )
 
-    def post(self, source: str, target: str, frame: bytes) -> None:
+    def post(self, source: str, target: str, frame: bytes, opened: bool = False):
         """Take what one of the two sends."""
         if source == self._source_address:
             self._answered.append(frame)
--- a/bench/capacity/mirror.py
+++ b/bench/capacity/mirror.py
@@ -86,7 +86,7 @@
             self.member.tick(self.now_s)
             self.cpu_s += time.process_time() - started_s
 
-    def post(self, source: str, target: str, frame: bytes) -> None:
+    def post(self, source: str, target: str, frame: bytes, opened: bool = False):
         """Take what the member sends, for `run` to turn around."""
         self._sent.append((target, frame))
 
