Measure each hop and count outcomes, for the status and Prometheus

metrics/: hdrhistogram for ingress, link, queue and backend server, counts of outcomes by service and of every event (dropped messages, undelivered answers, retries) where the event log emits them. In ADMIN/status as JSON, in ADMIN/metrics by prometheus_client.

--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -29,6 +29,7 @@
     LocalBackendServers,
 )
 from balsamspindle.backend_servers.slots import WorkEnd
+from balsamspindle.metrics import Hop
 from balsamspindle.requests.outcomes import Execution, Outcome, Reason
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import AttemptId, Dispatch, Reply, checksum
@@ -156,7 +157,9 @@
     def _handle_new(self, dispatch, token, deadline_s) -> Reply:
         if checksum(dispatch.body) != dispatch.body_checksum:
             return self._refuse(dispatch, Reason.DAMAGED)
-        match self._admission.admit(dispatch, token, deadline_s):
+        with self._events.metrics.timed(Hop.QUEUE):
+            decision = self._admission.admit(dispatch, token, deadline_s)
+        match decision:
             case Refused(reason, retry_after_ms):
                 reply = self._refuse(dispatch, reason)
                 return msgspec.structs.replace(reply, retry_after_ms=retry_after_ms)
@@ -189,16 +192,17 @@
         self._observer.started(server_id, attempt_id, time.monotonic())
         result = None
         try:
-            result = self._client.call(
-                server.announcement.address,
-                dispatch.method,
-                dispatch.target,
-                dispatch.headers,
-                dispatch.body,
-                dispatch.execution,
-                (deadline_s - time.monotonic()) * 1000,
-                token,
-            )
+            with self._events.metrics.timed(Hop.BACKEND_SERVER):
+                result = self._client.call(
+                    server.announcement.address,
+                    dispatch.method,
+                    dispatch.target,
+                    dispatch.headers,
+                    dispatch.body,
+                    dispatch.execution,
+                    (deadline_s - time.monotonic()) * 1000,
+                    token,
+                )
         finally:
             free_slots = self._admission.release(admitted, _work_end(result))
             judgement = self._observer.ended(
--- /dev/null
+++ b/balsamspindle/metrics/__init__.py
@@ -0,0 +1,6 @@
+"""Latencies and counts of one process."""
+
+from balsamspindle.metrics.exposition import prometheus_text
+from balsamspindle.metrics.recorder import Hop, HopLatency, Metrics, MetricsReport
+
+__all__ = ["Hop", "HopLatency", "Metrics", "MetricsReport", "prometheus_text"]
--- /dev/null
+++ b/balsamspindle/metrics/exposition.py
@@ -0,0 +1,59 @@
+"""Metrics in the Prometheus text format."""
+
+from collections.abc import Iterator
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import CounterMetricFamily, Metric
+from prometheus_client.registry import Collector
+
+from balsamspindle.metrics.recorder import MetricsReport
+
+__all__ = ["prometheus_text"]
+
+LATENCY_NAME = "balsamspindle_hop_latency_seconds"
+
+
+def prometheus_text(report: MetricsReport) -> bytes:
+    """Return a report in the Prometheus text format."""
+    registry = CollectorRegistry()
+    registry.register(_ReportCollector(report))
+    return generate_latest(registry)
+
+
+class _ReportCollector(Collector):
+    def __init__(self, report: MetricsReport) -> None:
+        self._report = report
+
+    def collect(self) -> Iterator[Metric]:
+        yield self._latencies()
+        outcomes = CounterMetricFamily(
+            "balsamspindle_requests",
+            "Ended requests by service and outcome.",
+            labels=("service", "outcome"),
+        )
+        for service, counts in self._report.outcomes.items():
+            for outcome, count in counts.items():
+                outcomes.add_metric((service, outcome), count)
+        yield outcomes
+        events = CounterMetricFamily(
+            "balsamspindle_events", "Events of the time line.", labels=("event",)
+        )
+        for event, count in self._report.events.items():
+            events.add_metric((event,), count)
+        yield events
+
+    def _latencies(self) -> Metric:
+        metric = Metric(LATENCY_NAME, "Time that each hop took.", "summary")
+        for hop, latency in self._report.hops.items():
+            labels = {"hop": hop}
+            for quantile, value_ms in (
+                ("0.5", latency.p50_ms),
+                ("0.99", latency.p99_ms),
+                ("0.999", latency.p999_ms),
+            ):
+                metric.add_sample(
+                    LATENCY_NAME, {**labels, "quantile": quantile}, value_ms / 1000
+                )
+            metric.add_sample(f"{LATENCY_NAME}_count", labels, latency.count)
+            metric.add_sample(f"{LATENCY_NAME}_sum", labels, latency.total_ms / 1000)
+        return metric
--- a/balsamspindle/node/admin.py
+++ b/balsamspindle/node/admin.py
@@ -8,6 +8,7 @@
     curl -X POST ADMIN/backend-servers/ID/undrain
     curl -X POST ADMIN/settings/accepted -d '{"revision": 17}'
     curl ADMIN/status
+    curl ADMIN/metrics
     curl ADMIN/services/crew/contracts/explain
     curl ADMIN/events?after=0
 """
@@ -16,11 +17,13 @@
 from collections.abc import Callable
 
 import msgspec
+from prometheus_client import CONTENT_TYPE_LATEST
 from werkzeug.exceptions import BadRequest, HTTPException, NotFound
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
 
 from balsamspindle.backend_servers.servers import Announcement, LocalBackendServers
+from balsamspindle.metrics import prometheus_text
 from balsamspindle.node.status import NodeStatus
 from balsamspindle.services.explanation import ServiceExplanation
 from balsamspindle.settings.documents import NAME_PATTERN
@@ -39,6 +42,7 @@
         ),
         Rule("/settings/accepted", endpoint="settings_accepted", methods=["POST"]),
         Rule("/status", endpoint="status", methods=["GET"]),
+        Rule("/metrics", endpoint="metrics", methods=["GET"]),
         Rule(
             "/services/<team>/<name>/explain",
             endpoint="explain_service",
@@ -131,6 +135,10 @@
         self._on_settings_accepted(accepted.revision)
         return _json({})
 
+    def _metrics(self, request):
+        text = prometheus_text(self._event_log.metrics.report())
+        return Response(text, content_type=CONTENT_TYPE_LATEST)
+
     def _status(self, request):
         return _json(self._read_status())
 
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -290,6 +290,7 @@
             list(self._backend_server_records()),
             self._settings_tasks.status(),
             self._ingress.accepting(),
+            self.events.metrics.report(),
         )
 
     def _explain_service(self, service: str) -> ServiceExplanation:
--- a/balsamspindle/node/status.py
+++ b/balsamspindle/node/status.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from balsamspindle.metrics import MetricsReport
 from balsamspindle.settings.reader import PlatformState
 from balsamspindle.wire import BackendServerRecord, NodeRecord
 
@@ -43,6 +44,8 @@
         Those that stand beside it.
     accepting : bool
         Whether callers can connect.
+    metrics : MetricsReport
+        Latencies and counts since the process started.
     """
 
     node_id: str
@@ -52,3 +55,4 @@
     backend_servers: list[BackendServerRecord]
     settings: SettingsStatus | None = None
     accepting: bool = True
+    metrics: MetricsReport | None = None
--- a/balsamspindle/requests/ingress.py
+++ b/balsamspindle/requests/ingress.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
+from balsamspindle.metrics import Hop
 from balsamspindle.requests.answers import encode_answer, encode_problem
 from balsamspindle.requests.closing import close_listener, close_politely
 from balsamspindle.requests.connections import OpenConnections
@@ -222,6 +223,7 @@
             case RouteDocument() as route:
                 answer = self._forward(caller, request, request_id, route, received_s)
         self._write(caller, request_id, answer)
+        self._events.metrics.record(Hop.INGRESS, time.monotonic() - received_s)
         return request.keep_alive
 
     def _settle_keep_alive(self, request: CallerRequest) -> bool:
@@ -252,6 +254,7 @@
         )
         reply = self._forwarder.forward(forwarded)
         self._note_end(request_id, reply.outcome, reply.reason, reply.status)
+        self._events.metrics.count_outcome(route.service, reply.outcome.value)
         return _encode_reply(
             reply, request, request_id, self._settle_keep_alive(request)
         )
--- a/balsamspindle/requests/links.py
+++ b/balsamspindle/requests/links.py
@@ -12,6 +12,7 @@
 import msgspec
 import zmq
 
+from balsamspindle.metrics import Hop, Metrics
 from balsamspindle.requests.outcomes import Execution
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import (
@@ -70,9 +71,15 @@
     """One connection to one peer's gate."""
 
     def __init__(
-        self, context: zmq.Context, address: str, keys: FleetKeys | None = None
+        self,
+        context: zmq.Context,
+        address: str,
+        keys: FleetKeys | None,
+        metrics: Metrics,
     ) -> None:
         self.address = address
+        self._metrics = metrics
+        self._sent_s = 0.0
         self.gate_clock = GateClock()
         # Who answers here, by its own word; known once the link was `ready`.
         self.gate: tuple[str, int] = ("", 0)
@@ -123,6 +130,7 @@
     def send_dispatch(self, dispatch: Dispatch, deadline_s: float) -> bool:
         """Send an attempt; False when nothing was handed to a connection."""
         now_s = time.monotonic()
+        self._sent_s = now_s
         self._gate_deadline_s = self.gate_clock.at(deadline_s)
         message = msgspec.structs.replace(
             dispatch,
@@ -205,6 +213,7 @@
             case Reply() as reply:
                 if reply.attempt_id == attempt_id:
                     self._hear(reply.gate_time_s)
+                    self._metrics.record(Hop.LINK, self._heard_s - self._sent_s)
                     return reply
                 # The reply of an attempt that was given up, on a link that
                 # serves another one now. Taken for ours it would be a
@@ -239,7 +248,9 @@
                 idle = self._idle.get(address)
                 link = idle.pop() if idle else None
             is_new = link is None
-            link = link or Link(self._context, address, self._keys)
+            link = link or Link(
+                self._context, address, self._keys, self._events.metrics
+            )
             if link.ready(time.monotonic(), give_up_s, execution):
                 return link
             # One that is open but silent speaks for all links to this peer.
--- a/balsamspindle/timeline/events.py
+++ b/balsamspindle/timeline/events.py
@@ -10,6 +10,7 @@
 
 from loguru import logger
 
+from balsamspindle.metrics import Metrics
 from balsamspindle.timeline.clock import HybridClock
 from balsamspindle.timeline.recent import EventPage, RecentEvents
 
@@ -74,6 +75,11 @@
         Shared with the process's messages.
     stream : file, default=None
         Where the lines go; standard error when None.
+
+    Attributes
+    ----------
+    metrics : Metrics
+        Of the same process; counts the events.
     """
 
     def __init__(self, node_id, incarnation, clock: HybridClock, stream=None):
@@ -94,6 +100,7 @@
         # last batch is written too.
         self._executor = ThreadPoolExecutor(1, "event-log")
         self._recent = RecentEvents()
+        self.metrics = Metrics()
 
     def emit(self, event: str, **fields: object) -> int:
         """Write one event soon and return its hybrid time."""
@@ -109,6 +116,7 @@
             f"wall_s={wall_s:.6f} hlc={hlc} {self._origin} event={event}"
             f"{''.join(pairs)}"
         )
+        self.metrics.count_event(event)
         self._recent.add(line, "request" in fields)
         self._append(line + "\n")
         return hlc
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,56 @@
+"""Latencies per hop and counts, as an operator reads them from a node."""
+
+import re
+
+from testtools import TestCase
+
+from balsamspindle.metrics import Hop, Metrics, prometheus_text
+from tests.test_whole_path import SETTINGS
+from tests.utils import Fleet, call
+
+
+class MetricsTests(TestCase):
+    def test_a_hop_tells_its_quantiles_within_their_precision(self):
+        metrics = Metrics()
+        for number in range(1, 1001):
+            metrics.record(Hop.QUEUE, number / 1000)
+        latency = metrics.report().hops["queue"]
+        self.assertEqual((1000, 500500.0), (latency.count, latency.total_ms))
+        self.assertTrue(abs(latency.p99_ms - 990) <= 10, latency)
+
+    def test_the_text_form_escapes_what_a_label_holds(self):
+        metrics = Metrics()
+        metrics.count_outcome('crew/"contracts"\n', "unknown")
+        text = prometheus_text(metrics.report()).decode()
+        self.assertIn(
+            'balsamspindle_requests_total{outcome="unknown",'
+            'service="crew/\\"contracts\\"\\n"} 1.0',
+            text,
+        )
+
+
+class NodeMetricsTests(TestCase):
+    def test_a_request_through_two_nodes_is_seen_at_each_hop(self):
+        fleet = Fleet()
+        self.addCleanup(fleet.__exit__)
+        fleet.start_platform()
+        fleet.put_settings(SETTINGS)
+        ingress, gate = (fleet.start_node(f"node-{n}", f"zone-{n}") for n in range(2))
+        fleet.start_backend("contract-1", "crew/contracts", gate)
+        fleet.wait_ready([ingress, gate], ["contract-1"])
+        call(ingress.caller_address, "/contracts/7")
+        hops = {
+            name: node.status()["metrics"]["hops"]
+            for name, node in (("ingress", ingress), ("gate", gate))
+        }
+        seen = [
+            hops["ingress"]["ingress"]["count"],
+            hops["ingress"]["link"]["count"],
+            hops["gate"]["queue"]["count"],
+            hops["gate"]["backend_server"]["count"],
+        ]
+        self.assertEqual([1, 1, 1, 1], seen)
+        answer = call(ingress.admin_address, "/metrics")
+        self.assertTrue(answer.headers["content-type"].startswith("text/plain"))
+        pattern = r'requests_total\{outcome="answered",service="crew/contracts"\} 1\.0'
+        self.assertTrue(re.search(pattern, answer.body.decode()))
