Hand the caller's time on to the backend server, shrunk

The ingress takes X-Request-Timeout-Ms out, the gate's client puts in what is left. One set of hop-by-hop headers for both directions (answers.py now takes it from heads.py). A test through real processes: refused shapes never run.

--- a/balsamspindle/backend_servers/answers.py
+++ b/balsamspindle/backend_servers/answers.py
@@ -2,6 +2,11 @@
 
 from typing import NamedTuple
 
+from balsamspindle.requests.heads import (
+    HOP_BY_HOP_HEADERS,
+    OUTCOME_HEADER,
+    named_by_connection,
+)
 from balsamspindle.requests.outcomes import Reason
 
 __all__ = [
@@ -11,24 +16,13 @@
     "end_to_end_headers",
 ]
 
-# Headers that belong to one connection (RFC 9110, 7.6.1), those that the
-# client writes itself, and the one that only the fleet may say.
-_STOPPED_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "expect",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "x-balsamspindle-outcome",
-    }
-)
+# Headers that belong to one connection, those that the client writes itself,
+# and the one that only the fleet may say.
+_STOPPED_HEADERS = HOP_BY_HOP_HEADERS | {
+    "content-length",
+    "expect",
+    OUTCOME_HEADER.lower(),
+}
 _BODILESS_STATUSES = frozenset({204, 304})
 _CONTROL_CHARACTERS = frozenset("\r\n\0")
 
@@ -60,7 +54,7 @@
     stopped = set(_STOPPED_HEADERS)
     for name, value in headers:
         if name.lower() == "connection":
-            stopped.update(option.strip().lower() for option in value.split(","))
+            stopped.update(named_by_connection(value))
     return [(name, value) for name, value in headers if name.lower() not in stopped]
 
 
--- a/balsamspindle/backend_servers/client.py
+++ b/balsamspindle/backend_servers/client.py
@@ -15,6 +15,7 @@
     end_to_end_headers,
 )
 from balsamspindle.backend_servers.cancellation import CancelToken
+from balsamspindle.requests.heads import TIMEOUT_HEADER
 from balsamspindle.requests.outcomes import Execution, Reason
 
 __all__ = ["BackendAnswer", "BackendFailure", "BackendServerClient"]
@@ -67,7 +68,15 @@
         handle.curl.setopt(pycurl.REQUEST_TARGET, target.encode("latin-1"))
         handle.curl.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_ms)))
         handle.curl.setopt(
-            pycurl.HTTPHEADER, [*_header_lines(headers), "Expect:", "Accept-Encoding:"]
+            pycurl.HTTPHEADER,
+            [
+                *_header_lines(headers),
+                # What is left of the caller's time, so that the backend server
+                # need not work on what nobody waits for any more.
+                f"{TIMEOUT_HEADER}: {max(1, int(timeout_ms))}",
+                "Expect:",
+                "Accept-Encoding:",
+            ],
         )
         _set_method(handle.curl, method, body)
         try:
--- a/balsamspindle/requests/heads.py
+++ b/balsamspindle/requests/heads.py
@@ -6,7 +6,6 @@
 """
 
 import re
-from collections.abc import Iterable
 from typing import NamedTuple
 
 from balsamspindle.requests.outcomes import Reason
@@ -20,7 +19,7 @@
     "TIMEOUT_HEADER",
     "BadRequest",
     "RequestHead",
-    "end_to_end",
+    "named_by_connection",
     "read_head",
 ]
 
@@ -134,16 +133,6 @@
     return RequestHead(method, _check_target(target, host), host, headers, noted)
 
 
-def end_to_end(headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
-    """Return the headers that don't belong to one connection."""
-    headers = list(headers)
-    stopped = HOP_BY_HOP_HEADERS
-    for name, value in headers:
-        if name.lower() == "connection":
-            stopped = stopped | _named_by_connection(value)
-    return [pair for pair in headers if pair[0].lower() not in stopped]
-
-
 def _sort_headers(raw_headers) -> tuple[list[tuple[str, str]], dict[str, str]]:
     headers: list[tuple[str, str]] = []
     noted: dict[str, str] = {}
@@ -155,7 +144,7 @@
         if lower not in _NOT_PASSED_ON:
             headers.append((name, value))
     if "connection" in noted:
-        named = _named_by_connection(noted["connection"]) - {"host"}
+        named = named_by_connection(noted["connection"]) - {"host"}
         headers = [pair for pair in headers if pair[0].lower() not in named]
     return headers, noted
 
@@ -171,7 +160,8 @@
         noted[name] += f",{value}"
 
 
-def _named_by_connection(value: str) -> set[str]:
+def named_by_connection(value: str) -> set[str]:
+    """Return the headers that a Connection header ties to its connection."""
     return {name.strip().lower() for name in value.split(",")}
 
 
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -212,6 +212,11 @@
         self.assertEqual((Reason.CANCELLED, False), failure[:2])
         self.assertEqual([], server.requests)
 
+    def test_a_backend_server_is_told_the_time_that_is_left(self):
+        server = self._server(lambda number: (WHOLE, True))
+        self._call(server.address, timeout_ms=1234.9)
+        self.assertIn(b"X-Request-Timeout-Ms: 1234\r\n", server.requests[0])
+
     def test_ended_calls_keep_no_descriptors(self):
         server = self._server(lambda number: (WHOLE, True))
         self._call(server.address)
--- a/tests/test_caller_side.py
+++ b/tests/test_caller_side.py
@@ -6,11 +6,13 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
+from balsamspindle.backend_servers.answers import end_to_end_headers
 from balsamspindle.requests import Reason
-from balsamspindle.requests.heads import BadRequest, end_to_end
+from balsamspindle.requests.heads import BadRequest
 from balsamspindle.requests.http import HttpConnection, HttpLimits
-from tests.caller_side import IngressFixture
-from tests.utils import wait_until
+from tests.caller_side import IngressFixture, RawCaller
+from tests.test_whole_path import SETTINGS
+from tests.utils import Fleet, wait_until
 
 GET = b"GET /contracts/7 HTTP/1.1\r\nHost: crew.example\r\n\r\n"
 
@@ -184,7 +186,7 @@
         self.assertEqual([("Host", "a"), ("X-End", "2")], passed[:2])
         self.assertEqual(["X-Request-Id"], [name for name, _ in passed[2:]])
         answer = [("Connection", "x-a"), ("X-A", "1"), ("X-B", "2"), ("Upgrade", "h2c")]
-        self.assertEqual([("X-B", "2")], end_to_end(answer))
+        self.assertEqual([("X-B", "2")], end_to_end_headers(answer))
 
     def test_a_backend_server_can_not_speak_for_the_fleet(self):
         # A sick or hostile backend server adds our own headers to its answer;
@@ -374,3 +376,26 @@
         counts = [len(read_all([stream])) for stream in STREAMS]
         self.assertEqual([3, 2, 2, 2, 2, 2], counts)
         self.assertEqual(Reason.BODY_TOO_LARGE, read_all([STREAMS[5]])[1])
+
+
+class WholeFleetTests(TestCase):
+    def test_what_an_ingress_refuses_never_runs_and_what_it_takes_runs_whole(self):
+        # Through real processes: a body in chunks is signed once and whole, a
+        # request of two lengths not at all, whatever stands behind it.
+        fleet = Fleet()
+        self.addCleanup(fleet.__exit__)
+        fleet.start_platform()
+        fleet.put_settings(SETTINGS)
+        ingress, gate = (fleet.start_node(f"node-{n}", f"zone-{n}") for n in range(2))
+        server = fleet.start_backend("contract-1", "crew/contracts", gate)
+        fleet.wait_ready([ingress, gate], ["contract-1"])
+        smuggled = post(b"X-Run-Key: smuggled\r\nContent-Length: 0")
+        refused = RawCaller(ingress.caller_address)
+        self.addCleanup(refused.close)
+        refused.send(post(b"Content-Length: 9\r\n" + CHUNKED, b"0\r\n\r\n") + smuggled)
+        self.assertEqual(400, refused.read().status)
+        taken = RawCaller(ingress.caller_address)
+        self.addCleanup(taken.close)
+        taken.send(post(b"X-Run-Key: taken\r\n" + CHUNKED, b"3\r\nabc\r\n0\r\n\r\n"))
+        self.assertEqual("abc", taken.read().json()["body"])
+        self.assertEqual({"taken": 1}, server.runs())
