--- a/balsamspindle/cli/edit_ends.py
+++ b/balsamspindle/cli/edit_ends.py
@@ -27,7 +27,6 @@
 _STATUSES = {
     NotOwner: ExitStatus.NOT_OWNER,
     SettingsConflict: ExitStatus.CONFLICT,
-    SettingsUnavailable: ExitStatus.UNAVAILABLE,
     Withdrawn: ExitStatus.FAILED,
 }
 
@@ -61,6 +60,9 @@
             )
             message = f"not known ({message}): decide it with `{command}`"
             fail(message, ExitStatus.NOT_KNOWN)
+        case SettingsUnavailable(message):
+            message = f"not accepted: {message}; repeat it when the platform answers"
+            fail(message, ExitStatus.UNAVAILABLE)
         case _:
             fail(f"not accepted: {error.message}", _STATUSES[type(error)])
 
