--- a/balsamspindle/cli/ctl_fleet.py
+++ b/balsamspindle/cli/ctl_fleet.py
@@ -2,6 +2,7 @@
 
 import difflib
 import re
+from collections.abc import Iterator
 from pathlib import Path
 from typing import NoReturn
 from urllib.parse import quote
@@ -75,7 +76,9 @@
 def _explain_service(service: str, nodes: list[str] | None, as_json: bool) -> None:
     if not nodes:
         fail(NO_NODE, ExitStatus.USAGE)
-    views = [_read_explanation(address, service) for address in nodes]
+    views = list(_read_explanations(service, nodes))
+    if not views:
+        fail("no node answered", ExitStatus.UNAVAILABLE)
     if not any(map(_is_known, views)):
         message = f"no service {service!r}: see `balsamspindle-ctl status`"
         fail(message, ExitStatus.NOT_FOUND)
@@ -85,13 +88,15 @@
         typer.echo("\n\n".join(map(format_service, views)))
 
 
-def _read_explanation(address: str, service: str) -> ServiceExplanation:
+def _read_explanations(service: str, nodes: list[str]) -> Iterator[ServiceExplanation]:
+    """Yield each node's view; one that does not answer is told and passed over."""
     path = f"/services/{service}/explain"
-    match AdminClient(address).read(path, ServiceExplanation):
-        case Result(tag="ok", ok=explanation):
-            return explanation
-        case Result(error=error):
-            _fail_at_node(error)
+    for address in nodes:
+        match AdminClient(address).read(path, ServiceExplanation):
+            case Result(tag="ok", ok=explanation):
+                yield explanation
+            case Result(error=error):
+                warn(error.message)
 
 
 def _is_known(explanation: ServiceExplanation) -> bool:
