Keep a drain through a pause of the announcements

Cause: a drained backend server whose announcements paused for over 5 s (or whose node was frozen so long) was forgotten, or taken for silent while it had work; its next announcement, of the same boot, made it ready again, and it got new work while its operator shut it down. The same happened when it announced other slots. The collection now remembers the boots that were drained (1,000 at most).

Found by reading. Change in backend_servers/servers.py.

--- a/balsamspindle/backend_servers/servers.py
+++ b/balsamspindle/backend_servers/servers.py
@@ -19,6 +19,7 @@
 ]
 
 ANNOUNCEMENT_TTL_S = 5.0
+DRAINED_BOOTS_MAX = 1_000
 
 
 class BackendServerState(StrEnum):
@@ -92,6 +93,11 @@
         self.changed = threading.Condition()
         self.version = 0
         self._servers: dict[str, LocalBackendServer] = {}
+        # Boots that were drained. Without this memory a pause of the
+        # announcements, or of this process, would end a drain: the backend
+        # server is forgotten, announced again, and gets work while its
+        # operator shuts it down.
+        self._drained_boots: dict[str, str] = {}
 
     def announce(
         self, backend_server_id: str, announcement: Announcement, now_s: float
@@ -102,22 +108,28 @@
             if server is not None and server.announcement == announcement:
                 server.announced_s = now_s
                 if server.state is BackendServerState.SILENT:
-                    server.state = BackendServerState.READY
+                    server.state = self._announced_state(server)
                     self._note_change()
                 return False
-            self._servers[backend_server_id] = LocalBackendServer(
-                backend_server_id, announcement, now_s
-            )
+            server = LocalBackendServer(backend_server_id, announcement, now_s)
+            server.state = self._announced_state(server)
+            self._servers[backend_server_id] = server
             self._note_change()
             return True
 
     def drain(self, backend_server_id: str) -> bool:
         """Let a backend server take no new work; False when it is unknown."""
-        return self._set_state(backend_server_id, BackendServerState.DRAINING)
+        with self.changed:
+            server = self._servers.get(backend_server_id)
+            if server is not None:
+                self._remember_drain(server)
+            return self._set_state(backend_server_id, BackendServerState.DRAINING)
 
     def undrain(self, backend_server_id: str) -> bool:
         """Let a draining backend server take work again."""
-        return self._set_state(backend_server_id, BackendServerState.READY)
+        with self.changed:
+            self._drained_boots.pop(backend_server_id, None)
+            return self._set_state(backend_server_id, BackendServerState.READY)
 
     def set_suspicion(self, backend_server_id: str, suspicion: float) -> bool:
         """Set what the fleet is told; False when the server is unknown."""
@@ -180,6 +192,18 @@
                 server.record(capacity(server)) for server in self._servers.values()
             )
 
+    def _announced_state(self, server: LocalBackendServer) -> BackendServerState:
+        drained_boot = self._drained_boots.get(server.backend_server_id)
+        if drained_boot == server.announcement.boot_id:
+            return BackendServerState.DRAINING
+        return BackendServerState.READY
+
+    def _remember_drain(self, server: LocalBackendServer) -> None:
+        self._drained_boots.pop(server.backend_server_id, None)
+        self._drained_boots[server.backend_server_id] = server.announcement.boot_id
+        if len(self._drained_boots) > DRAINED_BOOTS_MAX:
+            del self._drained_boots[next(iter(self._drained_boots))]
+
     def _set_state(self, backend_server_id, state) -> bool:
         with self.changed:
             server = self._servers.get(backend_server_id)
