--- a/balsamspindle/requests/links.py
+++ b/balsamspindle/requests/links.py
@@ -230,7 +230,10 @@
         self._idle: dict[str, list[Link]] = {}
 
     def take(
-        self, address: str, deadline_s: float, execution: Execution
+        self,
+        address: str,
+        deadline_s: float,
+        execution: Execution = Execution.NON_IDEMPOTENT,
     ) -> Link | None:
         """Return a link that works both ways and is the caller's, or None."""
         give_up_s = min(deadline_s, time.monotonic() + CONNECT_TIMEOUT_S)
