--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -56,3 +56,17 @@
             "both-drained", self.fleet.drained("a") + self.fleet.drained("b")
         )
         self.assertTrue(told["not_run"], told)
+
+    def test_a_full_gate(self):
+        # Sixteen more requests than there are slots, each of which takes most
+        # of its time: the gate queues some and sheds the rest.
+        pending = []
+        full = Fault(
+            lambda: pending.extend(self.requests.begin("gate-full/more", 16)),
+            lambda: [future.result() for future in pending],
+        )
+        slow = self.fleet.backend_fault(mode="slow", delay_s=0.3)
+        self.strike("gate-full", self.fleet.drained("b") + slow + full)
+        self.requests.check("gate-full/more")
+        told = self.requests.outcomes["gate-full/more"]
+        self.assertTrue(told["not_run"], told)
