--- a/balsamspindle/settings/documents.py
+++ b/balsamspindle/settings/documents.py
@@ -71,7 +71,7 @@
         Good requests in a row that end a trial.
     """
 
-    threshold: Positive = 7.0
+    threshold: Positive = 10.0
     error_rate_healthy: Fraction = 0.01
     error_rate_sick: Fraction = 0.3
     slow_factor: Annotated[float, msgspec.Meta(ge=1)] = 2.0
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -26,7 +26,7 @@
     """Feeds one `ServerHealth` a request every `INTERVAL_S`."""
 
     def __init__(self, detection=None, peers=PEERS_WELL) -> None:
-        self.health = ServerHealth(detection or Detection(), 0.0)
+        self.health = ServerHealth(detection or Detection(threshold=7.0), 0.0)
         self.peers = peers
         self.now_s = 0.0
         self.count = 0
--- a/tests/test_health_monitor.py
+++ b/tests/test_health_monitor.py
@@ -12,6 +12,7 @@
 from balsamspindle.wire import AttemptId
 
 SERVICE, SERVER = "crew/contracts", "contract-0"
+DETECTION = Detection(threshold=7.0)
 ERROR, ANSWERED = WorkResult.ERROR, WorkResult.ANSWERED
 
 
@@ -21,7 +22,7 @@
     def __init__(self) -> None:
         self.servers = LocalBackendServers()
         self.events = EventLog("node", 1, HybridClock(), io.StringIO())
-        self.monitor = HealthMonitor(self.servers, lambda _: Detection(), self.events)
+        self.monitor = HealthMonitor(self.servers, lambda _: DETECTION, self.events)
         self.now_s = 0.0
         self.count = 0
         self.announce("1")
