Count the live nodes of a region as they come and go

The directory now keeps the counts.

The test network tells a connection's opener by the transport alone, so that other fakes of the network keep their form. 21 membership tests pass.

--- a/balsamspindle/membership/directory.py
+++ b/balsamspindle/membership/directory.py
@@ -2,6 +2,7 @@
 
 import sys
 import threading
+from collections import Counter
 from typing import NamedTuple
 
 from balsamspindle.membership.fingerprints import Buckets
@@ -58,6 +59,9 @@
         self._placements: dict[str, tuple[Placement, ...]] = {}
         self._alive: list[NodeRecord] | None = None
         self._dead: dict[str, NodeView] = {}
+        # Counted as nodes come and go: in the minute in which a zone is lost
+        # each of its deaths would else walk all nodes.
+        self._live_in: Counter[str] = Counter()
 
     def update(self, record: NodeRecord, now_s: float) -> bool:
         """Take a whole record; return True when it was news."""
@@ -108,6 +112,7 @@
                 return False
             self._mix(view)
             view.dead_since_s = now_s
+            self._live_in[view.record.region] -= 1
             self._dead[node_id] = view
             self._alive = None
             self._index_all(view)
@@ -140,6 +145,12 @@
                 self._alive = alive
         return alive
 
+    def live_count(self, region: str | None = None) -> int:
+        """Return the number of nodes that are not dead, of a region or of all."""
+        if region is None:
+            return len(self._views) - len(self._dead)
+        return self._live_in[region]
+
     def dead(self) -> list[NodeView]:
         """Return the nodes that were declared dead and are not yet forgotten."""
         with self._lock:
@@ -196,6 +207,7 @@
             self._remove(old)
         view = NodeView(_header_record(news))
         self._views[news.node_id] = view
+        self._live_in[view.record.region] += 1
         self._bucket_ids.setdefault(view.bucket, {})[news.node_id] = None
         changed = self._set_entries(view, news)
         self._mix(view)
@@ -205,6 +217,7 @@
     def _remove(self, view: NodeView) -> None:
         if not view.is_dead:
             self._mix(view)
+            self._live_in[view.record.region] -= 1
         for entry in view.entries.values():
             self._count_service(view, entry.record, -1)
         del self._views[view.record.node_id]
@@ -213,7 +226,10 @@
         self._alive = None
 
     def _set_header(self, view: NodeView, news: NodeNews) -> None:
+        if not view.is_dead:
+            self._live_in[view.record.region] -= 1
         view.set_header(_header_record(news))
+        self._live_in[view.record.region] += 1
         self._dead.pop(news.node_id, None)
         self._alive = None
         self._index_all(view)
--- a/balsamspindle/membership/knowledge.py
+++ b/balsamspindle/membership/knowledge.py
@@ -1,7 +1,5 @@
 """What this node makes of news: the rules of suspicion, death and refutation."""
 
-from collections import Counter
-
 import msgspec
 
 from balsamspindle.membership.directory import Directory
@@ -62,7 +60,6 @@
         self._recent_deaths: dict[str, tuple[float, str]] = {}
         # Kept for as long as the directory's list of live nodes is the same.
         self._peers: tuple[list[NodeRecord] | None, list[NodeRecord]] = (None, [])
-        self._regions: tuple[list[NodeRecord] | None, Counter[str]] = (None, Counter())
         self._outbids = 0
 
     def start(self, now_s: float) -> None:
@@ -157,7 +154,7 @@
 
     def expire(self, now_s: float) -> None:
         """Turn suspicions whose time is over into deaths, or drop them."""
-        others = self._region_sizes()[self.own.region] - 2
+        others = self.directory.live_count(self.own.region) - 2
         for expired in self.suspicions.expire(min(CONFIRMATIONS, others), now_s):
             if not expired.confirmed:
                 self._events.emit("suspicion_lapsed", peer=expired.node_id)
@@ -324,7 +321,7 @@
                 del self._recent_deaths[dead_id]
             elif dead_region == region:
                 recent += 1
-        if 2 * (recent + 1) <= self._region_sizes()[region] + recent:
+        if 2 * (recent + 1) <= self.directory.live_count(region) + recent:
             return False
         self._events.emit("death_held", peer=node_id, recent_deaths=recent)
         return True
@@ -337,16 +334,10 @@
         """
         if node.region == self.own.region:
             return True
-        return self._region_sizes()[node.region] - 1 < REGION_JUDGES_MIN
-
-    def _region_sizes(self) -> Counter[str]:
-        alive = self.directory.alive()
-        if self._regions[0] is not alive:
-            self._regions = (alive, Counter(node.region for node in alive))
-        return self._regions[1]
+        return self.directory.live_count(node.region) - 1 < REGION_JUDGES_MIN
 
     def _size(self) -> int:
-        return len(self.directory.alive())
+        return self.directory.live_count()
 
     def _tell_whole(self, now_s: float) -> None:
         whole = self.own.whole()
--- a/tests/member_network.py
+++ b/tests/member_network.py
@@ -63,6 +63,8 @@
         self._network = network
         self.address = address
         self._open: dict[str, None] = {}
+        # Whether frames pass on connections that this end opens.
+        self.can_open: Callable[[str], bool] = lambda address: True
         self.received_bytes = 0
 
     def cost_bytes(self, address, size_bytes):
@@ -76,7 +78,8 @@
         self._open[address] = None
         if len(self._open) > OPEN_PEERS:
             self._open.pop(next(iter(self._open)))
-        self._network.post(self.address, address, frame, opened=True)
+        if self.can_open(address):
+            self._network.post(self.address, address, frame)
         return True
 
     def answer(self, route, frame):
@@ -108,6 +111,7 @@
         self.events = RecordedEvents()
         self.configuration = CurrentConfiguration()
         self.transport = MemoryTransport(network, self.address)
+        self.transport.can_open = lambda address: network.can_open(self, address)
         self.running = True
         self.settings = NodeSettings(
             self.node_id,
@@ -201,14 +205,17 @@
             for whole in wholes:
                 node.directory.apply(whole, self.now_s)
 
-    def post(self, source: str, target: str, frame: bytes, opened=False) -> None:
+    def can_open(self, near: FakeNode, address: str) -> bool:
+        """Tell whether frames pass on a connection from one node to another."""
+        far = self.nodes.get(address)
+        return far is None or self.opens(near, far)
+
+    def post(self, source: str, target: str, frame: bytes) -> None:
         """Send a frame, unless the link is cut or nobody is there."""
         self.frames += 1
         near, far = self.nodes.get(source), self.nodes.get(target)
         if near is None or far is None or not self.passes(near, far):
             return
-        if opened and not self.opens(near, far):
-            return
         self._at(self.now_s + LATENCY_S, far, (source, frame))
 
     def run(self, duration_s: float, until: Callable[[], bool] | None = None) -> bool:
