--- a/balsamspindle/membership/sync.py
+++ b/balsamspindle/membership/sync.py
@@ -14,7 +14,6 @@
 
 from balsamspindle.membership.budget import Importance
 from balsamspindle.membership.channel import Channel, Peer
-from balsamspindle.membership.fingerprints import BUCKETS
 from balsamspindle.membership.knowledge import Knowledge
 from balsamspindle.wire import (
     News,
@@ -43,6 +42,7 @@
 # With more buckets that differ than these a node fetches all, bucket by
 # bucket: it would spend its bytes on digests and lists of nodes.
 FETCH_ALL_ABOVE = 64
+FETCH_ALL_INTERVAL_S = 300.0
 FETCHES_PER_TICK = 4
 BUCKETS_PER_PULL_MAX = 4
 
@@ -71,6 +71,7 @@
         self.pages = 0
         self.catching_up = False
         self._to_fetch: list[int] = []
+        self._next_fetch_all_s = float("-inf")
         channel.register("sync_request", SyncRequest, self._request)
         channel.register("sync_summary", SyncSummary, self._summary)
         channel.register("pull", Pull, self._pull)
@@ -131,7 +132,8 @@
                 break
             buckets.append(bucket)
             nodes += directory.summaries(bucket)
-        summary = SyncSummary(buckets, nodes, len(differing))
+        others = bytes(set(differing).difference(buckets))
+        summary = SyncSummary(buckets, nodes, len(differing), others)
         self._channel.answer(peer, summary, now_s)
 
     def _summary(self, peer: Peer, summary: SyncSummary, now_s: float) -> None:
@@ -141,8 +143,11 @@
         # A joiner that knows nobody yet has no peers to fetch from: it takes
         # its first nodes from this summary, or it would wait for ever.
         much = summary.differing > FETCH_ALL_ABOVE and self._knowledge.peers()
-        if much and not self._to_fetch:
-            self._to_fetch = self._random.sample(range(BUCKETS), BUCKETS)
+        # Once: what then is missing are single nodes, from pages cut short.
+        if much and now_s >= self._next_fetch_all_s:
+            self._next_fetch_all_s = now_s + FETCH_ALL_INTERVAL_S
+            wanted = [*summary.buckets, *summary.others]
+            self._to_fetch = self._random.sample(wanted, len(wanted))
         if self._to_fetch:
             return
         wants = [want for want in map(self._want, summary.nodes) if want is not None]
--- a/balsamspindle/wire/member_messages.py
+++ b/balsamspindle/wire/member_messages.py
@@ -293,11 +293,14 @@
         Buckets that `nodes` lists completely.
     differing : int
         Number of all buckets that differ.
+    others : bytes
+        The numbers of those that are not listed, a byte each.
     """
 
     buckets: list[int]
     nodes: list[NodeSummary]
     differing: int
+    others: bytes = b""
 
 
 class Want(NamedTuple):
