Read the newest revision and the next changes in one read

A poll read the revision, then the changes: on a slow platform the second read doubled the time until a change was in force. The revision row now stands in the table of the changes, and one read brings both. Found while reading it through: a node far behind a restarted history found no change rows and stayed there; it now loads all settings.

--- a/balsamspindle/settings/editing.py
+++ b/balsamspindle/settings/editing.py
@@ -12,9 +12,9 @@
 from balsamspindle.settings.results import Accepted, SettingsConflict, Withdrawn
 from balsamspindle.settings.rows import (
     CHANGES_TABLE,
-    FLEET_TABLE,
     OPERATIONS_TABLE,
     REVISION_KEY,
+    REVISION_TABLE,
     SUBTREES_TABLE,
     Change,
     FleetRow,
@@ -116,7 +116,7 @@
         run.credentials.author,
         change.paths,
     )
-    keys = (SUBTREES_TABLE, OPERATIONS_TABLE, FLEET_TABLE)
+    keys = (SUBTREES_TABLE, OPERATIONS_TABLE, REVISION_TABLE)
     checks = [
         Check(table, row.key, row.version)
         for table, row in zip(keys, rows, strict=True)
@@ -126,7 +126,7 @@
     puts = [
         Put(SUBTREES_TABLE, edit.team, msgspec.to_builtins(after)),
         Put(OPERATIONS_TABLE, edit.operation_id, msgspec.to_builtins(operation)),
-        Put(FLEET_TABLE, REVISION_KEY, msgspec.to_builtins(fleet)),
+        Put(REVISION_TABLE, REVISION_KEY, msgspec.to_builtins(fleet)),
         Put(CHANGES_TABLE, change_key(change.revision), msgspec.to_builtins(change)),
     ]
     return Transaction(checks, puts)
--- a/balsamspindle/settings/history.py
+++ b/balsamspindle/settings/history.py
@@ -1,7 +1,7 @@
 """Reads of the change log: who changed what, and how documents differ."""
 
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 from expression import Error, Ok, Result
@@ -9,8 +9,8 @@
 from balsamspindle.platform import PlatformError, TableService
 from balsamspindle.settings.rows import (
     CHANGES_TABLE,
-    FLEET_TABLE,
     REVISION_KEY,
+    REVISION_TABLE,
     SUBTREES_TABLE,
     Change,
     FleetRow,
@@ -20,17 +20,28 @@
 )
 
 __all__ = [
+    "NEWS_CHANGES",
     "DocumentDiff",
+    "News",
     "change_diffs",
     "diff_documents",
     "diff_team",
     "read_changes",
     "read_fleet",
     "read_history",
+    "read_news",
     "read_team_history",
 ]
 
 HISTORY_LIMIT = 20
+NEWS_CHANGES = 8
+
+
+class News(NamedTuple):
+    """The newest revision, and the first changes above a known one."""
+
+    fleet: FleetRow
+    changes: list[Change]
 
 
 class DocumentDiff(msgspec.Struct, frozen=True):
@@ -70,7 +81,7 @@
 
 def read_fleet(tables: TableService) -> Result[FleetRow, PlatformError]:
     """Return the newest accepted revision: one read of one row."""
-    return tables.read(FLEET_TABLE, [REVISION_KEY]).map(
+    return tables.read(REVISION_TABLE, [REVISION_KEY]).map(
         lambda rows: row_value(rows[0], FleetRow, FleetRow())
     )
 
@@ -85,6 +96,22 @@
     )
 
 
+def read_news(tables: TableService, above_revision: int) -> Result[News, PlatformError]:
+    """Return the newest revision and the first changes above a known one.
+
+    One read: on a slow platform a second one would double the time until a
+    change is in force.
+    """
+    revisions = range(above_revision + 1, above_revision + 1 + NEWS_CHANGES)
+    keys = [REVISION_KEY, *map(change_key, revisions)]
+    return tables.read(CHANGES_TABLE, keys).map(
+        lambda rows: News(
+            row_value(rows[0], FleetRow, FleetRow()),
+            [row_value(row, Change) for row in rows[1:] if row.value is not None],
+        )
+    )
+
+
 def read_history(
     tables: TableService, limit: int = HISTORY_LIMIT
 ) -> Result[list[Change], PlatformError]:
--- a/balsamspindle/settings/reader.py
+++ b/balsamspindle/settings/reader.py
@@ -16,7 +16,7 @@
 from expression import Result
 
 from balsamspindle.platform import ObjectStore, TableService
-from balsamspindle.settings.history import read_changes, read_fleet
+from balsamspindle.settings.history import NEWS_CHANGES, News, read_changes, read_news
 from balsamspindle.settings.loading import (
     REPLAY_MAX,
     load_from_snapshot,
@@ -182,19 +182,19 @@
 
     def poll(self) -> None:
         """Compare the platform's revision with the own one and catch up."""
-        match read_fleet(self._tables):
-            case Result(tag="ok", ok=fleet):
-                self.platform_revision = fleet.revision
-                self._compare(fleet)
+        match read_news(self._tables, self._configuration.revision):
+            case Result(tag="ok", ok=news):
+                self.platform_revision = news.fleet.revision
+                self._compare(news)
             case Result(error=error):
                 self._note(PlatformState.UNREACHABLE, error.message)
 
-    def _compare(self, fleet: FleetRow) -> None:
-        own = self._configuration.get()
+    def _compare(self, news: News) -> None:
+        own, fleet = self._configuration.get(), news.fleet
         if own is None:
             self._load_first(fleet)
         elif fleet.revision > own.revision:
-            self._catch_up(own.revision, fleet.revision)
+            self._catch_up(own.revision, news)
         elif fleet.revision < own.revision:
             # A platform restored from a backup. To follow it would take
             # accepted changes out of force; the node keeps what it has.
@@ -204,17 +204,21 @@
         else:
             self._note(PlatformState.CURRENT)
 
-    def _catch_up(self, own_revision: int, revision: int) -> None:
-        first = own_revision + 1
-        last = min(revision, own_revision + REPLAY_MAX)
-        match read_changes(self._tables, first, last):
-            case Result(tag="ok", ok=changes):
-                deltas = [delta_of_change(change) for change in changes]
-                applied = self._configuration.apply(deltas)
-            case Result(error=error):
-                self._note(PlatformState.UNREACHABLE, error.message)
+    def _catch_up(self, own_revision: int, news: News) -> None:
+        changes, revision = news.changes, news.fleet.revision
+        if revision > own_revision + NEWS_CHANGES:
+            last = min(revision, own_revision + REPLAY_MAX)
+            match read_changes(self._tables, own_revision + 1, last):
+                case Result(tag="ok", ok=changes):
+                    pass
+                case Result(error=error):
+                    self._note(PlatformState.UNREACHABLE, error.message)
+                    return
+            if not changes:
+                self._load()
                 return
-        match applied:
+        deltas = [delta_of_change(change) for change in changes]
+        match self._configuration.apply(deltas):
             case Applied.IN_FORCE:
                 self._in_force(deltas)
             case Applied.DIVERGED:
--- a/balsamspindle/settings/recovery.py
+++ b/balsamspindle/settings/recovery.py
@@ -34,6 +34,7 @@
     FLEET_TABLE,
     OPERATIONS_TABLE,
     REVISION_KEY,
+    REVISION_TABLE,
     Change,
     FleetKeyRow,
     FleetRow,
@@ -69,10 +70,12 @@
     Result of Accepted
         `NotKnown` is settled by `SettingsStore.settle`, as for any edit.
     """
-    rows = tables.read(FLEET_TABLE, [REVISION_KEY, FLEET_KEY_KEY])
-    if rows.is_error():
-        return Error(SettingsUnavailable(rows.error.message))
-    fleet_row, key_row = rows.ok
+    revision_rows = tables.read(REVISION_TABLE, [REVISION_KEY])
+    key_rows = tables.read(FLEET_TABLE, [FLEET_KEY_KEY])
+    for rows in (revision_rows, key_rows):
+        if rows.is_error():
+            return Error(SettingsUnavailable(rows.error.message))
+    [fleet_row], [key_row] = revision_rows.ok, key_rows.ok
     owner = row_value(key_row, FleetKeyRow, FleetKeyRow("")).owner
     if owner and not key_matches(credentials.fleet_key, owner):
         return Error(NotOwner("the fleet key is needed"))
@@ -92,11 +95,11 @@
         restart=True,
     )
     checks = [
-        Check(FLEET_TABLE, REVISION_KEY, fleet_row.version),
+        Check(REVISION_TABLE, REVISION_KEY, fleet_row.version),
         Check(OPERATIONS_TABLE, operation_id, 0),
     ]
     values = {
-        (FLEET_TABLE, REVISION_KEY): FleetRow(change.revision, change.chain),
+        (REVISION_TABLE, REVISION_KEY): FleetRow(change.revision, change.chain),
         (OPERATIONS_TABLE, operation_id): OperationRow(change.revision),
         (CHANGES_TABLE, change_key(change.revision)): change,
     }
--- a/balsamspindle/settings/rows.py
+++ b/balsamspindle/settings/rows.py
@@ -4,11 +4,14 @@
 table      key             value
 ========== =============== ==================================================
 subtrees   TEAM            `SubtreeRow`: one team's documents and owner
-fleet      ``revision``    `FleetRow`: the newest accepted change
 fleet      ``key``         `FleetKeyRow`: hash of the fleet key
+changes    ``revision``    `FleetRow`: the newest accepted change
 changes    revision        `Change`: one accepted change
 operations operation id    `OperationRow`: how one write was decided
 ========== =============== ==================================================
+
+The newest revision stands in the table of the changes, so that one read brings
+it and the changes after a known one.
 """
 
 from typing import Any
@@ -24,6 +27,7 @@
     "FLEET_TABLE",
     "OPERATIONS_TABLE",
     "REVISION_KEY",
+    "REVISION_TABLE",
     "SUBTREES_TABLE",
     "Change",
     "FleetKeyRow",
@@ -39,6 +43,7 @@
 FLEET_TABLE = "fleet"
 CHANGES_TABLE = "changes"
 OPERATIONS_TABLE = "operations"
+REVISION_TABLE = CHANGES_TABLE
 REVISION_KEY = "revision"
 FLEET_KEY_KEY = "key"
 REVISION_DIGITS = 12
--- a/balsamspindle/settings/store.py
+++ b/balsamspindle/settings/store.py
@@ -33,6 +33,7 @@
     new_operation_id,
     transaction,
 )
+from balsamspindle.settings.history import read_fleet
 from balsamspindle.settings.loading import StoredSettings, load_settings
 from balsamspindle.settings.ownership import Credentials, hash_key, key_matches
 from balsamspindle.settings.results import (
@@ -50,9 +51,9 @@
     FLEET_TABLE,
     OPERATIONS_TABLE,
     REVISION_KEY,
+    REVISION_TABLE,
     SUBTREES_TABLE,
     FleetKeyRow,
-    FleetRow,
     OperationRow,
     SubtreeRow,
     row_value,
@@ -111,9 +112,7 @@
 
     def revision(self) -> Result[int, PlatformError]:
         """Return the fleet's revision: one read of one row."""
-        return self._tables.read(FLEET_TABLE, [REVISION_KEY]).map(
-            lambda rows: row_value(rows[0], FleetRow, FleetRow()).revision
-        )
+        return read_fleet(self._tables).map(lambda fleet: fleet.revision)
 
     def load(self) -> Result[StoredSettings, PlatformError]:
         """Return all settings, as of one revision."""
@@ -306,7 +305,7 @@
         # edit could take its own effect for another's and report a conflict.
         subtree = self._tables.read(SUBTREES_TABLE, [edit.team])
         operation = self._tables.read(OPERATIONS_TABLE, [edit.operation_id])
-        fleet = self._tables.read(FLEET_TABLE, [REVISION_KEY])
+        fleet = self._tables.read(REVISION_TABLE, [REVISION_KEY])
         for result in (subtree, operation, fleet):
             if result.is_error():
                 return result
--- a/bench/settings.py
+++ b/bench/settings.py
@@ -1,6 +1,6 @@
 """How soon an accepted change is in force on all nodes, and what it costs.
 
-Six parts:
+Seven parts:
 
 - ``spread``: real node processes in two availability zones and a stand-in
   platform; an operator's edits are accepted one by one, and each node's event
@@ -8,6 +8,7 @@
   platform and a node that hears from peers are counted apart.
 - ``hint``: the same, with the operator's tool telling one node of each
   acceptance.
+- ``slow_platform``: the same while each read of the platform takes a second.
 - ``edits``: teams that edit at once, each its own subtree, at 27 times the
   mean rate of a day of 45,000 changes and without any pause.
 - ``change``: processor time of one change in one process that holds 6,500
@@ -53,6 +54,9 @@
 IDLE_S = 10.0
 IN_FORCE_LIMIT_S = 3.0
 JOIN_NODES = 7
+SLOW_NODES = 5
+SLOW_READ_S = 1.0
+SLOW_CHANGES = 10
 FAN_OUT_NODES = (250, 1000, 5600)
 CONTROL_CPU_MAX = 0.02
 
@@ -119,15 +123,19 @@
             ),
         }
 
-    def change(self, hint: bool) -> list[Acceptance]:
+    def change(
+        self, hint: bool, count: int = CHANGES, from_reply: bool = False
+    ) -> list[Acceptance]:
         """Have changes accepted one by one."""
         accepted = []
-        for number in range(CHANGES):
+        for number in range(count):
             time.sleep(CHANGE_GAP_S * self._random.uniform(0.5, 1.5))
             # Before the write: the time from acceptance is not understated.
             accepted_s = time.time()
             result = self._store.put(f"bench/services/s{number % 7}", {})
             revision = result.ok.revision
+            if from_reply:
+                accepted_s = time.time()
             accepted.append(Acceptance(revision, accepted_s))
             if hint:
                 node = self._random.choice(self.nodes)
@@ -170,6 +178,19 @@
         raise AssertionError(f"revision {revision} never came in force")
 
 
+def slow_platform(count: int) -> dict[str, Any]:
+    """Measure while each of the platform's reads takes long.
+
+    From the write's reply on: the edit's own reads are slow as well.
+    """
+    with Fleet() as fleet:
+        run = SpreadRun(fleet, count)
+        fault = {"mode": "slow", "delay_s": SLOW_READ_S, "endpoint": "read"}
+        call(fleet.platform_address, "/faults", "POST", json.dumps(fault).encode())
+        accepted = run.change(False, SLOW_CHANGES, from_reply=True)
+        return {"nodes": count, "read_s": SLOW_READ_S, **run.delays(accepted)}
+
+
 def spread(count: int) -> dict[str, Any]:
     """Measure one size of fleet."""
     with Fleet() as fleet:
@@ -233,6 +254,8 @@
         for way in ("polled", "hinted"):
             for name, summary in size[way].items():
                 typer.echo(f"  {way:7} {name:20} {summary}")
+    for name, value in report["slow_platform"].items():
+        typer.echo(f"slow_platform: {name}: {value}")
     for name, value in report["join"].items():
         typer.echo(f"join: {name}: {value}")
     for size in report["fan_out"]:
@@ -256,6 +279,7 @@
         "change": change_cost(),
         "edits": [edits(8, 0.5, 30), edits(8, 0.0, 30), edits(20, 0.0, 12)],
         "spread": [spread(count) for count in nodes],
+        "slow_platform": slow_platform(SLOW_NODES),
         "join": join(JOIN_NODES),
         "fan_out": [fan_out(count) for count in FAN_OUT_NODES],
     }
