--- a/tests/test_settings_races.py
+++ b/tests/test_settings_races.py
@@ -18,6 +18,7 @@
 )
 from balsamspindle.settings.loading import load_from_snapshot
 from balsamspindle.settings.reader import PollPlan, SettingsReader
+from balsamspindle.settings.recovery import restart_history
 from balsamspindle.settings.rows import next_chain
 from balsamspindle.settings.snapshots import write_snapshot
 from balsamspindle.settings.store import (
@@ -225,25 +226,45 @@
 
 
 class ReaderTests(SettingsTestCase):
+    def setUp(self):
+        super().setUp()
+        self.events, self.offered_revision = [], -1
+        self.configuration = CurrentConfiguration()
+        self.reader = SettingsReader(
+            self.platform.tables(),
+            self.configuration,
+            SimpleNamespace(emit=lambda event, **fields: self.events.append(fields)),
+            PollPlan(node_record(0), lambda: []),
+            offered_revision=lambda: self.offered_revision,
+        )
+
     def test_a_replaced_node_does_not_begin_below_its_peers(self):
         # The platform was restored from a backup. Callers of a node that boots
         # from it would meet settings older than those in force all around.
         self.accept("crew/services/old", {})
-        offered = [4]
-        events, configuration = [], CurrentConfiguration()
-        reader = SettingsReader(
-            self.platform.tables(),
-            configuration,
-            SimpleNamespace(emit=lambda event, **fields: events.append(fields)),
-            PollPlan(node_record(0), lambda: []),
-            offered_revision=lambda: offered[0],
-        )
-        reader.poll()
-        self.assertEqual(-1, configuration.revision)
-        self.assertEqual("older", events[0]["state"])
-        offered[0] = -1
-        reader.poll()
-        self.assertEqual(1, configuration.revision)
+        self.offered_revision = 4
+        self.reader.poll()
+        self.assertEqual(-1, self.configuration.revision)
+        self.assertEqual("older", self.events[0]["state"])
+        self.offered_revision = -1
+        self.reader.poll()
+        self.assertEqual(1, self.configuration.revision)
+
+    def test_a_node_far_behind_a_restarted_history_catches_up(self):
+        # The operator restarted the history far above the platform's own
+        # revision. The changes in between never were, so a node that waits
+        # for them would stay behind for ever and say nothing.
+        self.accept("crew/services/a", {})
+        self.reader.poll()
+        self.accept("crew/services/b", {})
+        restart_history(self.platform.tables(), 1_000, Credentials(), 0.0)
+        for _ in range(3):
+            self.reader.poll()
+        self.assertEqual(1_001, self.configuration.revision)
+        self.accept("crew/services/c", {})
+        self.reader.poll()
+        self.assertEqual(1_002, self.configuration.revision)
+        self.assertEqual(3, len(self.configuration.get().services))
 
 
 class FirstWriteHeld(TableService):
