--- a/balsamspindle/backend_servers/health_monitor.py
+++ b/balsamspindle/backend_servers/health_monitor.py
@@ -34,10 +34,16 @@
 
     def __init__(self, health: ServerHealth, server: LocalBackendServer) -> None:
         self.health = health
+        self.service = server.announcement.service
         self.boot_id = server.announcement.boot_id
         self.phase = health.phase
         self.seen_s = 0.0
 
+    def shares_news_with(self, other: "_Known") -> bool:
+        """Tell whether news of the other's peers concerns this one."""
+        held_out = self.health.phase is HealthPhase.HELD_OUT
+        return held_out and self.service == other.service
+
 
 class _News(NamedTuple):
     """A change of phase that is to be told."""
@@ -108,8 +114,15 @@
         """See `HealthObserver.note_peers`."""
         with self._lock:
             known = self._known.get(backend_server_id)
-            if known is not None:
-                known.health.note_peers(evidence, now_s)
+            if known is None:
+                return
+            known.health.note_peers(evidence, now_s)
+            # One that is held out gets no dispatch, and so no summary of its
+            # own. Without this it would stay out for an overload that has
+            # long been seen at all the others.
+            for other in self._known.values():
+                if other is not known and other.shares_news_with(known):
+                    other.health.note_peers(evidence, now_s)
 
     def probed(self, backend_server_id: str, result: ProbeResult, now_s: float) -> None:
         """Take a probe's result."""
--- a/tests/test_health_monitor.py
+++ b/tests/test_health_monitor.py
@@ -9,7 +9,7 @@
 from balsamspindle.backend_servers.servers import Announcement, LocalBackendServers
 from balsamspindle.settings.documents import Detection
 from balsamspindle.timeline import EventLog, HybridClock
-from balsamspindle.wire import AttemptId
+from balsamspindle.wire import AttemptId, PeerEvidence
 
 SERVICE, SERVER = "crew/contracts", "contract-0"
 DETECTION = Detection(threshold=7.0)
@@ -81,6 +81,20 @@
     assert node.suspicion >= 1, "the restart has not taken the doubling back"
 
 
+def test_one_held_out_hears_of_an_overload_through_its_neighbour():
+    """Nobody sends it work, so no dispatch tells it of its peers."""
+    node = Node()
+    neighbour = Announcement(SERVICE, "127.0.0.1:9", 6, "1")
+    node.servers.announce("contract-1", neighbour, node.now_s)
+    node.work(ERROR, 4)
+    assert node.suspicion >= 1
+    for _ in range(5):
+        overload = PeerEvidence(heard=4, bad=4, limit_ms=40.0)
+        node.monitor.note_peers("contract-1", overload, node.now_s)
+        node.wait(0.1)
+    assert node.suspicion == 0
+
+
 def test_one_that_went_away_for_long_is_forgotten():
     node = Node()
     node.work(ERROR, 4)
