--- /dev/null
+++ b/tests/test_membership_cost.py
@@ -0,0 +1,21 @@
+"""Bounds on what membership costs; the same figures on every machine."""
+
+from testtools import TestCase
+
+from bench.membership import churn, measure_rate, start_fleet, time_of_news
+
+NODES = 30
+# A tenth over what was measured: 305 B/s idle, 1,020 B/s with changes.
+IDLE_MAX_BYTES_PER_S = 336
+CHURN_MAX_BYTES_PER_S = 1122
+NEWS_MAX_S = 2.0
+
+
+class MembershipCostTests(TestCase):
+    def test_bytes_and_time_of_news_stay_within_their_bounds(self):
+        network, nodes = start_fleet(NODES)
+        idle = measure_rate(network, nodes, 30)
+        busy = measure_rate(network, nodes, 30, churn(nodes))
+        self.assertLessEqual(idle["sent_bytes_per_s"], IDLE_MAX_BYTES_PER_S)
+        self.assertLessEqual(busy["sent_bytes_per_s"], CHURN_MAX_BYTES_PER_S)
+        self.assertLessEqual(time_of_news(network, nodes), NEWS_MAX_S)
