--- a/bench/membership.py
+++ b/bench/membership.py
@@ -29,6 +29,7 @@
     NodeNews,
     ServerEntry,
 )
+from balsamspindle.wire.security import FleetKeys, start_authenticator
 from tests.member_network import FakeNode, MemberNetwork
 from tests.utils import free_address
 
@@ -363,15 +364,17 @@
     }
 
 
-def measure_zmq() -> dict:
+def measure_zmq(keys: FleetKeys | None = None) -> dict:
     """Return CPU of real sockets: one message there and back, one connect.
 
-    Both ends and the library's I/O thread are in this process.
+    Both ends, the library's I/O thread and, with keys, the authenticator are
+    in this process.
     """
     context = zmq.Context()
+    authenticator = start_authenticator(context, keys)
     address = free_address()
-    near = ZmqTransport(context, free_address())
-    far = ZmqTransport(context, address)
+    near = ZmqTransport(context, free_address(), keys)
+    far = ZmqTransport(context, address, keys)
     _echo(near, far, address)
     started = time.process_time()
     for _ in range(ZMQ_MESSAGES):
@@ -384,6 +387,8 @@
     connect_us = 1e6 * (time.process_time() - started) / ZMQ_CONNECTS
     near.close()
     far.close()
+    if authenticator is not None:
+        authenticator.stop()
     context.term()
     return {
         "ping_and_ack_us_both_ends": message_us,
@@ -391,6 +396,11 @@
     }
 
 
+def new_keys() -> FleetKeys:
+    """Return a fresh key pair."""
+    return FleetKeys(*(key.decode() for key in zmq.curve_keypair()))
+
+
 def _echo(near: ZmqTransport, far: ZmqTransport, address: str) -> None:
     near.send(address, b"x" * 120)
     for received in far.receive(5.0):
@@ -461,6 +471,7 @@
         ],
         "join_at_size": measure_join_at_size(200 if quick else TARGET_NODES),
         "zmq": measure_zmq(),
+        "zmq_curve": measure_zmq(new_keys()),
     }
     if as_json:
         print(json.dumps(result, indent=1))
@@ -487,7 +498,8 @@
         for row in result[part]:
             print(part, {key: round(value, 5) for key, value in row.items()})
     print("join_at_size", result["join_at_size"])
-    print("zmq", {key: round(value, 1) for key, value in result["zmq"].items()})
+    for part in ("zmq", "zmq_curve"):
+        print(part, {key: round(value, 1) for key, value in result[part].items()})
 
 
 if __name__ == "__main__":
