--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -8,6 +8,7 @@
 
 from balsamspindle.cli import ctl, timeline
 from balsamspindle.cli.exit_status import ExitStatus
+from balsamspindle.metrics import Hop, Metrics, prometheus_text
 from balsamspindle.settings import NodeSettings, RouteDocument, ServiceDocument
 from tests.utils import ROOT
 
@@ -24,6 +25,13 @@
     return names
 
 
+def metrics_text() -> str:
+    metrics = Metrics()
+    metrics.count_outcome("crew/contracts", "answered")
+    metrics.count_event("node_started")
+    return prometheus_text(metrics.report()).decode()
+
+
 class PagesTests(TestCase):
     def test_each_field_of_the_settings_is_described(self):
         for kind in (NodeSettings, ServiceDocument, RouteDocument):
@@ -34,9 +42,17 @@
         source = "".join(
             path.read_text() for path in (ROOT / "balsamspindle").rglob("*.py")
         )
+        # The library of metrics adds to their names.
+        source += metrics_text()
         for word in re.findall(r"`([a-z]+(?:_[a-z]+)+)`", OPERATORS):
             self.assertIn(word, source)
 
+    def test_each_metric_and_hop_is_described(self):
+        for name in re.findall(r"# TYPE (\S+)", metrics_text()):
+            self.assertIn(f"`{name}`", OPERATORS)
+        for hop in Hop:
+            self.assertIn(f"| `{hop}` |", OPERATORS)
+
     def test_each_exit_status_is_described(self):
         for status in ExitStatus:
             self.assertIn(f"| {status.value} | `{status.name}` |", OPERATORS)
