Send a backend server the caller's headers and none of libcurl's

libcurl added Accept, User-Agent and, to a body without a type, the type of a web form. Seen failing with the old list: Accept, User-Agent and Content-Type were among the names.

--- a/balsamspindle/backend_servers/client.py
+++ b/balsamspindle/backend_servers/client.py
@@ -23,6 +23,16 @@
 CONNECT_TIMEOUT_MS = 1000
 IDLE_HANDLES_MAX = 512
 
+# Headers that libcurl adds of itself where the caller sent none: a body
+# without a type would arrive as a web form.
+_NOT_INVENTED = (
+    "Accept:",
+    "Accept-Encoding:",
+    "Content-Type:",
+    "Expect:",
+    "User-Agent:",
+)
+
 _BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
 _FAILURE_REASONS = {pycurl.E_OPERATION_TIMEDOUT: Reason.SILENCE}
 
@@ -74,8 +84,7 @@
                 # What is left of the caller's time, so that the backend server
                 # need not work on what nobody waits for any more.
                 f"{TIMEOUT_HEADER}: {max(1, int(timeout_ms))}",
-                "Expect:",
-                "Accept-Encoding:",
+                *_NOT_INVENTED,
             ],
         )
         _set_method(handle.curl, method, body)
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -217,6 +217,20 @@
         self._call(server.address, timeout_ms=1234.9)
         self.assertIn(b"X-Request-Timeout-Ms: 1234\r\n", server.requests[0])
 
+    def test_a_request_goes_out_with_the_callers_headers_and_no_others(self):
+        # Without a content type of the caller's, libcurl says that a body is
+        # a web form, and a backend server parses a signature as one.
+        server = self._server(lambda number: (WHOLE, True))
+        self._call(server.address, headers=[("X-A", "1")])
+        self._call(server.address, headers=[("Content-Type", "text/x")])
+        names = [
+            {line.partition(b":")[0] for line in request.split(b"\r\n")[1:-2]}
+            for request in server.requests
+        ]
+        own = {b"Host", b"Content-Length", b"X-Request-Timeout-Ms"}
+        self.assertEqual([own | {b"X-A"}, own | {b"Content-Type"}], names)
+        self.assertIn(b"Content-Type: text/x\r\n", server.requests[1])
+
     def test_ended_calls_keep_no_descriptors(self):
         server = self._server(lambda number: (WHOLE, True))
         self._call(server.address)
