--- a/balsamspindle/timeline/events.py
+++ b/balsamspindle/timeline/events.py
@@ -16,7 +16,7 @@
 
 __all__ = ["EventLog", "format_event", "parse_event"]
 
-BATCH_INTERVAL_S = 0.1
+BATCH_INTERVAL_S = 0.02
 PENDING_LINES_MAX = 50_000
 
 _is_plain = re.compile(r"[A-Za-z0-9._:/+-]+").fullmatch
