Retry within a budget, rescue callers of silent servers, spread returns

Cause: each request could have three attempts whatever the others did, one hanging backend server ate the whole time of an idempotent request, all callers that were given up were told the same time, and each request to a node that could not be reached waited for its link in vain. Now: a budget for each service (a fraction of its requests and a little with time), a second attempt beside a silent one (at this node's own gate in its place), the backend server's own 503/429 tried elsewhere for idempotent requests only, hold-outs of links kept local, free slots less the own attempts since they were heard. Ruled out: budgeting refusals by gates too from the first one on (they run nothing; a request in a hot spot would be given up beside free slots). Seen failing by one local edit each (no budget, no rescue, unknown of a non-idempotent request tried again, one return time for all, no hold-out, own attempts not counted, last reply stands, failed ones not avoided, slow one cancelled, own patience under the limit): each is caught by 1 to 4 tests of tests/test_retries.py.

--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -29,6 +29,7 @@
 from balsamspindle.requests.forwarding import Forwarder
 from balsamspindle.requests.ingress import Ingress
 from balsamspindle.requests.links import LinkPool
+from balsamspindle.requests.retries import RetryPolicy
 from balsamspindle.services.explanation import ServiceExplanation, explain_service
 from balsamspindle.services.picker import Picker
 from balsamspindle.settings.documents import ServiceDocument
@@ -111,6 +112,7 @@
             self._links,
             self.events,
             self._make_claim_book(),
+            RetryPolicy(lambda service: self._service_document(service).retry_budget),
         )
         self._ingress = Ingress(
             settings,
--- a/balsamspindle/requests/answers.py
+++ b/balsamspindle/requests/answers.py
@@ -1,5 +1,6 @@
 """Answers to callers, as bytes."""
 
+import math
 from http import HTTPStatus
 
 import msgspec
@@ -51,7 +52,7 @@
     is_head: bool = False,
     detail: str | None = None,
     allow: tuple[str, ...] = (),
-    retry_after_s: int | None = None,
+    retry_after_ms: float = 0.0,
 ) -> bytes:
     """Return an answer of our own: a JSON problem and its headers.
 
@@ -61,8 +62,9 @@
         One more sentence on this request.
     allow : tuple of str
         Methods that the target takes, for a 405.
-    retry_after_s : int, optional
-        When coming back helps; the reason's own time when None.
+    retry_after_ms : float, default=0
+        When this caller may come back; the reason's own time when 0. The
+        header has whole seconds only, so the body tells it, too.
     """
     problem = PROBLEMS[reason]
     body = {
@@ -75,9 +77,10 @@
     if detail is not None:
         body["detail"] = detail
     lines = ["Content-Type: application/problem+json"]
-    retry_after_s = problem.retry_after_s if retry_after_s is None else retry_after_s
-    if retry_after_s is not None:
-        lines.append(f"Retry-After: {retry_after_s}")
+    if problem.retry_after_s is not None:
+        retry_after_ms = retry_after_ms or problem.retry_after_s * 1000
+        body["retry_after_ms"] = round(retry_after_ms)
+        lines.append(f"Retry-After: {math.ceil(retry_after_ms / 1000)}")
     if allow:
         lines.append(f"Allow: {', '.join(allow)}")
     return _encode(
--- /dev/null
+++ b/balsamspindle/requests/attempts.py
@@ -0,0 +1,340 @@
+"""One attempt of a request: at this node's gate, or over a link."""
+
+import itertools
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from balsamspindle.backend_servers.gate import Gate
+from balsamspindle.membership.directory import Placement
+from balsamspindle.requests.caller_watch import CallerWatch
+from balsamspindle.requests.claims import GateIdentity, KeyClaimant
+from balsamspindle.requests.http import CallerRequest, HttpConnection
+from balsamspindle.requests.links import Link, LinkPool, Wait, Waited, wait_first
+from balsamspindle.requests.outcomes import Outcome, Reason
+from balsamspindle.requests.retries import is_shed
+from balsamspindle.services.free_slots import FREE_SLOTS_TTL_S, FreeSlotViews
+from balsamspindle.services.holdouts import HoldOuts
+from balsamspindle.services.peer_evidence import PeerEvidenceTracker
+from balsamspindle.settings.documents import RouteDocument
+from balsamspindle.timeline import EventLog
+from balsamspindle.wire import AttemptId, Dispatch, NodeRecord, Reply, checksum
+
+__all__ = ["AttemptSender", "ForwardedRequest", "Rescue"]
+
+# How long others go first after a failure; longer would keep a sick backend
+# server from the work by which its gate finds it out.
+AVOID_S = 0.25
+LINK_HOLD_OUT_S, LINK_HOLD_OUT_MAX_S = 0.5, 30.0
+
+
+@dataclass
+class ForwardedRequest:
+    """A caller's request on its way through this node.
+
+    Attributes
+    ----------
+    deadline_s : float
+        On the monotonic clock.
+    tried : set of str
+        Backend servers that had an attempt.
+    may_have_run : bool
+        An attempt ended as unknown.
+    """
+
+    request_id: str
+    caller: HttpConnection
+    request: CallerRequest
+    route: RouteDocument
+    deadline_s: float
+    idempotency_key: str | None = None
+    claimant: KeyClaimant | None = None
+    tried: set[str] = field(default_factory=set)
+    may_have_run: bool = False
+
+
+@dataclass(frozen=True)
+class Rescue:
+    """What may be done for the caller of a backend server that is silent.
+
+    Attributes
+    ----------
+    patience_s : float
+        How long an attempt of an idempotent request may be alone.
+    choose : callable
+        Returns the place for a second attempt, paid for, or None.
+    """
+
+    patience_s: float
+    choose: Callable[[], Placement | None]
+
+
+class AttemptSender:
+    """Sends attempts and waits for their replies."""
+
+    def __init__(
+        self,
+        own: NodeRecord,
+        gate: Gate,
+        links: LinkPool,
+        events: EventLog,
+        free_slots: FreeSlotViews,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._own = own
+        self._gate = gate
+        self._links = links
+        self._events = events
+        self._free_slots = free_slots
+        self._clock = clock
+        self._watch = CallerWatch(gate.cancel)
+        self._peers = PeerEvidenceTracker()
+        self._sequence = itertools.count(1)
+        self._given_up = False
+        self.link_hold_outs = HoldOuts(LINK_HOLD_OUT_S, LINK_HOLD_OUT_MAX_S)
+
+    def next_id(self) -> AttemptId:
+        """Return an id that was never used."""
+        return AttemptId(self._own.node_id, self._own.incarnation, next(self._sequence))
+
+    def give_up(self) -> None:
+        """End the waiting for all replies."""
+        self._given_up = True
+
+    def is_own(self, placement: Placement) -> bool:
+        """Tell whether a place is at this node's gate."""
+        return placement.node.node_id == self._own.node_id
+
+    def send(
+        self, forwarded: ForwardedRequest, placement: Placement, rescue: Rescue | None
+    ) -> Reply:
+        """Make one attempt, and a second one beside it if it is silent."""
+        if self.is_own(placement):
+            reply = self._send_here(forwarded, placement, rescue)
+        else:
+            reply = self._send_over_link(forwarded, placement, rescue)
+        forwarded.may_have_run |= reply.outcome is Outcome.UNKNOWN
+        return reply
+
+    def _message(self, forwarded, placement, deadline_s: float) -> Dispatch:
+        request, route = forwarded.request, forwarded.route
+        server_id = placement.backend_server.backend_server_id
+        forwarded.tried.add(server_id)
+        hlc = self._events.emit(
+            "attempt_sent",
+            request=forwarded.request_id,
+            backend_server=server_id,
+            gate=placement.node.node_id,
+        )
+        return Dispatch(
+            attempt_id=self.next_id(),
+            request_id=forwarded.request_id,
+            service=route.service,
+            backend_server_id=server_id,
+            execution=route.execution,
+            remaining_ms=(deadline_s - self._clock()) * 1000,
+            weight=route.weight,
+            method=request.method,
+            target=request.target,
+            headers=request.headers,
+            body=request.body,
+            body_checksum=checksum(request.body),
+            idempotency_key=forwarded.idempotency_key,
+            hlc=hlc,
+            peers=self._peers.about(route.service, server_id, self._clock()),
+        )
+
+    def _send_here(self, forwarded, placement, rescue: Rescue | None) -> Reply:
+        # The task makes the call to the backend server itself and can't look
+        # after a second attempt meanwhile: it ends a silent one instead.
+        deadline_s = forwarded.deadline_s
+        if rescue is not None:
+            deadline_s = min(deadline_s, self._clock() + rescue.patience_s)
+        dispatch = self._message(forwarded, placement, deadline_s)
+        own = GateIdentity(self._own.node_id, self._own.incarnation)
+        claimed = _claim(forwarded, dispatch, own, self._clock())
+        if isinstance(claimed, Reply):
+            return claimed
+        tracked = self._track(forwarded, placement)
+        reply = None
+        try:
+            with self._watch.watching(dispatch.attempt_id, forwarded.caller):
+                reply = self._gate.handle(claimed, self._clock())
+        finally:
+            tracked.end(reply)
+        return _noted(forwarded, reply)
+
+    def _send_over_link(self, forwarded, placement, rescue: Rescue | None) -> Reply:
+        first = self._open(forwarded, placement)
+        if isinstance(first, Reply):
+            return first
+        attempts = [first]
+        waited = None
+        try:
+            if rescue is not None:
+                alone_until_s = self._clock() + rescue.patience_s
+                waited = self._wait(forwarded, attempts, alone_until_s)
+                if not waited and self._is_just_silent(forwarded, first, alone_until_s):
+                    attempts += self._open_second(forwarded, rescue)
+            waited = waited or self._wait(forwarded, attempts, forwarded.deadline_s)
+        finally:
+            self._close(attempts, waited)
+        return self._final(forwarded, attempts, waited)
+
+    def _is_just_silent(self, forwarded, attempt: "_Sent", until_s: float) -> bool:
+        return (
+            self._clock() >= until_s
+            and attempt.link.connected()
+            and not forwarded.caller.caller_gone()
+        )
+
+    def _open_second(self, forwarded, rescue) -> list["_Sent"]:
+        placement = rescue.choose()
+        if placement is None or self.is_own(placement):
+            return []
+        second = self._open(forwarded, placement)
+        if isinstance(second, Reply):
+            return []
+        self._events.emit(
+            "attempt_doubled",
+            request=forwarded.request_id,
+            backend_server=placement.backend_server.backend_server_id,
+            cause="silence",
+        )
+        return [second]
+
+    def _open(self, forwarded, placement) -> "_Sent | Reply":
+        """Send an attempt over a link; a reply when nothing was sent."""
+        node_id, now_s = placement.node.node_id, self._clock()
+        dispatch = self._message(forwarded, placement, forwarded.deadline_s)
+        unreachable = Reply(dispatch.attempt_id, Outcome.NOT_RUN, Reason.UNREACHABLE)
+        link = self._links.take(
+            placement.node.link_address, forwarded.deadline_s, dispatch.execution
+        )
+        if link is None:
+            self.link_hold_outs.note_failure(node_id, now_s)
+            return unreachable
+        self.link_hold_outs.note_success(node_id)
+        # The claim is made only with a link that was heard: made for a gate
+        # that is dead it would hold the key for ever.
+        gate_time_s = link.gate_clock.at(self._clock())
+        claimed = _claim(forwarded, dispatch, GateIdentity(*link.gate), gate_time_s)
+        if isinstance(claimed, Reply):
+            self._links.give_back(link)
+            return claimed
+        if not link.send_dispatch(claimed, forwarded.deadline_s):
+            link.close()
+            return unreachable
+        return _Sent(link, dispatch, self._track(forwarded, placement))
+
+    def _wait(self, forwarded, attempts, until_s: float) -> Waited | None:
+        caller = forwarded.caller
+        wait = Wait(
+            until_s,
+            caller.fileno(),
+            caller.caller_gone,
+            lambda cause: self._events.emit("message_dropped", cause=cause),
+            lambda: self._given_up,
+        )
+        ids = {sent.link: sent.dispatch.attempt_id for sent in attempts}
+        return wait_first(ids, wait)
+
+    def _close(self, attempts: list["_Sent"], waited: Waited | None) -> None:
+        """Keep the link that brought the reply; leave the other attempts.
+
+        One that lost against a second attempt is not cancelled: it was silent
+        for long, and its gate learns from how long it still is. Cancelled, a
+        backend server that hangs would look well, with no work in flight.
+        """
+        for sent in attempts:
+            if waited is not None and sent.link is waited.link:
+                self._links.give_back(sent.link)
+                sent.tracked.end(waited.reply)
+                continue
+            sent.tracked.end(None)
+            if waited is None:
+                sent.link.give_up(sent.dispatch.attempt_id, sent.dispatch.hlc)
+            else:
+                sent.link.close()
+
+    def _final(self, forwarded, attempts: list["_Sent"], waited: Waited | None):
+        if waited is None:
+            attempt_id = attempts[0].dispatch.attempt_id
+            return Reply(attempt_id, Outcome.UNKNOWN, Reason.SILENCE)
+        reply = waited.reply
+        forwarded.may_have_run |= len(attempts) > 1
+        self._events.clock.observe(reply.hlc, time.time())
+        if reply.outcome is Outcome.ANSWERED and reply.body_checksum != checksum(
+            reply.body
+        ):
+            return Reply(reply.attempt_id, Outcome.UNKNOWN, Reason.BROKEN_ANSWER)
+        return _noted(forwarded, reply)
+
+    def _track(self, forwarded, placement) -> "_Tracked":
+        return _Tracked(
+            forwarded.route.service,
+            placement.backend_server.backend_server_id,
+            self._free_slots,
+            self._peers,
+            self._clock,
+        )
+
+
+class _Tracked:
+    """One attempt in flight, in this ingress's local views."""
+
+    def __init__(self, service, server_id, free_slots, peers, clock) -> None:
+        self._service = service
+        self._server_id = server_id
+        self._free_slots: FreeSlotViews = free_slots
+        self._peers: PeerEvidenceTracker = peers
+        self._clock = clock
+        self._started_s = clock()
+        free_slots.started(server_id)
+        peers.started(service, server_id, self._started_s)
+
+    def end(self, reply: Reply | None) -> None:
+        """Take the end; None when no reply came.
+
+        After a failure others go first for a moment, at this ingress alone:
+        it still gets work when all others are busy, so that no capacity is
+        lost to one failure.
+        """
+        now_s = self._clock()
+        self._peers.ended(self._service, self._server_id, self._started_s, reply, now_s)
+        self._free_slots.ended(self._server_id)
+        failed = reply is None or reply.outcome is Outcome.UNKNOWN or is_shed(reply)
+        if failed:
+            self._free_slots.note(
+                self._server_id, 0, now_s - FREE_SLOTS_TTL_S + AVOID_S
+            )
+        else:
+            self._free_slots.note(self._server_id, reply.free_slots, now_s)
+
+
+@dataclass(frozen=True, eq=False)
+class _Sent:
+    """An attempt that is on its way over a link."""
+
+    link: Link
+    dispatch: Dispatch
+    tracked: _Tracked
+
+
+def _claim(forwarded, dispatch, gate, gate_time_s) -> Dispatch | Reply:
+    """Put the key's claim into an attempt; a reply when it must not be made."""
+    if forwarded.claimant is None:
+        return dispatch
+    match forwarded.claimant.claim_for(gate, gate_time_s):
+        case Reason() as reason:
+            return Reply(dispatch.attempt_id, Outcome.NOT_RUN, reason)
+        case claim:
+            return msgspec.structs.replace(dispatch, claim=claim)
+
+
+def _noted(forwarded, reply: Reply) -> Reply:
+    if forwarded.claimant is not None:
+        forwarded.claimant.note(reply)
+    return reply
--- a/balsamspindle/requests/ingress.py
+++ b/balsamspindle/requests/ingress.py
@@ -304,14 +304,13 @@
         return encode_answer(
             reply.status, reply.headers, reply.body, request_id, keep_alive, is_head
         )
-    retry_after_s = -int(-reply.retry_after_ms // 1000) or None
     return encode_problem(
         reply.reason,
         reply.outcome,
         request_id,
         keep_alive,
         is_head,
-        retry_after_s=retry_after_s,
+        retry_after_ms=reply.retry_after_ms,
     )
 
 
--- a/balsamspindle/requests/links.py
+++ b/balsamspindle/requests/links.py
@@ -7,13 +7,15 @@
 
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import NamedTuple
 
 import msgspec
 import zmq
 
 from balsamspindle.metrics import Hop, Metrics
-from balsamspindle.requests.outcomes import Execution
+from balsamspindle.requests.outcomes import Execution, Outcome
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import (
     AttemptId,
@@ -29,7 +31,7 @@
 )
 from balsamspindle.wire.security import FleetKeys, protect_connection
 
-__all__ = ["GateClock", "Link", "LinkPool"]
+__all__ = ["GateClock", "Link", "LinkPool", "Wait", "Waited", "wait_first"]
 
 CONNECT_TIMEOUT_S = 0.25
 # A link that was silent for longer is asked again before it is used: one way
@@ -151,51 +153,28 @@
         self._closed.close(0)
         self._socket.close()
 
-    def wait_reply(
-        self,
-        attempt_id: AttemptId,
-        deadline_s: float,
-        caller_fd: int,
-        caller_gone: Callable[[], bool],
-        on_dropped: Callable[[str], None],
-        given_up: Callable[[], bool] = lambda: False,
-    ) -> Reply | None:
-        """Wait for the attempt's own reply.
-
-        Returns
-        -------
-        Reply or None
-            None at the deadline, when the peer or the caller went away, or
-            when this node gave up waiting.
-        """
-        poller = zmq.Poller()
-        for readable in (self._socket, self._closed, caller_fd):
-            poller.register(readable, zmq.POLLIN)
-        while True:
-            # Also past the deadline: a reply that is there counts, however
-            # long this process was stopped.
-            left_ms = _left_ms(deadline_s)
-            ready = dict(poller.poll(min(left_ms, GIVE_UP_POLL_MS)))
-            if self._socket in ready:
-                reply = self._matching_reply(attempt_id, on_dropped)
-                if reply is not None:
-                    return reply
-                continue
-            if given_up():
-                return None
-            if self._closed in ready:
-                if self._socket.poll(0):
-                    # The reply came between the look at it and this one.
-                    continue
-                return None
-            if not ready:
-                if left_ms <= GIVE_UP_POLL_MS:
-                    return None
-                continue
-            if caller_gone():
-                return None
-            # A pipelined request; it waits for its turn.
-            poller.unregister(caller_fd)
+    def register(self, poller: zmq.Poller) -> None:
+        """Let a poller watch for replies and for the connection's end."""
+        poller.register(self._socket, zmq.POLLIN)
+        poller.register(self._closed, zmq.POLLIN)
+
+    def unregister(self, poller: zmq.Poller) -> None:
+        """Undo `register`."""
+        poller.unregister(self._socket)
+        poller.unregister(self._closed)
+
+    def take_reply(self, ready, attempt_id, on_dropped) -> Reply | None:
+        """Return the attempt's own reply if a poller found it."""
+        if self._socket not in ready:
+            return None
+        return self._matching_reply(attempt_id, on_dropped)
+
+    def is_over(self, ready) -> bool:
+        """Tell whether the connection ended and nothing is left to read."""
+        if self._closed not in ready or self._socket in ready:
+            return False
+        # A reply may have come between the poller's look at it and this one.
+        return not self._socket.poll(0)
 
     def _send(self, message: LinkMessage) -> bool:
         try:
@@ -226,6 +205,75 @@
         return None
 
 
+@dataclass(frozen=True)
+class Wait:
+    """How long a task waits for replies, and for whom.
+
+    Attributes
+    ----------
+    caller_fd : int
+        Readable when the caller sent more, or is gone.
+    on_dropped : callable
+        Told the cause when a message is not for this wait.
+    given_up : callable, default=never
+        Tells whether the node stops waiting for all replies.
+    """
+
+    deadline_s: float
+    caller_fd: int
+    caller_gone: Callable[[], bool]
+    on_dropped: Callable[[str], None]
+    given_up: Callable[[], bool] = lambda: False
+
+
+class Waited(NamedTuple):
+    """The reply that came, and the link that brought it."""
+
+    link: Link
+    reply: Reply
+
+
+def wait_first(attempts: Mapping[Link, AttemptId], wait: Wait) -> Waited | None:
+    """Wait for the first answer to attempts at one request.
+
+    Returns
+    -------
+    Waited or None
+        The first answer, else the last other reply. None without any: at the
+        deadline, when the peers or the caller went away, or when this node
+        gave up waiting.
+    """
+    waiting = dict(attempts)
+    poller = zmq.Poller()
+    poller.register(wait.caller_fd, zmq.POLLIN)
+    for link in waiting:
+        link.register(poller)
+    last = None
+    while waiting:
+        # Also past the deadline: a reply that is there counts, however long
+        # this process was stopped.
+        left_ms = _left_ms(wait.deadline_s)
+        ready = dict(poller.poll(min(left_ms, GIVE_UP_POLL_MS)))
+        for link in list(waiting):
+            reply = link.take_reply(ready, waiting[link], wait.on_dropped)
+            if reply is None and not link.is_over(ready):
+                continue
+            if reply is not None:
+                last = Waited(link, reply)
+                if reply.outcome is Outcome.ANSWERED:
+                    return last
+            del waiting[link]
+            link.unregister(poller)
+        if wait.given_up() or (not ready and left_ms <= GIVE_UP_POLL_MS):
+            return last
+        if wait.caller_fd in ready:
+            if wait.caller_gone():
+                return last
+            # A pipelined request; it waits for its turn.
+            poller.unregister(wait.caller_fd)
+    return last
+
+
 class LinkPool:
     """Idle links to all peers."""
 
--- /dev/null
+++ b/balsamspindle/requests/retries.py
@@ -0,0 +1,296 @@
+"""When a request may have another attempt, and when its caller may come back.
+
+A fixed count of attempts multiplies the load just when all backend servers of
+a service fail. Here retries are a fraction of a service's requests, whatever
+one request would like.
+"""
+
+import math
+import random
+import threading
+from collections.abc import Callable
+from enum import StrEnum
+
+from balsamspindle.requests.outcomes import Execution, Outcome, Reason
+from balsamspindle.settings.documents import RetryBudget
+from balsamspindle.wire import Reply
+
+__all__ = ["LatencyEstimate", "RetryPolicy", "RetryTokens", "ReturnTimes", "is_shed"]
+
+# Requests of about this time earn the retries that may be made now.
+WINDOW_S = 10.0
+# So much of the retries that are always allowed may be saved up.
+FLOOR_BURST_S = 2.0
+ATTEMPTS_MAX = 5
+SHED_STATUSES = frozenset({429, 503})
+RETURN_MIN_S, RETURN_MAX_S = 2.0, 60.0
+
+
+class Cost(StrEnum):
+    """What another attempt costs after a reply."""
+
+    # There is none: the reply is the request's end.
+    FINAL = "final"
+    # Nothing ran, and where the attempt went was old news.
+    FREE = "free"
+    # Nothing ran, but all may be busy: the second such attempt is paid.
+    FIRST_FREE = "first_free"
+    PAID = "paid"
+
+
+_REFUSAL_COSTS = {
+    Reason.NO_BACKEND_SERVER: Cost.FREE,
+    Reason.DRAINING: Cost.FREE,
+    Reason.UNREACHABLE: Cost.FREE,
+    Reason.DAMAGED: Cost.FREE,
+    Reason.CLAIM_MOVED: Cost.FREE,
+    Reason.NO_FREE_SLOT: Cost.FIRST_FREE,
+    Reason.DEADLINE: Cost.FIRST_FREE,
+    Reason.DUPLICATE: Cost.PAID,
+}
+
+
+def is_shed(reply: Reply) -> bool:
+    """Tell whether the backend server itself refused, out of load."""
+    return reply.outcome is Outcome.ANSWERED and reply.status in SHED_STATUSES
+
+
+def _cost(reply: Reply, execution: Execution) -> Cost:
+    """Return what another attempt costs.
+
+    A non-idempotent request goes elsewhere only after a proof that it did not
+    run: silence may mean that it did, and the backend server's own 503 proves
+    nothing.
+    """
+    match reply.outcome:
+        case Outcome.NOT_RUN:
+            return _REFUSAL_COSTS.get(reply.reason, Cost.FINAL)
+        case Outcome.UNKNOWN if execution is Execution.IDEMPOTENT:
+            return Cost.PAID
+        case Outcome.ANSWERED if execution is Execution.IDEMPOTENT:
+            return Cost.PAID if is_shed(reply) else Cost.FINAL
+    return Cost.FINAL
+
+
+class RetryTokens:
+    """The retries that a service may make now.
+
+    Each request adds the budget's fraction of a token, which fades over
+    `WINDOW_S`; besides, some tokens come with time, so that a service with few
+    requests can retry at all.
+    """
+
+    def __init__(self) -> None:
+        self._earned = 0.0
+        self._floor = math.inf
+        self._changed_s = 0.0
+
+    def note_request(self, budget: RetryBudget, now_s: float) -> None:
+        """Earn a fraction of a retry."""
+        self._pass_time(budget, now_s)
+        self._earned += budget.fraction
+
+    def available(self, budget: RetryBudget, now_s: float) -> bool:
+        """Tell whether a retry could be made."""
+        self._pass_time(budget, now_s)
+        return self._floor >= 1 or self._earned >= 1
+
+    def take(self, budget: RetryBudget, now_s: float) -> bool:
+        """Take a retry, or return False."""
+        if not self.available(budget, now_s):
+            return False
+        if self._floor >= 1:
+            self._floor -= 1
+        else:
+            self._earned -= 1
+        return True
+
+    def _pass_time(self, budget: RetryBudget, now_s: float) -> None:
+        passed_s = max(0.0, now_s - self._changed_s)
+        self._changed_s = max(now_s, self._changed_s)
+        self._earned *= math.exp(-passed_s / WINDOW_S)
+        floor_max = max(1.0, budget.per_s_min * FLOOR_BURST_S)
+        self._floor = min(floor_max, self._floor + budget.per_s_min * passed_s)
+
+
+class LatencyEstimate:
+    """How long answers of a service take: their mean, and about a 95th of 100.
+
+    `limit_s` is what a gate takes for slow, 0 while unknown.
+
+    The quantile moves up by 19 parts when an answer took longer and down by
+    one part when it did not, so that it rests where 1 of 20 takes longer.
+    """
+
+    STEP = 0.005
+
+    def __init__(self) -> None:
+        self.mean_s = 0.0
+        self.high_s: float | None = None
+        self.limit_s = 0.0
+
+    def note(self, took_s: float, limit_ms: float = 0.0) -> None:
+        """Take the time of one answer, and its gate's limit for it."""
+        self.limit_s = limit_ms / 1000 or self.limit_s
+        if self.high_s is None:
+            self.mean_s, self.high_s = took_s, 2 * took_s
+            return
+        self.mean_s += 0.1 * (took_s - self.mean_s)
+        if took_s > self.high_s:
+            self.high_s *= 1 + 19 * self.STEP
+        else:
+            self.high_s *= 1 - self.STEP
+
+
+class ReturnTimes:
+    """When callers that were given up may come back.
+
+    They are spread over the time in which the service, at its present rate of
+    answers, could serve all of them: told the same time, they would return as
+    the same wave that could not be served.
+    """
+
+    def __init__(self) -> None:
+        self._answered = 0.0
+        self._given_up = 0.0
+        self._changed_s = 0.0
+
+    def note(self, is_answered: bool, now_s: float) -> None:
+        """Count the end of one request."""
+        passed_s = max(0.0, now_s - self._changed_s)
+        self._changed_s = max(now_s, self._changed_s)
+        fade = math.exp(-passed_s / WINDOW_S)
+        self._answered = self._answered * fade + is_answered
+        self._given_up = self._given_up * fade + (not is_answered)
+
+    def suggest_ms(self, earliest_ms: float, rng: random.Random) -> float:
+        """Return after which time one caller may come back."""
+        answers_per_s = max(1.0, self._answered / WINDOW_S)
+        spread_s = min(max(self._given_up / answers_per_s, RETURN_MIN_S), RETURN_MAX_S)
+        return earliest_ms + rng.random() * spread_s * 1000
+
+
+class _Service:
+    def __init__(self) -> None:
+        self.tokens = RetryTokens()
+        self.latency = LatencyEstimate()
+        self.returns = ReturnTimes()
+
+
+class RetryPolicy:
+    """Decides on further attempts for all services of one ingress.
+
+    Parameters
+    ----------
+    budget : callable
+        Returns the retry budget in force of a service.
+    """
+
+    # A second attempt starts when the first takes this many times as long as
+    # nearly all others, at the latest after a third of the time left.
+    SLOW_FACTOR = 2.0
+    LATEST_PART = 1 / 3
+    # Of a gate's limit: with the settings' largest usual factor a request
+    # counts as slow well before.
+    SLOWEST_FACTOR = 3.0
+
+    def __init__(self, budget: Callable[[str], RetryBudget]) -> None:
+        self._budget = budget
+        self._lock = threading.Lock()
+        self._services: dict[str, _Service] = {}
+
+    def begin(self, service: str, now_s: float) -> None:
+        """Count a request."""
+        with self._lock:
+            self._of(service).tokens.note_request(self._budget(service), now_s)
+
+    def note_answer(self, service: str, took_s: float, limit_ms: float = 0.0) -> None:
+        """Take the time of one answered attempt, and its gate's limit for it."""
+        with self._lock:
+            self._of(service).latency.note(took_s, limit_ms)
+
+    def may_retry(
+        self,
+        service: str,
+        execution: Execution,
+        replies: list[Reply],
+        deadline_s: float,
+        now_s: float,
+    ) -> bool:
+        """Tell whether a request may have another attempt, and pay for it.
+
+        Parameters
+        ----------
+        replies : list of Reply
+            Of its attempts so far.
+        """
+        cost = _cost(replies[-1], execution)
+        if cost is Cost.FINAL or len(replies) >= ATTEMPTS_MAX:
+            return False
+        with self._lock:
+            state = self._of(service)
+            if now_s + state.latency.mean_s >= deadline_s:
+                return False
+            if cost is Cost.FIRST_FREE:
+                reasons = [reply.reason for reply in replies]
+                is_first = reasons.count(replies[-1].reason) == 1
+                cost = Cost.FREE if is_first else Cost.PAID
+            return cost is Cost.FREE or state.tokens.take(self._budget(service), now_s)
+
+    def may_hedge(self, service: str, now_s: float) -> bool:
+        """Tell whether a second attempt beside a slow one is allowed; pay it."""
+        with self._lock:
+            return self._of(service).tokens.take(self._budget(service), now_s)
+
+    def patience_s(
+        self, service: str, is_own: bool, left_s: float, now_s: float
+    ) -> float:
+        """Return how long one attempt of an idempotent request may be alone.
+
+        Parameters
+        ----------
+        is_own : bool
+            The attempt is at this node's own gate, and ends when the patience
+            does. It then lasts past what the gate takes for slow: a shorter
+            silence would not count as evidence, and a backend server that
+            hangs would not be found out.
+
+        Returns
+        -------
+        float
+            The whole time that is left when no retry could be paid, or none
+            would end in time.
+        """
+        with self._lock:
+            state = self._of(service)
+            latency = state.latency
+            if not state.tokens.available(self._budget(service), now_s):
+                return left_s
+        latest_s = left_s * self.LATEST_PART
+        if latency.high_s is None:
+            return latest_s
+        patience_s = min(latest_s, latency.high_s * self.SLOW_FACTOR)
+        if not is_own:
+            return patience_s
+        patience_s = max(patience_s, latency.limit_s * self.SLOWEST_FACTOR)
+        return patience_s if patience_s <= left_s / 2 else left_s
+
+    def end(
+        self,
+        service: str,
+        is_answered: bool,
+        earliest_ms: float,
+        rng: random.Random,
+        now_s: float,
+    ) -> float:
+        """Count a request's end; return when its caller may come back, in ms."""
+        with self._lock:
+            returns = self._of(service).returns
+            returns.note(is_answered, now_s)
+            return 0.0 if is_answered else returns.suggest_ms(earliest_ms, rng)
+
+    def _of(self, service: str) -> _Service:
+        state = self._services.get(service)
+        if state is None:
+            state = self._services[service] = _Service()
+        return state
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -6,6 +6,7 @@
 
 from balsamspindle.backend_servers.queue import Order, SlotQueue, Ticket, Verdict
 from balsamspindle.backend_servers.slots import SlotAccount, WorkEnd, ramped_slots
+from bench.queue_overload import PLANS, run_overload
 
 SERVICE_TIME_S = 1.0
 QUEUE_MAX = 4
@@ -153,3 +154,17 @@
             [1, 1, 3, 4, 6, 6], [ramped_slots(6, age_s, 20.0) for age_s in ages_s]
         )
         self.assertEqual(6, ramped_slots(6, 0.0, 0.0))
+
+
+class OverloadTests(TestCase):
+    # Twice the load that a backend server can take. A queue without limits
+    # works through requests whose callers are gone, and answers few in time.
+
+    def test_what_is_worth_most_is_answered_and_little_work_is_wasted(self):
+        ours = run_overload(PLANS["fifo"], seed=0)
+        plain = run_overload(PLANS["plain queue"], seed=0)
+        self.assertGreaterEqual(ours.heavy, 0.99)
+        self.assertGreaterEqual(ours.weighted, 0.72)
+        self.assertLessEqual(ours.wasted, 0.05)
+        self.assertLessEqual(ours.told_s, 0.4)
+        self.assertLessEqual(plain.weighted, 0.2)
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,341 @@
+"""Further attempts: who gets one, and what they cost the service."""
+
+import io
+import random
+import socket
+import threading
+import time
+
+import zmq
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from balsamspindle.backend_servers.client import BackendServerClient
+from balsamspindle.backend_servers.gate import Gate
+from balsamspindle.backend_servers.servers import LocalBackendServers
+from balsamspindle.membership import Directory
+from balsamspindle.membership.directory import Placement
+from balsamspindle.requests.attempts import ForwardedRequest
+from balsamspindle.requests.forwarding import Forwarder
+from balsamspindle.requests.http import CallerRequest, HttpConnection, HttpLimits
+from balsamspindle.requests.links import LinkPool
+from balsamspindle.requests.outcomes import Execution, Outcome, Reason
+from balsamspindle.requests.retries import (
+    FLOOR_BURST_S,
+    LatencyEstimate,
+    RetryPolicy,
+    RetryTokens,
+    ReturnTimes,
+)
+from balsamspindle.services.free_slots import FreeSlotViews
+from balsamspindle.services.holdouts import KEPT_MAX, HoldOuts
+from balsamspindle.services.picker import Picker
+from balsamspindle.settings.documents import RetryBudget, RouteDocument
+from balsamspindle.settings.tree import CurrentConfiguration
+from balsamspindle.timeline import EventLog, HybridClock
+from balsamspindle.wire import (
+    AttemptId,
+    BackendServerRecord,
+    NodeRecord,
+    Reply,
+    checksum,
+    encode,
+)
+from bench.retry_storm import SERVERS, Failure, FixedAttempts, run_storm
+from tests.fake_gate import FakeGate
+from tests.utils import free_address
+
+SERVICE = "crew/vacancies"
+OWN = NodeRecord("own", 1, 1, "r", "z", "-", "-", "alive")
+BODY = b"vacancies"
+ATTEMPT = AttemptId("own", 1, 1)
+BUDGET = RetryBudget(fraction=0.1, per_s_min=1.0)
+STEPS = st.lists(
+    st.tuples(st.sampled_from(["request", "retry"]), st.floats(0, 3)), max_size=200
+)
+
+
+def answer(dispatch, status=200):
+    reply = Reply(
+        dispatch.attempt_id,
+        Outcome.ANSWERED,
+        status=status,
+        body=BODY,
+        body_checksum=checksum(BODY),
+        free_slots=4,
+    )
+    return [(0.0, encode(reply))]
+
+
+class RetryStormTests(TestCase):
+    # All backend servers of a service fail or hang. Three attempts for each
+    # request would treble the load just then, and keep it up.
+
+    def test_the_budget_holds_a_storm_to_its_bound(self):
+        for failure in (Failure.HANG, Failure.BROKEN, Failure.SHED):
+            result = run_storm(failure, SERVERS, RetryPolicy, seed=0)
+            baseline = run_storm(failure, SERVERS, FixedAttempts, seed=0)
+            self.assertLessEqual(result.attempts, 1.15, failure)
+            self.assertEqual(3.0, baseline.attempts, failure)
+
+    def test_refusals_by_busy_gates_cost_the_backend_servers_nothing(self):
+        result = run_storm(Failure.BUSY, SERVERS, RetryPolicy, seed=0)
+        self.assertEqual(0, result.runs)
+        self.assertLessEqual(result.attempts, 2.2)
+
+    def test_the_budget_answers_while_half_of_the_backend_servers_fail(self):
+        for failure in Failure:
+            result = run_storm(failure, SERVERS // 2, RetryPolicy, seed=0)
+            self.assertGreaterEqual(result.answered, 0.9, failure)
+            self.assertLessEqual(result.attempts, 1.15, failure)
+
+    @settings(max_examples=200, derandomize=True, deadline=None)
+    @given(STEPS)
+    def test_retries_stay_a_fraction_of_requests_and_a_little_with_time(self, steps):
+        tokens, now_s, requests, retries = RetryTokens(), 0.0, 0, 0
+        for kind, pause_s in steps:
+            now_s += pause_s
+            if kind == "request":
+                tokens.note_request(BUDGET, now_s)
+                requests += 1
+            else:
+                retries += tokens.take(BUDGET, now_s)
+        floor = BUDGET.per_s_min * (now_s + FLOOR_BURST_S)
+        self.assertLessEqual(retries, BUDGET.fraction * requests + floor + 1e-6)
+
+
+class AgainTests(TestCase):
+    def _may_retry(self, execution, *replies, left_s=1.0):
+        policy = RetryPolicy(lambda service: BUDGET)
+        return policy.may_retry(SERVICE, execution, list(replies), left_s, 0.0)
+
+    def test_what_may_go_elsewhere(self):
+        def reply(outcome, reason=None, status=0):
+            return Reply(ATTEMPT, outcome, reason, status)
+
+        drained = reply(Outcome.NOT_RUN, Reason.DRAINING)
+        busy = reply(Outcome.NOT_RUN, Reason.NO_FREE_SLOT)
+        cancelled = reply(Outcome.NOT_RUN, Reason.CANCELLED)
+        silent = reply(Outcome.UNKNOWN, Reason.SILENCE)
+        shed = reply(Outcome.ANSWERED, status=503)
+        failed = reply(Outcome.ANSWERED, status=500)
+        # Reply: idempotent, non-idempotent.
+        cases = [
+            (drained, True, True),
+            (busy, True, True),
+            (cancelled, False, False),
+            (silent, True, False),
+            (shed, True, False),
+            (failed, False, False),
+        ]
+        for case, idempotent, non_idempotent in cases:
+            may = [self._may_retry(execution, case) for execution in Execution]
+            self.assertEqual([idempotent, non_idempotent], may, case)
+        self.assertFalse(self._may_retry(Execution.IDEMPOTENT, drained, left_s=0.0))
+        self.assertFalse(self._may_retry(Execution.IDEMPOTENT, *[drained] * 5))
+
+    def test_no_attempt_begins_that_could_not_end_in_time(self):
+        policy = RetryPolicy(lambda service: BUDGET)
+        policy.note_answer(SERVICE, 0.5)
+        silent = [Reply(ATTEMPT, Outcome.UNKNOWN, Reason.SILENCE)]
+        arguments = SERVICE, Execution.IDEMPOTENT, silent
+        self.assertFalse(policy.may_retry(*arguments, 0.4, 0.0))
+        self.assertTrue(policy.may_retry(*arguments, 0.6, 0.0))
+
+    def test_an_own_attempt_lasts_past_what_its_gate_takes_for_slow(self):
+        # At the own gate the attempt ends with the patience. Ended sooner, a
+        # backend server that hangs gives no evidence and is never found out.
+        policy = RetryPolicy(lambda service: BUDGET)
+        policy.note_answer(SERVICE, 0.01, limit_ms=30.0)
+        near_s, far_s = (
+            policy.patience_s(SERVICE, is_own, 2.0, 0.0) for is_own in (True, False)
+        )
+        self.assertGreaterEqual(near_s, 0.09)
+        self.assertLess(far_s, 0.09)
+        # No second attempt would end in time: the first one has it all.
+        self.assertEqual(0.1, policy.patience_s(SERVICE, True, 0.1, 0.0))
+        while policy.may_hedge(SERVICE, 0.0):
+            pass
+        self.assertEqual(2.0, policy.patience_s(SERVICE, False, 2.0, 0.0))
+
+    def test_the_high_latency_is_passed_by_one_answer_of_twenty(self):
+        rng, estimate = random.Random(5), LatencyEstimate()
+        for _ in range(5000):
+            estimate.note(rng.expovariate(1.0))
+        # 95 of 100 of this distribution are under 3.0.
+        self.assertTrue(2.2 < estimate.high_s < 4.0, estimate.high_s)
+        self.assertTrue(0.5 < estimate.mean_s < 2.0, estimate.mean_s)
+
+
+class ReturnTimeTests(TestCase):
+    def test_callers_are_spread_over_the_time_that_serves_them(self):
+        # 400 callers are given up at once by a service that answers 20 a
+        # second. Told the same second, they would come as the same wave.
+        times, rng = ReturnTimes(), random.Random(3)
+        for number in range(200):
+            times.note(True, number * 0.05)
+        for _ in range(400):
+            times.note(False, 10.0)
+        suggested = [times.suggest_ms(0.0, rng) for _ in range(400)]
+        per_s = [
+            sum(int(ms // 1000) == second for ms in suggested) for second in range(60)
+        ]
+        self.assertLess(max(per_s), 40)
+        self.assertGreater(max(suggested), 20_000)
+
+    def test_without_load_they_may_come_back_soon(self):
+        times = ReturnTimes()
+        times.note(False, 0.0)
+        suggested = times.suggest_ms(500.0, random.Random(3))
+        self.assertTrue(500 <= suggested <= 2500)
+
+
+class LocalViewTests(TestCase):
+    def setUp(self):
+        super().setUp()
+        server = BackendServerRecord("server", SERVICE, "1", 6, "ready")
+        self.placement = Placement(OWN, server)
+
+    def test_own_attempts_since_the_last_reply_are_taken_off(self):
+        views = FreeSlotViews()
+        views.started("server")
+        self.assertEqual(5, views.free_slots(self.placement, 0.0))
+        views.note("server", 2, 0.0)
+        self.assertEqual(2, views.free_slots(self.placement, 0.0))
+        views.started("server")
+        views.started("server")
+        self.assertEqual(0, views.free_slots(self.placement, 0.0))
+        for _ in range(3):
+            views.ended("server")
+        self.assertEqual(2, views.free_slots(self.placement, 0.0))
+        self.assertEqual(6, views.free_slots(self.placement, 60.0))
+
+    def test_a_link_that_fails_is_avoided_longer_each_time(self):
+        holds = HoldOuts(first_s=0.5, max_s=4.0)
+        now_s, lengths_s = 0.0, []
+        for _ in range(5):
+            holds.note_failure("gate", now_s)
+            holds.note_failure("gate", now_s)
+            start_s = now_s
+            while holds.is_held("gate", now_s):
+                now_s += 0.125
+            lengths_s.append(now_s - start_s)
+        self.assertEqual([0.5, 1.0, 2.0, 4.0, 4.0], lengths_s)
+        # The one who asked first tries it; the others wait for the outcome.
+        self.assertTrue(holds.is_held("gate", now_s))
+        holds.note_success("gate")
+        self.assertFalse(holds.is_held("gate", now_s))
+
+    def test_what_is_remembered_of_links_is_bounded(self):
+        holds = HoldOuts(0.5, 4.0)
+        for number in range(3 * KEPT_MAX):
+            holds.note_failure(f"gate-{number}", 0.0)
+        kept = [holds.is_held(f"gate-{number}", 0.1) for number in range(3 * KEPT_MAX)]
+        self.assertEqual(KEPT_MAX, sum(kept))
+
+
+class TwoGateTests(TestCase):
+    """One ingress and two gates of fakes, each with one backend server."""
+
+    def setUp(self):
+        super().setUp()
+        self.answers = {"a": answer, "b": answer}
+        self.gates, self.directory = {}, Directory()
+        for name in self.answers:
+            address = free_address()
+            gate = FakeGate(address, lambda dispatch, n=name: self.answers[n](dispatch))
+            self.addCleanup(gate.close)
+            server = BackendServerRecord(f"server-{name}", SERVICE, "1", 4, "ready")
+            self.directory.update(
+                NodeRecord(
+                    f"gate-{name}", 1, 1, "r", "z", address, "-", "alive", (server,)
+                ),
+                0.0,
+            )
+            self.gates[name] = gate
+        events = EventLog("own", 1, HybridClock(), io.StringIO())
+        self.links = LinkPool(zmq.Context.instance(), events)
+        self.addCleanup(self.links.close)
+        self.forwarder = Forwarder(
+            OWN,
+            Picker(OWN, self.directory, CurrentConfiguration()),
+            Gate(LocalBackendServers(), BackendServerClient(1000), events),
+            self.links,
+            events,
+        )
+
+    def _request(self, execution=Execution.IDEMPOTENT, timeout_s=20.0):
+        near, far = socket.socketpair()
+        with near, far:
+            return self.forwarder.forward(
+                ForwardedRequest(
+                    "id",
+                    HttpConnection(near, HttpLimits()),
+                    CallerRequest("GET", "/"),
+                    RouteDocument(service=SERVICE, execution=execution),
+                    time.monotonic() + timeout_s,
+                )
+            )
+
+    def _dispatches(self):
+        return sum(len(gate.dispatches) for gate in self.gates.values())
+
+    def test_the_caller_of_a_silent_backend_server_is_rescued(self):
+        # One backend server hangs. Without a second attempt beside the first
+        # its callers wait for their whole time and are told 'unknown'.
+        self.answers["a"] = lambda dispatch: []
+        replies = [self._request() for _ in range(6)]
+        self.assertEqual([BODY] * 6, [reply.body for reply in replies])
+        # Not cancelled: its gate has to see how long it stays silent.
+        silent = self.gates["a"]
+        self.assertTrue(silent.dispatches)
+        self.assertEqual([], silent.cancels)
+
+    def test_a_late_first_answer_wins_over_a_silent_second_attempt(self):
+        late = threading.Event()
+
+        def first_late(dispatch):
+            if self._dispatches() == 1:
+                return [(1.5, answer(dispatch)[0][1])]
+            late.set()
+            return []
+
+        self.answers = {"a": first_late, "b": first_late}
+        reply = self._request(timeout_s=3.0)
+        self.assertEqual((Outcome.ANSWERED, BODY), (reply.outcome, reply.body))
+        self.assertTrue(late.is_set())
+
+    def test_a_silent_non_idempotent_request_has_one_attempt(self):
+        self.answers = {"a": lambda dispatch: [], "b": lambda dispatch: []}
+        reply = self._request(Execution.NON_IDEMPOTENT, timeout_s=0.5)
+        self.assertEqual(Outcome.UNKNOWN, reply.outcome)
+        self.assertEqual(1, self._dispatches())
+
+    def test_a_503_goes_elsewhere_and_stands_when_all_say_so(self):
+        self.answers["a"] = lambda dispatch: answer(dispatch, status=503)
+        self.assertEqual([200] * 4, [self._request().status for _ in range(4)])
+        self.answers["b"] = self.answers["a"]
+        reply = self._request()
+        self.assertEqual((Outcome.ANSWERED, 503), (reply.outcome, reply.status))
+
+    def test_an_answer_stands_when_the_second_attempt_has_none(self):
+        # The backend server ran the request and answered 503; another gate is
+        # busy. 'Not run' would be a lie.
+        def busy(dispatch):
+            refusal = Reply(dispatch.attempt_id, Outcome.NOT_RUN, Reason.NO_FREE_SLOT)
+            return [(0.0, encode(refusal))]
+
+        self.answers = {"a": lambda one: answer(one, status=503), "b": busy}
+        for _ in range(8):
+            reply = self._request()
+            self.assertEqual((Outcome.ANSWERED, 503), (reply.outcome, reply.status))
+
+    def test_a_gate_that_can_not_be_reached_is_asked_once_in_a_while(self):
+        # Each request to a cut-off node would wait for the link in vain.
+        self.gates["a"].close()
+        self.gates["a"].close = lambda: None
+        replies = [self._request(Execution.NON_IDEMPOTENT) for _ in range(20)]
+        self.assertEqual([BODY] * 20, [reply.body for reply in replies])
+        held = self.forwarder._sender.link_hold_outs
+        self.assertTrue(held.is_held("gate-a", time.monotonic()))
