--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -166,18 +166,26 @@
         ]
         self.fleet.wait_ready(self.nodes, ["contract-0", "contract-1"])
 
+    def _in_flight(self, server_id: str) -> int:
+        names = [
+            event["event"]
+            for event in read_events(self.nodes[0].log_path)
+            if event.get("backend_server") == server_id
+        ]
+        return names.count("attempt_sent") - names.count("attempt_ended")
+
     def test_requests_that_wait_for_a_slot_go_elsewhere_at_a_drain(self):
-        # Five requests wait at one gate for the only slot, when the backend
+        # Requests wait at one gate for the only slot, when the backend
         # server announces that it leaves. Served there, they would hold its
         # VM; refused to their callers, they would be lost for no reason.
         self._start(work_ms=400, slots=1)
         callers = [
             SteadyCaller(f"caller-{number}", [self.nodes[0].caller_address], "POST")
-            for number in range(5)
+            for number in range(10)
         ]
         for caller in callers:
             caller.start()
-        time.sleep(0.2)
+        wait_until(lambda: self._in_flight("contract-0") >= 3, "two requests wait")
         call(self.nodes[0].admin_address, "/backend-servers/contract-0/drain", "POST")
         time.sleep(1.5)
         for caller in callers:
