Pay for a retry before an attempt at the own gate is cut short

Cause: an attempt of an idempotent request at the node's own gate ends with its patience, to be made again elsewhere. Whether a retry was to be had was looked up before the attempt and paid for after it; of several slow requests at once all were cut short and only as many as there were tokens tried again.

Ruled out: a lost answer or a broken link (the attempts were local and ended at their shortened deadline).

Now the retry is taken before the attempt may be cut short, given back when it is not needed, and an attempt without one has the whole time left.

--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -65,10 +65,15 @@
         How long an attempt of an idempotent request may be alone.
     choose : callable
         Returns the place for a second attempt, paid for, or None.
+    is_paid : bool
+        The next attempt is paid for already. An attempt at the own gate ends
+        with its patience; were the retry then not to be had, the caller of a
+        slow request would lose an answer that was on its way.
     """
 
     patience_s: float
     choose: Callable[[], Placement | None]
+    is_paid: bool = False
 
 
 class AttemptSender:
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -98,11 +98,18 @@
                 self._retries.note_answer(
                     route.service, now_s - started_s, reply.limit_ms
                 )
+                self._give_back(forwarded, rescue)
                 return reply
             if self._given_up.is_set() or forwarded.caller.caller_gone():
+                self._give_back(forwarded, rescue)
                 break
             if not self._retries.may_retry(
-                route.service, route.execution, replies, forwarded.deadline_s, now_s
+                route.service,
+                route.execution,
+                replies,
+                forwarded.deadline_s,
+                now_s,
+                is_paid=rescue is not None and rescue.is_paid,
             ):
                 break
         return _best(replies) if replies else nowhere
@@ -123,7 +130,15 @@
         left_s = forwarded.deadline_s - now_s
         is_own = self._sender.is_own(placement)
         patience_s = self._retries.patience_s(route.service, is_own, left_s, now_s)
-        return Rescue(patience_s, lambda: self._choose_second(forwarded))
+        is_paid = False
+        if is_own and patience_s < left_s:
+            is_paid = self._retries.may_hedge(route.service, now_s)
+            patience_s = patience_s if is_paid else left_s
+        return Rescue(patience_s, lambda: self._choose_second(forwarded), is_paid)
+
+    def _give_back(self, forwarded: ForwardedRequest, rescue: Rescue | None) -> None:
+        if rescue is not None and rescue.is_paid:
+            self._retries.give_back(forwarded.route.service)
 
     def _choose_second(self, forwarded: ForwardedRequest) -> Placement | None:
         placement = self._pick(forwarded)
--- a/balsamspindle/requests/retries.py
+++ b/balsamspindle/requests/retries.py
@@ -105,6 +105,10 @@
             self._earned -= 1
         return True
 
+    def give_back(self) -> None:
+        """Return a retry that was taken and not made."""
+        self._floor += 1
+
     def _pass_time(self, budget: RetryBudget, now_s: float) -> None:
         passed_s = max(0.0, now_s - self._changed_s)
         self._changed_s = max(now_s, self._changed_s)
@@ -216,6 +220,7 @@
         replies: list[Reply],
         deadline_s: float,
         now_s: float,
+        is_paid: bool = False,
     ) -> bool:
         """Tell whether a request may have another attempt, and pay for it.
 
@@ -223,19 +228,29 @@
         ----------
         replies : list of Reply
             Of its attempts so far.
+        is_paid : bool
+            Whether it was paid for before; given back when it isn't needed.
         """
-        cost = _cost(replies[-1], execution)
-        if cost is Cost.FINAL or len(replies) >= ATTEMPTS_MAX:
-            return False
         with self._lock:
             state = self._of(service)
-            if now_s + state.latency.mean_s >= deadline_s:
-                return False
+            cost = _cost(replies[-1], execution)
+            is_late = now_s + state.latency.mean_s >= deadline_s
+            if is_late or len(replies) >= ATTEMPTS_MAX:
+                cost = Cost.FINAL
             if cost is Cost.FIRST_FREE:
                 reasons = [reply.reason for reply in replies]
                 is_first = reasons.count(replies[-1].reason) == 1
                 cost = Cost.FREE if is_first else Cost.PAID
-            return cost is Cost.FREE or state.tokens.take(self._budget(service), now_s)
+            if cost is Cost.PAID:
+                return is_paid or state.tokens.take(self._budget(service), now_s)
+            if is_paid:
+                state.tokens.give_back()
+            return cost is Cost.FREE
+
+    def give_back(self, service: str) -> None:
+        """Return a retry that was paid for and not made."""
+        with self._lock:
+            self._of(service).tokens.give_back()
 
     def may_hedge(self, service: str, now_s: float) -> bool:
         """Tell whether a second attempt beside a slow one is allowed; pay it."""
