--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 
 # Figures of this machine, some minutes each; a module of bench/ says what it
 # measures. One alone: make bench BENCHES=latency
-BENCHES := latency caller_heads picker claims queue_overload probes health_cost \
+BENCHES := latency caller_heads routes picker claims queue_overload probes health_cost \
     detection membership settings capacity deployments
 
 bench: setup
