Do not let a held-out backend server's own failures excuse it

Cause: a neighbour's dispatches carry a summary of all others of the service. Since a server that is held out hears it, too; but the summary counts that server itself, as bad. With few others heard its own failures passed for its peers': its score was taken back and it was on trial again after 50 ms.

Ruled out by a trace of the summaries: hanging attempts that were never ended (none in flight).

Not covered: where the ingress has not heard from it for 10 s the summary counts one other too few. Change in backend_servers/health_monitor.py.

--- a/balsamspindle/backend_servers/health_monitor.py
+++ b/balsamspindle/backend_servers/health_monitor.py
@@ -120,9 +120,14 @@
             # One that is held out gets no dispatch, and so no summary of its
             # own. Without this it would stay out for an overload that has
             # long been seen at all the others.
+            # The summary counts that one itself, as bad: its own failures
+            # would excuse it.
+            of_others = evidence._replace(
+                heard=max(0, evidence.heard - 1), bad=max(0, evidence.bad - 1)
+            )
             for other in self._known.values():
                 if other is not known and other.shares_news_with(known):
-                    other.health.note_peers(evidence, now_s)
+                    other.health.note_peers(of_others, now_s)
 
     def probed(self, backend_server_id: str, result: ProbeResult, now_s: float) -> None:
         """Take a probe's result."""
--- a/tests/test_health_monitor.py
+++ b/tests/test_health_monitor.py
@@ -95,6 +95,26 @@
     assert node.suspicion == 0
 
 
+def test_its_own_failures_are_no_news_of_its_peers():
+    """One server of two beside a node fails all its work and is held out.
+
+    The other's requests tell of a bad peer, which is the one held out. Taken
+    for news of its peers, its own failures would excuse it: it was on trial
+    again after 50 ms, and got requests for as long as it failed.
+    """
+    node = Node()
+    announcement = Announcement(SERVICE, "127.0.0.1:8", 6, "1")
+    node.servers.announce("contract-1", announcement, node.now_s)
+    node.monitor.tick(node.now_s)
+    node.work(ERROR, 4)
+    assert node.suspicion >= 1
+    for _ in range(10):
+        only_itself = PeerEvidence(heard=1, bad=1)
+        node.monitor.note_peers("contract-1", only_itself, node.now_s)
+        node.wait(0.1)
+    assert node.suspicion >= 1
+
+
 def test_one_that_went_away_for_long_is_forgotten():
     node = Node()
     node.work(ERROR, 4)
