--- /dev/null
+++ b/tests/test_link_server_bound.py
@@ -0,0 +1,101 @@
+"""A link server with more attempts than threads."""
+
+import io
+import socket
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import zmq
+from testtools import TestCase
+
+from balsamspindle.backend_servers import link_server
+from balsamspindle.backend_servers.client import BackendServerClient
+from balsamspindle.backend_servers.gate import Gate
+from balsamspindle.backend_servers.link_server import LinkServer
+from balsamspindle.backend_servers.servers import LocalBackendServers
+from balsamspindle.requests.links import LinkPool, Wait, wait_first
+from balsamspindle.requests.outcomes import Execution, Outcome, Reason
+from balsamspindle.timeline import EventLog, HybridClock
+from balsamspindle.wire import AttemptId, Dispatch, Reply, checksum
+from tests.utils import free_address, wait_until
+
+THREADS = 2
+PATIENCE_S = 10.0
+
+
+class HangingGate(Gate):
+    """Runs an attempt until the test lets it end."""
+
+    def __init__(self, *args) -> None:
+        super().__init__(*args)
+        self.started = threading.Semaphore(0)
+        self.go_on = threading.Event()
+
+    def handle(self, dispatch, received_s):
+        self.started.release()
+        self.go_on.wait(PATIENCE_S)
+        return Reply(dispatch.attempt_id, Outcome.ANSWERED, status=200)
+
+
+class LinkServerBoundTests(TestCase):
+    def test_an_attempt_without_a_thread_is_refused_and_not_queued(self):
+        # The backend servers of a node hang and all threads of its gate wait
+        # for them. One more attempt would wait in the executor's queue, which
+        # has no end and no deadline, and its caller would hear nothing.
+        self.patch(link_server, "WAITING_MAX", THREADS)
+        events = EventLog("gate", 1, HybridClock(), io.StringIO())
+        gate = HangingGate(LocalBackendServers(), BackendServerClient(1000), events)
+        context, address = zmq.Context(), free_address()
+        executor = ThreadPoolExecutor(THREADS)
+        server = LinkServer(context, address, gate, executor, events)
+        task = threading.Thread(target=server.run)
+        task.start()
+        links = LinkPool(context, events)
+        try:
+            first = [self._send(links, address, number) for number in range(THREADS)]
+            for _ in first:
+                self.assertTrue(gate.started.acquire(timeout=PATIENCE_S))
+            link, attempt_id = self._send(links, address, THREADS)
+            refused = self._wait(link, attempt_id)
+            self.assertEqual(
+                (Outcome.NOT_RUN, Reason.NO_FREE_SLOT),
+                (refused.outcome, refused.reason),
+            )
+            gate.go_on.set()
+            replies = [self._wait(*sent) for sent in first]
+            self.assertEqual([200] * THREADS, [reply.status for reply in replies])
+            wait_until(lambda: not server.pending(), "all replies are sent")
+        finally:
+            gate.go_on.set()
+            server.stop()
+            task.join()
+            executor.shutdown()
+            context.destroy(0)
+
+    def _send(self, links, address, number):
+        deadline_s = time.monotonic() + PATIENCE_S
+        link = links.take(address, deadline_s)
+        dispatch = Dispatch(
+            AttemptId("own", 1, number),
+            "id",
+            "crew/contracts",
+            "server",
+            Execution.IDEMPOTENT,
+            PATIENCE_S * 1000,
+            1.0,
+            "GET",
+            "/",
+            [],
+            b"",
+            checksum(b""),
+        )
+        self.assertTrue(link.send_dispatch(dispatch, deadline_s))
+        return link, dispatch.attempt_id
+
+    def _wait(self, link, attempt_id) -> Reply:
+        near, far = socket.socketpair()
+        with near, far:
+            deadline_s = time.monotonic() + PATIENCE_S
+            wait = Wait(deadline_s, near.fileno(), lambda: False, self.fail)
+            return wait_first({link: attempt_id}, wait).reply
