--- a/tests/leaving_utils.py
+++ b/tests/leaving_utils.py
@@ -89,6 +89,8 @@
                 response.read(),
             )
         except (OSError, http.client.HTTPException) as error:
+            if isinstance(error, ConnectionRefusedError) and self._stopped.is_set():
+                return
             self.faults.append(f"{run_key}: {error!r}")
             self._connection = None
             return
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -126,6 +126,30 @@
             if made.method == "POST" or not expected:
                 self.assertEqual(expected, runs[made.run_key], made)
 
+    def test_the_whole_fleet_leaves_at_once_and_no_request_is_cut(self):
+        time.sleep(0.5)
+        for node in self.nodes:
+            node.signal(signal.SIGTERM)
+        statuses = [node.process.wait(20) for node in self.nodes]
+        self.assertEqual([0] * 3, statuses)
+        calls = self._end_callers()
+        faults = [fault for caller in self.callers for fault in caller.faults]
+        self.assertEqual([], faults)
+        self.assertEqual(
+            set(), {made.outcome for made in calls} - {"answered", "not_run"}
+        )
+        runs = Counter()
+        for server in self.servers:
+            runs.update(server.runs())
+        self.assertEqual(
+            [],
+            [
+                made
+                for made in calls
+                if made.outcome == "not_run" and runs[made.run_key]
+            ],
+        )
+
     def test_a_backend_server_that_gets_sigterm_finishes_its_work_and_leaves(self):
         time.sleep(0.5)
         for server in self.servers[:2]:
