--- a/balsamspindle/wire/security.py
+++ b/balsamspindle/wire/security.py
@@ -27,7 +27,9 @@
     public_key, secret_key : str
         One pair for all nodes, Z85.
     allowed_public_keys : tuple of str
-        Further keys that may connect, besides the fleet's own.
+        Public keys of further clients that may connect, each with a pair of
+        its own. Nodes with two different fleet pairs can't talk by it: a node
+        expects its own public key of each listener.
     """
 
     public_key: CurveKey
