--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -11,6 +11,7 @@
 from balsamspindle.membership.directory import Placement
 from balsamspindle.requests.attempts import AttemptSender, ForwardedRequest, Rescue
 from balsamspindle.requests.claims import ClaimBook, KeyClaimant
+from balsamspindle.requests.heads import IDEMPOTENCY_KEY_MAX_CHARACTERS
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.requests.outcomes import PROBLEMS, Execution, Outcome, Reason
 from balsamspindle.requests.retries import RetryPolicy, is_shed
@@ -22,8 +23,6 @@
 
 __all__ = ["ForwardedRequest", "Forwarder"]
 
-KEY_MAX_CHARACTERS = 255
-
 
 class Forwarder:
     """Makes attempts until a request has its outcome.
@@ -64,7 +63,7 @@
 
     def forward(self, forwarded: ForwardedRequest) -> Reply:
         """Make attempts until one answers or no other is allowed."""
-        if len(forwarded.idempotency_key or "") > KEY_MAX_CHARACTERS:
+        if len(forwarded.idempotency_key or "") > IDEMPOTENCY_KEY_MAX_CHARACTERS:
             return self._no_attempt(Reason.BAD_REQUEST)
         forwarded.claimant = self._claimant(forwarded)
         self._retries.begin(forwarded.route.service, self._clock())
--- a/balsamspindle/requests/heads.py
+++ b/balsamspindle/requests/heads.py
@@ -14,6 +14,7 @@
     "HEADERS_MAX",
     "HOP_BY_HOP_HEADERS",
     "IDEMPOTENCY_KEY_HEADER",
+    "IDEMPOTENCY_KEY_MAX_CHARACTERS",
     "OUTCOME_HEADER",
     "REQUEST_ID_HEADER",
     "TIMEOUT_HEADER",
@@ -27,6 +28,7 @@
 REQUEST_ID_HEADER = "X-Request-Id"
 TIMEOUT_HEADER = "X-Request-Timeout-Ms"
 IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
+IDEMPOTENCY_KEY_MAX_CHARACTERS = 255
 
 HEADERS_MAX = 100
 
@@ -74,7 +76,9 @@
 _has_dot_segment = re.compile(
     r"/(\.|%2e){1,2}(?=[/\\?]|%2f|%5c|$)", re.IGNORECASE
 ).search
-_is_idempotency_key = re.compile(r"[!-~]{1,255}").fullmatch
+_is_idempotency_key = re.compile(
+    rf"[!-~]{{1,{IDEMPOTENCY_KEY_MAX_CHARACTERS}}}"
+).fullmatch
 
 
 class BadRequest(Exception):
@@ -128,7 +132,8 @@
     if key is not None and not _is_idempotency_key(key):
         raise BadRequest(
             Reason.BAD_REQUEST,
-            "Idempotency-Key must have 1 to 255 visible ASCII characters.",
+            f"{IDEMPOTENCY_KEY_HEADER} must have 1 to "
+            f"{IDEMPOTENCY_KEY_MAX_CHARACTERS} visible ASCII characters.",
         )
     return RequestHead(method, _check_target(target, host), host, headers, noted)
 
