Let the tests' fake gate close when an answer of it failed

Cause: the thread that ends by an error leaves its socket open, and the context's term waits for it for ever, so that the failing test hangs.

--- a/tests/fake_gate.py
+++ b/tests/fake_gate.py
@@ -46,7 +46,9 @@
         """End: connections are reset, nobody listens."""
         self._stopped.set()
         self._thread.join()
-        self._context.term()
+        # A thread that an answer's own failure ended has not closed its socket;
+        # `term` would wait for it for ever, and hide the failure.
+        self._context.destroy(linger=0)
 
     def _run(self) -> None:
         while not self._stopped.is_set():
