--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -14,6 +14,7 @@
 
 PAGES = [ROOT / "README.md", *sorted((ROOT / "docs").glob("*.md"))]
 OPERATORS = (ROOT / "docs" / "OPERATORS.md").read_text()
+GUARANTEES = (ROOT / "docs" / "GUARANTEES.md").read_text()
 
 
 def field_names(kind: type, prefix: str = "") -> list[str]:
@@ -57,6 +58,15 @@
         for status in ExitStatus:
             self.assertIn(f"| {status.value} | `{status.name}` |", OPERATORS)
 
+    def test_each_test_that_the_guarantees_name_exists(self):
+        tests = ROOT / "tests"
+        source = "".join(path.read_text() for path in tests.glob("test_*.py"))
+        known = {path.stem for path in tests.glob("test_*.py")}
+        known.update(re.findall(r"(?:def|class) (\w+)", source))
+        words = re.findall(r"`(?:tests/)?(test_\w+|\w+Tests)(?:\.py)?`", GUARANTEES)
+        self.assertGreater(len(words), 50)
+        self.assertEqual(set(), set(words) - known)
+
     def test_commands_and_options_of_the_pages_exist(self):
         tool = typer.main.get_command(ctl.app)
         for page in PAGES:
