--- a/balsamspindle/__init__.py
+++ b/balsamspindle/__init__.py
@@ -1,4 +1,8 @@
-"""Balsamspindle: a proxy fleet for backend servers with gray failures."""
+"""Balsamspindle: a proxy fleet for backend servers with gray failures.
+
+Start with `node/process.py`, which puts a node together, and follow one
+request from `requests/ingress.py`; docs/DESIGN.md shows its way.
+"""
 
 __all__ = ["__version__"]
 
--- a/balsamspindle/load/__init__.py
+++ b/balsamspindle/load/__init__.py
@@ -1,4 +1,8 @@
-"""Load and experiments: arrivals, faults, and what became of each request."""
+"""Load and experiments: arrivals, faults, and what became of each request.
+
+Start with `plan.py`, what a run is told, then `experiment.py`, the run;
+`audit.py` holds what callers were told against what ran.
+"""
 
 from balsamspindle.load.audit import CallResult
 from balsamspindle.load.experiment import run_experiment
--- a/balsamspindle/metrics/__init__.py
+++ b/balsamspindle/metrics/__init__.py
@@ -1,4 +1,7 @@
-"""Latencies and counts of one process."""
+"""Latencies and counts of one process.
+
+Start with `recorder.py`; `exposition.py` writes the same as text for a scraper.
+"""
 
 from balsamspindle.metrics.exposition import prometheus_text
 from balsamspindle.metrics.recorder import Hop, HopLatency, Metrics, MetricsReport
--- a/balsamspindle/platform/__init__.py
+++ b/balsamspindle/platform/__init__.py
@@ -1,4 +1,8 @@
-"""The platform: a transactional table service and an object store."""
+"""The platform: a transactional table service and an object store.
+
+Start with `protocol.py`, the interface; `http.py` carries it out, and
+`guard.py` bounds how often a node asks and how long it waits.
+"""
 
 from balsamspindle.platform.guard import (
     GuardedObjectStore,
--- a/balsamspindle/settings/__init__.py
+++ b/balsamspindle/settings/__init__.py
@@ -1,4 +1,9 @@
-"""Settings: of one process, and of the fleet by path."""
+"""Settings: of one process, and of the fleet by path.
+
+Start with `documents.py`, what teams write. Operators' edits go through
+`store.py` to the platform; `reader.py` and `spread.py` bring them to each node,
+into `tree.py`. `process.py` is what one node is told at its start.
+"""
 
 from balsamspindle.settings.documents import (
     Detection,
--- a/balsamspindle/timeline/__init__.py
+++ b/balsamspindle/timeline/__init__.py
@@ -1,4 +1,8 @@
-"""One time line of events over all processes."""
+"""One time line of events over all processes.
+
+Start with `events.py`, which writes a process's events, and `clock.py`, which
+orders them; `merge.py` and `story.py` read them again.
+"""
 
 from balsamspindle.timeline.clock import HybridClock
 from balsamspindle.timeline.events import EventLog, format_event, parse_event
--- a/balsamspindle/wire/__init__.py
+++ b/balsamspindle/wire/__init__.py
@@ -1,4 +1,8 @@
-"""Messages between nodes and their codec."""
+"""Messages between nodes and their codec.
+
+Start with `link_messages.py`, the path of requests; `member_messages.py` and
+`settings_messages.py` are for control. `codec.py` makes bytes of them.
+"""
 
 from balsamspindle.wire.codec import (
     WireError,
