--- a/bench/membership.py
+++ b/bench/membership.py
@@ -9,29 +9,22 @@
 machine. CPU is process time.
 """
 
-import gc
 import json
 import math
-import resource
 import sys
 import time
 from collections.abc import Callable
 
-import msgspec
 import typer
-import zmq
-
-from balsamspindle.membership.directory import Directory
-from balsamspindle.membership.transport import ZmqTransport
-from balsamspindle.wire import (
-    BackendServerRecord,
-    NodeHeader,
-    NodeNews,
-    ServerEntry,
+
+from bench.membership_directory import (
+    TARGET_SERVERS_PER_NODE,
+    TARGET_SERVICES,
+    measure_directories,
+    node_news,
 )
-from balsamspindle.wire.security import FleetKeys, start_authenticator
+from bench.membership_sockets import measure_zmq, new_keys
 from tests.member_network import FakeNode, MemberNetwork
-from tests.utils import free_address
 
 SIZES = (30, 60, 120, 240)
 QUICK_SIZES = (10, 20)
@@ -42,12 +35,8 @@
 CHANGES_PER_S = 2 * 45_000 / 86_400
 TARGET_NODES = 5_600
 DIRECTORY_NODES = (1_400, 2_800, TARGET_NODES)
-TARGET_SERVERS_PER_NODE = 25
-TARGET_SERVICES = 6_500
 BURST_NODES_FRACTION = 0.1
 ANSWERING = 8
-ZMQ_MESSAGES = 2_000
-ZMQ_CONNECTS = 200
 
 
 def start_fleet(size: int) -> tuple[MemberNetwork, list[FakeNode]]:
@@ -202,103 +191,6 @@
     }
 
 
-def node_news(number: int, servers: int, services: int) -> NodeNews:
-    """Return a synthetic node with its backend servers."""
-    address = f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}"
-    header = NodeHeader(
-        f"region-{number % 7}",
-        f"zone-{number % 23}",
-        f"{address}:7001",
-        f"{address}:7002",
-        "alive",
-    )
-    entries = []
-    for one in range(servers):
-        service = (number * servers + one) % services
-        record = BackendServerRecord(
-            f"server-{number:05d}-{one:02d}",
-            f"team-{service % 40}/service-{service:05d}",
-            f"{number:08x}{one:02x}",
-            6,
-            "ready",
-        )
-        entries.append(ServerEntry(1, record))
-    return NodeNews(f"node-{number:05d}", 1_764_700_000_000, 1, header, entries)
-
-
-def measure_directory(nodes: int, kept: list[Directory]) -> dict:
-    """Return memory and CPU of one directory.
-
-    `kept` takes it, so that the next one's memory is not what this one freed.
-    """
-    gc.collect()
-    before_kb = _resident_kb()
-    directory = Directory()
-    kept.append(directory)
-    started = time.process_time()
-    for number in range(nodes):
-        news = node_news(number, TARGET_SERVERS_PER_NODE, TARGET_SERVICES)
-        frame = msgspec.msgpack.encode(news)
-        directory.apply(msgspec.msgpack.decode(frame, type=NodeNews), 0.0)
-    load_s = time.process_time() - started
-    for service in directory.services():
-        directory.placements(service)
-    gc.collect()
-    memory_mb = (_resident_kb() - before_kb) / 1024
-    sample = range(0, nodes, max(1, nodes // 1000))
-    updates_s = _time_updates(directory, sample)
-    reads_s = _time_updates(directory, sample, read=True)
-    return {
-        "nodes": nodes,
-        "servers": nodes * TARGET_SERVERS_PER_NODE,
-        "services": len(directory.services()),
-        "memory_mb": memory_mb,
-        "load_s": load_s,
-        "update_us": 1e6 * updates_s / len(sample),
-        "update_and_index_us": 1e6 * reads_s / len(sample),
-        "read_us": 1e6 * _time_reads(directory),
-        "digests_us": 1e6 * _time_digests(directory),
-    }
-
-
-def measure_directories(sizes) -> list[dict]:
-    """Return `measure_directory` of each size, the largest last."""
-    kept: list[Directory] = []
-    return [measure_directory(nodes, kept) for nodes in sizes]
-
-
-def _time_updates(directory: Directory, sample, read: bool = False) -> float:
-    version = 2 + read
-    started = time.process_time()
-    for number in sample:
-        known = directory.view(f"node-{number:05d}").entries
-        record = next(iter(known.values())).record._replace(boot_id=str(version))
-        news = NodeNews(
-            f"node-{number:05d}",
-            1_764_700_000_000,
-            servers=[ServerEntry(version, record)],
-        )
-        directory.apply(news, 0.0)
-        if read:
-            directory.placements(record.service)
-    return time.process_time() - started
-
-
-def _time_reads(directory: Directory) -> float:
-    services = directory.services()
-    started = time.process_time()
-    for service in services:
-        directory.placements(service)
-    return (time.process_time() - started) / len(services)
-
-
-def _time_digests(directory: Directory) -> float:
-    started = time.process_time()
-    for _ in range(100):
-        directory.differing(directory.digests())
-    return (time.process_time() - started) / 100
-
-
 def measure_member_at_size(nodes: int) -> dict:
     """Return CPU of one member's own work when it knows so many nodes.
 
@@ -364,55 +256,6 @@
     }
 
 
-def measure_zmq(keys: FleetKeys | None = None) -> dict:
-    """Return CPU of real sockets: one message there and back, one connect.
-
-    Both ends, the library's I/O thread and, with keys, the authenticator are
-    in this process.
-    """
-    context = zmq.Context()
-    authenticator = start_authenticator(context, keys)
-    address = free_address()
-    near = ZmqTransport(context, free_address(), keys)
-    far = ZmqTransport(context, address, keys)
-    _echo(near, far, address)
-    started = time.process_time()
-    for _ in range(ZMQ_MESSAGES):
-        _echo(near, far, address)
-    message_us = 1e6 * (time.process_time() - started) / ZMQ_MESSAGES
-    started = time.process_time()
-    for _ in range(ZMQ_CONNECTS):
-        near.forget(address)
-        _echo(near, far, address)
-    connect_us = 1e6 * (time.process_time() - started) / ZMQ_CONNECTS
-    near.close()
-    far.close()
-    if authenticator is not None:
-        authenticator.stop()
-    context.term()
-    return {
-        "ping_and_ack_us_both_ends": message_us,
-        "connect_ping_and_ack_us_both_ends": connect_us,
-    }
-
-
-def new_keys() -> FleetKeys:
-    """Return a fresh key pair."""
-    return FleetKeys(*(key.decode() for key in zmq.curve_keypair()))
-
-
-def _echo(near: ZmqTransport, far: ZmqTransport, address: str) -> None:
-    near.send(address, b"x" * 120)
-    for received in far.receive(5.0):
-        far.answer(received.route, received.frame)
-    near.receive(5.0)
-
-
-def _resident_kb() -> int:
-    with open("/proc/self/statm", encoding="ascii") as statm:
-        return int(statm.read().split()[1]) * resource.getpagesize() // 1024
-
-
 def slope_per_decade(sizes: list[int], values: list[float]) -> float:
     """Return the least-squares growth for each tenfold of nodes."""
     xs = [math.log10(size) for size in sizes]
