--- a/tests/test_caller_gone.py
+++ b/tests/test_caller_gone.py
@@ -6,7 +6,7 @@
 from testtools import TestCase
 
 from tests.raw_server import RawServer, length_answer
-from tests.utils import Fleet, call, wait_until
+from tests.utils import call, start_fleet, wait_until
 
 SERVICE = "crew/contracts"
 SETTINGS = {
@@ -24,10 +24,7 @@
 class CallerGoneTests(TestCase):
     def setUp(self):
         super().setUp()
-        self.fleet = Fleet()
-        self.addCleanup(self.fleet.__exit__)
-        self.fleet.start_platform()
-        self.fleet.put_settings(SETTINGS)
+        self.fleet = start_fleet(self, SETTINGS)
         self.gate = self.fleet.start_node("gate", "zone-1")
         self.ingress = self.fleet.start_node("ingress", "zone-2")
         self.server = RawServer(self._answer)
--- a/tests/test_caller_side.py
+++ b/tests/test_caller_side.py
@@ -12,7 +12,7 @@
 from balsamspindle.requests.http import HttpConnection, HttpLimits
 from tests.caller_side import IngressFixture, RawCaller
 from tests.test_whole_path import SETTINGS
-from tests.utils import Fleet, wait_until
+from tests.utils import start_fleet, wait_until
 
 GET = b"GET /contracts/7 HTTP/1.1\r\nHost: crew.example\r\n\r\n"
 
@@ -382,10 +382,7 @@
     def test_what_an_ingress_refuses_never_runs_and_what_it_takes_runs_whole(self):
         # Through real processes: a body in chunks is signed once and whole, a
         # request of two lengths not at all, whatever stands behind it.
-        fleet = Fleet()
-        self.addCleanup(fleet.__exit__)
-        fleet.start_platform()
-        fleet.put_settings(SETTINGS)
+        fleet = start_fleet(self, SETTINGS)
         ingress, gate = (fleet.start_node(f"node-{n}", f"zone-{n}") for n in range(2))
         server = fleet.start_backend("contract-1", "crew/contracts", gate)
         fleet.wait_ready([ingress, gate], ["contract-1"])
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -9,7 +9,7 @@
 from testtools import TestCase
 
 from tests.leaving_utils import SteadyCaller, read_events
-from tests.utils import Fleet, call, wait_until
+from tests.utils import Fleet, call, start_fleet, wait_until
 
 SETTINGS = {
     "crew/services/contracts": {},
@@ -54,10 +54,7 @@
 
     def setUp(self):
         super().setUp()
-        self.fleet = Fleet()
-        self.addCleanup(self.fleet.__exit__)
-        self.fleet.start_platform()
-        self.fleet.put_settings(SETTINGS)
+        self.fleet = start_fleet(self, SETTINGS)
         self.nodes = [
             self.fleet.start_node(f"node-{number}", f"zone-{number}")
             for number in range(3)
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -14,7 +14,7 @@
 from balsamspindle.load.schedule import ScheduledCall, schedule_calls, schedule_faults
 from balsamspindle.requests.outcomes import Execution
 from tests.raw_server import RawServer, length_answer
-from tests.utils import ROOT, Fleet
+from tests.utils import ROOT, start_fleet
 from tests.utils import call as call_server
 
 READ = Arrival("read", "/board", rate_per_s=20.0)
@@ -119,10 +119,7 @@
 class WholeRunTests(TestCase):
     def setUp(self):
         super().setUp()
-        self.fleet = Fleet()
-        self.addCleanup(self.fleet.__exit__)
-        self.fleet.start_platform()
-        self.fleet.put_settings(SETTINGS)
+        self.fleet = start_fleet(self, SETTINGS)
         self.node = self.fleet.start_node("node-0", "zone-0")
         self.servers = [
             self.fleet.start_backend(name, "crew/board", self.node)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -6,7 +6,7 @@
 
 from balsamspindle.metrics import Hop, Metrics, prometheus_text
 from tests.test_whole_path import SETTINGS
-from tests.utils import Fleet, call
+from tests.utils import call, start_fleet
 
 
 class MetricsTests(TestCase):
@@ -31,10 +31,7 @@
 
 class NodeMetricsTests(TestCase):
     def test_a_request_through_two_nodes_is_seen_at_each_hop(self):
-        fleet = Fleet()
-        self.addCleanup(fleet.__exit__)
-        fleet.start_platform()
-        fleet.put_settings(SETTINGS)
+        fleet = start_fleet(self, SETTINGS)
         ingress, gate = (fleet.start_node(f"node-{n}", f"zone-{n}") for n in range(2))
         fleet.start_backend("contract-1", "crew/contracts", gate)
         fleet.wait_ready([ingress, gate], ["contract-1"])
--- a/tests/test_node_trust.py
+++ b/tests/test_node_trust.py
@@ -17,7 +17,7 @@
     encode,
     encode_member,
 )
-from tests.utils import Fleet, call, wait_until
+from tests.utils import call, start_fleet, wait_until
 
 STRANGER_WAIT_S = 3.0
 SETTINGS = {
@@ -39,10 +39,7 @@
 class NodeTrustTests(TestCase):
     def setUp(self):
         super().setUp()
-        self.fleet = Fleet()
-        self.addCleanup(self.fleet.__exit__)
-        self.fleet.start_platform()
-        self.fleet.put_settings(SETTINGS)
+        self.fleet = start_fleet(self, SETTINGS)
         self.keys = new_keys()
         self.nodes = [
             self.fleet.start_node(f"node-{number}", "zone", fleet_keys=self.keys)
--- a/tests/test_own_answers.py
+++ b/tests/test_own_answers.py
@@ -7,7 +7,7 @@
 
 from testtools import TestCase
 
-from tests.utils import Fleet
+from tests.utils import start_fleet
 
 SERVICE = "crew/contracts"
 SETTINGS = {
@@ -35,10 +35,7 @@
         # Twelve callers keep their connections, through three nodes to three
         # backend servers, of which two answer every third request late: on
         # each link and connection answers of all sizes follow each other.
-        fleet = Fleet()
-        self.addCleanup(fleet.__exit__)
-        fleet.start_platform()
-        fleet.put_settings(SETTINGS)
+        fleet = start_fleet(self, SETTINGS)
         nodes = [fleet.start_node(f"node-{n}", "zone-1") for n in range(3)]
         servers = [
             fleet.start_backend(f"contract-{n}", SERVICE, nodes[n], slots=20)
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -2,7 +2,7 @@
 
 from testtools import TestCase
 
-from tests.utils import Fleet, call
+from tests.utils import call, start_fleet
 
 SETTINGS = {
     "crew/services/contracts": {},
@@ -24,10 +24,7 @@
 class WholePathTests(TestCase):
     def setUp(self):
         super().setUp()
-        self.fleet = Fleet()
-        self.addCleanup(self.fleet.__exit__)
-        self.fleet.start_platform()
-        self.fleet.put_settings(SETTINGS)
+        self.fleet = start_fleet(self, SETTINGS)
         self.nodes = [
             self.fleet.start_node(f"node-{number}", f"zone-{number}")
             for number in range(3)
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -14,6 +14,7 @@
 from typing import NamedTuple
 
 import msgspec
+from testtools import TestCase
 from werkzeug.serving import WSGIRequestHandler, make_server
 
 from balsamspindle.standins.platform import StandinPlatform
@@ -312,3 +313,12 @@
 class _QuietHandler(WSGIRequestHandler):
     def log(self, *_args):
         """Write nothing for each call."""
+
+
+def start_fleet(case: TestCase, settings: dict) -> Fleet:
+    """Start a platform with these settings; all ends with the test."""
+    fleet = Fleet()
+    case.addCleanup(fleet.__exit__)
+    fleet.start_platform()
+    fleet.put_settings(settings)
+    return fleet
