Part the making of a node by gate, link server and ingress

Same parts, same order but for the gate side, which is made as one before the member. Run: test_whole_path, test_caller_gone, test_settings_outage, test_leaving, test_metrics, test_drain pass (94 s).

--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -64,25 +64,9 @@
         self.events = EventLog(settings.node_id, incarnation, clock)
         self._context = zmq.Context()
         self._authenticator = start_authenticator(self._context, settings.fleet_keys)
-        self._servers = LocalBackendServers()
         self._directory = Directory()
         self._configuration = CurrentConfiguration()
-        client = BackendServerClient(settings.answer_body_max_bytes)
-        self._health = HealthMonitor(
-            self._servers,
-            lambda service: self._service_document(service).detection,
-            self.events,
-        )
-        self._prober = Prober(
-            self._servers,
-            self._health,
-            client,
-            lambda service: self._service_document(service).probe_path,
-        )
-        self._admission = Admission(self._servers, self._service_document)
-        self._gate = Gate(
-            self._servers, client, self.events, self._health, self._admission
-        )
+        self._make_gate()
         own = settings.own_record(incarnation)
         self._member = Member(
             self._context,
@@ -93,34 +77,8 @@
             self._backend_server_records,
             self.events,
         )
-        self._gate_executor = ThreadPoolExecutor(GATE_WORKERS_MAX, "gate")
-        self._link_server = LinkServer(
-            self._context,
-            settings.link_address,
-            self._gate,
-            self._gate_executor,
-            self.events,
-            settings.fleet_keys,
-        )
-        self._links = LinkPool(self._context, self.events, settings.fleet_keys)
-        self._picker = Picker(own, self._directory, self._configuration)
-        self._connections = ThreadPoolExecutor(settings.connections_max, "caller")
-        self._forwarder = Forwarder(
-            own,
-            self._picker,
-            self._gate,
-            self._links,
-            self.events,
-            self._make_claim_book(),
-            RetryPolicy(lambda service: self._service_document(service).retry_budget),
-        )
-        self._ingress = Ingress(
-            settings,
-            self._configuration,
-            self._forwarder,
-            self._connections,
-            self.events,
-        )
+        self._make_link_server()
+        self._make_ingress(own)
         self._settings_tasks = SettingsTasks(
             settings,
             own,
@@ -248,6 +206,60 @@
         self._connections.shutdown(wait=False)
         self._gate_executor.shutdown(wait=False)
 
+    def _make_gate(self) -> None:
+        """Make what decides on and does the work beside this node."""
+        self._servers = LocalBackendServers()
+        client = BackendServerClient(self._settings.answer_body_max_bytes)
+        self._health = HealthMonitor(
+            self._servers,
+            lambda service: self._service_document(service).detection,
+            self.events,
+        )
+        self._prober = Prober(
+            self._servers,
+            self._health,
+            client,
+            lambda service: self._service_document(service).probe_path,
+        )
+        self._admission = Admission(self._servers, self._service_document)
+        self._gate = Gate(
+            self._servers, client, self.events, self._health, self._admission
+        )
+
+    def _make_link_server(self) -> None:
+        """Make the way by which other nodes reach this gate."""
+        self._gate_executor = ThreadPoolExecutor(GATE_WORKERS_MAX, "gate")
+        self._link_server = LinkServer(
+            self._context,
+            self._settings.link_address,
+            self._gate,
+            self._gate_executor,
+            self.events,
+            self._settings.fleet_keys,
+        )
+
+    def _make_ingress(self, own: NodeRecord) -> None:
+        """Make the way of a caller's request, from its connection to a gate."""
+        self._links = LinkPool(self._context, self.events, self._settings.fleet_keys)
+        self._picker = Picker(own, self._directory, self._configuration)
+        self._connections = ThreadPoolExecutor(self._settings.connections_max, "caller")
+        self._forwarder = Forwarder(
+            own,
+            self._picker,
+            self._gate,
+            self._links,
+            self.events,
+            self._make_claim_book(),
+            RetryPolicy(lambda service: self._service_document(service).retry_budget),
+        )
+        self._ingress = Ingress(
+            self._settings,
+            self._configuration,
+            self._forwarder,
+            self._connections,
+            self.events,
+        )
+
     def _make_admin_server(self) -> AdminServer:
         application = AdminApplication(
             self._servers,
