Judge slow work before a hundred requests were seen

Cause: the limit for slow stood at 1 s (2 s with the factor) until a backend server had answered 100 requests, half a minute at three a second. Routes end at 0.8 to 8 s, so that a hang counted late or, shorter than 2 s, not at all.

Now the largest latency seen so far, times 100 over the number seen, at most 1 s as before.

Ruled out: losers of a hedge ending as cancelled (no attempt at a sick one ended as cancelled; a link that is closed cancels nothing), the avoidance of 0.25 s (the sick ones met 16 to 46 requests in 12 s).

Seen failing before: test_a_hang_is_seen_before_the_latencies_are_well_known, all three (not held out after 100 hangs).

Better, not enough: attempts at the own gate end after 33 to 64 ms and still count as nothing.

--- a/balsamspindle/backend_servers/health_latency.py
+++ b/balsamspindle/backend_servers/health_latency.py
@@ -17,7 +17,13 @@
 class SlowLimit:
     """Learns the latency that a share `SLOW_SHARE` of requests goes over.
 
-    Stochastic approximation of a quantile: one number is kept, and each
+    The largest of the first requests is a start. Until `SETTLING_REQUESTS`
+    were seen it is raised by as much as they fall short of that number, which
+    is how far a quantile moves under a tail as heavy as a Pareto tail of
+    index 1. At few requests a second settling takes half a minute; with one
+    fixed limit till then, a hang shorter than that says nothing.
+
+    Then stochastic approximation of a quantile: one number is kept, and each
     request moves it, up when it was over, a hundredth as much down when it
     was under.
 
@@ -51,3 +57,6 @@
         self._largest_ms = max(self._largest_ms, latency_ms)
         if self.settled:
             self.limit_ms = self._largest_ms
+            return
+        margin = SETTLING_REQUESTS / self._seen
+        self.limit_ms = min(FIRST_LIMIT_MS, margin * self._largest_ms)
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -93,6 +93,27 @@
     assert driver.health.phase is HealthPhase.HELD_OUT
 
 
+@pytest.mark.parametrize("known", [15, 40, 99])
+def test_a_hang_is_seen_before_the_latencies_are_well_known(known):
+    """Callers wait 0.8 s for work of 20 ms, and some of it hangs.
+
+    A backend server that started lately had few requests, and none of its
+    peers more. With one limit of 2 s until it had 100, each caller's silence
+    was too short to say anything, and it kept half failing.
+    """
+    driver = Driver(peers=PeerEvidence())
+    driver.work(times=known)
+    hangs = {"result": WorkResult.SILENCE, "latency_ms": 800.0}
+    assert driver.requests_until(HealthPhase.HELD_OUT, **hangs) <= 3
+
+
+@pytest.mark.parametrize(("known", "latency_ms"), [(1, 1900), (5, 700), (50, 75)])
+def test_the_less_is_known_the_slower_work_may_be(known, latency_ms):
+    driver = Driver(peers=PeerEvidence())
+    driver.work(times=known)
+    assert driver.work(latency_ms=latency_ms) is Verdict.GOOD
+
+
 def test_a_standstill_ejects_even_under_a_careful_setting():
     """Two requests hang and nothing comes back for longer than a pause."""
     careful = Driver(Detection(threshold=14.0))
