--- a/balsamspindle/settings/recovery.py
+++ b/balsamspindle/settings/recovery.py
@@ -94,8 +94,21 @@
         next_chain(fleet.chain, operation_id),
         restart=True,
     )
+    match tables.transact(_transaction(change, operation_id, fleet_row.version)):
+        case Result(tag="ok"):
+            return Ok(Accepted(change.revision, operation_id))
+        case Result(error=Conflict()):
+            return Error(SettingsConflict("an edit came first: look again"))
+        case Result(error=Unknown(message)):
+            return Error(NotKnown(message, operation_id))
+        case Result(error=error):
+            return Error(SettingsUnavailable(error.message))
+
+
+def _transaction(change: Change, operation_id: str, fleet_version: int) -> Transaction:
+    """Write the change while nobody else changed the fleet's revision."""
     checks = [
-        Check(REVISION_TABLE, REVISION_KEY, fleet_row.version),
+        Check(REVISION_TABLE, REVISION_KEY, fleet_version),
         Check(OPERATIONS_TABLE, operation_id, 0),
     ]
     values = {
@@ -107,12 +120,4 @@
         Put(table, key, msgspec.to_builtins(value))
         for (table, key), value in values.items()
     ]
-    match tables.transact(Transaction(checks, puts)):
-        case Result(tag="ok"):
-            return Ok(Accepted(change.revision, operation_id))
-        case Result(error=Conflict()):
-            return Error(SettingsConflict("an edit came first: look again"))
-        case Result(error=Unknown(message)):
-            return Error(NotKnown(message, operation_id))
-        case Result(error=error):
-            return Error(SettingsUnavailable(error.message))
+    return Transaction(checks, puts)
