Tell the limit for slow after ten requests

Cause: the patience of an attempt at the node's own gate follows the limit that gates tell, told only after 100 requests. Until then it was that of a hedge: 33 to 64 ms in the events, ended as silence, under the limit and so evidence of nothing.

--- a/balsamspindle/backend_servers/health_latency.py
+++ b/balsamspindle/backend_servers/health_latency.py
@@ -9,6 +9,8 @@
 LEAST_LIMIT_MS = 1.0
 # The largest latency of so many requests is near enough to start from.
 SETTLING_REQUESTS = 100
+# From so many on the limit is told, with a margin of ten times at first.
+TOLD_REQUESTS = 10
 # Of the logarithm; a limit that is off by a factor of two is found again in
 # some 350 requests, and one odd request moves it by a fifth.
 STEP = 0.2
@@ -38,6 +40,11 @@
         self._seen = 0
         self._largest_ms = LEAST_LIMIT_MS
 
+    @property
+    def known(self) -> bool:
+        """Whether enough requests were seen to tell others of the limit."""
+        return self._seen >= TOLD_REQUESTS
+
     @property
     def settled(self) -> bool:
         """Whether enough requests were seen to go by the limit."""
--- a/balsamspindle/backend_servers/health_work.py
+++ b/balsamspindle/backend_servers/health_work.py
@@ -85,7 +85,7 @@
     @property
     def own_limit_ms(self) -> float:
         """Its own 99th percentile of latency; 0 before enough was seen."""
-        return self._slow.limit_ms if self._slow.settled else 0.0
+        return self._slow.limit_ms if self._slow.known else 0.0
 
     def slow_ms(self) -> float:
         """Return the latency over which a request counts as slow."""
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -14,7 +14,8 @@
     good_weight,
 )
 from balsamspindle.backend_servers.health_verdicts import Verdict
-from balsamspindle.settings.documents import Detection
+from balsamspindle.requests.retries import RetryPolicy
+from balsamspindle.settings.documents import Detection, RetryBudget
 from balsamspindle.wire import AttemptId, PeerEvidence
 
 ANSWERED, ERROR = WorkResult.ANSWERED, WorkResult.ERROR
@@ -107,6 +108,24 @@
     assert driver.requests_until(HealthPhase.HELD_OUT, **hangs) <= 3
 
 
+@pytest.mark.parametrize("known", [15, 40])
+def test_an_own_attempt_outlasts_a_limit_that_is_not_well_known(known):
+    """Callers of the node beside the sick one give it up after 40 ms.
+
+    Its gate told no limit before it had seen 100 requests, so that the
+    attempt ended with the patience of a hedge, too soon to count as slow.
+    """
+    driver = Driver(peers=PeerEvidence())
+    policy = RetryPolicy(lambda service: RetryBudget())
+    for _ in range(known):
+        driver.work()
+        policy.note_answer("service", 0.02, driver.health.own_limit_ms)
+    patience_ms = 1000 * policy.patience_s("service", True, 2.0, driver.now_s)
+    assert patience_ms < 2000
+    hangs = {"result": WorkResult.SILENCE, "latency_ms": patience_ms}
+    assert driver.requests_until(HealthPhase.HELD_OUT, **hangs) <= 3
+
+
 @pytest.mark.parametrize(("known", "latency_ms"), [(1, 1900), (5, 700), (50, 75)])
 def test_the_less_is_known_the_slower_work_may_be(known, latency_ms):
     driver = Driver(peers=PeerEvidence())
