--- a/balsamspindle/backend_servers/admission.py
+++ b/balsamspindle/backend_servers/admission.py
@@ -91,7 +91,7 @@
         self, dispatch: Dispatch, token: CancelToken, deadline_s: float
     ) -> Admitted | Refused:
         """Wait for a slot and take it, all under the lock."""
-        ticket = Ticket(dispatch.backend_server_id, dispatch.weight, deadline_s)
+        ticket = _ticket(dispatch, deadline_s, time.monotonic())
         with self._servers.changed:
             queue = self._queue(dispatch.service)
             try:
@@ -118,6 +118,8 @@
         # Then it could not be finished any more after one that runs now.
         last_chance_s = ticket.deadline_s - 2 * account.service_time_s
         until_s = min(last_chance_s, account.next_change_s(), now_s + ASK_AGAIN_S)
+        if ticket.wait_max_s is not None:
+            until_s = min(until_s, now_s + ticket.wait_max_s)
         return max(until_s - now_s, WAIT_MIN_S)
 
     def _decide(
@@ -148,6 +150,8 @@
                 server.in_flight += 1
                 self._running += 1
                 return Admitted(server, now_s)
+            case Verdict.TOO_LONG:
+                return Refused(Reason.WOULD_WAIT, ticket.expected_wait_s * 1000)
         return Refused(
             Reason.NO_FREE_SLOT, _busy_ms(len(queue), slots, account.service_time_s)
         )
@@ -185,6 +189,17 @@
             return server.account.free(self._slots(server, now_s), now_s) - waiting
 
 
+def _ticket(dispatch: Dispatch, deadline_s: float, now_s: float) -> Ticket:
+    wait_max_ms, target_left_ms = dispatch.wait_max_ms, dispatch.target_left_ms
+    return Ticket(
+        dispatch.backend_server_id,
+        dispatch.weight,
+        deadline_s,
+        wait_max_s=None if wait_max_ms is None else wait_max_ms / 1000,
+        target_s=None if target_left_ms is None else now_s + target_left_ms / 1000,
+    )
+
+
 def _busy_ms(waiting: int, slots: int, service_time_s: float) -> float:
     """Return the time in which the queue's present work is done."""
     return (waiting / max(1, slots) + 1) * service_time_s * 1000
--- a/balsamspindle/backend_servers/evidence.py
+++ b/balsamspindle/backend_servers/evidence.py
@@ -78,7 +78,11 @@
         """An attempt ended."""
 
     def admits(
-        self, backend_server_id: str, execution: Execution, now_s: float
+        self,
+        backend_server_id: str,
+        execution: Execution,
+        weight: float,
+        now_s: float,
     ) -> bool:
         """Tell whether an attempt may go to the backend server now."""
 
@@ -89,7 +93,7 @@
 class NoObserver:
     """Takes evidence and keeps none."""
 
-    def admits(self, backend_server_id, execution, now_s) -> bool:
+    def admits(self, backend_server_id, execution, weight, now_s) -> bool:
         """See `HealthObserver.admits`."""
         return True
 
--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -25,6 +25,7 @@
     NoObserver,
     WorkResult,
 )
+from balsamspindle.backend_servers.failed_calls import FailedCalls
 from balsamspindle.backend_servers.ledger import Earlier, KeyRefused, RunLedger
 from balsamspindle.backend_servers.refusals import (
     is_misdirected,
@@ -59,6 +60,8 @@
         By which backend servers are told of a request and tell of it.
     on_misdirected : callable
         Told the id of a backend server whose address is another one's now.
+    failed_calls : FailedCalls, default=none failed
+        Of the backend servers beside this node.
     """
 
     def __init__(
@@ -70,7 +73,9 @@
         admission: Admission | None = None,
         names: HeaderNames = DEFAULT_HEADER_NAMES,
         on_misdirected: Callable[[str], None] = lambda backend_server_id: None,
+        failed_calls: FailedCalls | None = None,
     ) -> None:
+        self._failed_calls = failed_calls or FailedCalls()
         self._names = names
         self._on_misdirected = on_misdirected
         self._servers = servers
@@ -191,7 +196,10 @@
     def _is_welcome(self, dispatch: Dispatch) -> bool:
         """Tell whether a suspected backend server may get this attempt."""
         return dispatch.is_last_resort or self._observer.admits(
-            dispatch.backend_server_id, dispatch.execution, time.monotonic()
+            dispatch.backend_server_id,
+            dispatch.execution,
+            dispatch.weight,
+            time.monotonic(),
         )
 
     def _refuse(
@@ -249,10 +257,19 @@
         finally:
             free_slots = self._admission.release(admitted, _work_end(result))
             judgement = self._observer.ended(
-                server_id, attempt_id, _work_result(result), time.monotonic()
+                server_id, attempt_id, self._evidence(result), time.monotonic()
             )
         return self._reply(dispatch, result, free_slots, judgement)
 
+    def _evidence(self, result: BackendAnswer | BackendFailure | None) -> WorkResult:
+        """Return what a call's end says of the backend server's health."""
+        work_result = _work_result(result)
+        if work_result is WorkResult.ERROR and self._failed_calls.explain_error(
+            time.monotonic()
+        ):
+            return WorkResult.CANCELLED
+        return work_result
+
     def _read(
         self, server_id: str, result: BackendAnswer | BackendFailure
     ) -> BackendAnswer | BackendFailure:
--- a/balsamspindle/backend_servers/health.py
+++ b/balsamspindle/backend_servers/health.py
@@ -1,5 +1,6 @@
 """The health of one backend server: its score, and what follows from it."""
 
+import math
 from typing import NamedTuple
 
 from balsamspindle.backend_servers.evidence import ProbeResult, WorkResult
@@ -12,6 +13,9 @@
 
 __all__ = ["HealthReport", "ServerHealth"]
 
+# How long the lightest weight that was asked for is remembered.
+LIGHTEST_MEMORY_S = 5.0
+
 # A hold-out ends early when work that came all the same went so well, in
 # thresholds.
 RECOVERED_SCORE = 0.5
@@ -21,6 +25,8 @@
 # A trial waits so long for idempotent work; some seconds at the rate of a few
 # requests a second for each backend server.
 TRIAL_WAIT_S = 3.0
+# And so long for the lightest of it.
+LIGHTEST_WAIT_S = 0.7
 # Probes fill silences of this length, while somebody asked so lately.
 SILENCE_S = 2.0
 ASKED_LATELY_S = 60.0
@@ -57,6 +63,19 @@
     hold_out_left_s: float
 
 
+class LightestWeight:
+    """The lightest idempotent requests that come for a backend server."""
+
+    def __init__(self) -> None:
+        self.weight = math.inf
+        self._noted_s = -math.inf
+
+    def note(self, weight: float, now_s: float) -> None:
+        """Take a request's weight."""
+        if weight <= self.weight or now_s - self._noted_s > LIGHTEST_MEMORY_S:
+            self.weight, self._noted_s = weight, now_s
+
+
 class ServerHealth:
     """Score and phase of one backend server; guarded by its owner's lock."""
 
@@ -64,6 +83,7 @@
         self._work = WorkScore(detection, now_s)
         self._readmission = Readmission(detection, now_s)
         self._asked_s = -ASKED_LATELY_S
+        self._lightest = LightestWeight()
         # Kept through a hold-out, so that a score that goes up and down does
         # not make news each time.
         self._strong = False
@@ -107,13 +127,16 @@
         self._move(now_s)
         return verdict
 
-    def admits(self, execution: Execution, now_s: float) -> bool:
+    def admits(self, execution: Execution, weight: float, now_s: float) -> bool:
         """Tell whether an attempt may go to the backend server now.
 
         On trial only what may be repeated elsewhere, one at a time: a trial
         that fails costs its caller a retry, and never a request that must not
-        run twice.
+        run twice. The lightest of it goes first, for heavier requests may be
+        calls that others, which must not run twice, wait for.
         """
+        if execution is Execution.IDEMPOTENT:
+            self._lightest.note(weight, now_s)
         if not self._work.detection.independent_errors:
             # The fleet was told; who sends work all the same has no other.
             return True
@@ -124,11 +147,17 @@
             case HealthPhase.ON_TRIAL:
                 # Where no such work comes, all of the service's work would
                 # stay away from it for ever.
-                waited_s = now_s - self._readmission.since_s
-                fits = execution is Execution.IDEMPOTENT or waited_s > TRIAL_WAIT_S
-                return fits and not self._work.has_work
+                since_s = self._readmission.since_s
+                fits = now_s - since_s >= self._trial_wait_s(execution, weight)
+                return fits and not self._work.started_since(since_s)
         return False
 
+    def _trial_wait_s(self, execution: Execution, weight: float) -> float:
+        """Return how long a trial leaves the place to fitter requests."""
+        if execution is Execution.NON_IDEMPOTENT:
+            return TRIAL_WAIT_S
+        return 0.0 if weight <= self._lightest.weight else LIGHTEST_WAIT_S
+
     def held_out_ms(self, now_s: float) -> float:
         """Return for how long usual work is kept away; 0 while it serves."""
         if self.phase is HealthPhase.SERVING:
--- a/balsamspindle/backend_servers/health_monitor.py
+++ b/balsamspindle/backend_servers/health_monitor.py
@@ -110,12 +110,16 @@
             return Judgement(_BAD[verdict], known.health.own_limit_ms)
 
     def admits(
-        self, backend_server_id: str, execution: Execution, now_s: float
+        self,
+        backend_server_id: str,
+        execution: Execution,
+        weight: float,
+        now_s: float,
     ) -> bool:
         """See `HealthObserver.admits`."""
         with self._lock:
             known = self._known.get(backend_server_id)
-            return known is None or known.health.admits(execution, now_s)
+            return known is None or known.health.admits(execution, weight, now_s)
 
     def held_out_ms(self, backend_server_id: str, now_s: float) -> float:
         """See `HealthObserver.held_out_ms`."""
--- a/balsamspindle/backend_servers/health_readmission.py
+++ b/balsamspindle/backend_servers/health_readmission.py
@@ -18,8 +18,6 @@
 
 __all__ = ["HealthPhase", "Readmission"]
 
-# Good service that takes one doubling back.
-LEVEL_DECAY_S = 600.0
 LEVEL_MAX = 20
 # Probes passed in a row that end a hold-out at its half, or a silent trial.
 PROBES_TO_SHORTEN = 3
@@ -117,5 +115,5 @@
 
     def _decay_level(self, now_s: float) -> None:
         if self.phase is HealthPhase.SERVING:
-            calm = int((now_s - self._decayed_s) / LEVEL_DECAY_S)
+            calm = int((now_s - self._decayed_s) / self.detection.calm_s)
             self.level = max(0, self.level - calm)
--- a/balsamspindle/backend_servers/health_work.py
+++ b/balsamspindle/backend_servers/health_work.py
@@ -82,6 +82,10 @@
         """Whether attempts are in flight."""
         return bool(self._in_flight)
 
+    def started_since(self, since_s: float) -> bool:
+        """Tell whether an attempt is in flight that began after a time."""
+        return any(one.started_s >= since_s for one in self._in_flight.values())
+
     @property
     def own_limit_ms(self) -> float:
         """Its own 99th percentile of latency; 0 before enough was seen."""
--- a/balsamspindle/backend_servers/queue.py
+++ b/balsamspindle/backend_servers/queue.py
@@ -13,6 +13,13 @@
 __all__ = ["Order", "SlotQueue", "Ticket", "Verdict"]
 
 
+# Until a backend server has answered once.
+FIRST_SERVICE_TIME_S = 0.1
+# One that waited so many times as long as it may goes elsewhere; each such
+# move costs its place in a queue.
+WAITED_FACTOR = 2.0
+
+
 class Order(StrEnum):
     """Who starts first among attempts of the same weight."""
 
@@ -29,6 +36,8 @@
     SHED = "shed"
     # It could not be finished in its time any more.
     TOO_LATE = "too_late"
+    # It would wait, or has waited, for longer than it may.
+    TOO_LONG = "too_long"
 
 
 _DIRECTIONS = {Order.FIFO: 1, Order.LIFO: -1}
@@ -48,13 +57,25 @@
         Set when a heavier attempt took its place.
     key : tuple or None
         Its place in the order of starts, while it waits.
+    wait_max_s : float or None
+        How long it may wait; None until its deadline.
+    target_s : float or None
+        Until when its answer has its full worth.
+    entered_s : float
+        When it began to wait.
+    expected_wait_s : float
+        As estimated when it asked last.
     """
 
     backend_server_id: str
     weight: float
     deadline_s: float
     is_shed: bool = False
-    key: tuple[float, int] | None = None
+    key: tuple[float, float, int] | None = None
+    wait_max_s: float | None = None
+    target_s: float | None = None
+    entered_s: float = 0.0
+    expected_wait_s: float = 0.0
 
 
 class SlotQueue:
@@ -130,7 +151,7 @@
             return Verdict.TOO_LATE
         if ticket.is_shed:
             return Verdict.SHED
-        ahead, rivals = self._rivals(ticket)
+        ahead, rivals = self._rivals(ticket, now_s)
         rounds = _rounds_before(ahead, free_slots, slots)
         ends_s = now_s + (rounds + 1) * service_time_s
         # The service time is an estimate, and only attempts that run correct
@@ -140,11 +161,14 @@
             return Verdict.TOO_LATE
         if not rounds:
             return Verdict.START
-        return self._enter(ticket)
+        ticket.expected_wait_s = _wait_s(ahead, free_slots, slots, service_time_s)
+        if _waits_too_long(ticket, now_s):
+            return Verdict.TOO_LONG
+        return self._enter(ticket, now_s)
 
-    def _rivals(self, ticket: Ticket) -> tuple[int, int]:
+    def _rivals(self, ticket: Ticket, now_s: float) -> tuple[int, int]:
         """Return who waits for the same backend server: before it, and all."""
-        key = ticket.key or self._next_key(ticket)
+        key = ticket.key or self._next_key(ticket, now_s)
         ahead = rivals = 0
         for other in self._waiting:
             if other.backend_server_id != ticket.backend_server_id:
@@ -154,16 +178,23 @@
                 ahead += other.key < key
         return ahead, rivals
 
-    def _next_key(self, ticket: Ticket) -> tuple[float, int]:
+    def _next_key(self, ticket: Ticket, now_s: float) -> tuple[float, float, int]:
+        """Return the place of a ticket: heavier ones first, then by target.
+
+        A short request whose answer is due soon goes before a long one that
+        has time; two without a target go by their arrival.
+        """
         sequence = self._sequence + 1
-        return -ticket.weight, sequence * _DIRECTIONS[self._order]
+        target_s = 0.0 if ticket.target_s is None else ticket.target_s
+        return -ticket.weight, target_s, sequence * _DIRECTIONS[self._order]
 
-    def _enter(self, ticket: Ticket) -> Verdict:
+    def _enter(self, ticket: Ticket, now_s: float) -> Verdict:
         if ticket.key is not None:
             return Verdict.WAIT
         if len(self._waiting) >= self.queue_max and not self._make_room(ticket):
             return Verdict.SHED
-        ticket.key = self._next_key(ticket)
+        ticket.key = self._next_key(ticket, now_s)
+        ticket.entered_s = now_s
         self._sequence += 1
         self._waiting.append(ticket)
         return Verdict.WAIT
@@ -181,6 +212,24 @@
         return True
 
 
+def _wait_s(ahead: int, free_slots: int, slots: int, service_time_s: float) -> float:
+    """Return after which time a slot is likely to be free for a ticket.
+
+    Busy slots end one after the other, `slots` of them in a service time.
+    """
+    before = ahead - free_slots + 1
+    return max(0, before) * (service_time_s or FIRST_SERVICE_TIME_S) / max(1, slots)
+
+
+def _waits_too_long(ticket: Ticket, now_s: float) -> bool:
+    if ticket.wait_max_s is None:
+        return False
+    if ticket.key is None:
+        return ticket.expected_wait_s > ticket.wait_max_s
+    # The estimate that it entered by was wrong: another gate may be better.
+    return now_s - ticket.entered_s > WAITED_FACTOR * ticket.wait_max_s
+
+
 def _rounds_before(ahead: int, free_slots: int, slots: int) -> int:
     """Return how many requests, one after the other, a slot serves first."""
     if ahead < free_slots:
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -11,6 +11,7 @@
 
 from balsamspindle.backend_servers.admission import Admission
 from balsamspindle.backend_servers.client import BackendServerClient
+from balsamspindle.backend_servers.failed_calls import FailedCalls
 from balsamspindle.backend_servers.gate import Gate
 from balsamspindle.backend_servers.health_monitor import HealthMonitor
 from balsamspindle.backend_servers.lifetimes import Lifetimes
@@ -253,6 +254,7 @@
         settings = self._settings
         self._servers = LocalBackendServers(settings.announcement_ttl_s)
         self.lifetimes = Lifetimes(self._servers, self.events)
+        self._failed_calls = FailedCalls()
         client = BackendServerClient(
             settings.answer_body_max_bytes,
             settings.headers,
@@ -278,6 +280,7 @@
             self._admission,
             settings.headers,
             self.lifetimes.is_gone,
+            self._failed_calls,
         )
 
     def _make_link_server(self) -> None:
@@ -312,6 +315,7 @@
             self._forwarder,
             self._connections,
             self.events,
+            self._failed_calls.note,
         )
 
     def _make_admin_server(self) -> AdminServer:
--- a/balsamspindle/platform/configuration.py
+++ b/balsamspindle/platform/configuration.py
@@ -42,6 +42,9 @@
 # and answer errors within a millisecond meanwhile.
 HOLD_OUT_S, HOLD_OUT_MAX_S = 0.5, 2.0
 TRIAL_SUCCESSES = 1
+# A sick spell shows by trials that fail one after the other; an error after a
+# second of good service is as likely a single one.
+CALM_S = 1.0
 # Attempts that may wait at one gate; the time that each still has decides
 # first, so this only bounds memory.
 QUEUE_MAX = 64
@@ -167,6 +170,7 @@
             hold_out_s=HOLD_OUT_S,
             hold_out_max_s=HOLD_OUT_MAX_S,
             trial_successes=TRIAL_SUCCESSES,
+            calm_s=CALM_S,
         ),
         retry_budget=RetryBudget(
             fraction=retries.fraction * RETRY_FRACTION_USED,
@@ -196,6 +200,7 @@
         weight=1 / (1 + max(0, route.priority)),
         shares=shares,
         attempts_max=max(1, route.retry_attempts),
+        target_ms=parse_duration_ms(route.target_latency),
     )
 
 
--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -23,7 +23,7 @@
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import AttemptId, Dispatch, NodeRecord, Reply, checksum
 
-__all__ = ["AttemptSender", "ForwardedRequest", "Rescue"]
+__all__ = ["AttemptSender", "ForwardedRequest", "Rescue", "Search"]
 
 # How long others go first after a failure; longer would keep a sick backend
 # server from the work by which its gate finds it out.
@@ -31,6 +31,31 @@
 LINK_HOLD_OUT_S, LINK_HOLD_OUT_MAX_S = 0.5, 30.0
 
 
+@dataclass
+class Search:
+    """How far the search for a place has come; see `balsamspindle.requests.placing`.
+
+    Attributes
+    ----------
+    step : int
+        A `Step`.
+    far_tries : int
+        Gates of other zones that were asked.
+    told_wait_ms : dict of str to float
+        Backend servers whose gates refused because of their queue, and how
+        long it is.
+    """
+
+    step: int = 0
+    far_tries: int = 0
+    told_wait_ms: dict[str, float] = field(default_factory=dict)
+
+    def begin(self) -> None:
+        """Search anew, after an attempt that failed."""
+        self.step = self.far_tries = 0
+        self.told_wait_ms.clear()
+
+
 @dataclass
 class ForwardedRequest:
     """A caller's request on its way through this node.
@@ -53,6 +78,10 @@
         How often it waited for one of these to be readmitted.
     is_last_resort : bool
         Nobody else is left: suspected backend servers are to take it, too.
+    target_s : float or None
+        Until when an answer has its full worth, on the monotonic clock.
+    wait_max_ms : float or None
+        How long the present attempt may wait for a slot.
     """
 
     request_id: str
@@ -69,11 +98,18 @@
     refused_as_suspect: set[str] = field(default_factory=set)
     waits: int = 0
     is_last_resort: bool = False
+    search: Search = field(default_factory=Search)
+    target_s: float | None = None
+    wait_max_ms: float | None = None
 
     def may_send(self) -> bool:
         """Tell whether the route allows one more backend server."""
         return self.sends < self.route.attempts_max
 
+    def target_left_ms(self, now_s: float) -> float | None:
+        """Return the time in which an answer still has its full worth."""
+        return None if self.target_s is None else (self.target_s - now_s) * 1000
+
 
 @dataclass(frozen=True)
 class Rescue:
@@ -134,9 +170,20 @@
         return placement.node.node_id == self._own.node_id
 
     def send(
-        self, forwarded: ForwardedRequest, placement: Placement, rescue: Rescue | None
+        self,
+        forwarded: ForwardedRequest,
+        placement: Placement,
+        rescue: Rescue | None,
+        wait_max_ms: float | None = None,
     ) -> Reply:
-        """Make one attempt, and a second one beside it if it is silent."""
+        """Make one attempt, and a second one beside it if it is silent.
+
+        Parameters
+        ----------
+        wait_max_ms : float or None
+            How long it may wait for a slot at the gate.
+        """
+        forwarded.wait_max_ms = wait_max_ms
         if self.is_own(placement):
             reply = self._send_here(forwarded, placement, rescue)
         else:
@@ -175,6 +222,8 @@
             peers=self._peers.about(route.service, server_id, self._clock()),
             caller_service=forwarded.caller_service,
             is_last_resort=forwarded.is_last_resort,
+            wait_max_ms=forwarded.wait_max_ms,
+            target_left_ms=forwarded.target_left_ms(self._clock()),
         )
 
     def _send_here(self, forwarded, placement, rescue: Rescue | None) -> Reply:
@@ -351,6 +400,10 @@
                 self._forwarded.sends -= 1
         if reply is not None and reply.reason is Reason.SUSPECTED:
             return
+        if reply is not None and reply.reason is Reason.WOULD_WAIT:
+            self._forwarded.search.told_wait_ms[self._server_id] = reply.retry_after_ms
+            self._free_slots.note(self._server_id, 0, now_s)
+            return
         failed = reply is None or reply.outcome is Outcome.UNKNOWN or is_shed(reply)
         if failed:
             self._free_slots.note(
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -14,7 +14,8 @@
 from balsamspindle.requests.heads import IDEMPOTENCY_KEY_MAX_CHARACTERS
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.requests.outcomes import PROBLEMS, Execution, Outcome, Reason
-from balsamspindle.requests.retries import RetryPolicy, is_shed
+from balsamspindle.requests.placing import Placer, Placing
+from balsamspindle.requests.retries import RetryPolicy, is_refusal, is_shed
 from balsamspindle.services.free_slots import FreeSlotViews
 from balsamspindle.services.picker import Picker
 from balsamspindle.settings.documents import RetryBudget
@@ -61,6 +62,12 @@
         self._retries = retries or RetryPolicy(lambda service: RetryBudget())
         self._random = random.Random(f"{own.node_id}/{own.incarnation}")
         self._random_lock = threading.Lock()
+        self._placer = Placer(
+            picker,
+            self._sender,
+            self._free_slots,
+            random.Random(f"{own.node_id}/{own.incarnation}/places"),
+        )
         self._given_up = threading.Event()
 
     def give_up(self) -> None:
@@ -95,14 +102,15 @@
         nowhere = self._no_attempt(Reason.NO_BACKEND_SERVER)
         replies: list[Reply] = []
         while True:
-            placement = self._pick(forwarded)
-            if placement is None:
+            placing = self._pick(forwarded)
+            if placing is None:
                 if self._widen(forwarded):
                     continue
                 break
+            placement, wait_max_ms = placing
             started_s = self._clock()
             rescue = self._rescue(forwarded, placement, started_s)
-            reply = self._sender.send(forwarded, placement, rescue)
+            reply = self._sender.send(forwarded, placement, rescue, wait_max_ms)
             replies.append(reply)
             now_s = self._clock()
             if _is_success(reply):
@@ -115,7 +123,7 @@
                 forwarded.refused_as_suspect.add(
                     placement.backend_server.backend_server_id
                 )
-            if self._given_up.is_set() or forwarded.caller.caller_gone():
+            if self._is_over(forwarded, reply):
                 self._give_back(forwarded, rescue)
                 break
             if not self._retries.may_retry(
@@ -152,9 +160,11 @@
         may_wait &= forwarded.waits < READMISSION_WAITS_MAX
         if may_wait and now_s + READMISSION_WAIT_S < forwarded.deadline_s:
             forwarded.waits += 1
+            forwarded.search.begin()
             time.sleep(READMISSION_WAIT_S)
             return not forwarded.caller.caller_gone()
         forwarded.is_last_resort = True
+        forwarded.search.begin()
         return True
 
     def _no_attempt(self, reason: Reason) -> Reply:
@@ -184,55 +194,38 @@
             self._retries.give_back(forwarded.route.service)
 
     def _choose_second(self, forwarded: ForwardedRequest) -> Placement | None:
-        placement = self._pick(forwarded)
-        if placement is None or self._sender.is_own(placement):
+        placing = self._pick(forwarded)
+        if placing is None or self._sender.is_own(placing.placement):
             return None
+        placement = placing.placement
+        forwarded.wait_max_ms = placing.wait_max_ms
         if not self._retries.may_hedge(forwarded.route.service, self._clock()):
             return None
         return placement
 
-    def _pick(self, forwarded: ForwardedRequest) -> Placement | None:
+    def _pick(self, forwarded: ForwardedRequest) -> Placing | None:
         claimant = forwarded.claimant
         if claimant is not None and claimant.owner() is not None:
-            return self._picker.at_node(claimant.owner(), forwarded.route.service)
-        placement = self._pick_any(forwarded, self._clock())
-        if placement is None and claimant is not None:
+            return self._at_owner(forwarded, claimant)
+        placing = self._placer.next(forwarded, self._clock())
+        if placing is None and claimant is not None:
             claimant.look_up()
             if claimant.owner() is not None:
-                return self._picker.at_node(claimant.owner(), forwarded.route.service)
-        return placement
-
-    def _pick_any(self, forwarded: ForwardedRequest, now_s: float) -> Placement | None:
-        excluded = set(forwarded.tried)
-        if not forwarded.is_last_resort:
-            excluded |= self._sender.suspects.at(now_s)
-        cut_off = self._behind_broken_links(forwarded.route.service, now_s)
-        placement = self._pick_from(forwarded, excluded | cut_off, now_s)
-        if placement is None and cut_off:
-            # Better a link that may be broken than none.
-            placement = self._pick_from(forwarded, excluded, now_s)
-        return placement
+                return self._at_owner(forwarded, claimant)
+        return placing
 
-    def _pick_from(self, forwarded, excluded, now_s: float) -> Placement | None:
-        with self._random_lock:
-            return self._picker.pick(
-                forwarded.route.service,
-                forwarded.route.execution,
-                excluded,
-                lambda placement: self._free_slots.free_slots(placement, now_s),
-                self._random,
-            )
+    def _at_owner(self, forwarded, claimant: KeyClaimant) -> Placing | None:
+        """Return the place at the one gate that may run the request's key."""
+        placement = self._picker.at_node(claimant.owner(), forwarded.route.service)
+        return None if placement is None else Placing(placement)
 
-    def _behind_broken_links(self, service: str, now_s: float) -> set[str]:
-        """Return the backend servers at nodes that this one could not reach."""
-        hold_outs = self._sender.link_hold_outs
-        if not hold_outs:
-            return set()
-        return {
-            placement.backend_server.backend_server_id
-            for placement in self._picker.view(service).placements
-            if hold_outs.is_held(placement.node.node_id, now_s)
-        }
+    def _is_over(self, forwarded: ForwardedRequest, reply: Reply) -> bool:
+        """Tell whether nothing more is to be done after a failed attempt."""
+        if not is_refusal(reply):
+            if not forwarded.may_send():
+                return True
+            forwarded.search.begin()
+        return self._given_up.is_set() or forwarded.caller.caller_gone()
 
     def _with_return_time(self, forwarded: ForwardedRequest, reply: Reply) -> Reply:
         """Tell a caller that was given up when to come back, if that helps."""
--- a/balsamspindle/requests/ingress.py
+++ b/balsamspindle/requests/ingress.py
@@ -40,6 +40,7 @@
 START_POLL_S = 0.02
 # Time for the first request of a connection that was open when the node left.
 FIRST_REQUEST_S = 1.0
+ERROR_STATUS_MIN = 500
 
 _is_request_id = re.compile(r"[A-Za-z0-9._:-]{1,128}").fullmatch
 _is_timeout = re.compile(r"[0-9]{1,9}(\.[0-9]{1,6})?").fullmatch
@@ -49,6 +50,11 @@
 class Ingress:
     """Takes callers' requests and gives each its one answer.
 
+    Parameters
+    ----------
+    on_failure : callable
+        Told the time when a request ends without success.
+
     Attributes
     ----------
     caller_service : str
@@ -63,7 +69,9 @@
         forwarder: Forwarder,
         executor: ThreadPoolExecutor,
         events: EventLog,
+        on_failure: Callable[[float], None] = lambda now_s: None,
     ) -> None:
+        self._on_failure = on_failure
         self._settings = settings
         self._names = settings.headers
         self.caller_service = settings.caller_service
@@ -272,8 +280,13 @@
             received_s + timeout_ms / 1000,
             request.noted.get("idempotency-key"),
             caller_service=self.caller_service,
+            target_s=received_s + route.target_ms / 1000 if route.target_ms else None,
         )
         reply = self._forwarder.forward(forwarded)
+        if reply.outcome is not Outcome.ANSWERED or reply.status >= ERROR_STATUS_MIN:
+            # Before the answer goes out: its caller may be the backend server
+            # beside this node, which fails in turn a moment later.
+            self._on_failure(time.monotonic())
         self._note_end(request_id, reply.outcome, reply.reason, reply.status)
         self._events.metrics.count_outcome(route.service, reply.outcome.value)
         return self._encode_reply(reply, request, request_id)
--- a/balsamspindle/requests/outcomes.py
+++ b/balsamspindle/requests/outcomes.py
@@ -45,6 +45,7 @@
     NO_BACKEND_SERVER = "no_backend_server"
     DRAINING = "draining"
     NO_FREE_SLOT = "no_free_slot"
+    WOULD_WAIT = "would_wait"
     SUSPECTED = "suspected"
     SHED = "shed"
     UNPROVEN_REFUSAL = "unproven_refusal"
@@ -110,6 +111,7 @@
     ),
     Reason.DRAINING: Problem(503, "The backend server is leaving.", 1),
     Reason.NO_FREE_SLOT: Problem(503, "All backend servers are busy.", 1),
+    Reason.WOULD_WAIT: Problem(503, "All backend servers are busy.", 1),
     Reason.SUSPECTED: Problem(503, "The backend server is suspected to be sick.", 1),
     Reason.SHED: Problem(503, "The backend server refused the request.", 1),
     Reason.UNPROVEN_REFUSAL: Problem(
--- /dev/null
+++ b/balsamspindle/requests/placing.py
@@ -0,0 +1,188 @@
+"""Where a request's next attempt goes, and how long it may wait there.
+
+The load that this answers: a few backend servers of a service in each zone, a
+third of them sick at any time, together loaded to two thirds or more. The gates
+alone know who is free, and what an ingress heard is seconds old. Asking a gate
+costs a round trip: nothing but time within the zone, and bytes that are paid
+for beyond it. So an attempt says how long it may wait, and the gate refuses at
+once when that would not do:
+
+========== ================================================ ==============
+step       who is asked                                     may wait
+========== ================================================ ==============
+NEAR       own VM and zone, whoever seems freest first      not at all
+NEAR_QUEUE of these, the one with the shortest queue        `near_wait_ms`
+FAR        a few others, whoever seems freest first         `near_wait_ms`
+QUEUE      of all that refused, the shortest queue          to its deadline
+========== ================================================ ==============
+
+A short queue at home goes before a free slot far away, for an answer across
+zones costs what a late one loses; a long one does not.
+"""
+
+import random
+import threading
+from collections.abc import Iterable, Set
+from enum import IntEnum
+from typing import NamedTuple
+
+from balsamspindle.membership.directory import Placement
+from balsamspindle.requests.attempts import AttemptSender, ForwardedRequest
+from balsamspindle.services.free_slots import FreeSlotViews
+from balsamspindle.services.picker import Picker, choose_freest
+
+__all__ = ["Placer", "Placing", "Step", "near_wait_ms"]
+
+# Of the time within which an answer has its full worth, what it may wait for a
+# slot at home: with work of a quarter to a third of that time, as callers
+# there have it, the answer still comes in time.
+NEAR_WAIT_PART = 0.35
+# Gates of other zones that are asked before the request queues somewhere.
+FAR_TRIES_MAX = 3
+# A gate's estimate of its queue is off by about a request's time; asked to
+# wait for exactly what it told, it would refuse half of the time.
+QUEUE_MARGIN = 1.5
+QUEUE_MARGIN_MS = 50.0
+
+
+class Step(IntEnum):
+    """How far the search for a place has come."""
+
+    NEAR = 0
+    NEAR_QUEUE = 1
+    FAR = 2
+    QUEUE = 3
+    DONE = 4
+
+
+class Placing(NamedTuple):
+    """One place for an attempt.
+
+    Attributes
+    ----------
+    wait_max_ms : float or None
+        How long it may wait for a slot there; None for as long as its
+        deadline allows.
+    """
+
+    placement: Placement
+    wait_max_ms: float | None = None
+
+
+def near_wait_ms(target_ms: float) -> float:
+    """Return how long a queue at home goes before a free slot elsewhere."""
+    return NEAR_WAIT_PART * target_ms
+
+
+class Placer:
+    """Chooses places for the attempts of one ingress."""
+
+    def __init__(
+        self,
+        picker: Picker,
+        sender: AttemptSender,
+        free_slots: FreeSlotViews,
+        rng: random.Random,
+    ) -> None:
+        self._picker = picker
+        self._sender = sender
+        self._free_slots = free_slots
+        self._random = rng
+        self._lock = threading.Lock()
+
+    def next(self, forwarded: ForwardedRequest, now_s: float) -> Placing | None:
+        """Return the next place; None when all were tried."""
+        cut_off = self._behind_broken_links(forwarded.route.service, now_s)
+        excluded = set(forwarded.tried)
+        if not forwarded.is_last_resort:
+            excluded |= self._sender.suspects.at(now_s)
+        with self._lock:
+            placing = self._next(forwarded, excluded | cut_off, now_s)
+            if placing is None and cut_off:
+                # Better a link that may be broken than none.
+                forwarded.search.begin()
+                placing = self._next(forwarded, excluded, now_s)
+        return placing
+
+    def _next(
+        self, forwarded: ForwardedRequest, excluded: Set[str], now_s: float
+    ) -> Placing | None:
+        if not forwarded.route.target_ms:
+            return self._pick_any(forwarded, excluded, now_s)
+        search = forwarded.search
+        while search.step < Step.DONE:
+            placing = self._step(forwarded, excluded, now_s)
+            if placing is not None:
+                return placing
+            search.step += 1
+        return None
+
+    def _step(self, forwarded, excluded: Set[str], now_s: float) -> Placing | None:
+        search, route = forwarded.search, forwarded.route
+        near, far = self._picker.near_and_far(route.service, route.execution)
+        wait_ms = near_wait_ms(route.target_ms)
+        match search.step:
+            case Step.NEAR:
+                return self._freest(near, excluded, 0.0, now_s)
+            case Step.NEAR_QUEUE:
+                return self._shortest_queue(forwarded, near, wait_ms)
+            case Step.FAR if search.far_tries < FAR_TRIES_MAX:
+                search.far_tries += 1
+                return self._freest(far, excluded, wait_ms, now_s)
+            case Step.QUEUE:
+                return self._shortest_queue(forwarded, (*near, *far), None)
+        return None
+
+    def _freest(self, places, excluded, wait_ms, now_s) -> Placing | None:
+        placement = choose_freest(
+            places,
+            excluded,
+            lambda place: self._free_slots.free_slots(place, now_s),
+            self._random,
+        )
+        return None if placement is None else Placing(placement, wait_ms)
+
+    def _shortest_queue(
+        self,
+        forwarded: ForwardedRequest,
+        places: Iterable[Placement],
+        wait_max_ms: float | None,
+    ) -> Placing | None:
+        """Return the place with the shortest queue, of those that told it."""
+        told_ms = forwarded.search.told_wait_ms
+        queues = [
+            (told_ms[place.backend_server.backend_server_id], place)
+            for place in places
+            if place.backend_server.backend_server_id in told_ms
+        ]
+        if not queues:
+            return None
+        shortest_ms, placement = min(queues, key=lambda queue: queue[0])
+        if wait_max_ms is None:
+            told_ms.pop(placement.backend_server.backend_server_id)
+            return Placing(placement)
+        if shortest_ms > wait_max_ms:
+            return None
+        told_ms.pop(placement.backend_server.backend_server_id)
+        return Placing(placement, shortest_ms * QUEUE_MARGIN + QUEUE_MARGIN_MS)
+
+    def _pick_any(self, forwarded, excluded, now_s) -> Placing | None:
+        placement = self._picker.pick(
+            forwarded.route.service,
+            forwarded.route.execution,
+            excluded,
+            lambda place: self._free_slots.free_slots(place, now_s),
+            self._random,
+        )
+        return None if placement is None else Placing(placement)
+
+    def _behind_broken_links(self, service: str, now_s: float) -> set[str]:
+        """Return the backend servers at nodes that this one could not reach."""
+        hold_outs = self._sender.link_hold_outs
+        if not hold_outs:
+            return set()
+        return {
+            placement.backend_server.backend_server_id
+            for placement in self._picker.view(service).placements
+            if hold_outs.is_held(placement.node.node_id, now_s)
+        }
--- a/balsamspindle/requests/retries.py
+++ b/balsamspindle/requests/retries.py
@@ -28,9 +28,9 @@
 WINDOW_S = 10.0
 # So much of the retries that are always allowed may be saved up.
 FLOOR_BURST_S = 2.0
-# Gates of suspected backend servers that may refuse one request before it is
-# given up; each costs a round trip.
-SUSPECTS_MAX = 12
+# Gates that may tell one request to look elsewhere, because of a suspicion or
+# of a queue, before it is given up; each costs a round trip.
+HINTS_MAX = 30
 ERROR_STATUS_MIN = 500
 SHED_STATUSES = frozenset({429, 503})
 RETURN_MIN_S, RETURN_MAX_S = 2.0, 60.0
@@ -58,10 +58,14 @@
     Reason.DEADLINE: Cost.FIRST_FREE,
     Reason.DUPLICATE: Cost.PAID,
     Reason.SUSPECTED: Cost.FREE,
+    Reason.WOULD_WAIT: Cost.FREE,
     Reason.SHED: Cost.PAID,
 }
 
 
+_HINTS = frozenset({Reason.SUSPECTED, Reason.WOULD_WAIT})
+
+
 def is_shed(reply: Reply) -> bool:
     """Tell whether the backend server itself refused, out of load."""
     return reply.outcome is Outcome.ANSWERED and reply.status in SHED_STATUSES
@@ -92,12 +96,12 @@
 
 def _is_room_left(replies: list[Reply], attempts_max: int) -> bool:
     """Tell whether a request may have one more attempt at all."""
-    suspected = sum(reply.reason is Reason.SUSPECTED for reply in replies)
+    hints = sum(reply.reason in _HINTS for reply in replies)
     sent = len(replies) - sum(map(is_refusal, replies))
     return (
         sent < attempts_max
-        and len(replies) - suspected < ATTEMPTS_MAX
-        and suspected < SUSPECTS_MAX
+        and len(replies) - hints < ATTEMPTS_MAX
+        and hints < HINTS_MAX
     )
 
 
--- a/balsamspindle/services/picker.py
+++ b/balsamspindle/services/picker.py
@@ -10,7 +10,7 @@
 from balsamspindle.settings.tree import CurrentConfiguration
 from balsamspindle.wire import BackendServerRecord, NodeRecord
 
-__all__ = ["FreeSlots", "Picker"]
+__all__ = ["FreeSlots", "Picker", "choose_freest"]
 
 FreeSlots = Callable[[Placement], float]
 
@@ -84,6 +84,21 @@
                 return placement
         return placement
 
+    def near_and_far(
+        self, service: str, execution: Execution
+    ) -> tuple[Sequence[Placement], Sequence[Placement]]:
+        """Return the places of the own zone, the own VM's first, and the others.
+
+        Those on trial are among them for what may be repeated; their gates
+        say whether they take it.
+        """
+        view = self.view(service)
+        near = (*view.tiers[0], *view.tiers[1])
+        far = [place for place in view.tiers[-1] if place not in near]
+        if execution is Execution.IDEMPOTENT:
+            far.extend(view.trials)
+        return near, far
+
     def at_node(self, node_id: str, service: str) -> Placement | None:
         """Return a place at one node's gate; None when the node is not known.
 
@@ -137,6 +152,23 @@
     return rng.random() < view.trial_chance
 
 
+def choose_freest(
+    places: Sequence[Placement],
+    excluded: Set[str],
+    free_slots: FreeSlots,
+    rng: random.Random,
+) -> Placement | None:
+    """Return the place with the most free slots, any of them among equals."""
+    left = [
+        place
+        for place in places
+        if place.backend_server.backend_server_id not in excluded
+    ]
+    if not left:
+        return None
+    return max(left, key=lambda place: (free_slots(place), rng.random()))
+
+
 def _choose(
     tier: Sequence[Placement],
     excluded: Set[str],
--- a/balsamspindle/settings/documents.py
+++ b/balsamspindle/settings/documents.py
@@ -75,6 +75,8 @@
         its doublings.
     trial_successes : int
         Good requests in a row that end a trial.
+    calm_s : float
+        Good service that takes one doubling of the hold-out back.
     independent_errors : bool
         Whether backend servers fail each by itself, some of them at any time
         and at once. Then one error ejects, whatever the others do: where one
@@ -92,6 +94,7 @@
     hold_out_s: Positive = 5.0
     hold_out_max_s: Positive = 300.0
     trial_successes: Annotated[int, msgspec.Meta(ge=1)] = 5
+    calm_s: Positive = 600.0
     independent_errors: bool = False
     slow_ms_min: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
@@ -171,6 +174,9 @@
         Worth of one answered request; the lightest is shed first.
     attempts_max : int
         Backend servers that one request may be sent to.
+    target_ms : float
+        Time within which an answer has its full worth; 0 when nobody has said.
+        It decides who waits where, and who goes first in a queue.
     """
 
     service: ServiceName
@@ -182,6 +188,7 @@
     weight: Positive = 1.0
     shares: tuple[ServiceShare, ...] = ()
     attempts_max: Annotated[int, msgspec.Meta(ge=1)] = ATTEMPTS_MAX
+    target_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class CallerLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/balsamspindle/wire/link_messages.py
+++ b/balsamspindle/wire/link_messages.py
@@ -127,6 +127,10 @@
     is_last_resort : bool
         All others were tried or refused: to be run at a suspected backend
         server, too.
+    wait_max_ms : float or None
+        How long it may wait for a slot; None until its deadline.
+    target_left_ms : float or None
+        Time in which an answer still has its full worth, when it is sent.
     """
 
     attempt_id: AttemptId
@@ -148,6 +152,8 @@
     peers: PeerEvidence = PeerEvidence()
     caller_service: str = ""
     is_last_resort: bool = False
+    wait_max_ms: float | None = None
+    target_left_ms: float | None = None
 
 
 class Cancel(msgspec.Struct, tag="cancel", frozen=True):
--- /dev/null
+++ b/tests/test_independent_errors.py
@@ -0,0 +1,212 @@
+"""Backend servers that fall sick by themselves, a third of them at any time."""
+
+import time
+
+from testtools import TestCase
+
+from balsamspindle.backend_servers.client import BackendServerClient
+from balsamspindle.backend_servers.evidence import Judgement, WorkResult
+from balsamspindle.backend_servers.failed_calls import FOLLOWS_WITHIN_S, FailedCalls
+from balsamspindle.backend_servers.gate import Gate
+from balsamspindle.backend_servers.health import LIGHTEST_WAIT_S, ServerHealth
+from balsamspindle.backend_servers.health_readmission import HealthPhase
+from balsamspindle.backend_servers.servers import Announcement, LocalBackendServers
+from balsamspindle.requests.outcomes import Execution, Outcome, Reason
+from balsamspindle.settings.documents import Detection
+from balsamspindle.timeline import EventLog, HybridClock
+from balsamspindle.wire import AttemptId, Dispatch, checksum
+from tests.raw_server import RawServer, length_answer
+
+DETECTION = Detection(
+    independent_errors=True,
+    hold_out_s=0.5,
+    hold_out_max_s=2.0,
+    trial_successes=1,
+    calm_s=1.0,
+    slow_ms_min=2000.0,
+)
+LIGHT, HEAVY = 0.3, 0.5
+ERROR_500 = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
+
+
+class _Server:
+    """A backend server's health with a clock of its own."""
+
+    def __init__(self) -> None:
+        self.now_s = 100.0
+        self.health = ServerHealth(DETECTION, self.now_s)
+        self._attempts = 0
+
+    def admits(self, execution=Execution.IDEMPOTENT, weight=LIGHT) -> bool:
+        return self.health.admits(execution, weight, self.now_s)
+
+    def start(self) -> AttemptId:
+        self._attempts += 1
+        attempt_id = AttemptId("node", 1, self._attempts)
+        self.health.started(attempt_id, self.now_s)
+        return attempt_id
+
+    def end(self, attempt_id: AttemptId, result: WorkResult) -> None:
+        self.health.ended(attempt_id, result, self.now_s)
+
+    def run(self, result: WorkResult) -> None:
+        attempt_id = self.start()
+        self.now_s += 0.001
+        self.end(attempt_id, result)
+
+
+class OneErrorTests(TestCase):
+    def test_one_error_keeps_non_idempotent_work_away_until_a_trial_went_well(self):
+        # A sick backend server answers errors within a millisecond, so it
+        # looks idle and would draw all the work. Non-idempotent requests that
+        # run into an error are lost for good: they stay away from the first
+        # error on, and an idempotent one finds out when that is over.
+        server = _Server()
+        server.run(WorkResult.ANSWERED)
+        server.run(WorkResult.ERROR)
+        for execution in Execution:
+            self.assertFalse(server.admits(execution))
+        server.now_s += DETECTION.hold_out_s + 0.01
+        self.assertFalse(server.admits(Execution.NON_IDEMPOTENT))
+        self.assertTrue(server.admits(Execution.IDEMPOTENT))
+        server.run(WorkResult.ANSWERED)
+        self.assertTrue(server.admits(Execution.NON_IDEMPOTENT))
+
+    def test_a_failed_trial_doubles_the_hold_out_and_calm_takes_it_back(self):
+        server = _Server()
+        server.run(WorkResult.ERROR)
+        for hold_out_s in (0.5, 1.0, 2.0, 2.0):
+            server.now_s += hold_out_s - 0.1
+            self.assertFalse(server.admits())
+            server.now_s += 0.2
+            self.assertTrue(server.admits())
+            server.run(WorkResult.ERROR)
+        server.now_s += 2.1
+        self.assertTrue(server.admits())
+        server.run(WorkResult.ANSWERED)
+        server.now_s += 5.0
+        server.run(WorkResult.ERROR)
+        server.now_s += 0.6
+        self.assertTrue(server.admits())
+
+    def test_one_trial_at_a_time_whatever_work_is_left_from_before(self):
+        # Work that began before the ejection may last for seconds; waiting for
+        # its end would keep a recovered backend server out for as long.
+        server = _Server()
+        server.start()
+        server.run(WorkResult.ERROR)
+        server.now_s += 0.6
+        self.assertTrue(server.admits())
+        server.start()
+        self.assertFalse(server.admits())
+
+    def test_the_lightest_idempotent_work_is_tried_first(self):
+        # Heavier idempotent requests are calls that a non-idempotent one waits
+        # for: one that is lost in a trial takes that one with it.
+        server = _Server()
+        server.admits(weight=LIGHT)
+        server.run(WorkResult.ERROR)
+        server.now_s += 0.6
+        self.assertFalse(server.admits(weight=HEAVY))
+        self.assertTrue(server.admits(weight=LIGHT))
+        server.now_s += LIGHTEST_WAIT_S
+        self.assertTrue(server.admits(weight=HEAVY))
+
+    def test_slow_answers_alone_need_more_than_one(self):
+        server = _Server()
+        attempt_id = server.start()
+        server.now_s += 3.0
+        server.end(attempt_id, WorkResult.ANSWERED)
+        self.assertIs(HealthPhase.SERVING, server.health.phase)
+
+
+class GateTests(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.servers = LocalBackendServers()
+        self.failed_calls = FailedCalls()
+        self.observer = _Observer()
+        self.gate = Gate(
+            self.servers,
+            BackendServerClient(1000),
+            EventLog("gate", 1, HybridClock()),
+            self.observer,
+            failed_calls=self.failed_calls,
+        )
+        self.sequence = 0
+
+    def announce(self, answer):
+        server = RawServer(lambda number: (answer, True))
+        self.addCleanup(server.close)
+        self.servers.announce("s", Announcement("t/a", server.address, 6, "1"), 0.0)
+        return server
+
+    def handle(self, now_s, **changes):
+        self.sequence += 1
+        dispatch = Dispatch(
+            AttemptId("ingress", 1, self.sequence),
+            "r",
+            "t/a",
+            "s",
+            Execution.NON_IDEMPOTENT,
+            5000.0,
+            1.0,
+            "POST",
+            "/",
+            [],
+            b"",
+            checksum(b""),
+            **changes,
+        )
+        return self.gate.handle(dispatch, now_s)
+
+    def test_a_suspected_backend_server_gets_only_what_has_no_other_way(self):
+        server = self.announce(length_answer(b"whole"))
+        self.observer.admitting = False
+        refused = self.handle(time.monotonic())
+        self.assertEqual(
+            (Outcome.NOT_RUN, Reason.SUSPECTED), (refused.outcome, refused.reason)
+        )
+        self.assertEqual([], server.requests)
+        reply = self.handle(time.monotonic(), is_last_resort=True)
+        self.assertIs(Outcome.ANSWERED, reply.outcome)
+
+    def test_an_error_after_a_failed_call_is_not_the_backend_servers_own(self):
+        # A signing service asks the records service, whose answer fails; it
+        # answers its own request with a 500 a moment later. Counted against
+        # it, one sick service would have healthy ones of others ejected.
+        self.announce(ERROR_500)
+        self.handle(time.monotonic())
+        self.failed_calls.note(time.monotonic())
+        self.handle(time.monotonic())
+        expected = [WorkResult.ERROR, WorkResult.CANCELLED]
+        self.assertEqual(expected, self.observer.results)
+
+    def test_a_failed_call_of_long_ago_explains_nothing(self):
+        self.failed_calls.note(10.0)
+        self.assertTrue(self.failed_calls.explain_error(10.0 + FOLLOWS_WITHIN_S / 2))
+        self.assertFalse(self.failed_calls.explain_error(10.1 + FOLLOWS_WITHIN_S))
+
+
+class _Observer:
+    """Notes what it is told, and admits or not."""
+
+    def __init__(self) -> None:
+        self.admitting = True
+        self.results: list[WorkResult] = []
+
+    def started(self, backend_server_id, attempt_id, now_s):
+        pass
+
+    def note_peers(self, backend_server_id, evidence, now_s):
+        pass
+
+    def ended(self, backend_server_id, attempt_id, result, now_s):
+        self.results.append(result)
+        return Judgement()
+
+    def admits(self, backend_server_id, execution, weight, now_s):
+        return self.admitting
+
+    def held_out_ms(self, backend_server_id, now_s):
+        return 0.0
--- /dev/null
+++ b/tests/test_placing.py
@@ -0,0 +1,134 @@
+"""Where attempts go when gates are busy: home first, then short queues."""
+
+import random
+from typing import NamedTuple
+
+from testtools import TestCase
+
+from balsamspindle.backend_servers.queue import SlotQueue, Ticket, Verdict
+from balsamspindle.membership.directory import Placement
+from balsamspindle.requests.attempts import ForwardedRequest
+from balsamspindle.requests.http import CallerRequest
+from balsamspindle.requests.outcomes import Execution
+from balsamspindle.requests.placing import FAR_TRIES_MAX, Placer, near_wait_ms
+from balsamspindle.services.free_slots import FreeSlotViews
+from balsamspindle.services.holdouts import HoldOuts
+from balsamspindle.services.suspects import Suspects
+from balsamspindle.settings.documents import RouteDocument
+from balsamspindle.wire import BackendServerRecord, NodeRecord
+
+TARGET_MS = 2000.0
+SERVICE = "t/a"
+NEAR, FAR = ("near-0", "near-1"), ("far-0", "far-1", "far-2", "far-3", "far-4")
+
+
+def place(name: str) -> Placement:
+    node = NodeRecord(f"node-{name}", 1, 0, "r", name.partition("-")[0], "", "", "")
+    return Placement(node, BackendServerRecord(name, SERVICE, "1", 6, "ready"))
+
+
+class _Picker:
+    def near_and_far(self, service, execution):
+        return [place(name) for name in NEAR], [place(name) for name in FAR]
+
+    def view(self, service):
+        return NamedTuple("View", [("placements", list)])([])
+
+
+class _Sender:
+    def __init__(self) -> None:
+        self.suspects = Suspects()
+        self.link_hold_outs = HoldOuts(1.0, 1.0)
+
+
+class PlacingTests(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.sender = _Sender()
+        self.free = FreeSlotViews()
+        self.placer = Placer(_Picker(), self.sender, self.free, random.Random(1))
+        route = RouteDocument(SERVICE, Execution.IDEMPOTENT, target_ms=TARGET_MS)
+        self.forwarded = ForwardedRequest("r", None, CallerRequest(), route, 100.0)
+
+    def asked(self, waits_ms=None):
+        """Play gates that refuse with their queue; return who was asked."""
+        asked = []
+        while placing := self.placer.next(self.forwarded, 0.0):
+            name = placing.placement.backend_server.backend_server_id
+            wait_ms = (waits_ms or {}).get(name, 10_000.0)
+            asked.append((name, placing.wait_max_ms))
+            if placing.wait_max_ms is None or wait_ms <= placing.wait_max_ms:
+                return asked
+            self.forwarded.tried.add(name)
+            self.forwarded.search.told_wait_ms[name] = wait_ms
+        return asked
+
+    def test_home_is_asked_first_and_a_free_slot_there_ends_the_search(self):
+        [(name, wait_max_ms)] = self.asked(dict.fromkeys(NEAR, 0.0))
+        self.assertIn(name, NEAR)
+        self.assertEqual(0.0, wait_max_ms)
+
+    def test_a_short_queue_at_home_goes_before_a_free_slot_far_away(self):
+        # An answer across zones costs what a late one loses; waiting for a
+        # part of the time that an answer may take costs nothing.
+        waits_ms = {"near-0": 600.0, "near-1": 300.0, **dict.fromkeys(FAR, 0.0)}
+        asked = self.asked(waits_ms)
+        self.assertEqual({*NEAR}, {name for name, _ in asked[:2]})
+        self.assertEqual("near-1", asked[2][0])
+        self.assertEqual(3, len(asked))
+
+    def test_a_long_queue_at_home_goes_behind_others(self):
+        waits_ms = {**dict.fromkeys(NEAR, 1500.0), **dict.fromkeys(FAR, 0.0)}
+        asked = self.asked(waits_ms)
+        self.assertEqual(3, len(asked))
+        self.assertIn(asked[2][0], FAR)
+        self.assertEqual(near_wait_ms(TARGET_MS), asked[2][1])
+
+    def test_where_all_are_busy_the_shortest_queue_gets_it(self):
+        # Without a bound a request would ask every gate of a large service,
+        # just when all of them are busy.
+        waits_ms = {name: 3000.0 + number for number, name in enumerate(NEAR + FAR)}
+        asked = self.asked(waits_ms)
+        self.assertEqual(len(NEAR) + FAR_TRIES_MAX + 1, len(asked))
+        self.assertEqual(("near-0", None), asked[-1])
+
+    def test_suspected_ones_are_not_asked_until_nobody_else_is_left(self):
+        for name in NEAR:
+            self.sender.suspects.note(name, 1000.0, 0.0)
+        [(name, _)] = self.asked(dict.fromkeys(FAR, 0.0))
+        self.assertIn(name, FAR)
+
+
+class QueueWaitTests(TestCase):
+    def ask(self, queue, ticket, free, now_s=0.0):
+        return queue.ask(ticket, free, 2, 1.0, now_s)
+
+    def ticket(self, **changes):
+        return Ticket("s", changes.pop("weight", 1.0), 100.0, **changes)
+
+    def test_who_may_not_wait_is_told_at_once_how_long_it_would(self):
+        queue = SlotQueue(10)
+        hasty = self.ticket(wait_max_s=0.0)
+        self.assertIs(Verdict.TOO_LONG, self.ask(queue, hasty, 0))
+        self.assertEqual(0.5, hasty.expected_wait_s)
+        self.assertIs(Verdict.START, self.ask(queue, self.ticket(wait_max_s=0.0), 1))
+        patient = self.ticket(wait_max_s=0.6)
+        self.assertIs(Verdict.WAIT, self.ask(queue, patient, 0))
+        # The estimate was wrong: it looks elsewhere.
+        self.assertIs(Verdict.WAIT, self.ask(queue, patient, 0, 1.0))
+        self.assertIs(Verdict.TOO_LONG, self.ask(queue, patient, 0, 1.3))
+        self.assertEqual(0, len(queue))
+
+    def test_a_short_request_goes_before_a_long_one_of_the_same_weight(self):
+        # A signature's own calls are due in half a second and its slot waits
+        # for them; behind a queue of signatures they would come too late.
+        queue = SlotQueue(10)
+        signature = self.ticket(target_s=2.0)
+        call = self.ticket(target_s=0.5)
+        heavier = self.ticket(target_s=9.0, weight=2.0)
+        for ticket in (signature, call, heavier):
+            self.assertIs(Verdict.WAIT, self.ask(queue, ticket, 0))
+        self.assertIs(Verdict.WAIT, self.ask(queue, call, 1))
+        self.assertIs(Verdict.START, self.ask(queue, heavier, 1))
+        self.assertIs(Verdict.START, self.ask(queue, call, 1))
+        self.assertIs(Verdict.START, self.ask(queue, signature, 1))
