Spend the retries that the fleet has, and fewer bytes between zones

Ruled out: compressing bodies (they do not shrink).

Retries count over the window that bounds them; nodes of a zone tell each other of refusals from elsewhere; link messages are arrays.

--- a/balsamspindle/membership/member.py
+++ b/balsamspindle/membership/member.py
@@ -90,7 +90,7 @@
     def register(
         self,
         handlers: dict[type, Callable[[Any], None]],
-        on_peer_revision: Callable[[str, int], None],
+        on_peer_revision: Callable[[str, int], None] | None = None,
     ) -> None:
         """Hand messages of tagged types, and peers' settings revisions, on.
 
@@ -99,9 +99,12 @@
         for message_type, handler in handlers.items():
             kind = message_type.__struct_config__.tag
             self.channel.register(kind, message_type, _message_only(handler))
-        self.channel.on_peer(
-            lambda peer, now_s: on_peer_revision(peer.address, peer.settings_revision)
-        )
+        if on_peer_revision is not None:
+            self.channel.on_peer(
+                lambda peer, now_s: on_peer_revision(
+                    peer.address, peer.settings_revision
+                )
+            )
 
     def send(self, address: str, message: Any) -> None:
         """Send a message of a registered type; callable from any thread.
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -32,6 +32,7 @@
 from balsamspindle.requests.ingress import Ingress
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.requests.retries import RetryPolicy
+from balsamspindle.requests.zone_hints import ZoneHints
 from balsamspindle.services.explanation import ServiceExplanation, explain_service
 from balsamspindle.services.picker import Picker
 from balsamspindle.settings.documents import RetryBudget, ServiceDocument
@@ -39,7 +40,7 @@
 from balsamspindle.settings.tree import CurrentConfiguration
 from balsamspindle.tables import GuardedTableService, PlatformGuard
 from balsamspindle.timeline import EventLog, HybridClock
-from balsamspindle.wire import BackendServerRecord, NodeRecord
+from balsamspindle.wire import BackendServerRecord, NodeRecord, SuspectHint
 from balsamspindle.wire.security import start_authenticator
 
 __all__ = ["NodeProcess"]
@@ -299,6 +300,9 @@
         """Make the way of a caller's request, from its connection to a gate."""
         self._links = LinkPool(self._context, self.events, self._settings.fleet_keys)
         self._picker = Picker(own, self._directory, self._configuration)
+        self._hints = ZoneHints(
+            own, self._directory, self._member.send, lambda: self._forwarder.suspects
+        )
         self._connections = ThreadPoolExecutor(self._settings.connections_max, "caller")
         self._forwarder = Forwarder(
             own,
@@ -308,7 +312,9 @@
             self.events,
             self._make_claim_book(),
             RetryPolicy(self._retry_budget),
+            on_suspect=self._hints.tell,
         )
+        self._member.register({SuspectHint: self._hints.take})
         self._ingress = Ingress(
             self._settings,
             self._configuration,
@@ -351,8 +357,8 @@
         budget = self._service_document(service).retry_budget
         if not budget.fleet_per_s_min:
             return budget
-        per_s_min = budget.fleet_per_s_min / max(1, self._directory.live_count())
-        return msgspec.structs.replace(budget, per_s_min=per_s_min)
+        part = budget.fleet_per_s_min / max(1, self._directory.live_count())
+        return msgspec.structs.replace(budget, fleet_per_s_min=part)
 
     def _adopt(self, settings: NodeSettings) -> None:
         """Take what may change of the settings while the process runs."""
--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -143,7 +143,9 @@
         events: EventLog,
         free_slots: FreeSlotViews,
         clock: Callable[[], float] = time.monotonic,
+        on_suspect: Callable[[NodeRecord, str, float, float], None] | None = None,
     ) -> None:
+        self._on_suspect = on_suspect or (lambda *_: None)
         self._own = own
         self._gate = gate
         self._links = links
@@ -359,26 +361,34 @@
     def _track(self, forwarded, placement) -> "_Tracked":
         return _Tracked(
             forwarded,
-            placement.backend_server.backend_server_id,
+            placement,
             self._free_slots,
             self._peers,
-            self.suspects,
+            self._note_suspect,
             self._clock,
         )
 
+    def _note_suspect(
+        self, placement: Placement, held_out_ms: float, now_s: float
+    ) -> None:
+        server_id = placement.backend_server.backend_server_id
+        self.suspects.note(server_id, held_out_ms, now_s)
+        self._on_suspect(placement.node, server_id, held_out_ms, now_s)
+
 
 class _Tracked:
     """One attempt in flight, in this ingress's local views."""
 
     def __init__(
-        self, forwarded, server_id, free_slots, peers, suspects, clock
+        self, forwarded, placement, free_slots, peers, note_suspect, clock
     ) -> None:
         self._forwarded: ForwardedRequest = forwarded
         self._service: str = forwarded.route.service
-        self._server_id = server_id
+        self._placement: Placement = placement
+        self._server_id = server_id = placement.backend_server.backend_server_id
         self._free_slots: FreeSlotViews = free_slots
         self._peers: PeerEvidenceTracker = peers
-        self._suspects: Suspects = suspects
+        self._note_suspect = note_suspect
         self._clock = clock
         self._started_s = clock()
         free_slots.started(server_id)
@@ -395,7 +405,7 @@
         self._peers.ended(self._service, self._server_id, self._started_s, reply, now_s)
         self._free_slots.ended(self._server_id)
         if reply is not None:
-            self._suspects.note(self._server_id, reply.held_out_ms, now_s)
+            self._note_suspect(self._placement, reply.held_out_ms, now_s)
             if is_refusal(reply):
                 self._forwarded.sends -= 1
         if reply is not None and reply.reason is Reason.SUSPECTED:
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -18,6 +18,7 @@
 from balsamspindle.requests.retries import RetryPolicy, is_refusal, is_shed
 from balsamspindle.services.free_slots import FreeSlotViews
 from balsamspindle.services.picker import Picker
+from balsamspindle.services.suspects import Suspects
 from balsamspindle.settings.documents import RetryBudget
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import NodeRecord, Reply
@@ -41,6 +42,9 @@
     retries : RetryPolicy, default=one with the default budget
     clock : callable, default=time.monotonic
         Tells the present time.
+    on_suspect : callable, optional
+        Told the node, the backend server, for how long its gate keeps usual
+        work away, and the present time.
     """
 
     def __init__(
@@ -53,12 +57,15 @@
         claims: ClaimBook | None = None,
         retries: RetryPolicy | None = None,
         clock: Callable[[], float] = time.monotonic,
+        on_suspect: Callable[[NodeRecord, str, float, float], None] | None = None,
     ) -> None:
         self._picker = picker
         self._claims = claims or ClaimBook(None)
         self._clock = clock
         self._free_slots = FreeSlotViews()
-        self._sender = AttemptSender(own, gate, links, events, self._free_slots, clock)
+        self._sender = AttemptSender(
+            own, gate, links, events, self._free_slots, clock, on_suspect
+        )
         self._retries = retries or RetryPolicy(lambda service: RetryBudget())
         self._random = random.Random(f"{own.node_id}/{own.incarnation}")
         self._random_lock = threading.Lock()
@@ -70,6 +77,11 @@
         )
         self._given_up = threading.Event()
 
+    @property
+    def suspects(self) -> Suspects:
+        """Backend servers whose gates keep work away."""
+        return self._sender.suspects
+
     def give_up(self) -> None:
         """End the waiting requests with what is known of them."""
         self._given_up.set()
--- a/balsamspindle/requests/ingress.py
+++ b/balsamspindle/requests/ingress.py
@@ -203,7 +203,9 @@
             return limits
         return limits._replace(
             head_max_bytes=fleet.head_max_bytes,
-            body_max_bytes=fleet.body_max_bytes,
+            # A body is held whole, several times over on its way; what this
+            # process can hold bounds what the fleet allows.
+            body_max_bytes=min(fleet.body_max_bytes, settings.request_body_max_bytes),
             idle_timeout_s=fleet.idle_timeout_ms / 1000,
             head_timeout_s=fleet.head_timeout_ms / 1000,
         )
--- a/balsamspindle/requests/retries.py
+++ b/balsamspindle/requests/retries.py
@@ -12,6 +12,7 @@
 from enum import StrEnum
 
 from balsamspindle.requests.outcomes import Execution, Outcome, Reason
+from balsamspindle.requests.retry_window import RetryWindow
 from balsamspindle.settings.documents import ATTEMPTS_MAX, RetryBudget
 from balsamspindle.wire import Reply
 
@@ -208,8 +209,8 @@
 
 
 class _Service:
-    def __init__(self) -> None:
-        self.tokens = RetryTokens()
+    def __init__(self, budget: RetryBudget) -> None:
+        self.tokens = RetryWindow() if budget.fleet_per_s_min else RetryTokens()
         self.latency = LatencyEstimate()
         self.returns = ReturnTimes()
 
@@ -344,5 +345,5 @@
     def _of(self, service: str) -> _Service:
         state = self._services.get(service)
         if state is None:
-            state = self._services[service] = _Service()
+            state = self._services[service] = _Service(self._budget(service))
         return state
--- a/balsamspindle/wire/link_messages.py
+++ b/balsamspindle/wire/link_messages.py
@@ -1,9 +1,9 @@
 """Messages of the request path: from an ingress to a gate and back.
 
-Messages are msgspec structs: encoded as MessagePack maps with a tag, so that
-a field that a receiver does not know is passed over and a field that a sender
-does not know takes its default. Durations travel as durations, never as wall
-times: clocks of two VMs are not compared.
+Messages are msgspec structs, encoded as MessagePack arrays that begin with a
+tag: field names would be half of a small message. New fields go to the end,
+with a default; a receiver that does not know them passes over them. Durations
+travel as durations, never as wall times: clocks of two VMs are not compared.
 """
 
 from typing import NamedTuple
@@ -62,11 +62,11 @@
     gate_time_s: float
 
 
-class Greet(msgspec.Struct, tag="greet", frozen=True):
+class Greet(msgspec.Struct, array_like=True, tag="greet", frozen=True):
     """Ingress to gate, first on a link: do you hear me?"""
 
 
-class Greeting(msgspec.Struct, tag="greeting", frozen=True):
+class Greeting(msgspec.Struct, array_like=True, tag="greeting", frozen=True):
     """Gate to ingress: I do.
 
     Attributes
@@ -99,7 +99,7 @@
     limit_ms: float = 0.0
 
 
-class Dispatch(msgspec.Struct, tag="dispatch", frozen=True):
+class Dispatch(msgspec.Struct, array_like=True, tag="dispatch", frozen=True):
     """Ingress to gate: run this request at one of your backend servers.
 
     Attributes
@@ -156,7 +156,7 @@
     target_left_ms: float | None = None
 
 
-class Cancel(msgspec.Struct, tag="cancel", frozen=True):
+class Cancel(msgspec.Struct, array_like=True, tag="cancel", frozen=True):
     """Ingress to gate: the attempt is given up; do not start it any more.
 
     Attributes
@@ -170,7 +170,7 @@
     gate_deadline_s: float | None = None
 
 
-class Reply(msgspec.Struct, tag="reply", frozen=True):
+class Reply(msgspec.Struct, array_like=True, tag="reply", frozen=True):
     """Gate to ingress: how the attempt ended.
 
     Attributes
--- a/balsamspindle/wire/member_messages.py
+++ b/balsamspindle/wire/member_messages.py
@@ -27,6 +27,7 @@
     "Page",
     "Ping",
     "PingRequest",
+    "SuspectHint",
     "Pull",
     "Sender",
     "ServerEntry",
@@ -236,6 +237,19 @@
     news: list[News] = []
 
 
+class SuspectHint(msgspec.Struct, array_like=True, tag="suspect", frozen=True):
+    """Node to nodes of its zone: a gate elsewhere keeps usual work away.
+
+    Attributes
+    ----------
+    held_out_ms : float
+        For how long from now on.
+    """
+
+    backend_server_id: str
+    held_out_ms: float
+
+
 class PingRequest(msgspec.Struct, array_like=True, frozen=True):
     """Ping this node for me: I can't reach it."""
 
