--- a/balsamspindle/backend_servers/admission.py
+++ b/balsamspindle/backend_servers/admission.py
@@ -14,7 +14,7 @@
     LocalBackendServer,
     LocalBackendServers,
 )
-from balsamspindle.backend_servers.slots import WorkEnd, ramped_slots
+from balsamspindle.backend_servers.slots import WorkEnd, WorkKind, ramped_slots
 from balsamspindle.requests.outcomes import Reason
 from balsamspindle.settings.documents import ServiceDocument
 from balsamspindle.wire import Dispatch
@@ -37,6 +37,7 @@
 
     server: LocalBackendServer
     started_s: float
+    kind: WorkKind = WorkKind()
 
 
 @dataclass(frozen=True)
@@ -141,15 +142,18 @@
         if now_s >= ticket.deadline_s:
             return Refused(Reason.DEADLINE)
         account, slots = server.account, self._slots(server, now_s)
+        kind = WorkKind(dispatch.weight, dispatch.route_id)
+        ticket.own_time_s = account.own_time_s(kind)
         free = account.free(slots, now_s)
+        free -= account.kept_for_heavier(kind.weight, slots, now_s)
         match queue.ask(ticket, free, slots, account.service_time_s, now_s):
             case Verdict.WAIT:
                 return None
             case Verdict.START:
-                account.take()
+                account.take(kind)
                 server.in_flight += 1
                 self._running += 1
-                return Admitted(server, now_s)
+                return Admitted(server, now_s, kind)
             case Verdict.TOO_LONG:
                 return Refused(Reason.WOULD_WAIT, ticket.expected_wait_s * 1000)
         return Refused(
@@ -182,7 +186,8 @@
             now_s = time.monotonic()
             server.in_flight -= 1
             self._running -= 1
-            server.account.give_back(end, now_s - admitted.started_s, now_s)
+            ran_s = now_s - admitted.started_s
+            server.account.give_back(end, ran_s, now_s, admitted.kind)
             self._servers.changed.notify_all()
             queue = self._queue(server.announcement.service)
             waiting = queue.waiting_for(server.backend_server_id)
--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -175,6 +175,7 @@
         return reply
 
     def _handle_new(self, dispatch, token, deadline_s) -> Reply:
+        received_s = time.monotonic()
         if checksum(dispatch.body) != dispatch.body_checksum:
             return self._refuse(dispatch, Reason.DAMAGED)
         if not self._is_welcome(dispatch):
@@ -183,7 +184,7 @@
             decision = self._admission.admit(dispatch, token, deadline_s)
         match decision:
             case Refused(reason, retry_after_ms):
-                reply = self._refuse(dispatch, reason)
+                reply = self._refuse(dispatch, reason, wait_ms=retry_after_ms)
                 return msgspec.structs.replace(reply, retry_after_ms=retry_after_ms)
             case Admitted() as admitted:
                 # Those that waited for a slot while the backend server fell
@@ -191,7 +192,7 @@
                 if not self._is_welcome(dispatch):
                     self._admission.release(admitted, WorkEnd.DONE)
                     return self._refuse(dispatch, Reason.SUSPECTED)
-                return self._run(dispatch, admitted, token, deadline_s)
+                return self._run(dispatch, admitted, token, deadline_s, received_s)
 
     def _is_welcome(self, dispatch: Dispatch) -> bool:
         """Tell whether a suspected backend server may get this attempt."""
@@ -207,15 +208,18 @@
         dispatch: Dispatch,
         reason: Reason,
         outcome: Outcome = Outcome.NOT_RUN,
+        wait_ms: float = 0.0,
     ) -> Reply:
+        held_out_ms = self._observer.held_out_ms(
+            dispatch.backend_server_id, time.monotonic()
+        )
         hlc = self._events.emit(
             "attempt_refused",
             request=dispatch.request_id,
             backend_server=dispatch.backend_server_id,
             cause=reason,
-        )
-        held_out_ms = self._observer.held_out_ms(
-            dispatch.backend_server_id, time.monotonic()
+            held_out_ms=round(held_out_ms) or None,
+            wait_ms=round(wait_ms) or None,
         )
         return Reply(
             dispatch.attempt_id, outcome, reason, hlc=hlc, held_out_ms=held_out_ms
@@ -229,12 +233,16 @@
         )
         return dispatch.headers + [pair for pair in own if all(pair)]
 
-    def _run(self, dispatch, admitted: Admitted, token, deadline_s) -> Reply:
+    def _run(
+        self, dispatch, admitted: Admitted, token, deadline_s, received_s
+    ) -> Reply:
         server = admitted.server
         self._events.emit(
             "attempt_dispatched",
             request=dispatch.request_id,
             backend_server=server.backend_server_id,
+            queued_ms=round((admitted.started_s - received_s) * 1000),
+            left_ms=round((deadline_s - time.monotonic()) * 1000),
         )
         server_id, attempt_id = server.backend_server_id, dispatch.attempt_id
         self._observer.note_peers(server_id, dispatch.peers, time.monotonic())
@@ -292,6 +300,7 @@
         outcome, reason = _OUTCOMES[type(result)](result)
         server_id = dispatch.backend_server_id
         answer = result if isinstance(result, BackendAnswer) else None
+        held_out_ms = self._observer.held_out_ms(server_id, time.monotonic())
         hlc = self._events.emit(
             "attempt_ended",
             request=dispatch.request_id,
@@ -299,6 +308,7 @@
             outcome=outcome,
             status=answer and answer.status,
             cause=reason,
+            held_out_ms=round(held_out_ms) or None,
         )
         reply = Reply(
             dispatch.attempt_id,
@@ -308,7 +318,7 @@
             hlc=hlc,
             bad=judgement.bad,
             limit_ms=judgement.limit_ms,
-            held_out_ms=self._observer.held_out_ms(server_id, time.monotonic()),
+            held_out_ms=held_out_ms,
         )
         if answer is None:
             return reply
--- a/balsamspindle/backend_servers/queue.py
+++ b/balsamspindle/backend_servers/queue.py
@@ -5,7 +5,6 @@
 change. All of it is under the gate's lock.
 """
 
-import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
@@ -13,6 +12,9 @@
 __all__ = ["Order", "SlotQueue", "Ticket", "Verdict"]
 
 
+# Work takes longer than its mean so often that an answer is in time, most of
+# the time, only if so many times the mean is left.
+IN_TIME_FACTOR = 1.5
 # Until a backend server has answered once.
 FIRST_SERVICE_TIME_S = 0.1
 # One that waited so many times as long as it may goes elsewhere; each such
@@ -65,6 +67,8 @@
         When it began to wait.
     expected_wait_s : float
         As estimated when it asked last.
+    own_time_s : float
+        How long requests of its route take; 0 when unknown.
     """
 
     backend_server_id: str
@@ -76,6 +80,7 @@
     target_s: float | None = None
     entered_s: float = 0.0
     expected_wait_s: float = 0.0
+    own_time_s: float = 0.0
 
 
 class SlotQueue:
@@ -152,33 +157,37 @@
         if ticket.is_shed:
             return Verdict.SHED
         ahead, rivals = self._rivals(ticket, now_s)
-        rounds = _rounds_before(ahead, free_slots, slots)
-        ends_s = now_s + (rounds + 1) * service_time_s
+        wait_s = _wait_s(ahead, free_slots, slots, service_time_s)
+        own_time_s = ticket.own_time_s or service_time_s
+        ends_s = now_s + wait_s + own_time_s
         # The service time is an estimate, and only attempts that run correct
         # it. Without rivals one starts whatever the estimate says: else one
         # that was too high once would refuse all attempts for ever.
-        if ends_s > ticket.deadline_s and (rivals or rounds):
+        has_slot = ahead < free_slots
+        if ends_s > ticket.deadline_s and (rivals or not has_slot):
             return Verdict.TOO_LATE
-        if not rounds:
+        if has_slot:
             return Verdict.START
-        ticket.expected_wait_s = _wait_s(ahead, free_slots, slots, service_time_s)
+        ticket.expected_wait_s = wait_s or (
+            _wait_s(ahead, free_slots, slots, FIRST_SERVICE_TIME_S)
+        )
         if _waits_too_long(ticket, now_s):
             return Verdict.TOO_LONG
         return self._enter(ticket, now_s)
 
     def _rivals(self, ticket: Ticket, now_s: float) -> tuple[int, int]:
         """Return who waits for the same backend server: before it, and all."""
-        key = ticket.key or self._next_key(ticket, now_s)
+        key = _order_now(ticket, ticket.key or self._next_key(ticket), now_s)
         ahead = rivals = 0
         for other in self._waiting:
             if other.backend_server_id != ticket.backend_server_id:
                 continue
             if other is not ticket:
                 rivals += 1
-                ahead += other.key < key
+                ahead += _order_now(other, other.key, now_s) < key
         return ahead, rivals
 
-    def _next_key(self, ticket: Ticket, now_s: float) -> tuple[float, float, int]:
+    def _next_key(self, ticket: Ticket) -> tuple[float, float, int]:
         """Return the place of a ticket: heavier ones first, then by target.
 
         A short request whose answer is due soon goes before a long one that
@@ -193,7 +202,7 @@
             return Verdict.WAIT
         if len(self._waiting) >= self.queue_max and not self._make_room(ticket):
             return Verdict.SHED
-        ticket.key = self._next_key(ticket, now_s)
+        ticket.key = self._next_key(ticket)
         ticket.entered_s = now_s
         self._sequence += 1
         self._waiting.append(ticket)
@@ -212,13 +221,33 @@
         return True
 
 
+def _order_now(
+    ticket: Ticket, key: tuple[float, float, int], now_s: float
+) -> tuple[float, bool, float, int]:
+    """Return a ticket's place at this moment.
+
+    Under an overload those due first would be served first, each of them just
+    too late: with three quarters of the slots that all need, no answer at all
+    would come in time. So one whose answer comes late in any case lets those
+    of its weight go first that can still be in time.
+    """
+    weight, target_s, sequence = key
+    return weight, _is_late(ticket, now_s), target_s, sequence
+
+
+def _is_late(ticket: Ticket, now_s: float) -> bool:
+    if ticket.target_s is None:
+        return False
+    return now_s + IN_TIME_FACTOR * ticket.own_time_s > ticket.target_s
+
+
 def _wait_s(ahead: int, free_slots: int, slots: int, service_time_s: float) -> float:
     """Return after which time a slot is likely to be free for a ticket.
 
     Busy slots end one after the other, `slots` of them in a service time.
     """
     before = ahead - free_slots + 1
-    return max(0, before) * (service_time_s or FIRST_SERVICE_TIME_S) / max(1, slots)
+    return max(0, before) * service_time_s / max(1, slots)
 
 
 def _waits_too_long(ticket: Ticket, now_s: float) -> bool:
@@ -228,10 +257,3 @@
         return ticket.expected_wait_s > ticket.wait_max_s
     # The estimate that it entered by was wrong: another gate may be better.
     return now_s - ticket.entered_s > WAITED_FACTOR * ticket.wait_max_s
-
-
-def _rounds_before(ahead: int, free_slots: int, slots: int) -> int:
-    """Return how many requests, one after the other, a slot serves first."""
-    if ahead < free_slots:
-        return 0
-    return math.ceil((ahead - max(0, free_slots) + 1) / max(1, slots))
--- a/balsamspindle/membership/registry.py
+++ b/balsamspindle/membership/registry.py
@@ -28,9 +28,10 @@
 
 MEMBERS_TABLE = "members"
 SLOTS = 4
-# All nodes of a fleet that starts at once would read within a second.
-FIRST_READ_WITHIN_S = 3.0
-READ_INTERVAL_MIN_S = 2.0
+# A node that starts alone serves nobody until it has found a peer. When a whole
+# large fleet starts at once the store turns some away, who ask again.
+FIRST_READ_WITHIN_S = 0.3
+READ_INTERVAL_MIN_S = 0.6
 READ_INTERVAL_MAX_S = 30.0
 KEEP_INTERVAL_S = 60.0
 
--- a/balsamspindle/metrics/exposition.py
+++ b/balsamspindle/metrics/exposition.py
@@ -1,25 +1,58 @@
 """Metrics in the Prometheus text format."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
+from typing import Protocol
 
-from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import CounterMetricFamily, Metric
+from prometheus_client import (
+    CONTENT_TYPE_LATEST,
+    CollectorRegistry,
+    generate_latest,
+)
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
 from balsamspindle.metrics.recorder import MetricsReport
 
-__all__ = ["prometheus_text"]
+__all__ = ["CONTENT_TYPE_LATEST", "prometheus_text"]
 
 LATENCY_NAME = "balsamspindle_hop_latency_seconds"
 
 
-def prometheus_text(report: MetricsReport) -> bytes:
-    """Return a report in the Prometheus text format."""
+class SupportsGauge(Protocol):
+    """One number of the present."""
+
+    name: str
+    text: str
+    value: float
+    labels: dict[str, str]
+
+
+def prometheus_text(
+    report: MetricsReport, gauges: Iterable[SupportsGauge] = ()
+) -> bytes:
+    """Return a report and gauges of the present in the Prometheus text format."""
     registry = CollectorRegistry()
     registry.register(_ReportCollector(report))
+    registry.register(_GaugeCollector(list(gauges)))
     return generate_latest(registry)
 
 
+class _GaugeCollector(Collector):
+    def __init__(self, gauges: list[SupportsGauge]) -> None:
+        self._gauges = gauges
+
+    def collect(self) -> Iterator[Metric]:
+        families: dict[str, GaugeMetricFamily] = {}
+        for gauge in self._gauges:
+            family = families.get(gauge.name)
+            if family is None:
+                family = families[gauge.name] = GaugeMetricFamily(
+                    gauge.name, gauge.text, labels=list(gauge.labels)
+                )
+            family.add_metric(list(gauge.labels.values()), gauge.value)
+        yield from families.values()
+
+
 class _ReportCollector(Collector):
     def __init__(self, report: MetricsReport) -> None:
         self._report = report
--- a/balsamspindle/node/admin.py
+++ b/balsamspindle/node/admin.py
@@ -17,13 +17,12 @@
 from collections.abc import Callable
 
 import msgspec
-from prometheus_client import CONTENT_TYPE_LATEST
 from werkzeug.exceptions import BadRequest, HTTPException, NotFound
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
 
 from balsamspindle.backend_servers.servers import Announcement, LocalBackendServers
-from balsamspindle.metrics import prometheus_text
+from balsamspindle.node.gauges import Gauge
 from balsamspindle.node.status import NodeStatus
 from balsamspindle.services.explanation import ServiceExplanation
 from balsamspindle.settings.documents import NAME_PATTERN
@@ -70,7 +69,9 @@
         explain: Callable[[str], ServiceExplanation],
         events: EventLog,
         on_settings_accepted: Callable[[int], None] = lambda revision: None,
+        gauges: Callable[[], list[Gauge]] = list,
     ) -> None:
+        self._gauges = gauges
         self._servers = servers
         self._read_status = status
         self._explain = explain
@@ -136,7 +137,12 @@
         return _json({})
 
     def _metrics(self, request):
-        text = prometheus_text(self._event_log.metrics.report())
+        from balsamspindle.metrics.exposition import (
+            CONTENT_TYPE_LATEST,
+            prometheus_text,
+        )
+
+        text = prometheus_text(self._event_log.metrics.report(), self._gauges())
         return Response(text, content_type=CONTENT_TYPE_LATEST)
 
     def _status(self, request):
--- a/balsamspindle/node/admin_server.py
+++ b/balsamspindle/node/admin_server.py
@@ -72,7 +72,7 @@
     def handle_error(self, request, client_address):
         """Pass over a connection that ended early; the caller knows."""
 
-    def serve_forever(self, poll_interval=0.5):
+    def serve_forever(self, poll_interval=0.25):
         """Serve until `shutdown`, then let the workers end."""
         with self._executor:
             super().serve_forever(poll_interval)
--- /dev/null
+++ b/balsamspindle/node/gauges.py
@@ -0,0 +1,105 @@
+"""What a scraper is told of a node's present state, beside its counts."""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from balsamspindle.backend_servers.admission import Admission
+from balsamspindle.backend_servers.health_monitor import HealthMonitor
+from balsamspindle.backend_servers.servers import LocalBackendServers
+from balsamspindle.membership import Directory
+from balsamspindle.requests.retries import RetryPolicy
+from balsamspindle.settings.tree import CurrentConfiguration
+
+__all__ = ["Gauge", "NodeGauges"]
+
+
+class Gauge(NamedTuple):
+    """One number of the present.
+
+    Attributes
+    ----------
+    labels : dict of str to str
+        Names and values, in the order in which they are written.
+    """
+
+    name: str
+    text: str
+    value: float
+    labels: dict[str, str] = {}
+
+
+class NodeGauges:
+    """Reads the present state of one node's parts."""
+
+    def __init__(
+        self,
+        configuration: CurrentConfiguration,
+        directory: Directory,
+        servers: LocalBackendServers,
+        admission: Admission,
+        health: HealthMonitor,
+        retries: RetryPolicy,
+    ) -> None:
+        self._configuration = configuration
+        self._directory = directory
+        self._servers = servers
+        self._admission = admission
+        self._health = health
+        self._retries = retries
+
+    def read(self, now_s: float) -> list[Gauge]:
+        """Return all gauges."""
+        return [
+            Gauge(
+                "balsamspindle_settings_revision",
+                "Revision of the settings in force; -1 before the first.",
+                self._configuration.revision,
+            ),
+            Gauge(
+                "balsamspindle_settings_in_force_seconds",
+                "How long these settings have been in force.",
+                self._configuration.in_force_for_s(now_s),
+            ),
+            Gauge(
+                "balsamspindle_nodes_known",
+                "Nodes that are not held dead, this one included.",
+                self._directory.live_count(),
+            ),
+            Gauge(
+                "balsamspindle_attempts_running",
+                "Attempts at the backend servers beside this node.",
+                self._admission.in_flight(),
+            ),
+            Gauge(
+                "balsamspindle_attempts_waiting",
+                "Attempts that wait for a slot here.",
+                self._admission.waiting(),
+            ),
+            *self._of_servers(now_s),
+            *self._of_services(now_s),
+        ]
+
+    def _of_servers(self, now_s: float) -> Iterator[Gauge]:
+        for server in self._servers.all():
+            server_id = server.backend_server_id
+            yield Gauge(
+                "balsamspindle_backend_server_slots",
+                "Slots of the backend servers beside this node.",
+                server.announcement.slots,
+                {"backend_server": server_id, "state": server.state.value},
+            )
+            yield Gauge(
+                "balsamspindle_backend_server_held_out_seconds",
+                "How long usual work is still kept away from it.",
+                self._health.held_out_ms(server_id, now_s) / 1000,
+                {"backend_server": server_id},
+            )
+
+    def _of_services(self, now_s: float) -> Iterator[Gauge]:
+        for service in self._retries.services():
+            yield Gauge(
+                "balsamspindle_retries_left",
+                "Retries that this node could make now.",
+                self._retries.left(service, now_s),
+                {"service": service},
+            )
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -22,6 +22,7 @@
 from balsamspindle.membership.registry import Registry
 from balsamspindle.node.admin import AdminApplication
 from balsamspindle.node.admin_server import AdminServer
+from balsamspindle.node.gauges import NodeGauges
 from balsamspindle.node.integration import Integration
 from balsamspindle.node.settings_tasks import SettingsTasks
 from balsamspindle.node.settings_watch import LoadSettings, SettingsWatch
@@ -49,8 +50,8 @@
 HOUSEKEEPING_INTERVAL_S = 1.0
 # The gate refuses at the latest this long after the listener was told to stop.
 GATE_OPEN_S = 2.0
-LINK_TAIL_S = 0.5
-LAST_ANSWERS_S = 3.0
+LINK_TAIL_S, LINK_TAIL_MIN_S = 0.5, 0.1
+LAST_ANSWERS_S = 0.4
 DRAIN_POLL_S = 0.02
 FLUSH_MS = 1000
 _DEFAULT_SERVICE = ServiceDocument()
@@ -204,7 +205,8 @@
             self._give_up()
         # A peer that has not heard yet gets a refusal, which proves that its
         # attempt was not run, in place of silence.
-        time.sleep(LINK_TAIL_S)
+        left_s = give_up_s - time.monotonic()
+        time.sleep(min(LINK_TAIL_S, max(LINK_TAIL_MIN_S, left_s)))
         self._end_tasks()
         self.events.emit("node_stopped")
 
@@ -239,10 +241,12 @@
             self._registry.stop()
         self._member.stop()
         self._link_server.stop()
-        for server in (self._admin, *self._served):
-            server.shutdown()
         if self._watch is not None:
             self._watch.stop()
+        servers = (self._admin, *self._served)
+        # Each waits for its own loop to notice.
+        with ThreadPoolExecutor(len(servers), "shutdown") as executor:
+            list(executor.map(AdminServer.shutdown, servers))
         if self._authenticator is not None:
             self._authenticator.stop()
         self._health.stop()
@@ -304,6 +308,7 @@
             own, self._directory, self._member.send, lambda: self._forwarder.suspects
         )
         self._connections = ThreadPoolExecutor(self._settings.connections_max, "caller")
+        self._retries = RetryPolicy(self._retry_budget)
         self._forwarder = Forwarder(
             own,
             self._picker,
@@ -311,7 +316,7 @@
             self._links,
             self.events,
             self._make_claim_book(),
-            RetryPolicy(self._retry_budget),
+            self._retries,
             on_suspect=self._hints.tell,
         )
         self._member.register({SuspectHint: self._hints.take})
@@ -325,12 +330,21 @@
         )
 
     def _make_admin_server(self) -> AdminServer:
+        self._gauges = NodeGauges(
+            self._configuration,
+            self._directory,
+            self._servers,
+            self._admission,
+            self._health,
+            self._retries,
+        )
         application = AdminApplication(
             self._servers,
             self._status,
             self._explain_service,
             self.events,
             self._settings_tasks.accepted,
+            lambda: self._gauges.read(time.monotonic()),
         )
         return AdminServer(self._settings.admin_address, application, self.events)
 
--- a/balsamspindle/platform/__main__.py
+++ b/balsamspindle/platform/__main__.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import sys
+import threading
 from pathlib import Path
 
 from expression import Result
@@ -17,6 +18,9 @@
 from balsamspindle.platform.configuration import operator_row
 from balsamspindle.platform.settings import load_machine_settings
 
+# Kept of the time to SIGKILL for the last lines of the log.
+EXIT_RESERVE_S = 0.2
+
 SETTINGS_VARIABLE = "BALSAMSPINDLE_SETTINGS"
 
 
@@ -39,13 +43,31 @@
         machine.announcement_address, AnnouncementApplication(process.lifetimes)
     )
     process.serve(machine.ready_address, ReadinessApplication(process.is_ready))
-    signal.signal(signal.SIGTERM, lambda *_: process.stop())
+    signal.signal(signal.SIGTERM, lambda *_: _leave(process, machine.grace_s))
     signal.signal(signal.SIGHUP, lambda *_: process.reload())
     process.watch_settings(Path(path), _reloaded)
     process.run()
     return ExitStatus.DONE
 
 
+def _leave(process: NodeProcess, grace_s: float) -> None:
+    """End in order, and in any case before the platform kills the process.
+
+    A connection that neither end closes would hold the orderly end up. The
+    kill would lose the last lines of the log, which say what held it up.
+    """
+    process.stop()
+    end = threading.Timer(grace_s - EXIT_RESERVE_S, _exit, [process])
+    end.daemon = True
+    end.start()
+
+
+def _exit(process: NodeProcess) -> None:
+    process.events.emit("shutdown_cut_short")
+    process.events.flush()
+    os._exit(ExitStatus.FAILED)
+
+
 def _reloaded(path: Path):
     return load_machine_settings(path).map(lambda machine: machine.node)
 
--- a/balsamspindle/platform/settings.py
+++ b/balsamspindle/platform/settings.py
@@ -22,9 +22,13 @@
 # Two missed readiness checks, one a second, take a node's callers away; till
 # then they still send to it.
 READY_NOTICE_S = 2.6
+# Callers on the machine have no other node. A node that starts finds its peers
+# within half a second, and the first backend servers have announced themselves
+# after one and a half.
+START_HOLD_S = 2.0
 # Of the time between SIGTERM and SIGKILL, what is left to end in order after
 # the last requests were given up.
-SHUTDOWN_RESERVE_S = 0.9
+SHUTDOWN_RESERVE_S = 0.95
 # Callers' connections at once: a thread each, within the 4,100 descriptors
 # and the 300 MB of a machine (300 threads were seen to cost no memory).
 CONNECTIONS_MAX = 1200
@@ -109,12 +113,15 @@
     ----------
     ready_address, announcement_address : str
         IP:port of two small servers that the platform calls.
+    grace_s : float
+        Time from SIGTERM to SIGKILL.
     """
 
     node: NodeSettings
     ready_address: str
     announcement_address: str
     retries: RetryBounds
+    grace_s: float
 
 
 def load_machine_settings(path: Path) -> Result[MachineSettings, SettingsError]:
@@ -145,13 +152,15 @@
         caller_service=file.service,
         retry_after_decimals=RETRY_AFTER_DECIMALS,
         ready_notice_s=READY_NOTICE_S,
+        start_wait_s=0.0,
+        start_hold_s=START_HOLD_S,
         takes_unframed_answers=True,
         announcement_ttl_s=ANNOUNCEMENT_TTL_S,
         connections_max=CONNECTIONS_MAX,
         shutdown_timeout_s=grace_s - SHUTDOWN_RESERVE_S,
     )
     return MachineSettings(
-        node, file.listen.ready, file.listen.control, _retry_bounds(bounds)
+        node, file.listen.ready, file.listen.control, _retry_bounds(bounds), grace_s
     )
 
 
--- a/balsamspindle/platform/store.py
+++ b/balsamspindle/platform/store.py
@@ -10,6 +10,8 @@
 
 import io
 import socket
+import threading
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import quote, urlencode
 
@@ -100,8 +102,48 @@
     ver: int = 0
 
 
+class _Waits:
+    """The connections on which calls wait for changes."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._open: set[socket.socket] = set()
+        self._ended = False
+
+    def open_socket(self, _purpose, address) -> socket.socket | int:
+        """Open the socket of a waiting call, unless all waits were ended."""
+        with self._lock:
+            if self._ended:
+                return pycurl.SOCKET_BAD
+            opened = _open_socket(_purpose, address)
+            # A duplicate: libcurl's own may be closed and its number reused.
+            self._open.add(opened.dup())
+            return opened
+
+    def forget(self) -> None:
+        """Close the duplicates of calls that are over; one waits at a time."""
+        with self._lock:
+            while self._open:
+                self._open.pop().close()
+
+    def end(self) -> None:
+        """Cut the connections of all waiting calls."""
+        with self._lock:
+            self._ended = True
+            for opened in self._open:
+                try:
+                    opened.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    # Not connected: the call ends by itself.
+                    pass
+
+
 def _call(
-    method: str, url: str, body: bytes | None = None, wait_ms: int = 0
+    method: str,
+    url: str,
+    body: bytes | None = None,
+    wait_ms: int = 0,
+    open_socket: Callable = lambda *arguments: _open_socket(*arguments),
 ) -> Result[tuple[int, bytes], Unreachable | Unknown]:
     """Make one call.
 
@@ -117,7 +159,7 @@
     handle.setopt(pycurl.NOSIGNAL, 1)
     handle.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
     handle.setopt(pycurl.TIMEOUT_MS, CALL_TIMEOUT_MS + wait_ms)
-    handle.setopt(pycurl.OPENSOCKETFUNCTION, _open_socket)
+    handle.setopt(pycurl.OPENSOCKETFUNCTION, open_socket)
     handle.setopt(pycurl.PROXY, "")
     handle.setopt(pycurl.WRITEDATA, answer)
     handle.setopt(pycurl.HTTPHEADER, ["Content-Type: application/json", "Expect:"])
@@ -150,6 +192,11 @@
 
     def __init__(self, address: str) -> None:
         self._url = f"http://{address}"
+        self._waits = _Waits()
+
+    def end_waits(self):
+        """See `TableService.end_waits`."""
+        self._waits.end()
 
     def read(self, table, keys):
         """See `TableService.read`: as of one moment when the keys lie close."""
@@ -197,7 +244,9 @@
         wait_ms = int(wait_s * 1000)
         query = {"table": table, "after": after_version, "wait_ms": wait_ms}
         url = f"{self._url}/rows-feed?{urlencode(query)}"
-        match _call("GET", url, wait_ms=wait_ms):
+        result = _call("GET", url, wait_ms=wait_ms, open_socket=self._waits.open_socket)
+        self._waits.forget()
+        match result:
             case Result(tag="ok", ok=(200, answer)):
                 return _decoded(answer).map(
                     lambda page: Changes([_row(row) for row in page.rows], page.ver)
--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -4,8 +4,10 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import IntEnum
 
 import msgspec
+import xxhash
 
 from balsamspindle.backend_servers.gate import Gate
 from balsamspindle.membership.directory import Placement
@@ -23,7 +25,7 @@
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import AttemptId, Dispatch, NodeRecord, Reply, checksum
 
-__all__ = ["AttemptSender", "ForwardedRequest", "Rescue", "Search"]
+__all__ = ["AttemptSender", "ForwardedRequest", "Rescue", "Search", "Step", "route_id"]
 
 # How long others go first after a failure; longer would keep a sick backend
 # server from the work by which its gate finds it out.
@@ -31,14 +33,26 @@
 LINK_HOLD_OUT_S, LINK_HOLD_OUT_MAX_S = 0.5, 30.0
 
 
+class Step(IntEnum):
+    """How far the search for a place has come.
+
+    `balsamspindle.requests.placing` tells what each step asks.
+    """
+
+    NEAR = 0
+    NEAR_QUEUE = 1
+    FAR = 2
+    QUEUE = 3
+    DONE = 4
+
+
 @dataclass
 class Search:
-    """How far the search for a place has come; see `balsamspindle.requests.placing`.
+    """One request's search for a place.
 
     Attributes
     ----------
-    step : int
-        A `Step`.
+    step : Step
     far_tries : int
         Gates of other zones that were asked.
     told_wait_ms : dict of str to float
@@ -46,13 +60,13 @@
         long it is.
     """
 
-    step: int = 0
+    step: Step = Step.NEAR
     far_tries: int = 0
     told_wait_ms: dict[str, float] = field(default_factory=dict)
 
     def begin(self) -> None:
         """Search anew, after an attempt that failed."""
-        self.step = self.far_tries = 0
+        self.step, self.far_tries = Step.NEAR, 0
         self.told_wait_ms.clear()
 
 
@@ -72,6 +86,8 @@
         The service beside this node, as backend servers are told.
     sends : int
         Attempts that reached, or may have reached, a backend server.
+    attempts : int
+        All that were made, those that a gate refused included.
     refused_as_suspect : set of str
         Backend servers whose gates refused it because they look sick.
     waits : int
@@ -95,6 +111,7 @@
     may_have_run: bool = False
     caller_service: str = ""
     sends: int = 0
+    attempts: int = 0
     refused_as_suspect: set[str] = field(default_factory=set)
     waits: int = 0
     is_last_resort: bool = False
@@ -200,11 +217,17 @@
         server_id = placement.backend_server.backend_server_id
         forwarded.tried.add(server_id)
         forwarded.sends += 1
+        forwarded.attempts += 1
         hlc = self._events.emit(
             "attempt_sent",
             request=forwarded.request_id,
             backend_server=server_id,
             gate=placement.node.node_id,
+            attempt=forwarded.attempts,
+            sought=Step(forwarded.search.step).name.lower(),
+            free_slots=self._free_slots.free_slots(placement, self._clock()),
+            wait_max_ms=_rounded(forwarded.wait_max_ms),
+            is_last_resort=forwarded.is_last_resort or None,
         )
         return Dispatch(
             attempt_id=self.next_id(),
@@ -226,6 +249,7 @@
             is_last_resort=forwarded.is_last_resort,
             wait_max_ms=forwarded.wait_max_ms,
             target_left_ms=forwarded.target_left_ms(self._clock()),
+            route_id=route_id(route),
         )
 
     def _send_here(self, forwarded, placement, rescue: Rescue | None) -> Reply:
@@ -432,6 +456,15 @@
     tracked: _Tracked
 
 
+def route_id(route: RouteDocument) -> int:
+    """Return a number that is the same for all requests of a route."""
+    return xxhash.xxh32_intdigest(f"{route.host}{route.path_prefix}".encode())
+
+
+def _rounded(duration_ms: float | None) -> int | None:
+    return None if duration_ms is None else round(duration_ms)
+
+
 def _claim(forwarded, dispatch, gate, gate_time_s) -> Dispatch | Reply:
     """Put the key's claim into an attempt; a reply when it must not be made."""
     if forwarded.claimant is None:
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -9,13 +9,19 @@
 
 from balsamspindle.backend_servers.gate import Gate
 from balsamspindle.membership.directory import Placement
-from balsamspindle.requests.attempts import AttemptSender, ForwardedRequest, Rescue
+from balsamspindle.requests.attempts import (
+    AttemptSender,
+    ForwardedRequest,
+    Rescue,
+    route_id,
+)
 from balsamspindle.requests.claims import ClaimBook, KeyClaimant
 from balsamspindle.requests.heads import IDEMPOTENCY_KEY_MAX_CHARACTERS
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.requests.outcomes import PROBLEMS, Execution, Outcome, Reason
 from balsamspindle.requests.placing import Placer, Placing
 from balsamspindle.requests.retries import RetryPolicy, is_refusal, is_shed
+from balsamspindle.services.answer_sizes import AnswerSizes
 from balsamspindle.services.free_slots import FreeSlotViews
 from balsamspindle.services.picker import Picker
 from balsamspindle.services.suspects import Suspects
@@ -60,6 +66,7 @@
         on_suspect: Callable[[NodeRecord, str, float, float], None] | None = None,
     ) -> None:
         self._picker = picker
+        self._events = events
         self._claims = claims or ClaimBook(None)
         self._clock = clock
         self._free_slots = FreeSlotViews()
@@ -69,10 +76,12 @@
         self._retries = retries or RetryPolicy(lambda service: RetryBudget())
         self._random = random.Random(f"{own.node_id}/{own.incarnation}")
         self._random_lock = threading.Lock()
+        self._sizes = AnswerSizes()
         self._placer = Placer(
             picker,
             self._sender,
             self._free_slots,
+            self._sizes,
             random.Random(f"{own.node_id}/{own.incarnation}/places"),
         )
         self._given_up = threading.Event()
@@ -127,8 +136,12 @@
             now_s = self._clock()
             if _is_success(reply):
                 self._retries.note_answer(
-                    route.service, now_s - started_s, reply.limit_ms
+                    route.service,
+                    now_s - started_s,
+                    reply.limit_ms,
+                    route_id(route),
                 )
+                self._sizes.note(route, len(reply.body))
                 self._give_back(forwarded, rescue)
                 return reply
             if reply.reason is Reason.SUSPECTED:
@@ -146,10 +159,28 @@
                 now_s,
                 is_paid=rescue is not None and rescue.is_paid,
                 attempts_max=route.attempts_max,
+                route_id=route_id(route),
             ):
+                self._note_given_up(forwarded, reply)
                 break
         return _best(replies) if replies else nowhere
 
+    def _note_given_up(self, forwarded: ForwardedRequest, reply: Reply) -> None:
+        """Say why a failed attempt has no successor."""
+        route = forwarded.route
+        if reply.outcome is not Outcome.NOT_RUN and (
+            route.execution is Execution.NON_IDEMPOTENT
+        ):
+            return
+        left = self._retries.left(route.service, self._clock())
+        self._events.emit(
+            "retry_denied",
+            request=forwarded.request_id,
+            after=reply.reason or reply.status,
+            retries_left=round(left, 1),
+            sends=forwarded.sends,
+        )
+
     def _widen(self, forwarded: ForwardedRequest) -> bool:
         """Find a way on for a request that no backend server would take.
 
@@ -194,7 +225,9 @@
             return None
         left_s = forwarded.deadline_s - now_s
         is_own = self._sender.is_own(placement)
-        patience_s = self._retries.patience_s(route.service, is_own, left_s, now_s)
+        patience_s = self._retries.patience_s(
+            route.service, is_own, left_s, now_s, route_id(route)
+        )
         is_paid = False
         if is_own and patience_s < left_s:
             is_paid = self._retries.may_hedge(route.service, now_s)
--- a/balsamspindle/requests/ingress.py
+++ b/balsamspindle/requests/ingress.py
@@ -36,7 +36,6 @@
 TURN_AWAY_TASKS_MAX = 4
 TURN_AWAY_WAITING_MAX = 64
 LOGGED_PATH_MAX = 256
-START_WAIT_S = 2.0
 START_POLL_S = 0.02
 # Time for the first request of a connection that was open when the node left.
 FIRST_REQUEST_S = 1.0
@@ -80,6 +79,8 @@
         self._forwarder = forwarder
         self._executor = executor
         self._events = events
+        self._hold_until_s = 0.0
+        self._is_ready: Callable[[], bool] = lambda: True
         self._leaving = threading.Event()
         self._stopped = threading.Event()
         self._accepting = threading.Event()
@@ -105,7 +106,9 @@
             A node that has just started knows no backend servers yet: its
             callers would be told so while all others could serve them.
         """
-        give_up_s = time.monotonic() + START_WAIT_S
+        give_up_s = time.monotonic() + self._settings.start_wait_s
+        self._hold_until_s = time.monotonic() + self._settings.start_hold_s
+        self._is_ready = ready
         while not (ready() or time.monotonic() >= give_up_s or self._stopped.is_set()):
             time.sleep(START_POLL_S)
         self._listener.listen(BACKLOG)
@@ -242,6 +245,7 @@
             method=request.method,
             path=request.path[:LOGGED_PATH_MAX],
         )
+        self._hold()
         match self._find_route(request):
             case Reason() as reason:
                 answer = self._problem(request, request_id, reason)
@@ -255,6 +259,11 @@
         self._events.metrics.record(Hop.INGRESS, time.monotonic() - received_s)
         return request.keep_alive
 
+    def _hold(self) -> None:
+        """Wait, right after the start, until it is known where requests go."""
+        while time.monotonic() < self._hold_until_s and not self._is_ready():
+            time.sleep(START_POLL_S)
+
     def _settle_keep_alive(self, request: CallerRequest) -> bool:
         """Decide as late as can be whether the connection goes on."""
         request.keep_alive = request.keep_alive and not self._leaving.is_set()
@@ -289,7 +298,17 @@
             # Before the answer goes out: its caller may be the backend server
             # beside this node, which fails in turn a moment later.
             self._on_failure(time.monotonic())
-        self._note_end(request_id, reply.outcome, reply.reason, reply.status)
+        self._note_end(
+            request_id,
+            reply.outcome,
+            reply.reason,
+            reply.status,
+            service=route.service,
+            route=f"{route.host}{route.path_prefix}",
+            attempts=forwarded.attempts,
+            sends=forwarded.sends,
+            left_ms=round((forwarded.deadline_s - time.monotonic()) * 1000),
+        )
         self._events.metrics.count_outcome(route.service, reply.outcome.value)
         return self._encode_reply(reply, request, request_id)
 
@@ -321,13 +340,15 @@
         )
         self._write(caller, request_id, answer)
 
-    def _note_end(self, request_id, outcome, reason, status=None) -> None:
+    def _note_end(self, request_id, outcome, reason, status=None, **decided) -> None:
         self._events.emit(
             "request_ended",
             request=request_id,
             outcome=outcome,
             cause=reason,
             status=status or None,
+            settings_revision=self._configuration.revision,
+            **decided,
         )
 
     def _encode_reply(self, reply: Reply, request, request_id: str) -> bytes:
--- a/balsamspindle/requests/placing.py
+++ b/balsamspindle/requests/placing.py
@@ -23,20 +23,23 @@
 import random
 import threading
 from collections.abc import Iterable, Set
-from enum import IntEnum
 from typing import NamedTuple
 
 from balsamspindle.membership.directory import Placement
-from balsamspindle.requests.attempts import AttemptSender, ForwardedRequest
+from balsamspindle.requests.attempts import AttemptSender, ForwardedRequest, Step
+from balsamspindle.services.answer_sizes import AnswerSizes
 from balsamspindle.services.free_slots import FreeSlotViews
 from balsamspindle.services.picker import Picker, choose_freest
 
-__all__ = ["Placer", "Placing", "Step", "near_wait_ms"]
+__all__ = ["Placer", "Placing", "near_wait_ms"]
 
 # Of the time within which an answer has its full worth, what it may wait for a
-# slot at home: with work of a quarter to a third of that time, as callers
-# there have it, the answer still comes in time.
-NEAR_WAIT_PART = 0.35
+# slot at home before others are asked. Callers' work takes a quarter to a third
+# of that time, so that an answer still comes in time. A megabyte between zones
+# costs as much as a hundred requests are worth: an answer of 5 KB half of its
+# request, one of 400 bytes next to nothing.
+NEAR_WAIT_PART_MIN, NEAR_WAIT_PART_MAX = 0.1, 0.6
+LARGE_ANSWER_BYTES = 5000
 # Gates of other zones that are asked before the request queues somewhere.
 FAR_TRIES_MAX = 3
 # A gate's estimate of its queue is off by about a request's time; asked to
@@ -45,16 +48,6 @@
 QUEUE_MARGIN_MS = 50.0
 
 
-class Step(IntEnum):
-    """How far the search for a place has come."""
-
-    NEAR = 0
-    NEAR_QUEUE = 1
-    FAR = 2
-    QUEUE = 3
-    DONE = 4
-
-
 class Placing(NamedTuple):
     """One place for an attempt.
 
@@ -69,9 +62,11 @@
     wait_max_ms: float | None = None
 
 
-def near_wait_ms(target_ms: float) -> float:
+def near_wait_ms(target_ms: float, answer_bytes: float) -> float:
     """Return how long a queue at home goes before a free slot elsewhere."""
-    return NEAR_WAIT_PART * target_ms
+    largeness = min(1.0, answer_bytes / LARGE_ANSWER_BYTES)
+    span = NEAR_WAIT_PART_MAX - NEAR_WAIT_PART_MIN
+    return (NEAR_WAIT_PART_MIN + span * largeness) * target_ms
 
 
 class Placer:
@@ -82,8 +77,10 @@
         picker: Picker,
         sender: AttemptSender,
         free_slots: FreeSlotViews,
+        sizes: AnswerSizes,
         rng: random.Random,
     ) -> None:
+        self._sizes = sizes
         self._picker = picker
         self._sender = sender
         self._free_slots = free_slots
@@ -114,13 +111,13 @@
             placing = self._step(forwarded, excluded, now_s)
             if placing is not None:
                 return placing
-            search.step += 1
+            search.step = Step(search.step + 1)
         return None
 
     def _step(self, forwarded, excluded: Set[str], now_s: float) -> Placing | None:
         search, route = forwarded.search, forwarded.route
         near, far = self._picker.near_and_far(route.service, route.execution)
-        wait_ms = near_wait_ms(route.target_ms)
+        wait_ms = near_wait_ms(route.target_ms, self._sizes.mean_bytes(route))
         match search.step:
             case Step.NEAR:
                 return self._freest(near, excluded, 0.0, now_s)
--- a/balsamspindle/requests/retries.py
+++ b/balsamspindle/requests/retries.py
@@ -33,6 +33,7 @@
 # of a queue, before it is given up; each costs a round trip.
 HINTS_MAX = 30
 ERROR_STATUS_MIN = 500
+ROUTES_MAX = 1000
 SHED_STATUSES = frozenset({429, 503})
 RETURN_MIN_S, RETURN_MAX_S = 2.0, 60.0
 
@@ -124,6 +125,11 @@
         self._pass_time(budget, now_s)
         self._earned += budget.fraction
 
+    def left(self, budget: RetryBudget, now_s: float) -> float:
+        """Return how many retries could be made."""
+        self._pass_time(budget, now_s)
+        return self._floor + self._earned
+
     def available(self, budget: RetryBudget, now_s: float) -> bool:
         """Tell whether a retry could be made."""
         self._pass_time(budget, now_s)
@@ -209,11 +215,22 @@
 
 
 class _Service:
+    """One service, as this ingress sees it."""
+
     def __init__(self, budget: RetryBudget) -> None:
         self.tokens = RetryWindow() if budget.fleet_per_s_min else RetryTokens()
-        self.latency = LatencyEstimate()
+        self.latencies: dict[int, LatencyEstimate] = {}
         self.returns = ReturnTimes()
 
+    def latency(self, route_id: int) -> LatencyEstimate:
+        """Return the estimate of one route's requests."""
+        latency = self.latencies.get(route_id)
+        if latency is None:
+            if len(self.latencies) >= ROUTES_MAX:
+                del self.latencies[next(iter(self.latencies))]
+            latency = self.latencies[route_id] = LatencyEstimate()
+        return latency
+
 
 class RetryPolicy:
     """Decides on further attempts for all services of one ingress.
@@ -242,10 +259,16 @@
         with self._lock:
             self._of(service).tokens.note_request(self._budget(service), now_s)
 
-    def note_answer(self, service: str, took_s: float, limit_ms: float = 0.0) -> None:
-        """Take the time of one answered attempt, and its gate's limit for it."""
+    def note_answer(
+        self, service: str, took_s: float, limit_ms: float = 0.0, route_id: int = 0
+    ) -> None:
+        """Take the time of one answered attempt, and its gate's limit for it.
+
+        Requests of different routes to one service may take times that differ
+        tenfold; a second attempt that is late for one is early for another.
+        """
         with self._lock:
-            self._of(service).latency.note(took_s, limit_ms)
+            self._of(service).latency(route_id).note(took_s, limit_ms)
 
     def may_retry(
         self,
@@ -256,6 +279,7 @@
         now_s: float,
         is_paid: bool = False,
         attempts_max: int = ATTEMPTS_MAX,
+        route_id: int = 0,
     ) -> bool:
         """Tell whether a request may have another attempt, and pay for it.
 
@@ -272,7 +296,7 @@
             state = self._of(service)
             budget = self._budget(service)
             cost = _cost(replies[-1], execution, budget.on_errors)
-            is_late = now_s + state.latency.mean_s >= deadline_s
+            is_late = now_s + state.latency(route_id).mean_s >= deadline_s
             if is_late or not _is_room_left(replies, attempts_max):
                 cost = Cost.FINAL
             if cost is Cost.FIRST_FREE:
@@ -295,8 +319,22 @@
         with self._lock:
             return self._of(service).tokens.take(self._budget(service), now_s)
 
+    def services(self) -> list[str]:
+        """Return the services that had requests here."""
+        return sorted(self._services)
+
+    def left(self, service: str, now_s: float) -> float:
+        """Return how many retries could be made now."""
+        with self._lock:
+            return self._of(service).tokens.left(self._budget(service), now_s)
+
     def patience_s(
-        self, service: str, is_own: bool, left_s: float, now_s: float
+        self,
+        service: str,
+        is_own: bool,
+        left_s: float,
+        now_s: float,
+        route_id: int = 0,
     ) -> float:
         """Return how long one attempt of an idempotent request may be alone.
 
@@ -316,7 +354,7 @@
         """
         with self._lock:
             state = self._of(service)
-            latency = state.latency
+            latency = state.latency(route_id)
             if not state.tokens.available(self._budget(service), now_s):
                 return left_s
         latest_s = left_s * self.LATEST_PART
--- a/balsamspindle/requests/retry_window.py
+++ b/balsamspindle/requests/retry_window.py
@@ -52,12 +52,16 @@
         self._pass_time(now_s)
         self._requests.add(1, self._now_s)
 
-    def available(self, budget: RetryBudget, now_s: float) -> bool:
-        """Tell whether a retry could be made."""
+    def left(self, budget: RetryBudget, now_s: float) -> float:
+        """Return how many retries could be made."""
         self._pass_time(now_s)
         allowed = budget.fraction * self._requests.total
         allowed += budget.fleet_per_s_min * WINDOW_S
-        return self._retries.total + 1 <= allowed
+        return allowed - self._retries.total
+
+    def available(self, budget: RetryBudget, now_s: float) -> bool:
+        """Tell whether a retry could be made."""
+        return self.left(budget, now_s) >= 1
 
     def take(self, budget: RetryBudget, now_s: float) -> bool:
         """Take a retry, or return False."""
--- a/balsamspindle/settings/feed.py
+++ b/balsamspindle/settings/feed.py
@@ -105,8 +105,9 @@
             self._stopped.wait(self._pause_s * self._random.uniform(0.5, 1.5))
 
     def stop(self) -> None:
-        """End `run` after its present call."""
+        """End `run` at once."""
         self._stopped.set()
+        self._tables.end_waits()
 
     def hint(self, revision: int) -> None:
         """Do nothing: the wait at the store brings each change by itself."""
--- a/balsamspindle/settings/process.py
+++ b/balsamspindle/settings/process.py
@@ -80,6 +80,12 @@
     caller_service : str
         The service beside this node, as backend servers are told of the
         requests that came in here; nothing is told when empty.
+    start_wait_s : float
+        How long a node that starts refuses connections while it does not know
+        where to send requests: for callers who have other nodes to turn to.
+    start_hold_s : float
+        How long after its start requests wait for settings and backend
+        servers to be known: for callers who have no other node.
     retry_after_decimals : int
         Of the seconds in Retry-After; the standard knows whole ones only.
     takes_unframed_answers : bool
@@ -110,6 +116,8 @@
     wall_clock_offset_s: float = 0.0
     headers: HeaderNames = DEFAULT_HEADER_NAMES
     caller_service: str = ""
+    start_wait_s: Annotated[float, msgspec.Meta(ge=0)] = 2.0
+    start_hold_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     retry_after_decimals: Annotated[int, msgspec.Meta(ge=0, le=3)] = 0
     takes_unframed_answers: bool = False
     announcement_ttl_s: Positive = 5.0
--- a/balsamspindle/settings/tree.py
+++ b/balsamspindle/settings/tree.py
@@ -7,6 +7,7 @@
 
 import sys
 import threading
+import time
 from collections.abc import Iterable, Mapping
 from enum import StrEnum
 from functools import lru_cache
@@ -176,6 +177,7 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._configuration: Configuration | None = None
+        self._since_s = 0.0
         self._recent = RecentChanges()
 
     def get(self) -> Configuration | None:
@@ -188,6 +190,10 @@
         configuration = self._configuration
         return -1 if configuration is None else configuration.revision
 
+    def in_force_for_s(self, now_s: float) -> float:
+        """Return how long the present settings have been in force; 0 for none."""
+        return now_s - self._since_s if self._configuration is not None else 0.0
+
     def offer(
         self, revision: int, documents: Mapping[str, bytes], chain: str = ""
     ) -> Applied:
@@ -205,6 +211,7 @@
             if configuration.revision <= self.revision:
                 return Applied.OLD
             self._configuration = configuration
+            self._since_s = time.monotonic()
             self._recent.clear()
         return Applied.IN_FORCE
 
@@ -228,6 +235,7 @@
             if not following:
                 return Applied.OLD
             self._configuration = current.changed(following)
+            self._since_s = time.monotonic()
             for delta in following:
                 self._recent.append(delta)
             return Applied.IN_FORCE
--- a/balsamspindle/tables/guard.py
+++ b/balsamspindle/tables/guard.py
@@ -171,6 +171,10 @@
             lambda: self._tables.wait_for_changes(table, after_version, wait_s)
         )
 
+    def end_waits(self):
+        """See `TableService.end_waits`."""
+        self._tables.end_waits()
+
 
 class GuardedObjectStore(ObjectStore):
     """Objects within a node's bounds."""
--- a/balsamspindle/tables/protocol.py
+++ b/balsamspindle/tables/protocol.py
@@ -126,6 +126,9 @@
         """Wait until rows of a table change; none when the wait ends first."""
         raise NotImplementedError
 
+    def end_waits(self) -> None:
+        """End `wait_for_changes` at once, now and from now on."""
+
 
 class ObjectStore:
     """A store of whole objects."""
--- a/balsamspindle/timeline/events.py
+++ b/balsamspindle/timeline/events.py
@@ -12,6 +12,7 @@
 
 from balsamspindle.metrics import Metrics
 from balsamspindle.timeline.clock import HybridClock
+from balsamspindle.timeline.line_budget import LineBudget
 from balsamspindle.timeline.recent import EventPage, RecentEvents
 
 __all__ = ["EventLog", "format_event", "parse_event"]
@@ -100,12 +101,27 @@
         # last batch is written too.
         self._executor = ThreadPoolExecutor(1, "event-log")
         self._recent = RecentEvents()
+        self._budget = LineBudget()
         self.metrics = Metrics()
 
     def emit(self, event: str, **fields: object) -> int:
-        """Write one event soon and return its hybrid time."""
+        """Write one event soon and return its hybrid time.
+
+        Over its budget of lines an event is counted and not written.
+        """
         wall_s = time.time()
         hlc = self.clock.tick(wall_s)
+        self.metrics.count_event(event)
+        if not self._budget.allows(event, wall_s):
+            return hlc
+        for name, count in self._budget.take_left_out().items():
+            self._write("events_left_out", wall_s, hlc, {"of": name, "count": count})
+        self._write(event, wall_s, hlc, fields)
+        return hlc
+
+    def _write(
+        self, event: str, wall_s: float, hlc: int, fields: dict[str, object]
+    ) -> None:
         wall_s += self.clock.wall_offset_s
         pairs = [
             f" {key}={_value(value)}"
@@ -116,10 +132,8 @@
             f"wall_s={wall_s:.6f} hlc={hlc} {self._origin} event={event}"
             f"{''.join(pairs)}"
         )
-        self.metrics.count_event(event)
         self._recent.add(line, "request" in fields)
         self._append(line + "\n")
-        return hlc
 
     def recent(self, after: int, limit: int) -> EventPage:
         """Return the latest events, for the time line of a live fleet."""
--- a/balsamspindle/wire/link_messages.py
+++ b/balsamspindle/wire/link_messages.py
@@ -131,6 +131,8 @@
         How long it may wait for a slot; None until its deadline.
     target_left_ms : float or None
         Time in which an answer still has its full worth, when it is sent.
+    route_id : int
+        The same for all requests of a route, which take about the same time.
     """
 
     attempt_id: AttemptId
@@ -154,6 +156,7 @@
     is_last_resort: bool = False
     wait_max_ms: float | None = None
     target_left_ms: float | None = None
+    route_id: int = 0
 
 
 class Cancel(msgspec.Struct, array_like=True, tag="cancel", frozen=True):
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -4,7 +4,8 @@
 
 from testtools import TestCase
 
-from balsamspindle.metrics import Hop, Metrics, prometheus_text
+from balsamspindle.metrics import Hop, Metrics
+from balsamspindle.metrics.exposition import prometheus_text
 from tests.test_whole_path import SETTINGS
 from tests.utils import call, start_fleet
 
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -8,7 +8,8 @@
 
 from balsamspindle.cli import ctl, timeline
 from balsamspindle.cli.exit_status import ExitStatus
-from balsamspindle.metrics import Hop, Metrics, prometheus_text
+from balsamspindle.metrics import Hop, Metrics
+from balsamspindle.metrics.exposition import prometheus_text
 from balsamspindle.settings import NodeSettings, RouteDocument, ServiceDocument
 from tests.utils import ROOT
 
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -6,11 +6,13 @@
 from testtools import TestCase
 
 from balsamspindle.backend_servers.queue import SlotQueue, Ticket, Verdict
+from balsamspindle.backend_servers.slots import SlotAccount, WorkEnd, WorkKind
 from balsamspindle.membership.directory import Placement
 from balsamspindle.requests.attempts import ForwardedRequest
 from balsamspindle.requests.http import CallerRequest
 from balsamspindle.requests.outcomes import Execution
 from balsamspindle.requests.placing import FAR_TRIES_MAX, Placer, near_wait_ms
+from balsamspindle.services.answer_sizes import AnswerSizes
 from balsamspindle.services.free_slots import FreeSlotViews
 from balsamspindle.services.holdouts import HoldOuts
 from balsamspindle.services.suspects import Suspects
@@ -18,6 +20,7 @@
 from balsamspindle.wire import BackendServerRecord, NodeRecord
 
 TARGET_MS = 2000.0
+ANSWER_BYTES = 2500
 SERVICE = "t/a"
 NEAR, FAR = ("near-0", "near-1"), ("far-0", "far-1", "far-2", "far-3", "far-4")
 
@@ -46,8 +49,12 @@
         super().setUp()
         self.sender = _Sender()
         self.free = FreeSlotViews()
-        self.placer = Placer(_Picker(), self.sender, self.free, random.Random(1))
+        self.sizes = AnswerSizes()
+        self.placer = Placer(
+            _Picker(), self.sender, self.free, self.sizes, random.Random(1)
+        )
         route = RouteDocument(SERVICE, Execution.IDEMPOTENT, target_ms=TARGET_MS)
+        self.sizes.note(route, ANSWER_BYTES)
         self.forwarded = ForwardedRequest("r", None, CallerRequest(), route, 100.0)
 
     def asked(self, waits_ms=None):
@@ -77,12 +84,23 @@
         self.assertEqual("near-1", asked[2][0])
         self.assertEqual(3, len(asked))
 
+    def test_a_large_answer_waits_longer_at_home_than_a_small_one(self):
+        # What goes across zones is paid by the byte. A record of 400 bytes
+        # turns to a free slot elsewhere where a contract of 5 KB waits.
+        waits_ms = {**dict.fromkeys(NEAR, 700.0), **dict.fromkeys(FAR, 0.0)}
+        self.assertIn(self.asked(waits_ms)[-1][0], NEAR)
+        for _ in range(100):
+            self.sizes.note(self.forwarded.route, 400)
+        self.forwarded.tried.clear()
+        self.forwarded.search.begin()
+        self.assertIn(self.asked(waits_ms)[-1][0], FAR)
+
     def test_a_long_queue_at_home_goes_behind_others(self):
         waits_ms = {**dict.fromkeys(NEAR, 1500.0), **dict.fromkeys(FAR, 0.0)}
         asked = self.asked(waits_ms)
         self.assertEqual(3, len(asked))
         self.assertIn(asked[2][0], FAR)
-        self.assertEqual(near_wait_ms(TARGET_MS), asked[2][1])
+        self.assertEqual(near_wait_ms(TARGET_MS, ANSWER_BYTES), asked[2][1])
 
     def test_where_all_are_busy_the_shortest_queue_gets_it(self):
         # Without a bound a request would ask every gate of a large service,
@@ -99,6 +117,50 @@
         self.assertIn(name, FAR)
 
 
+class KeptSlotsTests(TestCase):
+    HEAVY, LIGHT = WorkKind(0.5, 1), WorkKind(0.3, 2)
+    SLOTS = 6
+
+    def work(self, account, kind, count, each_s, until_s):
+        """Run `count` requests a second of a kind, one after the other."""
+        now_s = 0.0
+        while now_s < until_s:
+            for _ in range(count):
+                account.take(kind)
+                account.give_back(WorkEnd.ANSWERED, each_s, now_s, kind)
+            now_s += 1.0
+
+    def test_long_light_work_leaves_slots_to_the_calls_that_others_wait_for(self):
+        # Lookups of 1.3 s fill all slots; records that signatures wait for
+        # take 0.13 s, come 13 a second, and would be late although they go
+        # first in the queue: a slot frees only when a lookup ends.
+        account = SlotAccount()
+        self.work(account, self.HEAVY, 13, 0.13, 10.0)
+        kept = account.kept_for_heavier(self.LIGHT.weight, self.SLOTS, 10.0)
+        self.assertEqual(2, kept)
+        account.take(self.HEAVY)
+        self.assertEqual(
+            1, account.kept_for_heavier(self.LIGHT.weight, self.SLOTS, 10.0)
+        )
+        self.assertEqual(
+            0, account.kept_for_heavier(self.HEAVY.weight, self.SLOTS, 10.0)
+        )
+
+    def test_half_of_the_slots_stay_open_and_nothing_is_kept_for_nobody(self):
+        account = SlotAccount()
+        self.assertEqual(0, account.kept_for_heavier(0.3, self.SLOTS, 0.0))
+        self.work(account, self.HEAVY, 40, 0.5, 10.0)
+        self.assertEqual(3, account.kept_for_heavier(0.3, self.SLOTS, 10.0))
+        self.assertEqual(0, account.kept_for_heavier(0.3, self.SLOTS, 60.0))
+
+    def test_a_route_is_known_by_its_own_time(self):
+        account = SlotAccount()
+        self.work(account, self.HEAVY, 5, 0.1, 5.0)
+        self.work(account, self.LIGHT, 5, 1.0, 5.0)
+        self.assertAlmostEqual(0.1, account.own_time_s(self.HEAVY), 2)
+        self.assertAlmostEqual(1.0, account.own_time_s(self.LIGHT), 2)
+
+
 class QueueWaitTests(TestCase):
     def ask(self, queue, ticket, free, now_s=0.0):
         return queue.ask(ticket, free, 2, 1.0, now_s)
@@ -119,6 +181,36 @@
         self.assertIs(Verdict.TOO_LONG, self.ask(queue, patient, 0, 1.3))
         self.assertEqual(0, len(queue))
 
+    def test_who_can_still_be_in_time_goes_before_who_is_late_anyway(self):
+        # Four requests come where three can be served. Served in the order in
+        # which they are due, each is served just too late; one that is late
+        # in any case gives way, and the others are in time.
+        queue = SlotQueue(10)
+        late = self.ticket(target_s=1.0, own_time_s=0.5)
+        fresh = self.ticket(target_s=3.0, own_time_s=0.5)
+        for ticket in (late, fresh):
+            self.assertIs(Verdict.WAIT, self.ask(queue, ticket, 0, 0.0))
+        self.assertIs(Verdict.WAIT, self.ask(queue, late, 1, 0.5))
+        self.assertIs(Verdict.START, self.ask(queue, fresh, 1, 0.5))
+        self.assertIs(Verdict.START, self.ask(queue, late, 1, 0.5))
+
+    def test_a_heavier_request_that_is_late_still_goes_first(self):
+        queue = SlotQueue(10)
+        heavy = self.ticket(target_s=0.1, own_time_s=0.5, weight=2.0)
+        light = self.ticket(target_s=5.0, own_time_s=0.5)
+        for ticket in (light, heavy):
+            self.assertIs(Verdict.WAIT, self.ask(queue, ticket, 0))
+        self.assertIs(Verdict.WAIT, self.ask(queue, light, 1))
+        self.assertIs(Verdict.START, self.ask(queue, heavy, 1))
+
+    def test_a_short_request_is_not_refused_for_the_length_of_others(self):
+        # Others take a second each; it takes a tenth and has one. By their
+        # mean it would be refused although it can be done.
+        queue = SlotQueue(10)
+        short = Ticket("s", 1.0, 1.0, own_time_s=0.1)
+        self.assertIs(Verdict.WAIT, self.ask(queue, short, 0))
+        self.assertIs(Verdict.TOO_LATE, self.ask(queue, Ticket("s", 1.0, 1.0), 0))
+
     def test_a_short_request_goes_before_a_long_one_of_the_same_weight(self):
         # A signature's own calls are due in half a second and its slot waits
         # for them; behind a queue of signatures they would come too late.
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -82,6 +82,20 @@
         nothing = self.tables.wait_for_changes("t", changes.version, 0.1).ok
         self.assertEqual(Changes([], changes.version), nothing)
 
+    def test_a_wait_at_the_store_ends_when_the_node_ends(self):
+        # A node that leaves has seconds before it is killed; a wait for
+        # changes lasts half a minute and would hold the process to the end.
+        start = self.tables.snapshot("t").ok
+        timer = threading.Timer(0.3, self.tables.end_waits)
+        timer.start()
+        begun_s = time.monotonic()
+        result = self.tables.wait_for_changes("t", start.version, 20)
+        self.assertTrue(result.is_error())
+        self.assertLess(time.monotonic() - begun_s, 5)
+        # Nor does another one begin.
+        self.assertTrue(self.tables.wait_for_changes("t", 0, 20).is_error())
+        self.assertLess(time.monotonic() - begun_s, 5)
+
     def test_a_lost_history_is_told_and_the_table_can_be_read_anew(self):
         start = self.tables.snapshot("t").ok
         self.put("a", 1)
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -282,7 +282,7 @@
             events,
         )
 
-    def _request(self, execution=Execution.IDEMPOTENT, timeout_s=20.0):
+    def _request(self, execution=Execution.IDEMPOTENT, timeout_s=20.0, **route):
         near, far = socket.socketpair()
         with near, far:
             return self.forwarder.forward(
@@ -290,7 +290,7 @@
                     "id",
                     HttpConnection(near, HttpLimits()),
                     CallerRequest("GET", "/"),
-                    RouteDocument(service=SERVICE, execution=execution),
+                    RouteDocument(service=SERVICE, execution=execution, **route),
                     time.monotonic() + timeout_s,
                 )
             )
@@ -309,6 +309,22 @@
         self.assertTrue(silent.dispatches)
         self.assertEqual([], silent.cancels)
 
+    def test_a_second_attempt_beside_a_silent_one_counts(self):
+        # The route allows two backend servers. One hangs, the second attempt
+        # beside it fails: a third one would run the request where its
+        # operator allowed two.
+        self.answers = {
+            "a": lambda dispatch: [],
+            "b": lambda dispatch: answer(dispatch, status=503),
+        }
+        while not self.gates["a"].dispatches:
+            seen = self._dispatches()
+            self._request(timeout_s=2.0, attempts_max=2)
+            self.assertLessEqual(self._dispatches() - seen, 2)
+        seen = self._dispatches()
+        self._request(attempts_max=1, timeout_s=0.3)
+        self.assertEqual(1, self._dispatches() - seen)
+
     def test_a_late_first_answer_wins_over_a_silent_second_attempt(self):
         late = threading.Event()
 
