--- a/balsamspindle/platform/configuration.py
+++ b/balsamspindle/platform/configuration.py
@@ -35,7 +35,7 @@
 # Of the retries that the bounds allow, those that nodes spend by themselves.
 # The rest is for what no node can see of the others: requests counted in
 # another window, and the calls that a repeated run makes again.
-RETRY_FRACTION_USED = 0.5
+RETRY_FRACTION_USED = 0.6
 RETRY_PER_S_USED = 0.9
 
 # Backend servers there fall sick on their own, many at a time and for seconds,
--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -20,6 +20,7 @@
 from balsamspindle.services.free_slots import FREE_SLOTS_TTL_S, FreeSlotViews
 from balsamspindle.services.holdouts import HoldOuts
 from balsamspindle.services.peer_evidence import PeerEvidenceTracker
+from balsamspindle.services.queue_hints import QueueHints
 from balsamspindle.services.suspects import Suspects
 from balsamspindle.settings.documents import RouteDocument
 from balsamspindle.timeline import EventLog
@@ -88,6 +89,8 @@
         Attempts that reached, or may have reached, a backend server.
     attempts : int
         All that were made, those that a gate refused included.
+    paid : int
+        Retries that were taken from the budget for it.
     refused_as_suspect : set of str
         Backend servers whose gates refused it because they look sick.
     waits : int
@@ -112,6 +115,7 @@
     caller_service: str = ""
     sends: int = 0
     attempts: int = 0
+    paid: int = 0
     refused_as_suspect: set[str] = field(default_factory=set)
     waits: int = 0
     is_last_resort: bool = False
@@ -174,6 +178,7 @@
         self._sequence = itertools.count(1)
         self._given_up = False
         self.suspects = Suspects()
+        self.queue_hints = QueueHints()
         self.link_hold_outs = HoldOuts(LINK_HOLD_OUT_S, LINK_HOLD_OUT_MAX_S)
 
     def next_id(self) -> AttemptId:
@@ -389,6 +394,7 @@
             self._free_slots,
             self._peers,
             self._note_suspect,
+            self.queue_hints,
             self._clock,
         )
 
@@ -404,7 +410,14 @@
     """One attempt in flight, in this ingress's local views."""
 
     def __init__(
-        self, forwarded, placement, free_slots, peers, note_suspect, clock
+        self,
+        forwarded,
+        placement,
+        free_slots,
+        peers,
+        note_suspect,
+        queue_hints,
+        clock,
     ) -> None:
         self._forwarded: ForwardedRequest = forwarded
         self._service: str = forwarded.route.service
@@ -413,6 +426,7 @@
         self._free_slots: FreeSlotViews = free_slots
         self._peers: PeerEvidenceTracker = peers
         self._note_suspect = note_suspect
+        self._queue_hints: QueueHints = queue_hints
         self._clock = clock
         self._started_s = clock()
         free_slots.started(server_id)
@@ -436,6 +450,7 @@
             return
         if reply is not None and reply.reason is Reason.WOULD_WAIT:
             self._forwarded.search.told_wait_ms[self._server_id] = reply.retry_after_ms
+            self._queue_hints.note(self._server_id, reply.retry_after_ms, now_s)
             self._free_slots.note(self._server_id, 0, now_s)
             return
         failed = reply is None or reply.outcome is Outcome.UNKNOWN or is_shed(reply)
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -20,7 +20,7 @@
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.requests.outcomes import PROBLEMS, Execution, Outcome, Reason
 from balsamspindle.requests.placing import Placer, Placing
-from balsamspindle.requests.retries import RetryPolicy, is_refusal, is_shed
+from balsamspindle.requests.retries import Again, RetryPolicy, is_refusal, is_shed
 from balsamspindle.services.answer_sizes import AnswerSizes
 from balsamspindle.services.free_slots import FreeSlotViews
 from balsamspindle.services.picker import Picker
@@ -143,6 +143,7 @@
                 )
                 self._sizes.note(route, len(reply.body))
                 self._give_back(forwarded, rescue)
+                self._settle(forwarded)
                 return reply
             if reply.reason is Reason.SUSPECTED:
                 forwarded.refused_as_suspect.add(
@@ -151,20 +152,45 @@
             if self._is_over(forwarded, reply):
                 self._give_back(forwarded, rescue)
                 break
-            if not self._retries.may_retry(
-                route.service,
-                route.execution,
-                replies,
-                forwarded.deadline_s,
-                now_s,
-                is_paid=rescue is not None and rescue.is_paid,
-                attempts_max=route.attempts_max,
-                route_id=route_id(route),
-            ):
+            if not self._may_retry(forwarded, replies, rescue, now_s):
                 self._note_given_up(forwarded, reply)
                 break
+        self._settle(forwarded)
         return _best(replies) if replies else nowhere
 
+    def _may_retry(
+        self,
+        forwarded: ForwardedRequest,
+        replies: list[Reply],
+        rescue: Rescue | None,
+        now_s: float,
+    ) -> bool:
+        """Tell whether another attempt is allowed, and note what it cost."""
+        route = forwarded.route
+        is_paid = rescue is not None and rescue.is_paid
+        again = self._retries.may_retry(
+            route.service,
+            route.execution,
+            replies,
+            forwarded.deadline_s,
+            now_s,
+            is_paid=is_paid,
+            attempts_max=route.attempts_max,
+            route_id=route_id(route),
+        )
+        forwarded.paid += (again is Again.PAID) - is_paid
+        return bool(again)
+
+    def _settle(self, forwarded: ForwardedRequest) -> None:
+        """Return the retries that were taken and reached no backend server.
+
+        A gate may refuse the attempt that was paid for. Kept, a budget that
+        counts runs would be empty in an overload without one repeated run.
+        """
+        unused = forwarded.paid - max(0, forwarded.sends - 1)
+        if unused > 0:
+            self._retries.give_back_refused(forwarded.route.service, unused)
+
     def _note_given_up(self, forwarded: ForwardedRequest, reply: Reply) -> None:
         """Say why a failed attempt has no successor."""
         route = forwarded.route
@@ -232,10 +258,12 @@
         if is_own and patience_s < left_s:
             is_paid = self._retries.may_hedge(route.service, now_s)
             patience_s = patience_s if is_paid else left_s
+            forwarded.paid += is_paid
         return Rescue(patience_s, lambda: self._choose_second(forwarded), is_paid)
 
     def _give_back(self, forwarded: ForwardedRequest, rescue: Rescue | None) -> None:
         if rescue is not None and rescue.is_paid:
+            forwarded.paid -= 1
             self._retries.give_back(forwarded.route.service)
 
     def _choose_second(self, forwarded: ForwardedRequest) -> Placement | None:
@@ -246,6 +274,7 @@
         forwarded.wait_max_ms = placing.wait_max_ms
         if not self._retries.may_hedge(forwarded.route.service, self._clock()):
             return None
+        forwarded.paid += 1
         return placement
 
     def _pick(self, forwarded: ForwardedRequest) -> Placing | None:
--- a/balsamspindle/requests/placing.py
+++ b/balsamspindle/requests/placing.py
@@ -125,7 +125,10 @@
                 return self._shortest_queue(forwarded, near, wait_ms)
             case Step.FAR if search.far_tries < FAR_TRIES_MAX:
                 search.far_tries += 1
-                return self._freest(far, excluded, wait_ms, now_s)
+                # Asked again, a gate that just told of a longer queue would
+                # refuse again, for bytes between zones.
+                busy = self._sender.queue_hints.longer_than(wait_ms, now_s)
+                return self._freest(far, excluded | busy, wait_ms, now_s)
             case Step.QUEUE:
                 return self._shortest_queue(forwarded, (*near, *far), None)
         return None
--- a/balsamspindle/requests/retries.py
+++ b/balsamspindle/requests/retries.py
@@ -9,7 +9,7 @@
 import random
 import threading
 from collections.abc import Callable
-from enum import StrEnum
+from enum import IntEnum, StrEnum
 
 from balsamspindle.requests.outcomes import Execution, Outcome, Reason
 from balsamspindle.requests.retry_window import RetryWindow
@@ -17,6 +17,7 @@
 from balsamspindle.wire import Reply
 
 __all__ = [
+    "Again",
     "LatencyEstimate",
     "RetryPolicy",
     "RetryTokens",
@@ -38,6 +39,14 @@
 RETURN_MIN_S, RETURN_MAX_S = 2.0, 60.0
 
 
+class Again(IntEnum):
+    """Whether a request may have another attempt."""
+
+    NO = 0
+    FREE = 1
+    PAID = 2
+
+
 class Cost(StrEnum):
     """What another attempt costs after a reply."""
 
@@ -280,7 +289,7 @@
         is_paid: bool = False,
         attempts_max: int = ATTEMPTS_MAX,
         route_id: int = 0,
-    ) -> bool:
+    ) -> Again:
         """Tell whether a request may have another attempt, and pay for it.
 
         Parameters
@@ -299,21 +308,37 @@
             is_late = now_s + state.latency(route_id).mean_s >= deadline_s
             if is_late or not _is_room_left(replies, attempts_max):
                 cost = Cost.FINAL
+            if cost is Cost.FIRST_FREE and budget.fleet_per_s_min:
+                # This budget counts what reaches backend servers, and a gate's
+                # refusal did not.
+                cost = Cost.FREE
             if cost is Cost.FIRST_FREE:
                 reasons = [reply.reason for reply in replies]
                 is_first = reasons.count(replies[-1].reason) == 1
                 cost = Cost.FREE if is_first else Cost.PAID
             if cost is Cost.PAID:
-                return is_paid or state.tokens.take(budget, now_s)
+                has_paid = is_paid or state.tokens.take(budget, now_s)
+                return Again.PAID if has_paid else Again.NO
             if is_paid:
                 state.tokens.give_back()
-            return cost is Cost.FREE
+            return Again.FREE if cost is Cost.FREE else Again.NO
 
     def give_back(self, service: str) -> None:
         """Return a retry that was paid for and not made."""
         with self._lock:
             self._of(service).tokens.give_back()
 
+    def give_back_refused(self, service: str, count: int) -> None:
+        """Return retries that gates refused, where the budget counts runs.
+
+        One by tokens bounds the attempts themselves, refused ones too.
+        """
+        with self._lock:
+            tokens = self._of(service).tokens
+            if isinstance(tokens, RetryWindow):
+                for _ in range(count):
+                    tokens.give_back()
+
     def may_hedge(self, service: str, now_s: float) -> bool:
         """Tell whether a second attempt beside a slow one is allowed; pay it."""
         with self._lock:
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -15,6 +15,7 @@
 from balsamspindle.services.answer_sizes import AnswerSizes
 from balsamspindle.services.free_slots import FreeSlotViews
 from balsamspindle.services.holdouts import HoldOuts
+from balsamspindle.services.queue_hints import QueueHints
 from balsamspindle.services.suspects import Suspects
 from balsamspindle.settings.documents import RouteDocument
 from balsamspindle.wire import BackendServerRecord, NodeRecord
@@ -41,6 +42,7 @@
 class _Sender:
     def __init__(self) -> None:
         self.suspects = Suspects()
+        self.queue_hints = QueueHints()
         self.link_hold_outs = HoldOuts(1.0, 1.0)
 
 
@@ -95,6 +97,16 @@
         self.forwarded.search.begin()
         self.assertIn(self.asked(waits_ms)[-1][0], FAR)
 
+    def test_a_gate_that_told_of_a_long_queue_is_not_asked_again_at_once(self):
+        hints = self.sender.queue_hints
+        for name in FAR[:-1]:
+            hints.note(name, 2500.0, 0.0)
+        waits_ms = {**dict.fromkeys(NEAR, 1500.0), **dict.fromkeys(FAR, 0.0)}
+        self.assertEqual(FAR[-1], self.asked(waits_ms)[-1][0])
+        self.assertEqual(set(FAR[:-1]), hints.longer_than(2000.0, 0.4))
+        self.assertEqual(set(), hints.longer_than(3000.0, 0.4))
+        self.assertEqual(set(), hints.longer_than(2000.0, 0.6))
+
     def test_a_long_queue_at_home_goes_behind_others(self):
         waits_ms = {**dict.fromkeys(NEAR, 1500.0), **dict.fromkeys(FAR, 0.0)}
         asked = self.asked(waits_ms)
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -108,7 +108,7 @@
 class AgainTests(TestCase):
     def _may_retry(self, execution, *replies, left_s=1.0):
         policy = RetryPolicy(lambda service: BUDGET)
-        return policy.may_retry(SERVICE, execution, list(replies), left_s, 0.0)
+        return bool(policy.may_retry(SERVICE, execution, list(replies), left_s, 0.0))
 
     def test_what_may_go_elsewhere(self):
         def reply(outcome, reason=None, status=0):
@@ -325,6 +325,25 @@
         self._request(attempts_max=1, timeout_s=0.3)
         self.assertEqual(1, self._dispatches() - seen)
 
+    def test_a_retry_that_a_gate_refused_is_not_spent(self):
+        # In an overload every retry that is paid for finds a busy gate. Spent
+        # all the same, the budget is empty without one repeated run, and the
+        # callers of a sick backend server get its errors.
+        def busy(dispatch):
+            refusal = Reply(dispatch.attempt_id, Outcome.NOT_RUN, Reason.NO_FREE_SLOT)
+            return [(0.0, encode(refusal))]
+
+        self.answers = {"a": lambda one: answer(one, status=503), "b": busy}
+        budget = RetryBudget(fraction=0.1, fleet_per_s_min=0.5)
+        self.forwarder._retries = RetryPolicy(lambda service: budget)
+        for _ in range(4):
+            self._request(Execution.NON_IDEMPOTENT)
+        before = self.forwarder._retries.left(SERVICE, time.monotonic())
+        for _ in range(4):
+            self._request()
+        after = self.forwarder._retries.left(SERVICE, time.monotonic())
+        self.assertGreaterEqual(after, before)
+
     def test_a_late_first_answer_wins_over_a_silent_second_attempt(self):
         late = threading.Event()
 
