--- a/balsamspindle/backend_servers/queue.py
+++ b/balsamspindle/backend_servers/queue.py
@@ -19,7 +19,7 @@
 FIRST_SERVICE_TIME_S = 0.1
 # One that waited so many times as long as it may goes elsewhere; each such
 # move costs its place in a queue.
-WAITED_FACTOR = 2.0
+WAITED_FACTOR = 1.3
 
 
 class Order(StrEnum):
--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -364,11 +364,11 @@
         backend server that hangs would look well, with no work in flight.
         """
         for sent in attempts:
-            if waited is not None and sent.link is waited.link:
+            reply = None if waited is None else waited.replies.get(sent.link)
+            sent.tracked.end(reply)
+            if reply is not None:
                 self._links.give_back(sent.link)
-                sent.tracked.end(waited.reply)
                 continue
-            sent.tracked.end(None)
             if waited is None:
                 sent.link.give_up(sent.dispatch.attempt_id, sent.dispatch.hlc)
             else:
@@ -379,7 +379,12 @@
             attempt_id = attempts[0].dispatch.attempt_id
             return Reply(attempt_id, Outcome.UNKNOWN, Reason.SILENCE)
         reply = waited.reply
-        forwarded.may_have_run |= len(attempts) > 1
+        # Another attempt may run or have run, unless its gate refused it.
+        forwarded.may_have_run |= any(
+            not _was_refused(waited.replies.get(sent.link))
+            for sent in attempts
+            if sent.link is not waited.link
+        )
         self._events.clock.observe(reply.hlc, time.time())
         if reply.outcome is Outcome.ANSWERED and reply.body_checksum != checksum(
             reply.body
@@ -476,6 +481,10 @@
     return xxhash.xxh32_intdigest(f"{route.host}{route.path_prefix}".encode())
 
 
+def _was_refused(reply: Reply | None) -> bool:
+    return reply is not None and is_refusal(reply)
+
+
 def _rounded(duration_ms: float | None) -> int | None:
     return None if duration_ms is None else round(duration_ms)
 
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -130,7 +130,7 @@
                 break
             placement, wait_max_ms = placing
             started_s = self._clock()
-            rescue = self._rescue(forwarded, placement, started_s)
+            rescue = self._rescue(forwarded, placing, started_s)
             reply = self._sender.send(forwarded, placement, rescue, wait_max_ms)
             replies.append(reply)
             now_s = self._clock()
@@ -240,12 +240,16 @@
         return Reply(self._sender.next_id(), Outcome.NOT_RUN, reason)
 
     def _rescue(
-        self, forwarded: ForwardedRequest, placement: Placement, now_s: float
+        self, forwarded: ForwardedRequest, placing: Placing, now_s: float
     ) -> Rescue | None:
         """Return what may be done when the next attempt is silent."""
-        route = forwarded.route
+        route, placement = forwarded.route, placing.placement
         if route.execution is not Execution.IDEMPOTENT:
             return None
+        if route.target_ms and placing.wait_max_ms is None:
+            # It queues because all others are busy; a second one would only
+            # make their queues longer.
+            return None
         places = self._picker.view(route.service).tiers[-1]
         if len(places) <= len(forwarded.tried) + 1:
             return None
@@ -254,6 +258,8 @@
         patience_s = self._retries.patience_s(
             route.service, is_own, left_s, now_s, route_id(route)
         )
+        # While it waits for a slot its backend server is not silent.
+        patience_s = min(left_s, patience_s + (placing.wait_max_ms or 0.0) / 1000)
         is_paid = False
         if is_own and patience_s < left_s:
             is_paid = self._retries.may_hedge(route.service, now_s)
--- a/balsamspindle/requests/links.py
+++ b/balsamspindle/requests/links.py
@@ -227,10 +227,17 @@
 
 
 class Waited(NamedTuple):
-    """The reply that came, and the link that brought it."""
+    """The reply that came, and the link that brought it.
+
+    Attributes
+    ----------
+    replies : dict of Link to Reply
+        All that came, this one included.
+    """
 
     link: Link
     reply: Reply
+    replies: dict[Link, Reply]
 
 
 def wait_first(attempts: Mapping[Link, AttemptId], wait: Wait) -> Waited | None:
@@ -249,6 +256,7 @@
     for link in waiting:
         link.register(poller)
     last = None
+    replies: dict[Link, Reply] = {}
     while waiting:
         # Also past the deadline: a reply that is there counts, however long
         # this process was stopped.
@@ -259,7 +267,8 @@
             if reply is None and not link.is_over(ready):
                 continue
             if reply is not None:
-                last = Waited(link, reply)
+                replies[link] = reply
+                last = Waited(link, reply, replies)
                 if reply.outcome is Outcome.ANSWERED:
                     return last
             del waiting[link]
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -344,6 +344,19 @@
         after = self.forwarder._retries.left(SERVICE, time.monotonic())
         self.assertGreaterEqual(after, before)
 
+    def test_two_attempts_that_gates_refused_are_told_as_not_run(self):
+        # The first attempt waits at a gate, a second one goes beside it, and
+        # both gates refuse. Nothing ran: told 'unknown', the caller of a
+        # request that must not run twice could not send it again.
+        def late_refusal(dispatch):
+            refusal = Reply(dispatch.attempt_id, Outcome.NOT_RUN, Reason.CANCELLED)
+            return [(1.2, encode(refusal))]
+
+        self.answers = {"a": late_refusal, "b": late_refusal}
+        reply = self._request(timeout_s=3.0)
+        self.assertIs(Outcome.NOT_RUN, reply.outcome)
+        self.assertEqual(2, self._dispatches())
+
     def test_a_late_first_answer_wins_over_a_silent_second_attempt(self):
         late = threading.Event()
 
