--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -327,10 +327,13 @@
             placement.node.link_address, forwarded.deadline_s, dispatch.execution
         )
         if link is None:
-            self.link_hold_outs.note_failure(node_id, now_s)
+            if self.link_hold_outs.note_failure(node_id, now_s):
+                self._events.emit("gate_unreachable", gate=node_id)
             forwarded.sends -= 1
             return unreachable
-        self.link_hold_outs.note_success(node_id)
+        away_s = self.link_hold_outs.note_success(node_id, now_s)
+        if away_s is not None:
+            self._events.emit("gate_reachable", gate=node_id, after_s=f"{away_s:.1f}")
         # The claim is made only with a link that was heard: made for a gate
         # that is dead it would hold the key for ever.
         gate_time_s = link.gate_clock.at(self._clock())
@@ -342,7 +345,7 @@
             link.close()
             forwarded.sends -= 1
             return unreachable
-        return _Sent(link, dispatch, self._track(forwarded, placement))
+        return _Sent(link, dispatch, self._track(forwarded, placement), node_id)
 
     def _wait(self, forwarded, attempts, until_s: float) -> Waited | None:
         caller = forwarded.caller
@@ -376,6 +379,8 @@
 
     def _final(self, forwarded, attempts: list["_Sent"], waited: Waited | None):
         if waited is None:
+            for sent in attempts:
+                self._note_unanswered(forwarded, sent)
             attempt_id = attempts[0].dispatch.attempt_id
             return Reply(attempt_id, Outcome.UNKNOWN, Reason.SILENCE)
         reply = waited.reply
@@ -392,6 +397,24 @@
             return Reply(reply.attempt_id, Outcome.UNKNOWN, Reason.BROKEN_ANSWER)
         return _noted(forwarded, reply)
 
+    def _note_unanswered(self, forwarded: ForwardedRequest, sent: "_Sent") -> None:
+        """Say why nobody knows what became of an attempt."""
+        if forwarded.caller.caller_gone():
+            cause = "the caller left"
+        elif self._clock() >= forwarded.deadline_s:
+            cause = "no reply in time"
+        elif self._given_up:
+            cause = "this node is leaving"
+        else:
+            cause = "the link to the gate ended"
+        self._events.emit(
+            "attempt_unanswered",
+            request=forwarded.request_id,
+            backend_server=sent.dispatch.backend_server_id,
+            gate=sent.gate,
+            cause=cause,
+        )
+
     def _track(self, forwarded, placement) -> "_Tracked":
         return _Tracked(
             forwarded,
@@ -474,6 +497,7 @@
     link: Link
     dispatch: Dispatch
     tracked: _Tracked
+    gate: str
 
 
 def route_id(route: RouteDocument) -> int:
--- a/balsamspindle/settings/feed.py
+++ b/balsamspindle/settings/feed.py
@@ -8,6 +8,7 @@
 
 import random
 import threading
+import time
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -89,6 +90,7 @@
         self._stopped = threading.Event()
         self._pause_s = PAUSE_FIRST_S
         self._refused_version = 0
+        self._state_since_s = time.monotonic()
         self.state = PlatformState.NOT_READ
         self.platform_revision = -1
 
@@ -176,11 +178,14 @@
         """Write an event at each change of the store's state."""
         if state is self.state:
             return
-        self.state = state
+        now_s = time.monotonic()
+        before_s = now_s - self._state_since_s
+        self.state, self._state_since_s = state, now_s
         self._events.emit(
             "settings_platform",
             state=state.value,
             revision=self._configuration.revision,
             platform_revision=self.platform_revision,
+            after_s=f"{before_s:.1f}",
             cause=cause,
         )
