--- a/balsamspindle/__init__.py
+++ b/balsamspindle/__init__.py
@@ -6,4 +6,4 @@
 
 __all__ = ["__version__"]
 
-__version__ = "0.1.0"
+__version__ = "0.2.0"
--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -263,10 +263,12 @@
                 )
                 result = self._read(server_id, result)
         finally:
-            free_slots = self._admission.release(admitted, _work_end(result))
+            # Judged before the slot is free: the next in the queue would start
+            # at a backend server that has just shown to be sick.
             judgement = self._observer.ended(
                 server_id, attempt_id, self._evidence(result), time.monotonic()
             )
+            free_slots = self._admission.release(admitted, _work_end(result))
         return self._reply(dispatch, result, free_slots, judgement)
 
     def _evidence(self, result: BackendAnswer | BackendFailure | None) -> WorkResult:
--- a/balsamspindle/platform/__main__.py
+++ b/balsamspindle/platform/__main__.py
@@ -47,7 +47,9 @@
     signal.signal(signal.SIGHUP, lambda *_: process.reload())
     process.watch_settings(Path(path), _reloaded)
     process.run()
-    return ExitStatus.DONE
+    process.events.flush()
+    # A thread that still waits for a caller would hold the interpreter's end.
+    os._exit(ExitStatus.DONE)
 
 
 def _leave(process: NodeProcess, grace_s: float) -> None:
--- a/balsamspindle/platform/settings.py
+++ b/balsamspindle/platform/settings.py
@@ -28,7 +28,7 @@
 START_HOLD_S = 2.0
 # Of the time between SIGTERM and SIGKILL, what is left to end in order after
 # the last requests were given up.
-SHUTDOWN_RESERVE_S = 0.95
+SHUTDOWN_RESERVE_S = 1.0
 # Callers' connections at once: a thread each, within the 4,100 descriptors
 # and the 300 MB of a machine (300 threads were seen to cost no memory).
 CONNECTIONS_MAX = 1200
--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -93,8 +93,10 @@
         Retries that were taken from the budget for it.
     refused_as_suspect : set of str
         Backend servers whose gates refused it because they look sick.
-    waits : int
-        How often it waited for one of these to be readmitted.
+    failed : set of str
+        Backend servers at which an attempt of it failed.
+    search_until_s : float or None
+        Until when it searches again after all gates refused; None before.
     is_last_resort : bool
         Nobody else is left: suspected backend servers are to take it, too.
     target_s : float or None
@@ -117,7 +119,8 @@
     attempts: int = 0
     paid: int = 0
     refused_as_suspect: set[str] = field(default_factory=set)
-    waits: int = 0
+    failed: set[str] = field(default_factory=set)
+    search_until_s: float | None = None
     is_last_resort: bool = False
     search: Search = field(default_factory=Search)
     target_s: float | None = None
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -31,11 +31,11 @@
 
 __all__ = ["ForwardedRequest", "Forwarder"]
 
-# How often, and for how long, a non-idempotent request waits for one of its
-# suspected backend servers to be readmitted: together longer than the first
-# hold-out of half a second, and a fraction of the seconds that callers allow.
-READMISSION_WAITS_MAX = 4
-READMISSION_WAIT_S = 0.2
+# When all gates refused a request it searches again after this time, half of a
+# first hold-out, and for this part of its time. Four of five attempts that
+# were sent to suspected backend servers at once failed within a millisecond.
+SEARCH_AGAIN_S = 0.25
+SEARCH_AGAIN_PART = 0.4
 ERROR_STATUS_MIN = 500
 
 
@@ -149,6 +149,8 @@
                 forwarded.refused_as_suspect.add(
                     placement.backend_server.backend_server_id
                 )
+            if not is_refusal(reply):
+                forwarded.failed.add(placement.backend_server.backend_server_id)
             if self._is_over(forwarded, reply):
                 self._give_back(forwarded, rescue)
                 break
@@ -210,9 +212,9 @@
     def _widen(self, forwarded: ForwardedRequest) -> bool:
         """Find a way on for a request that no backend server would take.
 
-        Suspected ones are on trial again within a second, so a request that
-        must not be lost on one waits a little for them. After that, and at
-        once where it may be repeated, they are to take it: a service all of
+        Suspected ones are on trial again within a second, and busy ones get
+        free: it searches again for a part of its time. Only then a suspected
+        one is to take it, for most of such attempts fail. A service all of
         whose backend servers are suspected still serves what it can.
 
         Returns
@@ -224,16 +226,15 @@
         suspects = forwarded.refused_as_suspect | self._sender.suspects.at(now_s)
         if forwarded.is_last_resort or not suspects or not forwarded.may_send():
             return False
-        forwarded.tried -= suspects
-        may_wait = forwarded.route.execution is Execution.NON_IDEMPOTENT
-        may_wait &= forwarded.waits < READMISSION_WAITS_MAX
-        if may_wait and now_s + READMISSION_WAIT_S < forwarded.deadline_s:
-            forwarded.waits += 1
-            forwarded.search.begin()
-            time.sleep(READMISSION_WAIT_S)
+        forwarded.tried = set(forwarded.failed)
+        forwarded.search.begin()
+        if forwarded.search_until_s is None:
+            left_s = forwarded.deadline_s - now_s
+            forwarded.search_until_s = now_s + SEARCH_AGAIN_PART * left_s
+        if now_s + SEARCH_AGAIN_S < forwarded.search_until_s:
+            time.sleep(SEARCH_AGAIN_S)
             return not forwarded.caller.caller_gone()
         forwarded.is_last_resort = True
-        forwarded.search.begin()
         return True
 
     def _no_attempt(self, reason: Reason) -> Reply:
--- a/balsamspindle/requests/retries.py
+++ b/balsamspindle/requests/retries.py
@@ -32,7 +32,7 @@
 FLOOR_BURST_S = 2.0
 # Gates that may tell one request to look elsewhere, because of a suspicion or
 # of a queue, before it is given up; each costs a round trip.
-HINTS_MAX = 30
+HINTS_MAX = 120
 ERROR_STATUS_MIN = 500
 ROUTES_MAX = 1000
 SHED_STATUSES = frozenset({429, 503})
--- a/tests/test_independent_errors.py
+++ b/tests/test_independent_errors.py
@@ -171,6 +171,23 @@
         reply = self.handle(time.monotonic(), is_last_resort=True)
         self.assertIs(Outcome.ANSWERED, reply.outcome)
 
+    def test_who_waits_for_a_slot_does_not_start_at_one_that_just_failed(self):
+        # All slots are taken and others wait. The first error frees a slot;
+        # were it free before the error is judged, the next in the queue would
+        # start there and fail as well, and the one after it.
+        self.announce(ERROR_500)
+        order = []
+        release = self.gate._admission.release
+
+        def noted(*arguments):
+            order.append("free")
+            return release(*arguments)
+
+        self.gate._admission.release = noted
+        self.observer.results = _Noting(order)
+        self.handle(time.monotonic())
+        self.assertEqual(["judged", "free"], order)
+
     def test_an_error_after_a_failed_call_is_not_the_backend_servers_own(self):
         # A signing service asks the records service, whose answer fails; it
         # answers its own request with a 500 a moment later. Counted against
@@ -188,6 +205,18 @@
         self.assertFalse(self.failed_calls.explain_error(10.1 + FOLLOWS_WITHIN_S))
 
 
+class _Noting(list):
+    """Results that note when they come."""
+
+    def __init__(self, order) -> None:
+        super().__init__()
+        self._order = order
+
+    def append(self, result):
+        self._order.append("judged")
+        super().append(result)
+
+
 class _Observer:
     """Notes what it is told, and admits or not."""
 
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -357,6 +357,36 @@
         self.assertIs(Outcome.NOT_RUN, reply.outcome)
         self.assertEqual(2, self._dispatches())
 
+    def test_a_suspected_backend_server_is_the_last_resort(self):
+        # Both gates refuse because their backend servers look sick. Sent at
+        # once all the same, four of five such attempts fail; a moment later
+        # one of them is well again and takes the request.
+        asked = []
+
+        def recovers(dispatch):
+            asked.append(dispatch.is_last_resort)
+            if len(asked) > 4:
+                return answer(dispatch)
+            refusal = Reply(dispatch.attempt_id, Outcome.NOT_RUN, Reason.SUSPECTED)
+            return [(0.0, encode(refusal))]
+
+        self.answers = {"a": recovers, "b": recovers}
+        reply = self._request(timeout_s=10.0)
+        self.assertIs(Outcome.ANSWERED, reply.outcome)
+        self.assertEqual([False] * 5, asked)
+
+    def test_one_that_stays_suspected_takes_what_nobody_else_does(self):
+        def sick(dispatch):
+            if dispatch.is_last_resort:
+                return answer(dispatch)
+            refusal = Reply(dispatch.attempt_id, Outcome.NOT_RUN, Reason.SUSPECTED)
+            return [(0.0, encode(refusal))]
+
+        self.answers = {"a": sick, "b": sick}
+        for execution in Execution:
+            reply = self._request(execution, timeout_s=1.5)
+            self.assertIs(Outcome.ANSWERED, reply.outcome)
+
     def test_a_late_first_answer_wins_over_a_silent_second_attempt(self):
         late = threading.Event()
 
