--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -36,6 +36,11 @@
     LocalBackendServers,
 )
 from balsamspindle.backend_servers.slots import WorkEnd
+from balsamspindle.backend_servers.work_ends import (
+    call_outcome,
+    work_end,
+    work_result,
+)
 from balsamspindle.metrics import Hop
 from balsamspindle.requests.header_names import DEFAULT_HEADER_NAMES, HeaderNames
 from balsamspindle.requests.outcomes import Execution, Outcome, Reason
@@ -46,8 +51,6 @@
 
 # How long a cancellation without a deadline holds.
 CANCEL_MEMORY_S = 60.0
-SHED_STATUSES = frozenset({429, 503})
-ERROR_STATUS_MIN = 500
 
 
 class Gate:
@@ -268,17 +271,16 @@
             judgement = self._observer.ended(
                 server_id, attempt_id, self._evidence(result), time.monotonic()
             )
-            free_slots = self._admission.release(admitted, _work_end(result))
+            free_slots = self._admission.release(admitted, work_end(result))
         return self._reply(dispatch, result, free_slots, judgement)
 
     def _evidence(self, result: BackendAnswer | BackendFailure | None) -> WorkResult:
         """Return what a call's end says of the backend server's health."""
-        work_result = _work_result(result)
-        if work_result is WorkResult.ERROR and self._failed_calls.explain_error(
-            time.monotonic()
-        ):
+        evidence = work_result(result)
+        is_explained = self._failed_calls.explain_error(time.monotonic())
+        if evidence is WorkResult.ERROR and is_explained:
             return WorkResult.CANCELLED
-        return work_result
+        return evidence
 
     def _read(
         self, server_id: str, result: BackendAnswer | BackendFailure
@@ -299,7 +301,7 @@
         return result
 
     def _reply(self, dispatch, result, free_slots, judgement) -> Reply:
-        outcome, reason = _OUTCOMES[type(result)](result)
+        outcome, reason = call_outcome(result)
         server_id = dispatch.backend_server_id
         answer = result if isinstance(result, BackendAnswer) else None
         held_out_ms = self._observer.held_out_ms(server_id, time.monotonic())
@@ -357,60 +359,3 @@
     Begin.CANCELLED: Reason.CANCELLED,
     Begin.NO_ROOM: Reason.NO_FREE_SLOT,
 }
-
-
-def _work_result(result: BackendAnswer | BackendFailure | None) -> WorkResult:
-    """Return a call's end as evidence of the backend server's health.
-
-    None stands for a fault of our own, which says nothing of the server.
-    """
-    match result:
-        case BackendAnswer(status) if status in SHED_STATUSES:
-            return WorkResult.SHED
-        case BackendAnswer(status) if status >= ERROR_STATUS_MIN:
-            return WorkResult.ERROR
-        case BackendAnswer():
-            return WorkResult.ANSWERED
-        case BackendFailure(reason):
-            return _FAILURE_RESULTS.get(reason, WorkResult.BROKEN)
-    return WorkResult.CANCELLED
-
-
-_FAILURE_RESULTS = {
-    Reason.CANCELLED: WorkResult.CANCELLED,
-    Reason.DEADLINE: WorkResult.CANCELLED,
-    Reason.SILENCE: WorkResult.SILENCE,
-    Reason.UNREACHABLE: WorkResult.UNREACHABLE,
-    Reason.SHED: WorkResult.SHED,
-    Reason.NO_BACKEND_SERVER: WorkResult.CANCELLED,
-    Reason.UNPROVEN_REFUSAL: WorkResult.ERROR,
-}
-
-
-def _failure_outcome(failure: BackendFailure) -> tuple[Outcome, Reason]:
-    outcome = Outcome.UNKNOWN if failure.sent else Outcome.NOT_RUN
-    return outcome, failure.reason
-
-
-_OUTCOMES = {
-    BackendAnswer: lambda answer: (Outcome.ANSWERED, None),
-    BackendFailure: _failure_outcome,
-}
-
-
-def _work_end(result: BackendAnswer | BackendFailure | None) -> WorkEnd:
-    """Return whether the backend server may still work on an attempt."""
-    if isinstance(result, BackendFailure) and not result.sent:
-        return WorkEnd.DONE
-    return _WORK_ENDS[_work_result(result)]
-
-
-_WORK_ENDS = {
-    WorkResult.ANSWERED: WorkEnd.ANSWERED,
-    WorkResult.ERROR: WorkEnd.DONE,
-    WorkResult.SHED: WorkEnd.DONE,
-    WorkResult.BROKEN: WorkEnd.DONE,
-    WorkResult.UNREACHABLE: WorkEnd.DONE,
-    WorkResult.SILENCE: WorkEnd.IN_DOUBT,
-    WorkResult.CANCELLED: WorkEnd.IN_DOUBT,
-}
--- /dev/null
+++ b/balsamspindle/backend_servers/work_ends.py
@@ -0,0 +1,73 @@
+"""What the end of a call says: to its caller, of health, of the slot."""
+
+from balsamspindle.backend_servers.answers import BackendAnswer, BackendFailure
+from balsamspindle.backend_servers.evidence import WorkResult
+from balsamspindle.backend_servers.slots import WorkEnd
+from balsamspindle.requests.outcomes import Outcome, Reason
+
+__all__ = ["call_outcome", "work_end", "work_result"]
+
+SHED_STATUSES = frozenset({429, 503})
+ERROR_STATUS_MIN = 500
+
+
+def work_result(result: BackendAnswer | BackendFailure | None) -> WorkResult:
+    """Return a call's end as evidence of the backend server's health.
+
+    None stands for a fault of our own, which says nothing of the server.
+    """
+    match result:
+        case BackendAnswer(status) if status in SHED_STATUSES:
+            return WorkResult.SHED
+        case BackendAnswer(status) if status >= ERROR_STATUS_MIN:
+            return WorkResult.ERROR
+        case BackendAnswer():
+            return WorkResult.ANSWERED
+        case BackendFailure(reason):
+            return _FAILURE_RESULTS.get(reason, WorkResult.BROKEN)
+    return WorkResult.CANCELLED
+
+
+_FAILURE_RESULTS = {
+    Reason.CANCELLED: WorkResult.CANCELLED,
+    Reason.DEADLINE: WorkResult.CANCELLED,
+    Reason.SILENCE: WorkResult.SILENCE,
+    Reason.UNREACHABLE: WorkResult.UNREACHABLE,
+    Reason.SHED: WorkResult.SHED,
+    Reason.NO_BACKEND_SERVER: WorkResult.CANCELLED,
+    Reason.UNPROVEN_REFUSAL: WorkResult.ERROR,
+}
+
+
+def _failure_outcome(failure: BackendFailure) -> tuple[Outcome, Reason]:
+    outcome = Outcome.UNKNOWN if failure.sent else Outcome.NOT_RUN
+    return outcome, failure.reason
+
+
+def call_outcome(
+    result: BackendAnswer | BackendFailure,
+) -> tuple[Outcome, Reason | None]:
+    """Return what the ingress is told."""
+    match result:
+        case BackendAnswer():
+            return Outcome.ANSWERED, None
+        case BackendFailure():
+            return _failure_outcome(result)
+
+
+def work_end(result: BackendAnswer | BackendFailure | None) -> WorkEnd:
+    """Return whether the backend server may still work on an attempt."""
+    if isinstance(result, BackendFailure) and not result.sent:
+        return WorkEnd.DONE
+    return _WORK_ENDS[work_result(result)]
+
+
+_WORK_ENDS = {
+    WorkResult.ANSWERED: WorkEnd.ANSWERED,
+    WorkResult.ERROR: WorkEnd.DONE,
+    WorkResult.SHED: WorkEnd.DONE,
+    WorkResult.BROKEN: WorkEnd.DONE,
+    WorkResult.UNREACHABLE: WorkEnd.DONE,
+    WorkResult.SILENCE: WorkEnd.IN_DOUBT,
+    WorkResult.CANCELLED: WorkEnd.IN_DOUBT,
+}
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -2,7 +2,6 @@
 
 import threading
 import time
-from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
@@ -24,6 +23,7 @@
 from balsamspindle.node.admin_server import AdminServer
 from balsamspindle.node.gauges import NodeGauges
 from balsamspindle.node.integration import Integration
+from balsamspindle.node.orderly_end import OrderlyEnd
 from balsamspindle.node.settings_tasks import SettingsTasks
 from balsamspindle.node.settings_watch import LoadSettings, SettingsWatch
 from balsamspindle.node.status import NodeStatus
@@ -48,11 +48,6 @@
 
 GATE_WORKERS_MAX = 256
 HOUSEKEEPING_INTERVAL_S = 1.0
-# The gate refuses at the latest this long after the listener was told to stop.
-GATE_OPEN_S = 2.0
-LINK_TAIL_S, LINK_TAIL_MIN_S = 0.5, 0.1
-LAST_ANSWERS_S = 0.4
-DRAIN_POLL_S = 0.02
 FLUSH_MS = 300
 _DEFAULT_SERVICE = ServiceDocument()
 DEFAULT_INTEGRATION = Integration()
@@ -186,54 +181,21 @@
             self.events.emit("backend_server_silent", backend_server=server_id)
 
     def _shut_down(self) -> None:
-        """Leave without cutting a request in flight.
-
-        The news goes first, so that peers and callers turn to other nodes
-        while this one still serves. The gate closes only after this node's
-        own callers have their answers: when the whole fleet leaves at once,
-        each ingress still needs the gates for its last requests.
-        """
+        """Leave in order, then end all tasks."""
         self.events.emit("node_leaving")
-        give_up_s = time.monotonic() + self._settings.shutdown_timeout_s
-        self._member.leave()
-        self._ingress.leave()
-        time.sleep(self._settings.ready_notice_s)
-        self._ingress.stop()
-        _wait_until(self._ingress.ended, time.monotonic() + GATE_OPEN_S)
-        self._gate.leave()
-        if not _wait_until(self._idle, give_up_s):
-            self._give_up()
-        # A peer that has not heard yet gets a refusal, which proves that its
-        # attempt was not run, in place of silence.
-        left_s = give_up_s - time.monotonic()
-        time.sleep(min(LINK_TAIL_S, max(LINK_TAIL_MIN_S, left_s)))
+        end = OrderlyEnd(
+            self._settings,
+            self.events,
+            self._member,
+            self._ingress,
+            self._gate,
+            self._link_server,
+            self._forwarder,
+        )
+        end.run()
         self._end_tasks()
         self.events.emit("node_stopped")
 
-    def _idle(self) -> bool:
-        return (
-            self._ingress.ended()
-            and not self._gate.in_flight()
-            and not self._link_server.pending()
-        )
-
-    def _give_up(self) -> None:
-        """Answer what is still in flight with what is known: nothing.
-
-        A backend server that hangs or is frozen would hold the shutdown for
-        as long as its callers' deadlines allow.
-        """
-        self.events.emit(
-            "shutdown_timeout",
-            attempts=self._gate.in_flight(),
-            replies=self._link_server.pending(),
-        )
-        self._gate.give_up()
-        self._forwarder.give_up()
-        _wait_until(self._idle, time.monotonic() + LAST_ANSWERS_S)
-        # What is left are connections whose callers do not read.
-        self._ingress.cut()
-
     def _end_tasks(self) -> None:
         """End all tasks and threads; none may keep the process alive."""
         self._settings_tasks.stop()
@@ -409,12 +371,3 @@
             self._picker.explain(service),
             self._health.reports(time.monotonic()),
         )
-
-
-def _wait_until(condition: Callable[[], bool], give_up_s: float) -> bool:
-    """Wait for a condition; return whether it came true in time."""
-    while not condition():
-        if time.monotonic() >= give_up_s:
-            return False
-        time.sleep(DRAIN_POLL_S)
-    return True
--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -3,159 +3,32 @@
 import itertools
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from enum import IntEnum
+from dataclasses import dataclass
 
 import msgspec
-import xxhash
 
 from balsamspindle.backend_servers.gate import Gate
 from balsamspindle.membership.directory import Placement
 from balsamspindle.requests.caller_watch import CallerWatch
-from balsamspindle.requests.claims import GateIdentity, KeyClaimant
-from balsamspindle.requests.http import CallerRequest, HttpConnection
+from balsamspindle.requests.claims import GateIdentity
+from balsamspindle.requests.forwarded import ForwardedRequest, Rescue, Step, route_id
 from balsamspindle.requests.links import Link, LinkPool, Wait, Waited, wait_first
 from balsamspindle.requests.outcomes import Outcome, Reason
-from balsamspindle.requests.retries import is_refusal, is_shed
-from balsamspindle.services.free_slots import FREE_SLOTS_TTL_S, FreeSlotViews
+from balsamspindle.requests.retries import is_refusal
+from balsamspindle.requests.tracking import TrackedAttempt
+from balsamspindle.services.free_slots import FreeSlotViews
 from balsamspindle.services.holdouts import HoldOuts
 from balsamspindle.services.peer_evidence import PeerEvidenceTracker
 from balsamspindle.services.queue_hints import QueueHints
 from balsamspindle.services.suspects import Suspects
-from balsamspindle.settings.documents import RouteDocument
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import AttemptId, Dispatch, NodeRecord, Reply, checksum
 
-__all__ = ["AttemptSender", "ForwardedRequest", "Rescue", "Search", "Step", "route_id"]
+__all__ = ["AttemptSender"]
 
-# How long others go first after a failure; longer would keep a sick backend
-# server from the work by which its gate finds it out.
-AVOID_S = 0.25
 LINK_HOLD_OUT_S, LINK_HOLD_OUT_MAX_S = 0.5, 30.0
 
 
-class Step(IntEnum):
-    """How far the search for a place has come.
-
-    `balsamspindle.requests.placing` tells what each step asks.
-    """
-
-    NEAR = 0
-    NEAR_QUEUE = 1
-    FAR = 2
-    QUEUE = 3
-    DONE = 4
-
-
-@dataclass
-class Search:
-    """One request's search for a place.
-
-    Attributes
-    ----------
-    step : Step
-    far_tries : int
-        Gates of other zones that were asked.
-    told_wait_ms : dict of str to float
-        Backend servers whose gates refused because of their queue, and how
-        long it is.
-    """
-
-    step: Step = Step.NEAR
-    far_tries: int = 0
-    told_wait_ms: dict[str, float] = field(default_factory=dict)
-
-    def begin(self) -> None:
-        """Search anew, after an attempt that failed."""
-        self.step, self.far_tries = Step.NEAR, 0
-        self.told_wait_ms.clear()
-
-
-@dataclass
-class ForwardedRequest:
-    """A caller's request on its way through this node.
-
-    Attributes
-    ----------
-    deadline_s : float
-        On the monotonic clock.
-    tried : set of str
-        Backend servers that had an attempt.
-    may_have_run : bool
-        An attempt ended as unknown.
-    caller_service : str
-        The service beside this node, as backend servers are told.
-    sends : int
-        Attempts that reached, or may have reached, a backend server.
-    attempts : int
-        All that were made, those that a gate refused included.
-    paid : int
-        Retries that were taken from the budget for it.
-    refused_as_suspect : set of str
-        Backend servers whose gates refused it because they look sick.
-    failed : set of str
-        Backend servers at which an attempt of it failed.
-    search_until_s : float or None
-        Until when it searches again after all gates refused; None before.
-    is_last_resort : bool
-        Nobody else is left: suspected backend servers are to take it, too.
-    target_s : float or None
-        Until when an answer has its full worth, on the monotonic clock.
-    wait_max_ms : float or None
-        How long the present attempt may wait for a slot.
-    """
-
-    request_id: str
-    caller: HttpConnection
-    request: CallerRequest
-    route: RouteDocument
-    deadline_s: float
-    idempotency_key: str | None = None
-    claimant: KeyClaimant | None = None
-    tried: set[str] = field(default_factory=set)
-    may_have_run: bool = False
-    caller_service: str = ""
-    sends: int = 0
-    attempts: int = 0
-    paid: int = 0
-    refused_as_suspect: set[str] = field(default_factory=set)
-    failed: set[str] = field(default_factory=set)
-    search_until_s: float | None = None
-    is_last_resort: bool = False
-    search: Search = field(default_factory=Search)
-    target_s: float | None = None
-    wait_max_ms: float | None = None
-
-    def may_send(self) -> bool:
-        """Tell whether the route allows one more backend server."""
-        return self.sends < self.route.attempts_max
-
-    def target_left_ms(self, now_s: float) -> float | None:
-        """Return the time in which an answer still has its full worth."""
-        return None if self.target_s is None else (self.target_s - now_s) * 1000
-
-
-@dataclass(frozen=True)
-class Rescue:
-    """What may be done for the caller of a backend server that is silent.
-
-    Attributes
-    ----------
-    patience_s : float
-        How long an attempt of an idempotent request may be alone.
-    choose : callable
-        Returns the place for a second attempt, paid for, or None.
-    is_paid : bool
-        The next attempt is paid for already. An attempt at the own gate ends
-        with its patience; were the retry then not to be had, the caller of a
-        slow request would lose an answer that was on its way.
-    """
-
-    patience_s: float
-    choose: Callable[[], Placement | None]
-    is_paid: bool = False
-
-
 class AttemptSender:
     """Sends attempts and waits for their replies."""
 
@@ -418,8 +291,8 @@
             cause=cause,
         )
 
-    def _track(self, forwarded, placement) -> "_Tracked":
-        return _Tracked(
+    def _track(self, forwarded, placement) -> TrackedAttempt:
+        return TrackedAttempt(
             forwarded,
             placement,
             self._free_slots,
@@ -437,77 +310,16 @@
         self._on_suspect(placement.node, server_id, held_out_ms, now_s)
 
 
-class _Tracked:
-    """One attempt in flight, in this ingress's local views."""
-
-    def __init__(
-        self,
-        forwarded,
-        placement,
-        free_slots,
-        peers,
-        note_suspect,
-        queue_hints,
-        clock,
-    ) -> None:
-        self._forwarded: ForwardedRequest = forwarded
-        self._service: str = forwarded.route.service
-        self._placement: Placement = placement
-        self._server_id = server_id = placement.backend_server.backend_server_id
-        self._free_slots: FreeSlotViews = free_slots
-        self._peers: PeerEvidenceTracker = peers
-        self._note_suspect = note_suspect
-        self._queue_hints: QueueHints = queue_hints
-        self._clock = clock
-        self._started_s = clock()
-        free_slots.started(server_id)
-        peers.started(self._service, server_id, self._started_s)
-
-    def end(self, reply: Reply | None) -> None:
-        """Take the end; None when no reply came.
-
-        After a failure others go first for a moment, at this ingress alone:
-        it still gets work when all others are busy, so that no capacity is
-        lost to one failure.
-        """
-        now_s = self._clock()
-        self._peers.ended(self._service, self._server_id, self._started_s, reply, now_s)
-        self._free_slots.ended(self._server_id)
-        if reply is not None:
-            self._note_suspect(self._placement, reply.held_out_ms, now_s)
-            if is_refusal(reply):
-                self._forwarded.sends -= 1
-        if reply is not None and reply.reason is Reason.SUSPECTED:
-            return
-        if reply is not None and reply.reason is Reason.WOULD_WAIT:
-            self._forwarded.search.told_wait_ms[self._server_id] = reply.retry_after_ms
-            self._queue_hints.note(self._server_id, reply.retry_after_ms, now_s)
-            self._free_slots.note(self._server_id, 0, now_s)
-            return
-        failed = reply is None or reply.outcome is Outcome.UNKNOWN or is_shed(reply)
-        if failed:
-            self._free_slots.note(
-                self._server_id, 0, now_s - FREE_SLOTS_TTL_S + AVOID_S
-            )
-        else:
-            self._free_slots.note(self._server_id, reply.free_slots, now_s)
-
-
 @dataclass(frozen=True, eq=False)
 class _Sent:
     """An attempt that is on its way over a link."""
 
     link: Link
     dispatch: Dispatch
-    tracked: _Tracked
+    tracked: TrackedAttempt
     gate: str
 
 
-def route_id(route: RouteDocument) -> int:
-    """Return a number that is the same for all requests of a route."""
-    return xxhash.xxh32_intdigest(f"{route.host}{route.path_prefix}".encode())
-
-
 def _was_refused(reply: Reply | None) -> bool:
     return reply is not None and is_refusal(reply)
 
--- /dev/null
+++ b/balsamspindle/requests/caller_terms.py
@@ -0,0 +1,131 @@
+"""What callers may send to this node and how they are answered."""
+
+import os
+import random
+import re
+
+from balsamspindle.requests.answers import encode_answer, encode_problem
+from balsamspindle.requests.heads import BadRequest
+from balsamspindle.requests.http import CallerRequest, HttpLimits
+from balsamspindle.requests.outcomes import Outcome, Reason
+from balsamspindle.settings.documents import RouteDocument
+from balsamspindle.settings.process import NodeSettings
+from balsamspindle.settings.tree import CurrentConfiguration
+from balsamspindle.wire import Reply
+
+__all__ = ["CallerTerms", "new_request_id"]
+
+_is_request_id = re.compile(r"[A-Za-z0-9._:-]{1,128}").fullmatch
+_is_timeout = re.compile(r"[0-9]{1,9}(\.[0-9]{1,6})?").fullmatch
+_request_ids = random.Random(os.urandom(32))
+
+
+def new_request_id() -> str:
+    """Return an id for a request whose caller gave none."""
+    return f"{_request_ids.getrandbits(128):032x}"
+
+
+class CallerTerms:
+    """Limits, names and forms between this node and its callers."""
+
+    def __init__(
+        self, settings: NodeSettings, configuration: CurrentConfiguration
+    ) -> None:
+        self._settings = settings
+        self._names = settings.headers
+        self._configuration = configuration
+
+    def limits(self) -> HttpLimits:
+        """Return the limits in force: the fleet's, or this process's own."""
+        settings, configuration = self._settings, self._configuration.get()
+        limits = HttpLimits(
+            body_max_bytes=settings.request_body_max_bytes,
+            idle_timeout_s=settings.connection_idle_timeout_s,
+            head_timeout_s=settings.request_head_timeout_s,
+            body_timeout_s=settings.request_body_timeout_s,
+        )
+        fleet = configuration and configuration.caller_limits
+        if not fleet:
+            return limits
+        return limits._replace(
+            head_max_bytes=fleet.head_max_bytes,
+            # A body is held whole, several times over on its way; what this
+            # process can hold bounds what the fleet allows.
+            body_max_bytes=min(fleet.body_max_bytes, settings.request_body_max_bytes),
+            idle_timeout_s=fleet.idle_timeout_ms / 1000,
+            head_timeout_s=fleet.head_timeout_ms / 1000,
+        )
+
+    def request_id(self, request: CallerRequest) -> str:
+        """Return the caller's own id where it is harmless, else a new one."""
+        given = request.noted.get(self._names.request_id.lower())
+        if given is not None and _is_request_id(given):
+            return given
+        return new_request_id()
+
+    def timeout_ms(self, request: CallerRequest, route: RouteDocument) -> float:
+        """Return the shorter of the caller's and the route's time.
+
+        Raises
+        ------
+        BadRequest
+            When the caller's time is no positive number.
+        """
+        asked = request.noted.get(self._names.timeout_ms.lower())
+        if asked is None:
+            return route.timeout_ms
+        if not _is_timeout(asked) or float(asked) == 0:
+            raise BadRequest(
+                Reason.BAD_TIMEOUT,
+                f"{self._names.timeout_ms} must be a positive number of milliseconds.",
+            )
+        return min(route.timeout_ms, float(asked))
+
+    def encode_reply(
+        self, reply: Reply, request: CallerRequest, request_id: str, keep_alive: bool
+    ) -> bytes:
+        """Return what a caller is sent for a reply."""
+        is_head = request.method == "HEAD"
+        if reply.outcome is Outcome.ANSWERED:
+            return encode_answer(
+                reply.status,
+                reply.headers,
+                reply.body,
+                request_id,
+                keep_alive,
+                is_head,
+                self._names,
+            )
+        return self.encode_problem(
+            reply.reason,
+            reply.outcome,
+            request_id,
+            keep_alive,
+            is_head,
+            retry_after_ms=reply.retry_after_ms,
+        )
+
+    def encode_problem(
+        self,
+        reason: Reason,
+        outcome: Outcome,
+        request_id: str,
+        keep_alive: bool,
+        is_head: bool = False,
+        detail: str | None = None,
+        allow: tuple[str, ...] = (),
+        retry_after_ms: float = 0.0,
+    ) -> bytes:
+        """Return an answer of our own; see `answers.encode_problem`."""
+        return encode_problem(
+            reason,
+            outcome,
+            request_id,
+            keep_alive,
+            is_head,
+            detail,
+            allow,
+            retry_after_ms,
+            self._names,
+            self._settings.retry_after_decimals,
+        )
--- /dev/null
+++ b/balsamspindle/requests/forwarded.py
@@ -0,0 +1,141 @@
+"""A caller's request on its way through an ingress, and what it may still do."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+import xxhash
+
+from balsamspindle.membership.directory import Placement
+from balsamspindle.requests.claims import KeyClaimant
+from balsamspindle.requests.http import CallerRequest, HttpConnection
+from balsamspindle.settings.documents import RouteDocument
+
+__all__ = ["ForwardedRequest", "Rescue", "Search", "Step", "route_id"]
+
+
+class Step(IntEnum):
+    """How far the search for a place has come.
+
+    `balsamspindle.requests.placing` tells what each step asks.
+    """
+
+    NEAR = 0
+    NEAR_QUEUE = 1
+    FAR = 2
+    QUEUE = 3
+    DONE = 4
+
+
+@dataclass
+class Search:
+    """One request's search for a place.
+
+    Attributes
+    ----------
+    step : Step
+    far_tries : int
+        Gates of other zones that were asked.
+    told_wait_ms : dict of str to float
+        Backend servers whose gates refused because of their queue, and how
+        long it is.
+    """
+
+    step: Step = Step.NEAR
+    far_tries: int = 0
+    told_wait_ms: dict[str, float] = field(default_factory=dict)
+
+    def begin(self) -> None:
+        """Search anew, after an attempt that failed."""
+        self.step, self.far_tries = Step.NEAR, 0
+        self.told_wait_ms.clear()
+
+
+@dataclass
+class ForwardedRequest:
+    """A caller's request on its way through this node.
+
+    Attributes
+    ----------
+    deadline_s : float
+        On the monotonic clock.
+    tried : set of str
+        Backend servers that had an attempt.
+    may_have_run : bool
+        An attempt ended as unknown.
+    caller_service : str
+        The service beside this node, as backend servers are told.
+    sends : int
+        Attempts that reached, or may have reached, a backend server.
+    attempts : int
+        All that were made, those that a gate refused included.
+    paid : int
+        Retries that were taken from the budget for it.
+    refused_as_suspect : set of str
+        Backend servers whose gates refused it because they look sick.
+    failed : set of str
+        Backend servers at which an attempt of it failed.
+    search_until_s : float or None
+        Until when it searches again after all gates refused; None before.
+    is_last_resort : bool
+        Nobody else is left: suspected backend servers are to take it, too.
+    target_s : float or None
+        Until when an answer has its full worth, on the monotonic clock.
+    wait_max_ms : float or None
+        How long the present attempt may wait for a slot.
+    """
+
+    request_id: str
+    caller: HttpConnection
+    request: CallerRequest
+    route: RouteDocument
+    deadline_s: float
+    idempotency_key: str | None = None
+    claimant: KeyClaimant | None = None
+    tried: set[str] = field(default_factory=set)
+    may_have_run: bool = False
+    caller_service: str = ""
+    sends: int = 0
+    attempts: int = 0
+    paid: int = 0
+    refused_as_suspect: set[str] = field(default_factory=set)
+    failed: set[str] = field(default_factory=set)
+    search_until_s: float | None = None
+    is_last_resort: bool = False
+    search: Search = field(default_factory=Search)
+    target_s: float | None = None
+    wait_max_ms: float | None = None
+
+    def may_send(self) -> bool:
+        """Tell whether the route allows one more backend server."""
+        return self.sends < self.route.attempts_max
+
+    def target_left_ms(self, now_s: float) -> float | None:
+        """Return the time in which an answer still has its full worth."""
+        return None if self.target_s is None else (self.target_s - now_s) * 1000
+
+
+@dataclass(frozen=True)
+class Rescue:
+    """What may be done for the caller of a backend server that is silent.
+
+    Attributes
+    ----------
+    patience_s : float
+        How long an attempt of an idempotent request may be alone.
+    choose : callable
+        Returns the place for a second attempt, paid for, or None.
+    is_paid : bool
+        The next attempt is paid for already. An attempt at the own gate ends
+        with its patience; were the retry then not to be had, the caller of a
+        slow request would lose an answer that was on its way.
+    """
+
+    patience_s: float
+    choose: Callable[[], Placement | None]
+    is_paid: bool = False
+
+
+def route_id(route: RouteDocument) -> int:
+    """Return a number that is the same for all requests of a route."""
+    return xxhash.xxh32_intdigest(f"{route.host}{route.path_prefix}".encode())
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -9,13 +9,9 @@
 
 from balsamspindle.backend_servers.gate import Gate
 from balsamspindle.membership.directory import Placement
-from balsamspindle.requests.attempts import (
-    AttemptSender,
-    ForwardedRequest,
-    Rescue,
-    route_id,
-)
+from balsamspindle.requests.attempts import AttemptSender
 from balsamspindle.requests.claims import ClaimBook, KeyClaimant
+from balsamspindle.requests.forwarded import ForwardedRequest, Rescue, route_id
 from balsamspindle.requests.heads import IDEMPOTENCY_KEY_MAX_CHARACTERS
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.requests.outcomes import PROBLEMS, Execution, Outcome, Reason
--- a/balsamspindle/requests/ingress.py
+++ b/balsamspindle/requests/ingress.py
@@ -2,7 +2,6 @@
 
 import os
 import random
-import re
 import socket
 import threading
 import time
@@ -10,12 +9,12 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from balsamspindle.metrics import Hop
-from balsamspindle.requests.answers import encode_answer, encode_problem
+from balsamspindle.requests.caller_terms import CallerTerms, new_request_id
 from balsamspindle.requests.closing import close_listener, close_politely
 from balsamspindle.requests.connections import OpenConnections
 from balsamspindle.requests.forwarding import ForwardedRequest, Forwarder
 from balsamspindle.requests.heads import IDEMPOTENCY_KEY_HEADER, BadRequest
-from balsamspindle.requests.http import CallerRequest, HttpConnection, HttpLimits
+from balsamspindle.requests.http import CallerRequest, HttpConnection
 from balsamspindle.requests.outcomes import Outcome, Reason
 from balsamspindle.services.routes import MethodNotAllowed
 from balsamspindle.services.shares import ServiceShares
@@ -23,7 +22,6 @@
 from balsamspindle.settings.process import NodeSettings
 from balsamspindle.settings.tree import CurrentConfiguration
 from balsamspindle.timeline import EventLog, submit_logged
-from balsamspindle.wire import Reply
 
 __all__ = [
     "IDEMPOTENCY_KEY_HEADER",
@@ -41,10 +39,6 @@
 FIRST_REQUEST_S = 1.0
 ERROR_STATUS_MIN = 500
 
-_is_request_id = re.compile(r"[A-Za-z0-9._:-]{1,128}").fullmatch
-_is_timeout = re.compile(r"[0-9]{1,9}(\.[0-9]{1,6})?").fullmatch
-_request_ids = random.Random(os.urandom(32))
-
 
 class Ingress:
     """Takes callers' requests and gives each its one answer.
@@ -72,6 +66,7 @@
     ) -> None:
         self._on_failure = on_failure
         self._settings = settings
+        self._terms = CallerTerms(settings, configuration)
         self._names = settings.headers
         self.caller_service = settings.caller_service
         self._shares = ServiceShares(random.Random(os.urandom(8)))
@@ -190,28 +185,7 @@
             self._connections.left(connection)
 
     def _open(self, connection: socket.socket) -> HttpConnection:
-        return HttpConnection(connection, self._limits(), self._names)
-
-    def _limits(self) -> HttpLimits:
-        """Return the limits in force: the fleet's, or this process's own."""
-        settings, configuration = self._settings, self._configuration.get()
-        limits = HttpLimits(
-            body_max_bytes=settings.request_body_max_bytes,
-            idle_timeout_s=settings.connection_idle_timeout_s,
-            head_timeout_s=settings.request_head_timeout_s,
-            body_timeout_s=settings.request_body_timeout_s,
-        )
-        fleet = configuration and configuration.caller_limits
-        if not fleet:
-            return limits
-        return limits._replace(
-            head_max_bytes=fleet.head_max_bytes,
-            # A body is held whole, several times over on its way; what this
-            # process can hold bounds what the fleet allows.
-            body_max_bytes=min(fleet.body_max_bytes, settings.request_body_max_bytes),
-            idle_timeout_s=fleet.idle_timeout_ms / 1000,
-            head_timeout_s=fleet.head_timeout_ms / 1000,
-        )
+        return HttpConnection(connection, self._terms.limits(), self._names)
 
     def _serve_requests(self, caller: HttpConnection, connection) -> None:
         keep_alive = True
@@ -238,7 +212,7 @@
     def _serve_request(self, caller, request: CallerRequest) -> bool:
         """Answer one request; False when the connection ends with it."""
         received_s = time.monotonic()
-        request_id = self._request_id(request)
+        request_id = self._terms.request_id(request)
         self._events.emit(
             "request_received",
             request=request_id,
@@ -277,7 +251,7 @@
 
     def _forward(self, caller, request, request_id, route, received_s) -> bytes:
         try:
-            timeout_ms = self._timeout_ms(request, route)
+            timeout_ms = self._terms.timeout_ms(request, route)
         except BadRequest as error:
             return self._problem(request, request_id, error.reason, error.detail)
         # The backend server's log can be matched with the time line.
@@ -310,11 +284,13 @@
             left_ms=round((forwarded.deadline_s - time.monotonic()) * 1000),
         )
         self._events.metrics.count_outcome(route.service, reply.outcome.value)
-        return self._encode_reply(reply, request, request_id)
+        return self._terms.encode_reply(
+            reply, request, request_id, self._settle_keep_alive(request)
+        )
 
     def _problem(self, request, request_id, reason, detail=None, allow=()) -> bytes:
         self._note_end(request_id, Outcome.NOT_RUN, reason)
-        return encode_problem(
+        return self._terms.encode_problem(
             reason,
             Outcome.NOT_RUN,
             request_id,
@@ -322,21 +298,18 @@
             request.method == "HEAD",
             detail,
             allow,
-            names=self._names,
-            retry_after_decimals=self._settings.retry_after_decimals,
         )
 
     def _refuse(self, caller, reason: Reason, detail: str | None = None) -> None:
         """Answer what is no request, and end the connection."""
-        request_id = _new_request_id()
+        request_id = new_request_id()
         self._note_end(request_id, Outcome.NOT_RUN, reason)
-        answer = encode_problem(
+        answer = self._terms.encode_problem(
             reason,
             Outcome.NOT_RUN,
             request_id,
             keep_alive=False,
             detail=detail,
-            names=self._names,
         )
         self._write(caller, request_id, answer)
 
@@ -351,55 +324,6 @@
             **decided,
         )
 
-    def _encode_reply(self, reply: Reply, request, request_id: str) -> bytes:
-        is_head = request.method == "HEAD"
-        keep_alive = self._settle_keep_alive(request)
-        if reply.outcome is Outcome.ANSWERED:
-            return encode_answer(
-                reply.status,
-                reply.headers,
-                reply.body,
-                request_id,
-                keep_alive,
-                is_head,
-                self._names,
-            )
-        return encode_problem(
-            reply.reason,
-            reply.outcome,
-            request_id,
-            keep_alive,
-            is_head,
-            retry_after_ms=reply.retry_after_ms,
-            names=self._names,
-            retry_after_decimals=self._settings.retry_after_decimals,
-        )
-
-    def _request_id(self, request: CallerRequest) -> str:
-        """Return the caller's own id where it is harmless, else a new one."""
-        given = request.noted.get(self._names.request_id.lower())
-        if given is not None and _is_request_id(given):
-            return given
-        return _new_request_id()
-
-    def _timeout_ms(self, request: CallerRequest, route: RouteDocument) -> float:
-        """Return the shorter of the caller's and the route's time.
-
-        Raises
-        ------
-        BadRequest
-            When the caller's time is no positive number.
-        """
-        asked = request.noted.get(self._names.timeout_ms.lower())
-        if asked is None:
-            return route.timeout_ms
-        if not _is_timeout(asked) or float(asked) == 0:
-            raise BadRequest(
-                Reason.BAD_TIMEOUT,
-                f"{self._names.timeout_ms} must be a positive number of milliseconds.",
-            )
-        return min(route.timeout_ms, float(asked))
-
     def _write(self, caller: HttpConnection, request_id: str, answer: bytes) -> None:
         try:
             caller.write(answer)
@@ -407,7 +331,3 @@
             # What was done stays done, and the caller does not know of it.
             self._events.emit("answer_not_delivered", request=request_id, cause=error)
             raise
-
-
-def _new_request_id() -> str:
-    return f"{_request_ids.getrandbits(128):032x}"
--- a/balsamspindle/requests/placing.py
+++ b/balsamspindle/requests/placing.py
@@ -26,7 +26,8 @@
 from typing import NamedTuple
 
 from balsamspindle.membership.directory import Placement
-from balsamspindle.requests.attempts import AttemptSender, ForwardedRequest, Step
+from balsamspindle.requests.attempts import AttemptSender
+from balsamspindle.requests.forwarded import ForwardedRequest, Step
 from balsamspindle.services.answer_sizes import AnswerSizes
 from balsamspindle.services.free_slots import FreeSlotViews
 from balsamspindle.services.picker import Picker, choose_freest
--- a/balsamspindle/requests/retries.py
+++ b/balsamspindle/requests/retries.py
@@ -5,38 +5,27 @@
 one request would like.
 """
 
-import math
 import random
 import threading
 from collections.abc import Callable
 from enum import IntEnum, StrEnum
 
+from balsamspindle.requests.latency_estimate import LatencyEstimate
 from balsamspindle.requests.outcomes import Execution, Outcome, Reason
+from balsamspindle.requests.retry_tokens import RetryTokens
 from balsamspindle.requests.retry_window import RetryWindow
+from balsamspindle.requests.return_times import ReturnTimes
 from balsamspindle.settings.documents import ATTEMPTS_MAX, RetryBudget
 from balsamspindle.wire import Reply
 
-__all__ = [
-    "Again",
-    "LatencyEstimate",
-    "RetryPolicy",
-    "RetryTokens",
-    "ReturnTimes",
-    "is_refusal",
-    "is_shed",
-]
-
-# Requests of about this time earn the retries that may be made now.
-WINDOW_S = 10.0
-# So much of the retries that are always allowed may be saved up.
-FLOOR_BURST_S = 2.0
+__all__ = ["Again", "RetryPolicy", "is_refusal", "is_shed"]
+
 # Gates that may tell one request to look elsewhere, because of a suspicion or
 # of a queue, before it is given up; each costs a round trip.
 HINTS_MAX = 120
 ERROR_STATUS_MIN = 500
 ROUTES_MAX = 1000
 SHED_STATUSES = frozenset({429, 503})
-RETURN_MIN_S, RETURN_MAX_S = 2.0, 60.0
 
 
 class Again(IntEnum):
@@ -116,113 +105,6 @@
     )
 
 
-class RetryTokens:
-    """The retries that a service may make now.
-
-    Each request adds the budget's fraction of a token, which fades over
-    `WINDOW_S`; besides, some tokens come with time, so that a service with few
-    requests can retry at all.
-    """
-
-    def __init__(self) -> None:
-        self._earned = 0.0
-        self._floor = math.inf
-        self._changed_s = 0.0
-
-    def note_request(self, budget: RetryBudget, now_s: float) -> None:
-        """Earn a fraction of a retry."""
-        self._pass_time(budget, now_s)
-        self._earned += budget.fraction
-
-    def left(self, budget: RetryBudget, now_s: float) -> float:
-        """Return how many retries could be made."""
-        self._pass_time(budget, now_s)
-        return self._floor + self._earned
-
-    def available(self, budget: RetryBudget, now_s: float) -> bool:
-        """Tell whether a retry could be made."""
-        self._pass_time(budget, now_s)
-        return self._floor >= 1 or self._earned >= 1
-
-    def take(self, budget: RetryBudget, now_s: float) -> bool:
-        """Take a retry, or return False."""
-        if not self.available(budget, now_s):
-            return False
-        if self._floor >= 1:
-            self._floor -= 1
-        else:
-            self._earned -= 1
-        return True
-
-    def give_back(self) -> None:
-        """Return a retry that was taken and not made."""
-        self._floor += 1
-
-    def _pass_time(self, budget: RetryBudget, now_s: float) -> None:
-        passed_s = max(0.0, now_s - self._changed_s)
-        self._changed_s = max(now_s, self._changed_s)
-        self._earned *= math.exp(-passed_s / WINDOW_S)
-        floor_max = max(1.0, budget.per_s_min * FLOOR_BURST_S)
-        self._floor = min(floor_max, self._floor + budget.per_s_min * passed_s)
-
-
-class LatencyEstimate:
-    """How long answers of a service take: their mean, and about a 95th of 100.
-
-    `limit_s` is what a gate takes for slow, 0 while unknown.
-
-    The quantile moves up by 19 parts when an answer took longer and down by
-    one part when it did not, so that it rests where 1 of 20 takes longer.
-    """
-
-    STEP = 0.005
-
-    def __init__(self) -> None:
-        self.mean_s = 0.0
-        self.high_s: float | None = None
-        self.limit_s = 0.0
-
-    def note(self, took_s: float, limit_ms: float = 0.0) -> None:
-        """Take the time of one answer, and its gate's limit for it."""
-        self.limit_s = limit_ms / 1000 or self.limit_s
-        if self.high_s is None:
-            self.mean_s, self.high_s = took_s, 2 * took_s
-            return
-        self.mean_s += 0.1 * (took_s - self.mean_s)
-        if took_s > self.high_s:
-            self.high_s *= 1 + 19 * self.STEP
-        else:
-            self.high_s *= 1 - self.STEP
-
-
-class ReturnTimes:
-    """When callers that were given up may come back.
-
-    They are spread over the time in which the service, at its present rate of
-    answers, could serve all of them: told the same time, they would return as
-    the same wave that could not be served.
-    """
-
-    def __init__(self) -> None:
-        self._answered = 0.0
-        self._given_up = 0.0
-        self._changed_s = 0.0
-
-    def note(self, is_answered: bool, now_s: float) -> None:
-        """Count the end of one request."""
-        passed_s = max(0.0, now_s - self._changed_s)
-        self._changed_s = max(now_s, self._changed_s)
-        fade = math.exp(-passed_s / WINDOW_S)
-        self._answered = self._answered * fade + is_answered
-        self._given_up = self._given_up * fade + (not is_answered)
-
-    def suggest_ms(self, earliest_ms: float, rng: random.Random) -> float:
-        """Return after which time one caller may come back."""
-        answers_per_s = max(1.0, self._answered / WINDOW_S)
-        spread_s = min(max(self._given_up / answers_per_s, RETURN_MIN_S), RETURN_MAX_S)
-        return earliest_ms + rng.random() * spread_s * 1000
-
-
 class _Service:
     """One service, as this ingress sees it."""
 
--- a/balsamspindle/standins/platform.py
+++ b/balsamspindle/standins/platform.py
@@ -31,16 +31,18 @@
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
 
+from balsamspindle.standins.store_rows import (
+    Address,
+    StoredRow,
+    StoredTransaction,
+    check_transaction,
+)
+
 __all__ = ["FaultMode", "FaultSwitch", "StandinPlatform"]
 
 ROWS_MAX = 500
 NAMES_MAX = 1000
-ENTRIES_MAX = 100
-ROW_BYTES_MAX = 65_536
-NAME_BYTES_MAX = 200
 WAIT_MAX_MS = 30_000
-# Tables that the operator and the platform write.
-_FOREIGN_TABLES = frozenset({"op", "servers"})
 
 
 class FaultMode(StrEnum):
@@ -88,54 +90,6 @@
     caller_ip: str | None = None
 
 
-class _Address(msgspec.Struct, frozen=True):
-    """Where a row lies."""
-
-    table: str
-    key: str
-    part: str = ""
-
-
-class _Precondition(_Address, frozen=True):
-    ver: int = 0
-
-
-class _Upsert(_Address, frozen=True):
-    value: str = ""
-
-
-class _Transaction(msgspec.Struct):
-    precondition: list[_Precondition] = []
-    upserts: list[_Upsert] = []
-    deletes: list[_Address] = []
-    across: bool = False
-
-
-class _Stored(msgspec.Struct, frozen=True):
-    """A row as it lies in the store; `value` is base64, None once removed."""
-
-    table: str
-    part: str
-    key: str
-    ver: int
-    value: str | None
-
-    @property
-    def address(self) -> _Address:
-        return _Address(self.table, self.key, self.part)
-
-    def on_wire(self) -> dict:
-        row = {
-            "table": self.table,
-            "part": self.part,
-            "key": self.key,
-            "ver": self.ver,
-        }
-        if self.value is None:
-            return {**row, "deleted": True}
-        return {**row, "value": self.value}
-
-
 _URLS = Map(
     [
         Rule("/rows-tx", endpoint="transact", methods=["POST"]),
@@ -167,9 +121,9 @@
 
     def __init__(self, seed: int = 0) -> None:
         self._changed = threading.Condition()
-        self._rows: dict[_Address, _Stored] = {}
+        self._rows: dict[Address, StoredRow] = {}
         # All writes, oldest first; what lies before `_history_from` is lost.
-        self._history: list[_Stored] = []
+        self._history: list[StoredRow] = []
         self._history_from = 0
         self._version = 0
         self._objects: dict[str, bytes] = {}
@@ -199,7 +153,7 @@
         with self._changed:
             self._version += 1
             encoded = base64.b64encode(value).decode()
-            self._store(_Stored("op", "", name, self._version, encoded))
+            self._store(StoredRow("op", "", name, self._version, encoded))
             self._changed.notify_all()
             return self._version
 
@@ -271,7 +225,7 @@
     def _backup(self, request):
         with self._changed:
             if request.method == "PUT":
-                stored = msgspec.json.decode(request.get_data(), type=list[_Stored])
+                stored = msgspec.json.decode(request.get_data(), type=list[StoredRow])
                 self._rows = {row.address: row for row in stored}
                 return _json({})
             return _json(list(self._rows.values()))
@@ -286,8 +240,8 @@
     # The store's own calls.
 
     def _transact(self, request):
-        transaction = msgspec.json.decode(request.get_data(), type=_Transaction)
-        _check_transaction(transaction)
+        transaction = msgspec.json.decode(request.get_data(), type=StoredTransaction)
+        check_transaction(transaction)
         with self._changed:
             current = [self._row(item) for item in transaction.precondition]
             expected = [item.ver for item in transaction.precondition]
@@ -296,13 +250,15 @@
                 return self._reply({"rows": rows}, status=412)
             self._version += 1
             for item in transaction.upserts:
-                row = _Stored(
+                row = StoredRow(
                     item.table, item.part, item.key, self._version, item.value
                 )
                 self._store(row)
             for item in transaction.deletes:
                 if self._row(item) is not None:
-                    row = _Stored(item.table, item.part, item.key, self._version, None)
+                    row = StoredRow(
+                        item.table, item.part, item.key, self._version, None
+                    )
                     self._store(row)
             self._changed.notify_all()
             return self._reply({})
@@ -378,10 +334,10 @@
             )
         return _json({"names": names[:NAMES_MAX], "has_more": len(names) > NAMES_MAX})
 
-    def _row(self, item) -> _Stored | None:
-        return self._rows.get(_Address(item.table, item.key, item.part))
+    def _row(self, item) -> StoredRow | None:
+        return self._rows.get(Address(item.table, item.key, item.part))
 
-    def _store(self, row: _Stored) -> None:
+    def _store(self, row: StoredRow) -> None:
         if row.value is None:
             self._rows.pop(row.address, None)
         else:
@@ -393,34 +349,7 @@
         return _json({**body, "ver": self._version, "now": f"{now_ms}ms"}, status)
 
 
-def _check_transaction(transaction: _Transaction) -> None:
-    """Refuse what the store refuses."""
-    entries = [
-        *transaction.precondition,
-        *transaction.upserts,
-        *transaction.deletes,
-    ]
-    if len(entries) > ENTRIES_MAX:
-        raise ValueError(f"a transaction holds at most {ENTRIES_MAX} entries")
-    if not transaction.across and len({item.part for item in entries}) > 1:
-        raise ValueError("the entries lie in more than one part")
-    for item in entries:
-        if len(item.key.encode()) > NAME_BYTES_MAX:
-            raise ValueError(f"a key has at most {NAME_BYTES_MAX} bytes")
-    for item in (*transaction.upserts, *transaction.deletes):
-        if item.table in _FOREIGN_TABLES:
-            raise _Forbidden()
-    for item in transaction.upserts:
-        if len(base64.b64decode(item.value)) > ROW_BYTES_MAX:
-            raise ValueError(f"a row holds at most {ROW_BYTES_MAX} bytes")
-
-
-class _Forbidden(HTTPException):
-    code = 403
-    description = "the system may not write to this table"
-
-
-def _version(row: _Stored | None) -> int:
+def _version(row: StoredRow | None) -> int:
     return 0 if row is None else row.ver
 
 
--- a/bench/retry_storm.py
+++ b/bench/retry_storm.py
@@ -15,7 +15,7 @@
 import zmq
 
 from balsamspindle.membership import Directory
-from balsamspindle.requests.attempts import ForwardedRequest
+from balsamspindle.requests.forwarded import ForwardedRequest
 from balsamspindle.requests.forwarding import Forwarder
 from balsamspindle.requests.http import CallerRequest, HttpConnection, HttpLimits
 from balsamspindle.requests.links import LinkPool
--- /dev/null
+++ b/tests/test_two_gates.py
@@ -0,0 +1,236 @@
+"""One ingress between two gates: second attempts, refusals, last resorts."""
+
+import io
+import socket
+import threading
+import time
+
+import zmq
+from testtools import TestCase
+
+from balsamspindle.backend_servers.client import BackendServerClient
+from balsamspindle.backend_servers.gate import Gate
+from balsamspindle.backend_servers.servers import LocalBackendServers
+from balsamspindle.membership import Directory
+from balsamspindle.requests.forwarded import ForwardedRequest
+from balsamspindle.requests.forwarding import Forwarder
+from balsamspindle.requests.http import CallerRequest, HttpConnection, HttpLimits
+from balsamspindle.requests.links import LinkPool
+from balsamspindle.requests.outcomes import Execution, Outcome, Reason
+from balsamspindle.requests.retries import (
+    RetryPolicy,
+)
+from balsamspindle.services.picker import Picker
+from balsamspindle.settings.documents import RetryBudget, RouteDocument
+from balsamspindle.settings.tree import CurrentConfiguration
+from balsamspindle.timeline import EventLog, HybridClock
+from balsamspindle.wire import (
+    BackendServerRecord,
+    NodeRecord,
+    Reply,
+    checksum,
+    encode,
+)
+from tests.fake_gate import FakeGate
+from tests.utils import free_address
+
+SERVICE = "crew/vacancies"
+OWN = NodeRecord("own", 1, 1, "r", "z", "-", "-", "alive")
+BODY = b"vacancies"
+
+
+def answer(dispatch, status=200):
+    reply = Reply(
+        dispatch.attempt_id,
+        Outcome.ANSWERED,
+        status=status,
+        body=BODY,
+        body_checksum=checksum(BODY),
+        free_slots=4,
+    )
+    return [(0.0, encode(reply))]
+
+
+class TwoGateTests(TestCase):
+    """One ingress and two gates of fakes, each with one backend server."""
+
+    def setUp(self):
+        super().setUp()
+        self.answers = {"a": answer, "b": answer}
+        self.gates, self.directory = {}, Directory()
+        for name in self.answers:
+            address = free_address()
+            gate = FakeGate(address, lambda dispatch, n=name: self.answers[n](dispatch))
+            self.addCleanup(gate.close)
+            server = BackendServerRecord(f"server-{name}", SERVICE, "1", 4, "ready")
+            self.directory.update(
+                NodeRecord(
+                    f"gate-{name}", 1, 1, "r", "z", address, "-", "alive", (server,)
+                ),
+                0.0,
+            )
+            self.gates[name] = gate
+        events = EventLog("own", 1, HybridClock(), io.StringIO())
+        self.links = LinkPool(zmq.Context.instance(), events)
+        self.addCleanup(self.links.close)
+        self.forwarder = Forwarder(
+            OWN,
+            Picker(OWN, self.directory, CurrentConfiguration()),
+            Gate(LocalBackendServers(), BackendServerClient(1000), events),
+            self.links,
+            events,
+        )
+
+    def _request(self, execution=Execution.IDEMPOTENT, timeout_s=20.0, **route):
+        near, far = socket.socketpair()
+        with near, far:
+            return self.forwarder.forward(
+                ForwardedRequest(
+                    "id",
+                    HttpConnection(near, HttpLimits()),
+                    CallerRequest("GET", "/"),
+                    RouteDocument(service=SERVICE, execution=execution, **route),
+                    time.monotonic() + timeout_s,
+                )
+            )
+
+    def _dispatches(self):
+        return sum(len(gate.dispatches) for gate in self.gates.values())
+
+    def test_the_caller_of_a_silent_backend_server_is_rescued(self):
+        # One backend server hangs. Without a second attempt beside the first
+        # its callers wait for their whole time and are told 'unknown'.
+        self.answers["a"] = lambda dispatch: []
+        replies = [self._request() for _ in range(6)]
+        self.assertEqual([BODY] * 6, [reply.body for reply in replies])
+        # Not cancelled: its gate has to see how long it stays silent.
+        silent = self.gates["a"]
+        self.assertTrue(silent.dispatches)
+        self.assertEqual([], silent.cancels)
+
+    def test_a_second_attempt_beside_a_silent_one_counts(self):
+        # The route allows two backend servers. One hangs, the second attempt
+        # beside it fails: a third one would run the request where its
+        # operator allowed two.
+        self.answers = {
+            "a": lambda dispatch: [],
+            "b": lambda dispatch: answer(dispatch, status=503),
+        }
+        while not self.gates["a"].dispatches:
+            seen = self._dispatches()
+            self._request(timeout_s=2.0, attempts_max=2)
+            self.assertLessEqual(self._dispatches() - seen, 2)
+        seen = self._dispatches()
+        self._request(attempts_max=1, timeout_s=0.3)
+        self.assertEqual(1, self._dispatches() - seen)
+
+    def test_a_retry_that_a_gate_refused_is_not_spent(self):
+        # In an overload every retry that is paid for finds a busy gate. Spent
+        # all the same, the budget is empty without one repeated run, and the
+        # callers of a sick backend server get its errors.
+        def busy(dispatch):
+            refusal = Reply(dispatch.attempt_id, Outcome.NOT_RUN, Reason.NO_FREE_SLOT)
+            return [(0.0, encode(refusal))]
+
+        self.answers = {"a": lambda one: answer(one, status=503), "b": busy}
+        budget = RetryBudget(fraction=0.1, fleet_per_s_min=0.5)
+        self.forwarder._retries = RetryPolicy(lambda service: budget)
+        for _ in range(4):
+            self._request(Execution.NON_IDEMPOTENT)
+        before = self.forwarder._retries.left(SERVICE, time.monotonic())
+        for _ in range(4):
+            self._request()
+        after = self.forwarder._retries.left(SERVICE, time.monotonic())
+        self.assertGreaterEqual(after, before)
+
+    def test_two_attempts_that_gates_refused_are_told_as_not_run(self):
+        # The first attempt waits at a gate, a second one goes beside it, and
+        # both gates refuse. Nothing ran: told 'unknown', the caller of a
+        # request that must not run twice could not send it again.
+        def late_refusal(dispatch):
+            refusal = Reply(dispatch.attempt_id, Outcome.NOT_RUN, Reason.CANCELLED)
+            return [(1.2, encode(refusal))]
+
+        self.answers = {"a": late_refusal, "b": late_refusal}
+        reply = self._request(timeout_s=3.0)
+        self.assertIs(Outcome.NOT_RUN, reply.outcome)
+        self.assertEqual(2, self._dispatches())
+
+    def test_a_suspected_backend_server_is_the_last_resort(self):
+        # Both gates refuse because their backend servers look sick. Sent at
+        # once all the same, four of five such attempts fail, and a request
+        # that must not run twice is lost; a moment later one of them is well
+        # again and takes it.
+        asked = []
+
+        def recovers(dispatch):
+            asked.append(dispatch.is_last_resort)
+            if len(asked) > 4:
+                return answer(dispatch)
+            refusal = Reply(dispatch.attempt_id, Outcome.NOT_RUN, Reason.SUSPECTED)
+            return [(0.0, encode(refusal))]
+
+        self.answers = {"a": recovers, "b": recovers}
+        reply = self._request(Execution.NON_IDEMPOTENT, timeout_s=10.0)
+        self.assertIs(Outcome.ANSWERED, reply.outcome)
+        self.assertEqual([False] * 5, asked)
+
+    def test_one_that_stays_suspected_takes_what_nobody_else_does(self):
+        def sick(dispatch):
+            if dispatch.is_last_resort:
+                return answer(dispatch)
+            refusal = Reply(dispatch.attempt_id, Outcome.NOT_RUN, Reason.SUSPECTED)
+            return [(0.0, encode(refusal))]
+
+        self.answers = {"a": sick, "b": sick}
+        for execution in Execution:
+            reply = self._request(execution, timeout_s=1.5)
+            self.assertIs(Outcome.ANSWERED, reply.outcome)
+
+    def test_a_late_first_answer_wins_over_a_silent_second_attempt(self):
+        late = threading.Event()
+
+        def first_late(dispatch):
+            if self._dispatches() == 1:
+                return [(1.5, answer(dispatch)[0][1])]
+            late.set()
+            return []
+
+        self.answers = {"a": first_late, "b": first_late}
+        reply = self._request(timeout_s=3.0)
+        self.assertEqual((Outcome.ANSWERED, BODY), (reply.outcome, reply.body))
+        self.assertTrue(late.is_set())
+
+    def test_a_silent_non_idempotent_request_has_one_attempt(self):
+        self.answers = {"a": lambda dispatch: [], "b": lambda dispatch: []}
+        reply = self._request(Execution.NON_IDEMPOTENT, timeout_s=0.5)
+        self.assertEqual(Outcome.UNKNOWN, reply.outcome)
+        self.assertEqual(1, self._dispatches())
+
+    def test_a_503_goes_elsewhere_and_stands_when_all_say_so(self):
+        self.answers["a"] = lambda dispatch: answer(dispatch, status=503)
+        self.assertEqual([200] * 4, [self._request().status for _ in range(4)])
+        self.answers["b"] = self.answers["a"]
+        reply = self._request()
+        self.assertEqual((Outcome.ANSWERED, 503), (reply.outcome, reply.status))
+
+    def test_an_answer_stands_when_the_second_attempt_has_none(self):
+        # The backend server ran the request and answered 503; another gate is
+        # busy. 'Not run' would be a lie.
+        def busy(dispatch):
+            refusal = Reply(dispatch.attempt_id, Outcome.NOT_RUN, Reason.NO_FREE_SLOT)
+            return [(0.0, encode(refusal))]
+
+        self.answers = {"a": lambda one: answer(one, status=503), "b": busy}
+        for _ in range(8):
+            reply = self._request()
+            self.assertEqual((Outcome.ANSWERED, 503), (reply.outcome, reply.status))
+
+    def test_a_gate_that_can_not_be_reached_is_asked_once_in_a_while(self):
+        # Each request to a cut-off node would wait for the link in vain.
+        self.gates["a"].close()
+        self.gates["a"].close = lambda: None
+        replies = [self._request(Execution.NON_IDEMPOTENT) for _ in range(20)]
+        self.assertEqual([BODY] * 20, [reply.body for reply in replies])
+        held = self.forwarder._sender.link_hold_outs
+        self.assertTrue(held.is_held("gate-a", time.monotonic()))
