Take for suspects only those of the request's own service

A suspect of any service made a request of another one search for a last resort where it had nothing left to try.

--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -73,8 +73,8 @@
         self,
         forwarded: ForwardedRequest,
         placement: Placement,
-        rescue: Rescue | None,
         wait_max_ms: float | None = None,
+        rescue: Rescue | None = None,
     ) -> Reply:
         """Make one attempt, and a second one beside it if it is silent.
 
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -117,7 +117,6 @@
         )
 
     def _make_attempts(self, forwarded: ForwardedRequest) -> Reply:
-        route = forwarded.route
         nowhere = self._no_attempt(Reason.NO_BACKEND_SERVER)
         replies: list[Reply] = []
         while True:
@@ -126,29 +125,16 @@
                 if self._widen(forwarded):
                     continue
                 break
-            placement, wait_max_ms = placing
             started_s = self._clock()
             rescue = self._rescue(forwarded, placing, started_s)
-            reply = self._sender.send(forwarded, placement, rescue, wait_max_ms)
+            reply = self._sender.send(forwarded, *placing, rescue=rescue)
             replies.append(reply)
             now_s = self._clock()
             if _is_success(reply):
-                self._retries.note_answer(
-                    route.service,
-                    now_s - started_s,
-                    reply.limit_ms,
-                    route_id(route),
-                )
-                self._sizes.note(route, len(reply.body))
+                self._note_success(forwarded, reply, now_s - started_s)
                 self._give_back(forwarded, rescue)
-                self._settle(forwarded)
-                return reply
-            if reply.reason is Reason.SUSPECTED:
-                forwarded.refused_as_suspect.add(
-                    placement.backend_server.backend_server_id
-                )
-            if not is_refusal(reply):
-                forwarded.failed.add(placement.backend_server.backend_server_id)
+                break
+            self._note_failure(forwarded, placing.placement, reply)
             if self._is_over(forwarded, reply):
                 self._give_back(forwarded, rescue)
                 break
@@ -158,6 +144,26 @@
         self._settle(forwarded)
         return _best(replies) if replies else nowhere
 
+    def _note_success(
+        self, forwarded: ForwardedRequest, reply: Reply, took_s: float
+    ) -> None:
+        """Learn from an answer how long the route's work takes and how large it is."""
+        route = forwarded.route
+        self._retries.note_answer(
+            route.service, took_s, reply.limit_ms, route_id(route)
+        )
+        self._sizes.note(route, len(reply.body))
+
+    def _note_failure(
+        self, forwarded: ForwardedRequest, placement: Placement, reply: Reply
+    ) -> None:
+        """Remember where the request was refused for a suspicion, or failed."""
+        server_id = placement.backend_server.backend_server_id
+        if reply.reason is Reason.SUSPECTED:
+            forwarded.refused_as_suspect.add(server_id)
+        if not is_refusal(reply):
+            forwarded.failed.add(server_id)
+
     def _may_retry(
         self,
         forwarded: ForwardedRequest,
@@ -222,8 +228,9 @@
             False when there is nothing left to try.
         """
         now_s = self._clock()
-        suspects = forwarded.refused_as_suspect | self._sender.suspects.at(now_s)
-        if forwarded.is_last_resort or not suspects or not forwarded.may_send():
+        if forwarded.is_last_resort or not forwarded.may_send():
+            return False
+        if not self._has_suspects(forwarded, now_s):
             return False
         forwarded.tried = set(forwarded.failed)
         forwarded.search.begin()
@@ -237,6 +244,16 @@
         forwarded.is_last_resort = True
         return True
 
+    def _has_suspects(self, forwarded: ForwardedRequest, now_s: float) -> bool:
+        """Tell whether suspected backend servers could still take a request."""
+        if forwarded.refused_as_suspect:
+            return True
+        suspects = self._sender.suspects.at(now_s)
+        return any(
+            placement.backend_server.backend_server_id in suspects
+            for placement in self._picker.view(forwarded.route.service).placements
+        )
+
     def _no_attempt(self, reason: Reason) -> Reply:
         return Reply(self._sender.next_id(), Outcome.NOT_RUN, reason)
 
