--- a/balsamspindle/membership/member.py
+++ b/balsamspindle/membership/member.py
@@ -15,6 +15,7 @@
 from balsamspindle.membership.knowledge import Knowledge
 from balsamspindle.membership.own_record import OwnRecord
 from balsamspindle.membership.probing import Prober
+from balsamspindle.membership.recent_max import RecentMax
 from balsamspindle.membership.sync import AntiEntropy
 from balsamspindle.membership.transport import Transport, ZmqTransport
 from balsamspindle.settings.process import NodeSettings
@@ -27,6 +28,8 @@
 TICK_S = 0.2
 # A gap between two ticks that no busy machine explains: the process slept.
 PAUSE_S = 2.0
+# As long as scrapers take between two looks.
+LAG_MEMORY_S = 15.0
 
 
 class Member:
@@ -65,6 +68,7 @@
         self._now_s = now_s
         self._stopped = threading.Event()
         self._last_tick_s = now_s()
+        self._lag = RecentMax(LAG_MEMORY_S)
         self._own = OwnRecord(own)
         self._transport = transport or ZmqTransport(
             context, settings.member_address, settings.fleet_keys
@@ -126,6 +130,10 @@
         """Whether no peer has answered this node lately."""
         return self._prober.isolated
 
+    def lag_s(self, now_s: float) -> float:
+        """Return the longest delay of a tick lately: how busy this process is."""
+        return self._lag.value(now_s)
+
     def run(self) -> None:
         """Take part until `stop` is called."""
         while not self._stopped.is_set():
@@ -139,6 +147,7 @@
         """Do what is due."""
         gap_s = now_s - self._last_tick_s
         self._last_tick_s = now_s
+        self._lag.note(gap_s - TICK_S, now_s)
         if gap_s > PAUSE_S:
             self._wake_up(gap_s, now_s)
         self.knowledge.refresh(self._backend_servers(), now_s)
--- a/balsamspindle/node/gauges.py
+++ b/balsamspindle/node/gauges.py
@@ -1,14 +1,16 @@
 """What a scraper is told of a node's present state, beside its counts."""
 
+from collections import Counter
 from collections.abc import Iterator
 from typing import NamedTuple
 
 from balsamspindle.backend_servers.admission import Admission
 from balsamspindle.backend_servers.health_monitor import HealthMonitor
 from balsamspindle.backend_servers.servers import LocalBackendServers
-from balsamspindle.membership import Directory
+from balsamspindle.membership import Directory, Member
 from balsamspindle.requests.retries import RetryPolicy
 from balsamspindle.settings.tree import CurrentConfiguration
+from balsamspindle.tables import PlatformGuard
 
 __all__ = ["Gauge", "NodeGauges"]
 
@@ -39,7 +41,11 @@
         admission: Admission,
         health: HealthMonitor,
         retries: RetryPolicy,
+        member: Member,
+        guards: list[PlatformGuard],
     ) -> None:
+        self._member = member
+        self._guards = guards
         self._configuration = configuration
         self._directory = directory
         self._servers = servers
@@ -75,10 +81,28 @@
                 "Attempts that wait for a slot here.",
                 self._admission.waiting(),
             ),
+            Gauge(
+                "balsamspindle_member_lag_seconds",
+                "Longest delay of the member task's ticks lately.",
+                self._member.lag_s(now_s),
+            ),
+            *self._of_store(),
             *self._of_servers(now_s),
             *self._of_services(now_s),
         ]
 
+    def _of_store(self) -> Iterator[Gauge]:
+        calls: Counter[tuple[str, str]] = Counter()
+        for guard in self._guards:
+            calls.update(guard.calls)
+        for (verb, result), count in sorted(calls.items()):
+            yield Gauge(
+                "balsamspindle_store_calls",
+                "Calls to the platform's store since the start.",
+                count,
+                {"verb": verb, "result": result},
+            )
+
     def _of_servers(self, now_s: float) -> Iterator[Gauge]:
         for server in self._servers.all():
             server_id = server.backend_server_id
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -299,6 +299,8 @@
             self._admission,
             self._health,
             self._retries,
+            self._member,
+            self._settings_tasks.guards,
         )
         application = AdminApplication(
             self._servers,
@@ -315,6 +317,7 @@
             return None
         tables = HttpTableService(self._settings.platform_address)
         guard = PlatformGuard(f"{own.node_id}/{own.incarnation}/registry")
+        self._settings_tasks.guards.append(guard)
         return Registry(
             GuardedTableService(tables, guard),
             own,
--- a/balsamspindle/node/settings_tasks.py
+++ b/balsamspindle/node/settings_tasks.py
@@ -28,7 +28,13 @@
 
 
 class SettingsTasks:
-    """Reader and spread of one node, joined to its other parts."""
+    """Reader and spread of one node, joined to its other parts.
+
+    Attributes
+    ----------
+    guards : list of PlatformGuard
+        Of the calls that it makes to the platform.
+    """
 
     def __init__(
         self,
@@ -52,8 +58,10 @@
         handlers = dict.fromkeys(SETTINGS_MESSAGES, self._spread.take)
         member.register(handlers, self._spread.note_revision)
         self._reader: SettingsReader | SettingsFeed | None = None
+        self.guards: list[PlatformGuard] = []
         if settings.platform_address is not None:
             guard = PlatformGuard(f"{own.node_id}/{own.incarnation}")
+            self.guards.append(guard)
             tables = HttpTableService(settings.platform_address)
             objects = HttpObjectStore(settings.platform_address)
             if operator_row is not None:
--- a/balsamspindle/tables/guard.py
+++ b/balsamspindle/tables/guard.py
@@ -8,6 +8,7 @@
 import random
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable
 from enum import StrEnum
 
@@ -106,7 +107,14 @@
 
 
 class PlatformGuard:
-    """One node's circuit and rates, shared by all its platform calls."""
+    """One node's circuit and rates, shared by all its platform calls.
+
+    Attributes
+    ----------
+    calls : Counter
+        Calls by verb and result: ``ok``, ``conflict``, ``unknown``, ... and
+        ``held_back`` for those that were not made.
+    """
 
     def __init__(self, seed: str, clock: Callable[[], float] = time.monotonic) -> None:
         self._lock = threading.Lock()
@@ -114,33 +122,48 @@
         self._circuit = Circuit(seed)
         self._reads = TokenBucket(READS_PER_S, READS_BURST)
         self._writes = TokenBucket(WRITES_PER_S, WRITES_BURST)
+        self.calls: Counter[tuple[str, str]] = Counter()
 
     @property
     def state(self) -> CircuitState:
         """State of the circuit, for the node's status."""
         return self._circuit.state
 
-    def read(self, call: Callable[[], Result]) -> Result:
+    def read(self, call: Callable[[], Result], verb: str = "read") -> Result:
         """Make a read within the bounds."""
-        return self._call(self._reads, call)
+        return self._call(self._reads, call, verb)
 
-    def write(self, call: Callable[[], Result]) -> Result:
+    def write(self, call: Callable[[], Result], verb: str = "write") -> Result:
         """Make a write within the bounds."""
-        return self._call(self._writes, call)
+        return self._call(self._writes, call, verb)
 
-    def _call(self, bucket: TokenBucket, call: Callable[[], Result]) -> Result:
+    def _call(
+        self, bucket: TokenBucket, call: Callable[[], Result], verb: str
+    ) -> Result:
         with self._lock:
-            now_s = self._clock()
-            if not bucket.take(now_s):
-                return Error(Unreachable("over this node's rate of platform calls"))
-            if not self._circuit.allows(now_s):
-                return Error(Unreachable("the platform failed; waiting to try again"))
+            held_back = self._held_back(bucket, self._clock())
+            if held_back is not None:
+                self.calls[verb, "held_back"] += 1
+                return Error(held_back)
         result = call()
         answered = result.is_ok() or isinstance(result.error, (Conflict, HistoryLost))
         with self._lock:
             self._circuit.note(answered, self._clock())
+            self.calls[verb, _result_name(result)] += 1
         return result
 
+    def _held_back(self, bucket: TokenBucket, now_s: float) -> Unreachable | None:
+        """Return why a call must not be made now."""
+        if not bucket.take(now_s):
+            return Unreachable("over this node's rate of platform calls")
+        if not self._circuit.allows(now_s):
+            return Unreachable("the platform failed; waiting to try again")
+        return None
+
+
+def _result_name(result: Result) -> str:
+    return "ok" if result.is_ok() else type(result.error).__name__.lower()
+
 
 class GuardedTableService(TableService):
     """Tables within a node's bounds."""
@@ -151,24 +174,25 @@
 
     def read(self, table, keys):
         """See `TableService.read`."""
-        return self._guard.read(lambda: self._tables.read(table, keys))
+        return self._guard.read(lambda: self._tables.read(table, keys), "read")
 
     def scan(self, table):
         """See `TableService.scan`."""
-        return self._guard.read(lambda: self._tables.scan(table))
+        return self._guard.read(lambda: self._tables.scan(table), "scan")
 
     def transact(self, transaction):
         """See `TableService.transact`."""
-        return self._guard.write(lambda: self._tables.transact(transaction))
+        return self._guard.write(lambda: self._tables.transact(transaction), "transact")
 
     def snapshot(self, table):
         """See `TableService.snapshot`."""
-        return self._guard.read(lambda: self._tables.snapshot(table))
+        return self._guard.read(lambda: self._tables.snapshot(table), "snapshot")
 
     def wait_for_changes(self, table, after_version, wait_s):
         """See `TableService.wait_for_changes`."""
         return self._guard.read(
-            lambda: self._tables.wait_for_changes(table, after_version, wait_s)
+            lambda: self._tables.wait_for_changes(table, after_version, wait_s),
+            "wait_for_changes",
         )
 
     def end_waits(self):
