Tell time that ends while connecting from an unreachable backend server

Cause: the test of what is said before a connection is up failed once in a run beside load. Its call has a millisecond; libcurl's own time-out came before the connection was up, and without a look at the deadline that was 'unreachable', which counts as an error of the backend server. The new test fails without the change (a full queue of connections), the old one passes with it at any load.

--- a/balsamspindle/backend_servers/client.py
+++ b/balsamspindle/backend_servers/client.py
@@ -140,12 +140,20 @@
         self.sent = True
         return True
 
+    def _ended_before_sending(self) -> bool:
+        """Tell whether the time ran out while it still connected.
+
+        That says nothing of the backend server: taken for unreachable, each
+        request that came with little time left would count against it.
+        """
+        return not self.sent and time.monotonic() >= self.deadline_s
+
     def failure(self, code: int, message: str) -> BackendFailure:
         if self.token.cancelled:
             reason = Reason.CANCELLED
         elif self.reader.too_large:
             reason = Reason.ANSWER_TOO_LARGE
-        elif self.too_late:
+        elif self.too_late or self._ended_before_sending():
             reason = Reason.DEADLINE
         elif not self.sent:
             reason = Reason.UNREACHABLE
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -217,6 +217,20 @@
         silent = self._call(server.address, timeout_ms=100)
         self.assertEqual((Reason.SILENCE, True), silent[:2])
 
+    def test_time_that_ends_while_it_connects_is_no_fault_of_the_backend_server(self):
+        # The backend server's queue of new connections is full and the
+        # request has little time left: it ends unsent, for want of time.
+        # Told as unreachable, it would count as evidence of sickness.
+        with socket.create_server(("127.0.0.1", 0), backlog=0) as listener:
+            address = listener.getsockname()
+            waiting = [socket.socket() for _ in range(4)]
+            for one in waiting:
+                self.addCleanup(one.close)
+                one.setblocking(False)
+                one.connect_ex(address)
+            failure = self._call(f"127.0.0.1:{address[1]}", timeout_ms=150)
+        self.assertEqual((Reason.DEADLINE, False), failure[:2])
+
     def test_a_cancelled_call_ends_the_backend_servers_connection_at_once(self):
         # Without the shutdown libcurl looks at its callback once a second:
         # the backend server would go on working for nobody meanwhile.
