--- a/balsamspindle/backend_servers/lifetimes.py
+++ b/balsamspindle/backend_servers/lifetimes.py
@@ -68,19 +68,19 @@
                 return
             self._take(announcement, sequence, is_draining, cold_s, now_s)
 
-    def leave(self, boot_id: str, now_s: float) -> None:
+    def leave(self, boot_id: str, cause: str | None = None) -> None:
         """Take the word that a start ends; no announcement of it counts again."""
         with self._lock:
             lifetime = self._known.get(boot_id)
             if lifetime is None:
-                lifetime = self._remember(boot_id, _Lifetime("", 0, now_s))
+                lifetime = self._remember(boot_id, _Lifetime("", 0, 0.0))
             lifetime.has_left = True
             self._servers.drain(boot_id)
-            self._emit("backend_server_leaving", boot_id)
+            self._emit("backend_server_leaving", boot_id, cause)
 
-    def is_gone(self, boot_id: str) -> None:
+    def misdirected(self, boot_id: str) -> None:
         """Take the word of whoever has the address now: this start is over."""
-        self.leave(boot_id, 0.0)
+        self.leave(boot_id, "another one has its address")
 
     def _refusal(self, announcement, sequence: int, now_s: float) -> str | None:
         """Return why an announcement has no effect."""
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -246,7 +246,7 @@
             self._health,
             self._admission,
             settings.headers,
-            self.lifetimes.is_gone,
+            self.lifetimes.misdirected,
             self._failed_calls,
         )
 
--- a/balsamspindle/platform/announcements.py
+++ b/balsamspindle/platform/announcements.py
@@ -92,7 +92,7 @@
         )
 
     def _leave(self, _request, server_id):
-        self._lifetimes.leave(server_id, time.monotonic())
+        self._lifetimes.leave(server_id)
 
 
 class ReadinessApplication:
--- a/tests/test_lifetimes.py
+++ b/tests/test_lifetimes.py
@@ -61,13 +61,20 @@
 
     def test_one_that_left_never_comes_back(self):
         self.announce("one", 1, 0.0)
-        self.lifetimes.leave("one", 1.0)
+        self.lifetimes.leave("one")
         self.announce("one", 2, 1.1)
         self.assertEqual({"one": BackendServerState.DRAINING}, self.states())
 
     def test_one_that_left_before_it_was_known_gets_no_work(self):
         # The node restarts between the two calls of a backend server that
         # leaves, and hears its late announcement last.
-        self.lifetimes.leave("one", 0.0)
+        self.lifetimes.leave("one")
         self.announce("one", 7, 0.1)
         self.assertEqual({}, self.states())
+
+    def test_one_whose_address_is_anothers_gets_no_more_work(self):
+        # A request meant for it was refused by whoever has its address now.
+        self.announce("one", 1, 0.0)
+        self.lifetimes.misdirected("one")
+        self.announce("one", 2, 0.5)
+        self.assertEqual({"one": BackendServerState.DRAINING}, self.states())
