--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -20,14 +20,11 @@
     BackendServerRecord,
     NodeRecord,
     Reply,
-    checksum,
-    encode,
 )
 from bench.retry_storm import SERVERS, Failure, FixedAttempts, run_storm
 
 SERVICE = "crew/vacancies"
 OWN = NodeRecord("own", 1, 1, "r", "z", "-", "-", "alive")
-BODY = b"vacancies"
 ATTEMPT = AttemptId("own", 1, 1)
 BUDGET = RetryBudget(fraction=0.1, per_s_min=1.0)
 STEPS = st.lists(
@@ -35,18 +32,6 @@
 )
 
 
-def answer(dispatch, status=200):
-    reply = Reply(
-        dispatch.attempt_id,
-        Outcome.ANSWERED,
-        status=status,
-        body=BODY,
-        body_checksum=checksum(BODY),
-        free_slots=4,
-    )
-    return [(0.0, encode(reply))]
-
-
 class RetryStormTests(TestCase):
     # All backend servers of a service fail or hang. Three attempts for each
     # request would treble the load just then, and keep it up.
