A backend server may start again under its id; foreign announcements name nobody

Cause: lifetimes were told apart by id alone, so a restart under the same id kept its drain and its sequence and would never have served again; an unknown state counted as draining, an address that is none was taken. What ran at the earlier start is given up at once, where callers would have waited for their deadline.

--- a/balsamspindle/backend_servers/admission.py
+++ b/balsamspindle/backend_servers/admission.py
@@ -42,7 +42,8 @@
 
     server: LocalBackendServer
     started_s: float
-    kind: WorkKind = WorkKind()
+    kind: WorkKind
+    token: CancelToken
 
 
 @dataclass(frozen=True)
@@ -164,8 +165,9 @@
             case Verdict.START:
                 room.server.account.take(room.kind)
                 room.server.in_flight += 1
+                room.server.running.add(token)
                 self._running += 1
-                return Admitted(room.server, now_s, room.kind)
+                return Admitted(room.server, now_s, room.kind, token)
         return _refusal(verdict, queue, ticket, room)
 
     def preview(self, question: Question, deadline_s: float) -> Refused | None:
@@ -232,6 +234,7 @@
         with self._servers.changed:
             now_s = time.monotonic()
             server.in_flight -= 1
+            server.running.discard(admitted.token)
             self._running -= 1
             ran_s = now_s - admitted.started_s
             server.account.give_back(end, ran_s, now_s, admitted.kind)
--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -33,6 +33,7 @@
     proves_not_run,
 )
 from balsamspindle.backend_servers.servers import (
+    LocalBackendServer,
     LocalBackendServers,
 )
 from balsamspindle.backend_servers.slots import WorkEnd
@@ -283,7 +284,7 @@
                     token,
                     dispatch.request_id,
                 )
-                result = self._read(server_id, result)
+                result = self._read(server, result)
         finally:
             # Judged before the slot is free: the next in the queue would start
             # at a backend server that has just shown to be sick.
@@ -302,12 +303,16 @@
         return evidence
 
     def _read(
-        self, server_id: str, result: BackendAnswer | BackendFailure
+        self, server: LocalBackendServer, result: BackendAnswer | BackendFailure
     ) -> BackendAnswer | BackendFailure:
         """Take an answer that refuses for what it proves."""
         match result:
+            case BackendFailure(Reason.CANCELLED, sent) if server.has_ended:
+                return BackendFailure(
+                    Reason.BROKEN_ANSWER, sent, "the backend server started anew"
+                )
             case BackendAnswer() if is_misdirected(result, self._names):
-                self._on_misdirected(server_id)
+                self._on_misdirected(server.backend_server_id)
                 return BackendFailure(
                     Reason.NO_BACKEND_SERVER, False, "another one has the address"
                 )
--- a/balsamspindle/backend_servers/lifetimes.py
+++ b/balsamspindle/backend_servers/lifetimes.py
@@ -2,17 +2,21 @@
 
 Announcements travel over connections that may hold them up for seconds. One
 of a start that has ended must not bring it back, and one that says "ready"
-must not undo a later "draining".
+must not undo a later "draining". A backend server may start again under the id
+that it had: the time of its start tells the two apart.
 """
 
 import threading
 from collections import OrderedDict
 from dataclasses import dataclass
+from typing import NamedTuple
+
+import msgspec
 
 from balsamspindle.backend_servers.servers import Announcement, LocalBackendServers
 from balsamspindle.timeline import EventLog
 
-__all__ = ["Lifetimes"]
+__all__ = ["Condition", "Lifetimes"]
 
 # Starts that are remembered; a node has one backend server at a time.
 LIFETIMES_MAX = 1000
@@ -20,13 +24,34 @@
 # for so long: then the other's announcement was the late one. Announcements
 # come every second or two.
 REPLACED_SILENT_S = 4.0
+_EARLIER_START = "it is of an earlier start"
+
+
+class Condition(NamedTuple):
+    """What a backend server says of its present state.
+
+    Attributes
+    ----------
+    sequence : int
+        Rises with each announcement of a start.
+    cold_s : float
+        How much longer the backend server is slow after its start.
+    born_ms : int
+        When it started, in Unix milliseconds by its own clock; 0 where it does
+        not say.
+    """
+
+    sequence: int
+    is_draining: bool = False
+    cold_s: float = 0.0
+    born_ms: int = 0
 
 
 @dataclass
 class _Lifetime:
     """What is known of one start of a backend server."""
 
-    address: str
+    born_ms: int
     sequence: int
     heard_s: float
     has_left: bool = False
@@ -46,50 +71,60 @@
 
     def announce(
         self,
+        server_id: str,
         announcement: Announcement,
-        sequence: int,
-        is_draining: bool,
-        cold_s: float,
+        condition: Condition,
         now_s: float,
     ) -> None:
-        """Take an announcement; its `boot_id` names the start.
+        """Take an announcement; its `boot_id` is set here."""
+        with self._lock:
+            cause = self._refusal(server_id, announcement, condition, now_s)
+            if cause is not None:
+                self._emit("announcement_ignored", server_id, cause)
+                return
+            self._take(server_id, announcement, condition, now_s)
+
+    def leave(self, server_id: str, cause: str | None = None, born_ms: int = 0) -> None:
+        """Take the word that a start ends; no announcement of it counts again.
 
         Parameters
         ----------
-        sequence : int
-            Rises with each announcement of a start.
-        cold_s : float
-            How much longer the backend server is slow after its start.
+        born_ms : int
+            Which start; 0 for the one that is known.
         """
         with self._lock:
-            cause = self._refusal(announcement, sequence, now_s)
-            if cause is not None:
-                self._emit("announcement_ignored", announcement.boot_id, cause)
+            lifetime = self._known.get(server_id)
+            if lifetime is None or lifetime.born_ms < born_ms:
+                lifetime = self._remember(server_id, _Lifetime(born_ms, 0, 0.0))
+            elif born_ms and born_ms < lifetime.born_ms:
+                self._emit("announcement_ignored", server_id, _EARLIER_START)
                 return
-            self._take(announcement, sequence, is_draining, cold_s, now_s)
-
-    def leave(self, boot_id: str, cause: str | None = None) -> None:
-        """Take the word that a start ends; no announcement of it counts again."""
-        with self._lock:
-            lifetime = self._known.get(boot_id)
-            if lifetime is None:
-                lifetime = self._remember(boot_id, _Lifetime("", 0, 0.0))
             lifetime.has_left = True
-            self._servers.drain(boot_id)
-            self._emit("backend_server_leaving", boot_id, cause)
+            self._servers.drain(server_id)
+            self._emit("backend_server_leaving", server_id, cause)
 
-    def misdirected(self, boot_id: str) -> None:
+    def misdirected(self, server_id: str) -> None:
         """Take the word of whoever has the address now: this start is over."""
-        self.leave(boot_id, "another one has its address")
+        self.leave(server_id, "another one has its address")
 
-    def _refusal(self, announcement, sequence: int, now_s: float) -> str | None:
+    def _refusal(
+        self,
+        server_id: str,
+        announcement: Announcement,
+        condition: Condition,
+        now_s: float,
+    ) -> str | None:
         """Return why an announcement has no effect."""
-        lifetime = self._known.get(announcement.boot_id)
+        lifetime = self._known.get(server_id)
         if lifetime is None:
             return None
+        if condition.born_ms < lifetime.born_ms:
+            return _EARLIER_START
+        if condition.born_ms > lifetime.born_ms:
+            return None
         if lifetime.has_left:
             return "it has left"
-        if sequence <= lifetime.sequence:
+        if condition.sequence <= lifetime.sequence:
             return "a later one came before"
         holder = self._known.get(self._holders.get(announcement.address, ""))
         if holder is None or holder is lifetime:
@@ -98,33 +133,50 @@
             return "another start has its address"
         return None
 
-    def _take(self, announcement, sequence, is_draining, cold_s, now_s) -> None:
-        boot_id, address = announcement.boot_id, announcement.address
-        replaced = self._holders.get(address)
-        if replaced not in (None, boot_id):
+    def _take(
+        self,
+        server_id: str,
+        announcement: Announcement,
+        condition: Condition,
+        now_s: float,
+    ) -> None:
+        replaced = self._holders.get(announcement.address)
+        if replaced not in (None, server_id):
             self._servers.drain(replaced)
-            self._emit("backend_server_replaced", replaced, f"by {boot_id}")
-        lifetime = self._known.get(boot_id)
-        if lifetime is None:
-            lifetime = self._remember(boot_id, _Lifetime(address, sequence, now_s))
-        self._holders[address] = boot_id
-        lifetime.sequence, lifetime.heard_s = sequence, now_s
-        if replaced not in (None, boot_id) and not lifetime.is_draining:
+            self._emit("backend_server_replaced", replaced, f"by {server_id}")
+        lifetime = self._known.get(server_id)
+        if lifetime is None or lifetime.born_ms < condition.born_ms:
+            lifetime = self._remember(
+                server_id, _Lifetime(condition.born_ms, condition.sequence, now_s)
+            )
+        self._holders[announcement.address] = server_id
+        lifetime.sequence, lifetime.heard_s = condition.sequence, now_s
+        if replaced not in (None, server_id) and not lifetime.is_draining:
             # It may have been replaced itself, by a late announcement.
-            self._servers.undrain(boot_id)
-        is_new = self._servers.announce(boot_id, announcement, now_s, cold_s)
+            self._servers.undrain(server_id)
+        announcement = msgspec.structs.replace(
+            announcement, boot_id=_boot_id(server_id, condition.born_ms)
+        )
+        is_new = self._servers.announce(
+            server_id, announcement, now_s, condition.cold_s
+        )
         if is_new:
-            self._emit("backend_server_announced", boot_id, announcement.service)
-        if is_draining and not lifetime.is_draining:
+            self._emit("backend_server_announced", server_id, announcement.service)
+        if condition.is_draining and not lifetime.is_draining:
             lifetime.is_draining = True
-            self._servers.drain(boot_id)
-            self._emit("backend_server_draining", boot_id)
+            self._servers.drain(server_id)
+            self._emit("backend_server_draining", server_id)
 
-    def _remember(self, boot_id: str, lifetime: _Lifetime) -> _Lifetime:
-        self._known[boot_id] = lifetime
+    def _remember(self, server_id: str, lifetime: _Lifetime) -> _Lifetime:
+        self._known.pop(server_id, None)
+        self._known[server_id] = lifetime
         if len(self._known) > LIFETIMES_MAX:
             self._known.popitem(last=False)
         return lifetime
 
-    def _emit(self, event: str, boot_id: str, cause: str | None = None) -> None:
-        self._events.emit(event, backend_server=boot_id, cause=cause)
+    def _emit(self, event: str, server_id: str, cause: str | None = None) -> None:
+        self._events.emit(event, backend_server=server_id, cause=cause)
+
+
+def _boot_id(server_id: str, born_ms: int) -> str:
+    return f"{server_id}@{born_ms}" if born_ms else server_id
--- a/balsamspindle/backend_servers/servers.py
+++ b/balsamspindle/backend_servers/servers.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from balsamspindle.backend_servers.cancellation import CancelToken
 from balsamspindle.backend_servers.slots import SlotAccount
 from balsamspindle.wire import BackendServerRecord
 
@@ -53,7 +54,15 @@
 
 
 class LocalBackendServer:
-    """One announced backend server; guarded by the lock of its collection."""
+    """One announced backend server; guarded by the lock of its collection.
+
+    Attributes
+    ----------
+    running : set of CancelToken
+        Of its attempts that have a slot.
+    has_ended : bool
+        It started anew, or was forgotten: what ran there gets no answer.
+    """
 
     def __init__(self, backend_server_id, announcement, now_s, cold_s=0.0):
         self.backend_server_id: str = backend_server_id
@@ -64,9 +73,22 @@
         # Till then it is slower than it will be, by its own word.
         self.cold_until_s: float = now_s + cold_s
         self.in_flight = 0
+        self.running: set[CancelToken] = set()
+        self.has_ended = False
         self.account = SlotAccount()
         self.suspicion = 0.0
 
+    def end(self) -> None:
+        """Give up what runs here: this start of the backend server is over.
+
+        One that loses power sends no reset. Its callers would wait until their
+        deadline for an answer that can't come; told now, what may be repeated
+        is repeated while there is time.
+        """
+        self.has_ended = True
+        for token in self.running:
+            token.cancel()
+
     def record(self, capacity: float = 1.0) -> BackendServerRecord:
         """Return what the fleet is told."""
         return BackendServerRecord(
@@ -123,6 +145,10 @@
                     server.state = self._announced_state(server)
                     self._note_change()
                 return False
+            if server is not None and server.announcement.boot_id != (
+                announcement.boot_id
+            ):
+                server.end()
             server = LocalBackendServer(backend_server_id, announcement, now_s, cold_s)
             server.state = self._announced_state(server)
             self._servers[backend_server_id] = server
--- a/balsamspindle/membership/registry.py
+++ b/balsamspindle/membership/registry.py
@@ -107,10 +107,16 @@
         match self._tables.scan(MEMBERS_TABLE):
             case Result(tag="ok", ok=rows):
                 self._note_available(True, "")
-                found = {row.member_address for row in map(_parse, rows) if row}
+                members = [row for row in map(_parse, rows) if row]
+                found = {row.member_address for row in members}
                 found.discard(self._own.member_address)
                 if found:
-                    self._events.emit("registry_read", members=len(found))
+                    unreadable = len(rows) - len(members)
+                    self._events.emit(
+                        "registry_read",
+                        members=len(found),
+                        unreadable=unreadable or None,
+                    )
                     self._contact(tuple(sorted(found)))
             case Result(error=error):
                 self._note_available(False, error.message)
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -147,6 +147,11 @@
         # Sends what the closed links still hold, for a bounded time.
         self._context.destroy(linger=FLUSH_MS)
 
+    def may_define(self, service: str) -> bool:
+        """Tell whether a service may exist: always, before settings are in force."""
+        configuration = self._configuration.get()
+        return configuration is None or service in configuration.services
+
     def _ready(self) -> bool:
         """Tell whether settings are in force and each service has a place."""
         configuration = self._configuration.get()
--- a/balsamspindle/platform/__main__.py
+++ b/balsamspindle/platform/__main__.py
@@ -15,8 +15,8 @@
     AnnouncementApplication,
     ReadinessApplication,
 )
-from balsamspindle.platform.configuration import operator_row
-from balsamspindle.platform.settings import load_machine_settings
+from balsamspindle.platform.configuration import operator_row, service_name
+from balsamspindle.platform.settings import MachineSettings, load_machine_settings
 
 # Kept of the time to SIGKILL for the last lines of the log.
 EXIT_RESERVE_S = 0.2
@@ -39,9 +39,7 @@
     process = NodeProcess(
         machine.node, Integration(operator_row(machine.retries), sys.stdout)
     )
-    process.serve(
-        machine.announcement_address, AnnouncementApplication(process.lifetimes)
-    )
+    process.serve(machine.announcement_address, _announcements(process, machine))
     process.serve(machine.ready_address, ReadinessApplication(process.is_ready))
     signal.signal(signal.SIGTERM, lambda *_: _leave(process, machine.grace_s))
     signal.signal(signal.SIGHUP, lambda *_: process.reload())
@@ -52,6 +50,21 @@
     os._exit(ExitStatus.DONE)
 
 
+def _announcements(
+    process: NodeProcess, machine: MachineSettings
+) -> AnnouncementApplication:
+    """Return what the backend server beside the node announces itself to.
+
+    It may do so before the configuration that first names its service arrives.
+    """
+    own_service = service_name(machine.node.caller_service)
+    return AnnouncementApplication(
+        process.lifetimes,
+        lambda service: service == own_service or process.may_define(service),
+        lambda cause: process.events.emit("announcement_ignored", cause=cause),
+    )
+
+
 def _leave(process: NodeProcess, grace_s: float) -> None:
     """End in order, and in any case before the platform kills the process.
 
--- a/balsamspindle/platform/announcements.py
+++ b/balsamspindle/platform/announcements.py
@@ -6,13 +6,14 @@
 
 import time
 from collections.abc import Callable
+from typing import Annotated, Literal
 
 import msgspec
 from werkzeug.exceptions import BadRequest, HTTPException
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
 
-from balsamspindle.backend_servers.lifetimes import Lifetimes
+from balsamspindle.backend_servers.lifetimes import Condition, Lifetimes
 from balsamspindle.backend_servers.servers import Announcement
 from balsamspindle.platform.configuration import service_name
 from balsamspindle.platform.values import PlatformFormatError, parse_duration_ms
@@ -45,22 +46,58 @@
         How much longer it stays slow after its start.
     """
 
-    state: str
-    sequence: int
+    state: Literal["ready", "draining"]
+    sequence: Annotated[int, msgspec.Meta(ge=0)]
     cold_remaining: str = "0ms"
 
 
 class _Announcement(msgspec.Struct):
+    """One announcement.
+
+    Attributes
+    ----------
+    born : int
+        When the backend server started, in Unix milliseconds; 0 where it does
+        not say. One that starts again keeps its id.
+    """
+
     address: str
     info: _Info
     status: _Status
+    born: Annotated[int, msgspec.Meta(ge=0)] = 0
+
+
+class _Leave(msgspec.Struct):
+    """The body of a call that says that a backend server leaves; may be empty."""
+
+    born: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 class AnnouncementApplication:
-    """The WSGI application that backend servers announce themselves to."""
+    """The WSGI application that backend servers announce themselves to.
+
+    Anybody on the VM may call it. What is not written as agreed names no backend
+    server: taken in part, it would put an address into service that is none,
+    or take the place of the living one.
+
+    Parameters
+    ----------
+    knows_service : callable
+        Tells whether a service may be in the settings in force; True as long
+        as there are none.
+    on_foreign : callable
+        Told why an announcement was not taken.
+    """
 
-    def __init__(self, lifetimes: Lifetimes) -> None:
+    def __init__(
+        self,
+        lifetimes: Lifetimes,
+        knows_service: Callable[[str], bool] = lambda service: True,
+        on_foreign: Callable[[str], None] = lambda cause: None,
+    ) -> None:
         self._lifetimes = lifetimes
+        self._knows_service = knows_service
+        self._on_foreign = on_foreign
 
     def __call__(self, environ, start_response):
         """Answer one call."""
@@ -71,28 +108,37 @@
             response = Response("{}", mimetype="application/json")
         except HTTPException as error:
             response = error
-        except (msgspec.MsgspecError, PlatformFormatError) as error:
+        except (msgspec.MsgspecError, PlatformFormatError, UnicodeError) as error:
+            self._on_foreign(str(error))
             response = BadRequest(str(error))
         return response(environ, start_response)
 
     def _announce(self, request, server_id):
         said = msgspec.json.decode(request.get_data(), type=_Announcement)
-        announcement = Announcement(
-            service=service_name(said.info.service),
-            address=said.address,
-            slots=said.info.slots,
-            boot_id=server_id,
+        service = service_name(said.info.service)
+        if not self._knows_service(service):
+            raise PlatformFormatError(f"no settings define {said.info.service!r}")
+        announcement = msgspec.convert(
+            {
+                "service": service,
+                "address": said.address,
+                "slots": said.info.slots,
+                "boot_id": server_id,
+            },
+            Announcement,
         )
-        self._lifetimes.announce(
-            announcement,
+        condition = Condition(
             said.status.sequence,
-            said.status.state != "ready",
+            said.status.state == "draining",
             parse_duration_ms(said.status.cold_remaining) / 1000,
-            time.monotonic(),
+            said.born,
         )
+        self._lifetimes.announce(server_id, announcement, condition, time.monotonic())
 
-    def _leave(self, _request, server_id):
-        self._lifetimes.leave(server_id)
+    def _leave(self, request, server_id):
+        body = request.get_data()
+        said = msgspec.json.decode(body, type=_Leave) if body else _Leave()
+        self._lifetimes.leave(server_id, born_ms=said.born)
 
 
 class ReadinessApplication:
--- a/balsamspindle/platform/configuration.py
+++ b/balsamspindle/platform/configuration.py
@@ -113,7 +113,13 @@
     limits: _Limits | None = None
 
 
-_EXECUTIONS = {"safe": Execution.IDEMPOTENT}
+# What is not named here may run once at most.
+_EXECUTIONS = {
+    "safe": Execution.IDEMPOTENT,
+    "unsafe": Execution.NON_IDEMPOTENT,
+    # Large bodies.
+    "upload": Execution.NON_IDEMPOTENT,
+}
 
 
 def operator_row(retries: RetryBounds) -> OperatorRow:
--- /dev/null
+++ b/tests/test_announcements.py
@@ -0,0 +1,96 @@
+"""Announcements as the platform's backend servers write them, and as others do."""
+
+import json
+
+from testtools import TestCase
+from werkzeug.test import Client
+
+from balsamspindle.backend_servers.lifetimes import Lifetimes
+from balsamspindle.backend_servers.servers import (
+    BackendServerState,
+    LocalBackendServers,
+)
+from balsamspindle.platform.announcements import AnnouncementApplication
+
+URL = "/instances/i-1"
+
+
+class _NoEvents:
+    def emit(self, event, **fields):
+        return 0
+
+
+def announcement(born=1_700_000_000_000, **changes):
+    """Return an announcement, with parts of it changed or left out (None)."""
+    parts = {
+        "address": "10.0.0.1:8080",
+        "info": {"service": "a", "version": "v1", "zone": "z", "slots": 3},
+        "status": {"state": "ready", "sequence": 1, "cold_remaining": "0ms"},
+        "born": born,
+    }
+    parts |= changes
+    return {name: value for name, value in parts.items() if value is not None}
+
+
+class AnnouncementTests(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.servers = LocalBackendServers()
+        self.ignored = []
+        self.client = Client(
+            AnnouncementApplication(
+                Lifetimes(self.servers, _NoEvents()),
+                lambda service: service == "operator/a",
+                self.ignored.append,
+            )
+        )
+
+    def put(self, body, url=URL):
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        return self.client.put(url, data=data).status_code
+
+    def states(self):
+        return {server.backend_server_id: server.state for server in self.servers.all()}
+
+    def test_one_that_starts_again_under_its_id_is_known_by_its_start(self):
+        self.assertEqual(200, self.put(announcement()))
+        self.assertEqual(200, self.client.delete(URL).status_code)
+        self.assertEqual(200, self.put(announcement(born=1_700_000_005_000)))
+        self.assertEqual({"i-1": BackendServerState.READY}, self.states())
+
+    def test_a_leave_names_its_start(self):
+        # The leave of an earlier start, held up on the way, comes last.
+        self.put(announcement())
+        body = json.dumps({"born": 1_600_000_000_000})
+        self.assertEqual(200, self.client.delete(URL, data=body).status_code)
+        self.assertEqual({"i-1": BackendServerState.READY}, self.states())
+
+    def test_what_another_writer_says_names_no_backend_server(self):
+        # Somebody else on the VM writes at the same address, also in the name
+        # of the living backend server. Nothing of it comes into service, and
+        # the living one goes on.
+        self.put(announcement())
+        foreign = [
+            announcement(address=None),
+            announcement(address=7),
+            announcement(address="somewhere"),
+            announcement(info={"service": "a"}),
+            announcement(info={"service": "unheard-of", "slots": 3}),
+            announcement(info={"service": "a", "slots": "3"}),
+            announcement(info={"service": "a", "slots": 0}),
+            announcement(status={"state": "resting", "sequence": 9}),
+            announcement(status={"state": "ready", "sequence": "9"}),
+            announcement(status={"state": "ready", "sequence": 9.5}),
+            announcement(status={"state": "ready", "sequence": 9, "cold_remaining": 3}),
+            announcement(born="yesterday"),
+            announcement(born=1.5),
+            announcement(born=True),
+            [],
+            b"\xff\xfe{",
+            b"",
+        ]
+        for body in foreign:
+            for url in (URL, "/instances/i-2"):
+                self.assertEqual(400, self.put(body, url), body)
+        self.assertEqual({"i-1": BackendServerState.READY}, self.states())
+        self.assertEqual(2 * len(foreign), len(self.ignored))
--- a/tests/test_lifetimes.py
+++ b/tests/test_lifetimes.py
@@ -2,7 +2,12 @@
 
 from testtools import TestCase
 
-from balsamspindle.backend_servers.lifetimes import REPLACED_SILENT_S, Lifetimes
+from balsamspindle.backend_servers.cancellation import CancelToken
+from balsamspindle.backend_servers.lifetimes import (
+    REPLACED_SILENT_S,
+    Condition,
+    Lifetimes,
+)
 from balsamspindle.backend_servers.servers import (
     Announcement,
     BackendServerState,
@@ -23,9 +28,12 @@
         self.servers = LocalBackendServers(announcement_ttl_s=30)
         self.lifetimes = Lifetimes(self.servers, _NoEvents())
 
-    def announce(self, boot_id, sequence, now_s, draining=False, service="t/a"):
-        announcement = Announcement(service, ADDRESS, 6, boot_id)
-        self.lifetimes.announce(announcement, sequence, draining, 0.0, now_s)
+    def announce(
+        self, server_id, sequence, now_s, draining=False, service="t/a", born_ms=0
+    ):
+        announcement = Announcement(service, ADDRESS, 6, server_id)
+        condition = Condition(sequence, draining, 0.0, born_ms)
+        self.lifetimes.announce(server_id, announcement, condition, now_s)
 
     def states(self):
         return {server.backend_server_id: server.state for server in self.servers.all()}
@@ -78,3 +86,48 @@
         self.lifetimes.misdirected("one")
         self.announce("one", 2, 0.5)
         self.assertEqual({"one": BackendServerState.DRAINING}, self.states())
+
+    def test_an_announcement_that_comes_twice_counts_once(self):
+        # A copy of an announcement, held up on the way, arrives after the
+        # backend server fell silent. Taken again it would keep it in service.
+        self.announce("one", 3, 0.0)
+        self.announce("one", 3, 20.0)
+        self.assertEqual(["one"], self.servers.remove_silent(31.0))
+
+    def test_a_new_start_under_the_same_id_begins_anew(self):
+        # A backend server drains, crashes and starts again under its id: its
+        # announcements count from 1 again, and nobody asked this start to drain.
+        self.announce("one", 7, 0.0, draining=True, born_ms=1000)
+        self.announce("one", 1, 1.0, born_ms=2000)
+        self.assertEqual({"one": BackendServerState.READY}, self.states())
+
+    def test_a_new_start_after_a_leave_takes_work(self):
+        # It left for good and was started again; the leave was of before.
+        self.announce("one", 7, 0.0, born_ms=1000)
+        self.lifetimes.leave("one")
+        self.announce("one", 1, 1.0, born_ms=2000)
+        self.assertEqual({"one": BackendServerState.READY}, self.states())
+
+    def test_a_late_word_of_an_earlier_start_counts_for_nothing(self):
+        # The first start's "draining" and its leave were held up by a cut and
+        # arrive when the second one serves. Taken, they would end healthy
+        # capacity for good.
+        self.announce("one", 1, 0.0, born_ms=2000)
+        self.announce("one", 9, 0.5, draining=True, born_ms=1000)
+        self.lifetimes.leave("one", born_ms=1000)
+        self.assertEqual({"one": BackendServerState.READY}, self.states())
+
+    def test_what_ran_at_an_earlier_start_is_given_up(self):
+        # A backend server loses power, sends no reset, and is back a second
+        # later. Whoever waits for the first start's answer waits in vain.
+        self.announce("one", 1, 0.0, born_ms=1000)
+        (server,) = self.servers.all()
+        token = CancelToken()
+        server.running.add(token)
+        server.account.take()
+        self.announce("one", 2, 0.5, born_ms=1000)
+        self.assertFalse(token.cancelled)
+        self.announce("one", 1, 1.0, born_ms=2000)
+        self.assertTrue(token.cancelled)
+        (server,) = self.servers.all()
+        self.assertEqual(6, server.account.free(6, 1.0))
