Wait for half of a request's time, in the near queue once, at the pace that heavier work leaves

Ruled out: badly placed work (archive's busiest had 1.17 times the mean) and idle healthy slots (17 of some 17 that were healthy). Cause: the last step queued to the deadline; a queue was told as if no heavier request came; and a request waited in the near queue again and again (2.4 s of 3 s) while other zones had slots.

--- a/balsamspindle/backend_servers/admission.py
+++ b/balsamspindle/backend_servers/admission.py
@@ -157,7 +157,7 @@
             case _Room() as room:
                 pass
         verdict = queue.ask(
-            ticket, room.free_slots, room.slots, room.service_time_s, now_s
+            ticket, room.free_slots, room.pace_slots, room.service_time_s, now_s
         )
         match verdict:
             case Verdict.WAIT:
@@ -182,7 +182,7 @@
                     pass
             queue = self._queue(question.service)
             verdict = queue.would(
-                ticket, room.free_slots, room.slots, room.service_time_s, now_s
+                ticket, room.free_slots, room.pace_slots, room.service_time_s, now_s
             )
             if verdict in (Verdict.START, Verdict.WAIT):
                 return None
@@ -207,7 +207,8 @@
             return Refused(Reason.DRAINING)
         free = account.free(slots, now_s)
         free -= account.kept_for_heavier(kind.weight, slots, now_s)
-        return _Room(server, kind, free, slots)
+        pace_slots = account.pace_slots(kind.weight, slots, now_s)
+        return _Room(server, kind, free, slots, pace_slots)
 
     def _slots(self, server: LocalBackendServer, now_s: float) -> int:
         """Return the slots that a backend server may use now."""
@@ -251,12 +252,15 @@
     ----------
     free_slots : int
         Without those that are kept for heavier requests; may be below 0.
+    pace_slots : float
+        Those that heavier requests leave to it, on average.
     """
 
     server: LocalBackendServer
     kind: WorkKind
     free_slots: int
     slots: int
+    pace_slots: float
 
     @property
     def service_time_s(self) -> float:
--- a/balsamspindle/backend_servers/queue.py
+++ b/balsamspindle/backend_servers/queue.py
@@ -117,7 +117,7 @@
         self,
         ticket: Ticket,
         free_slots: int,
-        slots: int,
+        pace_slots: float,
         service_time_s: float,
         now_s: float,
     ) -> Verdict:
@@ -127,12 +127,14 @@
 
         Parameters
         ----------
-        free_slots, slots : int
+        free_slots : int
             Of the ticket's backend server, now.
+        pace_slots : float
+            Slots by which the tickets of this weight are served.
         service_time_s : float
             Time that the backend server takes for a request; 0 when unknown.
         """
-        verdict = self._judge(ticket, free_slots, slots, service_time_s, now_s)
+        verdict = self._judge(ticket, free_slots, pace_slots, service_time_s, now_s)
         if verdict is Verdict.WAIT:
             verdict = self._enter(ticket, now_s)
         if verdict is not Verdict.WAIT:
@@ -143,12 +145,12 @@
         self,
         ticket: Ticket,
         free_slots: int,
-        slots: int,
+        pace_slots: float,
         service_time_s: float,
         now_s: float,
     ) -> Verdict:
         """Tell what an attempt that came now would be told; nobody is shed for it."""
-        verdict = self._judge(ticket, free_slots, slots, service_time_s, now_s)
+        verdict = self._judge(ticket, free_slots, pace_slots, service_time_s, now_s)
         if verdict is Verdict.WAIT and len(self._waiting) >= self.queue_max:
             return Verdict.SHED
         return verdict
@@ -167,13 +169,13 @@
                 self._waiting.remove(ticket)
                 self._on_change()
 
-    def _judge(self, ticket, free_slots, slots, service_time_s, now_s) -> Verdict:
+    def _judge(self, ticket, free_slots, pace_slots, service_time_s, now_s) -> Verdict:
         if now_s >= ticket.deadline_s:
             return Verdict.TOO_LATE
         if ticket.is_shed:
             return Verdict.SHED
         ahead, rivals = self._rivals(ticket, now_s)
-        wait_s = _wait_s(ahead, free_slots, slots, service_time_s)
+        wait_s = _wait_s(ahead, free_slots, pace_slots, service_time_s)
         own_time_s = ticket.own_time_s or service_time_s
         ends_s = now_s + wait_s + own_time_s
         # The service time is an estimate, and only attempts that run correct
@@ -185,7 +187,7 @@
         if has_slot:
             return Verdict.START
         ticket.expected_wait_s = wait_s or (
-            _wait_s(ahead, free_slots, slots, FIRST_SERVICE_TIME_S)
+            _wait_s(ahead, free_slots, pace_slots, FIRST_SERVICE_TIME_S)
         )
         if _waits_too_long(ticket, now_s):
             return Verdict.TOO_LONG
@@ -257,13 +259,15 @@
     return now_s + IN_TIME_FACTOR * ticket.own_time_s > ticket.target_s
 
 
-def _wait_s(ahead: int, free_slots: int, slots: int, service_time_s: float) -> float:
+def _wait_s(
+    ahead: int, free_slots: int, pace_slots: float, service_time_s: float
+) -> float:
     """Return after which time a slot is likely to be free for a ticket.
 
-    Busy slots end one after the other, `slots` of them in a service time.
+    Busy slots end one after the other, `pace_slots` of them in a service time.
     """
     before = ahead - free_slots + 1
-    return max(0, before) * service_time_s / max(1, slots)
+    return max(0, before) * service_time_s / pace_slots
 
 
 def _waits_too_long(ticket: Ticket, now_s: float) -> bool:
--- a/balsamspindle/backend_servers/slots.py
+++ b/balsamspindle/backend_servers/slots.py
@@ -15,6 +15,8 @@
 LOAD_MEMORY_S = 3.0
 # A load of so much less than a slot still has that slot kept for it.
 LOAD_ROUNDING = 0.8
+# A measured load is off by some tenths of a slot: never believe that none is left.
+PACE_SLOTS_MIN = 0.25
 HOLD_MIN_S = 0.1
 HOLD_MAX_S = 5.0
 
@@ -117,6 +119,15 @@
         )
         return max(0, min(wanted, slots // 2) - running)
 
+    def pace_slots(self, weight: float, slots: int, now_s: float) -> float:
+        """Return the slots that serve requests of a weight and those lighter.
+
+        The heavier ones that are to come go first, too. Told the queue of this
+        moment alone, a light request waits at a gate whose slots heavier ones
+        will always take, and is refused when its time is over.
+        """
+        return max(PACE_SLOTS_MIN, slots - self._loads.above(weight, now_s))
+
     def own_time_s(self, kind: WorkKind) -> float:
         """Return how long requests of a route take; 0 when unknown."""
         return self._route_time_s.get(kind.route_id, 0.0)
--- a/balsamspindle/requests/forwarded.py
+++ b/balsamspindle/requests/forwarded.py
@@ -36,6 +36,8 @@
     step : Step
     far_tries : int
         Gates of other zones that were asked.
+    has_queued_near : bool
+        It has waited in a queue of its own zone.
     told_wait_ms : dict of str to float
         Backend servers whose gates refused because of their queue, and how
         long it is.
@@ -43,11 +45,13 @@
 
     step: Step = Step.NEAR
     far_tries: int = 0
+    has_queued_near: bool = False
     told_wait_ms: dict[str, float] = field(default_factory=dict)
 
     def begin(self) -> None:
         """Search anew, after an attempt that failed."""
         self.step, self.far_tries = Step.NEAR, 0
+        self.has_queued_near = False
         self.told_wait_ms.clear()
 
 
@@ -83,6 +87,8 @@
         Until when an answer has its full worth, on the monotonic clock.
     wait_max_ms : float or None
         How long the present attempt may wait for a slot.
+    queue_until_s : float or None
+        Until when it may wait in the shortest queue; None before it did.
     """
 
     request_id: str
@@ -105,6 +111,7 @@
     search: Search = field(default_factory=Search)
     target_s: float | None = None
     wait_max_ms: float | None = None
+    queue_until_s: float | None = None
 
     def may_send(self) -> bool:
         """Tell whether the route allows one more backend server."""
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -11,7 +11,7 @@
 from balsamspindle.membership.directory import Placement
 from balsamspindle.requests.attempts import AttemptSender
 from balsamspindle.requests.claims import ClaimBook, KeyClaimant
-from balsamspindle.requests.forwarded import ForwardedRequest, Rescue, route_id
+from balsamspindle.requests.forwarded import ForwardedRequest, Rescue, Step, route_id
 from balsamspindle.requests.heads import IDEMPOTENCY_KEY_MAX_CHARACTERS
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.requests.outcomes import PROBLEMS, Execution, Outcome, Reason
@@ -266,7 +266,7 @@
         route, placement = forwarded.route, placing.placement
         if route.execution is not Execution.IDEMPOTENT:
             return None
-        if route.target_ms and placing.wait_max_ms is None:
+        if route.target_ms and forwarded.search.step is Step.QUEUE:
             # It queues because all others are busy; a second one would only
             # make their queues longer.
             return None
--- a/balsamspindle/requests/placing.py
+++ b/balsamspindle/requests/placing.py
@@ -11,13 +11,15 @@
 step       who is asked                                     may wait
 ========== ================================================ ==============
 NEAR       own VM and zone, whoever seems freest first      not at all
-NEAR_QUEUE of these, the one with the shortest queue        `near_wait_ms`
+NEAR_QUEUE of these, the one with the shortest queue, once  `near_wait_ms`
 FAR        a few others, whoever seems freest first         `near_wait_ms`
-QUEUE      of all that refused, the shortest queue          to its deadline
+QUEUE      of all that refused, the shortest queue          `QUEUE_PART`
 ========== ================================================ ==============
 
 A short queue at home goes before a free slot far away, for an answer across
-zones costs what a late one loses; a long one does not.
+zones costs what a late one loses; a long one does not. Where all queues are
+longer than a request may wait it is refused at once: its caller learns of it
+while there is time to come back.
 """
 
 import random
@@ -27,7 +29,7 @@
 
 from balsamspindle.membership.directory import Placement
 from balsamspindle.requests.attempts import AttemptSender
-from balsamspindle.requests.forwarded import ForwardedRequest, Step
+from balsamspindle.requests.forwarded import ForwardedRequest, Search, Step
 from balsamspindle.services.answer_sizes import AnswerSizes
 from balsamspindle.services.free_slots import FreeSlotViews
 from balsamspindle.services.picker import Picker, choose_freest
@@ -47,6 +49,10 @@
 # wait for exactly what it told, it would refuse half of the time.
 QUEUE_MARGIN = 1.5
 QUEUE_MARGIN_MS = 50.0
+# Of the time that a request has left, what it may wait in the shortest queue. In an
+# overload of a half, those that wait to the end are refused at the end, when nobody
+# can help their callers; what is left after this part is enough to come back in.
+QUEUE_PART = 0.5
 
 
 class Placing(NamedTuple):
@@ -127,8 +133,12 @@
         match search.step:
             case Step.NEAR:
                 return self._freest(near, excluded, 0.0, now_s)
-            case Step.NEAR_QUEUE:
-                return self._shortest_queue(forwarded, near, wait_ms)
+            case Step.NEAR_QUEUE if not search.has_queued_near:
+                # Once: a queue that was longer than it told would be waited in
+                # again and again, for half of a request's time, while there
+                # are free slots in other zones.
+                search.has_queued_near = True
+                return self._shortest_queue(near, wait_ms, search)
             case Step.FAR if search.far_tries < FAR_TRIES_MAX:
                 search.far_tries += 1
                 # Asked again, a gate that just told of a longer queue would
@@ -136,7 +146,8 @@
                 busy = self._sender.queue_hints.longer_than(wait_ms, now_s)
                 return self._freest(far, excluded | busy, wait_ms, now_s)
             case Step.QUEUE:
-                return self._shortest_queue(forwarded, (*near, *far), None)
+                left_ms = _queue_left_ms(forwarded, now_s)
+                return self._shortest_queue((*near, *far), left_ms, search)
         return None
 
     def _freest(self, places, excluded, wait_ms, now_s) -> Placing | None:
@@ -149,13 +160,10 @@
         return None if placement is None else Placing(placement, wait_ms)
 
     def _shortest_queue(
-        self,
-        forwarded: ForwardedRequest,
-        places: Iterable[Placement],
-        wait_max_ms: float | None,
+        self, places: Iterable[Placement], wait_max_ms: float, search: Search
     ) -> Placing | None:
-        """Return the place with the shortest queue, of those that told it."""
-        told_ms = forwarded.search.told_wait_ms
+        """Return the place with the shortest queue, if it is short enough."""
+        told_ms = search.told_wait_ms
         queues = [
             (told_ms[place.backend_server.backend_server_id], place)
             for place in places
@@ -164,12 +172,11 @@
         if not queues:
             return None
         shortest_ms, placement = min(queues, key=lambda queue: queue[0])
-        if wait_max_ms is None:
-            told_ms.pop(placement.backend_server.backend_server_id)
-            return Placing(placement)
         if shortest_ms > wait_max_ms:
             return None
         told_ms.pop(placement.backend_server.backend_server_id)
+        if search.step is Step.QUEUE:
+            return Placing(placement, wait_max_ms)
         return Placing(placement, shortest_ms * QUEUE_MARGIN + QUEUE_MARGIN_MS)
 
     def _pick_any(self, forwarded, excluded, now_s) -> Placing | None:
@@ -192,3 +199,11 @@
             for placement in self._picker.view(service).placements
             if hold_outs.is_held(placement.node.node_id, now_s)
         }
+
+
+def _queue_left_ms(forwarded: ForwardedRequest, now_s: float) -> float:
+    """Return how long a request may still wait in the shortest queue."""
+    if forwarded.queue_until_s is None:
+        left_s = forwarded.deadline_s - now_s
+        forwarded.queue_until_s = now_s + QUEUE_PART * left_s
+    return (forwarded.queue_until_s - now_s) * 1000
