Gates grant the repeats of their service

Ruled out: five times each node's part (breaks the bound when many fail), shares by gossip (seconds late, granted twice across a cut).

--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -32,6 +32,7 @@
     is_unproven_refusal,
     proves_not_run,
 )
+from balsamspindle.backend_servers.retry_grants import RetryGrants
 from balsamspindle.backend_servers.servers import (
     LocalBackendServer,
     LocalBackendServers,
@@ -45,6 +46,8 @@
 from balsamspindle.metrics import Hop
 from balsamspindle.requests.header_names import DEFAULT_HEADER_NAMES, HeaderNames
 from balsamspindle.requests.outcomes import Execution, Outcome, Reason
+from balsamspindle.requests.retries import is_refusal
+from balsamspindle.settings.documents import RetryBudget
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import (
     AttemptId,
@@ -73,6 +76,7 @@
         Told the id of a backend server whose address is another one's now.
     failed_calls : FailedCalls, default=none failed
         Of the backend servers beside this node.
+    grants : RetryGrants, default=all are paid for by the nodes that send them
     """
 
     def __init__(
@@ -85,7 +89,9 @@
         names: HeaderNames = DEFAULT_HEADER_NAMES,
         on_misdirected: Callable[[str], None] = lambda backend_server_id: None,
         failed_calls: FailedCalls | None = None,
+        grants: RetryGrants | None = None,
     ) -> None:
+        self._grants = grants or RetryGrants(lambda *_: RetryBudget())
         self._failed_calls = failed_calls or FailedCalls()
         self._names = names
         self._on_misdirected = on_misdirected
@@ -207,6 +213,18 @@
             return self._refuse(dispatch, Reason.DAMAGED)
         if not self._is_welcome(dispatch):
             return self._refuse(dispatch, Reason.SUSPECTED)
+        service, weight = dispatch.service, dispatch.weight
+        if dispatch.is_repeat and not self._grants.take(service, weight, received_s):
+            return self._refuse(dispatch, Reason.RETRY_BUDGET)
+        reply = self._handle_granted(dispatch, token, deadline_s, received_s)
+        if not is_refusal(reply):
+            if not dispatch.is_repeat:
+                self._grants.note_first(service, weight, received_s)
+        elif dispatch.is_repeat:
+            self._grants.give_back(service)
+        return reply
+
+    def _handle_granted(self, dispatch, token, deadline_s, received_s) -> Reply:
         with self._events.metrics.timed(Hop.QUEUE):
             decision = self._admission.admit(dispatch, token, deadline_s)
         match decision:
--- /dev/null
+++ b/balsamspindle/backend_servers/retry_grants.py
@@ -0,0 +1,82 @@
+"""Retries of a service, granted by its gates.
+
+Where a fleet may repeat a number of a service's requests whatever their rate, each
+part of that number must be held by somebody. Held by the nodes that callers use, it
+falls into as many parts as there are nodes, less than two retries each in a fleet of
+35, most of them where nobody needs one while others are refused theirs. The gates of
+a service are a few, every repeat arrives at one of them, and one that has none left
+sends it to the next.
+"""
+
+import threading
+from collections.abc import Callable
+
+from balsamspindle.requests.heaviest_weight import HeaviestWeight
+from balsamspindle.requests.retry_window import RetryWindow
+from balsamspindle.settings.documents import RetryBudget
+
+__all__ = ["RetryGrants"]
+
+
+class _Service:
+    """What was granted of one service's retries."""
+
+    def __init__(self) -> None:
+        self.window = RetryWindow()
+        self.heaviest = HeaviestWeight()
+
+
+class RetryGrants:
+    """The repeats that one gate may let through; safe from all threads.
+
+    Parameters
+    ----------
+    budget : callable
+        Returns the retry budget of a service at a time, with this gate's part
+        of what the whole fleet may spend.
+    """
+
+    def __init__(self, budget: Callable[[str, float], RetryBudget]) -> None:
+        self._budget = budget
+        self._lock = threading.Lock()
+        self._services: dict[str, _Service] = {}
+
+    def note_first(self, service: str, weight: float, now_s: float) -> None:
+        """Count a request that is sent to a backend server for the first time."""
+        with self._lock:
+            state = self._of(service)
+            state.heaviest.note(weight, now_s)
+            state.window.note_request(self._budget(service, now_s), now_s)
+
+    def take(self, service: str, weight: float, now_s: float) -> bool:
+        """Grant a repeat, or return False."""
+        budget = self._budget(service, now_s)
+        if not budget.fleet_per_s_min:
+            # The node that sends it has paid for it.
+            return True
+        with self._lock:
+            state = self._of(service)
+            state.heaviest.note(weight, now_s)
+            return state.window.take(budget, now_s, state.heaviest.kept_part(weight))
+
+    def give_back(self, service: str) -> None:
+        """Return a repeat that was granted and did not run.
+
+        Kept, a window that counts runs would be used up in an overload, when
+        each repeat finds a busy gate, without one run.
+        """
+        with self._lock:
+            self._of(service).window.give_back()
+
+    def services(self) -> list[str]:
+        """Return the services that had requests here."""
+        with self._lock:
+            return sorted(self._services)
+
+    def left(self, service: str, now_s: float) -> float:
+        """Return how many repeats could be granted now."""
+        with self._lock:
+            return self._of(service).window.left(self._budget(service, now_s), now_s)
+
+    def _of(self, service: str) -> _Service:
+        return self._services.setdefault(service, _Service())
--- a/balsamspindle/node/gate_side.py
+++ b/balsamspindle/node/gate_side.py
@@ -14,8 +14,9 @@
 from balsamspindle.backend_servers.lifetimes import Lifetimes
 from balsamspindle.backend_servers.link_server import LinkServer
 from balsamspindle.backend_servers.probes import Prober
+from balsamspindle.backend_servers.retry_grants import RetryGrants
 from balsamspindle.backend_servers.servers import LocalBackendServers
-from balsamspindle.settings.documents import ServiceDocument
+from balsamspindle.settings.documents import RetryBudget, ServiceDocument
 from balsamspindle.settings.process import NodeSettings
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import BackendServerRecord
@@ -32,6 +33,9 @@
     ----------
     service_document : callable
         Returns the settings in force of a service.
+    retry_budget : callable
+        Returns a service's retry budget at a time, with this gate's part of the
+        fleet's.
 
     Attributes
     ----------
@@ -45,6 +49,7 @@
         self,
         settings: NodeSettings,
         service_document: Callable[[str], ServiceDocument],
+        retry_budget: Callable[[str, float], RetryBudget],
         context: zmq.Context,
         events: EventLog,
     ) -> None:
@@ -52,6 +57,7 @@
         self.servers = LocalBackendServers(settings.announcement_ttl_s)
         self.lifetimes = Lifetimes(self.servers, events)
         self.failed_calls = FailedCalls()
+        self.grants = RetryGrants(retry_budget)
         client = BackendServerClient(
             settings.answer_body_max_bytes,
             settings.headers,
@@ -76,6 +82,7 @@
             settings.headers,
             self.lifetimes.misdirected,
             self.failed_calls,
+            self.grants,
         )
         self._executor = ThreadPoolExecutor(GATE_WORKERS_MAX, "gate")
         self.link_server = LinkServer(
--- a/balsamspindle/node/gauges.py
+++ b/balsamspindle/node/gauges.py
@@ -6,6 +6,7 @@
 
 from balsamspindle.backend_servers.admission import Admission
 from balsamspindle.backend_servers.health_monitor import HealthMonitor
+from balsamspindle.backend_servers.retry_grants import RetryGrants
 from balsamspindle.backend_servers.servers import LocalBackendServers
 from balsamspindle.membership import Directory, Member
 from balsamspindle.requests.retries import RetryPolicy
@@ -41,6 +42,7 @@
         admission: Admission,
         health: HealthMonitor,
         retries: RetryPolicy,
+        grants: RetryGrants,
         member: Member,
         guards: list[PlatformGuard],
     ) -> None:
@@ -52,6 +54,7 @@
         self._admission = admission
         self._health = health
         self._retries = retries
+        self._grants = grants
 
     def read(self, now_s: float) -> list[Gauge]:
         """Return all gauges."""
@@ -127,3 +130,10 @@
                 self._retries.left(service, now_s),
                 {"service": service},
             )
+        for service in self._grants.services():
+            yield Gauge(
+                "balsamspindle_retry_grants_left",
+                "Retries that this node's gate could grant now, where gates do.",
+                self._grants.left(service, now_s),
+                {"service": service},
+            )
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -6,13 +6,13 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
-import msgspec
 import zmq
 
 from balsamspindle.membership import Directory, Member
 from balsamspindle.membership.registry import Registry
 from balsamspindle.node.admin import AdminApplication
 from balsamspindle.node.admin_server import AdminServer
+from balsamspindle.node.gate_budgets import GateBudgets
 from balsamspindle.node.gate_side import GateSide
 from balsamspindle.node.gauges import NodeGauges
 from balsamspindle.node.integration import Integration
@@ -30,7 +30,7 @@
 from balsamspindle.services.explanation import ServiceExplanation, explain_service
 from balsamspindle.services.floor import FloorDecision, Suspect
 from balsamspindle.services.picker import Picker
-from balsamspindle.settings.documents import RetryBudget, ServiceDocument
+from balsamspindle.settings.documents import ServiceDocument
 from balsamspindle.settings.process import NodeSettings
 from balsamspindle.settings.tree import CurrentConfiguration
 from balsamspindle.tables import GuardedTableService, PlatformGuard
@@ -67,7 +67,11 @@
         self._directory = Directory()
         self._configuration = CurrentConfiguration()
         self._gate_side = GateSide(
-            settings, self._service_document, self._context, self.events
+            settings,
+            self._service_document,
+            GateBudgets(self._directory, self._service_document).part,
+            self._context,
+            self.events,
         )
         self.lifetimes = self._gate_side.lifetimes
         own = settings.own_record(incarnation)
@@ -223,7 +227,9 @@
             own, self._directory, self._member.send, lambda: self._forwarder.suspects
         )
         self._connections = ThreadPoolExecutor(self._settings.connections_max, "caller")
-        self._retries = RetryPolicy(self._retry_budget)
+        self._retries = RetryPolicy(
+            lambda service: self._service_document(service).retry_budget
+        )
         self._forwarder = Forwarder(
             own,
             self._picker,
@@ -252,6 +258,7 @@
             self._gate_side.admission,
             self._gate_side.health,
             self._retries,
+            self._gate_side.grants,
             self._member,
             self._settings_tasks.guards,
         )
@@ -284,14 +291,6 @@
         address = self._settings.platform_address
         return ClaimBook(None if address is None else HttpTableService(address))
 
-    def _retry_budget(self, service: str) -> RetryBudget:
-        """Return a service's budget, with this node's part of the fleet's."""
-        budget = self._service_document(service).retry_budget
-        if not budget.fleet_per_s_min:
-            return budget
-        part = budget.fleet_per_s_min / max(1, self._directory.live_count())
-        return msgspec.structs.replace(budget, fleet_per_s_min=part)
-
     def _adopt(self, settings: NodeSettings) -> None:
         """Take what may change of the settings while the process runs."""
         self._ingress.caller_service = settings.caller_service
--- a/balsamspindle/platform/configuration.py
+++ b/balsamspindle/platform/configuration.py
@@ -32,14 +32,13 @@
 TEAM = "operator"
 TABLE, KEY = "op", "config"
 
-# Of the retries that the bounds allow, those that nodes spend by themselves.
-# The rest is for what no node can see of the others: requests counted in
-# another window, and the calls that a repeated run makes again. On a day of high
-# load all that nodes allowed themselves at 0.6 was spent, a service's worst ten
-# seconds held 138 repeats of 244 allowed, and 150 signatures were lost to calls
-# that could not be repeated.
-RETRY_FRACTION_USED = 0.8
-RETRY_PER_S_USED = 0.9
+# Of the retries that the bounds allow, those that gates grant. The rest is for what
+# no gate can see: requests counted in another window, and the calls that a repeated
+# run makes again, which count as repeats at the service that is called. A lookup
+# makes 1.4 calls of a service that has twice its retries: with half of its own
+# granted and as much of the caller's, 0.85 of the bound is reached there.
+RETRY_FRACTION_USED = 0.5
+RETRY_PER_S_USED = 0.6
 
 # Backend servers there fall sick on their own, many at a time and for seconds,
 # and answer errors within a millisecond meanwhile.
--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -108,6 +108,7 @@
     ) -> Dispatch:
         request, route = forwarded.request, forwarded.route
         server_id = placement.backend_server.backend_server_id
+        is_repeat = forwarded.sends > 0
         forwarded.tried.add(server_id)
         forwarded.sends += 1
         forwarded.attempts += 1
@@ -143,6 +144,7 @@
             wait_max_ms=forwarded.wait_max_ms,
             target_left_ms=forwarded.target_left_ms(self._clock()),
             route_id=route_id(route),
+            is_repeat=is_repeat,
         )
 
     def _send_here(self, forwarded, placement, rescue: Rescue | None) -> Reply:
--- a/balsamspindle/requests/forwarded.py
+++ b/balsamspindle/requests/forwarded.py
@@ -73,8 +73,6 @@
         Attempts that reached, or may have reached, a backend server.
     attempts : int
         All that were made, those that a gate refused included.
-    paid : int
-        Retries that were taken from the budget for it.
     refused_as_suspect : set of str
         Backend servers whose gates refused it because they look sick.
     failed : set of str
@@ -103,7 +101,6 @@
     caller_service: str = ""
     sends: int = 0
     attempts: int = 0
-    paid: int = 0
     refused_as_suspect: set[str] = field(default_factory=set)
     failed: set[str] = field(default_factory=set)
     search_until_s: float | None = None
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -16,7 +16,7 @@
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.requests.outcomes import PROBLEMS, Execution, Outcome, Reason
 from balsamspindle.requests.placing import Placer, Placing
-from balsamspindle.requests.retries import Again, RetryPolicy, is_refusal, is_shed
+from balsamspindle.requests.retries import RetryPolicy, is_refusal, is_shed
 from balsamspindle.services.answer_sizes import AnswerSizes
 from balsamspindle.services.free_slots import FreeSlotViews
 from balsamspindle.services.picker import Picker
@@ -142,7 +142,6 @@
             if not self._may_retry(forwarded, replies, rescue, now_s):
                 self._note_given_up(forwarded, reply)
                 break
-        self._settle(forwarded)
         return _best(replies) if replies else nowhere
 
     def _note_success(
@@ -172,7 +171,7 @@
         rescue: Rescue | None,
         now_s: float,
     ) -> bool:
-        """Tell whether another attempt is allowed, and note what it cost."""
+        """Tell whether another attempt is allowed, and pay for it."""
         route = forwarded.route
         is_paid = rescue is not None and rescue.is_paid
         again = self._retries.may_retry(
@@ -186,19 +185,8 @@
             route_id=route_id(route),
             weight=route.weight,
         )
-        forwarded.paid += (again is Again.PAID) - is_paid
         return bool(again)
 
-    def _settle(self, forwarded: ForwardedRequest) -> None:
-        """Return the retries that were taken and reached no backend server.
-
-        A gate may refuse the attempt that was paid for. Kept, a budget that
-        counts runs would be empty in an overload without one repeated run.
-        """
-        unused = forwarded.paid - max(0, forwarded.sends - 1)
-        if unused > 0:
-            self._retries.give_back_refused(forwarded.route.service, unused)
-
     def _note_given_up(self, forwarded: ForwardedRequest, reply: Reply) -> None:
         """Say why a failed attempt has no successor."""
         route = forwarded.route
@@ -206,12 +194,14 @@
             route.execution is Execution.NON_IDEMPOTENT
         ):
             return
-        left = self._retries.left(route.service, self._clock())
+        left = None
+        if not self._retries.granted_by_gates(route.service):
+            left = round(self._retries.left(route.service, self._clock()), 1)
         self._events.emit(
             "retry_denied",
             request=forwarded.request_id,
             after=reply.reason or reply.status,
-            retries_left=round(left, 1),
+            retries_left=left,
             sends=forwarded.sends,
         )
 
@@ -284,12 +274,10 @@
         if is_own and patience_s < left_s:
             is_paid = self._retries.may_hedge(route.service, now_s, route.weight)
             patience_s = patience_s if is_paid else left_s
-            forwarded.paid += is_paid
         return Rescue(patience_s, lambda: self._choose_second(forwarded), is_paid)
 
     def _give_back(self, forwarded: ForwardedRequest, rescue: Rescue | None) -> None:
         if rescue is not None and rescue.is_paid:
-            forwarded.paid -= 1
             self._retries.give_back(forwarded.route.service)
 
     def _choose_second(self, forwarded: ForwardedRequest) -> Placement | None:
@@ -301,7 +289,6 @@
         route = forwarded.route
         if not self._retries.may_hedge(route.service, self._clock(), route.weight):
             return None
-        forwarded.paid += 1
         return placement
 
     def _pick(self, forwarded: ForwardedRequest) -> Placing | None:
--- a/balsamspindle/requests/retries.py
+++ b/balsamspindle/requests/retries.py
@@ -10,10 +10,10 @@
 from collections.abc import Callable
 from enum import IntEnum, StrEnum
 
+from balsamspindle.requests.heaviest_weight import HeaviestWeight
 from balsamspindle.requests.latency_estimate import LatencyEstimate
 from balsamspindle.requests.outcomes import Execution, Outcome, Reason
 from balsamspindle.requests.retry_tokens import RetryTokens
-from balsamspindle.requests.retry_window import RetryWindow
 from balsamspindle.requests.return_times import ReturnTimes
 from balsamspindle.settings.documents import ATTEMPTS_MAX, RetryBudget
 from balsamspindle.wire import Reply
@@ -26,15 +26,9 @@
 ERROR_STATUS_MIN = 500
 ROUTES_MAX = 1000
 SHED_STATUSES = frozenset({429, 503})
-
-
-# Of a service's retries, those that lighter requests leave to heavier ones. The
-# heavier are calls that others wait for, or requests that are worth more; without
-# it lookups spent all retries in the first second of a fault, and two of three
-# signatures that failed were lost to a call that could not be repeated.
-KEPT_FOR_HEAVIER_PART = 0.5
-# How long the heaviest weight that was asked for is remembered.
-HEAVIEST_MEMORY_S = 10.0
+# Gates that may refuse a request's repeat because they have none left to grant;
+# where three of some ten have none, the others hardly have.
+DENIALS_MAX = 3
 
 
 class Again(IntEnum):
@@ -68,11 +62,12 @@
     Reason.DUPLICATE: Cost.PAID,
     Reason.SUSPECTED: Cost.FREE,
     Reason.WOULD_WAIT: Cost.FREE,
+    Reason.RETRY_BUDGET: Cost.FREE,
     Reason.SHED: Cost.PAID,
 }
 
 
-_HINTS = frozenset({Reason.SUSPECTED, Reason.WOULD_WAIT})
+_HINTS = frozenset({Reason.SUSPECTED, Reason.WOULD_WAIT, Reason.RETRY_BUDGET})
 
 
 def is_shed(reply: Reply) -> bool:
@@ -106,9 +101,11 @@
 def _is_room_left(replies: list[Reply], attempts_max: int) -> bool:
     """Tell whether a request may have one more attempt at all."""
     hints = sum(reply.reason in _HINTS for reply in replies)
+    denials = sum(reply.reason is Reason.RETRY_BUDGET for reply in replies)
     sent = len(replies) - sum(map(is_refusal, replies))
     return (
         sent < attempts_max
+        and denials < DENIALS_MAX
         and len(replies) - hints < ATTEMPTS_MAX
         and hints < HINTS_MAX
     )
@@ -117,22 +114,11 @@
 class _Service:
     """One service, as this ingress sees it."""
 
-    def __init__(self, budget: RetryBudget) -> None:
-        self.tokens = RetryWindow() if budget.fleet_per_s_min else RetryTokens()
+    def __init__(self) -> None:
+        self.tokens = RetryTokens()
         self.latencies: dict[int, LatencyEstimate] = {}
         self.returns = ReturnTimes()
-        self._heaviest = 0.0
-        self._heaviest_s = -HEAVIEST_MEMORY_S
-
-    def note_weight(self, weight: float, now_s: float) -> None:
-        """Remember the heaviest requests of the last seconds."""
-        is_old = now_s - self._heaviest_s > HEAVIEST_MEMORY_S
-        if weight >= self._heaviest or is_old:
-            self._heaviest, self._heaviest_s = weight, now_s
-
-    def kept_part(self, weight: float) -> float:
-        """Return the part of the retries that a request leaves to heavier ones."""
-        return KEPT_FOR_HEAVIER_PART if weight < self._heaviest else 0.0
+        self.heaviest = HeaviestWeight()
 
     def latency(self, route_id: int) -> LatencyEstimate:
         """Return the estimate of one route's requests."""
@@ -170,7 +156,7 @@
         """Count a request."""
         with self._lock:
             state = self._of(service)
-            state.note_weight(weight, now_s)
+            state.heaviest.note(weight, now_s)
             state.tokens.note_request(self._budget(service), now_s)
 
     def note_answer(
@@ -216,16 +202,15 @@
             is_late = now_s + state.latency(route_id).mean_s >= deadline_s
             if is_late or not _is_room_left(replies, attempts_max):
                 cost = Cost.FINAL
-            if cost is Cost.FIRST_FREE and budget.fleet_per_s_min:
-                # This budget counts what reaches backend servers, and a gate's
-                # refusal did not.
+            if cost is not Cost.FINAL and budget.fleet_per_s_min:
+                # The gate decides: it grants what reaches backend servers.
                 cost = Cost.FREE
             if cost is Cost.FIRST_FREE:
                 reasons = [reply.reason for reply in replies]
                 is_first = reasons.count(replies[-1].reason) == 1
                 cost = Cost.FREE if is_first else Cost.PAID
             if cost is Cost.PAID:
-                kept_part = state.kept_part(weight)
+                kept_part = state.heaviest.kept_part(weight)
                 has_paid = is_paid or state.tokens.take(budget, now_s, kept_part)
                 return Again.PAID if has_paid else Again.NO
             if is_paid:
@@ -237,23 +222,18 @@
         with self._lock:
             self._of(service).tokens.give_back()
 
-    def give_back_refused(self, service: str, count: int) -> None:
-        """Return retries that gates refused, where the budget counts runs.
-
-        One by tokens bounds the attempts themselves, refused ones too.
-        """
-        with self._lock:
-            tokens = self._of(service).tokens
-            if isinstance(tokens, RetryWindow):
-                for _ in range(count):
-                    tokens.give_back()
+    def granted_by_gates(self, service: str) -> bool:
+        """Tell whether gates decide on the retries of a service."""
+        return bool(self._budget(service).fleet_per_s_min)
 
     def may_hedge(self, service: str, now_s: float, weight: float = 1.0) -> bool:
         """Tell whether a second attempt beside a slow one is allowed; pay it."""
+        if self.granted_by_gates(service):
+            return True
         with self._lock:
             state = self._of(service)
             return state.tokens.take(
-                self._budget(service), now_s, state.kept_part(weight)
+                self._budget(service), now_s, state.heaviest.kept_part(weight)
             )
 
     def services(self) -> list[str]:
@@ -292,7 +272,11 @@
         with self._lock:
             state = self._of(service)
             latency = state.latency(route_id)
-            if not state.tokens.available(self._budget(service), now_s):
+            if self.granted_by_gates(service):
+                if is_own:
+                    # Ended early, it could find that no gate grants a repeat.
+                    return left_s
+            elif not state.tokens.available(self._budget(service), now_s):
                 return left_s
         latest_s = left_s * self.LATEST_PART
         if latency.high_s is None:
@@ -320,5 +304,5 @@
     def _of(self, service: str) -> _Service:
         state = self._services.get(service)
         if state is None:
-            state = self._services[service] = _Service(self._budget(service))
+            state = self._services[service] = _Service()
         return state
--- a/balsamspindle/requests/tracking.py
+++ b/balsamspindle/requests/tracking.py
@@ -16,6 +16,7 @@
 # How long others go first after a failure; longer would keep a sick backend
 # server from the work by which its gate finds it out.
 AVOID_S = 0.25
+_SAYS_NOTHING_OF_SLOTS = frozenset({Reason.SUSPECTED, Reason.RETRY_BUDGET})
 
 
 class TrackedAttempt:
@@ -58,7 +59,7 @@
             self._note_suspect(self._placement, reply.held_out, now_s)
             if is_refusal(reply):
                 self._forwarded.sends -= 1
-        if reply is not None and reply.reason is Reason.SUSPECTED:
+        if reply is not None and reply.reason in _SAYS_NOTHING_OF_SLOTS:
             return
         if reply is not None and reply.reason is Reason.WOULD_WAIT:
             self._forwarded.search.told_wait_ms[self._server_id] = reply.retry_after_ms
--- a/balsamspindle/wire/link_messages.py
+++ b/balsamspindle/wire/link_messages.py
@@ -156,6 +156,8 @@
         Time in which an answer still has its full worth, when it is sent.
     route_id : int
         The same for all requests of a route, which take about the same time.
+    is_repeat : bool
+        An earlier attempt reached a backend server, or may have.
     """
 
     attempt_id: AttemptId
@@ -180,6 +182,7 @@
     wait_max_ms: float | None = None
     target_left_ms: float | None = None
     route_id: int = 0
+    is_repeat: bool = False
 
 
 class Question(msgspec.Struct, array_like=True, tag="ask", frozen=True):
--- /dev/null
+++ b/tests/test_retry_grants.py
@@ -0,0 +1,75 @@
+"""Retries of a service that its gates grant."""
+
+from testtools import TestCase
+
+from balsamspindle.backend_servers.retry_grants import RetryGrants
+from balsamspindle.membership.directory import Directory, NodeState
+from balsamspindle.node.gate_budgets import GateBudgets
+from balsamspindle.requests.retry_window import WINDOW_S
+from balsamspindle.settings.documents import RetryBudget, ServiceDocument
+from balsamspindle.wire import BackendServerRecord, NodeRecord
+
+SERVICE = "t/a"
+ALIVE = NodeState.ALIVE.value
+PER_S = 1.0
+BUDGET = RetryBudget(fraction=0.0, fleet_per_s_min=PER_S)
+
+
+def taken(grants, weight, now_s=0.0):
+    """Take repeats until none is granted; return how many were."""
+    count = 0
+    while count < 1000 and grants.take(SERVICE, weight, now_s):
+        count += 1
+    return count
+
+
+class RetryGrantsTests(TestCase):
+    def test_lighter_requests_leave_retries_to_heavier_ones(self):
+        # A service's lookups and the calls that signatures wait for share its
+        # retries. When its backend servers shed half of all work, lookups took
+        # all retries, and signatures were lost with their calls.
+        grants = RetryGrants(lambda *_: BUDGET)
+        for weight in (0.3, 0.5):
+            grants.note_first(SERVICE, weight, 0.0)
+        self.assertEqual(5, taken(grants, 0.3))
+        self.assertEqual(5, taken(grants, 0.5))
+        # Where nobody heavier asks, nothing is kept.
+        grants = RetryGrants(lambda *_: BUDGET)
+        grants.note_first(SERVICE, 0.3, 0.0)
+        self.assertEqual(10, taken(grants, 0.3))
+
+    def test_one_that_did_not_run_can_be_granted_again(self):
+        # In an overload every repeat that is granted finds all slots taken.
+        # Spent all the same, nothing is left without one repeated run.
+        grants = RetryGrants(lambda *_: BUDGET)
+        self.assertEqual(10, taken(grants, 0.3))
+        grants.give_back(SERVICE)
+        self.assertEqual(1, taken(grants, 0.3))
+
+    def test_where_nodes_pay_for_retries_the_gate_grants_all(self):
+        grants = RetryGrants(lambda *_: RetryBudget())
+        self.assertEqual(1000, taken(grants, 0.3))
+
+
+class GateBudgetsTests(TestCase):
+    def gate(self, directory, number):
+        server = BackendServerRecord(f"s{number}", SERVICE, "1", 3, "ready")
+        record = NodeRecord(f"n{number}", 1, 1, "r", "z", "", "", ALIVE, (server,))
+        directory.update(record, 0.0)
+
+    def test_gates_share_what_the_fleet_may_spend(self):
+        # One of three gates is lost, and had granted its part in this window;
+        # the others must not take it over before the window has passed.
+        directory = Directory()
+        budgets = GateBudgets(
+            directory, lambda service: ServiceDocument(retry_budget=BUDGET)
+        )
+        for number in range(3):
+            self.gate(directory, number)
+        part = budgets.part(SERVICE, 0.0).fleet_per_s_min
+        self.assertAlmostEqual(PER_S / 3, part)
+        directory.declare_dead("n2", (1, 1), 1.0)
+        part = budgets.part(SERVICE, WINDOW_S - 1).fleet_per_s_min
+        self.assertAlmostEqual(PER_S / 3, part)
+        part = budgets.part(SERVICE, 3 * WINDOW_S).fleet_per_s_min
+        self.assertAlmostEqual(PER_S / 2, part)
