--- a/bench/retry_storm.py
+++ b/bench/retry_storm.py
@@ -95,6 +95,10 @@
     def cancel(self, attempt_id) -> None:
         """Do nothing: no attempt lasts in real time."""
 
+    def repeated_part(self) -> float:
+        """See `Gate.repeated_part`."""
+        return 0.0
+
     def handle(self, dispatch: Dispatch, received_s: float) -> Reply:
         """Answer, or fail as the backend server does."""
         self.attempts += 1
