Join short queues that gates told to others before a suspected backend server is tried

Cause: gates that told of a queue are not asked again, and a request that asked none itself found nobody but suspected ones.

Besides: each event that the code writes stands in the table of OPERATIONS.md, and a test compares them.

--- a/balsamspindle/requests/placing.py
+++ b/balsamspindle/requests/placing.py
@@ -53,6 +53,9 @@
 # overload of a half, those that wait to the end are refused at the end, when nobody
 # can help their callers; what is left after this part is enough to come back in.
 QUEUE_PART = 0.5
+# Of that, what a queue may take that the request did not ask for itself; longer
+# ones stand for an overload, in which a suspected backend server does more.
+SHORT_QUEUE_PART = 0.5
 
 
 class Placing(NamedTuple):
@@ -147,9 +150,32 @@
                 return self._freest(far, excluded | busy, wait_ms, now_s)
             case Step.QUEUE:
                 left_ms = _queue_left_ms(forwarded, now_s)
-                return self._shortest_queue((*near, *far), left_ms, search)
+                places = (*near, *far)
+                self._take_hints(search, places, excluded, left_ms, now_s)
+                return self._shortest_queue(places, left_ms, search)
         return None
 
+    def _take_hints(
+        self,
+        search: Search,
+        places: Iterable[Placement],
+        excluded: Set[str],
+        left_ms: float,
+        now_s: float,
+    ) -> None:
+        """Add the short queues that gates told to other requests just now.
+
+        Gates that told of a queue are not asked again, and a request that asked
+        none itself would find nobody but suspected backend servers: of calls sent
+        there 37 of 100 failed, while a queue of a fifth of a second was left.
+        """
+        for place in places:
+            server_id = place.backend_server.backend_server_id
+            wait_ms = self._sender.queue_hints.wait_ms(server_id, now_s)
+            is_short = wait_ms is not None and wait_ms <= SHORT_QUEUE_PART * left_ms
+            if is_short and server_id not in excluded:
+                search.told_wait_ms.setdefault(server_id, wait_ms)
+
     def _freest(self, places, excluded, wait_ms, now_s) -> Placing | None:
         placement = choose_freest(
             places,
--- a/balsamspindle/services/queue_hints.py
+++ b/balsamspindle/services/queue_hints.py
@@ -8,6 +8,7 @@
 # work from a gate that has long been free.
 BELIEVED_MAX_S = 0.5
 KEPT_MAX = 10_000
+_NOT_TOLD = (0.0, float("-inf"))
 
 
 class QueueHints:
@@ -26,6 +27,12 @@
             if len(self._told) > KEPT_MAX:
                 del self._told[next(iter(self._told))]
 
+    def wait_ms(self, backend_server_id: str, now_s: float) -> float | None:
+        """Return how long a queue is believed to be; None when not known."""
+        with self._lock:
+            told_ms, until_s = self._told.get(backend_server_id, _NOT_TOLD)
+        return told_ms if until_s > now_s else None
+
     def longer_than(self, wait_ms: float, now_s: float) -> set[str]:
         """Return the backend servers whose queues are believed to be longer."""
         with self._lock:
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -1,5 +1,6 @@
 """The pages name what exists, and leave out nothing that an operator sets."""
 
+import ast
 import re
 
 import msgspec
@@ -15,6 +16,7 @@
 
 PAGES = [ROOT / "README.md", *sorted((ROOT / "docs").glob("*.md"))]
 OPERATORS = (ROOT / "docs" / "OPERATORS.md").read_text()
+OPERATIONS = (ROOT / "docs" / "OPERATIONS.md").read_text()
 GUARANTEES = (ROOT / "docs" / "GUARANTEES.md").read_text()
 
 
@@ -34,6 +36,29 @@
     return prometheus_text(metrics.report()).decode()
 
 
+def events_of_row(row: str) -> set[str]:
+    """Return the events that a row names: `_a` stands for the first's prefix."""
+    first, events = "", set()
+    for name in re.findall(r"`([a-z_]+)`", row):
+        if name.startswith("_"):
+            name = first.rsplit("_", 1)[0] + name
+        first = first or name
+        events.add(name)
+    return events
+
+
+def emitted_events() -> set[str]:
+    """Return the names of events that the code writes down as constants."""
+    events = set()
+    for path in (ROOT / "balsamspindle").rglob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            is_call = isinstance(node, ast.Call) and node.args
+            if is_call and getattr(node.func, "attr", "") in ("emit", "_emit"):
+                names = ast.walk(node.args[0])
+                events |= {one.value for one in names if isinstance(one, ast.Constant)}
+    return events
+
+
 class PagesTests(TestCase):
     def test_each_field_of_the_settings_is_described(self):
         for kind in (NodeSettings, ServiceDocument, RouteDocument):
@@ -55,6 +80,14 @@
         for hop in Hop:
             self.assertIn(f"| `{hop}` |", OPERATORS)
 
+    def test_each_event_is_described(self):
+        # An operator who looks a line up finds what it says. The stand-ins and
+        # the load tool have no event log.
+        described = set()
+        for row in re.findall(r"^\| (`[^|]+)\|", OPERATIONS, re.MULTILINE):
+            described |= events_of_row(row)
+        self.assertEqual(set(), emitted_events() - described)
+
     def test_each_exit_status_is_described(self):
         for status in ExitStatus:
             self.assertIn(f"| {status.value} | `{status.name}` |", OPERATORS)
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -3,6 +3,7 @@
 import random
 from typing import NamedTuple
 
+import msgspec
 from testtools import TestCase
 
 from balsamspindle.backend_servers.queue import SlotQueue, Ticket, Verdict
@@ -159,6 +160,30 @@
         placing = self.placer.next(self.forwarded, 0.7)
         self.assertIn(placing.placement.backend_server.backend_server_id, FAR)
 
+    def test_short_queues_told_to_others_go_before_suspected_ones(self):
+        # All healthy gates told of a queue of 200 ms, to other requests; the rest
+        # is sick. A call that asked nobody itself was sent to a sick one at once,
+        # failed there, and its parent with it, with 700 ms left.
+        for name in NEAR + FAR[1:]:
+            self.sender.suspects.note(name, HeldOut(1000.0, 9), 0.0)
+        self.sender.queue_hints.note(FAR[0], 200.0, 0.0)
+        self.forwarded.route = msgspec.structs.replace(
+            self.forwarded.route, target_ms=250.0
+        )
+        self.forwarded.deadline_s = 0.8
+        [(name, wait_max_ms)] = self.asked({FAR[0]: 200.0})
+        self.assertEqual((FAR[0], 400.0), (name, wait_max_ms))
+
+    def test_long_queues_told_to_others_do_not(self):
+        for name in NEAR + FAR[1:]:
+            self.sender.suspects.note(name, HeldOut(1000.0, 9), 0.0)
+        self.sender.queue_hints.note(FAR[0], 300.0, 0.0)
+        self.forwarded.route = msgspec.structs.replace(
+            self.forwarded.route, target_ms=250.0
+        )
+        self.forwarded.deadline_s = 0.8
+        self.assertEqual([], self.asked())
+
     def test_suspected_ones_are_not_asked_until_nobody_else_is_left(self):
         for name in NEAR:
             self.sender.suspects.note(name, HeldOut(1000.0, 1), 0.0)
