--- /dev/null
+++ b/tests/test_overload.py
@@ -0,0 +1,120 @@
+"""A service with half more work than it can do: what callers get, and when."""
+
+import random
+import statistics
+from dataclasses import dataclass
+
+from testtools import TestCase
+
+from balsamspindle.backend_servers.queue import SlotQueue, Ticket, Verdict
+from balsamspindle.backend_servers.slots import SlotAccount, WorkEnd, WorkKind
+from balsamspindle.requests.placing import QUEUE_PART
+
+SLOTS = 3
+STEP_S = 0.01
+LENGTH_S = 20.0
+WORK_S = 0.35
+TIME_S, TARGET_S = 5.0, 1.0
+FILING, LOOKUP = WorkKind(0.5, 1), WorkKind(0.33, 2)
+# A second; three slots serve some 8.6.
+ARRIVALS = ((FILING, 7.0), (LOOKUP, 6.0))
+
+
+@dataclass
+class _Request:
+    """One caller's request and what became of it."""
+
+    kind: WorkKind
+    ticket: Ticket
+    came_s: float
+    ends_s: float = 0.0
+    was_served: bool = False
+    told_after_s: float = 0.0
+
+
+class _Gate:
+    """The queue and the slots of one gate, in simulated time."""
+
+    def __init__(self, seed: int, wait_part: float | None) -> None:
+        self._random = random.Random(seed)
+        self._wait_part = wait_part
+        self._queue = SlotQueue(64)
+        self._account = SlotAccount()
+        self._waiting: list[_Request] = []
+        self._running: list[_Request] = []
+        self.requests: list[_Request] = []
+
+    def run(self) -> "_Gate":
+        """Play the whole load."""
+        now_s = 0.0
+        while now_s < LENGTH_S:
+            self._end_work(now_s)
+            for kind, per_s in ARRIVALS:
+                if self._random.random() < per_s * STEP_S:
+                    self._waiting.append(self._arrived(kind, now_s))
+            for request in list(self._waiting):
+                self._ask(request, now_s)
+            now_s += STEP_S
+        return self
+
+    def told_after_s(self) -> list[float]:
+        """Return after which time those that were refused heard of it."""
+        return [one.told_after_s for one in self.requests if one.told_after_s]
+
+    def served(self) -> int:
+        return sum(one.was_served for one in self.requests)
+
+    def _arrived(self, kind: WorkKind, now_s: float) -> _Request:
+        part = self._wait_part
+        ticket = Ticket(
+            "s",
+            kind.weight,
+            now_s + TIME_S,
+            wait_max_s=None if part is None else part * TIME_S,
+            target_s=now_s + TARGET_S,
+            own_time_s=WORK_S,
+        )
+        request = _Request(kind, ticket, now_s)
+        self.requests.append(request)
+        return request
+
+    def _ask(self, request: _Request, now_s: float) -> None:
+        account, weight = self._account, request.kind.weight
+        pace_slots = account.pace_slots(weight, SLOTS, now_s)
+        if self._wait_part is None:
+            pace_slots = SLOTS
+        free = account.free(SLOTS, now_s)
+        verdict = self._queue.ask(request.ticket, free, pace_slots, WORK_S, now_s)
+        if verdict is Verdict.WAIT:
+            return
+        self._waiting.remove(request)
+        if verdict is not Verdict.START:
+            request.told_after_s = max(STEP_S, now_s - request.came_s)
+            return
+        account.take(request.kind)
+        request.ends_s = now_s + WORK_S
+        request.was_served = True
+        self._running.append(request)
+
+    def _end_work(self, now_s: float) -> None:
+        for request in [one for one in self._running if one.ends_s <= now_s]:
+            self._running.remove(request)
+            self._account.give_back(WorkEnd.ANSWERED, WORK_S, now_s, request.kind)
+
+
+class OverloadTests(TestCase):
+    def test_who_will_not_be_served_hears_of_it_in_time(self):
+        # Filings go first and take most of three slots; lookups come for more than
+        # is left. Each lookup that is not served waits until its caller's time is
+        # nearly over and is refused then, when nobody can help the caller. Told
+        # after half of it, with as many served, it can come back. Median before
+        # 3.5 s of 5 s, now at once, at the latest after 3.3 s.
+        before = [_Gate(seed, None).run() for seed in range(2)]
+        after = [_Gate(seed, QUEUE_PART).run() for seed in range(2)]
+        waited_s = statistics.median(sum((one.told_after_s() for one in before), []))
+        self.assertGreater(waited_s, 0.6 * TIME_S)
+        waits_s = sum((one.told_after_s() for one in after), [])
+        self.assertLess(statistics.median(waits_s), QUEUE_PART * TIME_S)
+        self.assertLess(max(waits_s), 0.7 * TIME_S)
+        served = [sum(one.served() for one in gates) for gates in (before, after)]
+        self.assertGreater(served[1], 0.98 * served[0])
