A trial that outlives errors is passed before its end

Errors come within a millisecond; a trial ran for 300 ms while the other slots stood empty, some ten times a second in the fleet.

--- a/balsamspindle/backend_servers/health.py
+++ b/balsamspindle/backend_servers/health.py
@@ -261,6 +261,8 @@
                 if self._work.score >= threshold:
                     self._readmission.eject(now_s)
                     self._strong = False
+                elif self._has_passed_trial(now_s):
+                    self._readmission.serve(now_s)
             case HealthPhase.HELD_OUT:
                 self._strong |= self._work.score >= STRONG_SCORE * threshold
                 recovered = self._work.score <= RECOVERED_SCORE * threshold
@@ -271,6 +273,14 @@
                 if recovered or not self._readmission.hold_out_left_s(now_s):
                     self._start_trial(now_s)
 
+    def _has_passed_trial(self, now_s: float) -> bool:
+        """Tell whether a trial that still runs has shown enough."""
+        return (
+            self.phase is HealthPhase.ON_TRIAL
+            and self._work.detection.independent_errors
+            and self._work.outlives_errors(self._readmission.since_s, now_s)
+        )
+
     def _start_trial(self, now_s: float) -> None:
         self._work.lower_for_trial(now_s)
         self._readmission.start_trial(now_s)
--- a/balsamspindle/backend_servers/health_work.py
+++ b/balsamspindle/backend_servers/health_work.py
@@ -31,6 +31,12 @@
 # Latencies teach the slow limit only under this score, in thresholds: a sick
 # backend server would else teach it that slow is normal.
 LEARNING_SCORE = 0.25
+# Work in flight for so many times as long as errors took here, and at least for so
+# long, is no error like them any more. Errors vary by the switches between threads.
+OUTLIVED_FACTOR = 4.0
+OUTLIVED_MIN_S = 0.02
+# What of the longest error before stays known when a shorter one comes.
+ERROR_TIME_KEPT = 0.5
 # A trial starts so far under the threshold, in bad requests: one ends it.
 TRIAL_MARGIN = 0.9
 
@@ -76,6 +82,7 @@
         self._good_started_s = float("-inf")
         self._good_s = float("-inf")
         self._stood_still_s = float("-inf")
+        self._error_took_s = float("inf")
 
     @property
     def has_work(self) -> bool:
@@ -86,6 +93,20 @@
         """Tell whether an attempt is in flight that began after a time."""
         return any(one.started_s >= since_s for one in self._in_flight.values())
 
+    def outlives_errors(self, since_s: float, now_s: float) -> bool:
+        """Tell whether work that began after a time has lasted past errors.
+
+        A sick backend server that answers errors does so within a millisecond.
+        One that is still at work has taken the request; to wait for its answer
+        would leave its other slots empty for as long as a request takes, at
+        each of some ten trials a second.
+        """
+        lasts_s = max(OUTLIVED_MIN_S, OUTLIVED_FACTOR * self._error_took_s)
+        return any(
+            since_s <= one.started_s <= now_s - lasts_s
+            for one in self._in_flight.values()
+        )
+
     def had_good_work_since(self, since_s: float) -> bool:
         """Tell whether an attempt ended well after a time."""
         return self._good_s > since_s
@@ -224,11 +245,18 @@
                 self._count_slow(attempt, SLOW_RESULTS[result], now_s)
         else:
             self.evidence[result.value] += 1
+            self._note_error_time(now_s - attempt.started_s)
             if self.detection.independent_errors:
                 self._add(self.detection.threshold)
             else:
                 self._add_bad(attempt, bad_weight(self._error_rates(now_s)))
 
+    def _note_error_time(self, took_s: float) -> None:
+        before_s = self._error_took_s
+        if before_s == float("inf"):
+            before_s = 0.0
+        self._error_took_s = max(took_s, ERROR_TIME_KEPT * before_s)
+
     def _count_slow(self, attempt: _InFlight, evidence: str, now_s: float) -> None:
         """Count a slow attempt, unless it shares a pause with the last one.
 
--- a/tests/test_independent_errors.py
+++ b/tests/test_independent_errors.py
@@ -73,6 +73,34 @@
         server.run(WorkResult.ANSWERED)
         self.assertTrue(server.admits(Execution.NON_IDEMPOTENT))
 
+    def test_a_trial_that_outlives_errors_is_passed_before_its_end(self):
+        # Errors came within a millisecond. A trial that runs for 20 ms is no
+        # such error: the other slots stood empty for the 300 ms that it takes.
+        server = _Server()
+        server.run(WorkResult.ERROR)
+        server.now_s += DETECTION.hold_out_s + 0.01
+        self.assertTrue(server.admits())
+        trial = server.start()
+        server.now_s += 0.01
+        self.assertFalse(server.admits())
+        server.now_s += 0.02
+        self.assertTrue(server.admits(Execution.NON_IDEMPOTENT))
+        # It failed after all: one error ejects, as ever.
+        server.end(trial, WorkResult.ERROR)
+        self.assertFalse(server.admits())
+
+    def test_a_trial_must_end_where_errors_take_as_long_as_work(self):
+        # This one fails at the end of its work, so only an end says how it is.
+        server = _Server()
+        failing = server.start()
+        server.now_s += 0.3
+        server.end(failing, WorkResult.ERROR)
+        server.now_s += DETECTION.hold_out_s + 0.01
+        self.assertTrue(server.admits())
+        server.start()
+        server.now_s += 0.35
+        self.assertFalse(server.admits())
+
     def test_the_evidence_is_told_with_the_hold_out(self):
         # An ingress that has no other choice takes one with a single error
         # before one that fails on and on.
