--- a/balsamspindle/cli/timeline.py
+++ b/balsamspindle/cli/timeline.py
@@ -15,7 +15,13 @@
     make_app,
     warn,
 )
-from balsamspindle.timeline.merge import Selection, format_for_people, select
+from balsamspindle.timeline.losses import count_losses, lost_requests
+from balsamspindle.timeline.merge import (
+    Selection,
+    TimelineEvent,
+    format_for_people,
+    select,
+)
 
 app = make_app("Merge the events of many processes into one time line.")
 
@@ -30,6 +36,9 @@
         False, help="With --service: show the events of its requests, too."
     ),
     event: str = typer.Option(None, help="Only events of this name."),
+    losses: bool = typer.Option(
+        False, help="Count the requests that were not served, by their cause."
+    ),
     as_json: bool = JSON_OPTION,
     version: bool = VERSION_OPTION,
 ) -> None:
@@ -38,6 +47,8 @@
     Example: balsamspindle-timeline --request 7f3a node-1.log node-2.log
 
     Example: balsamspindle-timeline --node 127.0.0.1:8083 --service crew/contracts
+
+    Example: balsamspindle-timeline --losses node-1.log node-2.log
     """
     if not logs and not nodes:
         fail("name log files or give --node IP:PORT", ExitStatus.USAGE)
@@ -47,6 +58,9 @@
     if not collected.sources_read:
         fail("no source could be read", ExitStatus.UNAVAILABLE)
     wanted = Selection(request, service, event, with_requests)
+    if losses:
+        _show_losses(collected.events, service, as_json)
+        return
     for found in select(collected.events, wanted):
         if as_json:
             typer.echo(msgspec.json.encode(found._asdict()).decode())
@@ -54,6 +68,18 @@
             typer.echo(format_for_people(found))
 
 
+def _show_losses(
+    events: list[TimelineEvent], service: str | None, as_json: bool
+) -> None:
+    lost = [one for one in lost_requests(events) if service in (None, one.service)]
+    if as_json:
+        for one in lost:
+            typer.echo(msgspec.json.encode(one._asdict()).decode())
+        return
+    for (name, cause), count in count_losses(lost).most_common():
+        typer.echo(f"{count:>7}  {name:<30} {cause}")
+
+
 def main() -> None:
     """Run the program."""
     app()
--- /dev/null
+++ b/tests/test_losses.py
@@ -0,0 +1,63 @@
+"""Why requests were not served, told from the events of all nodes."""
+
+from testtools import TestCase
+
+from balsamspindle.timeline.clock import COUNTER_BITS
+from balsamspindle.timeline.losses import Loss, count_losses, lost_requests
+from balsamspindle.timeline.merge import TimelineEvent
+
+SERVICE = "crew/contracts"
+
+
+def event(at_ms: int, name: str, request: str = "r", **details) -> TimelineEvent:
+    return TimelineEvent(
+        at_ms << COUNTER_BITS, "node", 1, name, 0.0, {"request": request, **details}
+    )
+
+
+def ended(at_ms: int, outcome: str, **details) -> TimelineEvent:
+    return event(at_ms, "request_ended", outcome=outcome, service=SERVICE, **details)
+
+
+class LossesTests(TestCase):
+    def cause(self, *events):
+        [lost] = lost_requests([event(0, "request_received"), *events])
+        self.assertEqual(SERVICE, lost.service)
+        return lost.cause
+
+    def test_a_served_request_is_no_loss(self):
+        self.assertEqual([], lost_requests([ended(5, "answered", status="200")]))
+
+    def test_a_refusal_that_was_waited_for_differs_from_one_at_once(self):
+        self.assertIs(
+            Loss.REFUSED_AT_ONCE, self.cause(ended(3, "not_run", cause="would_wait"))
+        )
+        self.assertIs(
+            Loss.WAITED_AND_REFUSED,
+            self.cause(ended(3000, "not_run", cause="no_free_slot")),
+        )
+        self.assertIs(
+            Loss.NOBODY_HEALTHY, self.cause(ended(3, "not_run", cause="suspected"))
+        )
+
+    def test_an_error_is_told_by_what_was_tried_against_it(self):
+        error = ended(9, "answered", status="500")
+        run = event(1, "attempt_dispatched")
+        resort = event(1, "attempt_sent", is_last_resort="True")
+        self.assertIs(Loss.ERROR_FIRST, self.cause(run, error))
+        self.assertIs(Loss.ERROR_REPEATED, self.cause(run, run, error))
+        denied = event(8, "retry_denied", after="500")
+        self.assertIs(Loss.ERROR_REPEAT_DENIED, self.cause(run, denied, error))
+        self.assertIs(Loss.ERROR_AT_SUSPECT, self.cause(resort, run, error))
+
+    def test_losses_are_counted_by_service_and_cause(self):
+        events = [ended(3, "unknown", cause="silence")]
+        events += [
+            one._replace(details=one.details | {"request": "s"}) for one in events
+        ]
+        counts = count_losses(lost_requests(events))
+        self.assertEqual({(SERVICE, Loss.NO_ANSWER): 2}, dict(counts))
+
+    def test_a_caller_that_left_is_no_fault_of_the_fleet(self):
+        left = event(1, "attempt_unanswered", cause="the caller left")
+        self.assertIs(Loss.CALLER_LEFT, self.cause(left, ended(2, "unknown")))
