What did not run is told with 503, also where its time ended

A request whose time ended in a search was answered 504, which promises nothing: its caller could not send it again if it must not run twice.

--- a/balsamspindle/requests/answers.py
+++ b/balsamspindle/requests/answers.py
@@ -18,6 +18,10 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Said in place of one of them when an attempt may have run after all.
 UNKNOWN_STATUS = 502
+# Said in place of these where nothing ran: they promise nothing, and the caller of a
+# request that must not run twice could not send it again.
+NOT_RUN_STATUS = 503
+_UNPROMISING_STATUSES = frozenset({502, 504})
 
 
 @lru_cache(maxsize=8)
@@ -81,6 +85,8 @@
         # The last attempt was refused and an earlier one may have run: the
         # refusal's status would let the caller run the request a second time.
         status = UNKNOWN_STATUS
+    if outcome is Outcome.NOT_RUN and status in _UNPROMISING_STATUSES:
+        status = NOT_RUN_STATUS
     body = {
         "title": problem.sentence,
         "status": status,
--- /dev/null
+++ b/tests/test_own_problems.py
@@ -0,0 +1,25 @@
+"""What callers are told where no backend server answered."""
+
+from testtools import TestCase
+
+from balsamspindle.requests.answers import encode_problem
+from balsamspindle.requests.outcomes import Outcome, Reason
+
+
+def status_of(reason: Reason, outcome: Outcome) -> int:
+    return int(encode_problem(reason, outcome, "id", True, False).split()[1])
+
+
+class ProblemTests(TestCase):
+    def test_a_request_that_did_not_run_is_never_told_otherwise(self):
+        # The time of a non-idempotent request ended before it was sent. Told 504,
+        # which promises nothing, its caller could not send it again.
+        for reason in (Reason.DEADLINE, Reason.SILENCE, Reason.DAMAGED):
+            self.assertEqual(503, status_of(reason, Outcome.NOT_RUN))
+        self.assertEqual(404, status_of(Reason.NO_ROUTE, Outcome.NOT_RUN))
+
+    def test_one_that_may_have_run_gets_no_promise(self):
+        for reason in Reason:
+            if reason in (Reason.NO_ROUTE, Reason.METHOD_NOT_ALLOWED):
+                continue
+            self.assertNotIn(status_of(reason, Outcome.UNKNOWN), (408, 421, 429, 503))
