--- a/balsamspindle/backend_servers/slots.py
+++ b/balsamspindle/backend_servers/slots.py
@@ -14,7 +14,7 @@
 # make it steady within it.
 LOAD_MEMORY_S = 3.0
 # A load of so much less than a slot still has that slot kept for it.
-LOAD_ROUNDING = 0.8
+LOAD_ROUNDING = 0.5
 # A measured load is off by some tenths of a slot: never believe that none is left.
 PACE_SLOTS_MIN = 0.25
 HOLD_MIN_S = 0.1
--- a/balsamspindle/platform/configuration.py
+++ b/balsamspindle/platform/configuration.py
@@ -45,8 +45,8 @@
 # A healthy one fails one request in a hundred, too: at ten a second its errors
 # are as many as the sick spells that begin. So after the first error a trial
 # follows at once, about a request's time; after a failed one it waits.
-HOLD_OUT_S, HOLD_OUT_MAX_S = 0.05, 2.0
-HOLD_OUT_GROWTH = 8.0
+HOLD_OUT_S, HOLD_OUT_MAX_S = 0.05, 1.0
+HOLD_OUT_GROWTH = 4.0
 TRIAL_SUCCESSES = 1
 # A sick spell shows by trials that fail one after the other; an error after a
 # second of good service is as likely a single one.
