--- a/balsamspindle/backend_servers/attempts.py
+++ b/balsamspindle/backend_servers/attempts.py
@@ -4,9 +4,10 @@
 from enum import Enum, auto
 
 from balsamspindle.backend_servers.cancellation import CancelToken
+from balsamspindle.requests.outcomes import Reason
 from balsamspindle.wire import AttemptId
 
-__all__ = ["ATTEMPTS_MAX", "MEMORY_S", "AttemptTable", "Begin"]
+__all__ = ["ATTEMPTS_MAX", "BEGIN_REASONS", "MEMORY_S", "AttemptTable", "Begin"]
 
 ATTEMPTS_MAX = 100_000
 # How long an attempt is remembered after its deadline. A message that comes
@@ -23,6 +24,13 @@
     NO_ROOM = auto()
 
 
+# Why one that is not run is refused.
+BEGIN_REASONS = {
+    Begin.CANCELLED: Reason.CANCELLED,
+    Begin.NO_ROOM: Reason.NO_FREE_SLOT,
+}
+
+
 class AttemptTable:
     """Attempts by id; the gate's lock guards it.
 
--- /dev/null
+++ b/balsamspindle/backend_servers/dispatches.py
@@ -0,0 +1,27 @@
+"""What a gate reads in an attempt's message."""
+
+from balsamspindle.requests.outcomes import Execution, Outcome
+from balsamspindle.wire import Dispatch
+
+__all__ = ["attempt_deadline_s", "is_keyed", "unseen_outcome"]
+
+
+def attempt_deadline_s(dispatch: Dispatch, received_s: float) -> float:
+    """Return an attempt's end on this gate's monotonic clock."""
+    by_duration_s = received_s + dispatch.remaining_ms / 1000
+    if dispatch.gate_deadline_s is None:
+        return by_duration_s
+    return min(by_duration_s, dispatch.gate_deadline_s)
+
+
+def is_keyed(dispatch: Dispatch) -> bool:
+    """Tell whether an attempt's key must run once over all gates."""
+    return (
+        dispatch.idempotency_key is not None
+        and dispatch.execution is Execution.NON_IDEMPOTENT
+    )
+
+
+def unseen_outcome(dispatch: Dispatch) -> Outcome:
+    """Return the outcome of an attempt refused before its key was looked at."""
+    return Outcome.UNKNOWN if is_keyed(dispatch) else Outcome.NOT_RUN
--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -13,13 +13,18 @@
 import msgspec
 
 from balsamspindle.backend_servers.admission import Admission, Admitted, Refused
-from balsamspindle.backend_servers.attempts import AttemptTable, Begin
+from balsamspindle.backend_servers.attempts import BEGIN_REASONS, AttemptTable, Begin
 from balsamspindle.backend_servers.cancellation import CancelToken
 from balsamspindle.backend_servers.client import (
     BackendAnswer,
     BackendFailure,
     BackendServerClient,
 )
+from balsamspindle.backend_servers.dispatches import (
+    attempt_deadline_s,
+    is_keyed,
+    unseen_outcome,
+)
 from balsamspindle.backend_servers.evidence import (
     HealthObserver,
     NoObserver,
@@ -119,10 +124,12 @@
 
     def refuse_busy(self, dispatch: Dispatch, received_s: float) -> Reply | None:
         """Refuse an attempt that there is no worker for; see `handle`."""
-        begin = self._begin(dispatch, CancelToken(), _deadline_s(dispatch, received_s))
+        begin = self._begin(
+            dispatch, CancelToken(), attempt_deadline_s(dispatch, received_s)
+        )
         if begin is Begin.DUPLICATE:
             return None
-        return self._refuse(dispatch, Reason.NO_FREE_SLOT, _unseen(dispatch))
+        return self._refuse(dispatch, Reason.NO_FREE_SLOT, unseen_outcome(dispatch))
 
     def in_flight(self) -> int:
         """Return the attempts dispatched and not yet ended."""
@@ -158,13 +165,15 @@
             stands, and another could contradict it.
         """
         token = CancelToken()
-        deadline_s = _deadline_s(dispatch, received_s)
+        deadline_s = attempt_deadline_s(dispatch, received_s)
         begin = self._begin(dispatch, token, deadline_s)
         if begin is Begin.DUPLICATE:
             return None
         if begin is not Begin.NEW:
-            return self._refuse(dispatch, _BEGIN_REASONS[begin], _unseen(dispatch))
-        if not _is_keyed(dispatch):
+            return self._refuse(
+                dispatch, BEGIN_REASONS[begin], unseen_outcome(dispatch)
+            )
+        if not is_keyed(dispatch):
             return self._handle_new(dispatch, token, deadline_s)
         return self._handle_keyed(dispatch, token, deadline_s)
 
@@ -388,29 +397,3 @@
             body=answer.body,
             body_checksum=checksum(answer.body),
         )
-
-
-def _deadline_s(dispatch: Dispatch, received_s: float) -> float:
-    """Return an attempt's end on this gate's monotonic clock."""
-    by_duration_s = received_s + dispatch.remaining_ms / 1000
-    if dispatch.gate_deadline_s is None:
-        return by_duration_s
-    return min(by_duration_s, dispatch.gate_deadline_s)
-
-
-def _is_keyed(dispatch: Dispatch) -> bool:
-    return (
-        dispatch.idempotency_key is not None
-        and dispatch.execution is Execution.NON_IDEMPOTENT
-    )
-
-
-def _unseen(dispatch: Dispatch) -> Outcome:
-    """Return the outcome of an attempt refused before its key was looked at."""
-    return Outcome.UNKNOWN if _is_keyed(dispatch) else Outcome.NOT_RUN
-
-
-_BEGIN_REASONS = {
-    Begin.CANCELLED: Reason.CANCELLED,
-    Begin.NO_ROOM: Reason.NO_FREE_SLOT,
-}
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -174,7 +174,7 @@
         """Tell whether another attempt is allowed, and pay for it."""
         route = forwarded.route
         is_paid = rescue is not None and rescue.is_paid
-        again = self._retries.may_retry(
+        return self._retries.may_retry(
             route.service,
             route.execution,
             replies,
@@ -185,7 +185,6 @@
             route_id=route_id(route),
             weight=route.weight,
         )
-        return bool(again)
 
     def _note_given_up(self, forwarded: ForwardedRequest, reply: Reply) -> None:
         """Say why a failed attempt has no successor."""
--- a/balsamspindle/requests/retries.py
+++ b/balsamspindle/requests/retries.py
@@ -8,7 +8,7 @@
 import random
 import threading
 from collections.abc import Callable
-from enum import IntEnum, StrEnum
+from enum import StrEnum
 
 from balsamspindle.requests.heaviest_weight import HeaviestWeight
 from balsamspindle.requests.latency_estimate import LatencyEstimate
@@ -18,7 +18,7 @@
 from balsamspindle.settings.documents import ATTEMPTS_MAX, RetryBudget
 from balsamspindle.wire import Reply
 
-__all__ = ["Again", "RetryPolicy", "is_refusal", "is_shed"]
+__all__ = ["RetryPolicy", "is_refusal", "is_shed"]
 
 # Gates that may tell one request to look elsewhere, because of a suspicion or
 # of a queue, before it is given up; each costs a round trip.
@@ -31,14 +31,6 @@
 DENIALS_MAX = 3
 
 
-class Again(IntEnum):
-    """Whether a request may have another attempt."""
-
-    NO = 0
-    FREE = 1
-    PAID = 2
-
-
 class Cost(StrEnum):
     """What another attempt costs after a reply."""
 
@@ -181,7 +173,7 @@
         attempts_max: int = ATTEMPTS_MAX,
         route_id: int = 0,
         weight: float = 1.0,
-    ) -> Again:
+    ) -> bool:
         """Tell whether a request may have another attempt, and pay for it.
 
         Parameters
@@ -211,11 +203,10 @@
                 cost = Cost.FREE if is_first else Cost.PAID
             if cost is Cost.PAID:
                 kept_part = state.heaviest.kept_part(weight)
-                has_paid = is_paid or state.tokens.take(budget, now_s, kept_part)
-                return Again.PAID if has_paid else Again.NO
+                return is_paid or state.tokens.take(budget, now_s, kept_part)
             if is_paid:
                 state.tokens.give_back()
-            return Again.FREE if cost is Cost.FREE else Again.NO
+            return cost is Cost.FREE
 
     def give_back(self, service: str) -> None:
         """Return a retry that was paid for and not made."""
