--- a/balsamspindle/requests/forwarded.py
+++ b/balsamspindle/requests/forwarded.py
@@ -36,8 +36,8 @@
     step : Step
     far_tries : int
         Gates of other zones that were asked.
-    has_queued_near : bool
-        It has waited in a queue of its own zone.
+    queue_near_until_s : float or None
+        Until when it may wait in queues of its own zone; None before it did.
     told_wait_ms : dict of str to float
         Backend servers whose gates refused because of their queue, and how
         long it is.
@@ -45,13 +45,13 @@
 
     step: Step = Step.NEAR
     far_tries: int = 0
-    has_queued_near: bool = False
+    queue_near_until_s: float | None = None
     told_wait_ms: dict[str, float] = field(default_factory=dict)
 
     def begin(self) -> None:
         """Search anew, after an attempt that failed."""
         self.step, self.far_tries = Step.NEAR, 0
-        self.has_queued_near = False
+        self.queue_near_until_s = None
         self.told_wait_ms.clear()
 
 
--- a/balsamspindle/requests/placing.py
+++ b/balsamspindle/requests/placing.py
@@ -11,7 +11,7 @@
 step       who is asked                                     may wait
 ========== ================================================ ==============
 NEAR       own VM and zone, whoever seems freest first      not at all
-NEAR_QUEUE of these, the one with the shortest queue, once  `near_wait_ms`
+NEAR_QUEUE of these, the one with the shortest queue        `near_wait_ms`
 FAR        a few others, whoever seems freest first         `near_wait_ms`
 QUEUE      of all that refused, the shortest queue          `QUEUE_PART`
 ========== ================================================ ==============
@@ -136,12 +136,12 @@
         match search.step:
             case Step.NEAR:
                 return self._freest(near, excluded, 0.0, now_s)
-            case Step.NEAR_QUEUE if not search.has_queued_near:
-                # Once: a queue that was longer than it told would be waited in
-                # again and again, for half of a request's time, while there
-                # are free slots in other zones.
-                search.has_queued_near = True
-                return self._shortest_queue(near, wait_ms, search)
+            case Step.NEAR_QUEUE:
+                # A queue that was longer than it told would be waited in again
+                # and again, for half of a request's time, while there are free
+                # slots in other zones.
+                near_ms = _near_left_ms(search, wait_ms, now_s)
+                return self._shortest_queue(near, near_ms, search)
             case Step.FAR if search.far_tries < FAR_TRIES_MAX:
                 search.far_tries += 1
                 # Asked again, a gate that just told of a longer queue would
@@ -152,7 +152,7 @@
                 left_ms = _queue_left_ms(forwarded, now_s)
                 places = (*near, *far)
                 self._take_hints(search, places, excluded, left_ms, now_s)
-                return self._shortest_queue(places, left_ms, search)
+                return self._shortest_queue(near, left_ms, search, far, wait_ms)
         return None
 
     def _take_hints(
@@ -186,20 +186,32 @@
         return None if placement is None else Placing(placement, wait_ms)
 
     def _shortest_queue(
-        self, places: Iterable[Placement], wait_max_ms: float, search: Search
+        self,
+        near: Iterable[Placement],
+        wait_max_ms: float,
+        search: Search,
+        far: Iterable[Placement] = (),
+        far_ms: float = 0.0,
     ) -> Placing | None:
-        """Return the place with the shortest queue, if it is short enough."""
+        """Return the place with the shortest queue, if it is short enough.
+
+        Parameters
+        ----------
+        far_ms : float
+            By how much a queue in another zone must be shorter. With none the
+            bytes between zones grew by a quarter on days of high load.
+        """
         told_ms = search.told_wait_ms
         queues = [
-            (told_ms[place.backend_server.backend_server_id], place)
+            (told_ms[place.backend_server.backend_server_id], handicap_ms, place)
+            for places, handicap_ms in ((near, 0.0), (far, far_ms))
             for place in places
             if place.backend_server.backend_server_id in told_ms
         ]
+        queues = [queue for queue in queues if queue[0] <= wait_max_ms]
         if not queues:
             return None
-        shortest_ms, placement = min(queues, key=lambda queue: queue[0])
-        if shortest_ms > wait_max_ms:
-            return None
+        shortest_ms, _, placement = min(queues, key=lambda queue: queue[0] + queue[1])
         told_ms.pop(placement.backend_server.backend_server_id)
         if search.step is Step.QUEUE:
             return Placing(placement, wait_max_ms)
@@ -227,6 +239,13 @@
         }
 
 
+def _near_left_ms(search: Search, wait_ms: float, now_s: float) -> float:
+    """Return how long a request may still wait in queues of its own zone."""
+    if search.queue_near_until_s is None:
+        search.queue_near_until_s = now_s + wait_ms / 1000
+    return (search.queue_near_until_s - now_s) * 1000
+
+
 def _queue_left_ms(forwarded: ForwardedRequest, now_s: float) -> float:
     """Return how long a request may still wait in the shortest queue."""
     if forwarded.queue_until_s is None:
