A start whose clock was set back serves when the one before is silent

Found by reading: taken by its time of start alone, a backend server that starts again after its clock was set back would be ignored for ever. One that left or drains stays so.

--- a/balsamspindle/backend_servers/lifetimes.py
+++ b/balsamspindle/backend_servers/lifetimes.py
@@ -57,6 +57,16 @@
     has_left: bool = False
     is_draining: bool = False
 
+    def is_latest(self, now_s: float) -> bool:
+        """Tell whether what says that it started earlier is late.
+
+        A backend server's clock may be set back before it starts again. Taken by
+        its time alone the new start would never serve, so it counts when this one
+        has been silent. One that left or drains is never brought back so.
+        """
+        is_silent = now_s - self.heard_s >= REPLACED_SILENT_S
+        return self.has_left or self.is_draining or not is_silent
+
 
 class Lifetimes:
     """Takes announcements in whatever order they arrive."""
@@ -119,7 +129,7 @@
         if lifetime is None:
             return None
         if condition.born_ms < lifetime.born_ms:
-            return _EARLIER_START
+            return _EARLIER_START if lifetime.is_latest(now_s) else None
         if condition.born_ms > lifetime.born_ms:
             return None
         if lifetime.has_left:
@@ -145,7 +155,7 @@
             self._servers.drain(replaced)
             self._emit("backend_server_replaced", replaced, f"by {server_id}")
         lifetime = self._known.get(server_id)
-        if lifetime is None or lifetime.born_ms < condition.born_ms:
+        if lifetime is None or lifetime.born_ms != condition.born_ms:
             lifetime = self._remember(
                 server_id, _Lifetime(condition.born_ms, condition.sequence, now_s)
             )
--- a/balsamspindle/backend_servers/servers.py
+++ b/balsamspindle/backend_servers/servers.py
@@ -61,7 +61,7 @@
     running : set of CancelToken
         Of its attempts that have a slot.
     has_ended : bool
-        It started anew, or was forgotten: what ran there gets no answer.
+        It has started anew: what ran here gets no answer.
     """
 
     def __init__(self, backend_server_id, announcement, now_s, cold_s=0.0):
--- a/tests/test_lifetimes.py
+++ b/tests/test_lifetimes.py
@@ -117,6 +117,26 @@
         self.lifetimes.leave("one", born_ms=1000)
         self.assertEqual({"one": BackendServerState.READY}, self.states())
 
+    def test_a_start_whose_clock_was_set_back_serves_in_the_end(self):
+        # A backend server's clock is set back by seconds, and it starts again: it
+        # says that it started earlier than before. By that alone all that it says
+        # would be late for ever.
+        self.announce("one", 5, 0.0, born_ms=9000)
+        self.announce("one", 1, 1.0, born_ms=7000)
+        self.announce("one", 2, 2.5, born_ms=7000)
+        [server] = self.servers.all()
+        self.assertEqual("one@9000", server.announcement.boot_id)
+        self.announce("one", 4, REPLACED_SILENT_S + 0.1, born_ms=7000)
+        [server] = self.servers.all()
+        self.assertEqual("one@7000", server.announcement.boot_id)
+        self.assertEqual({"one": BackendServerState.READY}, self.states())
+
+    def test_a_leave_is_not_undone_by_an_earlier_start(self):
+        self.announce("one", 5, 0.0, born_ms=9000)
+        self.lifetimes.leave("one", born_ms=9000)
+        self.announce("one", 4, REPLACED_SILENT_S + 10, born_ms=7000)
+        self.assertEqual({"one": BackendServerState.DRAINING}, self.states())
+
     def test_what_ran_at_an_earlier_start_is_given_up(self):
         # A backend server loses power, sends no reset, and is back a second
         # later. Whoever waits for the first start's answer waits in vain.
