Record a request's time before its answer goes out

test_a_request_through_two_nodes_is_seen_at_each_hop failed once in a run beside four busy processes (463 others passed): the caller had its answer and read the metrics before the ingress recorded them. Cause seen in the code, the write came first; three runs of the test beside eight busy processes pass since. The same sources passed 464 of 464 alone.

--- a/balsamspindle/requests/ingress.py
+++ b/balsamspindle/requests/ingress.py
@@ -250,8 +250,10 @@
                 )
             case RouteDocument() as route:
                 answer = self._forward(caller, request, request_id, route, received_s)
-        self._write(caller, request_id, answer)
+        # Before the answer goes out, like the request's outcome: a caller that has
+        # its answer finds it counted.
         self._events.metrics.record(Hop.INGRESS, time.monotonic() - received_s)
+        self._write(caller, request_id, answer)
         return request.keep_alive
 
     def _hold(self) -> None:
