--- a/balsamspindle/backend_servers/health_work.py
+++ b/balsamspindle/backend_servers/health_work.py
@@ -99,7 +99,7 @@
         A sick backend server that answers errors does so within a millisecond.
         One that is still at work has taken the request; to wait for its answer
         would leave its other slots empty for as long as a request takes, at
-        each of some ten trials a second.
+        each trial.
         """
         lasts_s = max(OUTLIVED_MIN_S, OUTLIVED_FACTOR * self._error_took_s)
         return any(
--- a/balsamspindle/backend_servers/retry_grants.py
+++ b/balsamspindle/backend_servers/retry_grants.py
@@ -66,7 +66,7 @@
         may_repeat : bool
             Whether it can use a repeat. Nothing is kept for heavier requests that
             must not run twice: half of all grants stayed unused for filings, while
-            67 of 300 lookups in a quarter of a minute were refused a repeat.
+            67 lookups in a quarter of a minute were refused a repeat.
         repeated_part : float
             How likely it is the call of a run that is a repeat.
         """
