Two nodes that leave tell each other when they end

Cause: a run depends on two processes, its gate's node and its ingress, and only the gate's own end bounded what was started. The ingress learned of a leaving gate by the cut, 5.0 s after SIGTERM, and looked for another place only then; a gate did not know when the ingress of a waiting request ended, started it in that node's last moments, and it was cut.

Change: a leaving gate tells the ingress of each run that it may not live to answer (`GateEnding`); the ingress leaves that attempt open and searches on, and the first answer counts. A leaving ingress tells gates its end (`IngressEnding`, and with each new attempt), and they refuse what would not end before it. The waiting for replies is a module of its own.

Tried first and dropped: the ingress itself judging whether an attempt may still start, by how long answers take; that time holds queues, and under load it would have refused all requests at once. Of the attempt ids one for each request stays unused as before: `test_each_of_thousands_of_requests_gets_its_own_whole_answer` forges the next one's and relies on that.

--- a/balsamspindle/backend_servers/admission.py
+++ b/balsamspindle/backend_servers/admission.py
@@ -17,9 +17,9 @@
     LocalBackendServers,
 )
 from balsamspindle.backend_servers.slots import WorkEnd, WorkKind, ramped_slots
-from balsamspindle.requests.outcomes import Reason
+from balsamspindle.requests.outcomes import Execution, Reason
 from balsamspindle.settings.documents import ServiceDocument
-from balsamspindle.wire import Dispatch, Question
+from balsamspindle.wire import AttemptId, Dispatch, Question
 
 __all__ = ["Admission", "Admitted", "Refused"]
 
@@ -34,6 +34,12 @@
 # A leaving node starts an attempt only if so many times its route's mean time is
 # left: of work that varies like callers' does, few last longer than twice the mean.
 LAST_START_FACTOR = 2.0
+# The same for an attempt of another node that is leaving. A run that is cut then is
+# lost for good where it must not run twice; a read's caller may send it again.
+START_FACTORS = {
+    Execution.IDEMPOTENT: 1.0,
+    Execution.NON_IDEMPOTENT: LAST_START_FACTOR,
+}
 
 
 @dataclass(frozen=True)
@@ -44,6 +50,7 @@
     started_s: float
     kind: WorkKind
     token: CancelToken
+    attempt_id: AttemptId
 
 
 @dataclass(frozen=True)
@@ -77,7 +84,7 @@
         self._queues: dict[str, SlotQueue] = {}
         self._leaving = False
         self._ends_s = math.inf
-        self._running = 0
+        self._running: set[Admitted] = set()
 
     def leave(self) -> None:
         """Refuse all new attempts: this node is going."""
@@ -98,7 +105,29 @@
     def in_flight(self) -> int:
         """Return the attempts admitted and not yet ended."""
         with self._servers.changed:
-            return self._running
+            return len(self._running)
+
+    def outlasting(self, now_s: float) -> list[AttemptId]:
+        """Return the attempts that run and may not end before this node does.
+
+        They are those that would not be started any more.
+        """
+        if math.isinf(self._ends_s):
+            return []
+        with self._servers.changed:
+            return [
+                admitted.attempt_id
+                for admitted in self._running
+                if self._may_outlast(admitted.server, admitted.kind, now_s)
+            ]
+
+    def _may_outlast(
+        self, server: LocalBackendServer, kind: WorkKind, now_s: float
+    ) -> bool:
+        """Tell whether work that began now could last longer than this node."""
+        account = server.account
+        usual_s = account.own_time_s(kind) or account.service_time_s
+        return now_s + LAST_START_FACTOR * usual_s >= self._ends_s
 
     def waiting(self) -> int:
         """Return the attempts that wait for a slot."""
@@ -156,6 +185,9 @@
                 return refused
             case _Room() as room:
                 pass
+        usual_s = ticket.own_time_s or room.service_time_s
+        if now_s + START_FACTORS[dispatch.execution] * usual_s >= token.ends_s:
+            return Refused(Reason.NODE_STOPPING)
         verdict = queue.ask(
             ticket, room.free_slots, room.pace_slots, room.service_time_s, now_s
         )
@@ -166,8 +198,11 @@
                 room.server.account.take(room.kind)
                 room.server.in_flight += 1
                 room.server.running.add(token)
-                self._running += 1
-                return Admitted(room.server, now_s, room.kind, token)
+                admitted = Admitted(
+                    room.server, now_s, room.kind, token, dispatch.attempt_id
+                )
+                self._running.add(admitted)
+                return admitted
         return _refusal(verdict, queue, ticket, room)
 
     def preview(self, question: Question, deadline_s: float) -> Refused | None:
@@ -202,8 +237,7 @@
         account, slots = server.account, self._slots(server, now_s)
         kind = WorkKind(dispatch.weight, dispatch.route_id)
         ticket.own_time_s = account.own_time_s(kind)
-        needs_s = LAST_START_FACTOR * (ticket.own_time_s or account.service_time_s)
-        if now_s + needs_s >= self._ends_s:
+        if self._may_outlast(server, kind, now_s):
             return Refused(Reason.DRAINING)
         free = account.free(slots, now_s)
         free -= account.kept_for_heavier(kind.weight, slots, now_s)
@@ -236,7 +270,7 @@
             now_s = time.monotonic()
             server.in_flight -= 1
             server.running.discard(admitted.token)
-            self._running -= 1
+            self._running.discard(admitted)
             ran_s = now_s - admitted.started_s
             server.account.give_back(end, ran_s, now_s, admitted.kind)
             self._servers.changed.notify_all()
--- a/balsamspindle/backend_servers/attempts.py
+++ b/balsamspindle/backend_servers/attempts.py
@@ -78,6 +78,12 @@
             # said 'unknown' before it cancelled.
             self._remember(attempt_id, CancelToken(), deadline_s)
 
+    def end_by(self, attempt_id: AttemptId, ends_s: float) -> None:
+        """Take the word that the node which made an attempt ends then."""
+        token = self._tokens.get(attempt_id)
+        if token is not None:
+            token.end_by(ends_s)
+
     def cancel_all(self) -> None:
         """Cancel all attempts that came in."""
         for token in self._tokens.values():
--- a/balsamspindle/backend_servers/cancellation.py
+++ b/balsamspindle/backend_servers/cancellation.py
@@ -1,5 +1,6 @@
 """Taking a call back while it waits for a backend server."""
 
+import math
 import socket
 import threading
 
@@ -17,6 +18,7 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._cancelled = False
+        self._ends_s = math.inf
         self._socket: socket.socket | None = None
 
     @property
@@ -24,6 +26,15 @@
         """Whether `cancel` was called."""
         return self._cancelled
 
+    @property
+    def ends_s(self) -> float:
+        """When the node that asked for the call ends; infinity while it stays."""
+        return self._ends_s
+
+    def end_by(self, ends_s: float) -> None:
+        """Take the word that the node that asked for the call ends then."""
+        self._ends_s = ends_s
+
     def cancel(self) -> None:
         """End the call now, or as soon as it opens or takes a connection."""
         with self._lock:
--- a/balsamspindle/backend_servers/dispatches.py
+++ b/balsamspindle/backend_servers/dispatches.py
@@ -1,9 +1,11 @@
 """What a gate reads in an attempt's message."""
 
+import math
+
 from balsamspindle.requests.outcomes import Execution, Outcome
 from balsamspindle.wire import Dispatch
 
-__all__ = ["attempt_deadline_s", "is_keyed", "unseen_outcome"]
+__all__ = ["attempt_deadline_s", "ingress_ends_s", "is_keyed", "unseen_outcome"]
 
 
 def attempt_deadline_s(dispatch: Dispatch, received_s: float) -> float:
@@ -14,6 +16,13 @@
     return min(by_duration_s, dispatch.gate_deadline_s)
 
 
+def ingress_ends_s(dispatch: Dispatch, received_s: float) -> float:
+    """Return when the node that made an attempt ends, on this gate's clock."""
+    if dispatch.ingress_left_ms is None:
+        return math.inf
+    return received_s + dispatch.ingress_left_ms / 1000
+
+
 def is_keyed(dispatch: Dispatch) -> bool:
     """Tell whether an attempt's key must run once over all gates."""
     return (
--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -22,6 +22,7 @@
 )
 from balsamspindle.backend_servers.dispatches import (
     attempt_deadline_s,
+    ingress_ends_s,
     is_keyed,
     unseen_outcome,
 )
@@ -150,6 +151,16 @@
             )
             self._servers.changed.notify_all()
 
+    def ingress_ends(self, attempt_id: AttemptId, ends_s: float) -> None:
+        """Take the word that the node which made an attempt ends then."""
+        with self._servers.changed:
+            self._attempts.end_by(attempt_id, ends_s)
+            self._servers.changed.notify_all()
+
+    def outlasting(self, now_s: float) -> list[AttemptId]:
+        """Return the attempts that run and may not end before this node does."""
+        return self._admission.outlasting(now_s)
+
     def handle(self, dispatch: Dispatch, received_s: float) -> Reply | None:
         """Run one attempt to its end.
 
@@ -165,6 +176,7 @@
             stands, and another could contradict it.
         """
         token = CancelToken()
+        token.end_by(ingress_ends_s(dispatch, received_s))
         deadline_s = attempt_deadline_s(dispatch, received_s)
         begin = self._begin(dispatch, token, deadline_s)
         if begin is Begin.DUPLICATE:
--- a/balsamspindle/backend_servers/link_server.py
+++ b/balsamspindle/backend_servers/link_server.py
@@ -11,10 +11,13 @@
 from balsamspindle.backend_servers.gate import Gate
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import (
+    AttemptId,
     Cancel,
     Dispatch,
+    GateEnding,
     Greet,
     Greeting,
+    IngressEnding,
     LinkMessage,
     Question,
     Reply,
@@ -62,6 +65,9 @@
         # Attempts whose replies have not reached the ROUTER; the owning
         # task's alone.
         self._waiting = 0
+        # Who made the attempts that are here; told once when this node may end
+        # before they do.
+        self._peers: dict[AttemptId, bytes] = {}
         self._router = context.socket(zmq.ROUTER)
         # Replies that were handed over still go out when the node stops.
         self._router.setsockopt(zmq.LINGER, LINGER_MS)
@@ -83,6 +89,7 @@
                 self._send_replies()
             if self._router in ready:
                 self._take_all()
+            self._tell_of_end(time.monotonic())
             if self._stopped.is_set() and stop_s is None:
                 stop_s = time.monotonic() + STOP_TIMEOUT_S
         self._router.close()
@@ -108,6 +115,18 @@
             if len(frames) > 1:
                 self._router.send_multipart(frames, copy=False)
 
+    def _tell_of_end(self, now_s: float) -> None:
+        """Tell ingresses of attempts that this node may not live to answer.
+
+        Told only when such a run is cut, an ingress would begin to look for
+        another place when most of a caller's time is gone, and its own node may
+        be about to leave as well.
+        """
+        for attempt_id in self._gate.outlasting(now_s):
+            peer = self._peers.pop(attempt_id, None)
+            if peer is not None:
+                self._router.send_multipart([peer, encode(GateEnding(attempt_id))])
+
     def _take_all(self) -> None:
         """Take all messages that are there, cancellations first.
 
@@ -131,6 +150,9 @@
         match message:
             case Cancel(attempt_id, _, gate_deadline_s):
                 self._gate.cancel(attempt_id, gate_deadline_s)
+            case IngressEnding(attempt_id, left_ms):
+                ends_s = time.monotonic() + left_ms / 1000
+                self._gate.ingress_ends(attempt_id, ends_s)
             case Question() as question:
                 told = self._gate.would_take(question, time.monotonic())
                 self._router.send_multipart([peer, encode(told)])
@@ -149,6 +171,7 @@
                 self._router.send_multipart([peer, _encode_now(refusal)])
             return
         self._waiting += 1
+        self._peers[dispatch.attempt_id] = peer
         self._executor.submit(self._run, peer, dispatch, received_s)
 
     def _run(self, peer: bytes, dispatch: Dispatch, received_s: float) -> None:
@@ -163,6 +186,7 @@
             self._events.emit("attempt_failed", cause=repr(error))
             raise
         finally:
+            self._peers.pop(dispatch.attempt_id, None)
             self._thread_socket().send_multipart(frames)
 
     def _thread_socket(self) -> zmq.Socket:
--- a/balsamspindle/node/orderly_end.py
+++ b/balsamspindle/node/orderly_end.py
@@ -53,6 +53,7 @@
         self._member.leave()
         self._ingress.leave()
         self._gate.end_by(give_up_s)
+        self._forwarder.end_by(give_up_s)
         time.sleep(self._settings.ready_notice_s)
         self._ingress.stop()
         _wait_until(self._ingress.ended, time.monotonic() + GATE_OPEN_S)
--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -1,9 +1,9 @@
 """One attempt of a request: at this node's gate, or over a link."""
 
 import itertools
+import math
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import msgspec
 
@@ -13,11 +13,13 @@
 from balsamspindle.requests.claims import GateIdentity
 from balsamspindle.requests.forwarded import ForwardedRequest, Rescue, Step, route_id
 from balsamspindle.requests.gate_links import GateLinks
-from balsamspindle.requests.links import Link, LinkPool, Wait, Waited, wait_first
-from balsamspindle.requests.outcomes import Outcome, Reason
+from balsamspindle.requests.links import Link, LinkPool
+from balsamspindle.requests.outcomes import Execution, Outcome, Reason
 from balsamspindle.requests.questions import Declined, Questions
 from balsamspindle.requests.retries import is_refusal
+from balsamspindle.requests.sent import SentAttempt
 from balsamspindle.requests.tracking import TrackedAttempt
+from balsamspindle.requests.waiting import Wait, Waited, wait_first
 from balsamspindle.services.free_slots import FreeSlotViews
 from balsamspindle.services.holdouts import HoldOuts
 from balsamspindle.services.peer_evidence import PeerEvidenceTracker
@@ -61,6 +63,7 @@
         self._peers = PeerEvidenceTracker()
         self._sequence = itertools.count(1)
         self._given_up = False
+        self._ends_s = math.inf
         self.suspects = Suspects()
         self.queue_hints = QueueHints()
 
@@ -73,6 +76,10 @@
         """Return an id that was never used."""
         return AttemptId(self._own.node_id, self._own.incarnation, next(self._sequence))
 
+    def end_by(self, ends_s: float) -> None:
+        """Tell all gates to start only what can end until then: this node is going."""
+        self._ends_s = ends_s
+
     def give_up(self) -> None:
         """End the waiting for all replies."""
         self._given_up = True
@@ -146,8 +153,15 @@
             route_id=route_id(route),
             is_repeat=is_repeat,
             repeated_part=self._gate.repeated_part(),
+            ingress_left_ms=self._left_ms(),
         )
 
+    def _left_ms(self) -> float | None:
+        """Return the time until this node ends; None while it is not leaving."""
+        if math.isinf(self._ends_s):
+            return None
+        return (self._ends_s - self._clock()) * 1000
+
     def _send_here(self, forwarded, placement, rescue: Rescue | None) -> Reply:
         # The task makes the call to the backend server itself and can't look
         # after a second attempt meanwhile: it ends a silent one instead.
@@ -179,27 +193,81 @@
         first = self._open(forwarded, placement, link)
         if isinstance(first, Reply):
             return first
-        attempts = [first]
-        waited = None
+        attempts, waited, parked = [first], None, None
         try:
-            if rescue is not None:
-                alone_until_s = self._clock() + rescue.patience_s
-                waited = self._wait(forwarded, attempts, alone_until_s)
-                if not waited and self._is_just_silent(forwarded, first, alone_until_s):
-                    attempts += self._open_second(forwarded, rescue)
-            waited = waited or self._wait(forwarded, attempts, forwarded.deadline_s)
+            waited = self._wait_doubled(forwarded, attempts, rescue)
+            parked = self._to_park(forwarded, attempts, waited)
         finally:
-            self._close(attempts, waited)
+            ended = [sent for sent in attempts if sent is not parked]
+            self._close(forwarded, ended, waited)
+        if parked is not None:
+            forwarded.parked.add(parked)
+            return Reply(parked.attempt_id, Outcome.UNKNOWN, Reason.GATE_ENDING)
         return self._final(forwarded, attempts, waited)
 
-    def _is_just_silent(self, forwarded, attempt: "_Sent", until_s: float) -> bool:
+    def _wait_doubled(
+        self,
+        forwarded: ForwardedRequest,
+        attempts: list[SentAttempt],
+        rescue: Rescue | None,
+    ) -> Waited | None:
+        """Wait for the reply to an attempt, with a second one if it is silent."""
+        if rescue is not None:
+            alone_until_s = self._clock() + rescue.patience_s
+            waited = self._wait(forwarded, attempts, alone_until_s)
+            if waited or self._to_park(forwarded, attempts, waited):
+                return waited
+            if self._is_just_silent(forwarded, attempts[0], alone_until_s):
+                attempts += self._open_second(forwarded, rescue)
+        return self._wait(forwarded, attempts, forwarded.deadline_s)
+
+    def _is_just_silent(
+        self, forwarded: ForwardedRequest, attempt: SentAttempt, until_s: float
+    ) -> bool:
         return (
             self._clock() >= until_s
             and attempt.link.connected()
             and not forwarded.caller.caller_gone()
         )
 
-    def _open_second(self, forwarded, rescue) -> list["_Sent"]:
+    def _may_park(self, forwarded: ForwardedRequest) -> bool:
+        """Tell whether an attempt may be left open while others are made.
+
+        A run at a node that is leaving is cut when that node's time is over.
+        Tried elsewhere only then, a read that runs for long has lost the whole of
+        that time, and its own node may be leaving by now.
+        """
+        return (
+            forwarded.route.execution is Execution.IDEMPOTENT
+            and not forwarded.parked
+            and forwarded.may_send()
+        )
+
+    def _to_park(
+        self,
+        forwarded: ForwardedRequest,
+        attempts: list[SentAttempt],
+        waited: Waited | None,
+    ) -> SentAttempt | None:
+        """Return the last open attempt if its gate's node may end before it."""
+        replies = {} if waited is None else waited.replies
+        unanswered = [sent for sent in attempts if sent.link not in replies]
+        if len(unanswered) != 1 or not unanswered[0].is_ending():
+            return None
+        if _is_answered(waited) or not self._may_park(forwarded):
+            return None
+        if self._given_up or forwarded.caller.caller_gone():
+            return None
+        return unanswered[0]
+
+    def wait_parked(self, forwarded: ForwardedRequest) -> Reply:
+        """Wait for the attempt that was left open, as nothing else is left."""
+        attempts = forwarded.parked.all()
+        waited = self._wait(forwarded, attempts, forwarded.deadline_s)
+        self._close(forwarded, [], waited)
+        return self._final(forwarded, attempts, waited)
+
+    def _open_second(self, forwarded, rescue) -> list[SentAttempt]:
         if not forwarded.may_send():
             return []
         placement = rescue.choose()
@@ -232,7 +300,9 @@
             self._track(forwarded, placement).end(reply)
         return reply
 
-    def _open(self, forwarded, placement, link: Link | None = None) -> "_Sent | Reply":
+    def _open(
+        self, forwarded, placement, link: Link | None = None
+    ) -> SentAttempt | Reply:
         """Send an attempt over a link; a reply when nothing was sent."""
         node_id = placement.node.node_id
         dispatch = self._message(forwarded, placement, forwarded.deadline_s)
@@ -254,7 +324,8 @@
             link.close()
             forwarded.sends -= 1
             return unreachable
-        return _Sent(link, dispatch, self._track(forwarded, placement), node_id)
+        tracked = self._track(forwarded, placement)
+        return SentAttempt(link, dispatch, node_id, tracked.end)
 
     def _wait(self, forwarded, attempts, until_s: float) -> Waited | None:
         caller = forwarded.caller
@@ -264,29 +335,39 @@
             caller.caller_gone,
             lambda cause: self._events.emit("message_dropped", cause=cause),
             lambda: self._given_up,
+            lambda: self._ends_s,
+            self._may_park(forwarded),
+            forwarded.parked.by_link(),
         )
-        ids = {sent.link: sent.dispatch.attempt_id for sent in attempts}
-        return wait_first(ids, wait)
+        return wait_first({sent.link: sent.attempt_id for sent in attempts}, wait)
 
-    def _close(self, attempts: list["_Sent"], waited: Waited | None) -> None:
-        """Keep the link that brought the reply; leave the other attempts.
+    def _close(
+        self,
+        forwarded: ForwardedRequest,
+        attempts: list[SentAttempt],
+        waited: Waited | None,
+    ) -> None:
+        """Keep the links that brought replies; leave the other attempts.
 
         One that lost against a second attempt is not cancelled: it was silent
         for long, and its gate learns from how long it still is. Cancelled, a
-        backend server that hangs would look well, with no work in flight.
+        backend server that hangs would look well, with no work in flight. One
+        that lost against an earlier attempt, which was left open, is not silent.
         """
+        replies = {} if waited is None else waited.replies
+        is_silent = _is_answered(waited) and not forwarded.parked
         for sent in attempts:
-            reply = None if waited is None else waited.replies.get(sent.link)
-            sent.tracked.end(reply)
+            reply = replies.get(sent.link)
+            sent.on_end(reply)
             if reply is not None:
                 self._links.give_back(sent.link)
-                continue
-            if waited is None:
-                sent.link.give_up(sent.dispatch.attempt_id, sent.dispatch.hlc)
-            else:
+            elif is_silent:
                 sent.link.close()
+            else:
+                sent.give_up()
+        forwarded.parked.settle(replies, self._links.give_back)
 
-    def _final(self, forwarded, attempts: list["_Sent"], waited: Waited | None):
+    def _final(self, forwarded, attempts: list[SentAttempt], waited: Waited | None):
         if waited is None:
             for sent in attempts:
                 self._note_unanswered(forwarded, sent)
@@ -306,7 +387,7 @@
             return Reply(reply.attempt_id, Outcome.UNKNOWN, Reason.BROKEN_ANSWER)
         return _noted(forwarded, reply)
 
-    def _note_unanswered(self, forwarded: ForwardedRequest, sent: "_Sent") -> None:
+    def _note_unanswered(self, forwarded: ForwardedRequest, sent: SentAttempt) -> None:
         """Say why nobody knows what became of an attempt."""
         if forwarded.caller.caller_gone():
             cause = "the caller left"
@@ -343,14 +424,8 @@
         self._on_suspect(placement.node, server_id, held_out, now_s)
 
 
-@dataclass(frozen=True, eq=False)
-class _Sent:
-    """An attempt that is on its way over a link."""
-
-    link: Link
-    dispatch: Dispatch
-    tracked: TrackedAttempt
-    gate: str
+def _is_answered(waited: Waited | None) -> bool:
+    return waited is not None and waited.reply.outcome is Outcome.ANSWERED
 
 
 def _was_refused(reply: Reply | None) -> bool:
--- a/balsamspindle/requests/forwarded.py
+++ b/balsamspindle/requests/forwarded.py
@@ -9,6 +9,7 @@
 from balsamspindle.membership.directory import Placement
 from balsamspindle.requests.claims import KeyClaimant
 from balsamspindle.requests.http import CallerRequest, HttpConnection
+from balsamspindle.requests.sent import ParkedAttempts
 from balsamspindle.settings.documents import RouteDocument
 
 __all__ = ["ForwardedRequest", "Rescue", "Search", "Step", "route_id"]
@@ -87,6 +88,8 @@
         How long the present attempt may wait for a slot.
     queue_until_s : float or None
         Until when it may wait in the shortest queue; None before it did.
+    parked : ParkedAttempts
+        At gates whose nodes may end before the attempts do.
     """
 
     request_id: str
@@ -109,6 +112,19 @@
     target_s: float | None = None
     wait_max_ms: float | None = None
     queue_until_s: float | None = None
+    parked: ParkedAttempts = field(default_factory=ParkedAttempts)
+
+    def search_afresh(self) -> None:
+        """Search for another place as if nobody had been asked.
+
+        It had a run that was lost with the gate's node. What other gates told
+        before that run is seconds old; without asking them again the request
+        would be given up while they have free slots.
+        """
+        self.search.begin()
+        self.tried = set(self.failed)
+        self.search_until_s = self.queue_until_s = None
+        self.is_last_resort = False
 
     def may_send(self) -> bool:
         """Tell whether the route allows one more backend server."""
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -35,6 +35,8 @@
 SEARCH_AGAIN_S = 0.25
 SEARCH_AGAIN_PARTS = {Execution.IDEMPOTENT: 0.0, Execution.NON_IDEMPOTENT: 0.1}
 ERROR_STATUS_MIN = 500
+# Why there is no answer where the gate left, and the backend server did not fail.
+_LOST_WITH_GATE = frozenset({Reason.GATE_ENDING, Reason.CANCELLED, Reason.SILENCE})
 
 
 class Forwarder:
@@ -89,6 +91,10 @@
         """Backend servers whose gates keep work away."""
         return self._sender.suspects
 
+    def end_by(self, ends_s: float) -> None:
+        """Have gates start only what can end until then: this node is going."""
+        self._sender.end_by(ends_s)
+
     def give_up(self) -> None:
         """End the waiting requests with what is known of them."""
         self._given_up.set()
@@ -101,7 +107,10 @@
         forwarded.claimant = self._claimant(forwarded)
         route = forwarded.route
         self._retries.begin(route.service, self._clock(), route.weight)
-        reply = self._make_attempts(forwarded)
+        try:
+            reply = self._make_attempts(forwarded)
+        finally:
+            forwarded.parked.give_up()
         if forwarded.claimant is not None:
             reply = forwarded.claimant.final(reply)
         if reply.outcome is Outcome.NOT_RUN and forwarded.may_have_run:
@@ -120,6 +129,22 @@
     def _make_attempts(self, forwarded: ForwardedRequest) -> Reply:
         nowhere = self._no_attempt(Reason.NO_BACKEND_SERVER)
         replies: list[Reply] = []
+        while True:
+            self._try_places(forwarded, replies)
+            if not forwarded.parked or _is_success(replies[-1]):
+                break
+            # What was left open is all that is left; where it is cut after all,
+            # others may have a free slot by now.
+            reply = self._sender.wait_parked(forwarded)
+            replies.append(reply)
+            if _is_success(reply) or self._is_over(forwarded, reply):
+                break
+            if not self._may_retry(forwarded, replies, None, self._clock()):
+                break
+        return _best(replies) if replies else nowhere
+
+    def _try_places(self, forwarded: ForwardedRequest, replies: list[Reply]) -> None:
+        """Make attempts until one answers or no other is allowed; add their replies."""
         while True:
             placing = self._pick(forwarded)
             if placing is None:
@@ -142,7 +167,6 @@
             if not self._may_retry(forwarded, replies, rescue, now_s):
                 self._note_given_up(forwarded, reply)
                 break
-        return _best(replies) if replies else nowhere
 
     def _note_success(
         self, forwarded: ForwardedRequest, reply: Reply, took_s: float
@@ -311,7 +335,10 @@
         if not is_refusal(reply):
             if not forwarded.may_send():
                 return True
-            forwarded.search.begin()
+            if reply.reason in _LOST_WITH_GATE:
+                forwarded.search_afresh()
+            else:
+                forwarded.search.begin()
         return self._given_up.is_set() or forwarded.caller.caller_gone()
 
     def _with_return_time(self, forwarded: ForwardedRequest, reply: Reply) -> Reply:
--- a/balsamspindle/requests/links.py
+++ b/balsamspindle/requests/links.py
@@ -7,22 +7,21 @@
 
 import threading
 import time
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass
-from typing import NamedTuple
 
 import msgspec
 import zmq
 
 from balsamspindle.metrics import Hop, Metrics
-from balsamspindle.requests.outcomes import Execution, Outcome
+from balsamspindle.requests.outcomes import Execution
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import (
     AttemptId,
     Cancel,
     Dispatch,
+    GateEnding,
     Greet,
     Greeting,
+    IngressEnding,
     LinkMessage,
     Question,
     Reply,
@@ -33,14 +32,13 @@
 )
 from balsamspindle.wire.security import FleetKeys, protect_connection
 
-__all__ = ["GateClock", "Link", "LinkPool", "Wait", "Waited", "wait_first"]
+__all__ = ["GateClock", "Link", "LinkPool", "left_ms"]
 
 CONNECT_TIMEOUT_S = 0.25
 # A link that was silent for longer is asked again before it is used: one way
 # of the network may have been cut meanwhile. That costs a round trip, which a
 # request that may be tried again elsewhere does not need.
 HEARD_FRESH_S = {Execution.NON_IDEMPOTENT: 1.0, Execution.IDEMPOTENT: 10.0}
-GIVE_UP_POLL_MS = 200
 IDLE_LINKS_PER_PEER_MAX = 8
 CANCEL_LINGER_MS = 1000
 # Two clocks of quartz differ by less than this part of the time.
@@ -89,6 +87,8 @@
         self.gate: tuple[str, int] = ("", 0)
         self._heard_s = float("-inf")
         self._gate_deadline_s: float | None = None
+        # The attempt that the gate's node may not live to answer.
+        self._ending: AttemptId | None = None
         self._socket = context.socket(zmq.DEALER)
         self._socket.setsockopt(zmq.LINGER, 0)
         # Without IMMEDIATE a message to an absent peer waits in a queue and
@@ -129,7 +129,7 @@
         poller = zmq.Poller()
         poller.register(self._socket, event)
         poller.register(self._closed, zmq.POLLIN)
-        return self._socket in dict(poller.poll(_left_ms(give_up_s)))
+        return self._socket in dict(poller.poll(left_ms(give_up_s)))
 
     def ask(self, question: Question, give_up_s: float) -> Told | None:
         """Ask the gate something; None when no answer came."""
@@ -154,6 +154,14 @@
         )
         return self._send(message)
 
+    def is_ending(self, attempt_id: AttemptId) -> bool:
+        """Tell whether the gate's node may end before an attempt there does."""
+        return self._ending == attempt_id
+
+    def tell_ending(self, attempt_id: AttemptId, left_s: float) -> None:
+        """Tell the gate that this node ends after a time."""
+        self._send(IngressEnding(attempt_id, left_s * 1000))
+
     def give_up(self, attempt_id: AttemptId, hlc: int) -> None:
         """Cancel the attempt and end the connection, when that is out."""
         self._send(Cancel(attempt_id, hlc, self._gate_deadline_s))
@@ -211,6 +219,8 @@
                 # serves another one now. Taken for ours it would be a
                 # stranger's answer.
                 on_dropped("a reply that nobody waits for")
+            case GateEnding(ending_id):
+                self._ending = ending_id
             case WireError(message):
                 on_dropped(message)
             case _:
@@ -218,84 +228,6 @@
         return None
 
 
-@dataclass(frozen=True)
-class Wait:
-    """How long a task waits for replies, and for whom.
-
-    Attributes
-    ----------
-    caller_fd : int
-        Readable when the caller sent more, or is gone.
-    on_dropped : callable
-        Told the cause when a message is not for this wait.
-    given_up : callable, default=never
-        Tells whether the node stops waiting for all replies.
-    """
-
-    deadline_s: float
-    caller_fd: int
-    caller_gone: Callable[[], bool]
-    on_dropped: Callable[[str], None]
-    given_up: Callable[[], bool] = lambda: False
-
-
-class Waited(NamedTuple):
-    """The reply that came, and the link that brought it.
-
-    Attributes
-    ----------
-    replies : dict of Link to Reply
-        All that came, this one included.
-    """
-
-    link: Link
-    reply: Reply
-    replies: dict[Link, Reply]
-
-
-def wait_first(attempts: Mapping[Link, AttemptId], wait: Wait) -> Waited | None:
-    """Wait for the first answer to attempts at one request.
-
-    Returns
-    -------
-    Waited or None
-        The first answer, else the last other reply. None without any: at the
-        deadline, when the peers or the caller went away, or when this node
-        gave up waiting.
-    """
-    waiting = dict(attempts)
-    poller = zmq.Poller()
-    poller.register(wait.caller_fd, zmq.POLLIN)
-    for link in waiting:
-        link.register(poller)
-    last = None
-    replies: dict[Link, Reply] = {}
-    while waiting:
-        # Also past the deadline: a reply that is there counts, however long
-        # this process was stopped.
-        left_ms = _left_ms(wait.deadline_s)
-        ready = dict(poller.poll(min(left_ms, GIVE_UP_POLL_MS)))
-        for link in list(waiting):
-            reply = link.take_reply(ready, waiting[link], wait.on_dropped)
-            if reply is None and not link.is_over(ready):
-                continue
-            if reply is not None:
-                replies[link] = reply
-                last = Waited(link, reply, replies)
-                if reply.outcome is Outcome.ANSWERED:
-                    return last
-            del waiting[link]
-            link.unregister(poller)
-        if wait.given_up() or (not ready and left_ms <= GIVE_UP_POLL_MS):
-            return last
-        if wait.caller_fd in ready:
-            if wait.caller_gone():
-                return last
-            # A pipelined request; it waits for its turn.
-            poller.unregister(wait.caller_fd)
-    return last
-
-
 class LinkPool:
     """Idle links to all peers."""
 
@@ -354,6 +286,6 @@
             self._close_idle(address)
 
 
-def _left_ms(deadline_s: float) -> int:
+def left_ms(deadline_s: float) -> int:
     """Return the time until then, rounded up so that no poll ends early."""
     return max(0, int((deadline_s - time.monotonic()) * 1000) + 1)
--- a/balsamspindle/requests/outcomes.py
+++ b/balsamspindle/requests/outcomes.py
@@ -41,6 +41,7 @@
     TOO_MANY_CONNECTIONS = "too_many_connections"
     NODE_LEAVING = "node_leaving"
     NODE_STOPPING = "node_stopping"
+    GATE_ENDING = "gate_ending"
     GAVE_WAY = "gave_way"
     NO_SETTINGS = "no_settings"
     NO_BACKEND_SERVER = "no_backend_server"
@@ -109,6 +110,9 @@
     Reason.NODE_STOPPING: Problem(
         503, "The node is leaving and takes no new requests.", 1
     ),
+    Reason.GATE_ENDING: Problem(
+        504, "The node beside the backend server left before it answered.", 1
+    ),
     Reason.NO_SETTINGS: Problem(503, "This node has no settings yet.", 2),
     Reason.NO_BACKEND_SERVER: Problem(
         503, "No backend server of the service takes requests now.", 2
--- a/balsamspindle/wire/link_messages.py
+++ b/balsamspindle/wire/link_messages.py
@@ -17,9 +17,11 @@
     "Cancel",
     "Claim",
     "Dispatch",
+    "GateEnding",
     "Greet",
     "Greeting",
     "HeldOut",
+    "IngressEnding",
     "LinkMessage",
     "PeerEvidence",
     "Question",
@@ -161,6 +163,8 @@
     repeated_part : float
         Part of the runs beside the sender that are repeats: how likely this
         request is the call of one.
+    ingress_left_ms : float or None
+        Time until the sender's node ends; None while it is not leaving.
     """
 
     attempt_id: AttemptId
@@ -187,6 +191,7 @@
     route_id: int = 0
     is_repeat: bool = False
     repeated_part: float = 0.0
+    ingress_left_ms: float | None = None
 
 
 class Question(msgspec.Struct, array_like=True, tag="ask", frozen=True):
@@ -247,6 +252,28 @@
     gate_deadline_s: float | None = None
 
 
+class IngressEnding(msgspec.Struct, array_like=True, tag="leaving", frozen=True):
+    """Ingress to gate: this node is leaving and may not live to see the reply.
+
+    Attributes
+    ----------
+    left_ms : float
+        Time until it ends, when the message is sent.
+    """
+
+    attempt_id: AttemptId
+    left_ms: float
+
+
+class GateEnding(msgspec.Struct, array_like=True, tag="ending", frozen=True):
+    """Gate to ingress: this node is leaving and may not live to send the reply.
+
+    The attempt goes on, and its reply comes if it ends in time.
+    """
+
+    attempt_id: AttemptId
+
+
 class Reply(msgspec.Struct, array_like=True, tag="reply", frozen=True):
     """Gate to ingress: how the attempt ended.
 
@@ -288,4 +315,14 @@
     held_out: HeldOut = SERVES
 
 
-LinkMessage = Greet | Greeting | Question | Told | Dispatch | Cancel | Reply
+LinkMessage = (
+    Greet
+    | Greeting
+    | Question
+    | Told
+    | Dispatch
+    | Cancel
+    | IngressEnding
+    | GateEnding
+    | Reply
+)
--- /dev/null
+++ b/tests/two_gates.py
@@ -0,0 +1,96 @@
+"""One ingress between two gates of fakes, for tests of second attempts."""
+
+import io
+import socket
+import time
+
+import zmq
+from testtools import TestCase
+
+from balsamspindle.backend_servers.client import BackendServerClient
+from balsamspindle.backend_servers.gate import Gate
+from balsamspindle.backend_servers.servers import LocalBackendServers
+from balsamspindle.membership import Directory
+from balsamspindle.requests.forwarded import ForwardedRequest
+from balsamspindle.requests.forwarding import Forwarder
+from balsamspindle.requests.http import CallerRequest, HttpConnection, HttpLimits
+from balsamspindle.requests.links import LinkPool
+from balsamspindle.requests.outcomes import Execution, Outcome
+from balsamspindle.services.picker import Picker
+from balsamspindle.settings.documents import RouteDocument
+from balsamspindle.settings.tree import CurrentConfiguration
+from balsamspindle.timeline import EventLog, HybridClock
+from balsamspindle.wire import (
+    BackendServerRecord,
+    NodeRecord,
+    Reply,
+    checksum,
+    encode,
+)
+from tests.fake_gate import FakeGate
+from tests.utils import free_address
+
+__all__ = ["BODY", "SERVICE", "TwoGateCase", "answer"]
+
+SERVICE = "crew/vacancies"
+OWN = NodeRecord("own", 1, 1, "r", "z", "-", "-", "alive")
+BODY = b"vacancies"
+
+
+def answer(dispatch, status=200):
+    reply = Reply(
+        dispatch.attempt_id,
+        Outcome.ANSWERED,
+        status=status,
+        body=BODY,
+        body_checksum=checksum(BODY),
+        free_slots=4,
+    )
+    return [(0.0, encode(reply))]
+
+
+class TwoGateCase(TestCase):
+    """One ingress and two gates of fakes, each with one backend server."""
+
+    def setUp(self):
+        super().setUp()
+        self.answers = {"a": answer, "b": answer}
+        self.gates, self.directory = {}, Directory()
+        for name in self.answers:
+            address = free_address()
+            gate = FakeGate(address, lambda dispatch, n=name: self.answers[n](dispatch))
+            self.addCleanup(gate.close)
+            server = BackendServerRecord(f"server-{name}", SERVICE, "1", 4, "ready")
+            self.directory.update(
+                NodeRecord(
+                    f"gate-{name}", 1, 1, "r", "z", address, "-", "alive", (server,)
+                ),
+                0.0,
+            )
+            self.gates[name] = gate
+        events = EventLog("own", 1, HybridClock(), io.StringIO())
+        self.links = LinkPool(zmq.Context.instance(), events)
+        self.addCleanup(self.links.close)
+        self.forwarder = Forwarder(
+            OWN,
+            Picker(OWN, self.directory, CurrentConfiguration()),
+            Gate(LocalBackendServers(), BackendServerClient(1000), events),
+            self.links,
+            events,
+        )
+
+    def _request(self, execution=Execution.IDEMPOTENT, timeout_s=20.0, **route):
+        near, far = socket.socketpair()
+        with near, far:
+            return self.forwarder.forward(
+                ForwardedRequest(
+                    "id",
+                    HttpConnection(near, HttpLimits()),
+                    CallerRequest("GET", "/"),
+                    RouteDocument(service=SERVICE, execution=execution, **route),
+                    time.monotonic() + timeout_s,
+                )
+            )
+
+    def _dispatches(self):
+        return sum(len(gate.dispatches) for gate in self.gates.values())
