Tell apart why a run at a backend server was cut

Four causes wrote the same line, `attempt_ended` with `outcome=unknown`: the gate's node ended its orderly end, the ingress cancelled, the caller watch of the gate's own node cancelled, or the backend server started anew (that one as `broken_answer`). The engineer on call could not tell a node that was replaced from an impatient caller, nor how long a request went on after the cut.

- CancelCause travels with CancelToken.cancel; the first one counts.
Over a link it is the last field of Cancel, with a default.
An earlier release passes over it; a cause that this release does not know reads as `ingress_gave_up`, since a message that can't be read would leave the run going on for nobody.
- `attempt_ended` has `cut_by` and `ran_ms`; `attempt_refused` has `cut_by` where the attempt waited for a slot.
- `balsamspindle_attempts_cut_total` counts them by cause.
- `node_leaving` says `ends_in_ms`, `running`, `waiting` and `callers`.
- `request_ended` has `leaving_ms` on a leaving node and, after a cut, `after_cut_ms` and `stopped_by`: why it was not sent elsewhere.

Nothing that decides is changed: the cause is only written down.

--- a/balsamspindle/backend_servers/answers.py
+++ b/balsamspindle/backend_servers/answers.py
@@ -4,7 +4,7 @@
 
 from balsamspindle.requests.header_names import DEFAULT_HEADER_NAMES, HeaderNames
 from balsamspindle.requests.heads import HOP_BY_HOP_HEADERS, named_by_connection
-from balsamspindle.requests.outcomes import Reason
+from balsamspindle.requests.outcomes import CancelCause, Reason
 
 __all__ = [
     "AnswerReader",
@@ -44,12 +44,15 @@
         False only when nothing was handed to a connected socket.
     is_foreign : bool
         An answer came that is not this request's.
+    cut_by : CancelCause or None
+        Why it was taken back, when that ended it.
     """
 
     reason: Reason
     sent: bool
     message: str
     is_foreign: bool = False
+    cut_by: CancelCause | None = None
 
 
 def end_to_end_headers(
--- a/balsamspindle/backend_servers/attempts.py
+++ b/balsamspindle/backend_servers/attempts.py
@@ -4,7 +4,7 @@
 from enum import Enum, auto
 
 from balsamspindle.backend_servers.cancellation import CancelToken
-from balsamspindle.requests.outcomes import Reason
+from balsamspindle.requests.outcomes import CancelCause, Reason
 from balsamspindle.wire import AttemptId
 
 __all__ = ["ATTEMPTS_MAX", "BEGIN_REASONS", "MEMORY_S", "AttemptTable", "Begin"]
@@ -67,21 +67,27 @@
         self._remember(attempt_id, token, deadline_s)
         return Begin.NEW
 
-    def cancel(self, attempt_id: AttemptId, deadline_s: float, now_s: float) -> None:
+    def cancel(
+        self,
+        attempt_id: AttemptId,
+        deadline_s: float,
+        now_s: float,
+        cause: CancelCause = CancelCause.INGRESS_GAVE_UP,
+    ) -> None:
         """Cancel an attempt; one that has not come in yet never begins."""
         self._expire(now_s)
         token = self._tokens.get(attempt_id)
         if token is not None:
-            token.cancel()
+            token.cancel(cause)
         elif len(self._tokens) < ATTEMPTS_MAX:
             # Without room the attempt may run for nobody, once: its ingress
             # said 'unknown' before it cancelled.
             self._remember(attempt_id, CancelToken(), deadline_s)
 
-    def cancel_all(self) -> None:
+    def cancel_all(self, cause: CancelCause) -> None:
         """Cancel all attempts that came in."""
         for token in self._tokens.values():
-            token.cancel()
+            token.cancel(cause)
 
     def _remember(self, attempt_id, token, deadline_s) -> None:
         self._tokens[attempt_id] = token
--- a/balsamspindle/backend_servers/cancellation.py
+++ b/balsamspindle/backend_servers/cancellation.py
@@ -3,6 +3,8 @@
 import socket
 import threading
 
+from balsamspindle.requests.outcomes import CancelCause
+
 __all__ = ["CancelToken"]
 
 
@@ -12,22 +14,27 @@
     libcurl asks its caller only about once a second whether to go on. Shutting
     the call's socket down wakes it at once and is what the backend server
     sees: its connection ends.
+
+    Attributes
+    ----------
+    cause : CancelCause or None
+        Of the first cancellation; None before.
     """
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._cancelled = False
+        self.cause: CancelCause | None = None
         self._socket: socket.socket | None = None
 
     @property
     def cancelled(self) -> bool:
         """Whether `cancel` was called."""
-        return self._cancelled
+        return self.cause is not None
 
-    def cancel(self) -> None:
+    def cancel(self, cause: CancelCause) -> None:
         """End the call now, or as soon as it opens or takes a connection."""
         with self._lock:
-            self._cancelled = True
+            self.cause = self.cause or cause
             if self._socket is not None:
                 _shut_down(self._socket)
 
@@ -39,7 +46,7 @@
         """
         with self._lock:
             self._socket = connection
-            return not self._cancelled
+            return not self.cancelled
 
     def detach(self) -> None:
         """Forget the socket: the call is over."""
--- a/balsamspindle/backend_servers/client.py
+++ b/balsamspindle/backend_servers/client.py
@@ -190,7 +190,8 @@
         else:
             reason = _FAILURE_REASONS.get(code, Reason.BROKEN_ANSWER)
         is_foreign = reason is Reason.BROKEN_ANSWER and code in _NO_ANSWER_CODES
-        return BackendFailure(reason, self.sent, message, is_foreign)
+        cut_by = self.token.cause if reason is Reason.CANCELLED else None
+        return BackendFailure(reason, self.sent, message, is_foreign, cut_by)
 
 
 class _Handle:
--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -50,7 +50,7 @@
 )
 from balsamspindle.metrics import Hop
 from balsamspindle.requests.header_names import DEFAULT_HEADER_NAMES, HeaderNames
-from balsamspindle.requests.outcomes import Execution, Outcome, Reason
+from balsamspindle.requests.outcomes import CancelCause, Execution, Outcome, Reason
 from balsamspindle.requests.retries import is_refusal
 from balsamspindle.settings.documents import RetryBudget
 from balsamspindle.timeline import EventLog
@@ -119,7 +119,7 @@
     def give_up(self) -> None:
         """End the waiting and running attempts with what is known of them."""
         with self._servers.changed:
-            self._attempts.cancel_all()
+            self._attempts.cancel_all(CancelCause.NODE_LEAVING)
             self._servers.changed.notify_all()
 
     def refuse_busy(self, dispatch: Dispatch, received_s: float) -> Reply | None:
@@ -135,8 +135,15 @@
         """Return the attempts dispatched and not yet ended."""
         return self._admission.in_flight()
 
+    def waiting(self) -> int:
+        """Return the attempts that wait for a slot."""
+        return self._admission.waiting()
+
     def cancel(
-        self, attempt_id: AttemptId, gate_deadline_s: float | None = None
+        self,
+        attempt_id: AttemptId,
+        gate_deadline_s: float | None = None,
+        cause: CancelCause = CancelCause.INGRESS_GAVE_UP,
     ) -> None:
         """Take an attempt back, also one whose message has not come yet.
 
@@ -146,7 +153,7 @@
         now_s = time.monotonic()
         with self._servers.changed:
             self._attempts.cancel(
-                attempt_id, gate_deadline_s or now_s + CANCEL_MEMORY_S, now_s
+                attempt_id, gate_deadline_s or now_s + CANCEL_MEMORY_S, now_s, cause
             )
             self._servers.changed.notify_all()
 
@@ -243,7 +250,9 @@
             decision = self._admission.admit(dispatch, token, deadline_s)
         match decision:
             case Refused(reason, retry_after_ms):
-                reply = self._refuse(dispatch, reason, wait_ms=retry_after_ms)
+                reply = self._refuse(
+                    dispatch, reason, wait_ms=retry_after_ms, cut_by=token.cause
+                )
                 return msgspec.structs.replace(reply, retry_after_ms=retry_after_ms)
             case Admitted() as admitted:
                 # Those that waited for a slot while the backend server fell
@@ -276,6 +285,7 @@
         reason: Reason,
         outcome: Outcome = Outcome.NOT_RUN,
         wait_ms: float = 0.0,
+        cut_by: CancelCause | None = None,
     ) -> Reply:
         held_out = self._observer.held_out(dispatch.backend_server_id, time.monotonic())
         hlc = self._events.emit(
@@ -285,6 +295,7 @@
             cause=reason,
             held_out_ms=round(held_out.held_out_ms) or None,
             wait_ms=round(wait_ms) or None,
+            cut_by=cut_by if reason is Reason.CANCELLED else None,
         )
         return Reply(dispatch.attempt_id, outcome, reason, hlc=hlc, held_out=held_out)
 
@@ -332,7 +343,8 @@
                 server_id, attempt_id, self._evidence(result), time.monotonic()
             )
             free_slots = self._admission.release(admitted, work_end(result))
-        return self._reply(dispatch, result, free_slots, judgement)
+        ran_s = time.monotonic() - admitted.started_s
+        return self._reply(dispatch, result, free_slots, judgement, ran_s)
 
     def _evidence(self, result: BackendAnswer | BackendFailure | None) -> WorkResult:
         """Return what a call's end says of the backend server's health."""
@@ -347,9 +359,10 @@
     ) -> BackendAnswer | BackendFailure:
         """Take an answer that refuses for what it proves."""
         match result:
-            case BackendFailure(Reason.CANCELLED, sent) if server.has_ended:
-                return BackendFailure(
-                    Reason.BROKEN_ANSWER, sent, "the backend server started anew"
+            case BackendFailure(Reason.CANCELLED) if server.has_ended:
+                return result._replace(
+                    reason=Reason.BROKEN_ANSWER,
+                    message="the backend server started anew",
                 )
             case BackendAnswer() if is_misdirected(result, self._names):
                 self._on_misdirected(server.backend_server_id)
@@ -364,10 +377,13 @@
                 )
         return result
 
-    def _reply(self, dispatch, result, free_slots, judgement) -> Reply:
+    def _reply(self, dispatch, result, free_slots, judgement, ran_s: float) -> Reply:
         outcome, reason = call_outcome(result)
         server_id = dispatch.backend_server_id
         answer = result if isinstance(result, BackendAnswer) else None
+        cut_by = None if answer else result.cut_by
+        if cut_by is not None:
+            self._events.metrics.count_cut(cut_by)
         held_out = self._observer.held_out(server_id, time.monotonic())
         hlc = self._events.emit(
             "attempt_ended",
@@ -376,6 +392,8 @@
             outcome=outcome,
             status=answer and answer.status,
             cause=reason,
+            cut_by=cut_by,
+            ran_ms=round(ran_s * 1000),
             held_out_ms=round(held_out.held_out_ms) or None,
         )
         reply = Reply(
--- a/balsamspindle/backend_servers/link_server.py
+++ b/balsamspindle/backend_servers/link_server.py
@@ -129,8 +129,8 @@
 
     def _take(self, peer: bytes, message: LinkMessage) -> None:
         match message:
-            case Cancel(attempt_id, _, gate_deadline_s):
-                self._gate.cancel(attempt_id, gate_deadline_s)
+            case Cancel(attempt_id, _, gate_deadline_s, cause):
+                self._gate.cancel(attempt_id, gate_deadline_s, cause)
             case Question() as question:
                 told = self._gate.would_take(question, time.monotonic())
                 self._router.send_multipart([peer, encode(told)])
--- a/balsamspindle/backend_servers/servers.py
+++ b/balsamspindle/backend_servers/servers.py
@@ -9,6 +9,7 @@
 
 from balsamspindle.backend_servers.cancellation import CancelToken
 from balsamspindle.backend_servers.slots import SlotAccount
+from balsamspindle.requests.outcomes import CancelCause
 from balsamspindle.wire import BackendServerRecord
 
 __all__ = [
@@ -87,7 +88,7 @@
         """
         self.has_ended = True
         for token in self.running:
-            token.cancel()
+            token.cancel(CancelCause.SERVER_RESTARTED)
 
     def record(self, capacity: float = 1.0) -> BackendServerRecord:
         """Return what the fleet is told."""
--- a/balsamspindle/metrics/exposition.py
+++ b/balsamspindle/metrics/exposition.py
@@ -74,6 +74,14 @@
         for event, count in self._report.events.items():
             events.add_metric((event,), count)
         yield events
+        cuts = CounterMetricFamily(
+            "balsamspindle_attempts_cut",
+            "Attempts cut at backend servers by cause.",
+            labels=("cause",),
+        )
+        for cause, count in self._report.cuts.items():
+            cuts.add_metric((cause,), count)
+        yield cuts
 
     def _latencies(self) -> Metric:
         metric = Metric(LATENCY_NAME, "Time that each hop took.", "summary")
--- a/balsamspindle/metrics/recorder.py
+++ b/balsamspindle/metrics/recorder.py
@@ -66,11 +66,14 @@
         Ended requests by service, then by outcome.
     events : dict of str to int
         Events of the time line, by name.
+    cuts : dict of str to int
+        Attempts cut at backend servers, by cause.
     """
 
     hops: dict[str, HopLatency]
     outcomes: dict[str, dict[str, int]]
     events: dict[str, int]
+    cuts: dict[str, int] = {}
 
 
 class Metrics:
@@ -84,6 +87,7 @@
         self._total_us = dict.fromkeys(Hop, 0)
         self._outcomes: Counter[tuple[str, str]] = Counter()
         self._events: Counter[str] = Counter()
+        self._cuts: Counter[str] = Counter()
 
     def record(self, hop: Hop, duration_s: float) -> None:
         """Note how long a hop took."""
@@ -111,6 +115,11 @@
         with self._lock:
             self._events[event] += 1
 
+    def count_cut(self, cause: str) -> None:
+        """Note an attempt that was cut at its backend server."""
+        with self._lock:
+            self._cuts[cause] += 1
+
     def report(self) -> MetricsReport:
         """Return all metrics now."""
         with self._lock:
@@ -121,6 +130,7 @@
                 {hop.value: self._latency(hop) for hop in Hop},
                 outcomes,
                 dict(sorted(self._events.items())),
+                dict(sorted(self._cuts.items())),
             )
 
     def _latency(self, hop: Hop) -> HopLatency:
--- a/balsamspindle/node/orderly_end.py
+++ b/balsamspindle/node/orderly_end.py
@@ -49,6 +49,7 @@
         own callers have their answers: when the whole fleet leaves at once,
         each ingress still needs the gates for its last requests.
         """
+        self._tell()
         give_up_s = time.monotonic() + self._settings.shutdown_timeout_s
         self._member.leave()
         self._ingress.leave()
@@ -64,6 +65,16 @@
         left_s = give_up_s - time.monotonic()
         time.sleep(min(LINK_TAIL_S, max(LINK_TAIL_MIN_S, left_s)))
 
+    def _tell(self) -> None:
+        """Say how much is at stake, and until when it may go on."""
+        self._events.emit(
+            "node_leaving",
+            ends_in_ms=round(self._settings.shutdown_timeout_s * 1000),
+            running=self._gate.in_flight(),
+            waiting=self._gate.waiting(),
+            callers=self._ingress.callers(),
+        )
+
     def _idle(self) -> bool:
         return (
             self._ingress.ended()
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -174,7 +174,6 @@
 
     def _shut_down(self) -> None:
         """Leave in order, then end all tasks."""
-        self.events.emit("node_leaving")
         end = OrderlyEnd(
             self._settings,
             self.events,
--- a/balsamspindle/requests/__init__.py
+++ b/balsamspindle/requests/__init__.py
@@ -6,10 +6,11 @@
 
 from balsamspindle.requests.outcomes import (
     PROBLEMS,
+    CancelCause,
     Execution,
     Outcome,
     Problem,
     Reason,
 )
 
-__all__ = ["PROBLEMS", "Execution", "Outcome", "Problem", "Reason"]
+__all__ = ["PROBLEMS", "CancelCause", "Execution", "Outcome", "Problem", "Reason"]
--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 import msgspec
 
@@ -14,7 +15,7 @@
 from balsamspindle.requests.forwarded import ForwardedRequest, Rescue, Step, route_id
 from balsamspindle.requests.gate_links import GateLinks
 from balsamspindle.requests.links import Link, LinkPool, Wait, Waited, wait_first
-from balsamspindle.requests.outcomes import Outcome, Reason
+from balsamspindle.requests.outcomes import CancelCause, Outcome, Reason
 from balsamspindle.requests.questions import Declined, Questions
 from balsamspindle.requests.retries import is_refusal
 from balsamspindle.requests.tracking import TrackedAttempt
@@ -35,6 +36,14 @@
 
 __all__ = ["AttemptSender"]
 
+# Why nobody knows what became of an attempt that was given up.
+_UNANSWERED = {
+    CancelCause.CALLER_LEFT: "the caller left",
+    CancelCause.DEADLINE: "no reply in time",
+    CancelCause.INGRESS_LEAVING: "this node is leaving",
+    CancelCause.INGRESS_GAVE_UP: "the link to the gate ended",
+}
+
 
 class AttemptSender:
     """Sends attempts and waits for their replies."""
@@ -57,7 +66,9 @@
         self._events = events
         self._free_slots = free_slots
         self._clock = clock
-        self._watch = CallerWatch(gate.cancel)
+        self._watch = CallerWatch(
+            partial(gate.cancel, cause=CancelCause.OWN_CALLER_LEFT)
+        )
         self._peers = PeerEvidenceTracker()
         self._sequence = itertools.count(1)
         self._given_up = False
@@ -166,6 +177,7 @@
                 reply = self._gate.handle(claimed, self._clock())
         finally:
             tracked.end(reply)
+        forwarded.note_cut(reply, self._clock())
         return _noted(forwarded, reply)
 
     def _send_over_link(self, forwarded, placement, rescue: Rescue | None) -> Reply:
@@ -189,7 +201,7 @@
                     attempts += self._open_second(forwarded, rescue)
             waited = waited or self._wait(forwarded, attempts, forwarded.deadline_s)
         finally:
-            self._close(attempts, waited)
+            self._close(forwarded, attempts, waited)
         return self._final(forwarded, attempts, waited)
 
     def _is_just_silent(self, forwarded, attempt: "_Sent", until_s: float) -> bool:
@@ -268,7 +280,12 @@
         ids = {sent.link: sent.dispatch.attempt_id for sent in attempts}
         return wait_first(ids, wait)
 
-    def _close(self, attempts: list["_Sent"], waited: Waited | None) -> None:
+    def _close(
+        self,
+        forwarded: ForwardedRequest,
+        attempts: list["_Sent"],
+        waited: Waited | None,
+    ) -> None:
         """Keep the link that brought the reply; leave the other attempts.
 
         One that lost against a second attempt is not cancelled: it was silent
@@ -279,10 +296,13 @@
             reply = None if waited is None else waited.replies.get(sent.link)
             sent.tracked.end(reply)
             if reply is not None:
+                # Before the link is another task's, which hears other replies.
+                forwarded.note_cut(reply, sent.link.heard_s)
                 self._links.give_back(sent.link)
                 continue
             if waited is None:
-                sent.link.give_up(sent.dispatch.attempt_id, sent.dispatch.hlc)
+                attempt_id, hlc = sent.dispatch.attempt_id, sent.dispatch.hlc
+                sent.link.give_up(attempt_id, hlc, self._why_given_up(forwarded))
             else:
                 sent.link.close()
 
@@ -306,22 +326,24 @@
             return Reply(reply.attempt_id, Outcome.UNKNOWN, Reason.BROKEN_ANSWER)
         return _noted(forwarded, reply)
 
+    def _why_given_up(self, forwarded: ForwardedRequest) -> CancelCause:
+        """Tell why no reply is waited for any more."""
+        if forwarded.caller.caller_gone():
+            return CancelCause.CALLER_LEFT
+        if self._clock() >= forwarded.deadline_s:
+            return CancelCause.DEADLINE
+        if self._given_up:
+            return CancelCause.INGRESS_LEAVING
+        return CancelCause.INGRESS_GAVE_UP
+
     def _note_unanswered(self, forwarded: ForwardedRequest, sent: "_Sent") -> None:
         """Say why nobody knows what became of an attempt."""
-        if forwarded.caller.caller_gone():
-            cause = "the caller left"
-        elif self._clock() >= forwarded.deadline_s:
-            cause = "no reply in time"
-        elif self._given_up:
-            cause = "this node is leaving"
-        else:
-            cause = "the link to the gate ended"
         self._events.emit(
             "attempt_unanswered",
             request=forwarded.request_id,
             backend_server=sent.dispatch.backend_server_id,
             gate=sent.gate,
-            cause=cause,
+            cause=_UNANSWERED[self._why_given_up(forwarded)],
         )
 
     def _track(self, forwarded, placement) -> TrackedAttempt:
--- a/balsamspindle/requests/caller_watch.py
+++ b/balsamspindle/requests/caller_watch.py
@@ -25,7 +25,7 @@
     Parameters
     ----------
     cancel : callable
-        Cancels one attempt.
+        Cancels one attempt of a caller that left.
     """
 
     def __init__(self, cancel: Callable[[AttemptId], None]) -> None:
--- a/balsamspindle/requests/connections.py
+++ b/balsamspindle/requests/connections.py
@@ -63,6 +63,11 @@
         with self._changed:
             return len(self._open)
 
+    def busy(self) -> int:
+        """Return the number of connections that do not wait for a request."""
+        with self._changed:
+            return len(self._open) - len(self._idle)
+
     def close_idle(self, first_too: bool = False) -> None:
         """Shut idle connections.
 
--- a/balsamspindle/requests/forwarded.py
+++ b/balsamspindle/requests/forwarded.py
@@ -2,16 +2,29 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import IntEnum
+from enum import IntEnum, StrEnum
 
 import xxhash
 
 from balsamspindle.membership.directory import Placement
 from balsamspindle.requests.claims import KeyClaimant
 from balsamspindle.requests.http import CallerRequest, HttpConnection
+from balsamspindle.requests.outcomes import Outcome, Reason
 from balsamspindle.settings.documents import RouteDocument
+from balsamspindle.wire import Reply
 
-__all__ = ["ForwardedRequest", "Rescue", "Search", "Step", "route_id"]
+__all__ = [
+    "ForwardedRequest",
+    "Rescue",
+    "Search",
+    "Step",
+    "StoppedBy",
+    "route_id",
+]
+
+
+# How a gate tells that a run was cut or broke off.
+_CUT = frozenset({Reason.CANCELLED, Reason.BROKEN_ANSWER})
 
 
 class Step(IntEnum):
@@ -27,6 +40,30 @@
     DONE = 4
 
 
+class StoppedBy(StrEnum):
+    """Why a request had no other attempt after its last one; for the log alone.
+
+    Attributes
+    ----------
+    NO_PLACE
+        No backend server was left to send it to.
+    ATTEMPTS_MAX
+        Its route allows no more.
+    REPEAT_DENIED
+        It may not be repeated, or there was no time or no retry for it.
+    NODE_LEAVING
+        This node gave up all requests.
+    CALLER_LEFT
+        Nobody waited any more.
+    """
+
+    NO_PLACE = "no_place"
+    ATTEMPTS_MAX = "attempts_max"
+    REPEAT_DENIED = "repeat_denied"
+    NODE_LEAVING = "node_leaving"
+    CALLER_LEFT = "caller_left"
+
+
 @dataclass
 class Search:
     """One request's search for a place.
@@ -87,6 +124,10 @@
         How long the present attempt may wait for a slot.
     queue_until_s : float or None
         Until when it may wait in the shortest queue; None before it did.
+    cut_s : float or None
+        When the reply came that a run of it was cut, the first one's.
+    stopped_by : StoppedBy or None
+        None while it goes on, and after a success.
     """
 
     request_id: str
@@ -109,11 +150,19 @@
     target_s: float | None = None
     wait_max_ms: float | None = None
     queue_until_s: float | None = None
+    cut_s: float | None = None
+    stopped_by: StoppedBy | None = None
 
     def may_send(self) -> bool:
         """Tell whether the route allows one more backend server."""
         return self.sends < self.route.attempts_max
 
+    def note_cut(self, reply: Reply, came_s: float) -> None:
+        """Remember when it was first known that a run of it was cut."""
+        is_cut = reply.outcome is Outcome.UNKNOWN and reply.reason in _CUT
+        if is_cut and self.cut_s is None:
+            self.cut_s = came_s
+
     def target_left_ms(self, now_s: float) -> float | None:
         """Return the time in which an answer still has its full worth."""
         return None if self.target_s is None else (self.target_s - now_s) * 1000
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -11,7 +11,13 @@
 from balsamspindle.membership.directory import Placement
 from balsamspindle.requests.attempts import AttemptSender
 from balsamspindle.requests.claims import ClaimBook, KeyClaimant
-from balsamspindle.requests.forwarded import ForwardedRequest, Rescue, Step, route_id
+from balsamspindle.requests.forwarded import (
+    ForwardedRequest,
+    Rescue,
+    Step,
+    StoppedBy,
+    route_id,
+)
 from balsamspindle.requests.heads import IDEMPOTENCY_KEY_MAX_CHARACTERS
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.requests.outcomes import PROBLEMS, Execution, Outcome, Reason
@@ -125,6 +131,7 @@
             if placing is None:
                 if self._widen(forwarded):
                     continue
+                forwarded.stopped_by = StoppedBy.NO_PLACE
                 break
             started_s = self._clock()
             rescue = self._rescue(forwarded, placing, started_s)
@@ -137,9 +144,11 @@
                 break
             self._note_failure(forwarded, placing.placement, reply)
             if self._is_over(forwarded, reply):
+                forwarded.stopped_by = self._why_over(forwarded)
                 self._give_back(forwarded, rescue)
                 break
             if not self._may_retry(forwarded, replies, rescue, now_s):
+                forwarded.stopped_by = StoppedBy.REPEAT_DENIED
                 self._note_given_up(forwarded, reply)
                 break
         return _best(replies) if replies else nowhere
@@ -314,6 +323,13 @@
             forwarded.search.begin()
         return self._given_up.is_set() or forwarded.caller.caller_gone()
 
+    def _why_over(self, forwarded: ForwardedRequest) -> StoppedBy:
+        if self._given_up.is_set():
+            return StoppedBy.NODE_LEAVING
+        if not forwarded.may_send():
+            return StoppedBy.ATTEMPTS_MAX
+        return StoppedBy.CALLER_LEFT
+
     def _with_return_time(self, forwarded: ForwardedRequest, reply: Reply) -> Reply:
         """Tell a caller that was given up when to come back, if that helps."""
         is_answered = reply.outcome is Outcome.ANSWERED
--- a/balsamspindle/requests/ingress.py
+++ b/balsamspindle/requests/ingress.py
@@ -143,6 +143,10 @@
         """Tell whether the listener and all connections are closed."""
         return self._listener_closed.is_set() and not self._connections.open()
 
+    def callers(self) -> int:
+        """Return the callers whose request was begun and not answered yet."""
+        return self._connections.busy()
+
     def cut(self) -> None:
         """End the connections that are still open."""
         self._connections.cut()
@@ -305,6 +309,8 @@
             attempts=forwarded.attempts,
             sends=forwarded.sends,
             left_ms=round((forwarded.deadline_s - time.monotonic()) * 1000),
+            after_cut_ms=_since_ms(forwarded.cut_s),
+            stopped_by=None if forwarded.cut_s is None else forwarded.stopped_by,
         )
         self._events.metrics.count_outcome(route.service, reply.outcome.value)
         return self._terms.encode_reply(
@@ -337,6 +343,7 @@
         self._write(caller, request_id, answer)
 
     def _note_end(self, request_id, outcome, reason, status=None, **decided) -> None:
+        left_s = self._left_s if self._leaving.is_set() else None
         self._events.emit(
             "request_ended",
             request=request_id,
@@ -344,6 +351,7 @@
             cause=reason,
             status=status or None,
             settings_revision=self._configuration.revision,
+            leaving_ms=_since_ms(left_s),
             **decided,
         )
 
@@ -354,3 +362,7 @@
             # What was done stays done, and the caller does not know of it.
             self._events.emit("answer_not_delivered", request=request_id, cause=error)
             raise
+
+
+def _since_ms(began_s: float | None) -> int | None:
+    return None if began_s is None else round((time.monotonic() - began_s) * 1000)
--- a/balsamspindle/requests/links.py
+++ b/balsamspindle/requests/links.py
@@ -15,7 +15,7 @@
 import zmq
 
 from balsamspindle.metrics import Hop, Metrics
-from balsamspindle.requests.outcomes import Execution, Outcome
+from balsamspindle.requests.outcomes import CancelCause, Execution, Outcome
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import (
     AttemptId,
@@ -102,6 +102,11 @@
         protect_connection(self._socket, keys)
         self._socket.connect(f"tcp://{address}")
 
+    @property
+    def heard_s(self) -> float:
+        """When the gate was last heard, on the monotonic clock."""
+        return self._heard_s
+
     def connected(self) -> bool:
         """Tell whether the connection is up, as far as this end knows."""
         return bool(self._socket.poll(0, zmq.POLLOUT))
@@ -154,9 +159,9 @@
         )
         return self._send(message)
 
-    def give_up(self, attempt_id: AttemptId, hlc: int) -> None:
+    def give_up(self, attempt_id: AttemptId, hlc: int, cause: CancelCause) -> None:
         """Cancel the attempt and end the connection, when that is out."""
-        self._send(Cancel(attempt_id, hlc, self._gate_deadline_s))
+        self._send(Cancel(attempt_id, hlc, self._gate_deadline_s, cause))
         self._socket.setsockopt(zmq.LINGER, CANCEL_LINGER_MS)
         self.close()
 
--- a/balsamspindle/requests/outcomes.py
+++ b/balsamspindle/requests/outcomes.py
@@ -3,7 +3,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-__all__ = ["PROBLEMS", "Execution", "Outcome", "Problem", "Reason"]
+__all__ = ["PROBLEMS", "CancelCause", "Execution", "Outcome", "Problem", "Reason"]
 
 
 class Outcome(StrEnum):
@@ -64,6 +64,42 @@
     DAMAGED = "damaged"
 
 
+class CancelCause(StrEnum):
+    """Why an attempt was taken back; for the log and the metrics alone.
+
+    Attributes
+    ----------
+    NODE_LEAVING
+        The gate's node was told to leave, and its time for that was over.
+    INGRESS_LEAVING
+        The same at the node that took the caller's request.
+    CALLER_LEFT
+        The caller closed its connection to another node.
+    OWN_CALLER_LEFT
+        The caller closed its connection to the gate's own node.
+    DEADLINE
+        The request's time was over.
+    INGRESS_GAVE_UP
+        Another node gave it up: its link ended, or it did not tell why.
+    SERVER_RESTARTED
+        The backend server started anew.
+    """
+
+    NODE_LEAVING = "node_leaving"
+    INGRESS_LEAVING = "ingress_leaving"
+    CALLER_LEFT = "caller_left"
+    OWN_CALLER_LEFT = "own_caller_left"
+    DEADLINE = "deadline"
+    INGRESS_GAVE_UP = "ingress_gave_up"
+    SERVER_RESTARTED = "server_restarted"
+
+    @classmethod
+    def _missing_(cls, value: object) -> "CancelCause":
+        # Told by a later release. A message that can't be read is dropped: the
+        # cancelled attempt would go on for nobody.
+        return cls.INGRESS_GAVE_UP
+
+
 class Problem(NamedTuple):
     """How a reason is told to a caller.
 
--- a/balsamspindle/wire/link_messages.py
+++ b/balsamspindle/wire/link_messages.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from balsamspindle.requests.outcomes import Execution, Outcome, Reason
+from balsamspindle.requests.outcomes import CancelCause, Execution, Outcome, Reason
 
 __all__ = [
     "AttemptId",
@@ -240,11 +240,14 @@
     ----------
     gate_deadline_s : float or None
         As the attempt's own message has it.
+    cause : CancelCause
+        For the gate's log.
     """
 
     attempt_id: AttemptId
     hlc: int = 0
     gate_deadline_s: float | None = None
+    cause: CancelCause = CancelCause.INGRESS_GAVE_UP
 
 
 class Reply(msgspec.Struct, array_like=True, tag="reply", frozen=True):
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -17,7 +17,7 @@
     BackendServerClient,
 )
 from balsamspindle.requests.header_names import HeaderNames
-from balsamspindle.requests.outcomes import Execution, Reason
+from balsamspindle.requests.outcomes import CancelCause, Execution, Reason
 from tests.raw_server import RawServer, length_answer
 from tests.utils import free_address, wait_until
 
@@ -242,14 +242,17 @@
                     self._call, server.address, execution, token=token
                 )
                 wait_until(partial(_has_requests, server, number), "it is sent")
-                token.cancel()
+                token.cancel(CancelCause.NODE_LEAVING)
+                # A later one changes nothing: this one has cut the call.
+                token.cancel(CancelCause.CALLER_LEFT)
                 self.assertEqual((Reason.CANCELLED, True), call.result()[:2])
+                self.assertIs(CancelCause.NODE_LEAVING, call.result().cut_by)
         wait_until(lambda: len(server.closed_s) == 2, "both connections ended")
 
     def test_a_call_cancelled_before_its_connection_sends_nothing(self):
         server = self._server(lambda number: (WHOLE, True))
         token = CancelToken()
-        token.cancel()
+        token.cancel(CancelCause.DEADLINE)
         failure = self._call(server.address, token=token)
         self.assertEqual((Reason.CANCELLED, False), failure[:2])
         self.assertEqual([], server.requests)
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -5,6 +5,8 @@
 
 from testtools import TestCase
 
+from balsamspindle.requests.forwarded import StoppedBy
+from balsamspindle.timeline import parse_event
 from tests.caller_side import IngressFixture
 from tests.test_caller_side import GET, post
 from tests.utils import wait_until
@@ -87,6 +89,35 @@
         caller.close()
 
 
+class LeavingNodeTests(TestCase):
+    def test_a_request_that_ends_on_a_leaving_node_tells_since_when_it_leaves(self):
+        # One request ends before the node is told to leave, one after it. The
+        # run of the second was cut before: its line tells both times.
+        fixture = IngressFixture()
+        self.addCleanup(fixture.close)
+        fixture.caller().send(GET).read()
+        fixture.forwarder.hold.clear()
+        busy = fixture.caller().send(GET)
+        wait_until(lambda: len(fixture.forwarder.forwarded) == 2, "one is busy")
+        self.assertEqual(1, fixture.ingress.callers())
+        fixture.forwarder.forwarded[1].cut_s = time.monotonic()
+        fixture.forwarder.forwarded[1].stopped_by = StoppedBy.NO_PLACE
+        fixture.ingress.stop()
+        fixture.forwarder.hold.set()
+        busy.read()
+        lines = map(parse_event, fixture.logged().splitlines())
+        ended = [line for line in lines if line.get("service")]
+        self.assertEqual(2, len(ended))
+        for name in ("leaving_ms", "after_cut_ms", "stopped_by"):
+            self.assertNotIn(name, ended[0])
+        leaving_ms, after_cut_ms = (
+            int(ended[1][name]) for name in ("leaving_ms", "after_cut_ms")
+        )
+        self.assertTrue(0 <= leaving_ms <= after_cut_ms, ended[1])
+        self.assertEqual("no_place", ended[1]["stopped_by"])
+        busy.close()
+
+
 class BoundedConnectionTests(TestCase):
     def setUp(self):
         super().setUp()
--- a/tests/test_caller_gone.py
+++ b/tests/test_caller_gone.py
@@ -5,6 +5,7 @@
 
 from testtools import TestCase
 
+from tests.leaving_utils import read_events
 from tests.raw_server import RawServer, length_answer
 from tests.utils import call, start_fleet, wait_until
 
@@ -76,3 +77,31 @@
                 lambda number=number: len(self.server.closed_s) == number,
                 f"the connection ends, caller at {node.settings['node_id']}",
             )
+
+    def test_the_gate_tells_whose_caller_left(self):
+        # Two runs are cut at one gate: the caller of one was connected to the
+        # gate's own node, whose caller watch saw it go; that of the other to
+        # another node, which told the gate over a link.
+        for number, node in enumerate((self.gate, self.ingress), 1):
+            self._leave_a_signature(node, number)
+        wait_until(lambda: len(self._cuts()) == 2, "both runs are told as cut")
+        self.assertEqual(["own_caller_left", "caller_left"], self._cuts())
+        text = call(self.gate.admin_address, "/metrics").body.decode()
+        for cause in self._cuts():
+            line = f'balsamspindle_attempts_cut_total{{cause="{cause}"}} 1.0\n'
+            self.assertIn(line, text)
+
+    def _cuts(self) -> list[str]:
+        events = read_events(self.gate.log_path)
+        return [event["cut_by"] for event in events if "cut_by" in event]
+
+    def _leave_a_signature(self, node, number: int) -> None:
+        """Send a request and close its connection while it runs."""
+        host, _, port = node.caller_address.partition(":")
+        with socket.create_connection((host, int(port))) as caller:
+            caller.sendall(
+                b"POST /sign HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
+            )
+            wait_until(lambda: self._signatures() == number, "it runs")
+            self._announce()
+        wait_until(lambda: len(self.server.closed_s) == number, "it is cut")
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -16,9 +16,9 @@
 from balsamspindle.backend_servers.gate import Gate
 from balsamspindle.backend_servers.retry_grants import RetryGrants
 from balsamspindle.backend_servers.servers import Announcement, LocalBackendServers
-from balsamspindle.requests.outcomes import Execution, Outcome, Reason
+from balsamspindle.requests.outcomes import CancelCause, Execution, Outcome, Reason
 from balsamspindle.settings.documents import RetryBudget
-from balsamspindle.timeline import EventLog, HybridClock
+from balsamspindle.timeline import EventLog, HybridClock, parse_event
 from balsamspindle.wire import AttemptId, Claim, Dispatch, checksum
 from tests.raw_server import RawServer, length_answer
 from tests.utils import wait_until
@@ -26,6 +26,7 @@
 SERVICE = "crew/contracts"
 BODY = b"signature"
 NODE, INCARNATION = "gate", 7
+RAN_MS_MIN = 20
 
 
 class Observer(NoObserver):
@@ -47,18 +48,22 @@
         super().setUp()
         self.server = RawServer(lambda number: (length_answer(b"%d" % number), True))
         self.addCleanup(self.server.close)
-        servers = LocalBackendServers()
-        servers.announce(
-            "server", Announcement(SERVICE, self.server.address, 1, "1"), 0.0
-        )
+        self.servers = LocalBackendServers()
+        self._announce("1")
         self.observer = Observer()
+        self.log = EventLog(NODE, INCARNATION, HybridClock(), io.StringIO())
         self.gate = Gate(
-            servers,
-            BackendServerClient(1000),
-            EventLog(NODE, INCARNATION, HybridClock(), io.StringIO()),
-            self.observer,
+            self.servers, BackendServerClient(1000), self.log, self.observer
         )
 
+    def _announce(self, boot_id):
+        announcement = Announcement(SERVICE, self.server.address, 1, boot_id)
+        self.servers.announce("server", announcement, 0.0)
+
+    def _logged(self, name):
+        events = map(parse_event, self.log.recent(0, 1000).lines)
+        return [event for event in events if event["event"] == name]
+
     def _dispatch(self, sequence=1, **changes):
         fields = {
             "attempt_id": AttemptId("ingress", 1, sequence),
@@ -150,6 +155,64 @@
             self.assertEqual(Outcome.UNKNOWN, running.result().outcome)
         self.assertEqual([WorkResult.CANCELLED], self.observer.results)
 
+    def test_a_cut_run_is_told_with_its_cause_and_how_long_it_ran(self):
+        # All callers get 'unknown', and the backend server sees its connection
+        # end each time. An engineer has to tell a caller that left from a node
+        # that leaves and from a backend server that started anew.
+        self._hang()
+        ends = {
+            "ingress_gave_up": lambda attempt_id: self.gate.cancel(attempt_id),
+            "caller_left": lambda attempt_id: self.gate.cancel(
+                attempt_id, cause=CancelCause.CALLER_LEFT
+            ),
+            "server_restarted": lambda attempt_id: self._announce("2"),
+            "node_leaving": lambda attempt_id: self.gate.give_up(),
+        }
+        began_s = time.monotonic()
+        with ThreadPoolExecutor(1) as executor:
+            for sequence, end in enumerate(ends.values(), 1):
+                dispatch = self._dispatch(sequence, remaining_ms=60_000.0)
+                running = executor.submit(self._handle, dispatch)
+                self._seen(sequence)
+                time.sleep(RAN_MS_MIN / 1000)
+                end(dispatch.attempt_id)
+                self.assertEqual(Outcome.UNKNOWN, running.result().outcome)
+        took_ms = (time.monotonic() - began_s) * 1000
+        ended = self._logged("attempt_ended")
+        self.assertEqual(list(ends), [event["cut_by"] for event in ended])
+        ran_ms = [int(event["ran_ms"]) for event in ended]
+        self.assertGreaterEqual(min(ran_ms), RAN_MS_MIN)
+        self.assertLessEqual(sum(ran_ms), took_ms + len(ran_ms))
+        self.assertEqual(dict.fromkeys(ends, 1), self.log.metrics.report().cuts)
+
+    def test_a_run_that_was_not_cut_has_no_cause_of_a_cut(self):
+        self._handle(self._dispatch(1))
+        self.gate.cancel(self._dispatch(1).attempt_id)
+        self._hang()
+        self._handle(self._dispatch(2, remaining_ms=100.0))
+        ended = self._logged("attempt_ended")
+        self.assertEqual(["answered", "unknown"], [event["outcome"] for event in ended])
+        for event in ended:
+            self.assertNotIn("cut_by", event)
+            self.assertIn("ran_ms", event)
+        self.assertEqual({}, self.log.metrics.report().cuts)
+
+    def test_an_attempt_that_waited_for_a_leaving_node_is_told_as_such(self):
+        # The node's time for its orderly end is over. One attempt holds the only
+        # slot, another one waits for it: neither is left without a line.
+        self._hang()
+        with ThreadPoolExecutor(2) as executor:
+            executor.submit(self._handle, self._dispatch(1, remaining_ms=60_000.0))
+            self._seen(1)
+            executor.submit(self._handle, self._dispatch(2, remaining_ms=60_000.0))
+            wait_until(self.gate.waiting, "one waits")
+            self.gate.give_up()
+        names = ("attempt_ended", "attempt_refused")
+        told = [self._logged(name) for name in names]
+        self.assertEqual([1, 1], list(map(len, told)))
+        cuts = [event["cut_by"] for events in told for event in events]
+        self.assertEqual(["node_leaving"] * 2, cuts)
+
     def test_a_message_that_waited_while_the_gate_was_stopped_is_too_late(self):
         # Its duration starts when it is read and looks fresh; its end on the
         # gate's clock has passed, and the caller was told so.
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -5,6 +5,7 @@
 import threading
 import time
 from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
 
 from testtools import TestCase
 
@@ -37,6 +38,16 @@
         "timeout_ms": 60000,
     },
 }
+LONG_SETTINGS = {
+    "crew/routes/long": {
+        "service": "crew/contracts",
+        "execution": "idempotent",
+        "path_prefix": "/long",
+        "methods": ["GET"],
+        "timeout_ms": 60000,
+    },
+}
+LONG_MS = 40_000
 WORK_MS = 60
 
 
@@ -255,6 +266,81 @@
             caller.join()
         self.assertEqual(["unknown"] * 2, [answer.outcome for answer in answers])
 
+    def test_a_run_that_leaving_nodes_cut_is_told_from_cut_to_answer(self):
+        # The caller gets 'unknown' after two cuts. Its request runs at another
+        # node's backend server; that node is told to leave and cuts the run when
+        # its time is over. The ingress repeats it at its own backend server, is
+        # told to leave in its turn, and cuts that run, too.
+        ingress, gate = self._start_in_turn(["contract-1"])
+        with ThreadPoolExecutor(1) as executor:
+            answer = executor.submit(
+                call, ingress.caller_address, "/long/1", timeout_s=50
+            )
+            self._wait_for_run(gate)
+            self._start_beside(ingress, "contract-0")
+            self.assertEqual(0, gate.stop(timeout_s=20))
+            self._wait_for_run(ingress)
+            self.assertEqual(0, ingress.stop(timeout_s=20))
+            self.assertEqual("unknown", answer.result().outcome)
+        self._check_leaving(gate, callers="0")
+        self._check_leaving(ingress, callers="1")
+        [ended] = self._events(ingress, "request_ended")
+        leaving_ms, after_cut_ms = int(ended["leaving_ms"]), int(ended["after_cut_ms"])
+        self.assertTrue(0 < leaving_ms <= after_cut_ms, ended)
+
+    def test_a_run_that_a_leaving_ingress_gave_up_is_told_at_the_gate(self):
+        # The node that took the request leaves and gives up its wait for the
+        # reply; the gate stays, cuts the run for it, and says for whom.
+        ingress, gate = self._start_in_turn(["contract-1"])
+        with ThreadPoolExecutor(1) as executor:
+            answer = executor.submit(
+                call, ingress.caller_address, "/long/1", timeout_s=50
+            )
+            self._wait_for_run(gate)
+            self.assertEqual(0, ingress.stop(timeout_s=20))
+            self.assertEqual("unknown", answer.result().outcome)
+        wait_until(lambda: self._events(gate, "attempt_ended"), "the run is cut")
+        [cut] = self._events(gate, "attempt_ended")
+        self.assertEqual("ingress_leaving", cut["cut_by"])
+        [unanswered] = self._events(ingress, "attempt_unanswered")
+        self.assertEqual("this node is leaving", unanswered["cause"])
+
+    def _start_in_turn(self, server_ids: list[str]) -> list:
+        self.fleet.put_settings(LONG_SETTINGS)
+        self.nodes = [
+            self.fleet.start_node(f"node-{number}", "zone-0", shutdown_timeout_s=3.0)
+            for number in range(2)
+        ]
+        for server_id in server_ids:
+            self._start_beside(self.nodes[1], server_id)
+        return self.nodes
+
+    def _start_beside(self, node, server_id: str) -> None:
+        self.fleet.start_backend(server_id, "crew/contracts", node, work_ms=LONG_MS)
+        self.fleet.wait_ready(self.nodes, [server_id], revision=4)
+
+    def _events(self, node, name: str) -> list[dict[str, str]]:
+        return [one for one in read_events(node.log_path) if one["event"] == name]
+
+    def _wait_for_run(self, node) -> None:
+        wait_until(lambda: self._events(node, "attempt_dispatched"), "it runs")
+
+    def _check_leaving(self, node, callers: str) -> None:
+        """Check that a node said what was at stake, and named what it cut."""
+        [leaving] = self._events(node, "node_leaving")
+        self.assertEqual(
+            ("3000", "1", "0", callers),
+            tuple(
+                leaving[name]
+                for name in ("ends_in_ms", "running", "waiting", "callers")
+            ),
+        )
+        self.assertEqual(1, len(self._events(node, "shutdown_timeout")))
+        [cut] = self._events(node, "attempt_ended")
+        self.assertEqual("node_leaving", cut["cut_by"])
+        [dispatched] = self._events(node, "attempt_dispatched")
+        self.assertEqual(dispatched["request"], cut["request"])
+
     def test_an_idle_connection_ends_with_an_answer_and_does_not_hold_the_node(self):
         # The caller keeps a connection open and sends nothing. It must learn
         # that a request which crosses the end of the connection was not run,
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -16,10 +16,11 @@
 from balsamspindle.backend_servers.servers import LocalBackendServers
 from balsamspindle.membership import Directory
 from balsamspindle.requests import links
+from balsamspindle.requests.forwarded import StoppedBy
 from balsamspindle.requests.forwarding import ForwardedRequest, Forwarder
 from balsamspindle.requests.http import CallerRequest, HttpConnection, HttpLimits
 from balsamspindle.requests.links import GateClock, LinkPool
-from balsamspindle.requests.outcomes import Execution, Outcome, Reason
+from balsamspindle.requests.outcomes import CancelCause, Execution, Outcome, Reason
 from balsamspindle.services.picker import Picker
 from balsamspindle.settings.documents import RouteDocument
 from balsamspindle.settings.tree import CurrentConfiguration
@@ -27,9 +28,12 @@
 from balsamspindle.wire import (
     AttemptId,
     BackendServerRecord,
+    Cancel,
     NodeRecord,
     Reply,
+    WireError,
     checksum,
+    decode_link,
     encode,
 )
 from tests.fake_gate import FakeGate
@@ -81,17 +85,55 @@
     def request(self, body: bytes = b"signature", timeout_s: float = 5.0, **route):
         """Forward one request of a caller that waits."""
         near, far = socket.socketpair()
+        self.caller = far
         with near, far:
             request = CallerRequest("POST", "/sign", body=body)
-            return self._forwarder.forward(
-                ForwardedRequest(
-                    "id",
-                    HttpConnection(near, HttpLimits()),
-                    request,
-                    msgspec.structs.replace(ROUTE, **route),
-                    time.monotonic() + timeout_s,
-                )
+            self.forwarded = ForwardedRequest(
+                "id",
+                HttpConnection(near, HttpLimits()),
+                request,
+                msgspec.structs.replace(ROUTE, **route),
+                time.monotonic() + timeout_s,
             )
+            return self._forwarder.forward(self.forwarded)
+
+    def give_up(self) -> None:
+        """End the waiting, as a node that leaves."""
+        self._forwarder.give_up()
+
+
+class EarlierCancel(msgspec.Struct, array_like=True, tag="cancel", frozen=True):
+    """A cancellation as releases read it that know of no cause."""
+
+    attempt_id: AttemptId
+    hlc: int = 0
+    gate_deadline_s: float | None = None
+
+
+class CancelCauseTests(TestCase):
+    # Two releases meet during a roll-out. A cancellation that one of them can't
+    # read is dropped, and the backend server goes on working for nobody.
+
+    def setUp(self):
+        super().setUp()
+        self.attempt_id = AttemptId("own", 1, 2)
+
+    def test_a_cancellation_keeps_its_cause(self):
+        for cause in CancelCause:
+            cancel = Cancel(self.attempt_id, 3, 4.5, cause)
+            self.assertEqual(cancel, decode_link(encode(cancel)))
+
+    def test_an_earlier_release_passes_over_the_cause(self):
+        frame = encode(Cancel(self.attempt_id, 3, 4.5, CancelCause.DEADLINE))
+        read = msgspec.msgpack.decode(frame[1:], type=EarlierCancel)
+        self.assertEqual(EarlierCancel(self.attempt_id, 3, 4.5), read)
+
+    def test_one_without_a_cause_or_with_a_later_releases_cause_still_cancels(self):
+        for fields in ([], ["of a later release"], ["of a later release", "more"]):
+            read = decode_link(encode(["cancel", self.attempt_id, 3, 4.5, *fields]))
+            self.assertNotIsInstance(read, WireError)
+            self.assertEqual(self.attempt_id, read.attempt_id)
+            self.assertIs(CancelCause.INGRESS_GAVE_UP, read.cause)
 
 
 class LinkTests(TestCase):
@@ -257,6 +299,73 @@
         self.assertEqual(dispatch.attempt_id, cancel.attempt_id)
         self.assertEqual(dispatch.gate_deadline_s, cancel.gate_deadline_s)
 
+    def test_a_cancellation_tells_why_the_request_was_given_up(self):
+        # The gate cuts the run in each case. Told apart only at the ingress, the
+        # gate's log would say the same of an impatient caller and of a node that
+        # leaves.
+        gate, address = self._gate(lambda dispatch: [])
+        causes = [
+            (CancelCause.CALLER_LEFT, self._leave),
+            (CancelCause.DEADLINE, lambda ingress: None),
+            (CancelCause.INGRESS_LEAVING, lambda ingress: ingress.give_up()),
+        ]
+        for number, (cause, end) in enumerate(causes, 1):
+            timeout_s = 0.1 if cause is CancelCause.DEADLINE else 600
+            ingress = self._ingress(address)
+            with ThreadPoolExecutor(1) as executor:
+                result = executor.submit(ingress.request, timeout_s=timeout_s)
+                self._wait_for(gate.dispatches, number)
+                end(ingress)
+                self.assertEqual(Outcome.UNKNOWN, result.result(60).outcome)
+            self._wait_for(gate.cancels, number)
+            self.assertIs(cause, gate.cancels[-1].cause)
+
+    def _leave(self, ingress: Ingress) -> None:
+        ingress.caller.shutdown(socket.SHUT_RDWR)
+
+    def _wait_for(self, messages: list, count: int) -> None:
+        wait_until(lambda: len(messages) == count, f"{count} messages")
+
+    def test_a_request_remembers_when_it_heard_that_its_run_was_cut(self):
+        # The first run is cut, the second one is answered late: the time between
+        # is what the caller waited after the cut. A refusal cuts no run.
+        ends = [
+            {"outcome": Outcome.NOT_RUN, "reason": Reason.DRAINING},
+            {"outcome": Outcome.UNKNOWN, "reason": Reason.CANCELLED},
+            {},
+        ]
+        heard_s = []
+
+        def answer(dispatch):
+            heard_s.append(time.monotonic())
+            return [(0, answer_frame(dispatch, **ends[len(gate.dispatches) - 1]))]
+
+        gate, address = self._gate(answer)
+        ingress = self._ingress(address, servers_count=3)
+        reply = ingress.request(execution=Execution.IDEMPOTENT)
+        self.assertEqual((3, Outcome.ANSWERED), (len(gate.dispatches), reply.outcome))
+        self.assertTrue(heard_s[1] <= ingress.forwarded.cut_s <= heard_s[2])
+
+    def test_a_request_whose_run_was_cut_tells_why_it_was_not_sent_elsewhere(self):
+        # Its run is cut long before its deadline, and its caller gets 'unknown'
+        # at once: the route allows one attempt, or there is no other backend
+        # server, or it must not run twice.
+        cut = {"outcome": Outcome.UNKNOWN, "reason": Reason.CANCELLED}
+        gate, address = self._gate(
+            lambda dispatch: [(0, answer_frame(dispatch, **cut))]
+        )
+        idempotent = {"execution": Execution.IDEMPOTENT}
+        ends = [
+            (2, idempotent | {"attempts_max": 1}, StoppedBy.ATTEMPTS_MAX),
+            (1, idempotent, StoppedBy.NO_PLACE),
+            (2, {}, StoppedBy.REPEAT_DENIED),
+        ]
+        for servers_count, route, expected in ends:
+            ingress = self._ingress(address, servers_count)
+            self.assertEqual(Outcome.UNKNOWN, ingress.request(**route).outcome)
+            self.assertIs(expected, ingress.forwarded.stopped_by)
+        self.assertEqual(len(ends), len(gate.dispatches))
+
     def test_not_run_after_an_attempt_that_may_have_run_is_unknown(self):
         # An idempotent request is lost at one backend server and refused at
         # the next. The last reply says 'not run', of its own attempt only.
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -29,6 +29,15 @@
             text,
         )
 
+    def test_cut_attempts_are_counted_by_cause(self):
+        metrics = Metrics()
+        for cause in ("node_leaving", "node_leaving", "caller_left"):
+            metrics.count_cut(cause)
+        text = prometheus_text(metrics.report()).decode()
+        for cause, count in (("node_leaving", 2.0), ("caller_left", 1.0)):
+            line = f'balsamspindle_attempts_cut_total{{cause="{cause}"}} {count}\n'
+            self.assertIn(line, text)
+
 
 class NodeMetricsTests(TestCase):
     def test_a_request_through_two_nodes_is_seen_at_each_hop(self):
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -11,6 +11,7 @@
 from balsamspindle.cli.exit_status import ExitStatus
 from balsamspindle.metrics import Hop, Metrics
 from balsamspindle.metrics.exposition import prometheus_text
+from balsamspindle.requests import CancelCause
 from balsamspindle.settings import NodeSettings, RouteDocument, ServiceDocument
 from tests.utils import ROOT
 
@@ -33,6 +34,7 @@
     metrics = Metrics()
     metrics.count_outcome("crew/contracts", "answered")
     metrics.count_event("node_started")
+    metrics.count_cut("node_leaving")
     return prometheus_text(metrics.report()).decode()
 
 
@@ -88,6 +90,10 @@
             described |= events_of_row(row)
         self.assertEqual(set(), emitted_events() - described)
 
+    def test_each_cause_of_a_cut_run_is_described(self):
+        for cause in CancelCause:
+            self.assertIn(f"`{cause}`", OPERATIONS)
+
     def test_each_exit_status_is_described(self):
         for status in ExitStatus:
             self.assertIn(f"| {status.value} | `{status.name}` |", OPERATORS)
