Count the requests that a leaving node cut as a loss of their own

`cut_by_leaving_node` takes the `unknown` requests with a `cut_by` of `node_leaving` or `ingress_leaving`, or whose ingress gave up its wait because it left.

--- a/balsamspindle/timeline/losses.py
+++ b/balsamspindle/timeline/losses.py
@@ -31,6 +31,7 @@
     ERROR_REPEAT_DENIED = "error_repeat_denied"
     ERROR_REPEATED = "error_after_repeat"
     ERROR_FIRST = "error_at_first_attempt"
+    CUT_BY_LEAVING = "cut_by_leaving_node"
     NO_ANSWER = "no_whole_answer"
     CALLER_LEFT = "caller_left"
     OTHER = "other"
@@ -46,6 +47,9 @@
 
 
 _NO_ROOM = frozenset({"would_wait", "no_free_slot", "deadline"})
+# What the gate and the ingress say of a run that a leaving node cut.
+_CUT_BY_LEAVING = frozenset({"node_leaving", "ingress_leaving"})
+_GIVEN_UP_BY_LEAVING = "this node is leaving"
 _NOBODY = frozenset({"suspected", "no_backend_server", "draining"})
 
 
@@ -97,12 +101,21 @@
         case "answered":
             return _error_cause(own)
         case "unknown":
-            return Loss.NO_ANSWER
+            return _unknown_cause(own)
         case "not_run":
             return _refusal_cause(ended.details.get("cause"), held_ms)
     return Loss.OTHER
 
 
+def _unknown_cause(own: list[TimelineEvent]) -> Loss:
+    is_cut = any(
+        one.details.get("cut_by") in _CUT_BY_LEAVING
+        or one.details.get("cause") == _GIVEN_UP_BY_LEAVING
+        for one in own
+    )
+    return Loss.CUT_BY_LEAVING if is_cut else Loss.NO_ANSWER
+
+
 def _refusal_cause(reason: str | None, held_ms: float) -> Loss:
     if reason in _NO_ROOM:
         is_at_once = held_ms <= AT_ONCE_MS
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -58,6 +58,20 @@
         counts = count_losses(lost_requests(events))
         self.assertEqual({(SERVICE, Loss.NO_ANSWER): 2}, dict(counts))
 
+    def test_a_run_that_a_leaving_node_cut_differs_from_other_silence(self):
+        # The caller gets 'unknown' either way. A gate that was told to leave cut
+        # the run, or the ingress gave up its wait for a reply; else the backend
+        # server or a link broke off.
+        unknown = ended(9, "unknown", cause="cancelled")
+        for cut_by in ("node_leaving", "ingress_leaving"):
+            cut = event(5, "attempt_ended", outcome="unknown", cut_by=cut_by)
+            self.assertIs(Loss.CUT_BY_LEAVING, self.cause(cut, unknown))
+        given_up = event(5, "attempt_unanswered", cause="this node is leaving")
+        self.assertIs(Loss.CUT_BY_LEAVING, self.cause(given_up, unknown))
+        for cut_by in ("server_restarted", "deadline"):
+            cut = event(5, "attempt_ended", outcome="unknown", cut_by=cut_by)
+            self.assertIs(Loss.NO_ANSWER, self.cause(cut, unknown))
+
     def test_a_caller_that_left_is_no_fault_of_the_fleet(self):
         left = event(1, "attempt_unanswered", cause="the caller left")
         self.assertIs(Loss.CALLER_LEFT, self.cause(left, ended(2, "unknown")))
