A failing test: a read cut by one restart, while its ingress is restarted too

The caller gets 504 unknown in 11 of 11 runs (6 of them at once), although another backend server was free all the time.

--- /dev/null
+++ b/tests/test_leaving_in_doubt.py
@@ -0,0 +1,121 @@
+"""Requests whose outcome is in doubt while the nodes that hold them leave."""
+
+import signal
+import threading
+import time
+
+from testtools import TestCase
+from testtools.content import text_content
+
+from tests.leaving_utils import read_events
+from tests.utils import HttpAnswer, NodeProgram, call, start_fleet, wait_until
+
+SERVICE = "crew/contracts"
+SHUTDOWN_TIMEOUT_S = 3.0
+# As the platform's configuration is translated, with times that let each test
+# choose what happens first; nothing under `slow_ms_min` counts as sick.
+SETTINGS = {
+    "crew/services/contracts": {
+        "detection": {
+            "independent_errors": True,
+            "slow_ms_min": 8000,
+            "hold_out_s": 0.05,
+            "hold_out_max_s": 1.0,
+            "hold_out_growth": 4.0,
+            "trial_successes": 1,
+            "calm_s": 1.0,
+        },
+        "retry_budget": {"fraction": 0.08, "fleet_per_s_min": 4.0, "on_errors": True},
+        "queue_max": 64,
+    },
+    "crew/routes/read": {
+        "service": SERVICE,
+        "execution": "idempotent",
+        "path_prefix": "/contracts",
+        "methods": ["GET"],
+        "timeout_ms": 20000,
+        "target_ms": 8000,
+        "attempts_max": 3,
+        "weight": 0.5,
+    },
+}
+
+
+class Caller(threading.Thread):
+    """Sends one request and keeps its answer."""
+
+    def __init__(self, node: NodeProgram, run_key: str, target: str, method="GET"):
+        super().__init__(name=run_key, daemon=True)
+        self._call = (node.caller_address, target, method)
+        self._answer: HttpAnswer | None = None
+        self.start()
+
+    def run(self) -> None:
+        headers = {"X-Run-Key": self.name}
+        self._answer = call(*self._call, headers=headers, timeout_s=30)
+
+    def answer(self) -> HttpAnswer:
+        """Wait for the answer and return it."""
+        self.join()
+        assert self._answer is not None, f"{self.name} got no answer"
+        return self._answer
+
+
+def events_at(node: NodeProgram, name: str) -> list[dict[str, str]]:
+    """Return the events of one name that a node has written so far."""
+    return [event for event in read_events(node.log_path) if event["event"] == name]
+
+
+class LeavingInDoubtTests(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.fleet = start_fleet(self, SETTINGS)
+        # The ingress has no backend server of the service, so that all its
+        # requests go to other nodes; what is near goes first.
+        self.ingress = self._start_node("ingress", "zone-0")
+        self.near = self._start_node("near", "zone-0")
+
+    def _start_node(self, name: str, zone: str) -> NodeProgram:
+        node = self.fleet.start_node(
+            name, zone, shutdown_timeout_s=SHUTDOWN_TIMEOUT_S, ready_notice_s=0.5
+        )
+        # Shown when the test fails.
+        self.addCleanup(
+            lambda: self.addDetail(name, text_content(node.log_path.read_text()))
+        )
+        return node
+
+    def _started_at_near(self, count: int) -> None:
+        wait_until(
+            lambda: len(events_at(self.near, "attempt_dispatched")) >= count,
+            f"{count} runs began at the near gate",
+        )
+
+    def test_a_read_cut_by_one_restart_is_answered_before_the_next(self):
+        # The caller of a read that may be repeated is told that nobody knows
+        # whether it ran, although another backend server was free all the time.
+        # The gate beside the run is told to leave and cuts it when its time is
+        # over; only then does the ingress look for another place. Meanwhile it
+        # was told to leave itself, and its time ends before the repeat does.
+        # 11 of 11 runs: 504, unknown; the second attempt was sent at the cut,
+        # three seconds after the ingress had learned that the gate was leaving.
+        far = self._start_node("far", "zone-1")
+        self.fleet.start_backend("contract-near", SERVICE, self.near, work_ms=15000)
+        server = self.fleet.start_backend("contract-far", SERVICE, far, work_ms=2500)
+        self.fleet.wait_ready(
+            [self.ingress, self.near, far], ["contract-near", "contract-far"]
+        )
+        caller = Caller(self.ingress, "read", "/contracts/1")
+        self._started_at_near(1)
+        time.sleep(0.6)
+        self.near.signal(signal.SIGTERM)
+        time.sleep(1.5)
+        self.ingress.signal(signal.SIGTERM)
+        answer = caller.answer()
+        self.assertEqual((200, "answered"), (answer.status, answer.outcome))
+        self.assertEqual(
+            ("contract-far", "/contracts/1", "read"),
+            tuple(answer.json()[name] for name in ("server", "target", "run_key")),
+        )
+        self.assertEqual({"read": 1}, server.runs())
+        self.assertEqual(0, self.ingress.process.wait(10))
