--- a/tests/test_leaving_in_doubt.py
+++ b/tests/test_leaving_in_doubt.py
@@ -38,6 +38,16 @@
         "attempts_max": 3,
         "weight": 0.5,
     },
+    "crew/routes/sign": {
+        "service": SERVICE,
+        "execution": "non_idempotent",
+        "path_prefix": "/signatures",
+        "methods": ["POST"],
+        "timeout_ms": 20000,
+        "target_ms": 8000,
+        "attempts_max": 3,
+        "weight": 0.5,
+    },
 }
 
 
@@ -119,3 +129,43 @@
         )
         self.assertEqual({"read": 1}, server.runs())
         self.assertEqual(0, self.ingress.process.wait(10))
+
+    def test_what_waits_elsewhere_does_not_start_as_its_ingress_ends(self):
+        # The caller of a request that must not run twice is told that nobody knows
+        # whether it ran. It waited for the only slot at another node's gate while
+        # its ingress was told to leave. The slot became free half a second before
+        # the ingress's time was over, too late for work of one and a half: the
+        # request was started, and its ingress gave it up.
+        # 11 of 11 runs: 504, unknown; started 0.5 s before the ingress gave up, and
+        # cut by it.
+        slow_s, work_s = 2.0, 1.5
+        server = self.fleet.start_backend(
+            "contract-near", SERVICE, self.near, work_ms=work_s * 1000, slots=1
+        )
+        self.fleet.wait_ready([self.ingress, self.near], ["contract-near"])
+        # The gate learns how long the route's work takes.
+        first = Caller(self.near, "first", "/signatures/1", "POST").answer()
+        self.assertEqual(200, first.status)
+        server.set_fault(mode="slow", delay_s=slow_s)
+        long = Caller(self.near, "long", "/signatures/2", "POST")
+        self._started_at_near(2)
+        ends_s = time.monotonic() + work_s + slow_s
+        server.set_fault(mode="slow", delay_s=slow_s, share=0)
+        waiting = Caller(self.ingress, "waiting", "/signatures/3", "POST")
+        wait_until(
+            lambda: (
+                events_at(self.ingress, "attempt_sent")[-1:]
+                and events_at(self.ingress, "attempt_sent")[-1]["sought"] == "queue"
+            ),
+            "the request waits at the gate",
+        )
+        time.sleep(ends_s + 0.5 - SHUTDOWN_TIMEOUT_S - time.monotonic())
+        self.ingress.signal(signal.SIGTERM)
+        answer = waiting.answer()
+        self.assertEqual(200, long.answer().status)
+        # Whatever still waited goes before it.
+        last = Caller(self.near, "last", "/signatures/4", "POST").answer()
+        self.assertEqual(200, last.status)
+        self.assertEqual((503, "not_run"), (answer.status, answer.outcome))
+        self.assertEqual({"first": 1, "long": 1, "last": 1}, server.runs())
+        self.assertEqual(0, self.ingress.process.wait(10))
