--- a/balsamspindle/backend_servers/admission.py
+++ b/balsamspindle/backend_servers/admission.py
@@ -110,7 +110,8 @@
     def outlasting(self, now_s: float) -> list[AttemptId]:
         """Return the attempts that run and may not end before this node does.
 
-        They are those that would not be started any more.
+        They are those that would not be started any more, and those of which
+        nobody knows how long they take.
         """
         if math.isinf(self._ends_s):
             return []
@@ -119,15 +120,14 @@
                 admitted.attempt_id
                 for admitted in self._running
                 if self._may_outlast(admitted.server, admitted.kind, now_s)
+                or not _usual_s(admitted.server, admitted.kind)
             ]
 
     def _may_outlast(
         self, server: LocalBackendServer, kind: WorkKind, now_s: float
     ) -> bool:
         """Tell whether work that began now could last longer than this node."""
-        account = server.account
-        usual_s = account.own_time_s(kind) or account.service_time_s
-        return now_s + LAST_START_FACTOR * usual_s >= self._ends_s
+        return now_s + LAST_START_FACTOR * _usual_s(server, kind) >= self._ends_s
 
     def waiting(self) -> int:
         """Return the attempts that wait for a slot."""
@@ -185,8 +185,8 @@
                 return refused
             case _Room() as room:
                 pass
-        usual_s = ticket.own_time_s or room.service_time_s
-        if now_s + START_FACTORS[dispatch.execution] * usual_s >= token.ends_s:
+        start_factor = START_FACTORS[dispatch.execution]
+        if now_s + start_factor * _usual_s(room.server, room.kind) >= token.ends_s:
             return Refused(Reason.NODE_STOPPING)
         verdict = queue.ask(
             ticket, room.free_slots, room.pace_slots, room.service_time_s, now_s
@@ -302,6 +302,11 @@
         return self.server.account.service_time_s
 
 
+def _usual_s(server: LocalBackendServer, kind: WorkKind) -> float:
+    """Return how long work of a kind usually takes there; 0 when unknown."""
+    return server.account.own_time_s(kind) or server.account.service_time_s
+
+
 def _refusal(
     verdict: Verdict, queue: SlotQueue, ticket: Ticket, room: _Room
 ) -> Refused:
--- a/balsamspindle/backend_servers/link_server.py
+++ b/balsamspindle/backend_servers/link_server.py
@@ -148,8 +148,8 @@
 
     def _take(self, peer: bytes, message: LinkMessage) -> None:
         match message:
-            case Cancel(attempt_id, _, gate_deadline_s):
-                self._gate.cancel(attempt_id, gate_deadline_s)
+            case Cancel(attempt_id, _, gate_deadline_s, cause):
+                self._gate.cancel(attempt_id, gate_deadline_s, cause)
             case IngressEnding(attempt_id, left_ms):
                 ends_s = time.monotonic() + left_ms / 1000
                 self._gate.ingress_ends(attempt_id, ends_s)
--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -4,6 +4,7 @@
 import math
 import time
 from collections.abc import Callable
+from functools import partial
 
 import msgspec
 
@@ -14,7 +15,7 @@
 from balsamspindle.requests.forwarded import ForwardedRequest, Rescue, Step, route_id
 from balsamspindle.requests.gate_links import GateLinks
 from balsamspindle.requests.links import Link, LinkPool
-from balsamspindle.requests.outcomes import Execution, Outcome, Reason
+from balsamspindle.requests.outcomes import CancelCause, Execution, Outcome, Reason
 from balsamspindle.requests.questions import Declined, Questions
 from balsamspindle.requests.retries import is_refusal
 from balsamspindle.requests.sent import SentAttempt
@@ -37,6 +38,14 @@
 
 __all__ = ["AttemptSender"]
 
+# Why nobody knows what became of an attempt that was given up.
+_UNANSWERED = {
+    CancelCause.CALLER_LEFT: "the caller left",
+    CancelCause.DEADLINE: "no reply in time",
+    CancelCause.INGRESS_LEAVING: "this node is leaving",
+    CancelCause.INGRESS_GAVE_UP: "the link to the gate ended",
+}
+
 
 class AttemptSender:
     """Sends attempts and waits for their replies."""
@@ -59,7 +68,9 @@
         self._events = events
         self._free_slots = free_slots
         self._clock = clock
-        self._watch = CallerWatch(gate.cancel)
+        self._watch = CallerWatch(
+            partial(gate.cancel, cause=CancelCause.OWN_CALLER_LEFT)
+        )
         self._peers = PeerEvidenceTracker()
         self._sequence = itertools.count(1)
         self._given_up = False
@@ -180,6 +191,7 @@
                 reply = self._gate.handle(claimed, self._clock())
         finally:
             tracked.end(reply)
+        forwarded.note_cut(reply, self._clock())
         return _noted(forwarded, reply)
 
     def _send_over_link(self, forwarded, placement, rescue: Rescue | None) -> Reply:
@@ -200,10 +212,21 @@
         finally:
             ended = [sent for sent in attempts if sent is not parked]
             self._close(forwarded, ended, waited)
-        if parked is not None:
-            forwarded.parked.add(parked)
-            return Reply(parked.attempt_id, Outcome.UNKNOWN, Reason.GATE_ENDING)
-        return self._final(forwarded, attempts, waited)
+        if parked is None:
+            return self._final(forwarded, attempts, waited)
+        return self._park(forwarded, parked)
+
+    def _park(self, forwarded: ForwardedRequest, sent: SentAttempt) -> Reply:
+        """Leave an attempt open; return what makes its request go elsewhere, too."""
+        forwarded.parked.add(sent)
+        self._events.emit(
+            "attempt_left_open",
+            request=forwarded.request_id,
+            backend_server=sent.dispatch.backend_server_id,
+            gate=sent.gate,
+            left_ms=round((forwarded.deadline_s - self._clock()) * 1000),
+        )
+        return Reply(sent.attempt_id, Outcome.UNKNOWN, Reason.GATE_ENDING)
 
     def _wait_doubled(
         self,
@@ -260,6 +283,14 @@
             return None
         return unanswered[0]
 
+    def leave_parked(self, forwarded: ForwardedRequest, is_answered: bool) -> None:
+        """Cancel the attempt that was left open, if it still is."""
+        if is_answered:
+            cause = CancelCause.ANSWERED_ELSEWHERE
+        else:
+            cause = self._why_given_up(forwarded)
+        forwarded.parked.give_up(cause)
+
     def wait_parked(self, forwarded: ForwardedRequest) -> Reply:
         """Wait for the attempt that was left open, as nothing else is left."""
         attempts = forwarded.parked.all()
@@ -360,11 +391,16 @@
             reply = replies.get(sent.link)
             sent.on_end(reply)
             if reply is not None:
+                # Before the link is another task's, which hears other replies.
+                forwarded.note_cut(reply, sent.link.heard_s)
                 self._links.give_back(sent.link)
             elif is_silent:
                 sent.link.close()
             else:
-                sent.give_up()
+                sent.give_up(self._why_given_up(forwarded, waited))
+        for sent in forwarded.parked.all():
+            if sent.link in replies:
+                forwarded.note_cut(replies[sent.link], sent.link.heard_s)
         forwarded.parked.settle(replies, self._links.give_back)
 
     def _final(self, forwarded, attempts: list[SentAttempt], waited: Waited | None):
@@ -387,22 +423,28 @@
             return Reply(reply.attempt_id, Outcome.UNKNOWN, Reason.BROKEN_ANSWER)
         return _noted(forwarded, reply)
 
+    def _why_given_up(
+        self, forwarded: ForwardedRequest, waited: Waited | None = None
+    ) -> CancelCause:
+        """Tell why no reply is waited for any more."""
+        if _is_answered(waited):
+            return CancelCause.ANSWERED_ELSEWHERE
+        if forwarded.caller.caller_gone():
+            return CancelCause.CALLER_LEFT
+        if self._clock() >= forwarded.deadline_s:
+            return CancelCause.DEADLINE
+        if self._given_up:
+            return CancelCause.INGRESS_LEAVING
+        return CancelCause.INGRESS_GAVE_UP
+
     def _note_unanswered(self, forwarded: ForwardedRequest, sent: SentAttempt) -> None:
         """Say why nobody knows what became of an attempt."""
-        if forwarded.caller.caller_gone():
-            cause = "the caller left"
-        elif self._clock() >= forwarded.deadline_s:
-            cause = "no reply in time"
-        elif self._given_up:
-            cause = "this node is leaving"
-        else:
-            cause = "the link to the gate ended"
         self._events.emit(
             "attempt_unanswered",
             request=forwarded.request_id,
             backend_server=sent.dispatch.backend_server_id,
             gate=sent.gate,
-            cause=cause,
+            cause=_UNANSWERED[self._why_given_up(forwarded)],
         )
 
     def _track(self, forwarded, placement) -> TrackedAttempt:
--- a/balsamspindle/requests/sent.py
+++ b/balsamspindle/requests/sent.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from balsamspindle.requests.links import Link
+from balsamspindle.requests.outcomes import CancelCause
 from balsamspindle.wire import AttemptId, Dispatch, Reply
 
 __all__ = ["ParkedAttempts", "SentAttempt"]
@@ -31,9 +32,9 @@
         """The attempt's id."""
         return self.dispatch.attempt_id
 
-    def give_up(self) -> None:
+    def give_up(self, cause: CancelCause) -> None:
         """Cancel the attempt; its reply is not waited for any more."""
-        self.link.give_up(self.attempt_id, self.dispatch.hlc)
+        self.link.give_up(self.attempt_id, self.dispatch.hlc, cause)
 
     def is_ending(self) -> bool:
         """Tell whether the gate's node may end before the attempt does."""
@@ -75,9 +76,9 @@
                 sent.on_end(replies[sent.link])
                 give_back(sent.link)
 
-    def give_up(self) -> None:
+    def give_up(self, cause: CancelCause) -> None:
         """Cancel what is still open."""
         for sent in self._sent:
             sent.on_end(None)
-            sent.give_up()
+            sent.give_up(cause)
         self._sent.clear()
--- a/tests/test_ending_nodes.py
+++ b/tests/test_ending_nodes.py
@@ -1,4 +1,4 @@
-"""Attempts between two nodes of which one is leaving: each end is known to the other."""
+"""Attempts between two nodes, one of them leaving: its end is known to the other."""
 
 import io
 import math
@@ -7,6 +7,7 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 
+import msgspec
 import zmq
 from testtools import TestCase
 
@@ -17,9 +18,12 @@
 from balsamspindle.backend_servers.link_server import LinkServer
 from balsamspindle.backend_servers.servers import Announcement, LocalBackendServers
 from balsamspindle.backend_servers.slots import WorkEnd
+from balsamspindle.node.gate_side import GateSide
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.requests.outcomes import Execution, Outcome, Reason
 from balsamspindle.requests.waiting import Wait, wait_first
+from balsamspindle.settings.documents import RetryBudget, ServiceDocument
+from balsamspindle.settings.process import NodeSettings
 from balsamspindle.timeline import EventLog, HybridClock
 from balsamspindle.wire import (
     AttemptId,
@@ -132,20 +136,7 @@
         account.take()
 
     def _admit(self, token: CancelToken, execution=Execution.NON_IDEMPOTENT):
-        dispatch = Dispatch(
-            AttemptId("ingress", 1, 1),
-            "id",
-            SERVICE,
-            "server",
-            execution,
-            60_000.0,
-            1.0,
-            "POST",
-            "/",
-            [],
-            b"",
-            checksum(b""),
-        )
+        dispatch = msgspec.structs.replace(attempt(1), execution=execution)
         return self.admission.admit(dispatch, token, time.monotonic() + 60.0)
 
     def test_one_that_waits_is_told_not_run_while_that_is_true(self):
@@ -174,7 +165,41 @@
         )
 
 
-class LinkTests(TestCase):
+def attempt(number: int) -> Dispatch:
+    return Dispatch(
+        AttemptId("own", 1, number),
+        "id",
+        SERVICE,
+        "server",
+        Execution.NON_IDEMPOTENT,
+        PATIENCE_S * 1000,
+        1.0,
+        "GET",
+        "/",
+        [],
+        b"",
+        checksum(b""),
+    )
+
+
+class LinkCase(TestCase):
+    """The ingress's end of links to one gate."""
+
+    def _send(self, number: int):
+        deadline_s = time.monotonic() + PATIENCE_S
+        link = self.links.take(self.address, deadline_s)
+        self.assertTrue(link.send_dispatch(attempt(number), deadline_s))
+        return link, attempt(number).attempt_id
+
+    def _wait(self, link, attempt_id, **changes):
+        near, far = socket.socketpair()
+        with near, far:
+            deadline_s = time.monotonic() + PATIENCE_S
+            wait = Wait(deadline_s, near.fileno(), lambda: False, self.fail, **changes)
+            return wait_first({link: attempt_id}, wait)
+
+
+class LinkServerTests(LinkCase):
     """A link server with a real gate, and the ingress's end of a link."""
 
     def setUp(self):
@@ -204,33 +229,6 @@
         self.addCleanup(self.server.stop)
         self.addCleanup(self.gate.give_up)
 
-    def _send(self, number: int):
-        deadline_s = time.monotonic() + PATIENCE_S
-        link = self.links.take(self.address, deadline_s)
-        dispatch = Dispatch(
-            AttemptId("own", 1, number),
-            "id",
-            SERVICE,
-            "server",
-            Execution.NON_IDEMPOTENT,
-            PATIENCE_S * 1000,
-            1.0,
-            "GET",
-            "/",
-            [],
-            b"",
-            checksum(b""),
-        )
-        self.assertTrue(link.send_dispatch(dispatch, deadline_s))
-        return link, dispatch.attempt_id
-
-    def _wait(self, link, attempt_id, **changes):
-        near, far = socket.socketpair()
-        with near, far:
-            deadline_s = time.monotonic() + PATIENCE_S
-            wait = Wait(deadline_s, near.fileno(), lambda: False, self.fail, **changes)
-            return wait_first({link: attempt_id}, wait)
-
     def test_a_leaving_gate_tells_of_runs_that_it_may_not_live_to_answer(self):
         link, attempt_id = self._send(1)
         wait_until(lambda: self.backend.requests, "it runs")
@@ -265,3 +263,40 @@
         self.assertEqual(1, len(self.backend.requests))
         first.close()
         link.close()
+
+
+class StoppingNodeTests(LinkCase):
+    def test_an_attempt_that_comes_as_the_node_stops_is_told_not_run(self):
+        # The caller of a request that must not run twice is told that nobody
+        # knows. Its attempt came in the milliseconds in which the gate's threads
+        # had ended and its link was still open: the node could neither run nor
+        # refuse it, and ended with an error.
+        backend = RawServer(lambda number: (None, False))
+        self.addCleanup(backend.close)
+        self.address = free_address()
+        own = NodeSettings(
+            "gate", "r", "z", "127.0.0.1:1", self.address, "127.0.0.1:2", "127.0.0.1:3"
+        )
+        context = zmq.Context()
+        self.addCleanup(context.destroy, 0)
+        events = EventLog("gate", 1, HybridClock(), io.StringIO())
+        side = GateSide(
+            own, lambda _: ServiceDocument(), lambda *_: RetryBudget(), context, events
+        )
+        side.servers.announce(
+            "server", Announcement(SERVICE, backend.address, 2, "1"), time.monotonic()
+        )
+        self.links = LinkPool(context, events)
+        with ThreadPoolExecutor(3) as executor:
+            for task in side.tasks():
+                executor.submit(task)
+            first = self._send(1)
+            wait_until(lambda: backend.requests, "it runs")
+            side.gate.leave()
+            side.stop()
+            reply = self._wait(*self._send(2)).reply
+            self.assertEqual(
+                (Outcome.NOT_RUN, Reason.DRAINING), (reply.outcome, reply.reason)
+            )
+            side.gate.give_up()
+            self.assertEqual(Outcome.UNKNOWN, self._wait(*first).reply.outcome)
