--- a/balsamspindle/backend_servers/admission.py
+++ b/balsamspindle/backend_servers/admission.py
@@ -147,7 +147,9 @@
                     decision = self._decide(dispatch, token, queue, ticket, now_s)
                     if decision is not None:
                         return decision
-                    self._servers.changed.wait(self._wait_s(ticket, now_s))
+                    starts_by_s = self._starts_by_s(dispatch, token)
+                    wait_s = self._wait_s(ticket, starts_by_s, now_s)
+                    self._servers.changed.wait(wait_s)
             finally:
                 queue.withdraw(ticket)
 
@@ -159,12 +161,19 @@
         queue.queue_max = self._service_document(service).queue_max
         return queue
 
-    def _wait_s(self, ticket: Ticket, now_s: float) -> float:
+    def _starts_by_s(self, dispatch: Dispatch, token: CancelToken) -> float:
+        """Return until when an attempt may start, for its ingress to see its end."""
+        server = self._servers.get(dispatch.backend_server_id)
+        kind = WorkKind(dispatch.weight, dispatch.route_id)
+        return token.ends_s - START_FACTORS[dispatch.execution] * _usual_s(server, kind)
+
+    def _wait_s(self, ticket: Ticket, starts_by_s: float, now_s: float) -> float:
         """Return after which time a waiting attempt asks again by itself."""
         account = self._servers.get(ticket.backend_server_id).account
         # Then it could not be finished any more after one that runs now.
         last_chance_s = ticket.deadline_s - 2 * account.service_time_s
         until_s = min(last_chance_s, account.next_change_s(), now_s + ASK_AGAIN_S)
+        until_s = min(until_s, starts_by_s)
         if ticket.wait_max_s is not None:
             until_s = min(until_s, now_s + ticket.wait_max_s)
         return max(until_s - now_s, WAIT_MIN_S)
@@ -185,8 +194,7 @@
                 return refused
             case _Room() as room:
                 pass
-        start_factor = START_FACTORS[dispatch.execution]
-        if now_s + start_factor * _usual_s(room.server, room.kind) >= token.ends_s:
+        if now_s >= self._starts_by_s(dispatch, token):
             return Refused(Reason.NODE_STOPPING)
         verdict = queue.ask(
             ticket, room.free_slots, room.pace_slots, room.service_time_s, now_s
--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -38,6 +38,10 @@
 
 __all__ = ["AttemptSender"]
 
+# Of a leaving node's time, what its gates are not told of: a refusal that comes when
+# the time is over is of no use any more, and the caller is told `unknown`.
+REPLY_RESERVE_S = 0.2
+
 # Why nobody knows what became of an attempt that was given up.
 _UNANSWERED = {
     CancelCause.CALLER_LEFT: "the caller left",
@@ -88,8 +92,8 @@
         return AttemptId(self._own.node_id, self._own.incarnation, next(self._sequence))
 
     def end_by(self, ends_s: float) -> None:
-        """Tell all gates to start only what can end until then: this node is going."""
-        self._ends_s = ends_s
+        """Have gates start only what can end until then: this node is going."""
+        self._ends_s = ends_s - REPLY_RESERVE_S
 
     def give_up(self) -> None:
         """End the waiting for all replies."""
