A failing test: a read that was cut isn't asked for again beside steady load

The second attempt beside the silent run was refused by the only other gate, which had a queue; it counts as tried, so that the cut run has no successor.

--- a/tests/leaving_utils.py
+++ b/tests/leaving_utils.py
@@ -42,6 +42,8 @@
     ----------
     fresh : bool, default=False
         Use a new connection for each request.
+    target : str, default="/contracts"
+        The run key follows it.
 
     Attributes
     ----------
@@ -50,11 +52,20 @@
         Requests that got no whole answer of their own.
     """
 
-    def __init__(self, name, addresses, method="GET", pause_s=0.01, fresh=False):
+    def __init__(
+        self,
+        name,
+        addresses,
+        method="GET",
+        pause_s=0.01,
+        fresh=False,
+        target="/contracts",
+    ):
         super().__init__(name=name, daemon=True)
         self._addresses = itertools.cycle(addresses)
         self._method = method
         self._pause_s = pause_s
+        self._target = target
         self._fresh = fresh
         self._stopped = threading.Event()
         self._connection: http.client.HTTPConnection | None = None
@@ -75,7 +86,7 @@
         return Counter(call.outcome for call in self.calls)
 
     def _call(self, run_key: str) -> None:
-        target = f"/contracts/{run_key}"
+        target = f"{self._target}/{run_key}"
         body = run_key.encode() if self._method == "POST" else None
         try:
             connection = self._connection
--- a/tests/test_leaving_in_doubt.py
+++ b/tests/test_leaving_in_doubt.py
@@ -7,11 +7,13 @@
 from testtools import TestCase
 from testtools.content import text_content
 
-from tests.leaving_utils import read_events
+from tests.leaving_utils import SteadyCaller, read_events
 from tests.utils import HttpAnswer, NodeProgram, call, start_fleet, wait_until
 
 SERVICE = "crew/contracts"
 SHUTDOWN_TIMEOUT_S = 3.0
+# Callers that send all the time; two slots serve a sixth of them at once.
+OTHERS = 12
 # As the platform's configuration is translated, with times that let each test
 # choose what happens first; nothing under `slow_ms_min` counts as sick.
 SETTINGS = {
@@ -38,6 +40,16 @@
         "attempts_max": 3,
         "weight": 0.5,
     },
+    "crew/routes/search": {
+        "service": SERVICE,
+        "execution": "idempotent",
+        "path_prefix": "/contracts/search",
+        "methods": ["GET"],
+        "timeout_ms": 10000,
+        "target_ms": 1000,
+        "attempts_max": 3,
+        "weight": 0.5,
+    },
     "crew/routes/sign": {
         "service": SERVICE,
         "execution": "non_idempotent",
@@ -173,3 +185,42 @@
         )
         self.assertEqual({"first": 1, "long": 1, "last": 1}, server.runs())
         self.assertEqual(0, self.ingress.process.wait(10))
+
+    def test_a_read_that_was_cut_is_answered_beside_steady_load(self):
+        # The caller of a read that may be repeated is told at the cut that nobody
+        # knows whether it ran, with more than half of its time left. A second
+        # attempt went beside the silent run before; the only other gate had a queue
+        # and refused it. It counts as tried since, and is not asked after the cut.
+        # Asked, it would let newer requests go first, as this one is late already.
+        # 11 of 11 runs: 502, unknown. Asked after the cut (3 trials): it waited in
+        # vain for longer than it may, and 502 again; answered (3 trials) where late
+        # requests kept their place, too.
+        far = self._start_node("far", "zone-1")
+        self.fleet.start_backend(
+            "contract-near", SERVICE, self.near, work_ms=15000, slots=1
+        )
+        self.fleet.start_backend("contract-far", SERVICE, far, work_ms=400, slots=2)
+        self.fleet.wait_ready(
+            [self.ingress, self.near, far], ["contract-near", "contract-far"]
+        )
+        caller = Caller(self.ingress, "read", "/contracts/search/1")
+        self._started_at_near(1)
+        others = [
+            SteadyCaller(
+                f"other-{number}", [far.caller_address], target="/contracts/search"
+            )
+            for number in range(OTHERS)
+        ]
+        for other in others:
+            other.start()
+            self.addCleanup(other.stop)
+        # Else each would wait for its last answer.
+        self.addCleanup(far.kill)
+        wait_until(
+            lambda: sum(other.outcomes()["answered"] for other in others) >= 4,
+            "the other gate is busy",
+        )
+        self.near.signal(signal.SIGTERM)
+        answer = caller.answer()
+        self.assertEqual((200, "answered"), (answer.status, answer.outcome))
+        self.assertEqual("contract-far", answer.json()["server"])
