Send nothing after the node gave up

The pause ends with the give-up, no attempt begins after it, and waiting tasks look every 0.1 s in place of 0.2 s, twice of which is as long as their connections have.

--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -154,11 +154,13 @@
             if not self._may_retry(forwarded, replies, None, self._clock()):
                 forwarded.stopped_by = StoppedBy.REPEAT_DENIED
                 break
+        if not replies and self._given_up.is_set():
+            return msgspec.structs.replace(nowhere, reason=Reason.NODE_STOPPING)
         return _best(replies) if replies else nowhere
 
     def _try_places(self, forwarded: ForwardedRequest, replies: list[Reply]) -> None:
         """Make attempts until one answers or no other is allowed; add their replies."""
-        while True:
+        while not self._given_up.is_set():
             placing = self._pick(forwarded)
             if placing is None:
                 if self._widen(forwarded):
@@ -183,6 +185,8 @@
                 forwarded.stopped_by = StoppedBy.REPEAT_DENIED
                 self._note_given_up(forwarded, reply)
                 break
+        else:
+            forwarded.stopped_by = StoppedBy.NODE_LEAVING
 
     def _note_success(
         self, forwarded: ForwardedRequest, reply: Reply, took_s: float
@@ -271,7 +275,10 @@
             left_s = forwarded.deadline_s - now_s
             forwarded.search_until_s = now_s + part * left_s
         if now_s + SEARCH_AGAIN_S < forwarded.search_until_s:
-            time.sleep(SEARCH_AGAIN_S)
+            # Nothing is sent any more once the node has given up: its callers'
+            # connections are about to end.
+            if self._given_up.wait(SEARCH_AGAIN_S):
+                return False
             return not forwarded.caller.caller_gone()
         forwarded.is_last_resort = True
         return True
--- a/balsamspindle/requests/waiting.py
+++ b/balsamspindle/requests/waiting.py
@@ -15,7 +15,7 @@
 __all__ = ["Wait", "Waited", "wait_first"]
 
 # How soon a waiting task sees that this node gives up, or ends soon.
-LOOK_INTERVAL_MS = 200
+LOOK_INTERVAL_MS = 100
 
 
 def _never() -> bool:
--- a/tests/test_ending_nodes.py
+++ b/tests/test_ending_nodes.py
@@ -119,6 +119,29 @@
         self.assertEqual(1, self._dispatches() - seen)
 
 
+class GivenUpTests(TwoGateCase):
+    def test_nothing_is_sent_after_the_node_gave_up(self):
+        # The caller's connection ends without an answer. Its request had been
+        # refused everywhere and paused before it searched again, when the node
+        # gave up what was left; it was sent once more after that, and the node
+        # ended its callers' connections before the reply.
+        def suspected(dispatch):
+            reply = Reply(dispatch.attempt_id, Outcome.NOT_RUN, Reason.SUSPECTED)
+            return [(0.0, encode(reply))]
+
+        self.answers = {"a": suspected, "b": suspected}
+        with ThreadPoolExecutor(1) as executor:
+            request = executor.submit(
+                self._request, execution=Execution.NON_IDEMPOTENT, timeout_s=200.0
+            )
+            wait_until(lambda: self._dispatches() >= 2, "both gates refused it")
+            self.forwarder.give_up()
+            sent = self._dispatches()
+            reply = request.result(PATIENCE_S)
+        self.assertEqual(Outcome.NOT_RUN, reply.outcome)
+        self.assertEqual(sent, self._dispatches())
+
+
 class EndingIngressTests(TestCase):
     # A request waits in a gate's queue while the node that took it is leaving. It
     # gets a slot in the last moment, runs, and is cut when that node gives up: its
