--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -3,7 +3,7 @@
 import itertools
 import math
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import partial
 
 import msgspec
@@ -374,9 +374,19 @@
             lambda: self._ends_s,
             self._may_park(forwarded),
             forwarded.parked.by_link(),
+            lambda link, reply: self._settle_parked(forwarded, {link: reply}),
         )
         return wait_first({sent.link: sent.attempt_id for sent in attempts}, wait)
 
+    def _settle_parked(
+        self, forwarded: ForwardedRequest, replies: Mapping[Link, Reply]
+    ) -> None:
+        """Take the replies to attempts that were left open."""
+        for sent in forwarded.parked.all():
+            if sent.link in replies:
+                forwarded.note_cut(replies[sent.link], sent.link.heard_s)
+        forwarded.parked.settle(replies, self._links.give_back)
+
     def _close(
         self,
         forwarded: ForwardedRequest,
@@ -403,10 +413,7 @@
                 sent.link.close()
             else:
                 sent.give_up(self._why_given_up(forwarded, waited))
-        for sent in forwarded.parked.all():
-            if sent.link in replies:
-                forwarded.note_cut(replies[sent.link], sent.link.heard_s)
-        forwarded.parked.settle(replies, self._links.give_back)
+        self._settle_parked(forwarded, replies)
 
     def _final(self, forwarded, attempts: list[SentAttempt], waited: Waited | None):
         if waited is None:
--- a/balsamspindle/requests/waiting.py
+++ b/balsamspindle/requests/waiting.py
@@ -46,6 +46,8 @@
         its node may end first.
     beside : mapping of Link to AttemptId, default=none
         Earlier attempts: their answers count, but the wait is not for them.
+    on_beside : callable, default=nothing
+        Told the link and the reply when one of them ends without an answer.
     """
 
     deadline_s: float
@@ -56,6 +58,7 @@
     ends_s: Callable[[], float] = _at_no_time
     ends_at_notice: bool = False
     beside: Mapping[Link, AttemptId] = field(default_factory=dict)
+    on_beside: Callable[[Link, Reply], None] = lambda link, reply: None
 
 
 class Waited(NamedTuple):
@@ -99,13 +102,17 @@
             reply = link.take_reply(ready, waiting[link], wait.on_dropped)
             if reply is None and not link.is_over(ready):
                 continue
-            if reply is not None:
-                replies[link] = reply
-                last = Waited(link, reply, replies)
-                if reply.outcome is Outcome.ANSWERED:
-                    return last
             del waiting[link]
             link.unregister(poller)
+            if reply is None:
+                continue
+            replies[link] = reply
+            if reply.outcome is Outcome.ANSWERED:
+                return Waited(link, reply, replies)
+            if link in attempts:
+                last = Waited(link, reply, replies)
+            else:
+                wait.on_beside(link, reply)
         if wait.given_up() or (not ready and remaining_ms <= LOOK_INTERVAL_MS):
             return last
         if wait.ends_at_notice and _is_last_ending(waiting, attempts):
