--- a/balsamspindle/backend_servers/dispatches.py
+++ b/balsamspindle/backend_servers/dispatches.py
@@ -2,10 +2,17 @@
 
 import math
 
+from balsamspindle.requests.header_names import HeaderNames
 from balsamspindle.requests.outcomes import Execution, Outcome
 from balsamspindle.wire import Dispatch
 
-__all__ = ["attempt_deadline_s", "ingress_ends_s", "is_keyed", "unseen_outcome"]
+__all__ = [
+    "attempt_deadline_s",
+    "ingress_ends_s",
+    "is_keyed",
+    "told_headers",
+    "unseen_outcome",
+]
 
 
 def attempt_deadline_s(dispatch: Dispatch, received_s: float) -> float:
@@ -34,3 +41,12 @@
 def unseen_outcome(dispatch: Dispatch) -> Outcome:
     """Return the outcome of an attempt refused before its key was looked at."""
     return Outcome.UNKNOWN if is_keyed(dispatch) else Outcome.NOT_RUN
+
+
+def told_headers(dispatch: Dispatch, names: HeaderNames) -> list[tuple[str, str]]:
+    """Return the request's headers, with what the backend server is told."""
+    own = (
+        (names.expected_backend_server, dispatch.backend_server_id),
+        (names.caller_service, dispatch.caller_service),
+    )
+    return dispatch.headers + [pair for pair in own if all(pair)]
--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -24,6 +24,7 @@
     attempt_deadline_s,
     ingress_ends_s,
     is_keyed,
+    told_headers,
     unseen_outcome,
 )
 from balsamspindle.backend_servers.evidence import (
@@ -33,11 +34,7 @@
 )
 from balsamspindle.backend_servers.failed_calls import FailedCalls
 from balsamspindle.backend_servers.ledger import Earlier, KeyRefused, RunLedger
-from balsamspindle.backend_servers.refusals import (
-    is_misdirected,
-    is_unproven_refusal,
-    proves_not_run,
-)
+from balsamspindle.backend_servers.refusals import is_misdirected, read_result
 from balsamspindle.backend_servers.retry_grants import RetryGrants
 from balsamspindle.backend_servers.servers import (
     LocalBackendServer,
@@ -46,6 +43,7 @@
 from balsamspindle.backend_servers.slots import WorkEnd
 from balsamspindle.backend_servers.work_ends import (
     call_outcome,
+    with_answer,
     work_end,
     work_result,
 )
@@ -311,14 +309,6 @@
         )
         return Reply(dispatch.attempt_id, outcome, reason, hlc=hlc, held_out=held_out)
 
-    def _headers(self, dispatch: Dispatch) -> list[tuple[str, str]]:
-        """Return the request's headers, with what the backend server is told."""
-        own = (
-            (self._names.expected_backend_server, dispatch.backend_server_id),
-            (self._names.caller_service, dispatch.caller_service),
-        )
-        return dispatch.headers + [pair for pair in own if all(pair)]
-
     def _run(
         self, dispatch, admitted: Admitted, token, deadline_s, received_s
     ) -> Reply:
@@ -340,7 +330,7 @@
                     server.announcement.address,
                     dispatch.method,
                     dispatch.target,
-                    self._headers(dispatch),
+                    told_headers(dispatch, self._names),
                     dispatch.body,
                     dispatch.execution,
                     (deadline_s - time.monotonic()) * 1000,
@@ -370,24 +360,9 @@
         self, server: LocalBackendServer, result: BackendAnswer | BackendFailure
     ) -> BackendAnswer | BackendFailure:
         """Take an answer that refuses for what it proves."""
-        match result:
-            case BackendFailure(Reason.CANCELLED) if server.has_ended:
-                return result._replace(
-                    reason=Reason.BROKEN_ANSWER,
-                    message="the backend server started anew",
-                )
-            case BackendAnswer() if is_misdirected(result, self._names):
-                self._on_misdirected(server.backend_server_id)
-                return BackendFailure(
-                    Reason.NO_BACKEND_SERVER, False, "another one has the address"
-                )
-            case BackendAnswer() if proves_not_run(result, self._names):
-                return BackendFailure(Reason.SHED, False, "it refused the request")
-            case BackendAnswer() if is_unproven_refusal(result, self._names):
-                return BackendFailure(
-                    Reason.UNPROVEN_REFUSAL, True, f"it answered {result.status}"
-                )
-        return result
+        if isinstance(result, BackendAnswer) and is_misdirected(result, self._names):
+            self._on_misdirected(server.backend_server_id)
+        return read_result(result, server.has_ended, self._names)
 
     def _reply(self, dispatch, result, free_slots, judgement, ran_s: float) -> Reply:
         outcome, reason = call_outcome(result)
@@ -418,12 +393,4 @@
             limit_ms=judgement.limit_ms,
             held_out=held_out,
         )
-        if answer is None:
-            return reply
-        return msgspec.structs.replace(
-            reply,
-            status=answer.status,
-            headers=answer.headers,
-            body=answer.body,
-            body_checksum=checksum(answer.body),
-        )
+        return reply if answer is None else with_answer(reply, answer)
--- a/balsamspindle/backend_servers/work_ends.py
+++ b/balsamspindle/backend_servers/work_ends.py
@@ -1,11 +1,14 @@
 """What the end of a call says: to its caller, of health, of the slot."""
 
+import msgspec
+
 from balsamspindle.backend_servers.answers import BackendAnswer, BackendFailure
 from balsamspindle.backend_servers.evidence import WorkResult
 from balsamspindle.backend_servers.slots import WorkEnd
 from balsamspindle.requests.outcomes import Outcome, Reason
+from balsamspindle.wire import Reply, checksum
 
-__all__ = ["call_outcome", "work_end", "work_result"]
+__all__ = ["call_outcome", "with_answer", "work_end", "work_result"]
 
 SHED_STATUSES = frozenset({429, 503})
 ERROR_STATUS_MIN = 500
@@ -55,6 +58,17 @@
             return _failure_outcome(result)
 
 
+def with_answer(reply: Reply, answer: BackendAnswer) -> Reply:
+    """Return a reply that carries a backend server's answer."""
+    return msgspec.structs.replace(
+        reply,
+        status=answer.status,
+        headers=answer.headers,
+        body=answer.body,
+        body_checksum=checksum(answer.body),
+    )
+
+
 def work_end(result: BackendAnswer | BackendFailure | None) -> WorkEnd:
     """Return whether the backend server may still work on an attempt."""
     if isinstance(result, BackendFailure) and not result.sent:
--- a/balsamspindle/requests/claims.py
+++ b/balsamspindle/requests/claims.py
@@ -29,9 +29,16 @@
     Transaction,
     Unknown,
 )
-from balsamspindle.wire import Claim, Reply
+from balsamspindle.wire import Claim, Dispatch, Reply
 
-__all__ = ["CLAIMS_TABLE", "ClaimBook", "GateIdentity", "KeyClaimant"]
+__all__ = [
+    "CLAIMS_TABLE",
+    "ClaimBook",
+    "GateIdentity",
+    "KeyClaimant",
+    "note_reply",
+    "with_claim",
+]
 
 CLAIMS_TABLE = "claims"
 CALLS_AT_ONCE_MAX = 16
@@ -233,3 +240,31 @@
             # The gate that holds the claim can't be asked.
             reason = Reason.DUPLICATE
         return msgspec.structs.replace(reply, outcome=Outcome.UNKNOWN, reason=reason)
+
+
+def with_claim(
+    claimant: KeyClaimant | None,
+    dispatch: Dispatch,
+    gate: GateIdentity,
+    gate_time_s: float,
+) -> Dispatch | Reply:
+    """Put the key's claim into an attempt; a reply when it must not be made.
+
+    Parameters
+    ----------
+    claimant : KeyClaimant or None
+        None for a request without a key.
+    """
+    if claimant is None:
+        return dispatch
+    match claimant.claim_for(gate, gate_time_s):
+        case Reason() as reason:
+            return Reply(dispatch.attempt_id, Outcome.NOT_RUN, reason)
+        case claim:
+            return msgspec.structs.replace(dispatch, claim=claim)
+
+
+def note_reply(claimant: KeyClaimant | None, reply: Reply) -> None:
+    """Let a request's claim learn from the reply to an attempt."""
+    if claimant is not None:
+        claimant.note(reply)
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -22,7 +22,12 @@
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.requests.outcomes import PROBLEMS, Execution, Outcome, Reason
 from balsamspindle.requests.placing import Placer, Placing
-from balsamspindle.requests.retries import RetryPolicy, is_refusal, is_shed
+from balsamspindle.requests.retries import (
+    RetryPolicy,
+    best_reply,
+    is_refusal,
+    is_success,
+)
 from balsamspindle.services.answer_sizes import AnswerSizes
 from balsamspindle.services.free_slots import FreeSlotViews
 from balsamspindle.services.picker import Picker
@@ -40,7 +45,6 @@
 # to queues that were full.
 SEARCH_AGAIN_S = 0.25
 SEARCH_AGAIN_PARTS = {Execution.IDEMPOTENT: 0.0, Execution.NON_IDEMPOTENT: 0.1}
-ERROR_STATUS_MIN = 500
 # Why there is no answer where the gate left, and the backend server did not fail.
 _LOST_WITH_GATE = frozenset({Reason.GATE_ENDING, Reason.CANCELLED, Reason.SILENCE})
 
@@ -139,13 +143,13 @@
         replies: list[Reply] = []
         while True:
             self._try_places(forwarded, replies)
-            if not forwarded.parked or _is_success(replies[-1]):
+            if not forwarded.parked or is_success(replies[-1]):
                 break
             # What was left open is all that is left; where it is cut after all,
             # others may have a free slot by now.
             reply = self._sender.wait_parked(forwarded)
             replies.append(reply)
-            if _is_success(reply):
+            if is_success(reply):
                 forwarded.stopped_by = None
                 break
             if self._is_over(forwarded, reply):
@@ -156,7 +160,7 @@
                 break
         if not replies and self._given_up.is_set():
             return msgspec.structs.replace(nowhere, reason=Reason.NODE_STOPPING)
-        return _best(replies) if replies else nowhere
+        return best_reply(replies) if replies else nowhere
 
     def _try_places(self, forwarded: ForwardedRequest, replies: list[Reply]) -> None:
         """Make attempts until one answers or no other is allowed; add their replies."""
@@ -172,7 +176,7 @@
             reply = self._sender.send(forwarded, *placing, rescue=rescue)
             replies.append(reply)
             now_s = self._clock()
-            if _is_success(reply):
+            if is_success(reply):
                 self._note_success(forwarded, reply, now_s - started_s)
                 self._give_back(forwarded, rescue)
                 break
@@ -387,15 +391,3 @@
         if problem is None or problem.retry_after_s is None:
             return reply
         return msgspec.structs.replace(reply, retry_after_ms=retry_after_ms)
-
-
-def _is_success(reply: Reply) -> bool:
-    """Tell whether an answer ends its request, and shows how long work takes."""
-    is_answer = reply.outcome is Outcome.ANSWERED and not is_shed(reply)
-    return is_answer and reply.status < ERROR_STATUS_MIN
-
-
-def _best(replies: list[Reply]) -> Reply:
-    """Return what the caller is told: an answer, were it a 503, before none."""
-    answers = [reply for reply in replies if reply.outcome is Outcome.ANSWERED]
-    return answers[-1] if answers else replies[-1]
--- a/balsamspindle/requests/retries.py
+++ b/balsamspindle/requests/retries.py
@@ -18,7 +18,7 @@
 from balsamspindle.settings.documents import ATTEMPTS_MAX, RetryBudget
 from balsamspindle.wire import Reply
 
-__all__ = ["RetryPolicy", "is_refusal", "is_shed"]
+__all__ = ["RetryPolicy", "best_reply", "is_refusal", "is_shed", "is_success"]
 
 # Gates that may tell one request to look elsewhere, because of a suspicion or
 # of a queue, before it is given up; each costs a round trip.
@@ -67,6 +67,18 @@
     return reply.outcome is Outcome.ANSWERED and reply.status in SHED_STATUSES
 
 
+def is_success(reply: Reply) -> bool:
+    """Tell whether an answer ends its request, and shows how long work takes."""
+    is_answer = reply.outcome is Outcome.ANSWERED and not is_shed(reply)
+    return is_answer and reply.status < ERROR_STATUS_MIN
+
+
+def best_reply(replies: list[Reply]) -> Reply:
+    """Return what the caller is told: an answer, were it a 503, before none."""
+    answers = [reply for reply in replies if reply.outcome is Outcome.ANSWERED]
+    return answers[-1] if answers else replies[-1]
+
+
 def is_refusal(reply: Reply) -> bool:
     """Tell whether an attempt ended before it reached a backend server."""
     return reply.outcome is Outcome.NOT_RUN and reply.reason is not Reason.SHED
--- a/balsamspindle/requests/waiting.py
+++ b/balsamspindle/requests/waiting.py
@@ -41,9 +41,9 @@
     ends_s : callable, default=infinity
         Tells when this node ends. Gates are told, so that they start nothing
         whose reply it would not live to see.
-    ends_at_notice : bool, default=False
-        Whether the wait is over when one attempt is left and its gate said that
-        its node may end first.
+    ends_at_notice : callable, default=never
+        Tells whether the wait is over when one attempt is left and its gate said
+        that its node may end first.
     beside : mapping of Link to AttemptId, default=none
         Earlier attempts: their answers count, but the wait is not for them.
     on_beside : callable, default=nothing
@@ -56,7 +56,7 @@
     on_dropped: Callable[[str], None]
     given_up: Callable[[], bool] = _never
     ends_s: Callable[[], float] = _at_no_time
-    ends_at_notice: bool = False
+    ends_at_notice: Callable[[], bool] = _never
     beside: Mapping[Link, AttemptId] = field(default_factory=dict)
     on_beside: Callable[[Link, Reply], None] = lambda link, reply: None
 
@@ -115,7 +115,7 @@
                 wait.on_beside(link, reply)
         if wait.given_up() or (not ready and remaining_ms <= LOOK_INTERVAL_MS):
             return last
-        if wait.ends_at_notice and _is_last_ending(waiting, attempts):
+        if _is_last_ending(waiting, attempts) and wait.ends_at_notice():
             return last
         if not is_told and wait.ends_s() < math.inf:
             is_told = True
--- a/tests/test_ending_nodes.py
+++ b/tests/test_ending_nodes.py
@@ -142,6 +142,28 @@
         reply = self._request_at("a", timeout_s=3.0, attempts_max=2)
         self.assertEqual((Outcome.ANSWERED, BODY), (reply.outcome, reply.body))
 
+    def test_a_second_gate_that_ends_is_left_open_in_its_turn(self):
+        # Restarts follow each other: the run beside the first one is at a gate
+        # that is told to leave, too, when the first one has been cut.
+        self.answers = {
+            "a": lambda dispatch: [ending(dispatch), cut(dispatch, 0.2)],
+        }
+        self._let_answer_late("b", "c")
+        reply = self._request_at("a", attempts_max=3)
+        self.assertEqual((Outcome.ANSWERED, BODY), (reply.outcome, reply.body))
+
+    def _let_answer_late(self, *names: str) -> None:
+        """Let the second of some gates that is asked answer at once."""
+        asked = []
+
+        def second_answers(dispatch):
+            asked.append(dispatch)
+            if len(asked) > 1:
+                return answer(dispatch)
+            return [(0.5, encode(GateEnding(dispatch.attempt_id)))]
+
+        self.answers.update(dict.fromkeys(names, second_answers))
+
 
 class GivenUpTests(TwoGateCase):
     def test_nothing_is_sent_after_the_node_gave_up(self):
@@ -287,7 +309,7 @@
         self.assertEqual([], self.gate.outlasting(time.monotonic()))
         self.gate.end_by(time.monotonic() + 1.5 * USUAL_S)
         started_s = time.monotonic()
-        self.assertIsNone(self._wait(link, attempt_id, ends_at_notice=True))
+        self.assertIsNone(self._wait(link, attempt_id, ends_at_notice=lambda: True))
         self.assertLess(time.monotonic() - started_s, PATIENCE_S)
         self.assertTrue(link.is_ending(attempt_id))
         link.close()
