--- a/balsamspindle/node/orderly_end.py
+++ b/balsamspindle/node/orderly_end.py
@@ -54,6 +54,7 @@
         self._member.leave()
         self._ingress.leave()
         self._gate.end_by(give_up_s)
+        self._forwarder.end_by(give_up_s)
         time.sleep(self._settings.ready_notice_s)
         self._ingress.stop()
         _wait_until(self._ingress.ended, time.monotonic() + GATE_OPEN_S)
@@ -93,8 +94,9 @@
             attempts=self._gate.in_flight(),
             replies=self._link_server.pending(),
         )
-        self._gate.give_up()
+        # In this order: what is cut here must not be sent elsewhere any more.
         self._forwarder.give_up()
+        self._gate.give_up()
         _wait_until(self._idle, time.monotonic() + LAST_ANSWERS_S)
         # What is left are connections whose callers do not read.
         self._ingress.cut()
--- a/balsamspindle/requests/forwarded.py
+++ b/balsamspindle/requests/forwarded.py
@@ -10,6 +10,7 @@
 from balsamspindle.requests.claims import KeyClaimant
 from balsamspindle.requests.http import CallerRequest, HttpConnection
 from balsamspindle.requests.outcomes import Outcome, Reason
+from balsamspindle.requests.sent import ParkedAttempts
 from balsamspindle.settings.documents import RouteDocument
 from balsamspindle.wire import Reply
 
@@ -124,6 +125,10 @@
         How long the present attempt may wait for a slot.
     queue_until_s : float or None
         Until when it may wait in the shortest queue; None before it did.
+    parked : ParkedAttempts
+        At gates whose nodes may end before the attempts do.
+    was_cut : bool
+        A run of it was lost with its gate's node, or is about to be.
     cut_s : float or None
         When the reply came that a run of it was cut, the first one's.
     stopped_by : StoppedBy or None
@@ -150,9 +155,24 @@
     target_s: float | None = None
     wait_max_ms: float | None = None
     queue_until_s: float | None = None
+    parked: ParkedAttempts = field(default_factory=ParkedAttempts)
+    was_cut: bool = False
     cut_s: float | None = None
     stopped_by: StoppedBy | None = None
 
+    def search_afresh(self) -> None:
+        """Search for another place as if nobody had been asked.
+
+        It had a run that was lost with the gate's node. What other gates told
+        before that run is seconds old; without asking them again the request
+        would be given up while they have free slots.
+        """
+        self.was_cut = True
+        self.search.begin()
+        self.tried = set(self.failed)
+        self.search_until_s = self.queue_until_s = None
+        self.is_last_resort = False
+
     def may_send(self) -> bool:
         """Tell whether the route allows one more backend server."""
         return self.sends < self.route.attempts_max
