A failing test: an answer that comes while the own gate runs the request is dropped

Found while the log lines of a test were read: the reply of the first run, which came 3.5 s before, was not there any more when its ingress looked for it.

--- a/tests/test_ending_nodes.py
+++ b/tests/test_ending_nodes.py
@@ -28,6 +28,7 @@
 from balsamspindle.timeline import EventLog, HybridClock
 from balsamspindle.wire import (
     AttemptId,
+    BackendServerRecord,
     Dispatch,
     GateEnding,
     Reply,
@@ -35,7 +36,8 @@
     encode,
 )
 from tests.raw_server import RawServer
-from tests.two_gates import BODY, TwoGateCase, answer
+from tests.two_gates import BODY, OWN, TwoGateCase, answer
+from tests.two_gates import SERVICE as VACANCIES
 from tests.utils import free_address, wait_until
 
 SERVICE = "crew/contracts"
@@ -165,6 +167,35 @@
         self.answers.update(dict.fromkeys(names, second_answers))
 
 
+class OwnGateTests(EndingGateCase):
+    NAMES = ("a",)
+
+    def test_an_answer_counts_that_comes_while_the_own_gate_runs_the_request(self):
+        # The caller waits on, or is told an error, though its request was answered.
+        # The run at the gate that leaves ends in time, while the request runs at
+        # the ingress's own gate as well and hangs there. Nobody reads the answer,
+        # and it is dropped with the connection when the other node ends.
+        server = RawServer(lambda number: (None, False))
+        self.addCleanup(server.close)
+        self.servers.announce(
+            "server-own", Announcement(VACANCIES, server.address, 4, "1"), 0.0
+        )
+
+        def answered_in_time(dispatch):
+            record = BackendServerRecord("server-own", VACANCIES, "1", 4, "ready")
+            self.directory.update(
+                msgspec.structs.replace(OWN, version=2, backend_servers=(record,)), 0.0
+            )
+            threading.Timer(1.0, self.gates["a"].close).start()
+            return [ending(dispatch), *((0.5, frame) for _, frame in answer(dispatch))]
+
+        self.answers["a"] = answered_in_time
+        reply = self._request()
+        self.assertEqual((Outcome.ANSWERED, BODY), (reply.outcome, reply.body))
+        self.assertEqual(1, len(server.requests))
+        wait_until(lambda: server.closed_s, "the other run is cancelled")
+
+
 class GivenUpTests(TwoGateCase):
     def test_nothing_is_sent_after_the_node_gave_up(self):
         # The caller's connection ends without an answer. Its request had been
--- a/tests/two_gates.py
+++ b/tests/two_gates.py
@@ -30,7 +30,7 @@
 from tests.fake_gate import FakeGate
 from tests.utils import free_address
 
-__all__ = ["BODY", "SERVICE", "TwoGateCase", "answer"]
+__all__ = ["BODY", "OWN", "SERVICE", "TwoGateCase", "answer"]
 
 SERVICE = "crew/vacancies"
 OWN = NodeRecord("own", 1, 1, "r", "z", "-", "-", "alive")
@@ -70,13 +70,15 @@
                 0.0,
             )
             self.gates[name] = gate
+        # Beside the ingress's own gate; none at first.
+        self.servers = LocalBackendServers()
         events = EventLog("own", 1, HybridClock(), io.StringIO())
         self.links = LinkPool(zmq.Context.instance(), events)
         self.addCleanup(self.links.close)
         self.forwarder = Forwarder(
             OWN,
             Picker(OWN, self.directory, CurrentConfiguration()),
-            Gate(LocalBackendServers(), BackendServerClient(1000), events),
+            Gate(self.servers, BackendServerClient(1000), events),
             self.links,
             events,
         )
