An answer counts that comes while the own gate runs the request, and an error does not end that

A task that runs its request at its own gate can't look at the links meanwhile; another thread listens for the attempt that was left open and cancels the run when that one is answered. An error of the first run no longer ends a second one that goes on: it is told where nothing better comes.

What the wait for attempts came to is a module of its own.

--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -14,6 +14,7 @@
 from balsamspindle.requests.link_attempts import LinkAttempts
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.requests.outcomes import CancelCause, Outcome
+from balsamspindle.requests.retries import is_success
 from balsamspindle.requests.tracking import TrackedAttempt
 from balsamspindle.services.free_slots import FreeSlotViews
 from balsamspindle.services.holdouts import HoldOuts
@@ -174,15 +175,30 @@
         if isinstance(claimed, Reply):
             return claimed
         tracked = self._track(forwarded, placement)
-        reply = None
+        reply = answer = None
         try:
             with self._watch.watching(dispatch.attempt_id, forwarded.caller):
-                reply = self._gate.handle(claimed, self._clock())
+                reply, answer = self._handle_beside_parked(forwarded, claimed)
         finally:
             tracked.end(reply)
         forwarded.note_cut(reply, self._clock())
         note_reply(forwarded.claimant, reply)
-        return reply
+        return reply if answer is None or is_success(reply) else answer
+
+    def _handle_beside_parked(
+        self, forwarded: ForwardedRequest, dispatch: Dispatch
+    ) -> tuple[Reply, Reply | None]:
+        """Run an attempt at the own gate; return the answer to one left open, too."""
+        if not forwarded.parked:
+            return self._gate.handle(dispatch, self._clock()), None
+        cancel = partial(
+            self._gate.cancel,
+            dispatch.attempt_id,
+            cause=CancelCause.ANSWERED_ELSEWHERE,
+        )
+        with self._over_links.listening(forwarded, cancel) as heard:
+            reply = self._gate.handle(dispatch, self._clock())
+        return reply, heard.answer
 
     def _track(self, forwarded, placement) -> TrackedAttempt:
         return TrackedAttempt(
--- a/balsamspindle/requests/forwarded.py
+++ b/balsamspindle/requests/forwarded.py
@@ -127,6 +127,8 @@
         Until when it may wait in the shortest queue; None before it did.
     parked : ParkedAttempts
         At gates whose nodes may end before the attempts do.
+    beside : list of Reply
+        To such attempts, without success, while others went on.
     was_cut : bool
         A run of it was lost with its gate's node, or is about to be.
     cut_s : float or None
@@ -156,6 +158,7 @@
     wait_max_ms: float | None = None
     queue_until_s: float | None = None
     parked: ParkedAttempts = field(default_factory=ParkedAttempts)
+    beside: list[Reply] = field(default_factory=list)
     was_cut: bool = False
     cut_s: float | None = None
     stopped_by: StoppedBy | None = None
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -160,7 +160,7 @@
                 break
         if not replies and self._given_up.is_set():
             return msgspec.structs.replace(nowhere, reason=Reason.NODE_STOPPING)
-        return best_reply(replies) if replies else nowhere
+        return best_reply([*forwarded.beside, *replies]) if replies else nowhere
 
     def _try_places(self, forwarded: ForwardedRequest, replies: list[Reply]) -> None:
         """Make attempts until one answers or no other is allowed; add their replies."""
--- a/balsamspindle/requests/link_attempts.py
+++ b/balsamspindle/requests/link_attempts.py
@@ -6,22 +6,25 @@
 """
 
 import math
-import time
-from collections.abc import Callable, Mapping
+import socket
+import threading
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import contextmanager
 
 from balsamspindle.membership.directory import Placement
-from balsamspindle.requests.claims import GateIdentity, note_reply, with_claim
+from balsamspindle.requests.attempt_ends import AttemptEnds, is_answered
+from balsamspindle.requests.claims import GateIdentity, with_claim
 from balsamspindle.requests.forwarded import ForwardedRequest, Rescue
 from balsamspindle.requests.gate_links import GateLinks
 from balsamspindle.requests.links import Link
 from balsamspindle.requests.outcomes import CancelCause, Execution, Outcome, Reason
 from balsamspindle.requests.questions import Declined, Questions
-from balsamspindle.requests.retries import is_refusal
+from balsamspindle.requests.retries import is_success
 from balsamspindle.requests.sent import SentAttempt
 from balsamspindle.requests.tracking import TrackedAttempt
 from balsamspindle.requests.waiting import Wait, Waited, wait_first
 from balsamspindle.timeline import EventLog
-from balsamspindle.wire import AttemptId, Dispatch, NodeRecord, Reply, checksum
+from balsamspindle.wire import AttemptId, Dispatch, NodeRecord, Reply
 
 __all__ = ["LinkAttempts"]
 
@@ -29,13 +32,17 @@
 # the time is over is of no use any more, and the caller is told `unknown`.
 REPLY_RESERVE_S = 0.2
 
-# Why nobody knows what became of an attempt that was given up.
-_UNANSWERED = {
-    CancelCause.CALLER_LEFT: "the caller left",
-    CancelCause.DEADLINE: "no reply in time",
-    CancelCause.INGRESS_LEAVING: "this node is leaving",
-    CancelCause.INGRESS_GAVE_UP: "the link to the gate ended",
-}
+
+class Heard:
+    """What came for an attempt that was left open, while nobody waited for it.
+
+    Attributes
+    ----------
+    answer : Reply or None
+    """
+
+    def __init__(self) -> None:
+        self.answer: Reply | None = None
 
 
 class LinkAttempts:
@@ -71,6 +78,7 @@
         self._next_id = next_id
         self._given_up = False
         self._ends_s = math.inf
+        self._ends = AttemptEnds(events, clock, lambda: self._given_up)
 
     def end_by(self, ends_s: float) -> None:
         """Have gates start only what can end until then: this node is going."""
@@ -108,7 +116,7 @@
             ended = [sent for sent in attempts if sent is not parked]
             self._close(forwarded, ended, waited)
         if parked is None:
-            return self._final(forwarded, attempts, waited)
+            return self._ends.reply(forwarded, attempts, waited)
         return self._park(forwarded, parked)
 
     def _park(self, forwarded: ForwardedRequest, sent: SentAttempt) -> Reply:
@@ -172,7 +180,7 @@
         unanswered = [sent for sent in attempts if sent.link not in replies]
         if len(unanswered) != 1 or not unanswered[0].is_ending():
             return None
-        if _is_answered(waited) or not self._may_park(forwarded):
+        if is_answered(waited) or not self._may_park(forwarded):
             return None
         if self._given_up or forwarded.caller.caller_gone():
             return None
@@ -183,7 +191,7 @@
         if is_answered:
             cause = CancelCause.ANSWERED_ELSEWHERE
         else:
-            cause = self._why_given_up(forwarded)
+            cause = self._ends.why_given_up(forwarded)
         forwarded.parked.give_up(cause)
 
     def wait_parked(self, forwarded: ForwardedRequest) -> Reply:
@@ -191,7 +199,46 @@
         attempts = forwarded.parked.all()
         waited = self._wait(forwarded, attempts, forwarded.deadline_s)
         self._close(forwarded, [], waited)
-        return self._final(forwarded, attempts, waited)
+        return self._ends.reply(forwarded, attempts, waited)
+
+    @contextmanager
+    def listening(
+        self, forwarded: ForwardedRequest, on_answer: Callable[[], None]
+    ) -> Iterator["Heard"]:
+        """Listen for the attempt that was left open while the task does other work.
+
+        A reply that nobody has read is dropped when its connection ends, and the
+        gate's node is about to end.
+
+        Parameters
+        ----------
+        on_answer : callable
+            Called in another thread when the attempt is answered with success.
+        """
+        heard = Heard()
+        near, far = socket.socketpair()
+
+        def listen() -> None:
+            attempts = forwarded.parked.all()
+            # The other work is over when its end of the pair is closed.
+            wait = self._wait_terms(
+                forwarded, forwarded.deadline_s, near.fileno(), lambda: True
+            )
+            waited = wait_first({sent.link: sent.attempt_id for sent in attempts}, wait)
+            self._close(forwarded, [], waited)
+            if is_answered(waited):
+                heard.answer = self._ends.reply(forwarded, attempts, waited)
+            if heard.answer is not None and is_success(heard.answer):
+                on_answer()
+
+        listener = threading.Thread(target=listen, name="left-open", daemon=True)
+        with near:
+            listener.start()
+            try:
+                yield heard
+            finally:
+                far.close()
+                listener.join()
 
     def _open_second(self, forwarded, rescue) -> list[SentAttempt]:
         if not forwarded.may_send():
@@ -255,20 +302,42 @@
         tracked = self._track(forwarded, placement)
         return SentAttempt(link, dispatch, node_id, tracked.end)
 
-    def _wait(self, forwarded, attempts, until_s: float) -> Waited | None:
+    def _wait(
+        self,
+        forwarded: ForwardedRequest,
+        attempts: list[SentAttempt],
+        until_s: float,
+    ) -> Waited | None:
         caller = forwarded.caller
-        wait = Wait(
+        wait = self._wait_terms(forwarded, until_s, caller.fileno(), caller.caller_gone)
+        return wait_first({sent.link: sent.attempt_id for sent in attempts}, wait)
+
+    def _wait_terms(
+        self,
+        forwarded: ForwardedRequest,
+        until_s: float,
+        descriptor: int,
+        is_over: Callable[[], bool],
+    ) -> Wait:
+        """Return how long to wait, and what ends the wait before."""
+        return Wait(
             until_s,
-            caller.fileno(),
-            caller.caller_gone,
+            descriptor,
+            is_over,
             on_dropped=lambda cause: self._events.emit("message_dropped", cause=cause),
             given_up=lambda: self._given_up,
             ends_s=lambda: self._ends_s,
             ends_at_notice=lambda: self._may_park(forwarded),
             beside=forwarded.parked.by_link(),
-            on_beside=lambda link, reply: self._settle_parked(forwarded, {link: reply}),
+            on_beside=lambda link, reply: self._end_parked(forwarded, link, reply),
         )
-        return wait_first({sent.link: sent.attempt_id for sent in attempts}, wait)
+
+    def _end_parked(
+        self, forwarded: ForwardedRequest, link: Link, reply: Reply
+    ) -> None:
+        """Take a reply that does not end the request, for want of a better one."""
+        forwarded.beside.append(reply)
+        self._settle_parked(forwarded, {link: reply})
 
     def _settle_parked(
         self, forwarded: ForwardedRequest, replies: Mapping[Link, Reply]
@@ -293,7 +362,7 @@
         that lost against an earlier attempt, which was left open, is not silent.
         """
         replies = {} if waited is None else waited.replies
-        is_silent = _is_answered(waited) and not forwarded.parked
+        is_silent = is_answered(waited) and not forwarded.parked
         for sent in attempts:
             reply = replies.get(sent.link)
             sent.on_end(reply)
@@ -304,61 +373,8 @@
             elif is_silent:
                 sent.link.close()
             else:
-                sent.give_up(self._why_given_up(forwarded, waited))
+                sent.give_up(self._ends.why_given_up(forwarded, waited))
         self._settle_parked(forwarded, replies)
 
-    def _final(self, forwarded, attempts: list[SentAttempt], waited: Waited | None):
-        if waited is None:
-            for sent in attempts:
-                self._note_unanswered(forwarded, sent)
-            attempt_id = attempts[0].dispatch.attempt_id
-            return Reply(attempt_id, Outcome.UNKNOWN, Reason.SILENCE)
-        reply = waited.reply
-        # Another attempt may run or have run, unless its gate refused it.
-        forwarded.may_have_run |= any(
-            not _was_refused(waited.replies.get(sent.link))
-            for sent in attempts
-            if sent.link is not waited.link
-        )
-        self._events.clock.observe(reply.hlc, time.time())
-        if reply.outcome is Outcome.ANSWERED and reply.body_checksum != checksum(
-            reply.body
-        ):
-            return Reply(reply.attempt_id, Outcome.UNKNOWN, Reason.BROKEN_ANSWER)
-        note_reply(forwarded.claimant, reply)
-        return reply
-
-    def _why_given_up(
-        self, forwarded: ForwardedRequest, waited: Waited | None = None
-    ) -> CancelCause:
-        """Tell why no reply is waited for any more."""
-        if _is_answered(waited):
-            return CancelCause.ANSWERED_ELSEWHERE
-        if forwarded.caller.caller_gone():
-            return CancelCause.CALLER_LEFT
-        if self._clock() >= forwarded.deadline_s:
-            return CancelCause.DEADLINE
-        if self._given_up:
-            return CancelCause.INGRESS_LEAVING
-        return CancelCause.INGRESS_GAVE_UP
-
-    def _note_unanswered(self, forwarded: ForwardedRequest, sent: SentAttempt) -> None:
-        """Say why nobody knows what became of an attempt."""
-        self._events.emit(
-            "attempt_unanswered",
-            request=forwarded.request_id,
-            backend_server=sent.dispatch.backend_server_id,
-            gate=sent.gate,
-            cause=_UNANSWERED[self._why_given_up(forwarded)],
-        )
-
     def _is_own(self, placement: Placement) -> bool:
         return placement.node.node_id == self._own.node_id
-
-
-def _is_answered(waited: Waited | None) -> bool:
-    return waited is not None and waited.reply.outcome is Outcome.ANSWERED
-
-
-def _was_refused(reply: Reply | None) -> bool:
-    return reply is not None and is_refusal(reply)
--- a/balsamspindle/requests/waiting.py
+++ b/balsamspindle/requests/waiting.py
@@ -10,6 +10,7 @@
 
 from balsamspindle.requests.links import Link, left_ms
 from balsamspindle.requests.outcomes import Outcome
+from balsamspindle.requests.retries import is_success
 from balsamspindle.wire import AttemptId, Reply
 
 __all__ = ["Wait", "Waited", "wait_first"]
@@ -45,9 +46,9 @@
         Tells whether the wait is over when one attempt is left and its gate said
         that its node may end first.
     beside : mapping of Link to AttemptId, default=none
-        Earlier attempts: their answers count, but the wait is not for them.
+        Earlier attempts: their success counts, but the wait is not for them.
     on_beside : callable, default=nothing
-        Told the link and the reply when one of them ends without an answer.
+        Told the link and the reply when one of them ends without success.
     """
 
     deadline_s: float
@@ -107,7 +108,7 @@
             if reply is None:
                 continue
             replies[link] = reply
-            if reply.outcome is Outcome.ANSWERED:
+            if _ends_wait(reply, link in attempts):
                 return Waited(link, reply, replies)
             if link in attempts:
                 last = Waited(link, reply, replies)
@@ -130,6 +131,11 @@
     return last
 
 
+def _ends_wait(reply: Reply, is_waited_for: bool) -> bool:
+    """Tell whether a reply is the one; an earlier attempt's error is not."""
+    return is_success(reply) or (is_waited_for and reply.outcome is Outcome.ANSWERED)
+
+
 def _is_last_ending(
     waiting: Mapping[Link, AttemptId], attempts: Mapping[Link, AttemptId]
 ) -> bool:
--- a/tests/test_ending_nodes.py
+++ b/tests/test_ending_nodes.py
@@ -144,6 +144,32 @@
         reply = self._request_at("a", timeout_s=3.0, attempts_max=2)
         self.assertEqual((Outcome.ANSWERED, BODY), (reply.outcome, reply.body))
 
+    def test_an_error_of_the_first_run_does_not_end_the_second(self):
+        # The caller is told the first run's error while its request runs elsewhere,
+        # where it will be answered.
+        self.answers = {
+            "a": lambda dispatch: [
+                ending(dispatch),
+                *((0.2, frame) for _, frame in answer(dispatch, status=500)),
+            ],
+            "b": lambda dispatch: [(0.6, frame) for _, frame in answer(dispatch)],
+            "c": lambda dispatch: [(0.6, frame) for _, frame in answer(dispatch)],
+        }
+        reply = self._request_at("a", attempts_max=2)
+        self.assertEqual((200, BODY), (reply.status, reply.body))
+
+    def test_an_error_of_the_first_run_is_told_where_nothing_better_comes(self):
+        self.answers = {
+            "a": lambda dispatch: [
+                ending(dispatch),
+                *((0.2, frame) for _, frame in answer(dispatch, status=500)),
+            ],
+            "b": lambda dispatch: [cut(dispatch, 0.6)],
+            "c": lambda dispatch: [cut(dispatch, 0.6)],
+        }
+        reply = self._request_at("a", attempts_max=2)
+        self.assertEqual((Outcome.ANSWERED, 500), (reply.outcome, reply.status))
+
     def test_a_second_gate_that_ends_is_left_open_in_its_turn(self):
         # Restarts follow each other: the run beside the first one is at a gate
         # that is told to leave, too, when the first one has been cut.
