--- a/balsamspindle/backend_servers/attempts.py
+++ b/balsamspindle/backend_servers/attempts.py
@@ -84,11 +84,18 @@
             # said 'unknown' before it cancelled.
             self._remember(attempt_id, CancelToken(), deadline_s)
 
-    def end_by(self, attempt_id: AttemptId, ends_s: float) -> None:
-        """Take the word that the node which made an attempt ends then."""
+    def end_by(self, attempt_id: AttemptId, ends_s: float) -> bool:
+        """Take the word that the node which made an attempt ends then.
+
+        Returns
+        -------
+        bool
+            False when the attempt has not begun yet.
+        """
         token = self._tokens.get(attempt_id)
         if token is not None:
             token.end_by(ends_s)
+        return token is not None
 
     def cancel_all(self, cause: CancelCause) -> None:
         """Cancel all attempts that came in."""
--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -156,11 +156,12 @@
             )
             self._servers.changed.notify_all()
 
-    def ingress_ends(self, attempt_id: AttemptId, ends_s: float) -> None:
+    def ingress_ends(self, attempt_id: AttemptId, ends_s: float) -> bool:
         """Take the word that the node which made an attempt ends then."""
         with self._servers.changed:
-            self._attempts.end_by(attempt_id, ends_s)
+            is_known = self._attempts.end_by(attempt_id, ends_s)
             self._servers.changed.notify_all()
+        return is_known
 
     def outlasting(self, now_s: float) -> list[AttemptId]:
         """Return the attempts that run and may not end before this node does."""
--- a/balsamspindle/backend_servers/link_server.py
+++ b/balsamspindle/backend_servers/link_server.py
@@ -73,6 +73,8 @@
         # before they do.
         self._peers: dict[AttemptId, bytes] = {}
         self._replied_s = 0.0
+        # When the ingresses of attempts end, until the gate has heard.
+        self._ends_s: dict[AttemptId, float] = {}
         self._router = context.socket(zmq.ROUTER)
         # Replies that were handed over still go out when the node stops.
         self._router.setsockopt(zmq.LINGER, LINGER_MS)
@@ -95,6 +97,7 @@
             if self._router in ready:
                 self._take_all()
             self._tell_of_end(time.monotonic())
+            self._pass_ends(time.monotonic())
             if self._stopped.is_set() and stop_s is None:
                 stop_s = time.monotonic() + STOP_TIMEOUT_S
         self._router.close()
@@ -135,6 +138,16 @@
             if peer is not None:
                 self._router.send_multipart([peer, encode(GateEnding(attempt_id))])
 
+    def _pass_ends(self, now_s: float) -> None:
+        """Tell the gate when ingresses end, also of attempts that begin late.
+
+        The word comes right behind its attempt, which waits for a thread. Lost, the
+        attempt would be started in the last moments of its ingress.
+        """
+        for attempt_id, ends_s in list(self._ends_s.items()):
+            if self._gate.ingress_ends(attempt_id, ends_s) or now_s >= ends_s:
+                del self._ends_s[attempt_id]
+
     def _take_all(self) -> None:
         """Take all messages that are there, cancellations first.
 
@@ -159,8 +172,7 @@
             case Cancel(attempt_id, _, gate_deadline_s, cause):
                 self._gate.cancel(attempt_id, gate_deadline_s, cause)
             case IngressEnding(attempt_id, left_ms):
-                ends_s = time.monotonic() + left_ms / 1000
-                self._gate.ingress_ends(attempt_id, ends_s)
+                self._ends_s[attempt_id] = time.monotonic() + left_ms / 1000
             case Question() as question:
                 told = self._gate.would_take(question, time.monotonic())
                 self._router.send_multipart([peer, encode(told)])
@@ -186,6 +198,10 @@
         frames = [peer]
         try:
             self._events.clock.observe(dispatch.hlc, time.time())
+            ends_s = self._ends_s.get(dispatch.attempt_id)
+            if ends_s is not None:
+                left_ms = (ends_s - received_s) * 1000
+                dispatch = msgspec.structs.replace(dispatch, ingress_left_ms=left_ms)
             reply = self._gate.handle(dispatch, received_s)
             if reply is not None:
                 frames.append(_encode_now(reply))
--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -82,9 +82,16 @@
         """End the waiting for all replies."""
         self._over_links.give_up()
 
-    def wait_parked(self, forwarded: ForwardedRequest) -> Reply:
-        """Wait for the attempt that was left open, as nothing else is left."""
-        return self._over_links.wait_parked(forwarded)
+    def reply_beside(self, forwarded: ForwardedRequest) -> Reply | None:
+        """Return the reply to an attempt that was left open, when all else failed.
+
+        Where it was cut, others may have a free slot by now.
+        """
+        if forwarded.beside:
+            return forwarded.beside.pop()
+        if forwarded.parked:
+            return self._over_links.wait_parked(forwarded)
+        return None
 
     def leave_parked(self, forwarded: ForwardedRequest, is_answered: bool) -> None:
         """Cancel the attempt that was left open, if it still is."""
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -143,11 +143,11 @@
         replies: list[Reply] = []
         while True:
             self._try_places(forwarded, replies)
-            if not forwarded.parked or is_success(replies[-1]):
+            if not replies or is_success(replies[-1]):
+                break
+            reply = self._sender.reply_beside(forwarded)
+            if reply is None:
                 break
-            # What was left open is all that is left; where it is cut after all,
-            # others may have a free slot by now.
-            reply = self._sender.wait_parked(forwarded)
             replies.append(reply)
             if is_success(reply):
                 forwarded.stopped_by = None
--- a/balsamspindle/requests/link_attempts.py
+++ b/balsamspindle/requests/link_attempts.py
@@ -199,6 +199,8 @@
         attempts = forwarded.parked.all()
         waited = self._wait(forwarded, attempts, forwarded.deadline_s)
         self._close(forwarded, [], waited)
+        if waited is None:
+            self.leave_parked(forwarded, is_answered=False)
         return self._ends.reply(forwarded, attempts, waited)
 
     @contextmanager
@@ -226,10 +228,14 @@
             )
             waited = wait_first({sent.link: sent.attempt_id for sent in attempts}, wait)
             self._close(forwarded, [], waited)
-            if is_answered(waited):
-                heard.answer = self._ends.reply(forwarded, attempts, waited)
-            if heard.answer is not None and is_success(heard.answer):
+            if waited is None:
+                return
+            reply = self._ends.reply(forwarded, attempts, waited)
+            if is_success(reply):
+                heard.answer = reply
                 on_answer()
+            else:
+                forwarded.beside.append(reply)
 
         listener = threading.Thread(target=listen, name="left-open", daemon=True)
         with near:
@@ -286,6 +292,8 @@
         if link is None:
             forwarded.sends -= 1
             return unreachable
+        if self._given_up:
+            return self._stopped(forwarded, dispatch, link)
         # The claim is made only with a link that was heard: made for a gate
         # that is dead it would hold the key for ever.
         gate_time_s = link.gate_clock.at(self._clock())
@@ -295,6 +303,8 @@
         if isinstance(claimed, Reply):
             self._links.give_back(link)
             return claimed
+        if self._given_up:
+            return self._stopped(forwarded, dispatch, link)
         if not link.send_dispatch(claimed, forwarded.deadline_s):
             link.close()
             forwarded.sends -= 1
@@ -302,6 +312,14 @@
         tracked = self._track(forwarded, placement)
         return SentAttempt(link, dispatch, node_id, tracked.end)
 
+    def _stopped(
+        self, forwarded: ForwardedRequest, dispatch: Dispatch, link: Link
+    ) -> Reply:
+        """Send nothing: the node gave up while the link was opened."""
+        self._links.give_back(link)
+        forwarded.sends -= 1
+        return Reply(dispatch.attempt_id, Outcome.NOT_RUN, Reason.NODE_STOPPING)
+
     def _wait(
         self,
         forwarded: ForwardedRequest,
--- a/balsamspindle/requests/links.py
+++ b/balsamspindle/requests/links.py
@@ -87,6 +87,7 @@
         self.gate: tuple[str, int] = ("", 0)
         self._heard_s = float("-inf")
         self._gate_deadline_s: float | None = None
+        self._knows_end = False
         # The attempt that the gate's node may not live to answer.
         self._ending: AttemptId | None = None
         self._socket = context.socket(zmq.DEALER)
@@ -152,6 +153,7 @@
         now_s = time.monotonic()
         self._sent_s = now_s
         self._gate_deadline_s = self.gate_clock.at(deadline_s)
+        self._knows_end = dispatch.ingress_left_ms is not None
         message = msgspec.structs.replace(
             dispatch,
             remaining_ms=(deadline_s - now_s) * 1000,
@@ -164,7 +166,10 @@
         return self._ending == attempt_id
 
     def tell_ending(self, attempt_id: AttemptId, left_s: float) -> None:
-        """Tell the gate that this node ends after a time."""
+        """Tell the gate that this node ends after a time, unless it knows."""
+        if self._knows_end:
+            return
+        self._knows_end = True
         self._send(IngressEnding(attempt_id, left_s * 1000))
 
     def give_up(self, attempt_id: AttemptId, hlc: int, cause: CancelCause) -> None:
--- a/balsamspindle/requests/retries.py
+++ b/balsamspindle/requests/retries.py
@@ -46,6 +46,8 @@
 _REFUSAL_COSTS = {
     Reason.NO_BACKEND_SERVER: Cost.FREE,
     Reason.DRAINING: Cost.FREE,
+    # Each gate judges by its own backend server's time; another one may be faster.
+    Reason.NODE_STOPPING: Cost.FREE,
     Reason.UNREACHABLE: Cost.FREE,
     Reason.DAMAGED: Cost.FREE,
     Reason.CLAIM_MOVED: Cost.FREE,
@@ -106,7 +108,9 @@
     """Tell whether a request may have one more attempt at all."""
     hints = sum(reply.reason in _HINTS for reply in replies)
     denials = sum(reply.reason is Reason.RETRY_BUDGET for reply in replies)
-    sent = len(replies) - sum(map(is_refusal, replies))
+    # The reply of an attempt that was left open follows its gate's notice.
+    notices = sum(reply.reason is Reason.GATE_ENDING for reply in replies)
+    sent = len(replies) - sum(map(is_refusal, replies)) - notices
     return (
         sent < attempts_max
         and denials < denials_max
--- a/tests/test_ending_nodes.py
+++ b/tests/test_ending_nodes.py
@@ -20,6 +20,7 @@
 from balsamspindle.backend_servers.slots import WorkEnd
 from balsamspindle.node.gate_side import GateSide
 from balsamspindle.requests import links
+from balsamspindle.requests.link_attempts import REPLY_RESERVE_S
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.requests.outcomes import Execution, Outcome, Reason
 from balsamspindle.requests.waiting import Wait, wait_first
@@ -112,6 +113,51 @@
         reply = self._request_at("a")
         self.assertEqual((Outcome.ANSWERED, BODY), (reply.outcome, reply.body))
 
+    def test_a_cut_beside_another_attempt_is_tried_elsewhere_again(self):
+        # The first run is cut while the request waits at another gate, which then
+        # refuses: by now nobody is left to wait for, and there are free slots.
+        asked = []
+
+        def refuses_once(dispatch):
+            asked.append(dispatch)
+            if dispatch.was_cut and sum(one.was_cut for one in asked) == 1:
+                return [(0.6, frame) for _, frame in refusal(dispatch)]
+            return answer(dispatch)
+
+        self.answers = {
+            "a": lambda dispatch: [ending(dispatch), cut(dispatch, 0.3)],
+            "b": refuses_once,
+        }
+        reply = self._request_at("a")
+        self.assertEqual((Outcome.ANSWERED, BODY), (reply.outcome, reply.body))
+
+    def test_a_run_that_was_cut_counts_once(self):
+        # The route allows two backend servers: a run that was left open and cut is
+        # one of them, not both.
+        self.answers = {
+            "a": lambda dispatch: [ending(dispatch), cut(dispatch, 0.5)],
+            "b": refusal,
+        }
+        threading.Timer(0.3, self.answers.update, [{"b": answer}]).start()
+        reply = self._request_at("a", attempts_max=2)
+        self.assertEqual((Outcome.ANSWERED, BODY), (reply.outcome, reply.body))
+
+    def test_a_gate_that_is_too_slow_for_a_leaving_ingress_is_not_the_last(self):
+        def too_slow(dispatch):
+            reply = Reply(dispatch.attempt_id, Outcome.NOT_RUN, Reason.NODE_STOPPING)
+            return [(0.0, encode(reply))]
+
+        self.answers["a"] = too_slow
+        reply = self._request_at("a")
+        self.assertEqual((Outcome.ANSWERED, BODY), (reply.outcome, reply.body))
+
+    def test_gates_are_told_of_an_end_that_leaves_time_for_their_refusal(self):
+        self.forwarder.end_by(time.monotonic() + PATIENCE_S)
+        self.assertEqual(Outcome.ANSWERED, self._request().outcome)
+        [dispatch] = [one for gate in self.gates.values() for one in gate.dispatches]
+        reserve_ms = REPLY_RESERVE_S * 1000
+        self.assertLess(dispatch.ingress_left_ms, PATIENCE_S * 1000 - reserve_ms)
+
     def test_no_other_place_is_tried_where_the_route_allows_one(self):
         self.answers["a"] = lambda dispatch: [ending(dispatch), cut(dispatch, 0.2)]
         self.answers["b"] = lambda dispatch: [ending(dispatch), cut(dispatch, 0.2)]
@@ -244,6 +290,21 @@
         self.assertEqual(Outcome.NOT_RUN, reply.outcome)
         self.assertEqual(sent, self._dispatches())
 
+    def test_nothing_is_sent_over_a_link_that_was_opened_meanwhile(self):
+        take = self.links.take
+
+        def give_up_meanwhile(*arguments):
+            link = take(*arguments)
+            self.forwarder.give_up()
+            return link
+
+        self.patch(self.links, "take", give_up_meanwhile)
+        reply = self._request(execution=Execution.NON_IDEMPOTENT)
+        self.assertEqual(
+            (Outcome.NOT_RUN, Reason.NODE_STOPPING), (reply.outcome, reply.reason)
+        )
+        self.assertEqual(0, self._dispatches())
+
 
 class EndingIngressTests(TestCase):
     # A request waits in a gate's queue while the node that took it is leaving. It
@@ -394,6 +455,23 @@
         first.close()
         link.close()
 
+    def test_the_word_of_an_end_waits_for_its_attempt(self):
+        # All threads of the gate are busy: the attempt has not begun when its
+        # ingress says that it ends.
+        busy = threading.Event()
+        self.addCleanup(busy.set)
+        for _ in range(2):
+            self.executor.submit(busy.wait, PATIENCE_S)
+        link, attempt_id = self._send(1)
+        link.tell_ending(attempt_id, 0.5 * USUAL_S)
+        wait_until(lambda: self.server._ends_s, "the word has come")
+        busy.set()
+        reply = self._wait(link, attempt_id).reply
+        self.assertEqual(
+            (Outcome.NOT_RUN, Reason.NODE_STOPPING), (reply.outcome, reply.reason)
+        )
+        self.assertEqual([], self.backend.requests)
+
 
 class StoppingNodeTests(LinkCase):
     def test_an_attempt_that_comes_as_the_node_stops_is_told_not_run(self):
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -285,8 +285,8 @@
         self._check_leaving(gate, callers="0")
         self._check_leaving(ingress, callers="1")
         [ended] = self._events(ingress, "request_ended")
-        self.assertGreater(int(ended["leaving_ms"]), 0)
-        self.assertGreaterEqual(int(ended["after_cut_ms"]), 0)
+        leaving_ms, after_cut_ms = int(ended["leaving_ms"]), int(ended["after_cut_ms"])
+        self.assertTrue(0 < leaving_ms <= after_cut_ms, ended)
         self.assertEqual("node_leaving", ended["stopped_by"])
         steps = [
             self._events(gate, "node_leaving"),
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -315,6 +315,17 @@
         self.assertIs(Verdict.START, self.ask(queue, fresh, 1, 0.5))
         self.assertIs(Verdict.START, self.ask(queue, late, 1, 0.5))
 
+    def test_one_whose_run_was_cut_does_not_give_way_for_being_late(self):
+        # A read ran for seconds and was cut when its node left. It is late because
+        # of that; behind all that come new it would not be served at all.
+        queue = SlotQueue(10)
+        cut = self.ticket(target_s=1.0, own_time_s=0.5, was_cut=True)
+        fresh = self.ticket(target_s=3.0, own_time_s=0.5)
+        for ticket in (fresh, cut):
+            self.assertIs(Verdict.WAIT, self.ask(queue, ticket, 0, 2.0))
+        self.assertIs(Verdict.WAIT, self.ask(queue, fresh, 1, 2.0))
+        self.assertIs(Verdict.START, self.ask(queue, cut, 1, 2.0))
+
     def test_a_heavier_request_that_is_late_still_goes_first(self):
         queue = SlotQueue(10)
         heavy = self.ticket(target_s=0.1, own_time_s=0.5, weight=2.0)
--- a/tests/test_retry_grants.py
+++ b/tests/test_retry_grants.py
@@ -57,6 +57,16 @@
         self.assertEqual(5, made)
         self.assertEqual(5, taken(grants, 0.3))
 
+    def test_what_is_kept_for_heavier_ones_is_there_for_a_run_that_was_cut(self):
+        # A read that ran well was cut when its node left. Of ten repeats five are
+        # kept for heavier requests, which failed by themselves.
+        grants = RetryGrants(lambda *_: BUDGET)
+        for weight in (0.3, 0.5):
+            grants.note_first(SERVICE, weight, 0.0)
+        self.assertEqual(5, taken(grants, 0.3))
+        granted = [grants.take(SERVICE, 0.3, 0.0, was_cut=True) for _ in range(6)]
+        self.assertEqual([True] * 5 + [False], granted)
+
     def test_one_that_did_not_run_can_be_granted_again(self):
         # In an overload every repeat that is granted finds all slots taken.
         # Spent all the same, nothing is left without one repeated run.
