--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -143,11 +143,11 @@
         replies: list[Reply] = []
         while True:
             self._try_places(forwarded, replies)
-            if not forwarded.parked or is_success(replies[-1]):
+            if not replies or is_success(replies[-1]):
+                break
+            reply = self._sender.reply_beside(forwarded)
+            if reply is None:
                 break
-            # What was left open is all that is left; where it is cut after all,
-            # others may have a free slot by now.
-            reply = self._sender.wait_parked(forwarded)
             replies.append(reply)
             if is_success(reply):
                 forwarded.stopped_by = None
@@ -160,7 +160,7 @@
                 break
         if not replies and self._given_up.is_set():
             return msgspec.structs.replace(nowhere, reason=Reason.NODE_STOPPING)
-        return best_reply(replies) if replies else nowhere
+        return best_reply([*forwarded.beside, *replies]) if replies else nowhere
 
     def _try_places(self, forwarded: ForwardedRequest, replies: list[Reply]) -> None:
         """Make attempts until one answers or no other is allowed; add their replies."""
--- a/tests/test_ending_nodes.py
+++ b/tests/test_ending_nodes.py
@@ -20,6 +20,7 @@
 from balsamspindle.backend_servers.slots import WorkEnd
 from balsamspindle.node.gate_side import GateSide
 from balsamspindle.requests import links
+from balsamspindle.requests.link_attempts import REPLY_RESERVE_S
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.requests.outcomes import Execution, Outcome, Reason
 from balsamspindle.requests.waiting import Wait, wait_first
@@ -28,6 +29,7 @@
 from balsamspindle.timeline import EventLog, HybridClock
 from balsamspindle.wire import (
     AttemptId,
+    BackendServerRecord,
     Dispatch,
     GateEnding,
     Reply,
@@ -35,7 +37,8 @@
     encode,
 )
 from tests.raw_server import RawServer
-from tests.two_gates import BODY, TwoGateCase, answer
+from tests.two_gates import BODY, OWN, TwoGateCase, answer
+from tests.two_gates import SERVICE as VACANCIES
 from tests.utils import free_address, wait_until
 
 SERVICE = "crew/contracts"
@@ -110,6 +113,51 @@
         reply = self._request_at("a")
         self.assertEqual((Outcome.ANSWERED, BODY), (reply.outcome, reply.body))
 
+    def test_a_cut_beside_another_attempt_is_tried_elsewhere_again(self):
+        # The first run is cut while the request waits at another gate, which then
+        # refuses: by now nobody is left to wait for, and there are free slots.
+        asked = []
+
+        def refuses_once(dispatch):
+            asked.append(dispatch)
+            if dispatch.was_cut and sum(one.was_cut for one in asked) == 1:
+                return [(0.6, frame) for _, frame in refusal(dispatch)]
+            return answer(dispatch)
+
+        self.answers = {
+            "a": lambda dispatch: [ending(dispatch), cut(dispatch, 0.3)],
+            "b": refuses_once,
+        }
+        reply = self._request_at("a")
+        self.assertEqual((Outcome.ANSWERED, BODY), (reply.outcome, reply.body))
+
+    def test_a_run_that_was_cut_counts_once(self):
+        # The route allows two backend servers: a run that was left open and cut is
+        # one of them, not both.
+        self.answers = {
+            "a": lambda dispatch: [ending(dispatch), cut(dispatch, 0.5)],
+            "b": refusal,
+        }
+        threading.Timer(0.3, self.answers.update, [{"b": answer}]).start()
+        reply = self._request_at("a", attempts_max=2)
+        self.assertEqual((Outcome.ANSWERED, BODY), (reply.outcome, reply.body))
+
+    def test_a_gate_that_is_too_slow_for_a_leaving_ingress_is_not_the_last(self):
+        def too_slow(dispatch):
+            reply = Reply(dispatch.attempt_id, Outcome.NOT_RUN, Reason.NODE_STOPPING)
+            return [(0.0, encode(reply))]
+
+        self.answers["a"] = too_slow
+        reply = self._request_at("a")
+        self.assertEqual((Outcome.ANSWERED, BODY), (reply.outcome, reply.body))
+
+    def test_gates_are_told_of_an_end_that_leaves_time_for_their_refusal(self):
+        self.forwarder.end_by(time.monotonic() + PATIENCE_S)
+        self.assertEqual(Outcome.ANSWERED, self._request().outcome)
+        [dispatch] = [one for gate in self.gates.values() for one in gate.dispatches]
+        reserve_ms = REPLY_RESERVE_S * 1000
+        self.assertLess(dispatch.ingress_left_ms, PATIENCE_S * 1000 - reserve_ms)
+
     def test_no_other_place_is_tried_where_the_route_allows_one(self):
         self.answers["a"] = lambda dispatch: [ending(dispatch), cut(dispatch, 0.2)]
         self.answers["b"] = lambda dispatch: [ending(dispatch), cut(dispatch, 0.2)]
@@ -142,6 +190,32 @@
         reply = self._request_at("a", timeout_s=3.0, attempts_max=2)
         self.assertEqual((Outcome.ANSWERED, BODY), (reply.outcome, reply.body))
 
+    def test_an_error_of_the_first_run_does_not_end_the_second(self):
+        # The caller is told the first run's error while its request runs elsewhere,
+        # where it will be answered.
+        self.answers = {
+            "a": lambda dispatch: [
+                ending(dispatch),
+                *((0.2, frame) for _, frame in answer(dispatch, status=500)),
+            ],
+            "b": lambda dispatch: [(0.6, frame) for _, frame in answer(dispatch)],
+            "c": lambda dispatch: [(0.6, frame) for _, frame in answer(dispatch)],
+        }
+        reply = self._request_at("a", attempts_max=2)
+        self.assertEqual((200, BODY), (reply.status, reply.body))
+
+    def test_an_error_of_the_first_run_is_told_where_nothing_better_comes(self):
+        self.answers = {
+            "a": lambda dispatch: [
+                ending(dispatch),
+                *((0.2, frame) for _, frame in answer(dispatch, status=500)),
+            ],
+            "b": lambda dispatch: [cut(dispatch, 0.6)],
+            "c": lambda dispatch: [cut(dispatch, 0.6)],
+        }
+        reply = self._request_at("a", attempts_max=2)
+        self.assertEqual((Outcome.ANSWERED, 500), (reply.outcome, reply.status))
+
     def test_a_second_gate_that_ends_is_left_open_in_its_turn(self):
         # Restarts follow each other: the run beside the first one is at a gate
         # that is told to leave, too, when the first one has been cut.
@@ -165,6 +239,35 @@
         self.answers.update(dict.fromkeys(names, second_answers))
 
 
+class OwnGateTests(EndingGateCase):
+    NAMES = ("a",)
+
+    def test_an_answer_counts_that_comes_while_the_own_gate_runs_the_request(self):
+        # The caller waits on, or is told an error, though its request was answered.
+        # The run at the gate that leaves ends in time, while the request runs at
+        # the ingress's own gate as well and hangs there. Nobody reads the answer,
+        # and it is dropped with the connection when the other node ends.
+        server = RawServer(lambda number: (None, False))
+        self.addCleanup(server.close)
+        self.servers.announce(
+            "server-own", Announcement(VACANCIES, server.address, 4, "1"), 0.0
+        )
+
+        def answered_in_time(dispatch):
+            record = BackendServerRecord("server-own", VACANCIES, "1", 4, "ready")
+            self.directory.update(
+                msgspec.structs.replace(OWN, version=2, backend_servers=(record,)), 0.0
+            )
+            threading.Timer(1.0, self.gates["a"].close).start()
+            return [ending(dispatch), *((0.5, frame) for _, frame in answer(dispatch))]
+
+        self.answers["a"] = answered_in_time
+        reply = self._request()
+        self.assertEqual((Outcome.ANSWERED, BODY), (reply.outcome, reply.body))
+        self.assertEqual(1, len(server.requests))
+        wait_until(lambda: server.closed_s, "the other run is cancelled")
+
+
 class GivenUpTests(TwoGateCase):
     def test_nothing_is_sent_after_the_node_gave_up(self):
         # The caller's connection ends without an answer. Its request had been
@@ -187,6 +290,21 @@
         self.assertEqual(Outcome.NOT_RUN, reply.outcome)
         self.assertEqual(sent, self._dispatches())
 
+    def test_nothing_is_sent_over_a_link_that_was_opened_meanwhile(self):
+        take = self.links.take
+
+        def give_up_meanwhile(*arguments):
+            link = take(*arguments)
+            self.forwarder.give_up()
+            return link
+
+        self.patch(self.links, "take", give_up_meanwhile)
+        reply = self._request(execution=Execution.NON_IDEMPOTENT)
+        self.assertEqual(
+            (Outcome.NOT_RUN, Reason.NODE_STOPPING), (reply.outcome, reply.reason)
+        )
+        self.assertEqual(0, self._dispatches())
+
 
 class EndingIngressTests(TestCase):
     # A request waits in a gate's queue while the node that took it is leaving. It
@@ -337,6 +455,23 @@
         first.close()
         link.close()
 
+    def test_the_word_of_an_end_waits_for_its_attempt(self):
+        # All threads of the gate are busy: the attempt has not begun when its
+        # ingress says that it ends.
+        busy = threading.Event()
+        self.addCleanup(busy.set)
+        for _ in range(2):
+            self.executor.submit(busy.wait, PATIENCE_S)
+        link, attempt_id = self._send(1)
+        link.tell_ending(attempt_id, 0.5 * USUAL_S)
+        wait_until(lambda: self.server._ends_s, "the word has come")
+        busy.set()
+        reply = self._wait(link, attempt_id).reply
+        self.assertEqual(
+            (Outcome.NOT_RUN, Reason.NODE_STOPPING), (reply.outcome, reply.reason)
+        )
+        self.assertEqual([], self.backend.requests)
+
 
 class StoppingNodeTests(LinkCase):
     def test_an_attempt_that_comes_as_the_node_stops_is_told_not_run(self):
