A repeat after a planned cut is not paid from the retry budget

The budget guards a service that fails; here nothing failed, and the repeats are bounded by the slots beside the node that leaves. Where gates grant the fleet's repeats they still do, for that bound is the users'. The test fails with the repeat paid.

--- a/balsamspindle/requests/retries.py
+++ b/balsamspindle/requests/retries.py
@@ -61,6 +61,12 @@
 }
 
 
+# A run that a leaving gate cuts, or is about to. The budget keeps retries from adding
+# to the load of a service that fails; here nothing failed, and there are no more of
+# them than slots beside the node that leaves. Paid for, those that one node's end cuts
+# at once use the budget up: all nine reads that nine seeds of a soak lost were denied.
+_LOSS_COSTS = {Reason.GATE_ENDING: Cost.FREE, Reason.CANCELLED: Cost.FREE}
+
 _HINTS = frozenset({Reason.SUSPECTED, Reason.WOULD_WAIT, Reason.RETRY_BUDGET})
 
 
@@ -97,7 +103,7 @@
         case Outcome.NOT_RUN:
             return _REFUSAL_COSTS.get(reply.reason, Cost.FINAL)
         case Outcome.UNKNOWN if execution is Execution.IDEMPOTENT:
-            return Cost.PAID
+            return _LOSS_COSTS.get(reply.reason, Cost.PAID)
         case Outcome.ANSWERED if execution is Execution.IDEMPOTENT:
             is_error = retries_errors and reply.status >= ERROR_STATUS_MIN
             return Cost.PAID if is_shed(reply) or is_error else Cost.FINAL
--- a/tests/test_ending_nodes.py
+++ b/tests/test_ending_nodes.py
@@ -23,6 +23,7 @@
 from balsamspindle.requests.link_attempts import REPLY_RESERVE_S
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.requests.outcomes import Execution, Outcome, Reason
+from balsamspindle.requests.retries import RetryPolicy
 from balsamspindle.requests.waiting import Wait, wait_first
 from balsamspindle.settings.documents import RetryBudget, ServiceDocument
 from balsamspindle.settings.process import NodeSettings
@@ -158,6 +159,16 @@
         reserve_ms = REPLY_RESERVE_S * 1000
         self.assertLess(dispatch.ingress_left_ms, PATIENCE_S * 1000 - reserve_ms)
 
+    def test_runs_that_one_gates_end_cuts_need_no_retries(self):
+        # Several reads run at a gate that leaves, more than the service has retries:
+        # the budget is for requests that failed.
+        budget = RetryBudget(fraction=0.0, per_s_min=0.0)
+        self.forwarder._retries = RetryPolicy(lambda service: budget)
+        self.answers["a"] = lambda dispatch: [ending(dispatch), cut(dispatch, 0.3)]
+        for _ in range(3):
+            reply = self._request_at("a")
+            self.assertEqual((Outcome.ANSWERED, BODY), (reply.outcome, reply.body))
+
     def test_no_other_place_is_tried_where_the_route_allows_one(self):
         self.answers["a"] = lambda dispatch: [ending(dispatch), cut(dispatch, 0.2)]
         self.answers["b"] = lambda dispatch: [ending(dispatch), cut(dispatch, 0.2)]
