--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -93,9 +93,9 @@
             return self._over_links.wait_parked(forwarded)
         return None
 
-    def leave_parked(self, forwarded: ForwardedRequest, is_answered: bool) -> None:
+    def leave_parked(self, forwarded: ForwardedRequest, has_answer: bool) -> None:
         """Cancel the attempt that was left open, if it still is."""
-        self._over_links.leave_parked(forwarded, is_answered)
+        self._over_links.leave_parked(forwarded, has_answer)
 
     def is_own(self, placement: Placement) -> bool:
         """Tell whether a place is at this node's gate."""
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -121,8 +121,8 @@
         try:
             reply = self._make_attempts(forwarded)
         finally:
-            is_answered = reply is not None and reply.outcome is Outcome.ANSWERED
-            self._sender.leave_parked(forwarded, is_answered)
+            has_answer = reply is not None and reply.outcome is Outcome.ANSWERED
+            self._sender.leave_parked(forwarded, has_answer)
         if forwarded.claimant is not None:
             reply = forwarded.claimant.final(reply)
         if reply.outcome is Outcome.NOT_RUN and forwarded.may_have_run:
--- a/balsamspindle/requests/link_attempts.py
+++ b/balsamspindle/requests/link_attempts.py
@@ -186,9 +186,9 @@
             return None
         return unanswered[0]
 
-    def leave_parked(self, forwarded: ForwardedRequest, is_answered: bool) -> None:
+    def leave_parked(self, forwarded: ForwardedRequest, has_answer: bool) -> None:
         """Cancel the attempt that was left open, if it still is."""
-        if is_answered:
+        if has_answer:
             cause = CancelCause.ANSWERED_ELSEWHERE
         else:
             cause = self._ends.why_given_up(forwarded)
@@ -200,13 +200,13 @@
         waited = self._wait(forwarded, attempts, forwarded.deadline_s)
         self._close(forwarded, [], waited)
         if waited is None:
-            self.leave_parked(forwarded, is_answered=False)
+            self.leave_parked(forwarded, has_answer=False)
         return self._ends.reply(forwarded, attempts, waited)
 
     @contextmanager
     def listening(
         self, forwarded: ForwardedRequest, on_answer: Callable[[], None]
-    ) -> Iterator["Heard"]:
+    ) -> Iterator[Heard]:
         """Listen for the attempt that was left open while the task does other work.
 
         A reply that nobody has read is dropped when its connection ends, and the
