--- a/balsamspindle/standins/backend_server.py
+++ b/balsamspindle/standins/backend_server.py
@@ -21,6 +21,8 @@
 __all__ = ["Announcer", "BackendFault", "BackendFaultSwitch", "StandinBackendServer"]
 
 RUN_KEY_HEADER = "X-Run-Key"
+# Of one request, in place of the time that each of them takes.
+WORK_MS_HEADER = "X-Work-Ms"
 
 
 class BackendFault(StrEnum):
@@ -139,8 +141,10 @@
                 self.server.running -= 1
 
     def _answer(self, fault, key, body):
-        if self.server.work_s:
-            time.sleep(self.server.work_s)
+        work_ms = self.headers.get(WORK_MS_HEADER)
+        work_s = self.server.work_s if work_ms is None else float(work_ms) / 1000
+        if work_s:
+            time.sleep(work_s)
         if fault in (BackendFault.SLOW, BackendFault.HANG):
             time.sleep(self.server.fault.delay_s)
         if fault is BackendFault.CLOSE:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -12,7 +12,6 @@
 """
 
 import argparse
-import http.client
 import random
 import signal
 import sys
@@ -23,8 +22,9 @@
 from typing import NamedTuple
 
 from tests.at_most_once_utils import Fault, ScheduleFleet
+from tests.kept_caller import KeptCaller
 from tests.relay import Flow
-from tests.utils import HttpAnswer, try_call, wait_until
+from tests.utils import try_call, wait_until
 
 __all__ = ["REGRESSION_SEEDS", "Soak", "play"]
 
@@ -37,7 +37,6 @@
 HOLD_MIN_S, HOLD_MAX_S = 0.2, 2.5
 CALLERS = 6
 PACE_S = 0.03
-CALL_TIMEOUT_S = 10.0
 # After the last fault: hold-outs of a few seconds, then a trial without idempotent
 # work, which a silence of ten seconds ends.
 RECOVERED_WITHIN_S = 45.0
@@ -52,70 +51,6 @@
     fault: Fault
 
 
-class KeptCaller:
-    """One caller that sends on its connection until that is gone.
-
-    Attributes
-    ----------
-    told : dict of str to str
-        What it was told of each request, by run key.
-    faults : list of str
-        Broken promises that it saw itself.
-    """
-
-    def __init__(self, name: str, address: str) -> None:
-        self._name, self._address = name, address
-        self._connection: http.client.HTTPConnection | None = None
-        self._number = 0
-        self.told: dict[str, str] = {}
-        self.faults: list[str] = []
-
-    def send(self) -> str:
-        """Send one request; return what was told, or that nothing was."""
-        key = f"{self._name}/{self._number}"
-        self._number += 1
-        answer = self._exchange(key)
-        outcome = (answer and answer.outcome) or "no answer"
-        if answer is not None and answer.status == 200:
-            self._check_own(key, answer)
-        elif outcome == "answered":
-            # The backend server's own refusal or error, passed on.
-            outcome = f"answered {answer.status}"
-        self.told[key] = outcome
-        return outcome
-
-    def _check_own(self, key: str, answer: HttpAnswer) -> None:
-        body = answer.json()
-        if (body["run_key"], body["body"]) != (key, key):
-            self.faults.append(f"{key} got another one's answer: {body}")
-
-    def _exchange(self, key: str) -> HttpAnswer | None:
-        if self._connection is None:
-            self._connection = http.client.HTTPConnection(
-                self._address, timeout=CALL_TIMEOUT_S
-            )
-        headers = {"X-Run-Key": key}
-        if self._number % 2:
-            headers["Idempotency-Key"] = key
-        try:
-            self._connection.request("POST", f"/sign/{key}", key.encode(), headers)
-            response = self._connection.getresponse()
-            names = {name.lower(): value for name, value in response.getheaders()}
-            answer = HttpAnswer(response.status, names, response.read())
-        except (OSError, http.client.HTTPException):
-            self.close()
-            return None
-        if response.will_close:
-            self.close()
-        return answer
-
-    def close(self) -> None:
-        """End the connection; the next request opens another one."""
-        if self._connection is not None:
-            self._connection.close()
-            self._connection = None
-
-
 class Soak:
     """One seed's series of faults against one fleet."""
 
@@ -136,7 +71,7 @@
         with ScheduleFleet() as fleet:
             ingresses = [fleet.nodes["i"], fleet.nodes["j"]]
             callers = [
-                KeptCaller(f"caller-{number}", ingress.caller_address)
+                KeptCaller(f"caller-{number}", [ingress.caller_address])
                 for number, ingress in enumerate(ingresses * (CALLERS // 2))
             ]
             with ThreadPoolExecutor(CALLERS) as executor:
@@ -150,7 +85,9 @@
             self._check(fleet, callers)
             self._check_recovered(fleet, callers)
             self._check(fleet, callers)
-        return sum((Counter(caller.told.values()) for caller in callers), Counter())
+        return Counter(
+            exchange.outcome for caller in callers for exchange in caller.told.values()
+        )
 
     def _send(self, caller: KeptCaller) -> None:
         while not self._done.wait(PACE_S):
@@ -185,7 +122,7 @@
                     runs[line.partition("run_key=")[2]] += 1
         for caller in callers:
             assert not caller.faults, (caller.faults, self.played)
-            for key, outcome in caller.told.items():
+            for key, (outcome, *_) in caller.told.items():
                 assert runs[key] <= 1, (f"{key} ran {runs[key]} times", self.played)
                 assert not (outcome == "not_run" and runs[key]), (
                     f"{key} was told not_run and ran",
