--- a/tests/restart_fleet.py
+++ b/tests/restart_fleet.py
@@ -7,23 +7,9 @@
 from contextlib import contextmanager
 from typing import NamedTuple
 
-from tests.utils import (
-    BackendProgram,
-    Fleet,
-    NodeProgram,
-    free_address,
-    wait_until,
-)
-
-__all__ = [
-    "SERVICES",
-    "SHUTDOWN_TIMEOUT_S",
-    "SLOTS",
-    "WORKS",
-    "Outage",
-    "RestartFleet",
-    "Work",
-]
+from tests.utils import Fleet, NodeProgram, free_address, wait_until
+
+__all__ = ["SERVICES", "SHUTDOWN_TIMEOUT_S", "SLOTS", "WORKS", "RestartFleet", "Work"]
 
 # Nodes have their backend servers in turn, so that requests of one half of the
 # callers are for another node's backend server.
@@ -61,17 +47,12 @@
     timeout_ms: int
     connections: int = 1
 
-    @property
-    def path(self) -> str:
-        """Prefix of its route."""
-        return f"/{self.service}/{self.name}"
-
 
 # Some of it lasts longer than a node's time for an orderly end.
 WORKS = [
-    Work(service, *kind)
+    Work(service, f"{service}-{name}", *kind)
     for service in SERVICES
-    for kind in (
+    for name, *kind in (
         ("read", True, 60, 4_000),
         ("sign", False, 60, 4_000),
         ("query", True, 5_500, 25_000, 3),
@@ -79,11 +60,11 @@
         ("render", False, 5_500, 25_000),
     )
 ]
-SETTINGS = {f"crew/services/{service}": {} for service in SERVICES} | {
-    f"crew/routes/{work.service}-{work.name}": {
+ROUTES = {
+    f"crew/routes/{work.name}": {
         "service": f"crew/{work.service}",
         "execution": "idempotent" if work.is_idempotent else "non_idempotent",
-        "path_prefix": work.path,
+        "path_prefix": f"/{work.name}",
         "methods": ["POST"],
         "timeout_ms": work.timeout_ms,
     }
@@ -92,7 +73,7 @@
 
 
 class Outage(NamedTuple):
-    """A time in which a node and the backend server beside it are not counted on.
+    """When a node or the backend server beside it is not counted on.
 
     Attributes
     ----------
@@ -105,11 +86,6 @@
     from_s: float
     to_s: float
 
-    @property
-    def is_planned(self) -> bool:
-        """Whether callers should not notice it."""
-        return self.kind in ("restart", "replace")
-
     def lasts(self, at_s: float) -> bool:
         """Tell whether it lasts at a time."""
         return self.from_s <= at_s <= self.to_s
@@ -128,67 +104,62 @@
 
     def __init__(self, nodes: int) -> None:
         super().__init__()
+        names = [f"n{number}" for number in range(nodes)]
+        self.services = {n: SERVICES[i % 2] for i, n in enumerate(names)}
         self.nodes: dict[str, NodeProgram] = {}
-        self.servers: dict[str, BackendProgram] = {}
-        self.services: dict[str, str] = {}
+        self.servers = {}
         self.outages: list[Outage] = []
         self._out: set[str] = set()
         self._changed = threading.Condition()
         self._settings_lock = threading.Lock()
-        try:
-            self._start(nodes)
-        except BaseException:
-            self.__exit__()
-            raise
 
-    def _start(self, nodes: int) -> None:
+    def start(self) -> None:
+        """Start all programs and wait for them."""
         self.start_platform()
-        self.put_settings(SETTINGS)
-        for number in range(nodes):
-            name = f"n{number}"
+        self.put_settings({f"crew/services/{name}": {} for name in SERVICES} | ROUTES)
+        for number, name in enumerate(self.services):
             self.nodes[name] = self.start_node(
                 name, f"zone-{number // 2 % 2}", shutdown_timeout_s=SHUTDOWN_TIMEOUT_S
             )
-            self.services[name] = SERVICES[number % 2]
             self._start_server(name, free_address())
         self.wait_whole()
 
     def wait_whole(self) -> None:
         """Wait until each node knows each backend server."""
         ids = [server.name for server in self.servers.values()]
-        for node in self.nodes.values():
+        for name, node in self.nodes.items():
             wait_until(
                 lambda node=node: node.is_ready(ids, 1),
-                f"{node.settings['node_id']} is ready",
+                f"{name} is ready",
                 READY_TIMEOUT_S,
             )
 
     def play(self, kind: str, target: str, hold_s: float) -> None:
-        """Play one outage or change to its end."""
-        match kind:
-            case "restart":
-                with self._outage(kind, target):
-                    status = self.nodes[target].stop(END_TIMEOUT_S)
-                    assert status == 0, f"{target} ended with {status}"
-                    self._start_again(target)
-            case "kill":
-                with self._outage(kind, target):
-                    self.nodes[target].kill()
+        """Play one outage to its end, or a burst of changes of settings."""
+        if kind == "settings":
+            self._change_settings(round(hold_s / BURST_PAUSE_S))
+            return
+        with self._outage(kind, target):
+            node, server = self.nodes[target], self.servers[target]
+            match kind:
+                case "freeze":
+                    server.signal(signal.SIGSTOP)
                     time.sleep(hold_s)
-                    self._start_again(target)
-            case "replace":
-                with self._outage(kind, target):
-                    server = self.servers[target]
+                    server.signal(signal.SIGCONT)
+                case "replace":
                     server.stop(END_TIMEOUT_S)
                     self._start_server(target, server.address)
-                    self._wait_back(target)
-            case "freeze":
-                with self._outage(kind, target):
-                    self.servers[target].signal(signal.SIGSTOP)
+                case "restart":
+                    assert node.stop(END_TIMEOUT_S) == 0, f"{target} failed at its end"
+                case "kill":
+                    node.kill()
                     time.sleep(hold_s)
-                    self.servers[target].signal(signal.SIGCONT)
-            case "settings":
-                self._change_settings(round(hold_s / BURST_PAUSE_S))
+            if kind in ("restart", "kill"):
+                self.nodes[target] = self._add(NodeProgram(node.settings, self.folder))
+            wait_until(
+                lambda: self._is_back(target), f"{target} is back", READY_TIMEOUT_S
+            )
+            time.sleep(SETTLE_S)
 
     @contextmanager
     def _outage(self, kind: str, target: str) -> Iterator[None]:
@@ -199,17 +170,15 @@
             ), f"no place for {kind} of {target}"
             self._out.add(target)
         from_s = time.time()
-        try:
-            yield
-        finally:
-            with self._changed:
-                self.outages.append(Outage(target, kind, from_s, time.time()))
-                self._out.discard(target)
-                self._changed.notify_all()
+        yield
+        with self._changed:
+            self.outages.append(Outage(target, kind, from_s, time.time()))
+            self._out.discard(target)
+            self._changed.notify_all()
 
     def _may_go(self, target: str) -> bool:
-        peers = [n for n, of in self.services.items() if of == self.services[target]]
-        well = set(peers) - self._out
+        of = self.services
+        well = {name for name in of if of[name] == of[target]} - self._out
         return target in well and len(well) > WELL_MIN
 
     def _start_server(self, name: str, address: str) -> None:
@@ -221,34 +190,20 @@
             slots=SLOTS,
         )
 
-    def _start_again(self, name: str) -> None:
-        self.nodes[name] = self._add(
-            NodeProgram(self.nodes[name].settings, self.folder)
-        )
-        self._wait_back(name)
-
-    def _wait_back(self, name: str) -> None:
-        wait_until(lambda: self._is_back(name), f"{name} is back", READY_TIMEOUT_S)
-        time.sleep(SETTLE_S)
-
     def _is_back(self, name: str) -> bool:
-        status = self.nodes[name].status() or {"backend_servers": [], "accepting": 0}
+        status = self.nodes[name].status() or {"accepting": False}
         return status["accepting"] and any(
             record[4] == "ready" for record in status["backend_servers"]
         )
 
     def _change_settings(self, changes: int) -> None:
         """Write documents in quick succession; no request needs any of them."""
+        spare = ROUTES["crew/routes/front-read"] | {"path_prefix": "/spare"}
         with self._settings_lock:
             for number in range(changes):
-                spare = SETTINGS["crew/routes/front-read"] | {
-                    "path_prefix": f"/spare-{number}",
-                    "timeout_ms": 1000 + number,
+                documents = {
+                    "crew/services/back": {"queue_max": 32 + number},
+                    "crew/routes/spare": spare | {"timeout_ms": 1000 + number},
                 }
-                self.put_settings(
-                    {
-                        "crew/services/back": {"queue_max": 32 + number},
-                        "crew/routes/spare": spare,
-                    }
-                )
+                self.put_settings(documents)
                 time.sleep(BURST_PAUSE_S)
--- a/tests/soak_restarts.py
+++ b/tests/soak_restarts.py
@@ -29,12 +29,11 @@
     SHUTDOWN_TIMEOUT_S,
     SLOTS,
     WORKS,
-    Outage,
     RestartFleet,
     Work,
 )
 
-__all__ = ["REGRESSION_SEEDS", "Step", "draw", "play"]
+__all__ = ["REGRESSION_SEEDS", "play"]
 
 # Seeds that failed once, with the cause.
 REGRESSION_SEEDS: dict[int, str] = {}
@@ -44,22 +43,21 @@
 CALLERS_MIN = 4
 NODES_FOR_ONE_CALLER = 5
 PACE_S = 0.1
+CALL_RESERVE_S = 10.0
 AT_ONCE_MAX = 3
 NODES_FOR_ONE_AT_ONCE = 8
 FIRST_STEP_S = 2.0
 GAP_MIN_S, GAP_MAX_S = 0.3, 3.0
 SECOND_SERIES_MIN_S, SECOND_SERIES_MAX_S = 1.0, 5.0
 EXTRA_UNTIL_S = 12.0
-BURST_MIN_S, BURST_MAX_S = 0.1, 0.5
-HOLD_MIN_S, HOLD_MAX_S = 1.0, 5.0
+# How long a burst of changes, a freeze or the time after a kill lasts.
+HOLDS_S = {"settings": (0.1, 0.5), "freeze": (1.0, 5.0), "kill": (1.0, 5.0)}
+UNPLANNED = ("freeze", "kill")
 UNPLANNED_SHARE = 0.3
-CALL_RESERVE_S = 10.0
 RECOVERED_ANSWERS = 2
 RECOVERED_TRIES = 10
 # A second attempt beside a slow one takes a slot, too.
 SLOTS_OF_A_CALLER = 2
-# Until an ingress has heard that a gate is leaving.
-NEWS_S = 0.5
 # Besides the work itself, for one more attempt.
 ATTEMPT_RESERVE_S = 0.5
 FAULTS_SHOWN = 12
@@ -76,24 +74,19 @@
     hold_s: float
 
 
-def draw(seed: int, names: list[str]) -> list[Step]:
-    """Return a seed's steps."""
+def _draw(seed: int, names: list[str]) -> list[Step]:
     chance = random.Random(seed)
-    first = list(_series(chance, names, FIRST_STEP_S))
+    steps = list(_series(chance, names, FIRST_STEP_S))
     delay_s = chance.uniform(SECOND_SERIES_MIN_S, SECOND_SERIES_MAX_S)
     some = chance.sample(names, max(1, len(names) // 2))
-    steps = first + list(_series(chance, some, FIRST_STEP_S + delay_s))
-    extra = ["settings"] * chance.randint(1, 3) + ["replace"] * chance.randint(0, 2)
+    steps += _series(chance, some, FIRST_STEP_S + delay_s)
+    kinds = ["settings"] * chance.randint(1, 3) + ["replace"] * chance.randint(0, 2)
     if chance.random() < UNPLANNED_SHARE:
-        extra.append(chance.choice(("kill", "freeze")))
-    for kind in extra:
-        is_burst = kind == "settings"
-        low_s, high_s = (
-            (BURST_MIN_S, BURST_MAX_S) if is_burst else (HOLD_MIN_S, HOLD_MAX_S)
-        )
-        at_s, hold_s = chance.uniform(0, EXTRA_UNTIL_S), chance.uniform(low_s, high_s)
-        target = "" if is_burst else chance.choice(names)
-        steps.append(Step(at_s, kind, target, hold_s))
+        kinds.append(chance.choice(UNPLANNED))
+    for kind in kinds:
+        at_s = chance.uniform(0, EXTRA_UNTIL_S)
+        hold_s = chance.uniform(*HOLDS_S.get(kind, (0, 0)))
+        steps.append(Step(at_s, kind, chance.choice(names), hold_s))
     return sorted(steps)
 
 
@@ -108,23 +101,20 @@
 
 
 class Trail:
-    """What backend servers ran and what nodes wrote of requests.
+    """What backend servers ran and what nodes wrote of requests, by run key.
 
     Attributes
     ----------
-    runs : Counter
-        By run key.
     places : dict of str to set of str
         Nodes beside whose backend servers a request ran or was sent to run.
-    starts_s : dict of str to list of float
-        When a request's attempts left its ingress.
+    sent_on_s : dict of str to float
+        When a request's last attempt left its ingress.
     """
 
     def __init__(self, fleet: RestartFleet) -> None:
         self.runs: Counter[str] = Counter()
         self.places: dict[str, set[str]] = defaultdict(set)
-        self.starts_s: dict[str, list[float]] = defaultdict(list)
-        self.read: set[str] = set()
+        self.sent_on_s: dict[str, float] = {}
         for name, server in fleet.servers.items():
             for line in server.log_path.read_text().splitlines():
                 if line.startswith("event=run run_key="):
@@ -133,16 +123,11 @@
                     self.places[key].add(name)
         for node in fleet.nodes.values():
             for event in read_events(node.log_path):
-                self._take(event)
-
-    def _take(self, event: dict[str, str]) -> None:
-        key = event.get("request", "")
-        if event["event"] == "request_received":
-            self.read.add(key)
-        if event["event"] in ("attempt_sent", "attempt_dispatched"):
-            self.places[key].add(event["backend_server"].removeprefix("server-"))
-        if event["event"] == "attempt_sent":
-            self.starts_s[key].append(float(event["wall_s"]))
+                if event["event"] == "attempt_sent":
+                    key = event["request"]
+                    place = event["backend_server"].removeprefix("server-")
+                    self.places[key].add(place)
+                    self.sent_on_s[key] = float(event["wall_s"])
 
 
 class Checks:
@@ -157,31 +142,30 @@
     """
 
     def __init__(self, fleet: RestartFleet, callers: dict[KeptCaller, Work]) -> None:
-        self._callers = callers
-        self._trail = Trail(fleet)
-        self._outages = fleet.outages
+        self._trail, self._fleet, self._callers = Trail(fleet), fleet, callers
         self._ingresses = {node.caller_address: n for n, node in fleet.nodes.items()}
-        self._services = fleet.services
-        self._slots_needed = len(callers) * SLOTS_OF_A_CALLER // len(SERVICES)
-        self._answered: dict[tuple[Work, str], list[float]] = defaultdict(list)
-        self.faults: list[str] = []
+        self._answered_s: dict[tuple[Work, str], list[float]] = defaultdict(list)
+        self.faults = [fault for caller in callers for fault in caller.faults]
         self.figures: Counter[str] = Counter()
 
     def run(self) -> None:
         """Check all requests."""
-        for caller, work in self._callers.items():
-            self.faults += caller.faults
-            for told in caller.told.values():
-                if told.outcome == "answered":
-                    self._answered[work, told.address].append(told.ended_s)
-        for caller, work in self._callers.items():
-            for key, told in caller.told.items():
-                self._check(work, key, told)
+        exchanges = [
+            (work, key, told)
+            for caller, work in self._callers.items()
+            for key, told in caller.told.items()
+        ]
+        for work, _, told in exchanges:
+            if told.outcome == "answered":
+                self._answered_s[work, told.address].append(told.ended_s)
+        for exchange in exchanges:
+            self._check(*exchange)
 
     def _check(self, work: Work, key: str, told: Exchange) -> None:
-        self.figures[f"{work.name} {told.outcome} {told.reason}".rstrip()] += 1
+        name = work.name.partition("-")[2]
+        self.figures[f"{name} {told.outcome} {told.reason}".rstrip()] += 1
         runs = self._trail.runs[key]
-        if told.reason in PLACELESS and self._is_one_free(work.service, told.ended_s):
+        if told.reason in PLACELESS and self._is_one_free(work, told):
             self.figures["refused_with_a_place"] += 1
         if runs > 1 and not work.is_idempotent:
             self._fault("ran_twice", key, told)
@@ -193,8 +177,10 @@
             return
         if self._is_excused(key, told):
             self.figures["excused"] += 1
+        elif told.outcome == NO_ANSWER and self._trail.places[key]:
+            self._fault("ended_without_answer", key, told)
         elif told.outcome == NO_ANSWER:
-            self._check_unanswered(key, told)
+            self.figures["ended_and_not_sent_on"] += 1
         elif work.is_idempotent:
             self._check_given_up(work, key, told)
         else:
@@ -203,103 +189,81 @@
     def _fault(self, name: str, key: str, told: Exchange) -> None:
         self.figures[name] += 1
         ingress = self._ingresses[told.address]
-        leaving_s = self._leaving_since_s(ingress, told.ended_s)
-        places = sorted(self._trail.places[key])
-        out = {
-            place: f"{told.ended_s - since_s:.1f}"
-            for place in places
-            if (since_s := self._leaving_since_s(place, told.ended_s)) is not None
+        out_s = {
+            place: round(told.ended_s - left_s, 1)
+            for place in (ingress, *self._trail.places[key])
+            if (left_s := self._left_s(place, told)) < math.inf
         }
         self.faults.append(
             f"{name}: {key} {told.outcome} {told.reason} after"
-            f" {told.ended_s - told.sent_s:.1f} s, ingress {ingress}"
-            + (f" told to leave {told.ended_s - leaving_s:.1f} s" if leaving_s else "")
-            + f", places {places}, out for s {out}"
+            f" {told.ended_s - told.sent_s:.1f} s, ingress {ingress}, places"
+            f" {sorted(self._trail.places[key])}, s since SIGTERM {out_s}"
         )
 
-    def _check_unanswered(self, key: str, told: Exchange) -> None:
-        if self._trail.places[key]:
-            self._fault("ended_without_answer", key, told)
-        elif key in self._trail.read:
-            self.figures["ended_read_and_not_sent_on"] += 1
-        else:
-            self.figures["ended_unread"] += 1
-
     def _check_given_up(self, work: Work, key: str, told: Exchange) -> None:
         """Check that there was no time, or no place, for one more attempt.
 
         A leaving ingress has only the time for its orderly end.
         """
-        needs_s = work.work_ms / 1000 + ATTEMPT_RESERVE_S
-        leaving_s = self._leaving_since_s(self._ingresses[told.address], told.ended_s)
-        life_s = math.inf if leaving_s is None else leaving_s + SHUTDOWN_TIMEOUT_S
-        if told.sent_s + work.timeout_ms / 1000 < told.ended_s + needs_s:
+        again_s = told.ended_s + work.work_ms / 1000 + ATTEMPT_RESERVE_S
+        left_s = self._left_s(self._ingresses[told.address], told)
+        if again_s > told.sent_s + work.timeout_ms / 1000:
             self.figures["given_up_without_time"] += 1
-        elif not self._is_one_free(work.service, told.ended_s):
+        elif not self._is_one_free(work, told):
             self.figures["given_up_without_place"] += 1
-        elif told.ended_s + needs_s <= life_s:
+        elif again_s <= left_s + SHUTDOWN_TIMEOUT_S:
             self._fault("given_up_with_time_left", key, told)
-        elif self._gate_left_s(key, told) + NEWS_S + needs_s <= life_s:
-            # Begun anew at another gate right then it would have been answered.
-            self.figures["given_up_by_leaving_ingress_and_gate"] += 1
-        elif told.sent_s > leaving_s:
+        elif told.sent_s > left_s:
             self.figures["read_by_leaving_ingress_and_given_up"] += 1
+        elif self._is_gate_leaving(key, told):
+            self.figures["given_up_by_leaving_ingress_and_gate"] += 1
         else:
             self.figures["given_up_by_leaving_ingress"] += 1
 
-    def _gate_left_s(self, key: str, told: Exchange) -> float:
-        """Return when a request's gate began to leave; infinite if none did."""
-        places = self._trail.places[key] - {self._ingresses[told.address]}
-        left_s = (self._leaving_since_s(name, told.ended_s) for name in places)
-        return min((at_s for at_s in left_s if at_s is not None), default=math.inf)
-
     def _check_cut(self, work: Work, key: str, told: Exchange) -> None:
         """Sort an `unknown` of work that may not be repeated."""
-        leaving_s = self._leaving_since_s(self._ingresses[told.address], told.ended_s)
-        if leaving_s is None:
-            if self._gate_left_s(key, told) < math.inf:
-                self.figures["cut_by_leaving_gate"] += 1
-            else:
-                self._fault("unknown_without_cause", key, told)
-        elif max(self._trail.starts_s[key], default=0) <= leaving_s:
+        left_s = self._left_s(self._ingresses[told.address], told)
+        if left_s == math.inf and self._is_gate_leaving(key, told):
+            self.figures["cut_by_leaving_gate"] += 1
+        elif left_s == math.inf:
+            self._fault("unknown_without_cause", key, told)
+        elif self._trail.sent_on_s.get(key, 0.0) <= left_s:
             self.figures["cut_by_leaving_ingress"] += 1
-        elif self._is_known(work, told.address, leaving_s):
+        elif self._is_known(work, told.address, left_s):
             self._fault("started_to_be_cut", key, told)
         else:
             self.figures["started_unknowing_to_be_cut"] += 1
 
-    def _is_known(self, work: Work, address: str, leaving_s: float) -> bool:
-        """Tell whether an ingress had seen before how long such work takes."""
+    def _is_known(self, work: Work, address: str, left_s: float) -> bool:
+        """Tell whether a process had seen how long such work takes when it left."""
+        outages = self._fleet.outages
         name = self._ingresses[address]
         began_s = max(
-            (
-                one.to_s
-                for one in self._outages
-                if one.target == name and one.to_s < leaving_s
-            ),
+            (one.to_s for one in outages if one.target == name and one.to_s < left_s),
             default=0.0,
         )
-        return any(
-            began_s < ended_s < leaving_s for ended_s in self._answered[work, address]
-        )
-
-    def _leaving_since_s(self, name: str, at_s: float) -> float | None:
-        """Return since when a node was being restarted then, if it was."""
-        return next(
-            (
-                outage.from_s
-                for outage in self._outages
-                if (outage.target, outage.kind) == (name, "restart")
-                and outage.lasts(at_s)
-            ),
-            None,
-        )
-
-    def _is_one_free(self, service: str, at_s: float) -> bool:
-        out = {outage.target for outage in self._outages if outage.lasts(at_s)}
-        well = {name for name, of in self._services.items() if of == service} - out
+        return any(began_s < at_s < left_s for at_s in self._answered_s[work, address])
+
+    def _is_gate_leaving(self, key: str, told: Exchange) -> bool:
+        gates = self._trail.places[key] - {self._ingresses[told.address]}
+        return any(self._left_s(gate, told) < math.inf for gate in gates)
+
+    def _left_s(self, name: str, told: Exchange) -> float:
+        """Return when a node that was restarted at an exchange's end got SIGTERM."""
+        for outage in self._fleet.outages:
+            if outage.target == name and outage.kind == "restart":
+                if outage.lasts(told.ended_s):
+                    return outage.from_s
+        return math.inf
+
+    def _is_one_free(self, work: Work, told: Exchange) -> bool:
+        outages = self._fleet.outages
+        out = {outage.target for outage in outages if outage.lasts(told.ended_s)}
+        of = self._fleet.services
+        well = [name for name in of if of[name] == work.service and name not in out]
+        needed = len(self._callers) // len(SERVICES) * SLOTS_OF_A_CALLER
         # Right after its start a backend server takes half of its load.
-        return len(well) * SLOTS // 2 >= self._slots_needed
+        return len(well) * SLOTS // 2 >= needed
 
     def _is_excused(self, key: str, told: Exchange) -> bool:
         """Tell whether a request met an unplanned fault itself."""
@@ -307,37 +271,36 @@
         return any(
             outage.from_s <= told.ended_s
             and told.sent_s <= outage.to_s
-            and _struck(outage, ingress, self._trail.places[key])
-            for outage in self._outages
-            if not outage.is_planned
+            and (
+                outage.target in self._trail.places[key]
+                or (outage.kind, outage.target) == ("kill", ingress)
+            )
+            for outage in self._fleet.outages
+            if outage.kind in UNPLANNED
         )
 
 
-def _struck(outage: Outage, ingress: str, places: set[str]) -> bool:
-    is_ingress = outage.kind == "kill" and outage.target == ingress
-    return is_ingress or outage.target in places
-
-
 class _Seed:
     """One seed's steps against a fleet, with callers."""
 
     def __init__(self, seed: int, nodes: int, steps: int | None) -> None:
-        self._seed, self._nodes, self._steps = seed, nodes, steps
+        self._seed = seed
+        self._fleet = RestartFleet(nodes)
+        self._steps = _draw(seed, list(self._fleet.services))[:steps]
         self._done = threading.Event()
-        self.played: list[Step] = []
 
     def run(self) -> Checks:
         """Play the steps; return what became of the requests."""
-        with RestartFleet(self._nodes) as fleet:
-            callers = self._callers(fleet)
-            self.played = draw(self._seed, list(fleet.nodes))[: self._steps]
+        with self._fleet as fleet:
+            fleet.start()
+            callers = self._callers()
             with ThreadPoolExecutor(len(callers)) as executor:
                 sending = [
                     executor.submit(self._send, work, caller)
                     for caller, work in callers.items()
                 ]
                 try:
-                    self._play(fleet)
+                    self._play()
                 finally:
                     self._done.set()
                 for one in sending:
@@ -349,18 +312,18 @@
             checks.faults += [f"not answered again: {name}" for name in lost if name]
             return checks
 
-    def _callers(self, fleet: RestartFleet) -> dict[KeptCaller, Work]:
-        addresses = [node.caller_address for node in fleet.nodes.values()]
-        count = max(CALLERS_MIN, self._nodes // NODES_FOR_ONE_CALLER)
+    def _callers(self) -> dict[KeptCaller, Work]:
+        addresses = [node.caller_address for node in self._fleet.nodes.values()]
+        count = max(CALLERS_MIN, len(addresses) // NODES_FOR_ONE_CALLER)
         chance = random.Random(self._seed)
         # The connections of a class go from node to node together, so that one
         # node's end meets many at once.
         orders = {work: chance.sample(addresses, len(addresses)) for work in WORKS}
         return {
             KeptCaller(
-                f"{work.service}-{work.name}-{number}",
+                f"{work.name}-{number}",
                 orders[work],
-                work.path,
+                f"/{work.name}",
                 {"X-Work-Ms": str(work.work_ms)},
                 work.timeout_ms / 1000 + CALL_RESERVE_S,
             ): work
@@ -374,13 +337,13 @@
         while not self._done.wait(PACE_S):
             caller.send()
 
-    def _play(self, fleet: RestartFleet) -> None:
+    def _play(self) -> None:
         start_s = time.monotonic()
-        with ThreadPoolExecutor(len(self.played)) as executor:
+        with ThreadPoolExecutor(len(self._steps)) as executor:
             playing = []
-            for step in self.played:
-                time.sleep(max(0.0, start_s + step.at_s - time.monotonic()))
-                playing.append(executor.submit(fleet.play, *step[1:]))
+            for at_s, *step in self._steps:
+                time.sleep(max(0.0, start_s + at_s - time.monotonic()))
+                playing.append(executor.submit(self._fleet.play, *step))
             for one in playing:
                 one.result()
 
@@ -397,24 +360,20 @@
 
 def play(seed: int, nodes: int = NODES, steps: int | None = None) -> str | None:
     """Play one seed; print its figures; return what was broken, or None."""
-    one = _Seed(seed, nodes, steps)
     started_s = time.monotonic()
     try:
-        checks = one.run()
+        checks = _Seed(seed, nodes, steps).run()
     except (AssertionError, subprocess.TimeoutExpired) as error:
         return f"seed {seed}: {error}"
-    took_s = time.monotonic() - started_s
-    played = Counter(step.kind for step in one.played)
     print(
-        f"seed {seed}: {took_s:.0f} s, {len(checks.faults)} faults",
-        dict(played),
+        f"seed {seed}: {time.monotonic() - started_s:.0f} s,",
+        f"{len(checks.faults)} faults",
         dict(sorted(checks.figures.items())),
         flush=True,
     )
     if not checks.faults:
         return None
-    shown = checks.faults[:FAULTS_SHOWN]
-    return "\n  ".join([f"seed {seed}: {len(checks.faults)} faults", *shown])
+    return "\n  ".join([f"seed {seed}:", *checks.faults[:FAULTS_SHOWN]])
 
 
 def main() -> int:
