--- a/tests/restart_fleet.py
+++ b/tests/restart_fleet.py
@@ -25,6 +25,8 @@
 # From a node's or backend server's return until all others count on it.
 SETTLE_S = 1.5
 BURST_PAUSE_S = 0.05
+# Characters of a log's end.
+LOG_SHOWN = 500
 
 
 class Work(NamedTuple):
@@ -191,7 +193,11 @@
         )
 
     def _is_back(self, name: str) -> bool:
-        status = self.nodes[name].status() or {"accepting": False}
+        node = self.nodes[name]
+        assert node.process.poll() is None, (
+            f"{name} ended: {node.log_path.read_text()[-LOG_SHOWN:]}"
+        )
+        status = node.status() or {"accepting": False}
         return status["accepting"] and any(
             record[4] == "ready" for record in status["backend_servers"]
         )
