--- a/tests/restart_fleet.py
+++ b/tests/restart_fleet.py
@@ -16,7 +16,7 @@
 SERVICES = ("front", "back")
 SHUTDOWN_TIMEOUT_S = 4.0
 # More than a fleet's callers use, also when only a few backend servers are left.
-SLOTS = 128
+SLOTS = 256
 # Nodes of each service that are left alone at any time, with their backend servers.
 WELL_MIN = 1
 PLACE_TIMEOUT_S = 60.0
@@ -57,7 +57,7 @@
     for name, *kind in (
         ("read", True, 60, 4_000),
         ("sign", False, 60, 4_000),
-        ("query", True, 5_500, 25_000, 3),
+        ("query", True, 5_500, 25_000, 6),
         ("build", False, 2_000, 15_000),
         ("render", False, 5_500, 25_000),
     )
--- a/tests/soak_restarts.py
+++ b/tests/soak_restarts.py
@@ -319,9 +319,10 @@
         with self._fleet as fleet:
             fleet.start()
             callers = self._callers()
+            chance = random.Random(self._seed)
             with ThreadPoolExecutor(len(callers)) as executor:
                 sending = [
-                    executor.submit(self._send, work, caller)
+                    executor.submit(self._send, caller, chance.uniform(0, work.work_ms))
                     for caller, work in callers.items()
                 ]
                 try:
@@ -358,9 +359,9 @@
             for number in range(count * work.connections)
         }
 
-    def _send(self, work: Work, caller: KeptCaller) -> None:
+    def _send(self, caller: KeptCaller, after_ms: float) -> None:
         # Else all long work would begin and end at the same times.
-        self._done.wait(random.uniform(0, work.work_ms / 1000))
+        self._done.wait(after_ms / 1000)
         while not self._done.wait(PACE_S):
             caller.send()
 
