--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -22,7 +22,9 @@
 )
 from balsamspindle.backend_servers.dispatches import (
     attempt_deadline_s,
+    ingress_ends_s,
     is_keyed,
+    told_headers,
     unseen_outcome,
 )
 from balsamspindle.backend_servers.evidence import (
@@ -32,11 +34,7 @@
 )
 from balsamspindle.backend_servers.failed_calls import FailedCalls
 from balsamspindle.backend_servers.ledger import Earlier, KeyRefused, RunLedger
-from balsamspindle.backend_servers.refusals import (
-    is_misdirected,
-    is_unproven_refusal,
-    proves_not_run,
-)
+from balsamspindle.backend_servers.refusals import is_misdirected, read_result
 from balsamspindle.backend_servers.retry_grants import RetryGrants
 from balsamspindle.backend_servers.servers import (
     LocalBackendServer,
@@ -45,12 +43,13 @@
 from balsamspindle.backend_servers.slots import WorkEnd
 from balsamspindle.backend_servers.work_ends import (
     call_outcome,
+    with_answer,
     work_end,
     work_result,
 )
 from balsamspindle.metrics import Hop
 from balsamspindle.requests.header_names import DEFAULT_HEADER_NAMES, HeaderNames
-from balsamspindle.requests.outcomes import Execution, Outcome, Reason
+from balsamspindle.requests.outcomes import CancelCause, Execution, Outcome, Reason
 from balsamspindle.requests.retries import is_refusal
 from balsamspindle.settings.documents import RetryBudget
 from balsamspindle.timeline import EventLog
@@ -119,7 +118,7 @@
     def give_up(self) -> None:
         """End the waiting and running attempts with what is known of them."""
         with self._servers.changed:
-            self._attempts.cancel_all()
+            self._attempts.cancel_all(CancelCause.NODE_LEAVING)
             self._servers.changed.notify_all()
 
     def refuse_busy(self, dispatch: Dispatch, received_s: float) -> Reply | None:
@@ -135,8 +134,15 @@
         """Return the attempts dispatched and not yet ended."""
         return self._admission.in_flight()
 
+    def waiting(self) -> int:
+        """Return the attempts that wait for a slot."""
+        return self._admission.waiting()
+
     def cancel(
-        self, attempt_id: AttemptId, gate_deadline_s: float | None = None
+        self,
+        attempt_id: AttemptId,
+        gate_deadline_s: float | None = None,
+        cause: CancelCause = CancelCause.INGRESS_GAVE_UP,
     ) -> None:
         """Take an attempt back, also one whose message has not come yet.
 
@@ -146,10 +152,20 @@
         now_s = time.monotonic()
         with self._servers.changed:
             self._attempts.cancel(
-                attempt_id, gate_deadline_s or now_s + CANCEL_MEMORY_S, now_s
+                attempt_id, gate_deadline_s or now_s + CANCEL_MEMORY_S, now_s, cause
             )
             self._servers.changed.notify_all()
 
+    def ingress_ends(self, attempt_id: AttemptId, ends_s: float) -> None:
+        """Take the word that the node which made an attempt ends then."""
+        with self._servers.changed:
+            self._attempts.end_by(attempt_id, ends_s)
+            self._servers.changed.notify_all()
+
+    def outlasting(self, now_s: float) -> list[AttemptId]:
+        """Return the attempts that run and may not end before this node does."""
+        return self._admission.outlasting(now_s)
+
     def handle(self, dispatch: Dispatch, received_s: float) -> Reply | None:
         """Run one attempt to its end.
 
@@ -165,6 +181,7 @@
             stands, and another could contradict it.
         """
         token = CancelToken()
+        token.end_by(ingress_ends_s(dispatch, received_s))
         deadline_s = attempt_deadline_s(dispatch, received_s)
         begin = self._begin(dispatch, token, deadline_s)
         if begin is Begin.DUPLICATE:
@@ -224,7 +241,7 @@
             return self._refuse(dispatch, Reason.SUSPECTED)
         service, weight = dispatch.service, dispatch.weight
         if dispatch.is_repeat and not self._grants.take(
-            service, weight, received_s, dispatch.is_last_resort
+            service, weight, received_s, dispatch.is_last_resort, dispatch.was_cut
         ):
             return self._refuse(dispatch, Reason.RETRY_BUDGET)
         reply = self._handle_granted(dispatch, token, deadline_s, received_s)
@@ -243,7 +260,9 @@
             decision = self._admission.admit(dispatch, token, deadline_s)
         match decision:
             case Refused(reason, retry_after_ms):
-                reply = self._refuse(dispatch, reason, wait_ms=retry_after_ms)
+                reply = self._refuse(
+                    dispatch, reason, wait_ms=retry_after_ms, cut_by=token.cause
+                )
                 return msgspec.structs.replace(reply, retry_after_ms=retry_after_ms)
             case Admitted() as admitted:
                 # Those that waited for a slot while the backend server fell
@@ -276,6 +295,7 @@
         reason: Reason,
         outcome: Outcome = Outcome.NOT_RUN,
         wait_ms: float = 0.0,
+        cut_by: CancelCause | None = None,
     ) -> Reply:
         held_out = self._observer.held_out(dispatch.backend_server_id, time.monotonic())
         hlc = self._events.emit(
@@ -285,17 +305,10 @@
             cause=reason,
             held_out_ms=round(held_out.held_out_ms) or None,
             wait_ms=round(wait_ms) or None,
+            cut_by=cut_by if reason is Reason.CANCELLED else None,
         )
         return Reply(dispatch.attempt_id, outcome, reason, hlc=hlc, held_out=held_out)
 
-    def _headers(self, dispatch: Dispatch) -> list[tuple[str, str]]:
-        """Return the request's headers, with what the backend server is told."""
-        own = (
-            (self._names.expected_backend_server, dispatch.backend_server_id),
-            (self._names.caller_service, dispatch.caller_service),
-        )
-        return dispatch.headers + [pair for pair in own if all(pair)]
-
     def _run(
         self, dispatch, admitted: Admitted, token, deadline_s, received_s
     ) -> Reply:
@@ -317,7 +330,7 @@
                     server.announcement.address,
                     dispatch.method,
                     dispatch.target,
-                    self._headers(dispatch),
+                    told_headers(dispatch, self._names),
                     dispatch.body,
                     dispatch.execution,
                     (deadline_s - time.monotonic()) * 1000,
@@ -332,7 +345,8 @@
                 server_id, attempt_id, self._evidence(result), time.monotonic()
             )
             free_slots = self._admission.release(admitted, work_end(result))
-        return self._reply(dispatch, result, free_slots, judgement)
+        ran_s = time.monotonic() - admitted.started_s
+        return self._reply(dispatch, result, free_slots, judgement, ran_s)
 
     def _evidence(self, result: BackendAnswer | BackendFailure | None) -> WorkResult:
         """Return what a call's end says of the backend server's health."""
@@ -346,28 +360,17 @@
         self, server: LocalBackendServer, result: BackendAnswer | BackendFailure
     ) -> BackendAnswer | BackendFailure:
         """Take an answer that refuses for what it proves."""
-        match result:
-            case BackendFailure(Reason.CANCELLED, sent) if server.has_ended:
-                return BackendFailure(
-                    Reason.BROKEN_ANSWER, sent, "the backend server started anew"
-                )
-            case BackendAnswer() if is_misdirected(result, self._names):
-                self._on_misdirected(server.backend_server_id)
-                return BackendFailure(
-                    Reason.NO_BACKEND_SERVER, False, "another one has the address"
-                )
-            case BackendAnswer() if proves_not_run(result, self._names):
-                return BackendFailure(Reason.SHED, False, "it refused the request")
-            case BackendAnswer() if is_unproven_refusal(result, self._names):
-                return BackendFailure(
-                    Reason.UNPROVEN_REFUSAL, True, f"it answered {result.status}"
-                )
-        return result
+        if isinstance(result, BackendAnswer) and is_misdirected(result, self._names):
+            self._on_misdirected(server.backend_server_id)
+        return read_result(result, server.has_ended, self._names)
 
-    def _reply(self, dispatch, result, free_slots, judgement) -> Reply:
+    def _reply(self, dispatch, result, free_slots, judgement, ran_s: float) -> Reply:
         outcome, reason = call_outcome(result)
         server_id = dispatch.backend_server_id
         answer = result if isinstance(result, BackendAnswer) else None
+        cut_by = None if answer else result.cut_by
+        if cut_by is not None:
+            self._events.metrics.count_cut(cut_by)
         held_out = self._observer.held_out(server_id, time.monotonic())
         hlc = self._events.emit(
             "attempt_ended",
@@ -376,6 +379,8 @@
             outcome=outcome,
             status=answer and answer.status,
             cause=reason,
+            cut_by=cut_by,
+            ran_ms=round(ran_s * 1000),
             held_out_ms=round(held_out.held_out_ms) or None,
         )
         reply = Reply(
@@ -388,12 +393,4 @@
             limit_ms=judgement.limit_ms,
             held_out=held_out,
         )
-        if answer is None:
-            return reply
-        return msgspec.structs.replace(
-            reply,
-            status=answer.status,
-            headers=answer.headers,
-            body=answer.body,
-            body_checksum=checksum(answer.body),
-        )
+        return reply if answer is None else with_answer(reply, answer)
--- a/balsamspindle/node/gate_side.py
+++ b/balsamspindle/node/gate_side.py
@@ -96,14 +96,22 @@
 
     def tasks(self) -> list[Callable[[], None]]:
         """Return what has to run until `stop` is called."""
-        return [self.link_server.run, self.health.run, self._prober.run]
+        return [self._serve_links, self.health.run, self._prober.run]
+
+    def _serve_links(self) -> None:
+        """Take other nodes' attempts until the last one has its reply.
+
+        The threads end after that. Without them an attempt that comes while the
+        node stops is lost, and its caller told that it may have run.
+        """
+        self.link_server.run()
+        self._executor.shutdown(wait=False)
 
     def stop(self) -> None:
         """End the tasks soon."""
         self.link_server.stop()
         self.health.stop()
         self._prober.stop()
-        self._executor.shutdown(wait=False)
 
     def records(self) -> tuple[BackendServerRecord, ...]:
         """Return what the fleet is told of each backend server now."""
--- a/balsamspindle/node/orderly_end.py
+++ b/balsamspindle/node/orderly_end.py
@@ -49,10 +49,12 @@
         own callers have their answers: when the whole fleet leaves at once,
         each ingress still needs the gates for its last requests.
         """
+        self._tell()
         give_up_s = time.monotonic() + self._settings.shutdown_timeout_s
         self._member.leave()
         self._ingress.leave()
         self._gate.end_by(give_up_s)
+        self._forwarder.end_by(give_up_s)
         time.sleep(self._settings.ready_notice_s)
         self._ingress.stop()
         _wait_until(self._ingress.ended, time.monotonic() + GATE_OPEN_S)
@@ -64,6 +66,16 @@
         left_s = give_up_s - time.monotonic()
         time.sleep(min(LINK_TAIL_S, max(LINK_TAIL_MIN_S, left_s)))
 
+    def _tell(self) -> None:
+        """Say how much is at stake, and until when it may go on."""
+        self._events.emit(
+            "node_leaving",
+            ends_in_ms=round(self._settings.shutdown_timeout_s * 1000),
+            running=self._gate.in_flight(),
+            waiting=self._gate.waiting(),
+            callers=self._ingress.callers(),
+        )
+
     def _idle(self) -> bool:
         return (
             self._ingress.ended()
@@ -82,8 +94,9 @@
             attempts=self._gate.in_flight(),
             replies=self._link_server.pending(),
         )
-        self._gate.give_up()
+        # In this order: what is cut here must not be sent elsewhere any more.
         self._forwarder.give_up()
+        self._gate.give_up()
         _wait_until(self._idle, time.monotonic() + LAST_ANSWERS_S)
         # What is left are connections whose callers do not read.
         self._ingress.cut()
--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -3,20 +3,17 @@
 import itertools
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
-
-import msgspec
+from functools import partial
 
 from balsamspindle.backend_servers.gate import Gate
 from balsamspindle.membership.directory import Placement
 from balsamspindle.requests.caller_watch import CallerWatch
-from balsamspindle.requests.claims import GateIdentity
+from balsamspindle.requests.claims import GateIdentity, note_reply, with_claim
 from balsamspindle.requests.forwarded import ForwardedRequest, Rescue, Step, route_id
 from balsamspindle.requests.gate_links import GateLinks
-from balsamspindle.requests.links import Link, LinkPool, Wait, Waited, wait_first
-from balsamspindle.requests.outcomes import Outcome, Reason
-from balsamspindle.requests.questions import Declined, Questions
-from balsamspindle.requests.retries import is_refusal
+from balsamspindle.requests.link_attempts import LinkAttempts
+from balsamspindle.requests.links import LinkPool
+from balsamspindle.requests.outcomes import CancelCause, Outcome
 from balsamspindle.requests.tracking import TrackedAttempt
 from balsamspindle.services.free_slots import FreeSlotViews
 from balsamspindle.services.holdouts import HoldOuts
@@ -53,16 +50,19 @@
         self._own = own
         self._gate = gate
         self._links = GateLinks(links, events)
-        self._questions = Questions(own, self._links, events, clock)
         self._events = events
         self._free_slots = free_slots
         self._clock = clock
-        self._watch = CallerWatch(gate.cancel)
+        self._watch = CallerWatch(
+            partial(gate.cancel, cause=CancelCause.OWN_CALLER_LEFT)
+        )
         self._peers = PeerEvidenceTracker()
         self._sequence = itertools.count(1)
-        self._given_up = False
         self.suspects = Suspects()
         self.queue_hints = QueueHints()
+        self._over_links = LinkAttempts(
+            own, self._links, events, clock, self._message, self._track, self.next_id
+        )
 
     @property
     def link_hold_outs(self) -> HoldOuts:
@@ -73,9 +73,21 @@
         """Return an id that was never used."""
         return AttemptId(self._own.node_id, self._own.incarnation, next(self._sequence))
 
+    def end_by(self, ends_s: float) -> None:
+        """Have gates start only what can end until then: this node is going."""
+        self._over_links.end_by(ends_s)
+
     def give_up(self) -> None:
         """End the waiting for all replies."""
-        self._given_up = True
+        self._over_links.give_up()
+
+    def wait_parked(self, forwarded: ForwardedRequest) -> Reply:
+        """Wait for the attempt that was left open, as nothing else is left."""
+        return self._over_links.wait_parked(forwarded)
+
+    def leave_parked(self, forwarded: ForwardedRequest, is_answered: bool) -> None:
+        """Cancel the attempt that was left open, if it still is."""
+        self._over_links.leave_parked(forwarded, is_answered)
 
     def is_own(self, placement: Placement) -> bool:
         """Tell whether a place is at this node's gate."""
@@ -99,7 +111,7 @@
         if self.is_own(placement):
             reply = self._send_here(forwarded, placement, rescue)
         else:
-            reply = self._send_over_link(forwarded, placement, rescue)
+            reply = self._over_links.send(forwarded, placement, rescue)
         forwarded.may_have_run |= reply.outcome is Outcome.UNKNOWN
         return reply
 
@@ -146,6 +158,8 @@
             route_id=route_id(route),
             is_repeat=is_repeat,
             repeated_part=self._gate.repeated_part(),
+            ingress_left_ms=self._over_links.left_ms(),
+            was_cut=forwarded.was_cut,
         )
 
     def _send_here(self, forwarded, placement, rescue: Rescue | None) -> Reply:
@@ -156,7 +170,7 @@
             deadline_s = min(deadline_s, self._clock() + rescue.patience_s)
         dispatch = self._message(forwarded, placement, deadline_s)
         own = GateIdentity(self._own.node_id, self._own.incarnation)
-        claimed = _claim(forwarded, dispatch, own, self._clock())
+        claimed = with_claim(forwarded.claimant, dispatch, own, self._clock())
         if isinstance(claimed, Reply):
             return claimed
         tracked = self._track(forwarded, placement)
@@ -166,164 +180,10 @@
                 reply = self._gate.handle(claimed, self._clock())
         finally:
             tracked.end(reply)
-        return _noted(forwarded, reply)
-
-    def _send_over_link(self, forwarded, placement, rescue: Rescue | None) -> Reply:
-        link = None
-        if self._questions.is_worth_it(forwarded, placement):
-            match self._questions.ask(forwarded, placement):
-                case Declined() as declined:
-                    return self._note_declined(forwarded, placement, declined)
-                case link:
-                    pass
-        first = self._open(forwarded, placement, link)
-        if isinstance(first, Reply):
-            return first
-        attempts = [first]
-        waited = None
-        try:
-            if rescue is not None:
-                alone_until_s = self._clock() + rescue.patience_s
-                waited = self._wait(forwarded, attempts, alone_until_s)
-                if not waited and self._is_just_silent(forwarded, first, alone_until_s):
-                    attempts += self._open_second(forwarded, rescue)
-            waited = waited or self._wait(forwarded, attempts, forwarded.deadline_s)
-        finally:
-            self._close(attempts, waited)
-        return self._final(forwarded, attempts, waited)
-
-    def _is_just_silent(self, forwarded, attempt: "_Sent", until_s: float) -> bool:
-        return (
-            self._clock() >= until_s
-            and attempt.link.connected()
-            and not forwarded.caller.caller_gone()
-        )
-
-    def _open_second(self, forwarded, rescue) -> list["_Sent"]:
-        if not forwarded.may_send():
-            return []
-        placement = rescue.choose()
-        if placement is None or self.is_own(placement):
-            return []
-        second = self._open(forwarded, placement)
-        if isinstance(second, Reply):
-            return []
-        self._events.emit(
-            "attempt_doubled",
-            request=forwarded.request_id,
-            backend_server=placement.backend_server.backend_server_id,
-            cause="silence",
-        )
-        return [second]
-
-    def _note_declined(self, forwarded, placement, declined: Declined) -> Reply:
-        """Take a gate's word that it would refuse an attempt; nothing was sent."""
-        forwarded.tried.add(placement.backend_server.backend_server_id)
-        forwarded.attempts += 1
-        reply = Reply(
-            self.next_id(),
-            Outcome.NOT_RUN,
-            declined.reason,
-            retry_after_ms=declined.wait_ms,
-            held_out=declined.held_out,
-        )
-        if declined.reason is not Reason.UNREACHABLE:
-            forwarded.sends += 1
-            self._track(forwarded, placement).end(reply)
+        forwarded.note_cut(reply, self._clock())
+        note_reply(forwarded.claimant, reply)
         return reply
 
-    def _open(self, forwarded, placement, link: Link | None = None) -> "_Sent | Reply":
-        """Send an attempt over a link; a reply when nothing was sent."""
-        node_id = placement.node.node_id
-        dispatch = self._message(forwarded, placement, forwarded.deadline_s)
-        unreachable = Reply(dispatch.attempt_id, Outcome.NOT_RUN, Reason.UNREACHABLE)
-        link = link or self._links.take(
-            placement, dispatch.execution, forwarded.deadline_s, self._clock()
-        )
-        if link is None:
-            forwarded.sends -= 1
-            return unreachable
-        # The claim is made only with a link that was heard: made for a gate
-        # that is dead it would hold the key for ever.
-        gate_time_s = link.gate_clock.at(self._clock())
-        claimed = _claim(forwarded, dispatch, GateIdentity(*link.gate), gate_time_s)
-        if isinstance(claimed, Reply):
-            self._links.give_back(link)
-            return claimed
-        if not link.send_dispatch(claimed, forwarded.deadline_s):
-            link.close()
-            forwarded.sends -= 1
-            return unreachable
-        return _Sent(link, dispatch, self._track(forwarded, placement), node_id)
-
-    def _wait(self, forwarded, attempts, until_s: float) -> Waited | None:
-        caller = forwarded.caller
-        wait = Wait(
-            until_s,
-            caller.fileno(),
-            caller.caller_gone,
-            lambda cause: self._events.emit("message_dropped", cause=cause),
-            lambda: self._given_up,
-        )
-        ids = {sent.link: sent.dispatch.attempt_id for sent in attempts}
-        return wait_first(ids, wait)
-
-    def _close(self, attempts: list["_Sent"], waited: Waited | None) -> None:
-        """Keep the link that brought the reply; leave the other attempts.
-
-        One that lost against a second attempt is not cancelled: it was silent
-        for long, and its gate learns from how long it still is. Cancelled, a
-        backend server that hangs would look well, with no work in flight.
-        """
-        for sent in attempts:
-            reply = None if waited is None else waited.replies.get(sent.link)
-            sent.tracked.end(reply)
-            if reply is not None:
-                self._links.give_back(sent.link)
-                continue
-            if waited is None:
-                sent.link.give_up(sent.dispatch.attempt_id, sent.dispatch.hlc)
-            else:
-                sent.link.close()
-
-    def _final(self, forwarded, attempts: list["_Sent"], waited: Waited | None):
-        if waited is None:
-            for sent in attempts:
-                self._note_unanswered(forwarded, sent)
-            attempt_id = attempts[0].dispatch.attempt_id
-            return Reply(attempt_id, Outcome.UNKNOWN, Reason.SILENCE)
-        reply = waited.reply
-        # Another attempt may run or have run, unless its gate refused it.
-        forwarded.may_have_run |= any(
-            not _was_refused(waited.replies.get(sent.link))
-            for sent in attempts
-            if sent.link is not waited.link
-        )
-        self._events.clock.observe(reply.hlc, time.time())
-        if reply.outcome is Outcome.ANSWERED and reply.body_checksum != checksum(
-            reply.body
-        ):
-            return Reply(reply.attempt_id, Outcome.UNKNOWN, Reason.BROKEN_ANSWER)
-        return _noted(forwarded, reply)
-
-    def _note_unanswered(self, forwarded: ForwardedRequest, sent: "_Sent") -> None:
-        """Say why nobody knows what became of an attempt."""
-        if forwarded.caller.caller_gone():
-            cause = "the caller left"
-        elif self._clock() >= forwarded.deadline_s:
-            cause = "no reply in time"
-        elif self._given_up:
-            cause = "this node is leaving"
-        else:
-            cause = "the link to the gate ended"
-        self._events.emit(
-            "attempt_unanswered",
-            request=forwarded.request_id,
-            backend_server=sent.dispatch.backend_server_id,
-            gate=sent.gate,
-            cause=cause,
-        )
-
     def _track(self, forwarded, placement) -> TrackedAttempt:
         return TrackedAttempt(
             forwarded,
@@ -343,36 +203,5 @@
         self._on_suspect(placement.node, server_id, held_out, now_s)
 
 
-@dataclass(frozen=True, eq=False)
-class _Sent:
-    """An attempt that is on its way over a link."""
-
-    link: Link
-    dispatch: Dispatch
-    tracked: TrackedAttempt
-    gate: str
-
-
-def _was_refused(reply: Reply | None) -> bool:
-    return reply is not None and is_refusal(reply)
-
-
 def _rounded(duration_ms: float | None) -> int | None:
     return None if duration_ms is None else round(duration_ms)
-
-
-def _claim(forwarded, dispatch, gate, gate_time_s) -> Dispatch | Reply:
-    """Put the key's claim into an attempt; a reply when it must not be made."""
-    if forwarded.claimant is None:
-        return dispatch
-    match forwarded.claimant.claim_for(gate, gate_time_s):
-        case Reason() as reason:
-            return Reply(dispatch.attempt_id, Outcome.NOT_RUN, reason)
-        case claim:
-            return msgspec.structs.replace(dispatch, claim=claim)
-
-
-def _noted(forwarded, reply: Reply) -> Reply:
-    if forwarded.claimant is not None:
-        forwarded.claimant.note(reply)
-    return reply
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -11,12 +11,23 @@
 from balsamspindle.membership.directory import Placement
 from balsamspindle.requests.attempts import AttemptSender
 from balsamspindle.requests.claims import ClaimBook, KeyClaimant
-from balsamspindle.requests.forwarded import ForwardedRequest, Rescue, Step, route_id
+from balsamspindle.requests.forwarded import (
+    ForwardedRequest,
+    Rescue,
+    Step,
+    StoppedBy,
+    route_id,
+)
 from balsamspindle.requests.heads import IDEMPOTENCY_KEY_MAX_CHARACTERS
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.requests.outcomes import PROBLEMS, Execution, Outcome, Reason
 from balsamspindle.requests.placing import Placer, Placing
-from balsamspindle.requests.retries import RetryPolicy, is_refusal, is_shed
+from balsamspindle.requests.retries import (
+    RetryPolicy,
+    best_reply,
+    is_refusal,
+    is_success,
+)
 from balsamspindle.services.answer_sizes import AnswerSizes
 from balsamspindle.services.free_slots import FreeSlotViews
 from balsamspindle.services.picker import Picker
@@ -34,7 +45,8 @@
 # to queues that were full.
 SEARCH_AGAIN_S = 0.25
 SEARCH_AGAIN_PARTS = {Execution.IDEMPOTENT: 0.0, Execution.NON_IDEMPOTENT: 0.1}
-ERROR_STATUS_MIN = 500
+# Why there is no answer where the gate left, and the backend server did not fail.
+_LOST_WITH_GATE = frozenset({Reason.GATE_ENDING, Reason.CANCELLED, Reason.SILENCE})
 
 
 class Forwarder:
@@ -89,6 +101,10 @@
         """Backend servers whose gates keep work away."""
         return self._sender.suspects
 
+    def end_by(self, ends_s: float) -> None:
+        """Have gates start only what can end until then: this node is going."""
+        self._sender.end_by(ends_s)
+
     def give_up(self) -> None:
         """End the waiting requests with what is known of them."""
         self._given_up.set()
@@ -101,7 +117,12 @@
         forwarded.claimant = self._claimant(forwarded)
         route = forwarded.route
         self._retries.begin(route.service, self._clock(), route.weight)
-        reply = self._make_attempts(forwarded)
+        reply = None
+        try:
+            reply = self._make_attempts(forwarded)
+        finally:
+            is_answered = reply is not None and reply.outcome is Outcome.ANSWERED
+            self._sender.leave_parked(forwarded, is_answered)
         if forwarded.claimant is not None:
             reply = forwarded.claimant.final(reply)
         if reply.outcome is Outcome.NOT_RUN and forwarded.may_have_run:
@@ -121,28 +142,55 @@
         nowhere = self._no_attempt(Reason.NO_BACKEND_SERVER)
         replies: list[Reply] = []
         while True:
+            self._try_places(forwarded, replies)
+            if not forwarded.parked or is_success(replies[-1]):
+                break
+            # What was left open is all that is left; where it is cut after all,
+            # others may have a free slot by now.
+            reply = self._sender.wait_parked(forwarded)
+            replies.append(reply)
+            if is_success(reply):
+                forwarded.stopped_by = None
+                break
+            if self._is_over(forwarded, reply):
+                forwarded.stopped_by = self._why_over(forwarded)
+                break
+            if not self._may_retry(forwarded, replies, None, self._clock()):
+                forwarded.stopped_by = StoppedBy.REPEAT_DENIED
+                break
+        if not replies and self._given_up.is_set():
+            return msgspec.structs.replace(nowhere, reason=Reason.NODE_STOPPING)
+        return best_reply(replies) if replies else nowhere
+
+    def _try_places(self, forwarded: ForwardedRequest, replies: list[Reply]) -> None:
+        """Make attempts until one answers or no other is allowed; add their replies."""
+        while not self._given_up.is_set():
             placing = self._pick(forwarded)
             if placing is None:
                 if self._widen(forwarded):
                     continue
+                forwarded.stopped_by = StoppedBy.NO_PLACE
                 break
             started_s = self._clock()
             rescue = self._rescue(forwarded, placing, started_s)
             reply = self._sender.send(forwarded, *placing, rescue=rescue)
             replies.append(reply)
             now_s = self._clock()
-            if _is_success(reply):
+            if is_success(reply):
                 self._note_success(forwarded, reply, now_s - started_s)
                 self._give_back(forwarded, rescue)
                 break
             self._note_failure(forwarded, placing.placement, reply)
             if self._is_over(forwarded, reply):
+                forwarded.stopped_by = self._why_over(forwarded)
                 self._give_back(forwarded, rescue)
                 break
             if not self._may_retry(forwarded, replies, rescue, now_s):
+                forwarded.stopped_by = StoppedBy.REPEAT_DENIED
                 self._note_given_up(forwarded, reply)
                 break
-        return _best(replies) if replies else nowhere
+        else:
+            forwarded.stopped_by = StoppedBy.NODE_LEAVING
 
     def _note_success(
         self, forwarded: ForwardedRequest, reply: Reply, took_s: float
@@ -184,6 +232,7 @@
             attempts_max=route.attempts_max,
             route_id=route_id(route),
             weight=route.weight,
+            was_cut=forwarded.was_cut,
         )
 
     def _note_given_up(self, forwarded: ForwardedRequest, reply: Reply) -> None:
@@ -230,7 +279,10 @@
             left_s = forwarded.deadline_s - now_s
             forwarded.search_until_s = now_s + part * left_s
         if now_s + SEARCH_AGAIN_S < forwarded.search_until_s:
-            time.sleep(SEARCH_AGAIN_S)
+            # Nothing is sent any more once the node has given up: its callers'
+            # connections are about to end.
+            if self._given_up.wait(SEARCH_AGAIN_S):
+                return False
             return not forwarded.caller.caller_gone()
         forwarded.is_last_resort = True
         return True
@@ -311,9 +363,19 @@
         if not is_refusal(reply):
             if not forwarded.may_send():
                 return True
-            forwarded.search.begin()
+            if reply.reason in _LOST_WITH_GATE:
+                forwarded.search_afresh()
+            else:
+                forwarded.search.begin()
         return self._given_up.is_set() or forwarded.caller.caller_gone()
 
+    def _why_over(self, forwarded: ForwardedRequest) -> StoppedBy:
+        if self._given_up.is_set():
+            return StoppedBy.NODE_LEAVING
+        if not forwarded.may_send():
+            return StoppedBy.ATTEMPTS_MAX
+        return StoppedBy.CALLER_LEFT
+
     def _with_return_time(self, forwarded: ForwardedRequest, reply: Reply) -> Reply:
         """Tell a caller that was given up when to come back, if that helps."""
         is_answered = reply.outcome is Outcome.ANSWERED
@@ -329,15 +391,3 @@
         if problem is None or problem.retry_after_s is None:
             return reply
         return msgspec.structs.replace(reply, retry_after_ms=retry_after_ms)
-
-
-def _is_success(reply: Reply) -> bool:
-    """Tell whether an answer ends its request, and shows how long work takes."""
-    is_answer = reply.outcome is Outcome.ANSWERED and not is_shed(reply)
-    return is_answer and reply.status < ERROR_STATUS_MIN
-
-
-def _best(replies: list[Reply]) -> Reply:
-    """Return what the caller is told: an answer, were it a 503, before none."""
-    answers = [reply for reply in replies if reply.outcome is Outcome.ANSWERED]
-    return answers[-1] if answers else replies[-1]
--- a/balsamspindle/wire/link_messages.py
+++ b/balsamspindle/wire/link_messages.py
@@ -10,16 +10,18 @@
 
 import msgspec
 
-from balsamspindle.requests.outcomes import Execution, Outcome, Reason
+from balsamspindle.requests.outcomes import CancelCause, Execution, Outcome, Reason
 
 __all__ = [
     "AttemptId",
     "Cancel",
     "Claim",
     "Dispatch",
+    "GateEnding",
     "Greet",
     "Greeting",
     "HeldOut",
+    "IngressEnding",
     "LinkMessage",
     "PeerEvidence",
     "Question",
@@ -161,6 +163,10 @@
     repeated_part : float
         Part of the runs beside the sender that are repeats: how likely this
         request is the call of one.
+    ingress_left_ms : float or None
+        Time until the sender's node ends; None while it is not leaving.
+    was_cut : bool
+        An earlier run of it was lost with its gate's node.
     """
 
     attempt_id: AttemptId
@@ -187,6 +193,8 @@
     route_id: int = 0
     is_repeat: bool = False
     repeated_part: float = 0.0
+    ingress_left_ms: float | None = None
+    was_cut: bool = False
 
 
 class Question(msgspec.Struct, array_like=True, tag="ask", frozen=True):
@@ -196,7 +204,7 @@
     ----------
     number : int
         Returned with the answer.
-    remaining_ms, weight, wait_max_ms, target_left_ms, route_id, is_last_resort
+    remaining_ms, weight, wait_max_ms, target_left_ms, route_id, is_last_resort, was_cut
         As in `Dispatch`.
     """
 
@@ -210,6 +218,7 @@
     target_left_ms: float | None = None
     route_id: int = 0
     is_last_resort: bool = False
+    was_cut: bool = False
 
 
 class Told(msgspec.Struct, array_like=True, tag="told", frozen=True):
@@ -240,11 +249,36 @@
     ----------
     gate_deadline_s : float or None
         As the attempt's own message has it.
+    cause : CancelCause
+        For the gate's log.
     """
 
     attempt_id: AttemptId
     hlc: int = 0
     gate_deadline_s: float | None = None
+    cause: CancelCause = CancelCause.INGRESS_GAVE_UP
+
+
+class IngressEnding(msgspec.Struct, array_like=True, tag="leaving", frozen=True):
+    """Ingress to gate: this node is leaving and may not live to see the reply.
+
+    Attributes
+    ----------
+    left_ms : float
+        Time until it ends, when the message is sent.
+    """
+
+    attempt_id: AttemptId
+    left_ms: float
+
+
+class GateEnding(msgspec.Struct, array_like=True, tag="ending", frozen=True):
+    """Gate to ingress: this node is leaving and may not live to send the reply.
+
+    The attempt goes on, and its reply comes if it ends in time.
+    """
+
+    attempt_id: AttemptId
 
 
 class Reply(msgspec.Struct, array_like=True, tag="reply", frozen=True):
@@ -288,4 +322,14 @@
     held_out: HeldOut = SERVES
 
 
-LinkMessage = Greet | Greeting | Question | Told | Dispatch | Cancel | Reply
+LinkMessage = (
+    Greet
+    | Greeting
+    | Question
+    | Told
+    | Dispatch
+    | Cancel
+    | IngressEnding
+    | GateEnding
+    | Reply
+)
