--- a/balsamspindle/backend_servers/link_server.py
+++ b/balsamspindle/backend_servers/link_server.py
@@ -8,6 +8,7 @@
 import msgspec
 import zmq
 
+from balsamspindle.backend_servers.attempts import MEMORY_S
 from balsamspindle.backend_servers.gate import Gate
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import (
@@ -145,7 +146,8 @@
         attempt would be started in the last moments of its ingress.
         """
         for attempt_id, ends_s in list(self._ends_s.items()):
-            if self._gate.ingress_ends(attempt_id, ends_s) or now_s >= ends_s:
+            is_over = now_s >= ends_s + MEMORY_S
+            if self._gate.ingress_ends(attempt_id, ends_s) or is_over:
                 del self._ends_s[attempt_id]
 
     def _take_all(self) -> None:
--- a/balsamspindle/requests/attempt_ends.py
+++ b/balsamspindle/requests/attempt_ends.py
@@ -10,7 +10,7 @@
 from balsamspindle.requests.sent import SentAttempt
 from balsamspindle.requests.waiting import Waited
 from balsamspindle.timeline import EventLog
-from balsamspindle.wire import Reply, checksum
+from balsamspindle.wire import Reply
 
 __all__ = ["AttemptEnds", "is_answered"]
 
@@ -62,10 +62,6 @@
             if sent.link is not waited.link
         )
         self._events.clock.observe(reply.hlc, time.time())
-        if reply.outcome is Outcome.ANSWERED and reply.body_checksum != checksum(
-            reply.body
-        ):
-            return Reply(reply.attempt_id, Outcome.UNKNOWN, Reason.BROKEN_ANSWER)
         note_reply(forwarded.claimant, reply)
         return reply
 
--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -188,7 +188,8 @@
                 reply, answer = self._handle_beside_parked(forwarded, claimed)
         finally:
             tracked.end(reply)
-        forwarded.note_cut(reply, self._clock())
+        if answer is None:
+            forwarded.note_cut(reply, self._clock())
         note_reply(forwarded.claimant, reply)
         return reply if answer is None or is_success(reply) else answer
 
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -140,10 +140,11 @@
 
     def _make_attempts(self, forwarded: ForwardedRequest) -> Reply:
         nowhere = self._no_attempt(Reason.NO_BACKEND_SERVER)
+        service = forwarded.route.service
         replies: list[Reply] = []
         while True:
             self._try_places(forwarded, replies)
-            if not replies or is_success(replies[-1]):
+            if not replies or self._retries.is_final(service, replies[-1]):
                 break
             reply = self._sender.reply_beside(forwarded)
             if reply is None:
@@ -164,6 +165,7 @@
 
     def _try_places(self, forwarded: ForwardedRequest, replies: list[Reply]) -> None:
         """Make attempts until one answers or no other is allowed; add their replies."""
+        forwarded.stopped_by = None
         while not self._given_up.is_set():
             placing = self._pick(forwarded)
             if placing is None:
@@ -171,13 +173,16 @@
                     continue
                 forwarded.stopped_by = StoppedBy.NO_PLACE
                 break
+            # Else the answer may be that of an attempt which began long before.
+            is_alone = not forwarded.parked
             started_s = self._clock()
             rescue = self._rescue(forwarded, placing, started_s)
             reply = self._sender.send(forwarded, *placing, rescue=rescue)
             replies.append(reply)
             now_s = self._clock()
             if is_success(reply):
-                self._note_success(forwarded, reply, now_s - started_s)
+                took_s = now_s - started_s if is_alone else None
+                self._note_success(forwarded, reply, took_s)
                 self._give_back(forwarded, rescue)
                 break
             self._note_failure(forwarded, placing.placement, reply)
@@ -193,13 +198,14 @@
             forwarded.stopped_by = StoppedBy.NODE_LEAVING
 
     def _note_success(
-        self, forwarded: ForwardedRequest, reply: Reply, took_s: float
+        self, forwarded: ForwardedRequest, reply: Reply, took_s: float | None
     ) -> None:
         """Learn from an answer how long the route's work takes and how large it is."""
         route = forwarded.route
-        self._retries.note_answer(
-            route.service, took_s, reply.limit_ms, route_id(route)
-        )
+        if took_s is not None:
+            self._retries.note_answer(
+                route.service, took_s, reply.limit_ms, route_id(route)
+            )
         self._sizes.note(route, len(reply.body))
 
     def _note_failure(
--- a/balsamspindle/requests/links.py
+++ b/balsamspindle/requests/links.py
@@ -12,7 +12,7 @@
 import zmq
 
 from balsamspindle.metrics import Hop, Metrics
-from balsamspindle.requests.outcomes import CancelCause, Execution
+from balsamspindle.requests.outcomes import CancelCause, Execution, Outcome, Reason
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import (
     AttemptId,
@@ -27,6 +27,7 @@
     Reply,
     Told,
     WireError,
+    checksum,
     decode_link,
     encode,
 )
@@ -224,7 +225,7 @@
                 if reply.attempt_id == attempt_id:
                     self._hear(reply.gate_time_s)
                     self._metrics.record(Hop.LINK, self._heard_s - self._sent_s)
-                    return reply
+                    return _checked(reply)
                 # The reply of an attempt that was given up, on a link that
                 # serves another one now. Taken for ours it would be a
                 # stranger's answer.
@@ -296,6 +297,18 @@
             self._close_idle(address)
 
 
+def _checked(reply: Reply) -> Reply:
+    """Return a reply, or what is left of one whose body was damaged on its way.
+
+    Before anybody acts on it: a damaged success would end another run that is well.
+    """
+    if reply.outcome is not Outcome.ANSWERED:
+        return reply
+    if reply.body_checksum == checksum(reply.body):
+        return reply
+    return Reply(reply.attempt_id, Outcome.UNKNOWN, Reason.BROKEN_ANSWER, hlc=reply.hlc)
+
+
 def left_ms(deadline_s: float) -> int:
     """Return the time until then, rounded up so that no poll ends early."""
     return max(0, int((deadline_s - time.monotonic()) * 1000) + 1)
--- a/balsamspindle/requests/retries.py
+++ b/balsamspindle/requests/retries.py
@@ -240,6 +240,11 @@
         with self._lock:
             self._of(service).tokens.give_back()
 
+    def is_final(self, service: str, reply: Reply) -> bool:
+        """Tell whether a reply is told whatever comes of other attempts."""
+        is_error = reply.outcome is Outcome.ANSWERED and not is_shed(reply)
+        return is_success(reply) or (is_error and not self._budget(service).on_errors)
+
     def granted_by_gates(self, service: str) -> bool:
         """Tell whether gates decide on the retries of a service."""
         return bool(self._budget(service).fleet_per_s_min)
--- a/tests/test_ending_nodes.py
+++ b/tests/test_ending_gates.py
@@ -1,37 +1,19 @@
-"""Attempts between two nodes, one of them leaving: its end is known to the other."""
+"""Reads at gates whose nodes are leaving: tried elsewhere before they are cut."""
 
-import io
-import math
-import socket
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 
 import msgspec
-import zmq
-from testtools import TestCase
-
-from balsamspindle.backend_servers.admission import Admission, Admitted
-from balsamspindle.backend_servers.cancellation import CancelToken
-from balsamspindle.backend_servers.client import BackendServerClient
-from balsamspindle.backend_servers.gate import Gate
-from balsamspindle.backend_servers.link_server import LinkServer
-from balsamspindle.backend_servers.servers import Announcement, LocalBackendServers
-from balsamspindle.backend_servers.slots import WorkEnd
-from balsamspindle.node.gate_side import GateSide
+
+from balsamspindle.backend_servers.servers import Announcement
 from balsamspindle.requests import links
 from balsamspindle.requests.link_attempts import REPLY_RESERVE_S
-from balsamspindle.requests.links import LinkPool
 from balsamspindle.requests.outcomes import Execution, Outcome, Reason
 from balsamspindle.requests.retries import RetryPolicy
-from balsamspindle.requests.waiting import Wait, wait_first
-from balsamspindle.settings.documents import RetryBudget, ServiceDocument
-from balsamspindle.settings.process import NodeSettings
-from balsamspindle.timeline import EventLog, HybridClock
+from balsamspindle.settings.documents import RetryBudget
 from balsamspindle.wire import (
-    AttemptId,
     BackendServerRecord,
-    Dispatch,
     GateEnding,
     Reply,
     checksum,
@@ -40,7 +22,7 @@
 from tests.raw_server import RawServer
 from tests.two_gates import BODY, OWN, TwoGateCase, answer
 from tests.two_gates import SERVICE as VACANCIES
-from tests.utils import free_address, wait_until
+from tests.utils import wait_until
 
 SERVICE = "crew/contracts"
 PATIENCE_S = 10.0
@@ -58,6 +40,18 @@
     return delay_s, encode(reply)
 
 
+def damaged(dispatch, delay_s: float, status: int) -> tuple[float, bytes]:
+    """Return an answer whose body changed on its way."""
+    reply = Reply(
+        dispatch.attempt_id,
+        Outcome.ANSWERED,
+        status=status,
+        body=b"XX" + BODY[2:],
+        body_checksum=checksum(BODY),
+    )
+    return delay_s, encode(reply)
+
+
 def refusal(dispatch) -> list[tuple[float, bytes]]:
     reply = Reply(dispatch.attempt_id, Outcome.NOT_RUN, Reason.WOULD_WAIT)
     return [(0.0, encode(reply))]
@@ -227,6 +221,65 @@
         reply = self._request_at("a", attempts_max=2)
         self.assertEqual((Outcome.ANSWERED, 500), (reply.outcome, reply.status))
 
+    def test_a_damaged_error_is_not_told(self):
+        self.answers = {
+            "a": lambda dispatch: [ending(dispatch), damaged(dispatch, 0.2, 500)],
+            "b": lambda dispatch: [cut(dispatch, 0.6)],
+            "c": lambda dispatch: [cut(dispatch, 0.6)],
+        }
+        reply = self._request_at("a", attempts_max=2)
+        self.assertIs(Outcome.UNKNOWN, reply.outcome)
+
+    def test_a_damaged_answer_does_not_end_the_run_beside_it(self):
+        self.answers = {
+            "a": lambda dispatch: [ending(dispatch), damaged(dispatch, 0.2, 200)],
+            "b": lambda dispatch: [(0.6, frame) for _, frame in answer(dispatch)],
+            "c": lambda dispatch: [(0.6, frame) for _, frame in answer(dispatch)],
+        }
+        reply = self._request_at("a", attempts_max=2)
+        self.assertEqual((Outcome.ANSWERED, BODY), (reply.outcome, reply.body))
+
+    def test_an_error_that_is_not_retried_is_told(self):
+        # Where errors are told to callers, one is told: a cut beside it is no reason
+        # for a third run.
+        asked = []
+
+        def act(dispatch):
+            asked.append(dispatch)
+            match len(asked):
+                case 1:
+                    return [ending(dispatch), cut(dispatch, 0.5)]
+                case 2:
+                    return [(0.1, frame) for _, frame in answer(dispatch, status=500)]
+            return answer(dispatch)
+
+        self.answers = dict.fromkeys(self.NAMES, act)
+        self.assertEqual(500, self._request().status)
+        self.assertEqual(2, len(asked))
+
+    def test_the_first_runs_answer_does_not_count_as_quick(self):
+        # Hedges follow how long answers take. The first run's took a second, and the
+        # attempt beside it a fifth of one when that answer came.
+        took_s, asked = [], []
+        policy = self.forwarder._retries
+        note = policy.note_answer
+
+        def note_too(service, one_s, *rest):
+            took_s.append(one_s)
+            note(service, one_s, *rest)
+
+        def slow_first(dispatch):
+            asked.append(dispatch)
+            if len(asked) > 1:
+                return [(5.0, frame) for _, frame in answer(dispatch)]
+            notice = (0.8, ending(dispatch)[1])
+            return [notice, *((1.0, frame) for _, frame in answer(dispatch))]
+
+        self.patch(policy, "note_answer", note_too)
+        self.answers = dict.fromkeys(self.NAMES, slow_first)
+        self.assertIs(Outcome.ANSWERED, self._request().outcome)
+        self.assertEqual([], [one_s for one_s in took_s if one_s < 0.9])
+
     def test_a_second_gate_that_ends_is_left_open_in_its_turn(self):
         # Restarts follow each other: the run beside the first one is at a gate
         # that is told to leave, too, when the first one has been cut.
@@ -315,207 +368,3 @@
             (Outcome.NOT_RUN, Reason.NODE_STOPPING), (reply.outcome, reply.reason)
         )
         self.assertEqual(0, self._dispatches())
-
-
-class EndingIngressTests(TestCase):
-    # A request waits in a gate's queue while the node that took it is leaving. It
-    # gets a slot in the last moment, runs, and is cut when that node gives up: its
-    # caller is told that nobody knows, where `not_run` was true until then.
-
-    def setUp(self):
-        super().setUp()
-        self.servers = LocalBackendServers()
-        self.servers.announce(
-            "server", Announcement(SERVICE, "127.0.0.1:1", 1, "1"), 0.0
-        )
-        self.admission = Admission(self.servers)
-        account = self.servers.get("server").account
-        account.give_back(WorkEnd.ANSWERED, USUAL_S, time.monotonic())
-        account.take()
-
-    def _admit(self, token: CancelToken, execution=Execution.NON_IDEMPOTENT):
-        dispatch = msgspec.structs.replace(attempt(1), execution=execution)
-        return self.admission.admit(dispatch, token, time.monotonic() + 60.0)
-
-    def test_one_that_waits_is_told_not_run_while_that_is_true(self):
-        running = self._admit(CancelToken())
-        self.assertIsInstance(running, Admitted)
-        token = CancelToken()
-        with ThreadPoolExecutor(1) as executor:
-            waiting = executor.submit(self._admit, token)
-            wait_until(self.admission.waiting, "one waits")
-            token.end_by(time.monotonic() + 1.5 * USUAL_S)
-            with self.servers.changed:
-                self.servers.changed.notify_all()
-            self.assertEqual(Reason.NODE_STOPPING, waiting.result(5).reason)
-        self.admission.release(running, WorkEnd.ANSWERED)
-
-    def test_a_read_may_start_as_long_as_it_usually_ends_in_time(self):
-        # Cut, it may be sent again by its caller: it needs less time to spare.
-        token = CancelToken()
-        token.end_by(time.monotonic() + 1.5 * USUAL_S)
-        admitted = self._admit(token, Execution.IDEMPOTENT)
-        self.assertIsInstance(admitted, Admitted)
-        self.admission.release(admitted, WorkEnd.ANSWERED)
-        token.end_by(time.monotonic() + 0.5 * USUAL_S)
-        self.assertEqual(
-            Reason.NODE_STOPPING, self._admit(token, Execution.IDEMPOTENT).reason
-        )
-
-
-def attempt(number: int) -> Dispatch:
-    return Dispatch(
-        AttemptId("own", 1, number),
-        "id",
-        SERVICE,
-        "server",
-        Execution.NON_IDEMPOTENT,
-        PATIENCE_S * 1000,
-        1.0,
-        "GET",
-        "/",
-        [],
-        b"",
-        checksum(b""),
-    )
-
-
-class LinkCase(TestCase):
-    """The ingress's end of links to one gate."""
-
-    def setUp(self):
-        super().setUp()
-        self.patch(links, "CONNECT_TIMEOUT_S", PATIENCE_S)
-
-    def _send(self, number: int):
-        deadline_s = time.monotonic() + PATIENCE_S
-        link = self.links.take(self.address, deadline_s)
-        self.assertTrue(link.send_dispatch(attempt(number), deadline_s))
-        return link, attempt(number).attempt_id
-
-    def _wait(self, link, attempt_id, **changes):
-        near, far = socket.socketpair()
-        with near, far:
-            deadline_s = time.monotonic() + PATIENCE_S
-            wait = Wait(deadline_s, near.fileno(), lambda: False, self.fail, **changes)
-            return wait_first({link: attempt_id}, wait)
-
-
-class LinkServerTests(LinkCase):
-    """A link server with a real gate, and the ingress's end of a link."""
-
-    def setUp(self):
-        super().setUp()
-        self.backend = RawServer(lambda number: (None, False))
-        self.addCleanup(self.backend.close)
-        self.servers = LocalBackendServers()
-        self.servers.announce(
-            "server", Announcement(SERVICE, self.backend.address, 1, "1"), 0.0
-        )
-        account = self.servers.get("server").account
-        account.take()
-        account.give_back(WorkEnd.ANSWERED, USUAL_S, time.monotonic())
-        self.events = EventLog("gate", 1, HybridClock(), io.StringIO())
-        self.gate = Gate(self.servers, BackendServerClient(1000), self.events)
-        self.context, self.address = zmq.Context(), free_address()
-        self.executor = ThreadPoolExecutor(2)
-        self.server = LinkServer(
-            self.context, self.address, self.gate, self.executor, self.events
-        )
-        task = threading.Thread(target=self.server.run)
-        task.start()
-        self.links = LinkPool(self.context, self.events)
-        self.addCleanup(self.context.destroy, 0)
-        self.addCleanup(self.executor.shutdown)
-        self.addCleanup(task.join)
-        self.addCleanup(self.server.stop)
-        self.addCleanup(self.gate.give_up)
-
-    def test_a_leaving_gate_tells_of_runs_that_it_may_not_live_to_answer(self):
-        link, attempt_id = self._send(1)
-        wait_until(lambda: self.backend.requests, "it runs")
-        self.gate.end_by(time.monotonic() + 60.0)
-        self.assertEqual([], self.gate.outlasting(time.monotonic()))
-        self.gate.end_by(time.monotonic() + 1.5 * USUAL_S)
-        started_s = time.monotonic()
-        self.assertIsNone(self._wait(link, attempt_id, ends_at_notice=lambda: True))
-        self.assertLess(time.monotonic() - started_s, PATIENCE_S)
-        self.assertTrue(link.is_ending(attempt_id))
-        link.close()
-
-    def test_a_leaving_ingress_takes_back_what_waits_at_a_gate(self):
-        first, _ = self._send(1)
-        wait_until(lambda: self.backend.requests, "it runs")
-        link, attempt_id = self._send(2)
-        wait_until(self.gate._admission.waiting, "it waits")
-        ends_s = math.inf
-
-        def leaves() -> float:
-            return ends_s
-
-        with ThreadPoolExecutor(1) as executor:
-            waiting = executor.submit(self._wait, link, attempt_id, ends_s=leaves)
-            ends_s = time.monotonic() + 1.5 * USUAL_S
-            reply = waiting.result(PATIENCE_S).reply
-        self.assertEqual(
-            (Outcome.NOT_RUN, Reason.NODE_STOPPING), (reply.outcome, reply.reason)
-        )
-        # What runs goes on.
-        self.assertEqual(1, self.gate.in_flight())
-        self.assertEqual(1, len(self.backend.requests))
-        first.close()
-        link.close()
-
-    def test_the_word_of_an_end_waits_for_its_attempt(self):
-        # All threads of the gate are busy: the attempt has not begun when its
-        # ingress says that it ends.
-        busy = threading.Event()
-        self.addCleanup(busy.set)
-        for _ in range(2):
-            self.executor.submit(busy.wait, PATIENCE_S)
-        link, attempt_id = self._send(1)
-        link.tell_ending(attempt_id, 0.5 * USUAL_S)
-        wait_until(lambda: self.server._ends_s, "the word has come")
-        busy.set()
-        reply = self._wait(link, attempt_id).reply
-        self.assertEqual(
-            (Outcome.NOT_RUN, Reason.NODE_STOPPING), (reply.outcome, reply.reason)
-        )
-        self.assertEqual([], self.backend.requests)
-
-
-class StoppingNodeTests(LinkCase):
-    def test_an_attempt_that_comes_as_the_node_stops_is_told_not_run(self):
-        # The caller of a request that must not run twice is told that nobody
-        # knows. Its attempt came in the milliseconds in which the gate's threads
-        # had ended and its link was still open: the node could neither run nor
-        # refuse it, and ended with an error.
-        backend = RawServer(lambda number: (None, False))
-        self.addCleanup(backend.close)
-        self.address = free_address()
-        own = NodeSettings(
-            "gate", "r", "z", "127.0.0.1:1", self.address, "127.0.0.1:2", "127.0.0.1:3"
-        )
-        context = zmq.Context()
-        self.addCleanup(context.destroy, 0)
-        events = EventLog("gate", 1, HybridClock(), io.StringIO())
-        side = GateSide(
-            own, lambda _: ServiceDocument(), lambda *_: RetryBudget(), context, events
-        )
-        side.servers.announce(
-            "server", Announcement(SERVICE, backend.address, 2, "1"), time.monotonic()
-        )
-        self.links = LinkPool(context, events)
-        with ThreadPoolExecutor(3) as executor:
-            for task in side.tasks():
-                executor.submit(task)
-            first = self._send(1)
-            wait_until(lambda: backend.requests, "it runs")
-            side.gate.leave()
-            side.stop()
-            reply = self._wait(*self._send(2)).reply
-            self.assertEqual(
-                (Outcome.NOT_RUN, Reason.DRAINING), (reply.outcome, reply.reason)
-            )
-            side.gate.give_up()
-            self.assertEqual(Outcome.UNKNOWN, self._wait(*first).reply.outcome)
--- /dev/null
+++ b/tests/test_ending_ingresses.py
@@ -0,0 +1,260 @@
+"""Attempts of nodes that are leaving: refused, as not run, before they are cut."""
+
+import io
+import math
+import socket
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import msgspec
+import zmq
+from testtools import TestCase
+
+from balsamspindle.backend_servers.admission import Admission, Admitted
+from balsamspindle.backend_servers.cancellation import CancelToken
+from balsamspindle.backend_servers.client import BackendServerClient
+from balsamspindle.backend_servers.gate import Gate
+from balsamspindle.backend_servers.link_server import LinkServer
+from balsamspindle.backend_servers.servers import Announcement, LocalBackendServers
+from balsamspindle.backend_servers.slots import WorkEnd
+from balsamspindle.node.gate_side import GateSide
+from balsamspindle.requests import links
+from balsamspindle.requests.links import LinkPool
+from balsamspindle.requests.outcomes import Execution, Outcome, Reason
+from balsamspindle.requests.waiting import Wait, wait_first
+from balsamspindle.settings.documents import RetryBudget, ServiceDocument
+from balsamspindle.settings.process import NodeSettings
+from balsamspindle.timeline import EventLog, HybridClock
+from balsamspindle.wire import (
+    AttemptId,
+    Dispatch,
+    checksum,
+)
+from tests.raw_server import RawServer
+from tests.utils import free_address, wait_until
+
+SERVICE = "crew/contracts"
+PATIENCE_S = 10.0
+USUAL_S = 1.0
+
+
+class EndingIngressTests(TestCase):
+    # A request waits in a gate's queue while the node that took it is leaving. It
+    # gets a slot in the last moment, runs, and is cut when that node gives up: its
+    # caller is told that nobody knows, where `not_run` was true until then.
+
+    def setUp(self):
+        super().setUp()
+        self.servers = LocalBackendServers()
+        self.servers.announce(
+            "server", Announcement(SERVICE, "127.0.0.1:1", 1, "1"), 0.0
+        )
+        self.admission = Admission(self.servers)
+        account = self.servers.get("server").account
+        account.give_back(WorkEnd.ANSWERED, USUAL_S, time.monotonic())
+        account.take()
+
+    def _admit(self, token: CancelToken, execution=Execution.NON_IDEMPOTENT):
+        dispatch = msgspec.structs.replace(attempt(1), execution=execution)
+        return self.admission.admit(dispatch, token, time.monotonic() + 60.0)
+
+    def test_one_that_waits_is_told_not_run_while_that_is_true(self):
+        running = self._admit(CancelToken())
+        self.assertIsInstance(running, Admitted)
+        token = CancelToken()
+        with ThreadPoolExecutor(1) as executor:
+            waiting = executor.submit(self._admit, token)
+            wait_until(self.admission.waiting, "one waits")
+            token.end_by(time.monotonic() + 1.5 * USUAL_S)
+            with self.servers.changed:
+                self.servers.changed.notify_all()
+            self.assertEqual(Reason.NODE_STOPPING, waiting.result(5).reason)
+        self.admission.release(running, WorkEnd.ANSWERED)
+
+    def test_a_read_may_start_as_long_as_it_usually_ends_in_time(self):
+        # Cut, it may be sent again by its caller: it needs less time to spare.
+        token = CancelToken()
+        token.end_by(time.monotonic() + 1.5 * USUAL_S)
+        admitted = self._admit(token, Execution.IDEMPOTENT)
+        self.assertIsInstance(admitted, Admitted)
+        self.admission.release(admitted, WorkEnd.ANSWERED)
+        token.end_by(time.monotonic() + 0.5 * USUAL_S)
+        self.assertEqual(
+            Reason.NODE_STOPPING, self._admit(token, Execution.IDEMPOTENT).reason
+        )
+
+
+def attempt(number: int) -> Dispatch:
+    return Dispatch(
+        AttemptId("own", 1, number),
+        "id",
+        SERVICE,
+        "server",
+        Execution.NON_IDEMPOTENT,
+        PATIENCE_S * 1000,
+        1.0,
+        "GET",
+        "/",
+        [],
+        b"",
+        checksum(b""),
+    )
+
+
+class LinkCase(TestCase):
+    """The ingress's end of links to one gate."""
+
+    def setUp(self):
+        super().setUp()
+        self.patch(links, "CONNECT_TIMEOUT_S", PATIENCE_S)
+
+    def _send(self, number: int):
+        deadline_s = time.monotonic() + PATIENCE_S
+        link = self.links.take(self.address, deadline_s)
+        self.assertTrue(link.send_dispatch(attempt(number), deadline_s))
+        return link, attempt(number).attempt_id
+
+    def _wait(self, link, attempt_id, **changes):
+        near, far = socket.socketpair()
+        with near, far:
+            deadline_s = time.monotonic() + PATIENCE_S
+            wait = Wait(deadline_s, near.fileno(), lambda: False, self.fail, **changes)
+            return wait_first({link: attempt_id}, wait)
+
+
+class LinkServerTests(LinkCase):
+    """A link server with a real gate, and the ingress's end of a link."""
+
+    def setUp(self):
+        super().setUp()
+        self.backend = RawServer(lambda number: (None, False))
+        self.addCleanup(self.backend.close)
+        self.servers = LocalBackendServers()
+        self.servers.announce(
+            "server", Announcement(SERVICE, self.backend.address, 1, "1"), 0.0
+        )
+        account = self.servers.get("server").account
+        account.take()
+        account.give_back(WorkEnd.ANSWERED, USUAL_S, time.monotonic())
+        self.events = EventLog("gate", 1, HybridClock(), io.StringIO())
+        self.gate = Gate(self.servers, BackendServerClient(1000), self.events)
+        self.context, self.address = zmq.Context(), free_address()
+        self.executor = ThreadPoolExecutor(2)
+        self.server = LinkServer(
+            self.context, self.address, self.gate, self.executor, self.events
+        )
+        task = threading.Thread(target=self.server.run)
+        task.start()
+        self.links = LinkPool(self.context, self.events)
+        self.addCleanup(self.context.destroy, 0)
+        self.addCleanup(self.executor.shutdown)
+        self.addCleanup(task.join)
+        self.addCleanup(self.server.stop)
+        self.addCleanup(self.gate.give_up)
+
+    def test_a_leaving_gate_tells_of_runs_that_it_may_not_live_to_answer(self):
+        link, attempt_id = self._send(1)
+        wait_until(lambda: self.backend.requests, "it runs")
+        self.gate.end_by(time.monotonic() + 60.0)
+        self.assertEqual([], self.gate.outlasting(time.monotonic()))
+        self.gate.end_by(time.monotonic() + 1.5 * USUAL_S)
+        started_s = time.monotonic()
+        self.assertIsNone(self._wait(link, attempt_id, ends_at_notice=lambda: True))
+        self.assertLess(time.monotonic() - started_s, PATIENCE_S)
+        self.assertTrue(link.is_ending(attempt_id))
+        link.close()
+
+    def test_a_leaving_ingress_takes_back_what_waits_at_a_gate(self):
+        first, _ = self._send(1)
+        wait_until(lambda: self.backend.requests, "it runs")
+        link, attempt_id = self._send(2)
+        wait_until(self.gate._admission.waiting, "it waits")
+        ends_s = math.inf
+
+        def leaves() -> float:
+            return ends_s
+
+        with ThreadPoolExecutor(1) as executor:
+            waiting = executor.submit(self._wait, link, attempt_id, ends_s=leaves)
+            ends_s = time.monotonic() + 1.5 * USUAL_S
+            reply = waiting.result(PATIENCE_S).reply
+        self.assertEqual(
+            (Outcome.NOT_RUN, Reason.NODE_STOPPING), (reply.outcome, reply.reason)
+        )
+        # What runs goes on.
+        self.assertEqual(1, self.gate.in_flight())
+        self.assertEqual(1, len(self.backend.requests))
+        first.close()
+        link.close()
+
+    def test_the_word_of_an_end_waits_for_its_attempt(self):
+        # All threads of the gate are busy: the attempt has not begun when its
+        # ingress says that it ends.
+        busy = threading.Event()
+        self.addCleanup(busy.set)
+        for _ in range(2):
+            self.executor.submit(busy.wait, PATIENCE_S)
+        link, attempt_id = self._send(1)
+        link.tell_ending(attempt_id, 0.5 * USUAL_S)
+        wait_until(lambda: self.server._ends_s, "the word has come")
+        busy.set()
+        reply = self._wait(link, attempt_id).reply
+        self.assertEqual(
+            (Outcome.NOT_RUN, Reason.NODE_STOPPING), (reply.outcome, reply.reason)
+        )
+        self.assertEqual([], self.backend.requests)
+
+    def test_the_word_of_an_end_is_kept_past_that_end(self):
+        # As before; the ingress's end has passed when a thread is free. Started
+        # then, it would be cut at once, where `not_run` is true.
+        busy = threading.Event()
+        self.addCleanup(busy.set)
+        for _ in range(2):
+            self.executor.submit(busy.wait, PATIENCE_S)
+        link, attempt_id = self._send(1)
+        link.tell_ending(attempt_id, 0.1)
+        time.sleep(0.5)
+        busy.set()
+        reply = self._wait(link, attempt_id).reply
+        self.assertEqual(
+            (Outcome.NOT_RUN, Reason.NODE_STOPPING), (reply.outcome, reply.reason)
+        )
+        self.assertEqual([], self.backend.requests)
+
+
+class StoppingNodeTests(LinkCase):
+    def test_an_attempt_that_comes_as_the_node_stops_is_told_not_run(self):
+        # The caller of a request that must not run twice is told that nobody
+        # knows. Its attempt came in the milliseconds in which the gate's threads
+        # had ended and its link was still open: the node could neither run nor
+        # refuse it, and ended with an error.
+        backend = RawServer(lambda number: (None, False))
+        self.addCleanup(backend.close)
+        self.address = free_address()
+        own = NodeSettings(
+            "gate", "r", "z", "127.0.0.1:1", self.address, "127.0.0.1:2", "127.0.0.1:3"
+        )
+        context = zmq.Context()
+        self.addCleanup(context.destroy, 0)
+        events = EventLog("gate", 1, HybridClock(), io.StringIO())
+        side = GateSide(
+            own, lambda _: ServiceDocument(), lambda *_: RetryBudget(), context, events
+        )
+        side.servers.announce(
+            "server", Announcement(SERVICE, backend.address, 2, "1"), time.monotonic()
+        )
+        self.links = LinkPool(context, events)
+        with ThreadPoolExecutor(3) as executor:
+            for task in side.tasks():
+                executor.submit(task)
+            first = self._send(1)
+            wait_until(lambda: backend.requests, "it runs")
+            side.gate.leave()
+            side.stop()
+            reply = self._wait(*self._send(2)).reply
+            self.assertEqual(
+                (Outcome.NOT_RUN, Reason.DRAINING), (reply.outcome, reply.reason)
+            )
+            side.gate.give_up()
+            self.assertEqual(Outcome.UNKNOWN, self._wait(*first).reply.outcome)
--- a/tests/test_link_server_bound.py
+++ b/tests/test_link_server_bound.py
@@ -36,7 +36,12 @@
     def handle(self, dispatch, received_s):
         self.started.release()
         self.go_on.wait(PATIENCE_S)
-        return Reply(dispatch.attempt_id, Outcome.ANSWERED, status=200)
+        return Reply(
+            dispatch.attempt_id,
+            Outcome.ANSWERED,
+            status=200,
+            body_checksum=checksum(b""),
+        )
 
 
 class LinkServerBoundTests(TestCase):
