Reads, too, are started for a leaving ingress only with twice their usual time left

With the mean alone left nearly half of such reads are cut; their callers are told an error where a refusal would have them back in time. The factor for what must not run twice holds for all. The test of the factor for reads asks for the new one, with the same two sides.

--- a/balsamspindle/backend_servers/admission.py
+++ b/balsamspindle/backend_servers/admission.py
@@ -17,7 +17,7 @@
     LocalBackendServers,
 )
 from balsamspindle.backend_servers.slots import WorkEnd, WorkKind, ramped_slots
-from balsamspindle.requests.outcomes import Execution, Reason
+from balsamspindle.requests.outcomes import Reason
 from balsamspindle.settings.documents import ServiceDocument
 from balsamspindle.wire import AttemptId, Dispatch, Question
 
@@ -31,15 +31,11 @@
 # of a cold backend server grow without one.
 ASK_AGAIN_S = 0.5
 WAIT_MIN_S = 0.005
-# A leaving node starts an attempt only if so many times its route's mean time is
-# left: of work that varies like callers' does, few last longer than twice the mean.
+# An attempt at a leaving node, or of one, is started only if so many times its route's
+# mean time is left: of work that varies like callers' does, few last longer than twice
+# the mean, and half longer than the mean, reads too: what is cut had better be refused,
+# so that its caller comes back in time.
 LAST_START_FACTOR = 2.0
-# The same for an attempt of another node that is leaving. A run that is cut then is
-# lost for good where it must not run twice; a read's caller may send it again.
-START_FACTORS = {
-    Execution.IDEMPOTENT: 1.0,
-    Execution.NON_IDEMPOTENT: LAST_START_FACTOR,
-}
 
 
 @dataclass(frozen=True)
@@ -165,7 +161,7 @@
         """Return until when an attempt may start, for its ingress to see its end."""
         server = self._servers.get(dispatch.backend_server_id)
         kind = WorkKind(dispatch.weight, dispatch.route_id)
-        return token.ends_s - START_FACTORS[dispatch.execution] * _usual_s(server, kind)
+        return token.ends_s - LAST_START_FACTOR * _usual_s(server, kind)
 
     def _wait_s(self, ticket: Ticket, starts_by_s: float, now_s: float) -> float:
         """Return after which time a waiting attempt asks again by itself."""
--- a/tests/test_ending_ingresses.py
+++ b/tests/test_ending_ingresses.py
@@ -72,14 +72,15 @@
             self.assertEqual(Reason.NODE_STOPPING, waiting.result(5).reason)
         self.admission.release(running, WorkEnd.ANSWERED)
 
-    def test_a_read_may_start_as_long_as_it_usually_ends_in_time(self):
-        # Cut, it may be sent again by its caller: it needs less time to spare.
+    def test_a_read_starts_only_if_it_is_likely_to_end(self):
+        # Half of all reads last longer than their mean. Cut, a read's caller hears
+        # an error at the end of its node; refused, it comes back while there is time.
         token = CancelToken()
-        token.end_by(time.monotonic() + 1.5 * USUAL_S)
+        token.end_by(time.monotonic() + 2.5 * USUAL_S)
         admitted = self._admit(token, Execution.IDEMPOTENT)
         self.assertIsInstance(admitted, Admitted)
         self.admission.release(admitted, WorkEnd.ANSWERED)
-        token.end_by(time.monotonic() + 0.5 * USUAL_S)
+        token.end_by(time.monotonic() + 1.5 * USUAL_S)
         self.assertEqual(
             Reason.NODE_STOPPING, self._admit(token, Execution.IDEMPOTENT).reason
         )
