Run no key whose claim the store may have lost

Callers saw: nothing yet; a test showed it. A contract signed with an Idempotency-Key is signed again at a second gate when the store has come back from a copy without the claim and the caller sends again through another node.

Cause: a claim that is missing was taken for one never made, in a store that may forget.

Ruled out as enough: a pause (a gate that is cut off or stopped writes after any), the era in the condition of the write (a missing row has no version), a digest asked of peers (says nothing of who is gone, and costs a message for each keyed request).

Change: in a new era no key is claimed, and under a claim that is found a gate repeats its answer and runs nothing new, until each process that may have held claims has written them again and said so in the store. Gates write the keys that they ran, ingresses the claims that they made, as nobody's. A gate begins nothing under a claim of an earlier era once it has listed its keys. Who ended before that leaves missing claims `unknown` for key_resend_max_s. Nodes tell each other of a new era with each message and at once, and that a request with a key waits: fleets without keys call the store no more than before.

--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -34,7 +34,12 @@
     WorkResult,
 )
 from balsamspindle.backend_servers.failed_calls import FailedCalls
-from balsamspindle.backend_servers.ledger import Earlier, KeyRefused, RunLedger
+from balsamspindle.backend_servers.ledger import (
+    Earlier,
+    HeldKey,
+    KeyRefused,
+    RunLedger,
+)
 from balsamspindle.backend_servers.refusals import is_misdirected, read_result
 from balsamspindle.backend_servers.retry_grants import RetryGrants
 from balsamspindle.backend_servers.servers import (
@@ -142,6 +147,12 @@
             return None
         return self._refuse(dispatch, Reason.NO_FREE_SLOT, unseen_outcome(dispatch))
 
+    def begin_claim_era(
+        self, version_min: int, after_s: float, now_s: float
+    ) -> list[HeldKey]:
+        """Return the keys that the store may have lost; see `RunLedger.begin_era`."""
+        return self._ledger.begin_era(version_min, after_s, now_s)
+
     def in_flight(self) -> int:
         """Return the attempts dispatched and not yet ended."""
         return self._admission.in_flight()
--- a/balsamspindle/backend_servers/ledger.py
+++ b/balsamspindle/backend_servers/ledger.py
@@ -4,11 +4,12 @@
 import threading
 from collections import OrderedDict
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from balsamspindle.protocol.outcomes import Outcome, Reason
 from balsamspindle.wire import Dispatch, Reply
 
-__all__ = ["KEY_MEMORY_S", "Earlier", "KeyRefused", "RunLedger"]
+__all__ = ["KEY_MEMORY_S", "Earlier", "HeldKey", "KeyRefused", "RunLedger"]
 
 # A key is remembered this long after its request ended.
 KEY_MEMORY_S = 1800.0
@@ -34,11 +35,28 @@
     reply: Reply
 
 
+class HeldKey(NamedTuple):
+    """A key that ran at this gate, or may have.
+
+    Attributes
+    ----------
+    claimed_s : float
+        Time of its claim, on this gate's monotonic clock.
+    """
+
+    service: str
+    key: str
+    claimed_s: float
+
+
 @dataclass
 class _Entry:
     """One key that runs, ran or may have run."""
 
     fingerprint: tuple[str, str, int]
+    claimed_s: float
+    # When the claim was last written into the store, or a little earlier.
+    stored_s: float
     reply: Reply | None = None
 
 
@@ -66,6 +84,8 @@
         self._given_up: dict[Key, int] = {}
         self._answers: OrderedDict[Key, int] = OrderedDict()
         self._answers_bytes = 0
+        # Claims of lower versions may be gone from the store.
+        self._version_min = 0
         # When to forget what: the version of a given up claim, 0 for an entry.
         self._expiries: list[tuple[float, Key, int]] = []
 
@@ -76,9 +96,35 @@
             self._expire(now_s)
             verdict = self._judge(key, dispatch, now_s)
             if verdict is None:
-                self._entries[key] = _Entry(_fingerprint(dispatch))
+                claimed_s = dispatch.claim.gate_time_s
+                self._entries[key] = _Entry(
+                    _fingerprint(dispatch), claimed_s, claimed_s
+                )
             return verdict
 
+    def begin_era(
+        self, version_min: int, after_s: float, now_s: float
+    ) -> list[HeldKey]:
+        """Return the keys whose claims the store may have lost.
+
+        They are about to be written again. From now on no key is begun under a claim
+        of a lower version: it would not be among these, and could be claimed anew
+        elsewhere.
+
+        Parameters
+        ----------
+        after_s : float
+            Claims written earlier are not lost.
+        """
+        with self._lock:
+            self._version_min = max(self._version_min, version_min)
+            held = []
+            for key, entry in self._entries.items():
+                if entry.stored_s > after_s:
+                    entry.stored_s = now_s
+                    held.append(HeldKey(*key, entry.claimed_s))
+            return held
+
     def end(self, dispatch: Dispatch, reply: Reply, now_s: float) -> None:
         """Take the end of an attempt that `begin` let run."""
         key = _key(dispatch)
@@ -106,6 +152,8 @@
             return KeyRefused(Outcome.UNKNOWN, Reason.DUPLICATE)
         if now_s - claim.gate_time_s >= KEY_MEMORY_S:
             return KeyRefused(Outcome.UNKNOWN, Reason.DUPLICATE)
+        if claim.version < self._version_min:
+            return KeyRefused(Outcome.NOT_RUN, Reason.CLAIM_MOVED)
         if claim.version <= self._given_up.get(key, 0):
             return KeyRefused(Outcome.NOT_RUN, Reason.CLAIM_MOVED)
         if len(self._entries) + len(self._given_up) >= KEYS_MAX:
--- a/balsamspindle/crashes/spread.py
+++ b/balsamspindle/crashes/spread.py
@@ -7,7 +7,6 @@
 just started knows as much as the others within about a second of its first message.
 """
 
-import random
 import threading
 from collections import OrderedDict
 from collections.abc import Callable
@@ -15,13 +14,11 @@
 from balsamspindle.crashes.book import CrashBook
 from balsamspindle.crashes.records import CrashNews
 from balsamspindle.membership.directory import Directory
+from balsamspindle.membership.fanout import Fanout
 from balsamspindle.wire import NodeRecord
 
 __all__ = ["CrashSpread"]
 
-# Passed on once by each node, news to four random peers reach all but two of a
-# hundred nodes. Most of them go within the zone, where bytes cost nothing.
-PEERS_OWN_ZONE, PEERS_ELSEWHERE = 3, 1
 # While own knowledge is that new the peer's may be on its way here.
 SETTLES_WITHIN_S = 0.4
 REPAIR_INTERVAL_S = 0.8
@@ -52,12 +49,10 @@
         send: Callable[[str, CrashNews], None],
         clock: Callable[[], float],
     ) -> None:
-        self._own = own
-        self._directory = directory
+        self._fanout = Fanout(own, directory, "crashes")
         self._book = book
         self._send = send
         self._clock = clock
-        self._random = random.Random(f"{own.node_id}/{own.incarnation}/crashes")
         self._lock = threading.Lock()
         self._changed_s = float("-inf")
         # When peers were sent something for their digest, while it differs.
@@ -69,7 +64,7 @@
             return
         with self._lock:
             self._changed_s = now_s
-            addresses = self._choose_peers()
+            addresses = self._fanout.choose()
         for address in addresses:
             self._send_all(address, news)
 
@@ -115,16 +110,3 @@
             self._send(address, message)
             crashes = crashes[CRASHES_PER_MESSAGE:]
             quarantines = quarantines[QUARANTINES_PER_MESSAGE:]
-
-    def _choose_peers(self) -> list[str]:
-        peers = [
-            record
-            for record in self._directory.alive()
-            if record.node_id != self._own.node_id
-        ]
-        zone = self._own.availability_zone
-        near = [one for one in peers if one.availability_zone == zone]
-        far = [one for one in peers if one.availability_zone != zone]
-        chosen = self._random.sample(near, min(PEERS_OWN_ZONE, len(near)))
-        chosen += self._random.sample(far, min(PEERS_ELSEWHERE, len(far)))
-        return [record.member_address for record in chosen]
--- a/balsamspindle/membership/channel.py
+++ b/balsamspindle/membership/channel.py
@@ -42,6 +42,8 @@
         The connection that the message came on.
     crash_digest : int
         Of what it knows of crashed backend servers.
+    store_era : int
+        The newest that it heard of.
     """
 
     node_id: str
@@ -50,6 +52,7 @@
     settings_revision: int
     route: Route
     crash_digest: int = 0
+    store_era: int = 0
 
 
 Handler = Callable[[Peer, Any, float], None]
@@ -203,6 +206,7 @@
             sender.settings_revision,
             route,
             sender.crash_digest,
+            sender.store_era,
         )
         for handler in self._on_peer:
             handler(peer, now_s)
--- a/balsamspindle/membership/member.py
+++ b/balsamspindle/membership/member.py
@@ -75,6 +75,7 @@
         self._last_tick_s = now_s()
         self._lag = RecentMax(LAG_MEMORY_S)
         self._crash_digest: Callable[[], int] = lambda: 0
+        self._store_era: Callable[[], int] = lambda: 0
         self._own = OwnRecord(own)
         self._transport = transport or ZmqTransport(
             context, settings.member_address, settings.fleet_keys
@@ -139,6 +140,16 @@
             lambda peer, now_s: on_peer(peer.address, peer.crash_digest, now_s)
         )
 
+    def share_store_era(
+        self, own: Callable[[], int], on_peer: Callable[[int], None]
+    ) -> None:
+        """Tell with each message the newest era of the store; hear it of peers.
+
+        Most nodes call the store seldom, and would learn of a new era late.
+        """
+        self._store_era = own
+        self.channel.on_peer(lambda peer, now_s: on_peer(peer.store_era))
+
     def send(
         self,
         address: str,
@@ -233,6 +244,7 @@
             self._configuration.revision,
             self._events.clock.tick(time.time()),
             self._crash_digest(),
+            self._store_era(),
         )
 
 
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -24,6 +24,7 @@
 from balsamspindle.node.settings_tasks import SettingsTasks
 from balsamspindle.node.settings_watch import LoadSettings, SettingsWatch
 from balsamspindle.node.status import NodeStatus
+from balsamspindle.node.store_eras import NodeEras
 from balsamspindle.node.store_parts import StoreParts
 from balsamspindle.requests.claims import ClaimBook
 from balsamspindle.requests.forwarding import Forwarder
@@ -37,7 +38,6 @@
 from balsamspindle.settings.documents import ServiceDocument
 from balsamspindle.settings.process import NodeSettings
 from balsamspindle.settings.tree import CurrentConfiguration
-from balsamspindle.tables import StoreEras
 from balsamspindle.timeline import EventLog, HybridClock
 from balsamspindle.wire import NodeRecord, SuspectHint
 from balsamspindle.wire.security import start_authenticator
@@ -64,10 +64,7 @@
         self.events = EventLog(
             settings.node_id, incarnation, clock, integration.log_stream
         )
-        self._eras = StoreEras(
-            lambda era: self.events.emit("store_came_back", era=era),
-            lambda cause: self.events.emit("store_era_odd", cause=cause),
-        )
+        self._eras = NodeEras(self.events)
         self._served: list[AdminServer] = []
         self._watch: SettingsWatch | None = None
         self._context = zmq.Context()
@@ -123,8 +120,10 @@
             self._links,
             self._gate_side.link_server,
         )
+        self._eras.share(own, self._directory, self._member)
         parts = StoreParts(settings, own, self._directory, self.events, self._eras)
-        self._make_ingress(own, parts.claim_book())
+        claims = parts.claim_book()
+        self._make_ingress(own, claims)
         self._settings_tasks = SettingsTasks(
             settings,
             own,
@@ -133,13 +132,18 @@
             self._configuration,
             self.events,
             integration.operator_row,
-            self._eras,
+            self._eras.known,
             self._customers.note_read,
         )
         self._registry = parts.registry(self._member)
         self._keeper = parts.quarantine_keeper(
             self._crash_book, self._crash_spread.tell
         )
+        self._restorer = parts.claim_restorer(
+            claims,
+            self._gate_side.gate.begin_claim_era,
+            lambda: self._member.isolated,
+        )
         self._guards = [*self._settings_tasks.guards, *parts.guards]
         self._admin = self._make_admin_server()
 
@@ -187,6 +191,8 @@
             tasks.append(self._registry.run)
         if self._keeper is not None:
             tasks.append(self._keeper.run)
+        if self._restorer is not None:
+            tasks.append(self._restorer.run)
         tasks += [server.serve_forever for server in self._served]
         if self._watch is not None:
             tasks.append(self._watch.run)
@@ -248,6 +254,8 @@
         self._customers.stop()
         if self._registry is not None:
             self._registry.stop()
+        if self._restorer is not None:
+            self._restorer.stop()
         self._member.stop()
         if self._watch is not None:
             self._watch.stop()
--- a/balsamspindle/node/store_parts.py
+++ b/balsamspindle/node/store_parts.py
@@ -2,15 +2,19 @@
 
 from collections.abc import Callable
 
+from balsamspindle.backend_servers.ledger import HeldKey
 from balsamspindle.crashes import CrashBook
 from balsamspindle.crashes.keeper import QuarantineKeeper
 from balsamspindle.crashes.records import CrashNews
 from balsamspindle.membership import Directory, Member
 from balsamspindle.membership.registry import Registry
+from balsamspindle.node.store_eras import NodeEras
 from balsamspindle.platform import HttpTableService
+from balsamspindle.requests.claim_eras import ClaimEras, Holder
+from balsamspindle.requests.claim_restorer import ClaimRestorer
 from balsamspindle.requests.claims import ClaimBook
 from balsamspindle.settings.process import NodeSettings
-from balsamspindle.tables import GuardedTableService, PlatformGuard, StoreEras
+from balsamspindle.tables import GuardedTableService, PlatformGuard
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import NodeRecord
 
@@ -32,20 +36,58 @@
         own: NodeRecord,
         directory: Directory,
         events: EventLog,
-        eras: StoreEras,
+        eras: NodeEras,
     ) -> None:
         self._address = settings.platform_address
         self._own = own
         self._directory = directory
         self._events = events
         self._eras = eras
+        self._claim_eras = ClaimEras(settings.key_resend_max_s, eras.want_claims)
         self.guards: list[PlatformGuard] = []
 
     def claim_book(self) -> ClaimBook:
         """Return where keys of requests are claimed."""
         if self._address is None:
             return ClaimBook(None)
-        return ClaimBook(HttpTableService(self._address, self._eras))
+        tables = HttpTableService(self._address, self._eras.known)
+        return ClaimBook(tables, self._claim_eras)
+
+    def claim_restorer(
+        self,
+        claims: ClaimBook,
+        begin_era: Callable[[int, float, float], list[HeldKey]],
+        is_isolated: Callable[[], bool],
+    ) -> ClaimRestorer | None:
+        """Return what writes claims again that the store has lost.
+
+        Parameters
+        ----------
+        begin_era : callable
+            See `Gate.begin_claim_era`.
+        is_isolated : callable
+            Tells whether no peer answers this node.
+        """
+        if self._address is None:
+            return None
+        restorer = ClaimRestorer(
+            self._guarded("claims"),
+            Holder(self._own.node_id, self._own.incarnation),
+            self._claim_eras,
+            begin_era,
+            claims.take_made,
+            self._fleet,
+            is_isolated,
+            self._events,
+        )
+        self._eras.on_new(restorer.hurry)
+        self._eras.on_wanted(restorer.want)
+        return restorer
+
+    def _fleet(self) -> list[Holder]:
+        return [
+            Holder(node.node_id, node.incarnation) for node in self._directory.alive()
+        ]
 
     def registry(self, member: Member) -> Registry | None:
         """Return by what nodes find one another."""
@@ -78,5 +120,5 @@
     def _guarded(self, user: str) -> GuardedTableService:
         guard = PlatformGuard(f"{self._own.node_id}/{self._own.incarnation}/{user}")
         self.guards.append(guard)
-        tables = HttpTableService(self._address, self._eras)
+        tables = HttpTableService(self._address, self._eras.known)
         return GuardedTableService(tables, guard)
--- a/balsamspindle/platform/store.py
+++ b/balsamspindle/platform/store.py
@@ -107,6 +107,16 @@
         self._eras = eras or StoreEras()
         self._waits = Waits()
 
+    @property
+    def era(self):
+        """See `TableService`."""
+        return self._eras.newest
+
+    @property
+    def answered_s(self):
+        """See `TableService`."""
+        return self._eras.answered_s
+
     def end_waits(self):
         """See `TableService.end_waits`."""
         self._waits.end()
--- a/balsamspindle/requests/claims.py
+++ b/balsamspindle/requests/claims.py
@@ -10,7 +10,9 @@
 a claim does not lapse while its holder is paused.
 """
 
+import threading
 import time
+from collections import deque
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 from concurrent.futures import TimeoutError as FutureTimeoutError
@@ -20,6 +22,7 @@
 from expression import Error, Ok, Result
 
 from balsamspindle.protocol.outcomes import Outcome, Reason
+from balsamspindle.requests.claim_eras import ClaimEras
 from balsamspindle.tables import (
     Check,
     Conflict,
@@ -36,6 +39,9 @@
     "ClaimBook",
     "GateIdentity",
     "KeyClaimant",
+    "MadeClaim",
+    "StoredClaim",
+    "claim_key",
     "note_reply",
     "with_claim",
 ]
@@ -47,6 +53,9 @@
 # store that answers within milliseconds. Without an answer the caller is told
 # `unknown`, which costs it a resend with the same key.
 LAST_LOOK_S = 0.1
+# Under a claim of this version a gate repeats its answer and runs nothing.
+NOTHING_NEW_VERSION = 0
+MADE_KEPT = 5000
 
 
 class GateIdentity(NamedTuple):
@@ -71,6 +80,22 @@
     claimed_wall_s: float
 
 
+class MadeClaim(NamedTuple):
+    """A claim that this process wrote.
+
+    Attributes
+    ----------
+    key : str
+        Of its row.
+    made_s : float
+        When, on the monotonic clock.
+    """
+
+    key: str
+    stored: StoredClaim
+    made_s: float
+
+
 class ClaimBook:
     """The claims table, asked by a few threads for a bounded time.
 
@@ -78,11 +103,23 @@
     ----------
     tables : TableService or None
         None when the node has no platform: no key can be claimed.
+    eras : ClaimEras, default=only the first era of the store is settled
+    clock : callable, default=time.monotonic
+        Tells the present time.
     """
 
-    def __init__(self, tables: TableService | None) -> None:
+    def __init__(
+        self,
+        tables: TableService | None,
+        eras: ClaimEras | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         self._tables = tables
+        self._eras = eras or ClaimEras()
+        self._clock = clock
         self._executor = ThreadPoolExecutor(CALLS_AT_ONCE_MAX, "claims")
+        self._lock = threading.Lock()
+        self._made: deque[MadeClaim] = deque(maxlen=MADE_KEPT)
 
     def write(
         self,
@@ -105,18 +142,57 @@
         -------
         Claim or None
             The claim in force, whoever made it; None when the platform did
-            not say.
+            not say, or may have lost it.
         """
+        if not self._waits_until_settled(deadline_s):
+            return self.read(key, deadline_s).default_value(None)
         value = StoredClaim(*gate, gate_time_s, time.time())
-        return self._ask(deadline_s, lambda: self._write(key, version, value))
+        claim = self._ask(deadline_s, lambda: self._write(key, version, value))
+        # It may have come back older during the call: what it had lost by then did
+        # not stand against this claim.
+        return claim if self._is_settled() else None
 
     def read(self, key: str, deadline_s: float) -> Result[Claim | None, None]:
-        """Return the claim in force, if any; an error when nobody can tell."""
+        """Return the claim in force, if any; an error when nobody can tell.
+
+        While claims may be missing, a gate that is asked under one which is there
+        runs nothing new: it may stand in the place of one that was lost.
+        """
         answer = self._ask(deadline_s, lambda: self._tables.read(CLAIMS_TABLE, [key]))
         match answer:
             case Result(tag="ok", ok=[row]):
-                return Ok(_claim(row))
-        return Error(None)
+                claim = _claim(row)
+            case _:
+                return Error(None)
+        if self._is_settled():
+            return Ok(claim)
+        if claim is None:
+            return Error(None)
+        return Ok(claim._replace(version=NOTHING_NEW_VERSION))
+
+    def take_made(self, after_s: float, now_s: float) -> list[MadeClaim]:
+        """Return the claims that this process wrote later than that.
+
+        They are about to be written again, and count as written now.
+        """
+        with self._lock:
+            taken = [
+                made._replace(made_s=now_s)
+                for made in self._made
+                if made.made_s > after_s
+            ]
+            self._made = deque(taken, MADE_KEPT)
+            return taken
+
+    def _is_settled(self) -> bool:
+        return self._tables is None or self._eras.is_settled(self._tables.era)
+
+    def _waits_until_settled(self, deadline_s: float) -> bool:
+        if self._is_settled():
+            return True
+        now_s = self._clock()
+        self._eras.begin(self._tables.era, now_s)
+        return self._eras.wait_settled(self._tables.era, now_s, deadline_s)
 
     def _ask(self, deadline_s: float, call: Callable):
         """Make a call in a thread of ours and wait no longer than allowed.
@@ -142,6 +218,8 @@
         for _ in range(WRITES_MAX):
             match self._tables.transact(transaction):
                 case Result(tag="ok", ok=written):
+                    with self._lock:
+                        self._made.append(MadeClaim(key, value, self._clock()))
                     return _claim(Row(key, written, msgspec.to_builtins(value)))
                 case Result(error=Conflict(rows)):
                     # Possibly our own row, from a write whose reply was lost.
@@ -152,6 +230,11 @@
         return None
 
 
+def claim_key(service: str, key: str) -> str:
+    """Return the key of a claim's row."""
+    return f"{service}:{key}"
+
+
 def _claim(row: Row) -> Claim | None:
     if row.value is None:
         return None
@@ -174,7 +257,7 @@
         self, book: ClaimBook, service: str, key: str, deadline_s: float
     ) -> None:
         self._book = book
-        self._key = f"{service}:{key}"
+        self._key = claim_key(service, key)
         self._deadline_s = deadline_s
         self._claim: Claim | None = None
         self._is_void = False
@@ -250,6 +333,8 @@
 
     def _has_moved(self) -> bool:
         """Tell whether another request may have moved the claim."""
+        if self._claim.version == NOTHING_NEW_VERSION:
+            return True
         match self._book.read(self._key, self._deadline_s + LAST_LOOK_S):
             case Result(tag="ok", ok=Claim(version=version)):
                 return version != self._claim.version
--- a/balsamspindle/settings/process.py
+++ b/balsamspindle/settings/process.py
@@ -15,9 +15,17 @@
 from balsamspindle.wire import NodeRecord
 from balsamspindle.wire.security import FleetKeys
 
-__all__ = ["Address", "NodeSettings", "SettingsError", "load_node_settings"]
+__all__ = [
+    "KEY_RESEND_MAX_S",
+    "Address",
+    "NodeSettings",
+    "SettingsError",
+    "load_node_settings",
+]
 
 NODE_ALIVE = "alive"
+# As long as a gate remembers keys.
+KEY_RESEND_MAX_S = 1800.0
 
 Address = Annotated[
     str,
@@ -111,6 +119,10 @@
     key_proof_max_age_s : float or None
         For how long keys of customers are served after a proof that they are
         valid; None where they are served without one.
+    key_resend_max_s : float
+        How long after its first send a caller may send a request with the same
+        Idempotency-Key again. So long no new key is run where the store came back
+        from an older copy and a node had ended before it wrote its claims again.
     """
 
     node_id: Name
@@ -141,6 +153,7 @@
     limit_over_part: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
     limit_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     key_proof_max_age_s: Positive | None = None
+    key_resend_max_s: Positive = KEY_RESEND_MAX_S
     connections_max: int = 400
     connection_idle_timeout_s: float = 60.0
     request_head_timeout_s: float = 10.0
--- a/balsamspindle/tables/guard.py
+++ b/balsamspindle/tables/guard.py
@@ -172,6 +172,16 @@
         self._tables = tables
         self._guard = guard
 
+    @property
+    def era(self):
+        """See `TableService`."""
+        return self._tables.era
+
+    @property
+    def answered_s(self):
+        """See `TableService`."""
+        return self._tables.answered_s
+
     def read(self, table, keys):
         """See `TableService.read`."""
         return self._guard.read(lambda: self._tables.read(table, keys), "read")
--- a/balsamspindle/tables/protocol.py
+++ b/balsamspindle/tables/protocol.py
@@ -100,7 +100,18 @@
 
 
 class TableService:
-    """Transactional tables."""
+    """Transactional tables.
+
+    Attributes
+    ----------
+    era : int
+        The newest that was heard of: how often the store came back from a copy.
+    answered_s : float
+        When the store last answered in that era, on the monotonic clock.
+    """
+
+    era: int = 0
+    answered_s: float = float("-inf")
 
     def read(
         self, table: str, keys: list[str]
--- a/balsamspindle/wire/member_messages.py
+++ b/balsamspindle/wire/member_messages.py
@@ -29,6 +29,7 @@
     "Page",
     "Ping",
     "PingRequest",
+    "StoreCameBack",
     "SuspectHint",
     "Pull",
     "Sender",
@@ -64,6 +65,8 @@
         The sender's hybrid logical clock.
     crash_digest : int
         Of what the sender knows of crashed backend servers; 0 for nothing.
+    store_era : int
+        Newest era of the store that the sender heard of.
     """
 
     node_id: NodeId
@@ -72,6 +75,21 @@
     settings_revision: int = -1
     hlc: int = 0
     crash_digest: int = 0
+    store_era: Count = 0
+
+
+class StoreCameBack(
+    msgspec.Struct, array_like=True, tag="store_came_back", frozen=True
+):
+    """Node to node: a new era of the store, which `Sender` tells.
+
+    Attributes
+    ----------
+    wants_claims : bool
+        Callers wait for the claims that the store has lost.
+    """
+
+    wants_claims: bool = False
 
 
 class Envelope(msgspec.Struct, array_like=True, frozen=True):
