Never give a port to two test processes

Cause: a test process took ports from a place given by its process id, 97 apart for neighbours, looked once whether a port was free and used it later. So test processes ran into each other's ports, and a node that was down for a moment lost its own.

Change: a test process holds blocks of ports by keeping one port of each bound.

--- a/tests/utils.py
+++ b/tests/utils.py
@@ -24,24 +24,47 @@
 # Below the ports that the kernel gives to outgoing connections, so that a
 # client's port never takes one that a process is about to listen on.
 FIRST_PORT, LAST_PORT = 18_000, 32_000
+# Ports that one test process has for itself, of which it holds the first one.
+BLOCK_PORTS = 50
+_held_blocks: list[socket.socket] = []
 _ports = iter(range(0))
 
 
 def free_port() -> int:
-    """Return a TCP port that nobody listens on now."""
+    """Return a TCP port that nobody listens on now, and no other test process takes.
+
+    It may be used later, or again by a process that was killed meanwhile.
+    """
     global _ports
     while True:
         port = next(_ports, None)
         if port is None:
-            first = FIRST_PORT + (os.getpid() * 97) % (LAST_PORT - FIRST_PORT)
-            _ports = iter([*range(first, LAST_PORT), *range(FIRST_PORT, first)])
+            _ports = iter(_hold_block())
             continue
         with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
+            if _binds(probe, port):
+                return port
+
+
+def _hold_block() -> range:
+    """Take ports that no other test process holds, until this one ends."""
+    firsts = list(range(FIRST_PORT, LAST_PORT, BLOCK_PORTS))
+    start = os.getpid() % len(firsts)
+    for first in firsts[start:] + firsts[:start]:
+        holder = socket.socket()
+        if _binds(holder, first):
+            _held_blocks.append(holder)
+            return range(first + 1, first + BLOCK_PORTS)
+        holder.close()
+    raise AssertionError("other processes hold all ports for tests")
+
+
+def _binds(probe: socket.socket, port: int) -> bool:
+    try:
+        probe.bind(("127.0.0.1", port))
+    except OSError:
+        return False
+    return True
 
 
 def free_address() -> str:
