End a test's context though its sockets were collected

Seen once: a full run hung for six minutes, until its worker was ended: its stack shows zmq's Context.term in the cleanup of test_a_strangers_messages_change_nothing.

Cause, from the stack: sockets that are collected before the cleanup are closed with the default linger, and term waits for messages that no stranger can deliver. The context now gives its sockets a linger of 0.

--- a/tests/test_node_trust.py
+++ b/tests/test_node_trust.py
@@ -53,6 +53,8 @@
     def strangers(self):
         """Return sockets without keys, and with a key that nobody allowed."""
         context = zmq.Context()
+        # Also for those that are collected before the context ends.
+        context.linger = 0
         self.addCleanup(context.destroy, 0)
         plain = context.socket(zmq.DEALER)
         other = context.socket(zmq.DEALER)
