Judge blame in one object a look, and give crashes a part of the node

The book cached chances and had to remember to drop them; a look at all crashes is now made anew when crashes or quarantines change.

--- a/balsamspindle/crashes/book.py
+++ b/balsamspindle/crashes/book.py
@@ -8,6 +8,7 @@
 import msgspec
 import xxhash
 
+from balsamspindle.crashes.blame import Blame, KnownCrash
 from balsamspindle.crashes.records import (
     CALM,
     Crash,
@@ -16,15 +17,7 @@
     Quarantine,
     Standing,
 )
-from balsamspindle.crashes.verdicts import (
-    CRASHES_MIN,
-    WAVE_S,
-    Case,
-    Hit,
-    chance,
-    is_cause,
-    leader,
-)
+from balsamspindle.crashes.verdicts import CRASHES_MIN, NO_CASE, Case, is_cause
 
 __all__ = ["CrashBook"]
 
@@ -44,16 +37,6 @@
 ANSWER_HOLDS_S = 10.0
 ANSWERS_KEPT = 1000
 EXPIRE_INTERVAL_S = 1.0
-NO_CASE = Case()
-
-
-@dataclass
-class _Known:
-    """A crash; `runs` only ever shrinks."""
-
-    crash: Crash
-    at_s: float
-    runs: dict[int, float]
 
 
 @dataclass
@@ -95,14 +78,12 @@
         self._servers = servers
         self._on_quarantine = on_quarantine
         self._lock = threading.RLock()
-        self._crashes: OrderedDict[tuple[str, int], _Known] = OrderedDict()
+        self._crashes: OrderedDict[tuple[str, int], KnownCrash] = OrderedDict()
         self._counts: Counter[int] = Counter()
         # Crashes off which a content was taken, for as long as they are kept.
         self._cleared: dict[int, set[tuple[str, int]]] = {}
         self._quarantined: OrderedDict[int, _Quarantined] = OrderedDict()
         self._answered_s: OrderedDict[int, float] = OrderedDict()
-        # Of one judgement, by content.
-        self._chances: dict[int, float] = {}
         self._digest: int | None = 0
         self._expired_s = float("-inf")
 
@@ -128,7 +109,7 @@
         """Tell whether a quarantined request is blamed for a backend server's end."""
         with self._lock:
             known = self._crashes.get((backend_server_id, start))
-            return known is not None and bool(self._quarantined_in(known))
+            return known is not None and any(map(self._is_quarantined, known.runs))
 
     def take(self, news: CrashNews, now_s: float) -> CrashNews:
         """Take what somebody knows; return what of it is new here."""
@@ -222,7 +203,7 @@
             for content in answered:
                 self._drop_run(known, content)
             return bool(answered)
-        self._crashes[crash.key] = _Known(crash, at_s, told)
+        self._crashes[crash.key] = KnownCrash(crash, at_s, told)
         self._counts.update(told.keys())
         if len(self._crashes) > CRASHES_KEPT:
             self._forget(next(iter(self._crashes)))
@@ -253,77 +234,40 @@
 
     def _judge(self, crashes: Iterable[Crash], now_s: float) -> None:
         """Quarantine the causes of crashes that are new, or have fewer runs now."""
-        self._chances.clear()
+        blame = self._blame()
         for content in {run.content for crash in crashes for run in crash.runs}:
             quarantined = self._quarantined.get(content)
             if quarantined is not None and not quarantined.is_lifted:
-                if self._has_crashed_again(content, quarantined):
+                if self._has_crashed_again(content, quarantined, blame):
                     self._quarantine_again(content, quarantined.term + 1, now_s)
+                    blame = self._blame()
                 continue
             if self._counts[content] < CRASHES_MIN:
                 continue
-            case = self._case(content)
+            case = blame.case(content)
             if is_cause(case):
                 term = 1 if quarantined is None else quarantined.term + 1
                 self._quarantine_again(content, term, now_s, case)
+                blame = self._blame()
 
-    def _has_crashed_again(self, content: int, quarantined: _Quarantined) -> bool:
+    def _blame(self) -> Blame:
+        return Blame(self._crashes.values(), self._is_quarantined, self._servers)
+
+    def _is_quarantined(self, content: int) -> bool:
+        """Tell whether a content is quarantined, also while it may be tried."""
+        quarantined = self._quarantined.get(content)
+        return quarantined is not None and not quarantined.is_lifted
+
+    def _has_crashed_again(
+        self, content: int, quarantined: _Quarantined, blame: Blame
+    ) -> bool:
         """Tell whether it was tried after its time, and crashed a backend server."""
         return any(
-            known.at_s > quarantined.until_s and self._leader(known) == content
+            known.at_s > quarantined.until_s and blame.leader(known) == content
             for known in self._crashes.values()
             if content in known.runs
         )
 
-    def _case(self, content: int) -> Case:
-        """Return what speaks for a request being the cause of crashes."""
-        return self._case_of(
-            content,
-            [
-                known
-                for known in self._crashes.values()
-                if content in known.runs and self._leader(known) == content
-            ],
-        )
-
-    def _case_of(self, content: int, blamed: list[_Known]) -> Case:
-        if not blamed:
-            return NO_CASE
-        hits = sorted(Hit(known.at_s, known.runs[content]) for known in blamed)
-        services = {known.crash.service for known in blamed}
-        crashes = sum(
-            hits[0].at_s - WAVE_S <= known.at_s <= hits[-1].at_s
-            and known.crash.service in services
-            and not self._quarantined_in(known)
-            for known in self._crashes.values()
-        )
-        return Case(hits, crashes, sum(map(self._servers, services)))
-
-    def _leader(self, known: _Known) -> int | None:
-        quarantined = self._quarantined_in(known)
-        chances = dict.fromkeys(known.runs, 1.0)
-        if not quarantined:
-            chances = {content: self._chance(content) for content in known.runs}
-        return leader(chances, quarantined)
-
-    def _chance(self, content: int) -> float:
-        """Return how likely all crashes of a request are by chance."""
-        if content not in self._chances:
-            unexplained = [
-                known
-                for known in self._crashes.values()
-                if content in known.runs and not self._quarantined_in(known)
-            ]
-            self._chances[content] = chance(self._case_of(content, unexplained))
-        return self._chances[content]
-
-    def _quarantined_in(self, known: _Known) -> list[int]:
-        return [
-            content
-            for content in known.runs
-            if content in self._quarantined and not self._quarantined[content].is_lifted
-        ]
-
     def _quarantine_again(
         self, content: int, term: int, now_s: float, case: Case = NO_CASE
     ) -> None:
@@ -339,7 +283,6 @@
         now_s: float,
         case: Case = NO_CASE,
     ) -> None:
-        self._chances.clear()
         self._quarantined.pop(content, None)
         self._quarantined[content] = _Quarantined(term, until_s, is_lifted, now_s)
         if len(self._quarantined) > QUARANTINES_KEPT:
@@ -356,7 +299,7 @@
         left_ms = max(0, round((one.until_s - now_s) * 1000))
         return Quarantine(content, one.term, left_ms, one.is_lifted)
 
-    def _told(self, known: _Known, now_s: float) -> Crash:
+    def _told(self, known: KnownCrash, now_s: float) -> Crash:
         runs = tuple(
             CrashedRun(content, round(ran_s * 1000))
             for content, ran_s in known.runs.items()
@@ -371,11 +314,11 @@
         keys -= {crash.key for crash in crashes}
         return [self._told(self._crashes[key], now_s) for key in sorted(keys)]
 
-    def _drop_run(self, known: _Known, content: int) -> None:
+    def _drop_run(self, known: KnownCrash, content: int) -> None:
         self._cleared.setdefault(content, set()).add(known.crash.key)
         self._uncount(known, content)
 
-    def _uncount(self, known: _Known, content: int) -> None:
+    def _uncount(self, known: KnownCrash, content: int) -> None:
         del known.runs[content]
         self._counts[content] -= 1
         if not self._counts[content]:
--- a/balsamspindle/crashes/verdicts.py
+++ b/balsamspindle/crashes/verdicts.py
@@ -5,7 +5,16 @@
 from collections.abc import Collection, Mapping, Sequence
 from typing import NamedTuple
 
-__all__ = ["CRASHES_MIN", "Case", "Hit", "chance", "is_cause", "leader"]
+__all__ = [
+    "CRASHES_MIN",
+    "NO_CASE",
+    "WAVE_S",
+    "Case",
+    "Hit",
+    "chance",
+    "is_cause",
+    "leader",
+]
 
 # Fewer are a coincidence too often.
 CRASHES_MIN = 3
@@ -65,6 +74,9 @@
     servers: int = 0
 
 
+NO_CASE = Case()
+
+
 def leader(chances: Mapping[int, float], quarantined: Collection[int]) -> int | None:
     """Return the content that is the likeliest cause of one crash, if there is one.
 
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -8,15 +8,10 @@
 
 import zmq
 
-from balsamspindle.crashes import CrashBook, Quarantine
-from balsamspindle.crashes.keeper import QuarantineKeeper
-from balsamspindle.crashes.live_servers import count_live_servers
-from balsamspindle.crashes.records import CrashNews
-from balsamspindle.crashes.spread import CrashSpread
-from balsamspindle.crashes.verdicts import Case
 from balsamspindle.membership import Directory, Member
 from balsamspindle.node.admin import AdminApplication
 from balsamspindle.node.admin_server import AdminServer
+from balsamspindle.node.crash_side import CrashSide
 from balsamspindle.node.customer_side import CustomerSide
 from balsamspindle.node.gate_budgets import GateBudgets
 from balsamspindle.node.gate_side import GateSide
@@ -73,12 +68,12 @@
         self._authenticator = start_authenticator(self._context, settings.fleet_keys)
         self._directory = Directory()
         self._configuration = CurrentConfiguration()
-        self._keeper: QuarantineKeeper | None = None
-        self._crash_book = CrashBook(
-            lambda service: count_live_servers(
-                self._directory.placements(service), self._crash_book.has_ended
-            ),
-            self._note_quarantine,
+        own = settings.own_record(incarnation)
+        self._crashes = CrashSide(
+            own,
+            self._directory,
+            self.events,
+            lambda address, news: self._member.send(address, news),
         )
         self._gate_side = GateSide(
             settings,
@@ -86,12 +81,11 @@
             GateBudgets(self._directory, self._service_document).part,
             self._context,
             self.events,
-            self._crash_book,
-            lambda news, now_s: self._crash_spread.tell(news, now_s),
+            self._crashes.book,
+            self._crashes.tell,
             self._count_in_zone,
         )
         self.lifetimes = self._gate_side.lifetimes
-        own = settings.own_record(incarnation)
         self._member = Member(
             self._context,
             settings,
@@ -101,17 +95,7 @@
             self._gate_side.records,
             self.events,
         )
-        self._crash_spread = CrashSpread(
-            own,
-            self._directory,
-            self._crash_book,
-            lambda address, news: self._member.send(address, news),
-            time.monotonic,
-        )
-        self._member.register({CrashNews: self._crash_spread.take})
-        self._member.share_crash_digest(
-            self._crash_book.digest, self._crash_spread.compare
-        )
+        self._crashes.share(self._member)
         self._links = LinkPool(self._context, self.events, settings.fleet_keys)
         self._customers = CustomerSide(
             settings,
@@ -140,8 +124,8 @@
             self._customers.note_read,
         )
         self._registry = parts.registry(self._member)
-        self._keeper = parts.quarantine_keeper(
-            self._crash_book, self._crash_spread.tell
+        self._crashes.keeper = parts.quarantine_keeper(
+            self._crashes.book, self._crashes.tell
         )
         self._restorer = parts.claim_restorer(
             claims,
@@ -193,8 +177,8 @@
         ]
         if self._registry is not None:
             tasks.append(self._registry.run)
-        if self._keeper is not None:
-            tasks.append(self._keeper.run)
+        if self._crashes.keeper is not None:
+            tasks.append(self._crashes.keeper.run)
         if self._restorer is not None:
             tasks.append(self._restorer.run)
         tasks += [server.serve_forever for server in self._served]
@@ -235,10 +219,9 @@
 
     def _shut_down(self) -> None:
         """Leave in order, then end all tasks."""
-        if self._keeper is not None:
-            # Before the rest: a call of it to a store that is silent may last for
-            # two seconds, which the node has now and not at its end.
-            self._keeper.stop()
+        # Before the rest: a call of it to a store that is silent may last for two
+        # seconds, which the node has now and not at its end.
+        self._crashes.stop()
         end = OrderlyEnd(
             self._settings,
             self.events,
@@ -279,24 +262,6 @@
             for placement in self._directory.placements(service)
         )
 
-    def _note_quarantine(
-        self, quarantine: Quarantine, ended: list[str], case: Case
-    ) -> None:
-        """Say which request crashes backend servers, and which ones it ended."""
-        event = "quarantine_lifted" if quarantine.is_lifted else "request_quarantined"
-        self.events.emit(
-            event,
-            content=f"{quarantine.content:016x}",
-            term=quarantine.term,
-            blocked_ms=quarantine.left_ms,
-            backend_servers=",".join(ended) or None,
-            ran_ms=",".join(f"{hit.ran_s * 1000:.0f}" for hit in case.hits) or None,
-            crashes=case.crashes or None,
-            servers=case.servers or None,
-        )
-        if self._keeper is not None:
-            self._keeper.note(quarantine, time.time())
-
     def _note_floor(self, service: str, decision: FloorDecision) -> None:
         """Say who of a service is left out, and whom the floor keeps."""
         self.events.emit(
@@ -330,7 +295,7 @@
             claims,
             self._retries,
             on_suspect=self._hints.tell,
-            crash_book=self._crash_book,
+            crash_book=self._crashes.book,
         )
         self._member.register({SuspectHint: self._hints.take})
         self._ingress = Ingress(
@@ -354,7 +319,7 @@
             self._gate_side.grants,
             self._member,
             self._guards,
-            self._crash_book,
+            self._crashes.book,
         )
         application = AdminApplication(
             self._gate_side.servers,
