Let a cause have been lost once with another one

Callers saw: nothing; a soak showed it.

Cause, from its log: blamed for four crashes after 199, 346, 347 and 347 ms, of which the first was of another reason; similar run times counted only when all were.

Change: crashes of other reasons may be left out of what is similar, at the price of their number. The new test fails before.

--- a/balsamspindle/crashes/verdicts.py
+++ b/balsamspindle/crashes/verdicts.py
@@ -157,9 +157,19 @@
 
 
 def _chance_of_same_time(hits: Sequence[Hit]) -> float:
-    """Return how likely crashes at any moment come after such similar times."""
-    ran_s = [hit.ran_s for hit in hits]
-    longest_s = max(*ran_s, RAN_MIN_S)
-    apart_s = max(max(ran_s) - min(ran_s), SAME_RAN_MIN_S)
-    similar = (apart_s / longest_s) ** (len(hits) - 1)
-    return max(similar, SAME_TIME_CHANCE_MIN)
+    """Return how likely crashes at any moment come after such similar times.
+
+    A cause is also there at crashes of other reasons: those may be left out, and the
+    choice of them makes the rest as much likelier.
+    """
+    ran_s = sorted(hit.ran_s for hit in hits)
+    longest_s = max(ran_s[-1], RAN_MIN_S)
+    chances = [1.0]
+    for size in range(min(CRASHES_MIN, len(ran_s)), len(ran_s) + 1):
+        spans_s = [
+            ran_s[first + size - 1] - ran_s[first]
+            for first in range(len(ran_s) - size + 1)
+        ]
+        similar = max(min(spans_s), SAME_RAN_MIN_S) / longest_s
+        chances.append(math.comb(len(ran_s), size) * similar ** (size - 1))
+    return max(min(chances), SAME_TIME_CHANCE_MIN)
--- a/tests/test_crash_verdicts.py
+++ b/tests/test_crash_verdicts.py
@@ -324,6 +324,16 @@
     assert 2 not in played.quarantined
 
 
+def test_a_cause_that_was_also_there_at_another_crash_is_found():
+    # Guards against a cause that goes on, for it was lost once with another one.
+    played = Played()
+    for number, ran_s in enumerate((0.199, 0.346, 0.347, 0.347)):
+        for other in range(2):
+            played.crash({100 + 10 * number + other: 0.7}, after_s=0.5)
+        played.crash({CAUSE: ran_s}, after_s=0.5)
+    assert played.quarantined == [CAUSE]
+
+
 def test_starts_that_have_ended_are_no_backend_servers():
     # Guards against a rate of crashes that falls as more backend servers crash.
     nodes = [NodeRecord(f"n{one}", 1, 1, "r", "z", "-", "-", "alive") for one in "ab"]
