Take a standstill for slow work where the peers are as slow

Cause: a gate takes a suspicion back where all that counted was slow work and the peers are as slow by now. A standstill, two requests that hang past 500 ms, is slow work and was not in that list; the trial that is left takes half a minute of a slow service's work.

Change: a standstill counts as slow work, as long as it lasted; what still hangs counts with its age, so that one that goes on hanging is not taken for usual.

The unit test fails before.

--- a/balsamspindle/backend_servers/health_work.py
+++ b/balsamspindle/backend_servers/health_work.py
@@ -41,6 +41,7 @@
 # What is counted of work that was slow and did not fail, and of good work.
 SLOW_EVIDENCE = {
     "in_flight_too_long",
+    "standstill",
     SLOW_RESULTS[WorkResult.ANSWERED],
     WorkResult.ANSWERED.value,
 }
@@ -139,9 +140,9 @@
         """Tell whether the peers suffer, too, or did and take it as usual by now."""
         if self.peers_bad_share(now_s) >= SHARED_CAUSE_SHARE:
             return True
-        return self._is_usual_by_now()
+        return self._is_usual_by_now(now_s)
 
-    def _is_usual_by_now(self) -> bool:
+    def _is_usual_by_now(self, now_s: float) -> bool:
         """Tell whether all that counted against it is no longer slow among the peers.
 
         One that is held out hears nothing of them. When it is tried again they have
@@ -151,7 +152,10 @@
         if not self._slowest_counted_ms or self.evidence.keys() - SLOW_EVIDENCE:
             return False
         peers_slow_ms = self.detection.slow_factor * self._peers.limit_ms
-        return self._slowest_counted_ms <= peers_slow_ms
+        # What still hangs may take longer than it was counted for.
+        started_s = (attempt.started_s for attempt in self._in_flight.values())
+        oldest_ms = (now_s - min(started_s, default=now_s)) * 1000
+        return max(self._slowest_counted_ms, oldest_ms) <= peers_slow_ms
 
     def note_peers(self, evidence: PeerEvidence, now_s: float) -> None:
         """Take what an ingress saw of the service's other backend servers."""
@@ -338,6 +342,8 @@
         if self._peers.bad_share(now_s) >= STANDSTILL_PEERS_BAD_MAX:
             return
         self._stood_still_s = now_s
+        age_ms = (now_s - oldest_s) * 1000
+        self._slowest_counted_ms = max(self._slowest_counted_ms, age_ms)
         self.evidence["standstill"] += 1
         self._add(self.detection.threshold)
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -273,6 +273,37 @@
     assert driver.health.phase is HealthPhase.ON_TRIAL
 
 
+def stand_still(driver: Driver) -> list[AttemptId]:
+    """Let two requests hang past a pause, and a hold-out pass."""
+    hanging = [driver.start() for _ in range(2)]
+    driver.wait(0.6)
+    assert driver.health.phase is HealthPhase.HELD_OUT
+    assert "standstill" in driver.health.report(driver.now_s).evidence
+    return hanging
+
+
+def test_a_standstill_that_is_usual_among_the_peers_by_now_is_taken_back():
+    # Guards against a suspicion that stays when all have turned slow.
+    driver = Driver()
+    for attempt_id in stand_still(driver):
+        driver.health.ended(attempt_id, ANSWERED, driver.now_s)
+    driver.wait(5.5)
+    assert driver.health.phase is HealthPhase.ON_TRIAL
+    driver.peers = PeerEvidence(heard=5, bad=0, limit_ms=600.0)
+    driver.work(latency_ms=600.0)
+    assert driver.health.phase is HealthPhase.SERVING
+
+
+def test_a_standstill_that_goes_on_is_not_usual_among_slow_peers():
+    # Guards against work for a backend server that hangs while others are slow.
+    driver = Driver()
+    stand_still(driver)
+    driver.wait(5.5)
+    driver.peers = PeerEvidence(heard=5, bad=0, limit_ms=600.0)
+    driver.work(latency_ms=600.0)
+    assert driver.health.phase is not HealthPhase.SERVING
+
+
 def test_a_flapping_backend_server_costs_few_failures_an_hour():
     """Well whenever it is on trial, sick as soon as it serves again.
 
