--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -16,8 +16,6 @@
 from balsamspindle.backend_servers.attempts import BEGIN_REASONS, AttemptTable, Begin
 from balsamspindle.backend_servers.cancellation import CancelToken
 from balsamspindle.backend_servers.client import (
-    BackendAnswer,
-    BackendFailure,
     BackendServerClient,
 )
 from balsamspindle.backend_servers.crash_watch import CrashWatch
@@ -25,13 +23,11 @@
     attempt_deadline_s,
     ingress_ends_s,
     is_keyed,
-    told_headers,
     unseen_outcome,
 )
 from balsamspindle.backend_servers.evidence import (
     HealthObserver,
     NoObserver,
-    WorkResult,
 )
 from balsamspindle.backend_servers.failed_calls import FailedCalls
 from balsamspindle.backend_servers.ledger import (
@@ -40,21 +36,13 @@
     KeyRefused,
     RunLedger,
 )
-from balsamspindle.backend_servers.refusals import is_misdirected, read_result
 from balsamspindle.backend_servers.retry_grants import RetryGrants
+from balsamspindle.backend_servers.runner import Runner
 from balsamspindle.backend_servers.servers import (
-    LocalBackendServer,
     LocalBackendServers,
 )
 from balsamspindle.backend_servers.slots import WorkEnd
 from balsamspindle.backend_servers.suspect_runs import SuspectRuns
-from balsamspindle.backend_servers.work_ends import (
-    call_outcome,
-    run_end,
-    with_answer,
-    work_end,
-    work_result,
-)
 from balsamspindle.crashes.book import CrashBook
 from balsamspindle.metrics import Hop
 from balsamspindle.protocol.header_names import DEFAULT_HEADER_NAMES, HeaderNames
@@ -110,19 +98,24 @@
         crash_watch: CrashWatch | None = None,
     ) -> None:
         self._crash_book = crash_book or CrashBook(lambda service: 1)
-        self._crash_watch = crash_watch or CrashWatch(events, self._crash_book)
         self._suspect_runs = SuspectRuns()
         self._grants = grants or RetryGrants(lambda *_: RetryBudget())
-        self._failed_calls = failed_calls or FailedCalls()
-        self._names = names
-        self._on_misdirected = on_misdirected
         self._servers = servers
-        self._client = client
         self._events = events
         self._observer = observer or NoObserver()
         self._admission = admission or Admission(servers)
         self._attempts = AttemptTable()
         self._ledger = RunLedger(events.node_id, events.incarnation)
+        self._runner = Runner(
+            client,
+            events,
+            self._observer,
+            self._admission,
+            names,
+            on_misdirected,
+            failed_calls or FailedCalls(),
+            crash_watch or CrashWatch(events, self._crash_book),
+        )
 
     def leave(self) -> None:
         """Refuse all new attempts: this node is going."""
@@ -330,7 +323,7 @@
             return self._refuse(dispatch, Reason.WOULD_WAIT)
         self._grants.started(dispatch.is_repeat)
         try:
-            return self._run(dispatch, admitted, token, deadline_s, received_s)
+            return self._runner.run(dispatch, admitted, token, deadline_s, received_s)
         finally:
             self._grants.ended(dispatch.is_repeat)
             if standing.is_suspect:
@@ -373,97 +366,3 @@
             cut_by=cut_by if reason is Reason.CANCELLED else None,
         )
         return Reply(dispatch.attempt_id, outcome, reason, hlc=hlc, held_out=held_out)
-
-    def _run(
-        self, dispatch, admitted: Admitted, token, deadline_s, received_s
-    ) -> Reply:
-        server = admitted.server
-        self._events.emit(
-            "attempt_dispatched",
-            request=dispatch.request_id,
-            backend_server=server.backend_server_id,
-            queued_ms=round((admitted.started_s - received_s) * 1000),
-            left_ms=round((deadline_s - time.monotonic()) * 1000),
-        )
-        server_id, attempt_id = server.backend_server_id, dispatch.attempt_id
-        self._observer.note_peers(server_id, dispatch.peers, time.monotonic())
-        self._observer.started(server_id, attempt_id, time.monotonic())
-        self._crash_watch.started(
-            server, attempt_id, dispatch.content, time.monotonic()
-        )
-        result = None
-        try:
-            with self._events.metrics.timed(Hop.BACKEND_SERVER):
-                result = self._client.call(
-                    server.announcement.address,
-                    dispatch.method,
-                    dispatch.target,
-                    told_headers(dispatch, self._names),
-                    dispatch.body,
-                    dispatch.execution,
-                    (deadline_s - time.monotonic()) * 1000,
-                    token,
-                    dispatch.request_id,
-                )
-                result = self._read(server, result)
-        finally:
-            has_crashed = self._crash_watch.ended(
-                server, attempt_id, run_end(result), time.monotonic()
-            )
-            # Judged before the slot is free: the next in the queue would start
-            # at a backend server that has just shown to be sick.
-            judgement = self._observer.ended(
-                server_id, attempt_id, self._evidence(result), time.monotonic()
-            )
-            free_slots = self._admission.release(admitted, work_end(result))
-        if has_crashed:
-            result = result._replace(reason=Reason.SERVER_CRASHED)
-        ran_s = time.monotonic() - admitted.started_s
-        return self._reply(dispatch, result, free_slots, judgement, ran_s)
-
-    def _evidence(self, result: BackendAnswer | BackendFailure | None) -> WorkResult:
-        """Return what a call's end says of the backend server's health."""
-        evidence = work_result(result)
-        is_explained = self._failed_calls.explain_error(time.monotonic())
-        if evidence is WorkResult.ERROR and is_explained:
-            return WorkResult.CANCELLED
-        return evidence
-
-    def _read(
-        self, server: LocalBackendServer, result: BackendAnswer | BackendFailure
-    ) -> BackendAnswer | BackendFailure:
-        """Take an answer that refuses for what it proves."""
-        if isinstance(result, BackendAnswer) and is_misdirected(result, self._names):
-            self._on_misdirected(server.backend_server_id)
-        return read_result(result, server.has_ended, self._names)
-
-    def _reply(self, dispatch, result, free_slots, judgement, ran_s: float) -> Reply:
-        outcome, reason = call_outcome(result)
-        server_id = dispatch.backend_server_id
-        answer = result if isinstance(result, BackendAnswer) else None
-        cut_by = None if answer else result.cut_by
-        if cut_by is not None:
-            self._events.metrics.count_cut(cut_by)
-        held_out = self._observer.held_out(server_id, time.monotonic())
-        hlc = self._events.emit(
-            "attempt_ended",
-            request=dispatch.request_id,
-            backend_server=server_id,
-            outcome=outcome,
-            status=answer and answer.status,
-            cause=reason,
-            cut_by=cut_by,
-            ran_ms=round(ran_s * 1000),
-            held_out_ms=round(held_out.held_out_ms) or None,
-        )
-        reply = Reply(
-            dispatch.attempt_id,
-            outcome,
-            reason,
-            free_slots=free_slots,
-            hlc=hlc,
-            bad=judgement.bad,
-            limit_ms=judgement.limit_ms,
-            held_out=held_out,
-        )
-        return reply if answer is None else with_answer(reply, answer)
--- /dev/null
+++ b/balsamspindle/backend_servers/runner.py
@@ -0,0 +1,160 @@
+"""One run at a backend server: the call, and what its end says.
+
+The end of a call is told to the watch for crashes, to the judge of health and to the
+slots, in this order.
+"""
+
+import time
+from collections.abc import Callable
+
+from balsamspindle.backend_servers.admission import Admission, Admitted
+from balsamspindle.backend_servers.cancellation import CancelToken
+from balsamspindle.backend_servers.client import (
+    BackendAnswer,
+    BackendFailure,
+    BackendServerClient,
+)
+from balsamspindle.backend_servers.crash_watch import CrashWatch
+from balsamspindle.backend_servers.dispatches import told_headers
+from balsamspindle.backend_servers.evidence import HealthObserver, WorkResult
+from balsamspindle.backend_servers.failed_calls import FailedCalls
+from balsamspindle.backend_servers.refusals import is_misdirected, read_result
+from balsamspindle.backend_servers.servers import LocalBackendServer
+from balsamspindle.backend_servers.work_ends import (
+    call_outcome,
+    run_end,
+    with_answer,
+    work_end,
+    work_result,
+)
+from balsamspindle.metrics import Hop
+from balsamspindle.protocol.header_names import HeaderNames
+from balsamspindle.protocol.outcomes import Reason
+from balsamspindle.timeline import EventLog
+from balsamspindle.wire import Dispatch, Reply
+
+__all__ = ["Runner"]
+
+
+class Runner:
+    """Runs attempts that have a slot; the parameters are those of `Gate`."""
+
+    def __init__(
+        self,
+        client: BackendServerClient,
+        events: EventLog,
+        observer: HealthObserver,
+        admission: Admission,
+        names: HeaderNames,
+        on_misdirected: Callable[[str], None],
+        failed_calls: FailedCalls,
+        crash_watch: CrashWatch,
+    ) -> None:
+        self._client = client
+        self._events = events
+        self._observer = observer
+        self._admission = admission
+        self._names = names
+        self._on_misdirected = on_misdirected
+        self._failed_calls = failed_calls
+        self._crash_watch = crash_watch
+
+    def run(
+        self,
+        dispatch: Dispatch,
+        admitted: Admitted,
+        token: CancelToken,
+        deadline_s: float,
+        received_s: float,
+    ) -> Reply:
+        """Call the backend server, judge what came, and free the slot."""
+        server = admitted.server
+        self._events.emit(
+            "attempt_dispatched",
+            request=dispatch.request_id,
+            backend_server=server.backend_server_id,
+            queued_ms=round((admitted.started_s - received_s) * 1000),
+            left_ms=round((deadline_s - time.monotonic()) * 1000),
+        )
+        server_id, attempt_id = server.backend_server_id, dispatch.attempt_id
+        self._observer.note_peers(server_id, dispatch.peers, time.monotonic())
+        self._observer.started(server_id, attempt_id, time.monotonic())
+        self._crash_watch.started(
+            server, attempt_id, dispatch.content, time.monotonic()
+        )
+        result = None
+        try:
+            with self._events.metrics.timed(Hop.BACKEND_SERVER):
+                result = self._client.call(
+                    server.announcement.address,
+                    dispatch.method,
+                    dispatch.target,
+                    told_headers(dispatch, self._names),
+                    dispatch.body,
+                    dispatch.execution,
+                    (deadline_s - time.monotonic()) * 1000,
+                    token,
+                    dispatch.request_id,
+                )
+                result = self._read(server, result)
+        finally:
+            has_crashed = self._crash_watch.ended(
+                server, attempt_id, run_end(result), time.monotonic()
+            )
+            # Judged before the slot is free: the next in the queue would start
+            # at a backend server that has just shown to be sick.
+            judgement = self._observer.ended(
+                server_id, attempt_id, self._evidence(result), time.monotonic()
+            )
+            free_slots = self._admission.release(admitted, work_end(result))
+        if has_crashed:
+            result = result._replace(reason=Reason.SERVER_CRASHED)
+        ran_s = time.monotonic() - admitted.started_s
+        return self._reply(dispatch, result, free_slots, judgement, ran_s)
+
+    def _evidence(self, result: BackendAnswer | BackendFailure | None) -> WorkResult:
+        """Return what a call's end says of the backend server's health."""
+        evidence = work_result(result)
+        is_explained = self._failed_calls.explain_error(time.monotonic())
+        if evidence is WorkResult.ERROR and is_explained:
+            return WorkResult.CANCELLED
+        return evidence
+
+    def _read(
+        self, server: LocalBackendServer, result: BackendAnswer | BackendFailure
+    ) -> BackendAnswer | BackendFailure:
+        """Take an answer that refuses for what it proves."""
+        if isinstance(result, BackendAnswer) and is_misdirected(result, self._names):
+            self._on_misdirected(server.backend_server_id)
+        return read_result(result, server.has_ended, self._names)
+
+    def _reply(self, dispatch, result, free_slots, judgement, ran_s: float) -> Reply:
+        outcome, reason = call_outcome(result)
+        server_id = dispatch.backend_server_id
+        answer = result if isinstance(result, BackendAnswer) else None
+        cut_by = None if answer else result.cut_by
+        if cut_by is not None:
+            self._events.metrics.count_cut(cut_by)
+        held_out = self._observer.held_out(server_id, time.monotonic())
+        hlc = self._events.emit(
+            "attempt_ended",
+            request=dispatch.request_id,
+            backend_server=server_id,
+            outcome=outcome,
+            status=answer and answer.status,
+            cause=reason,
+            cut_by=cut_by,
+            ran_ms=round(ran_s * 1000),
+            held_out_ms=round(held_out.held_out_ms) or None,
+        )
+        reply = Reply(
+            dispatch.attempt_id,
+            outcome,
+            reason,
+            free_slots=free_slots,
+            hlc=hlc,
+            bad=judgement.bad,
+            limit_ms=judgement.limit_ms,
+            held_out=held_out,
+        )
+        return reply if answer is None else with_answer(reply, answer)
