--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -16,13 +16,13 @@
 from balsamspindle.requests.forwarded import (
     ForwardedRequest,
     Rescue,
-    Step,
     StoppedBy,
     route_id,
 )
 from balsamspindle.requests.heads import IDEMPOTENCY_KEY_MAX_CHARACTERS
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.requests.placing import Placer, Placing
+from balsamspindle.requests.rescues import Rescuer
 from balsamspindle.requests.retries import (
     RetryPolicy,
     best_reply,
@@ -97,6 +97,9 @@
             self._sizes,
             random.Random(f"{own.node_id}/{own.incarnation}/places"),
         )
+        self._rescuer = Rescuer(
+            picker, self._sender, self._retries, self._pick, self._blocked, clock
+        )
         self._given_up = threading.Event()
 
     @property
@@ -184,19 +187,19 @@
             # Else the answer may be that of an attempt which began long before.
             is_alone = not forwarded.parked
             started_s = self._clock()
-            rescue = self._rescue(forwarded, placing, started_s)
+            rescue = self._rescuer.rescue(forwarded, placing, started_s)
             reply = self._sender.send(forwarded, *placing, rescue=rescue)
             replies.append(reply)
             now_s = self._clock()
             if is_success(reply):
                 took_s = now_s - started_s if is_alone else None
                 self._note_success(forwarded, reply, took_s)
-                self._give_back(forwarded, rescue)
+                self._rescuer.give_back(forwarded, rescue)
                 break
             self._note_failure(forwarded, placing.placement, reply)
             if self._is_over(forwarded, reply):
                 forwarded.stopped_by = self._why_over(forwarded)
-                self._give_back(forwarded, rescue)
+                self._rescuer.give_back(forwarded, rescue)
                 break
             if not self._may_retry(forwarded, replies, rescue, now_s):
                 forwarded.stopped_by = StoppedBy.REPEAT_DENIED
@@ -330,50 +333,6 @@
     def _no_attempt(self, reason: Reason) -> Reply:
         return Reply(self._sender.next_id(), Outcome.NOT_RUN, reason)
 
-    def _rescue(
-        self, forwarded: ForwardedRequest, placing: Placing, now_s: float
-    ) -> Rescue | None:
-        """Return what may be done when the next attempt is silent."""
-        route, placement = forwarded.route, placing.placement
-        if route.execution is not Execution.IDEMPOTENT:
-            return None
-        if route.target_ms and forwarded.search.step is Step.QUEUE:
-            # It queues because all others are busy; a second one would only
-            # make their queues longer.
-            return None
-        places = self._picker.view(route.service).tiers[-1]
-        if len(places) <= len(forwarded.tried) + 1:
-            return None
-        left_s = forwarded.deadline_s - now_s
-        is_own = self._sender.is_own(placement)
-        patience_s = self._retries.patience_s(
-            route.service, is_own, left_s, now_s, route_id(route)
-        )
-        # While it waits for a slot its backend server is not silent.
-        patience_s = min(left_s, patience_s + (placing.wait_max_ms or 0.0) / 1000)
-        is_paid = False
-        if is_own and patience_s < left_s:
-            is_paid = self._retries.may_hedge(route.service, now_s, route.weight)
-            patience_s = patience_s if is_paid else left_s
-        return Rescue(patience_s, lambda: self._choose_second(forwarded), is_paid)
-
-    def _give_back(self, forwarded: ForwardedRequest, rescue: Rescue | None) -> None:
-        if rescue is not None and rescue.is_paid:
-            self._retries.give_back(forwarded.route.service)
-
-    def _choose_second(self, forwarded: ForwardedRequest) -> Placement | None:
-        if self._blocked(forwarded) is not None:
-            return None
-        placing = self._pick(forwarded)
-        if placing is None or self._sender.is_own(placing.placement):
-            return None
-        placement = placing.placement
-        forwarded.wait_max_ms = placing.wait_max_ms
-        route = forwarded.route
-        if not self._retries.may_hedge(route.service, self._clock(), route.weight):
-            return None
-        return placement
-
     def _pick(self, forwarded: ForwardedRequest) -> Placing | None:
         claimant = forwarded.claimant
         if claimant is not None and claimant.owner() is not None:
