--- a/balsamspindle/requests/claim_eras.py
+++ b/balsamspindle/requests/claim_eras.py
@@ -169,6 +169,11 @@
 
 
 def _confirms(word: Confirmation | None, holder: Holder, era: int) -> bool:
-    return (
-        word is not None and word.incarnation == holder.incarnation and word.era >= era
-    )
+    """Tell whether a word is that of a process which ran when the era began.
+
+    Peers may know it by a higher incarnation than its own, with which it has outbid
+    old news of itself. A later process of the node has a higher one than both.
+    """
+    if word is None or word.era < era:
+        return False
+    return word.incarnation <= holder.incarnation
--- a/balsamspindle/requests/claim_restorer.py
+++ b/balsamspindle/requests/claim_restorer.py
@@ -140,25 +140,12 @@
         self._changed.set()
 
     def step(self, now_s: float) -> bool:
-        """Do what is due; tell whether all claims of the present era are known."""
+        """Do what is due; tell whether to wait for another era, or for callers."""
         era = self._tables.era
-        self._eras.begin(era, now_s)
-        if era > self._era:
-            # Later than the last answer the store was still in the era before.
-            self._lost_after_s = min(
-                self._lost_after_s, self._answered_s - COPY_AGE_MAX_S
-            )
-            self._era, self._due = era, None
-        self._answered_s = self._tables.answered_s
-        # Whom it knows of no longer, for it is cut off, may run all the same.
-        known_s = -math.inf if self._is_isolated() else self._answered_s
-        self._eras.note_holders([self._own, *self._fleet()], known_s, now_s)
+        self._note_era(era, now_s)
+        self._note_fleet(now_s)
         if self._eras.is_settled(era) and self._confirmed_era >= era:
             return True
-        if era <= FIRST_ERA:
-            self._confirmed_era = era
-            self._lost_after_s = math.inf
-            return True
         if self._due is None:
             self._due = self._gather(era, now_s)
         if not self._due and self._wanted_era < era:
@@ -167,6 +154,26 @@
             return False
         return self._eras.is_settled(era) or self._look(era, now_s)
 
+    def _note_era(self, era: int, now_s: float) -> None:
+        self._eras.begin(era, now_s)
+        if era > self._era:
+            # When the store last answered it was still in the era before.
+            oldest_s = self._answered_s - COPY_AGE_MAX_S
+            self._lost_after_s = min(self._lost_after_s, oldest_s)
+            self._era, self._due = era, None
+        if era <= FIRST_ERA:
+            self._note_confirmed(era)
+
+    def _note_confirmed(self, era: int) -> None:
+        self._confirmed_era = era
+        self._lost_after_s = math.inf
+
+    def _note_fleet(self, now_s: float) -> None:
+        self._answered_s = self._tables.answered_s
+        # One that is cut off knows of fewer processes than there are.
+        answered_s = -math.inf if self._is_isolated() else self._answered_s
+        self._eras.note_holders([self._own, *self._fleet()], answered_s, now_s)
+
     def _gather(self, era: int, now_s: float) -> list[_Restored]:
         """Return the claims of this process that the store may have lost."""
         after_s = self._lost_after_s
@@ -189,13 +196,8 @@
         word = Confirmation(self._own.incarnation, era)
         if not self._put(self._own.node_id, word, era):
             return False
-        self._confirmed_era = era
-        self._lost_after_s = math.inf
-        self._events.emit(
-            "claims_restored",
-            era=era,
-            keys=len(claims),
-        )
+        self._note_confirmed(era)
+        self._events.emit("claims_restored", era=era, keys=len(claims))
         return True
 
     def _ran_here(self, held: HeldKey) -> _Restored:
--- a/tests/soak_crashes.py
+++ b/tests/soak_crashes.py
@@ -37,6 +37,7 @@
 # Seeds that failed once, with the cause.
 REGRESSION_SEEDS: dict[int, str] = {
     4: "five crashes of other reasons struck a request of seconds, and were enough",
+    11: "a cause that was once lost with another one had to crash three more",
     19: "a request with copies nearly everywhere was there at each crash of a wave",
     33: "ended starts counted as backend servers, and a wave as a calm time",
 }
--- a/tests/test_claims_restored.py
+++ b/tests/test_claims_restored.py
@@ -329,6 +329,12 @@
         eras.begin(3, 112.0)
         self.assertEqual({gone}, eras.missing({"here": Confirmation(1, 3)}))
 
+    def test_a_process_that_outbid_old_news_of_itself_confirms(self):
+        # Guards against an era that one node's higher incarnation leaves unsettled.
+        eras = self._eras(Holder("here", 3))
+        eras.begin(2, 50.0)
+        self.assertEqual(set(), eras.missing({"here": Confirmation(2, 2)}))
+
     def test_a_request_in_doubt_is_told_at_once(self):
         eras = self._eras(Holder("here", 1))
         eras.begin(2, 50.0)
