Blame nobody for fewer crashes than are expected

Found by reading: the chance of exactly as many crashes falls again where more are expected, so that a long request in a dense wave was the more to blame the less it was struck: 3 crashes where 50 are expected counted as impossible. As many as expected now speak against nobody.

--- a/balsamspindle/crashes/verdicts.py
+++ b/balsamspindle/crashes/verdicts.py
@@ -152,8 +152,15 @@
     window_s = hits[-1].at_s - hits[0].at_s + WAVE_S
     rate = case.crashes / (window_s * max(1, case.servers))
     expected = rate * sum(max(hit.ran_s, RAN_MIN_S) for hit in hits)
-    struck = expected**count * math.exp(-expected) / math.factorial(count)
-    return struck * _chance_of_same_time(hits)
+    return _chance_of_so_many(count, expected) * _chance_of_same_time(hits)
+
+
+def _chance_of_so_many(count: int, expected: float) -> float:
+    """Return how likely so many crashes, or more, strike where some are expected."""
+    if expected >= count:
+        return 1.0
+    # Of more still it is less than as much again.
+    return expected**count * math.exp(-expected) / math.factorial(count)
 
 
 def _chance_of_same_time(hits: Sequence[Hit]) -> float:
--- a/tests/test_crash_verdicts.py
+++ b/tests/test_crash_verdicts.py
@@ -5,6 +5,13 @@
 from balsamspindle.crashes.book import BLOCKED_S, CRASH_KEPT_S, CrashBook
 from balsamspindle.crashes.live_servers import count_live_servers
 from balsamspindle.crashes.records import Crash, CrashedRun, CrashNews, start_id
+from balsamspindle.crashes.verdicts import (
+    SAME_TIME_CHANCE_MIN,
+    Case,
+    Hit,
+    chance,
+    is_cause,
+)
 from balsamspindle.membership.directory import Placement
 from balsamspindle.wire import BackendServerRecord, NodeRecord
 from tests.crash_world import CrashWorld
@@ -334,6 +341,14 @@
     assert played.quarantined == [CAUSE]
 
 
+def test_fewer_crashes_than_expected_speak_against_nobody():
+    # Guards against a long request refused for being lost less often than others.
+    hits = [Hit(at_s, 10.0) for at_s in (0.0, 1.0, 2.0)]
+    case = Case(hits, crashes=60, servers=SERVERS)
+    assert chance(case) >= SAME_TIME_CHANCE_MIN
+    assert not is_cause(case)
+
+
 def test_starts_that_have_ended_are_no_backend_servers():
     # Guards against a rate of crashes that falls as more backend servers crash.
     nodes = [NodeRecord(f"n{one}", 1, 1, "r", "z", "-", "-", "alive") for one in "ab"]
