--- /dev/null
+++ b/tests/claim_world.py
@@ -0,0 +1,110 @@
+"""Processes that claim keys in a store which comes back from older copies."""
+
+import io
+import random
+import time
+
+from balsamspindle.backend_servers.ledger import RunLedger
+from balsamspindle.protocol.outcomes import Execution, Outcome
+from balsamspindle.requests.claim_eras import ClaimEras, Holder
+from balsamspindle.requests.claim_restorer import ClaimRestorer
+from balsamspindle.requests.claims import ClaimBook, GateIdentity, KeyClaimant
+from balsamspindle.timeline import EventLog, HybridClock
+from balsamspindle.wire import AttemptId, Claim, Dispatch, Reply
+from tests.restorable_store import RestorableStore, StoreView
+
+__all__ = ["KEY", "SERVICE", "Process", "World", "dispatch_of", "reply"]
+
+SERVICE, KEY = "crew/contracts", "sign-7"
+# Long enough that each process knows its fleet.
+STARTED_S = 100.0
+
+
+def dispatch_of(claim, key: str = KEY) -> Dispatch:
+    return Dispatch(
+        AttemptId("n", 1, 1), "id", SERVICE, "s", Execution.NON_IDEMPOTENT,
+        1.0, 1.0, "POST", "/", [], b"", 0, key, claim=claim,
+    )  # fmt: skip
+
+
+def reply(outcome, reason=None) -> Reply:
+    return Reply(AttemptId("n", 1, 1), outcome, reason)
+
+
+class PromptBook(ClaimBook):
+    """Calls a store that never hangs, without a thread."""
+
+    def _ask(self, deadline_s, call):
+        return call()
+
+
+EVENTS = EventLog("all", 1, HybridClock(), io.StringIO())
+
+
+class Process:
+    """One node: the gate's ledger, the ingress's claims, and the restorer."""
+
+    def __init__(
+        self, name: str, incarnation: int, world: "World", rng: random.Random
+    ) -> None:
+        self.gate = GateIdentity(name, incarnation)
+        self.view = StoreView(world.store, rng, lambda: world.now_s)
+        self.ledger = RunLedger(*self.gate)
+        eras = ClaimEras(on_wanted=world.want)
+        self.book = PromptBook(self.view, eras, lambda: world.now_s)
+        self.restorer = ClaimRestorer(
+            self.view,
+            Holder(*self.gate),
+            eras,
+            self.ledger.begin_era,
+            self.book.take_made,
+            lambda: [Holder(*one.gate) for one in world.processes.values()],
+            lambda: False,
+            EVENTS,
+        )
+
+    def claimant(self, key: str = KEY) -> KeyClaimant:
+        return KeyClaimant(self.book, SERVICE, key, time.monotonic() + 60)
+
+
+class World:
+    """A store and a few processes that have known each other for a while."""
+
+    def __init__(self, seed: int = 0, names: str = "abc") -> None:
+        self.rng = random.Random(seed)
+        self.store = RestorableStore()
+        self.now_s = 0.0
+        self.processes: dict[str, Process] = {}
+        for name in names:
+            self.replace(name)
+        self.step_all()
+        self.now_s = STARTED_S
+        self.step_all()
+
+    def want(self, era: int) -> None:
+        for process in self.processes.values():
+            process.restorer.want(era)
+
+    def replace(self, name: str) -> None:
+        """End a process and start another one in its place."""
+        before = self.processes.get(name)
+        incarnation = before.gate.incarnation + 1 if before else 1
+        self.processes[name] = Process(name, incarnation, self, self.rng)
+
+    def step_all(self) -> None:
+        """Let each process follow the store, a second after the last time."""
+        self.now_s += 1.0
+        for process in self.processes.values():
+            # As the settings do, from time to time.
+            process.view.read("settings", ["any"])
+            process.restorer.step(self.now_s)
+
+    def run_at(self, name: str, ingress: str = "c", key: str = KEY) -> Claim:
+        """Claim a key for a gate through an ingress, and run it there."""
+        gate = self.processes[name]
+        claim = self.processes[ingress].claimant(key).claim_for(gate.gate, self.now_s)
+        assert isinstance(claim, Claim), claim
+        dispatch = dispatch_of(claim, key)
+        assert gate.ledger.begin(dispatch, self.now_s) is None
+        gate.ledger.end(dispatch, reply(Outcome.ANSWERED), self.now_s)
+        return claim
