--- a/balsamspindle/requests/patience.py
+++ b/balsamspindle/requests/patience.py
@@ -8,7 +8,7 @@
 
 __all__ = ["Patience"]
 
-# Of a wait that took longer the rest was not the peer's.
+# A poll that takes longer was held up by this process, not by the peer.
 STEP_S = 0.05
 
 
