--- a/tests/soak_crashes.py
+++ b/tests/soak_crashes.py
@@ -19,6 +19,7 @@
 import http.client
 import itertools
 import random
+import re
 import signal
 import sys
 import threading
@@ -53,6 +54,9 @@
 GAP_MAX_S, HOLD_MIN_S, HOLD_MAX_S = 1.5, 0.3, 2.0
 CALL_TIMEOUT_S = 11.0
 SERVED_WITHIN_S = 30.0
+VERDICT_EVENTS = re.compile(
+    r"backend_server_crash|request_quarantined|quarantine_lifted"
+)
 
 
 @dataclass
@@ -135,6 +139,9 @@
                 self._play()
                 self._check()
                 self._wait_served()
+            except AssertionError:
+                self._print_verdicts()
+                raise
             finally:
                 for server in self._servers:
                     server.stop()
@@ -295,6 +302,12 @@
                 self.played,
             )
 
+    def _print_verdicts(self) -> None:
+        """Print what the nodes' logs tell of crashes and of who was blamed."""
+        for node in self._nodes:
+            lines = node.log_path.read_text(errors="replace").splitlines()
+            print(*(one for one in lines if VERDICT_EVENTS.search(one)), sep="\n")
+
     def _runs_after(self, cause: Cause) -> list[str]:
         """Return the runs that calm nodes sent on when all had to know."""
         crashed_s = sorted(cause.crashed_s)
