Count one pause once when it ends for one thread after the other

Reproduced: the listed test, unchanged, four at a time beside two soaks (load 19 to 28 on 5 cores): 4 of 48 failed, logs kept. Each was suspected by its own gate for two slow requests of one pause of 30 to 90 ms ("answered:2,slow:1, in_flight_too_long:1", slow over 27 ms), three of the four within one moment.

Cause: within pause_ms slow work counts once, unless newer work overtook it or good work came between. Threads that wait for a processor do not all go on at once, so a request that began in the same millisecond as the counted one was overtaken.

Ruled out: the cut link (the requests that counted did not use it), the gate's own standstill (it logged other requests meanwhile), the standstill rule (not in the evidence).

Change: work that began within 50 ms of what was counted last is not apart from it; nor is what follows good work that ended within 50 ms of that count.

--- a/balsamspindle/backend_servers/health_work.py
+++ b/balsamspindle/backend_servers/health_work.py
@@ -86,7 +86,9 @@
         self._slow_rate = LearnedRate(SLOW_SHARE)
         self._error_rate = LearnedRate(detection.error_rate_healthy)
         self._weight = 0.0
+        # When slow work was counted last, and when that work had begun.
         self._slow_s = float("-inf")
+        self._slow_started_s = float("-inf")
         self._good_started_s = float("-inf")
         self._good_s = float("-inf")
         self._stood_still_s = float("-inf")
@@ -300,6 +302,7 @@
         if paused and not self._is_apart(attempt, now_s):
             return
         self._slow_s = now_s
+        self._slow_started_s = attempt.started_s
         attempt.counted += 1
         age_ms = (now_s - attempt.started_s) * 1000
         self._slowest_counted_ms = max(self._slowest_counted_ms, age_ms)
@@ -311,9 +314,14 @@
 
         Either good work came between, or good work that started later has
         overtaken it. Work that ends at the same moment shows nothing: so it
-        does at the end of a pause.
+        does at the end of a pause. Nor does work that began at the same moment as
+        what was counted last: threads that wait for a processor are not all held up
+        for the same time.
         """
-        between = self._slow_s < self._good_s <= attempt.started_s
+        if abs(attempt.started_s - self._slow_started_s) < SAME_MOMENT_S:
+            return False
+        good_after_s = self._good_s - self._slow_s
+        between = good_after_s > SAME_MOMENT_S and self._good_s <= attempt.started_s
         overtaken = (
             self._good_started_s > attempt.started_s
             and now_s - self._good_s > SAME_MOMENT_S
