Take white space round a header's value for no part of it

Cause: llhttp drops white space before a value and keeps what follows, and the key was read as it came. Ruled out: the digest, which is over the bytes it is given. On the other side str.strip() also dropped control characters of a backend server's header (0x1C, 0x85, 0xA0), which are to be refused.

Change: one function trims space and tab (RFC 9110, 5.5, 5.6.3); callers' heads, backend servers' answers, the store's era and the load tool read through it.

Values between nodes are no headers.

--- a/balsamspindle/backend_servers/answers.py
+++ b/balsamspindle/backend_servers/answers.py
@@ -6,6 +6,7 @@
     HOP_BY_HOP_HEADERS,
     named_by_connection,
 )
+from balsamspindle.protocol.field_values import field_value
 from balsamspindle.protocol.header_names import DEFAULT_HEADER_NAMES, HeaderNames
 from balsamspindle.protocol.outcomes import CancelCause, Reason
 
@@ -113,8 +114,9 @@
         elif line in (b"\r\n", b"\n"):
             self._head_done = True
         elif not self._head_done:
-            name, _, value = line.decode("latin-1").partition(":")
-            self._headers.append((name.strip(), value.strip()))
+            line = line.removesuffix(b"\n").removesuffix(b"\r")
+            name, _, value = line.partition(b":")
+            self._headers.append((field_value(name), field_value(value)))
         # Else a trailer: it comes after the body and is no header.
 
     def on_body(self, chunk: bytes) -> int | None:
--- a/balsamspindle/load/caller.py
+++ b/balsamspindle/load/caller.py
@@ -9,6 +9,7 @@
 import pycurl
 
 from balsamspindle.load.schedule import ScheduledCall
+from balsamspindle.protocol.field_values import field_value
 from balsamspindle.protocol.header_names import DEFAULT_HEADER_NAMES
 from balsamspindle.protocol.outcomes import Execution, Outcome
 
@@ -124,7 +125,7 @@
     for line in headers:
         name, _, value = line.partition(b":")
         if name.lower() == wanted:
-            return value.strip().decode("latin-1")
+            return field_value(value.rstrip(b"\r\n"))
     return NO_ANSWER
 
 
--- a/balsamspindle/platform/store_calls.py
+++ b/balsamspindle/platform/store_calls.py
@@ -9,6 +9,7 @@
 import pycurl
 from expression import Error, Ok, Result
 
+from balsamspindle.protocol.field_values import field_value
 from balsamspindle.tables import Unknown, Unreachable
 
 __all__ = ["StoreAnswer", "Waits", "call_store"]
@@ -134,8 +135,8 @@
 def _take_era(line: bytes, eras: list[str]) -> None:
     """Keep the era that a line of a head tells."""
     name, _, value = line.partition(b":")
-    if name.strip().lower() == ERA_HEADER:
-        eras.append(value.strip().decode("latin-1"))
+    if name.lower() == ERA_HEADER:
+        eras.append(field_value(value.rstrip(b"\r\n")))
 
 
 def _open_socket(_purpose, address) -> socket.socket:
--- a/balsamspindle/requests/heads.py
+++ b/balsamspindle/requests/heads.py
@@ -14,6 +14,7 @@
     HOP_BY_HOP_HEADERS,
     named_by_connection,
 )
+from balsamspindle.protocol.field_values import field_value
 from balsamspindle.protocol.header_names import DEFAULT_HEADER_NAMES, HeaderNames
 from balsamspindle.protocol.outcomes import Reason
 
@@ -172,7 +173,8 @@
     headers: list[tuple[str, str]] = []
     noted: dict[str, str] = {}
     for raw_name, raw_value in raw_headers:
-        name, value = raw_name.decode("latin-1"), raw_value.decode("latin-1")
+        name = raw_name.decode("latin-1")
+        value = field_value(raw_value)
         lower = name.lower()
         if lower in rules.noted:
             _note(lower, value, noted, rules.single)
