Refuse on a request's head what its head decides

Cause: a request was read whole before its route and customer were looked up.

Change: the head is read first. Route, method, key and limit are decided on it (requests/admissions.py); a refusal goes out at once with `Connection: close`, and 100 only after the decision. With the body there keys and routes are looked at again: an upload may outlive its key. What was taken of the customer's limit is kept, or given back when the body never comes.

Ruled out: reading the body up to a bound and going on with the connection, which costs a caller its upload for nothing. Links between nodes carry whole requests and decide nothing on a head.

--- a/balsamspindle/requests/closing.py
+++ b/balsamspindle/requests/closing.py
@@ -12,6 +12,7 @@
 ACCEPT_PAUSE_S = 0.02
 LINGER_S = 1.0
 DISCARD_BYTES = 64 * 1024
+DISCARD_MAX_BYTES = 8 * 1024 * 1024
 
 SO_ATTACH_FILTER = 26
 # A classic packet filter over the TCP header: drop a segment that has SYN
@@ -78,14 +79,16 @@
     A close with unread bytes of the caller (a request that crossed our last
     answer, the rest of a refused body) makes the kernel send a reset, which
     throws away the answer before the caller has read it. So only the sending
-    side ends first, and the caller's bytes are read for a while.
+    side ends first, and the caller's bytes are read for a while, up to a bound.
     """
-    end_s = time.monotonic() + LINGER_S
+    end_s, discarded = time.monotonic() + LINGER_S, 0
     try:
         connection.shutdown(socket.SHUT_WR)
         while (left_s := end_s - time.monotonic()) > 0:
             connection.settimeout(left_s)
-            if not connection.recv(DISCARD_BYTES):
+            data = connection.recv(DISCARD_BYTES)
+            discarded += len(data)
+            if not data or discarded > DISCARD_MAX_BYTES:
                 break
     except OSError:
         # The caller is gone, or sends nothing and does not close.
--- a/balsamspindle/requests/http.py
+++ b/balsamspindle/requests/http.py
@@ -44,7 +44,13 @@
 
 @dataclass
 class CallerRequest:
-    """One whole request of a caller; fields as in `RequestHead`."""
+    """One request of a caller; fields as in `RequestHead`.
+
+    Attributes
+    ----------
+    is_whole : bool
+        Whether its body has been read, too.
+    """
 
     method: str = ""
     target: str = ""
@@ -54,6 +60,7 @@
     host: str = ""
     noted: dict[str, str] = field(default_factory=dict)
     key_digest: str | None = None
+    is_whole: bool = False
 
     @property
     def path(self) -> str:
@@ -113,16 +120,45 @@
         return bool(data)
 
     def read_request(self) -> CallerRequest | None:
-        """Return the request that has started; None when it is cut off.
+        """Return the request that has started, whole; None when it is cut off.
 
         Raises
         ------
         BadRequest
             When the bytes are no request that we take, or come too slowly.
         """
+        request = self.read_head()
+        return request if request is None or request.is_whole else self.read_body()
+
+    def read_head(self) -> CallerRequest | None:
+        """Return the request that has started, once its head is read.
+
+        Its body is there as well where it came with the head.
+
+        Raises
+        ------
+        BadRequest
+        """
+        give_up_s = time.monotonic() + self._limits.head_timeout_s
+        while not (self._complete or self._is_in_body()):
+            if not self._read_more(give_up_s):
+                return None
+        return self._complete.popleft() if self._complete else self._current
+
+    def read_body(self) -> CallerRequest | None:
+        """Return the request whose head was read, with its body.
+
+        Raises
+        ------
+        BadRequest
+        """
+        give_up_s = time.monotonic() + self._limits.body_timeout_s
         if not self._complete:
-            self._read_rest()
-        return self._complete.popleft() if self._complete else None
+            self._continue_if_expected()
+        while not self._complete:
+            if not self._read_more(give_up_s):
+                return None
+        return self._complete.popleft()
 
     def caller_gone(self) -> bool:
         """Tell whether the caller closed the connection; never waits."""
@@ -160,23 +196,20 @@
                 raise TimeoutError
             rest = rest[self._socket.send(rest) :]
 
-    def _read_rest(self) -> None:
-        limits = self._limits
-        head_deadline_s = time.monotonic() + limits.head_timeout_s
+    def _is_in_body(self) -> bool:
+        return self._started and self._head_done
+
+    def _read_more(self, give_up_s: float) -> bool:
+        """Read and parse what comes next; False when the caller ended."""
+        if self._failure is not None:
+            raise self._failure
         try:
-            while not self._complete:
-                if self._failure is not None:
-                    raise self._failure
-                deadline_s = head_deadline_s
-                if self._head_done:
-                    deadline_s += limits.body_timeout_s
-                    self._continue_if_expected()
-                data = self._receive(deadline_s - time.monotonic())
-                if not data:
-                    return
-                self._feed(data)
+            data = self._receive(give_up_s - time.monotonic())
         finally:
-            self._set_timeout(socket.SO_RCVTIMEO, limits.idle_timeout_s)
+            self._set_timeout(socket.SO_RCVTIMEO, self._limits.idle_timeout_s)
+        if data:
+            self._feed(data)
+        return bool(data)
 
     def _receive(self, timeout_s: float) -> bytes:
         # Each receive gets only what is left of the whole time: a caller that
@@ -199,7 +232,7 @@
         self._socket.setsockopt(socket.SOL_SOCKET, option, value)
 
     def _continue_if_expected(self) -> None:
-        if self._head.noted.pop("expect", None) is not None:
+        if self._failure is None and self._head.noted.pop("expect", None) is not None:
             self._socket.send(_CONTINUE)
 
     def _feed(self, data: bytes) -> None:
@@ -300,6 +333,10 @@
             parser.should_keep_alive() and parser.get_http_version() == "1.1"
         )
         self._check_body_bytes(int(self._head.noted.get("content-length", 0)))
+        method, target, host, headers, noted, key_digest = self._head
+        self._current = CallerRequest(
+            method, target, headers, b"", self._keep_alive, host, noted, key_digest
+        )
         self._head_done = True
 
     def on_body(self, body: bytes) -> None:
@@ -315,19 +352,9 @@
         if has_body and self._parser.should_upgrade():
             self._head_without_body = self._head
             return
-        method, target, host, headers, noted, key_digest = self._head
-        self._complete.append(
-            CallerRequest(
-                method,
-                target,
-                headers,
-                b"".join(self._body),
-                self._keep_alive,
-                host,
-                noted,
-                key_digest,
-            )
-        )
+        self._current.body = b"".join(self._body)
+        self._current.is_whole = True
+        self._complete.append(self._current)
         self._body = []
         self._started = False
 
--- a/balsamspindle/requests/ingress.py
+++ b/balsamspindle/requests/ingress.py
@@ -11,6 +11,7 @@
 from balsamspindle.customers import Admitted, CustomerGate, Refused
 from balsamspindle.metrics import Hop
 from balsamspindle.protocol.outcomes import Outcome, Reason
+from balsamspindle.requests.admissions import Admissions
 from balsamspindle.requests.caller_terms import CallerTerms, new_request_id
 from balsamspindle.requests.closing import close_listener, close_politely
 from balsamspindle.requests.connections import OpenConnections
@@ -18,12 +19,11 @@
 from balsamspindle.requests.forwarding import ForwardedRequest, Forwarder
 from balsamspindle.requests.heads import IDEMPOTENCY_KEY_HEADER, BadRequest
 from balsamspindle.requests.http import CallerRequest, HttpConnection
+from balsamspindle.requests.request_log import RequestLog, since_ms
 from balsamspindle.requests.siblings import Siblings
 from balsamspindle.requests.turning_away import TurningAway
 from balsamspindle.services.shares import ServiceShares
-from balsamspindle.settings.documents import RouteDocument
 from balsamspindle.settings.process import NodeSettings
-from balsamspindle.settings.routes import MethodNotAllowed
 from balsamspindle.settings.tree import CurrentConfiguration
 from balsamspindle.timeline import EventLog, submit_logged
 
@@ -32,7 +32,6 @@
 ACCEPT_POLL_S = 0.2
 ACCEPT_FAILED_PAUSE_S = 0.05
 BACKLOG = 512
-LOGGED_PATH_MAX = 256
 START_POLL_S = 0.02
 # Time for the first request of a connection that was open when the node left.
 FIRST_REQUEST_S = 1.0
@@ -70,7 +69,8 @@
         on_failure: Callable[[float], None] = lambda now_s: None,
         customers: CustomerGate | None = None,
     ) -> None:
-        self._customers = customers or CustomerGate(configuration)
+        customers = customers or CustomerGate(configuration)
+        self._admissions = Admissions(configuration, customers)
         self._on_failure = on_failure
         self._settings = settings
         self._terms = CallerTerms(settings, configuration)
@@ -82,10 +82,10 @@
         self._forwarder = forwarder
         self._executor = executor
         self._events = events
+        self._log = RequestLog(events, configuration)
         self._hold_until_s = 0.0
         self._is_ready: Callable[[], bool] = lambda: True
         self._leaving = threading.Event()
-        self._left_s = 0.0
         self._stopped = threading.Event()
         self._accepting = threading.Event()
         self._listener_closed = threading.Event()
@@ -129,7 +129,7 @@
     def leave(self) -> None:
         """Tell callers, with each answer, to use another connection."""
         if not self._leaving.is_set():
-            self._left_s = time.monotonic()
+            self._log.leaving_s = time.monotonic()
         self._leaving.set()
 
     def stop(self) -> None:
@@ -196,7 +196,7 @@
             started = caller.wait_for_start()
             was_shut = self._connections.set_busy(connection)
             try:
-                request = caller.read_request() if started else None
+                request, decided = self._read(caller) if started else (None, None)
             except BadRequest as error:
                 self._refuse(caller, error.reason, error.detail)
                 return
@@ -206,47 +206,73 @@
                     # caller is told so, where a reset would leave it in doubt.
                     self._refuse(caller, self._closing_reason())
                 return
-            keep_alive = self._serve_request(caller, request) and not was_shut
+            keep_alive = self._serve_request(caller, request, decided) and not was_shut
+
+    def _read(
+        self, caller: HttpConnection
+    ) -> tuple[CallerRequest | None, Admitted | Refused | None]:
+        """Read a request, and decide on it where its body is yet to come.
+
+        One that is refused on its head is returned without its body.
+        """
+        request = caller.read_head()
+        if request is None or request.is_whole:
+            return request, None
+        self._hold()
+        decided = self._admissions.decide(request, time.monotonic())
+        if isinstance(decided, Refused):
+            return request, decided
+        whole = None
+        try:
+            whole = caller.read_body()
+        finally:
+            if whole is None:
+                self._admissions.give_back(decided)
+        return whole, decided
 
     def _is_too_late(self) -> bool:
         """Tell whether most of the time for an orderly end has passed."""
         if not self._leaving.is_set():
             return False
-        passed_s = time.monotonic() - self._left_s
+        passed_s = time.monotonic() - self._log.leaving_s
         return passed_s > LAST_READ_PART * self._settings.shutdown_timeout_s
 
     def _closing_reason(self) -> Reason:
         return Reason.NODE_LEAVING if self._leaving.is_set() else Reason.GAVE_WAY
 
-    def _serve_request(self, caller, request: CallerRequest) -> bool:
-        """Answer one request; False when the connection ends with it."""
+    def _serve_request(
+        self,
+        caller,
+        request: CallerRequest,
+        decided: Admitted | Refused | None = None,
+    ) -> bool:
+        """Answer one request; False when the connection ends with it.
+
+        Parameters
+        ----------
+        decided : Admitted or Refused or None
+            On its head, before its body came.
+        """
         received_s = time.monotonic()
         request_id = self._terms.request_id(request)
         content = content_id(request, self._names)
-        self._events.emit(
-            "request_received",
-            request=request_id,
-            method=request.method,
-            path=request.path[:LOGGED_PATH_MAX],
-            content=f"{content:016x}",
-        )
+        self._log.received(request_id, request, content)
         if self._is_too_late():
             # A long one would be broken off when the time for an orderly end
             # is over, with a backend server at work on it.
-            answer = self._problem(request, request_id, Reason.NODE_STOPPING)
+            if isinstance(decided, Admitted):
+                self._admissions.give_back(decided)
+            refused = Refused(Reason.NODE_STOPPING)
+            answer = self._problem(request, request_id, refused)
             self._write(caller, request_id, answer)
             return False
         self._hold()
-        match self._find_route(request):
-            case Reason() as reason:
-                answer = self._problem(request, request_id, reason)
-            case MethodNotAllowed(methods):
-                answer = self._problem(
-                    request, request_id, Reason.METHOD_NOT_ALLOWED, allow=methods
-                )
-            case RouteDocument() as route:
-                answer = self._admit(
-                    caller, request, request_id, route, received_s, content
+        match self._decide(request, decided):
+            case Refused() as refused:
+                answer = self._problem(request, request_id, refused)
+            case Admitted() as admitted:
+                answer = self._forward(
+                    caller, request, request_id, admitted, received_s, content
                 )
         # Before the answer goes out, like the request's outcome: a caller that has
         # its answer finds it counted.
@@ -260,31 +286,23 @@
             time.sleep(START_POLL_S)
 
     def _settle_keep_alive(self, request: CallerRequest) -> bool:
-        """Decide as late as can be whether the connection goes on."""
-        request.keep_alive = request.keep_alive and not self._leaving.is_set()
-        return request.keep_alive
+        """Decide as late as can be whether the connection goes on.
 
-    def _find_route(self, request) -> RouteDocument | MethodNotAllowed | Reason:
-        configuration = self._configuration.get()
-        if configuration is None:
-            return Reason.NO_SETTINGS
-        return configuration.routes.find(request.host, request.path, request.method)
+        Behind a body that was not read nobody can tell where a request begins.
+        """
+        goes_on = request.is_whole and not self._leaving.is_set()
+        request.keep_alive = request.keep_alive and goes_on
+        return request.keep_alive
 
-    def _admit(self, caller, request, request_id, route, received_s, content) -> bytes:
-        """Find out who asks, and forward the request or refuse it at once."""
-        match self._customers.admit(route, request.key_digest, time.monotonic()):
-            case Refused() as refused:
-                return self._problem(
-                    request,
-                    request_id,
-                    refused.reason,
-                    retry_after_ms=refused.retry_after_ms,
-                    customer=refused.customer,
-                )
-            case Admitted() as admitted:
-                return self._forward(
-                    caller, request, request_id, admitted, received_s, content
-                )
+    def _decide(
+        self, request: CallerRequest, decided: Admitted | Refused | None
+    ) -> Admitted | Refused:
+        match decided:
+            case Refused():
+                return decided
+            case Admitted():
+                return self._admissions.confirm(request, decided, time.monotonic())
+        return self._admissions.decide(request, time.monotonic())
 
     def _forward(
         self, caller, request, request_id, admitted: Admitted, received_s, content
@@ -293,8 +311,9 @@
         try:
             timeout_ms = self._terms.timeout_ms(request, route)
         except BadRequest as error:
-            self._customers.give_back(admitted)
-            return self._problem(request, request_id, error.reason, error.detail)
+            self._admissions.give_back(admitted)
+            refused = Refused(error.reason)
+            return self._problem(request, request_id, refused, error.detail)
         # The backend server's log can be matched with the time line.
         request.headers.append((self._names.request_id, request_id))
         route = self._shares.choose(route)
@@ -318,8 +337,8 @@
             # beside this node, which fails in turn a moment later.
             self._on_failure(time.monotonic())
         if reply.outcome is Outcome.NOT_RUN:
-            self._customers.give_back(admitted)
-        self._note_end(
+            self._admissions.give_back(admitted)
+        self._log.ended(
             request_id,
             reply.outcome,
             reply.reason,
@@ -329,7 +348,7 @@
             attempts=forwarded.attempts,
             sends=forwarded.sends,
             left_ms=round((forwarded.deadline_s - time.monotonic()) * 1000),
-            after_cut_ms=_since_ms(forwarded.cut_s),
+            after_cut_ms=since_ms(forwarded.cut_s),
             stopped_by=None if forwarded.cut_s is None else forwarded.stopped_by,
             customer=admitted.name or None,
         )
@@ -339,16 +358,10 @@
         )
 
     def _problem(
-        self,
-        request,
-        request_id,
-        reason,
-        detail=None,
-        allow=(),
-        retry_after_ms=0.0,
-        customer="",
+        self, request, request_id, refused: Refused, detail: str | None = None
     ) -> bytes:
-        self._note_end(request_id, Outcome.NOT_RUN, reason, customer=customer or None)
+        reason, retry_after_ms, customer, allow = refused
+        self._log.ended(request_id, Outcome.NOT_RUN, reason, customer=customer or None)
         return self._terms.encode_problem(
             reason,
             Outcome.NOT_RUN,
@@ -363,7 +376,7 @@
     def _refuse(self, caller, reason: Reason, detail: str | None = None) -> None:
         """Answer what is no request, and end the connection."""
         request_id = new_request_id()
-        self._note_end(request_id, Outcome.NOT_RUN, reason)
+        self._log.ended(request_id, Outcome.NOT_RUN, reason)
         answer = self._terms.encode_problem(
             reason,
             Outcome.NOT_RUN,
@@ -373,27 +386,9 @@
         )
         self._write(caller, request_id, answer)
 
-    def _note_end(self, request_id, outcome, reason, status=None, **decided) -> None:
-        left_s = self._left_s if self._leaving.is_set() else None
-        self._events.emit(
-            "request_ended",
-            request=request_id,
-            outcome=outcome,
-            cause=reason,
-            status=status or None,
-            settings_revision=self._configuration.revision,
-            leaving_ms=_since_ms(left_s),
-            **decided,
-        )
-
     def _write(self, caller: HttpConnection, request_id: str, answer: bytes) -> None:
         try:
             caller.write(answer)
         except OSError as error:
-            # What was done stays done, and the caller does not know of it.
-            self._events.emit("answer_not_delivered", request=request_id, cause=error)
+            self._log.not_delivered(request_id, error)
             raise
-
-
-def _since_ms(began_s: float | None) -> int | None:
-    return None if began_s is None else round((time.monotonic() - began_s) * 1000)
--- a/bench/caller_heads.py
+++ b/bench/caller_heads.py
@@ -8,7 +8,8 @@
   forwarder that answers at once;
 - ``werkzeug``: werkzeug's own request handler before a small WSGI application.
 
-The caller's own send and receive are part of every figure.
+The caller's own send and receive are part of every figure. Besides: how much of a body
+of 1 MB is read before a request that is refused on its head has its answer.
 
 ::
 
@@ -26,6 +27,7 @@
 from werkzeug.serving import WSGIRequestHandler
 from werkzeug.wrappers import Request, Response
 
+from balsamspindle.customers import Refused
 from balsamspindle.protocol import Outcome
 from balsamspindle.requests.answers import encode_answer
 from balsamspindle.requests.http import HttpConnection, HttpLimits
@@ -40,6 +42,7 @@
 REQUEST = encode_request(Target("127.0.0.1:8080", "/contracts/7?full=1"))
 ROUNDS = 3
 RECEIVE_BYTES = 64 * 1024
+LARGE_BODY_BYTES = 1_000_000
 
 
 class QuietHandler(WSGIRequestHandler):
@@ -132,6 +135,28 @@
     return used_us
 
 
+def refused_body_bytes() -> int:
+    """Return how much of a body is read before its request's head is refused."""
+    fixture = IngressFixture()
+    caller, served = socket.socketpair()
+    with caller, served:
+        try:
+            connection = HttpConnection(served, HttpLimits())
+            head = b"POST /nowhere HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
+            caller.sendall(head % LARGE_BODY_BYTES)
+            sent = 0
+            connection.wait_for_start()
+            request, decided = fixture.ingress._read(connection)
+            while not isinstance(decided, Refused):
+                sent += caller.send(bytes(RECEIVE_BYTES))
+                request, decided = fixture.ingress._read(connection)
+            fixture.ingress._serve_request(connection, request, decided)
+            assert b" 404 " in caller.recv(RECEIVE_BYTES)
+        finally:
+            fixture.close()
+    return sent
+
+
 def _answer_at_once(forwarded):
     return Reply(
         AttemptId("bench", 1, 1),
@@ -164,6 +189,7 @@
         return
     for name, used_us in figures.items():
         print(f"{name:12} {used_us:7.1f} us of CPU for a request")
+    print(f"refused on its head: {refused_body_bytes()} of {LARGE_BODY_BYTES} B read")
 
 
 if __name__ == "__main__":
--- a/tests/caller_side.py
+++ b/tests/caller_side.py
@@ -129,7 +129,9 @@
 class IngressFixture:
     """A running ingress; `changes` replace fields of the node's settings."""
 
-    def __init__(self, documents=DOCUMENTS, freshness=None, **changes) -> None:
+    def __init__(
+        self, documents=DOCUMENTS, freshness=None, limiter=None, **changes
+    ) -> None:
         address = free_address()
         settings = NodeSettings(
             **{
@@ -148,7 +150,7 @@
         self.log = StringIO()
         self.events = EventLog("node-1", 1, HybridClock(), self.log)
         self.forwarder = EchoForwarder()
-        configuration = CurrentConfiguration()
+        configuration = self.configuration = CurrentConfiguration()
         assert configuration.offer(1, documents) is Applied.IN_FORCE
         self.executor = ThreadPoolExecutor(settings.connections_max)
         self.ingress = Ingress(
@@ -157,7 +159,7 @@
             self.forwarder,
             self.executor,
             self.events,
-            customers=CustomerGate(configuration, freshness),
+            customers=CustomerGate(configuration, freshness, limiter),
         )
         self._task = threading.Thread(target=self.ingress.run)
         self._task.start()
--- a/tests/test_customers_processes.py
+++ b/tests/test_customers_processes.py
@@ -9,6 +9,7 @@
 from balsamspindle.platform import HttpTableService
 from balsamspindle.protocol.api_keys import key_digest
 from balsamspindle.settings.store import SettingsStore
+from tests.caller_side import RawCaller
 from tests.test_whole_path import SETTINGS
 from tests.utils import Fleet, call, try_call, wait_until
 
@@ -69,6 +70,23 @@
             self.assertNotIn(key, logs)
         self.assertNotIn(KEY, json.dumps([node.status() for node in self.nodes]))
 
+    def test_each_node_decides_on_the_head(self):
+        # Guards against a refusal that waits for a body, and a key with a space after.
+        self._wait_served()
+        for node in self.nodes:
+            for key, status in (("k-nobody", 401), (f"{KEY} \t", 200)):
+                caller = RawCaller(node.caller_address)
+                self.addCleanup(caller.close)
+                caller.send(
+                    f"GET /contracts/7 HTTP/1.1\r\nHost: a\r\n{HEADER}: {key}\r\n"
+                    "Expect: 100-continue\r\nContent-Length: 3\r\n\r\n".encode()
+                )
+                first = caller.read()
+                if status == 200:
+                    self.assertEqual(100, first.status)
+                    first = caller.send(b"abc").read()
+                self.assertEqual(status, first.status)
+
     def test_a_key_that_was_taken_away_is_not_served_after_the_bound(self):
         # Guards against nodes that serve it on: paused, and in touch.
         self._wait_served()
--- /dev/null
+++ b/tests/test_refused_on_head.py
@@ -0,0 +1,144 @@
+"""What is refused on a request's head is refused before its body comes."""
+
+import json
+import time
+
+from testtools import TestCase
+
+from balsamspindle.customers.buckets import Denied
+from balsamspindle.customers.limits import Granted
+from balsamspindle.protocol.header_names import HeaderNames
+from tests.caller_side import DOCUMENTS, IngressFixture
+from tests.test_customer_keys import customer
+from tests.utils import wait_until
+
+NAMES = HeaderNames(api_key="X-Key", customer="X-Customer")
+KEY, LIMITED_KEY = "k-anna-3c11", "k-ben-70fd"
+SIGN = {**json.loads(DOCUMENTS["crew/routes/sign"]), "allows_anonymous": False}
+KEYED = {
+    **DOCUMENTS,
+    "crew/routes/sign": json.dumps(SIGN).encode(),
+    "crew/customers/anna": customer("Anna", KEY),
+    "crew/customers/ben": customer("Ben", LIMITED_KEY, rate_per_s=1.0, burst=2.0),
+}
+EXPECT = "Expect: 100-continue"
+# Far less than the time that a body may take.
+AT_ONCE_S = 5.0
+
+
+def head(*headers: str, target: str = "/contracts/7", method: str = "POST") -> bytes:
+    lines = [f"{method} {target} HTTP/1.1", "Host: crew.example", *headers, "", ""]
+    return "\r\n".join(lines).encode()
+
+
+class CountingLimiter:
+    """Grants so many requests; counts those that are out."""
+
+    def __init__(self, tokens: int) -> None:
+        self.tokens = tokens
+
+    def acquire(self, customer, revision):
+        """See `balsamspindle.customers.limits.Limiter`."""
+        if not customer.rate_per_s:
+            return Granted(customer.name, is_limited=False)
+        if not self.tokens:
+            return Denied(1.0)
+        self.tokens -= 1
+        return Granted(customer.name)
+
+    def give_back(self, granted):
+        """See `balsamspindle.customers.limits.Limiter`."""
+        self.tokens += granted.is_limited
+
+
+class RefusedOnHeadTests(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.limiter = CountingLimiter(tokens=2)
+        self.fixture = IngressFixture(
+            KEYED,
+            limiter=self.limiter,
+            headers=NAMES,
+            request_body_max_bytes=100_000,
+            request_body_timeout_s=60.0,
+        )
+        self.addCleanup(self.fixture.close)
+
+    def _refused(self, data: bytes):
+        """Send a head, and no body; return the answer that comes all the same."""
+        began_s = time.monotonic()
+        caller = self.fixture.caller().send(data)
+        answer = caller.read()
+        self.assertLess(time.monotonic() - began_s, AT_ONCE_S)
+        self.assertEqual("close", answer.one("connection"))
+        self.assertTrue(caller.at_end())
+        caller.close()
+        self.assertEqual([], self.fixture.forwarder.forwarded)
+        return answer
+
+    def test_a_head_that_is_refused_is_answered_before_its_body_comes(self):
+        # Guards against a refusal that waits for the body of the request.
+        key = f"X-Key: {KEY}"
+        for length in ("Content-Length: 3", "Transfer-Encoding: chunked"):
+            for expect in ((), (EXPECT,)):
+                refused = {
+                    401: head(length, *expect),
+                    404: head(length, key, *expect, target="/nowhere"),
+                    405: head(length, key, *expect, method="PUT"),
+                }
+                for status, data in refused.items():
+                    self.assertEqual(status, self._refused(data).status)
+                unknown = head(length, "X-Key: k-nobody", *expect)
+                self.assertEqual(401, self._refused(unknown).status)
+        large = head("Content-Length: 100001", key, EXPECT)
+        self.assertEqual(413, self._refused(large).status)
+
+    def test_a_limit_that_is_used_up_is_told_before_the_body_comes(self):
+        self.limiter.tokens = 0
+        answer = self._refused(head("Content-Length: 3", f"X-Key: {LIMITED_KEY}"))
+        self.assertEqual(429, answer.status)
+        self.assertIsNotNone(answer.one("retry-after"))
+
+    def test_a_request_that_may_run_is_told_to_go_on(self):
+        # Guards against an upload that waits for a word which does not come.
+        data = head("Content-Length: 3", f"X-Key: {KEY}", EXPECT)
+        caller = self.fixture.caller().send(data)
+        self.assertEqual(100, caller.read().status)
+        answer = caller.send(b"abc").read()
+        self.assertEqual((200, "abc"), (answer.status, answer.json()["body"]))
+
+    def test_the_answer_is_not_lost_when_the_body_comes_all_the_same(self):
+        # Guards against a reset that throws the refusal away.
+        body = b"x" * 90_000
+        caller = self.fixture.caller().send(head(f"Content-Length: {len(body)}"))
+        caller.send(body)
+        self.assertEqual(401, caller.read().status)
+        self.assertTrue(caller.at_end())
+
+    def test_a_body_that_does_not_come_costs_its_customer_nothing(self):
+        # Guards against callers that use up a limit with requests that never run.
+        data = head("Content-Length: 3", f"X-Key: {LIMITED_KEY}", EXPECT)
+        for rest in (b"", b"ab"):
+            caller = self.fixture.caller().send(data)
+            self.assertEqual(100, caller.read().status)
+            self.assertEqual(1, self.limiter.tokens)
+            caller.send(rest).close()
+            wait_until(lambda: self.limiter.tokens == 2, "it is given back")
+
+    def test_a_whole_request_is_counted_once(self):
+        data = head("Content-Length: 3", f"X-Key: {LIMITED_KEY}")
+        caller = self.fixture.caller().send(data)
+        wait_until(lambda: self.limiter.tokens == 1, "its head was read")
+        self.assertEqual(200, caller.send(b"abc").read().status)
+        self.assertEqual(1, self.limiter.tokens)
+
+    def test_a_key_that_ends_while_the_body_comes_runs_nothing(self):
+        # Guards against a decision on the head that outlives its key.
+        data = head("Content-Length: 3", f"X-Key: {LIMITED_KEY}", EXPECT)
+        caller = self.fixture.caller().send(data)
+        self.assertEqual(100, caller.read().status)
+        without = {**KEYED, "crew/customers/ben": customer("Ben")}
+        self.fixture.configuration.offer(2, without)
+        self.assertEqual(401, caller.send(b"abc").read().status)
+        self.assertEqual([], self.fixture.forwarder.forwarded)
+        self.assertEqual(2, self.limiter.tokens)
