Split the store's stand-in and the tests of health

The faults go to store_faults.py, the tests of pauses to test_health_pauses.py, and what drives both to health_driver.py.

--- a/balsamspindle/standins/platform.py
+++ b/balsamspindle/standins/platform.py
@@ -26,7 +26,6 @@
 import random
 import threading
 import time
-from enum import StrEnum
 from typing import NamedTuple
 
 import msgspec
@@ -34,6 +33,12 @@
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
 
+from balsamspindle.standins.store_faults import (
+    FaultMode,
+    FaultSwitch,
+    decode_faults,
+    take_fault,
+)
 from balsamspindle.standins.store_rows import (
     Address,
     StoredRow,
@@ -41,58 +46,13 @@
     check_transaction,
 )
 
-__all__ = ["FaultMode", "FaultSwitch", "StandinPlatform"]
+__all__ = ["StandinPlatform"]
 
 ROWS_MAX = 500
 NAMES_MAX = 1000
 WAIT_MAX_MS = 30_000
 
 
-class FaultMode(StrEnum):
-    """How the stand-in misbehaves."""
-
-    NONE = "none"
-    DOWN = "down"
-    BUSY = "busy"
-    REFUSE = "refuse"
-    SLOW = "slow"
-    STALL = "stall"
-    LOST_REPLY = "lost_reply"
-    LATE = "late"
-
-
-class FaultSwitch(msgspec.Struct):
-    """One fault.
-
-    Attributes
-    ----------
-    mode : FaultMode
-        ``down`` answers 503, ``busy`` 429, ``refuse`` closes the connection
-        without an effect, ``slow`` takes effect after a delay, ``stall`` does
-        so although the caller has long given up, ``lost_reply`` takes effect
-        and closes the connection, ``late`` closes the connection and takes
-        effect after a delay.
-    count : int or None
-        Calls that meet it; None until the faults are changed.
-    delay_s : float
-        Delay of ``slow``, ``stall`` and ``late``.
-    endpoint : str or None
-        ``read``, ``scan`` (a read without a range), ``transact``, ``feed``,
-        ``parts`` or ``object``; None for all.
-    probability : float
-        Part of the calls that meet it.
-    caller_ip : str or None
-        Only calls from this address meet it: the store turns one machine away.
-    """
-
-    mode: FaultMode = FaultMode.NONE
-    count: int | None = None
-    delay_s: float = 1.0
-    endpoint: str | None = None
-    probability: float = 1.0
-    caller_ip: str | None = None
-
-
 _URLS = Map(
     [
         Rule("/rows-tx", endpoint="transact", methods=["POST"]),
@@ -257,22 +217,12 @@
     def _take_fault(self, endpoint, caller_ip) -> FaultSwitch:
         with self._changed:
             self._calls[endpoint] = self._calls.get(endpoint, 0) + 1
-            for fault in self._switches:
-                if fault.endpoint not in (None, endpoint) or fault.count == 0:
-                    continue
-                if fault.caller_ip not in (None, caller_ip):
-                    continue
-                if self._random.random() >= fault.probability:
-                    continue
-                if fault.count is not None:
-                    fault.count -= 1
-                return fault
-        return FaultSwitch()
+            return take_fault(self._switches, endpoint, caller_ip, self._random)
 
     # Calls for tests alone.
 
     def _faults(self, request):
-        self.set_faults(*_decode_faults(request.get_data()))
+        self.set_faults(*decode_faults(request.get_data()))
         return _json({})
 
     def _counts(self, _request):
@@ -418,11 +368,6 @@
     return 0 if row is None else row.ver
 
 
-def _decode_faults(body: bytes) -> list[FaultSwitch]:
-    faults = msgspec.json.decode(body, type=FaultSwitch | list[FaultSwitch])
-    return faults if isinstance(faults, list) else [faults]
-
-
 def _json(value, status=200):
     body = msgspec.json.encode(value)
     return Response(body, status=status, mimetype="application/json")
--- /dev/null
+++ b/tests/health_driver.py
@@ -0,0 +1,52 @@
+"""Evidence for the health of one backend server, in steps of time."""
+
+from balsamspindle.backend_servers.evidence import WorkResult
+from balsamspindle.backend_servers.health import ServerHealth
+from balsamspindle.backend_servers.health_verdicts import Verdict
+from balsamspindle.settings.documents import Detection
+from balsamspindle.wire import AttemptId, PeerEvidence
+
+__all__ = ["ANSWERED", "ERROR", "PEERS_WELL", "Driver"]
+
+ANSWERED, ERROR = WorkResult.ANSWERED, WorkResult.ERROR
+PEERS_WELL = PeerEvidence(heard=5, bad=0, limit_ms=40.0)
+INTERVAL_S = 0.5
+
+
+class Driver:
+    """Feeds one `ServerHealth` a request every `INTERVAL_S`."""
+
+    def __init__(self, detection=None, peers=PEERS_WELL) -> None:
+        self.health = ServerHealth(detection or Detection(threshold=7.0), 0.0)
+        self.peers = peers
+        self.now_s = 0.0
+        self.count = 0
+
+    def start(self) -> AttemptId:
+        self.count += 1
+        attempt_id = AttemptId("node", 1, self.count)
+        self.health.note_peers(self.peers, self.now_s)
+        self.health.started(attempt_id, self.now_s)
+        return attempt_id
+
+    def work(self, result=ANSWERED, latency_ms=20.0, times=1) -> Verdict:
+        """Run requests one after the other."""
+        for _ in range(times):
+            attempt_id = self.start()
+            self.now_s += latency_ms / 1000
+            self.health.tick(self.now_s)
+            verdict = self.health.ended(attempt_id, result, self.now_s)
+            self.now_s += INTERVAL_S
+        return verdict
+
+    def wait(self, seconds: float) -> None:
+        for _ in range(int(seconds / 0.05)):
+            self.now_s += 0.05
+            self.health.tick(self.now_s)
+
+    def requests_until(self, phase, limit=100, **work) -> int:
+        for number in range(limit):
+            if self.health.phase is phase:
+                return number
+            self.work(**work)
+        raise AssertionError(f"not {phase} after {limit} requests")
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -6,7 +6,7 @@
 from testtools import TestCase
 
 from balsamspindle.platform import HttpObjectStore
-from balsamspindle.standins.platform import FaultMode, FaultSwitch
+from balsamspindle.standins.store_faults import FaultMode, FaultSwitch
 from balsamspindle.tables import (
     Changes,
     Check,
--- a/tests/test_settings_races.py
+++ b/tests/test_settings_races.py
@@ -34,7 +34,7 @@
     new_operation_id,
 )
 from balsamspindle.settings.tree import Configuration, CurrentConfiguration
-from balsamspindle.standins.platform import FaultMode, FaultSwitch
+from balsamspindle.standins.store_faults import FaultMode, FaultSwitch
 from balsamspindle.tables import TableService, Unknown, Unreachable
 from tests.settings_utils import PlatformServer, node_record
 from tests.utils import call
