--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -10,6 +10,7 @@
 
 from bench.capacity import (
     bad_days,
+    customers,
     in_force,
     joining,
     look_ups,
@@ -25,6 +26,7 @@
 BASELINE = Path(__file__).parent.parent / "baselines" / "capacity.json"
 PARTS = {
     "memory": memory.measure,
+    "customers": customers.measure,
     "look_ups": look_ups.measure,
     "members": members.measure,
     "bad_days": bad_days.measure,
--- /dev/null
+++ b/bench/capacity/customers.py
@@ -0,0 +1,110 @@
+"""What customers cost a node, by how many there are: two keys each.
+
+Each size is filled in a fresh interpreter, as in `bench.capacity.memory`.
+"""
+
+import gc
+import json
+import subprocess
+import sys
+import time
+
+import msgspec
+
+from balsamspindle.node.process import NodeProcess
+from balsamspindle.protocol.api_keys import key_digest
+from balsamspindle.settings.tree import Applied, CurrentConfiguration
+from balsamspindle.wire.settings_messages import SettingsDelta
+from bench.capacity.memory import resident_bytes
+from bench.capacity.sizes import LONG_RUN
+from bench.capacity.slopes import fit_line
+from bench.capacity.synthetic import TEAMS
+
+__all__ = ["measure"]
+
+CHAIN = "0" * 32
+SHARES = (0.1, 0.25, 0.5)
+CHANGES = 20
+FINDS = 10_000
+
+
+def measure() -> dict[str, float]:
+    """Return memory, load and the cost of one changed key at the long-run size."""
+    samples = [_in_fresh_process(round(LONG_RUN.customers * x)) for x in SHARES]
+    memory, load, change = (
+        fit_line([(s["customers"], s[name]) for s in samples])
+        for name in ("state_bytes", "load_cpu_s", "change_cpu_ms")
+    )
+    return {
+        "measured_customers": samples[-1]["customers"],
+        "bytes_per_customer": memory.slope,
+        "memory_mb": memory.at(LONG_RUN.customers) / 1e6,
+        "load_cpu_s": load.at(LONG_RUN.customers),
+        "change_cpu_ms": change.at(LONG_RUN.customers),
+        "find_us": samples[-1]["find_us"],
+    }
+
+
+def _in_fresh_process(customers: int) -> dict[str, float]:
+    command = [sys.executable, "-m", "bench.capacity.customers", str(customers)]
+    answer = subprocess.run(command, check=True, capture_output=True, text=True)
+    return json.loads(answer.stdout)
+
+
+def _document(number: int, generation: int = 0) -> tuple[str, bytes]:
+    keys = [key_digest(f"key-{number}-{one}-{generation}") for one in range(2)]
+    document = {
+        "name": f"customer-{number:07d}",
+        "key_digests": keys,
+        "rate_per_s": 20.0,
+        "burst": 40.0,
+    }
+    path = f"team-{number % TEAMS:03d}/customers/customer-{number:07d}"
+    return path, msgspec.json.encode(document)
+
+
+def _sample(customers: int) -> dict[str, float]:
+    gc.collect()
+    imported = resident_bytes()
+    documents = dict(_document(number) for number in range(customers))
+    configuration = CurrentConfiguration()
+    started_s = time.process_time()
+    assert configuration.offer(1, documents, CHAIN) is Applied.IN_FORCE
+    load_cpu_s = time.process_time() - started_s
+    del documents
+    gc.collect()
+    return {
+        "customers": customers,
+        "state_bytes": resident_bytes() - imported,
+        "load_cpu_s": load_cpu_s,
+        "change_cpu_ms": _change_cpu_ms(configuration),
+        "find_us": _find_us(configuration, customers),
+    }
+
+
+def _change_cpu_ms(configuration: CurrentConfiguration) -> float:
+    deltas = [
+        SettingsDelta(2 + number, CHAIN, CHAIN, dict([_document(number, 1)]), 1)
+        for number in range(CHANGES)
+    ]
+    started_s = time.process_time()
+    for delta in deltas:
+        assert configuration.apply([delta]) is Applied.IN_FORCE
+    return (time.process_time() - started_s) / CHANGES * 1000
+
+
+def _find_us(configuration: CurrentConfiguration, customers: int) -> float:
+    table = configuration.get().customers
+    step = max(1, customers // FINDS)
+    digests = [
+        key_digest(f"key-{number}-1-0") for number in range(CHANGES, customers, step)
+    ]
+    started_s = time.process_time()
+    for digest in digests:
+        assert table.find(digest) is not None
+    return (time.process_time() - started_s) / len(digests) * 1e6
+
+
+if __name__ == "__main__":
+    assert NodeProcess, "the whole node is imported, as in a real process"
+    print(json.dumps(_sample(int(sys.argv[1]))))
--- a/bench/capacity/rows.py
+++ b/bench/capacity/rows.py
@@ -41,6 +41,8 @@
 LOOK_UP_US = 100.0
 # Open files that most distributions let a process have.
 FILES_MAX = 1024
+# All changes of a day would take the whole of what control may take.
+CHANGED_KEY_MS = LIMITS.control_cpu_percent / 100 * 1000 / SETTINGS_CHANGES_PER_S
 
 
 class Row(NamedTuple):
@@ -86,6 +88,7 @@
     return [
         *_request_rows(measured["processes"], measured["look_ups"]),
         *_node_rows(measured["processes"], measured["memory"]),
+        *_customer_rows(measured["customers"]),
         *_member_rows(measured["members"], measured["bad_days"]),
         *_settings_rows(
             measured["settings"], measured["members"], measured["processes"]
@@ -178,6 +181,34 @@
     ]
 
 
+def _customer_rows(customers) -> list[Row]:
+    measured = f"{customers['measured_customers']:,.0f} customers in one process"
+    per_customer = f"{customers['bytes_per_customer']:.0f} bytes"
+    return [
+        Row(
+            "node",
+            "memory of 910,000 customers with two keys each, beside all else",
+            "MB",
+            LIMITS.memory_mb,
+            customers["memory_mb"],
+            "each node holds all customers' documents and key digests",
+            measured,
+            f"each customer ({per_customer}); next: digests alone in one packed"
+            " table, documents read when a key is used",
+        ),
+        Row(
+            "node",
+            "processor for one changed key",
+            "ms",
+            CHANGED_KEY_MS,
+            customers["change_cpu_ms"],
+            "the table of keys is shared, changes lie beside it",
+            measured,
+            "the copy of the settings' dictionaries; 45,000 changes a day",
+        ),
+    ]
+
+
 def _member_rows(members, bad_days) -> list[Row]:
     measured = f"{members['measured_nodes']:.0f} nodes of state, one member"
     cap = LIMITS.control_bytes_per_s
