Count a request against its limit when it is whole

Callers could gather tokens with many slow uploads, up to a minute long, and end them at one moment: far over the limit in one window.

Change: the head is decided on as before, and what that took is given back at once; with the body there all is decided again, so Admissions.confirm goes. A limit that is used up is still told before the body comes, and an upload may end with 429.

Cost: one more question to the granting node for a request whose body comes apart from its head.

--- a/balsamspindle/customers/admission.py
+++ b/balsamspindle/customers/admission.py
@@ -118,36 +118,15 @@
 
         It may wait a moment for the node that grants the customer's requests.
         """
-        identified = self._identify(route, key_digest, now_s)
+        configuration = self._configuration.get()
+        is_fresh = self._freshness.is_fresh(configuration.revision, now_s)
+        identified = identify(configuration, route, key_digest, is_fresh)
         match identified:
             case Admitted(customer=CustomerDocument() as customer) if self._limiter:
-                revision = self._configuration.get().revision
-                return _limited(identified, self._limiter.acquire(customer, revision))
+                acquired = self._limiter.acquire(customer, configuration.revision)
+                return _limited(identified, acquired)
         return identified
 
-    def confirm(
-        self,
-        route: RouteDocument,
-        key_digest: str | None,
-        admitted: Admitted,
-        now_s: float,
-    ) -> Admitted | Refused:
-        """Tell again who asks, with what was granted already."""
-        identified = self._identify(route, key_digest, now_s)
-        if isinstance(identified, Admitted) and identified.name == admitted.name:
-            return identified._replace(granted=admitted.granted)
-        self.give_back(admitted)
-        if isinstance(identified, Refused):
-            return identified
-        return self.admit(route, key_digest, now_s)
-
-    def _identify(
-        self, route: RouteDocument, key_digest: str | None, now_s: float
-    ) -> Admitted | Refused:
-        configuration = self._configuration.get()
-        is_fresh = self._freshness.is_fresh(configuration.revision, now_s)
-        return identify(configuration, route, key_digest, is_fresh)
-
     def give_back(self, admitted: Admitted) -> None:
         """Take note that a request did not run: it does not count."""
         if self._limiter is not None and admitted.granted is not None:
--- a/balsamspindle/requests/admissions.py
+++ b/balsamspindle/requests/admissions.py
@@ -39,21 +39,18 @@
             case refused:
                 return refused
 
-    def confirm(
-        self, request: CallerRequest, admitted: Admitted, now_s: float
-    ) -> Admitted | Refused:
-        """Decide again when the body is there: keys and routes may have changed.
+    def refuse_on_head(self, request: CallerRequest, now_s: float) -> Refused | None:
+        """Return why a request whose body is yet to come won't run; None if it may.
 
-        What was taken of the customer's limit is kept, or given back.
+        Nothing is kept of its customer's limit: held for as long as bodies take, many
+        requests could run within a moment of each other after that.
         """
-        match self._route(request):
-            case RouteDocument() as route:
-                return self._customers.confirm(
-                    route, request.key_digest, admitted, now_s
-                )
-            case refused:
-                self.give_back(admitted)
+        match self.decide(request, now_s):
+            case Refused() as refused:
                 return refused
+            case Admitted() as admitted:
+                self.give_back(admitted)
+        return None
 
     def give_back(self, admitted: Admitted) -> None:
         """Take note that a request did not run: it does not count."""
--- a/balsamspindle/requests/ingress.py
+++ b/balsamspindle/requests/ingress.py
@@ -196,7 +196,7 @@
             started = caller.wait_for_start()
             was_shut = self._connections.set_busy(connection)
             try:
-                request, decided = self._read(caller) if started else (None, None)
+                request, refused = self._read(caller) if started else (None, None)
             except BadRequest as error:
                 self._refuse(caller, error.reason, error.detail)
                 return
@@ -206,29 +206,20 @@
                     # caller is told so, where a reset would leave it in doubt.
                     self._refuse(caller, self._closing_reason())
                 return
-            keep_alive = self._serve_request(caller, request, decided) and not was_shut
+            keep_alive = self._serve_request(caller, request, refused) and not was_shut
 
     def _read(
         self, caller: HttpConnection
-    ) -> tuple[CallerRequest | None, Admitted | Refused | None]:
-        """Read a request, and decide on it where its body is yet to come.
-
-        One that is refused on its head is returned without its body.
-        """
+    ) -> tuple[CallerRequest | None, Refused | None]:
+        """Read a request; one that is refused on its head without its body."""
         request = caller.read_head()
         if request is None or request.is_whole:
             return request, None
         self._hold()
-        decided = self._admissions.decide(request, time.monotonic())
-        if isinstance(decided, Refused):
-            return request, decided
-        whole = None
-        try:
-            whole = caller.read_body()
-        finally:
-            if whole is None:
-                self._admissions.give_back(decided)
-        return whole, decided
+        refused = self._admissions.refuse_on_head(request, time.monotonic())
+        if refused is not None:
+            return request, refused
+        return caller.read_body(), None
 
     def _is_too_late(self) -> bool:
         """Tell whether most of the time for an orderly end has passed."""
@@ -241,16 +232,13 @@
         return Reason.NODE_LEAVING if self._leaving.is_set() else Reason.GAVE_WAY
 
     def _serve_request(
-        self,
-        caller,
-        request: CallerRequest,
-        decided: Admitted | Refused | None = None,
+        self, caller, request: CallerRequest, refused: Refused | None = None
     ) -> bool:
         """Answer one request; False when the connection ends with it.
 
         Parameters
         ----------
-        decided : Admitted or Refused or None
+        refused : Refused or None
             On its head, before its body came.
         """
         received_s = time.monotonic()
@@ -260,14 +248,12 @@
         if self._is_too_late():
             # A long one would be broken off when the time for an orderly end
             # is over, with a backend server at work on it.
-            if isinstance(decided, Admitted):
-                self._admissions.give_back(decided)
-            refused = Refused(Reason.NODE_STOPPING)
-            answer = self._problem(request, request_id, refused)
+            stopping = Refused(Reason.NODE_STOPPING)
+            answer = self._problem(request, request_id, stopping)
             self._write(caller, request_id, answer)
             return False
         self._hold()
-        match self._decide(request, decided):
+        match refused or self._admissions.decide(request, time.monotonic()):
             case Refused() as refused:
                 answer = self._problem(request, request_id, refused)
             case Admitted() as admitted:
@@ -294,16 +280,6 @@
         request.keep_alive = request.keep_alive and goes_on
         return request.keep_alive
 
-    def _decide(
-        self, request: CallerRequest, decided: Admitted | Refused | None
-    ) -> Admitted | Refused:
-        match decided:
-            case Refused():
-                return decided
-            case Admitted():
-                return self._admissions.confirm(request, decided, time.monotonic())
-        return self._admissions.decide(request, time.monotonic())
-
     def _forward(
         self, caller, request, request_id, admitted: Admitted, received_s, content
     ) -> bytes:
--- a/tests/test_refused_on_head.py
+++ b/tests/test_refused_on_head.py
@@ -10,7 +10,6 @@
 from balsamspindle.protocol.header_names import HeaderNames
 from tests.caller_side import DOCUMENTS, IngressFixture
 from tests.test_customer_keys import customer
-from tests.utils import wait_until
 
 NAMES = HeaderNames(api_key="X-Key", customer="X-Customer")
 KEY, LIMITED_KEY = "k-anna-3c11", "k-ben-70fd"
@@ -121,14 +120,24 @@
         for rest in (b"", b"ab"):
             caller = self.fixture.caller().send(data)
             self.assertEqual(100, caller.read().status)
-            self.assertEqual(1, self.limiter.tokens)
             caller.send(rest).close()
-            wait_until(lambda: self.limiter.tokens == 2, "it is given back")
+            self.assertEqual(2, self.limiter.tokens)
+
+    def test_bodies_that_end_together_run_within_the_limit(self):
+        # Guards against tokens that are gathered by slow uploads and spent at once.
+        data = head("Content-Length: 3", f"X-Key: {LIMITED_KEY}", EXPECT)
+        self.limiter.tokens = 5
+        callers = [self.fixture.caller().send(data) for _ in range(5)]
+        for caller in callers:
+            self.assertEqual(100, caller.read().status)
+        self.limiter.tokens = 2
+        statuses = [caller.send(b"abc").read().status for caller in callers]
+        self.assertEqual([200, 200, 429, 429, 429], statuses)
+        self.assertEqual(2, len(self.fixture.forwarder.forwarded))
 
     def test_a_whole_request_is_counted_once(self):
         data = head("Content-Length: 3", f"X-Key: {LIMITED_KEY}")
         caller = self.fixture.caller().send(data)
-        wait_until(lambda: self.limiter.tokens == 1, "its head was read")
         self.assertEqual(200, caller.send(b"abc").read().status)
         self.assertEqual(1, self.limiter.tokens)
 
