Remember an answer that comes before the news of a crash

Cause: an answer takes a request off the crashes that are known. One that came before the news of its crash did nothing, and that run counted for ten minutes. And only the gate's node remembered an answer until the request was lost once more; killed, it told nobody.

A crash that is told later loses the runs that were answered since, a second of transit granted, and is passed on without them.

--- a/balsamspindle/crashes/book.py
+++ b/balsamspindle/crashes/book.py
@@ -9,6 +9,7 @@
 import xxhash
 
 from balsamspindle.crashes.blame import Blame, KnownCrash
+from balsamspindle.crashes.recent_answers import ANSWER_HOLDS_S, RecentAnswers
 from balsamspindle.crashes.records import (
     CALM,
     Crash,
@@ -33,9 +34,8 @@
 BLOCKED_MAX_S = 86_400.0
 QUARANTINES_KEPT = 1000
 QUARANTINE_KEPT_S = 2 * BLOCKED_MAX_S
-# A quarantine that comes so soon after an answer was reached without news of it.
-ANSWER_HOLDS_S = 10.0
-ANSWERS_KEPT = 1000
+# A crash is taken for as much later than it was: news of it travels.
+NEWS_LATE_S = 1.0
 EXPIRE_INTERVAL_S = 1.0
 
 
@@ -83,7 +83,7 @@
         # Crashes off which a content was taken, for as long as they are kept.
         self._cleared: dict[int, set[tuple[str, int]]] = {}
         self._quarantined: OrderedDict[int, _Quarantined] = OrderedDict()
-        self._answered_s: OrderedDict[int, float] = OrderedDict()
+        self._answers = RecentAnswers()
         self._digest: int | None = 0
         self._expired_s = float("-inf")
 
@@ -115,7 +115,11 @@
         """Take what somebody knows; return what of it is new here."""
         with self._lock:
             self._expire(now_s)
-            crashes = [one for one in news.crashes if self._take_crash(one, now_s)]
+            crashes = [
+                self._told(self._crashes[one.key], now_s)
+                for one in news.crashes
+                if self._take_crash(one, now_s)
+            ]
             crashes += self._cleared_before(crashes, now_s)
             quarantines = [
                 self._told_quarantine(one.content, now_s)
@@ -130,11 +134,12 @@
 
     def answered(self, content: int, now_s: float) -> CrashNews:
         """Take that a backend server answered a request; return what changed."""
+        # Also where no crash is known: news of one that was before may yet come.
+        self._answers.note(content, now_s)
         if content not in self._counts and content not in self._quarantined:
             return CrashNews()
         with self._lock:
             self._expire(now_s)
-            self._note_answer(content, now_s)
             is_watched = self._counts[content] >= SUSPECT_CRASHES
             cleared = []
             for known in self._crashes.values():
@@ -203,8 +208,11 @@
             for content in answered:
                 self._drop_run(known, content)
             return bool(answered)
-        self._crashes[crash.key] = KnownCrash(crash, at_s, told)
+        known = self._crashes[crash.key] = KnownCrash(crash, at_s, told)
         self._counts.update(told.keys())
+        for content in list(told):
+            if self._answers.answered_s(content) > at_s - NEWS_LATE_S:
+                self._drop_run(known, content)
         if len(self._crashes) > CRASHES_KEPT:
             self._forget(next(iter(self._crashes)))
         return True
@@ -221,16 +229,9 @@
         self._quarantine(told.content, told.term, now_s + left_s, is_lifted, now_s)
         return True
 
-    def _note_answer(self, content: int, now_s: float) -> None:
-        self._answered_s.pop(content, None)
-        self._answered_s[content] = now_s
-        if len(self._answered_s) > ANSWERS_KEPT:
-            self._answered_s.popitem(last=False)
-
     def _was_answered(self, content: int, now_s: float) -> bool:
         """Tell whether an answer is so new that others may not know of it."""
-        answered_s = self._answered_s.get(content, float("-inf"))
-        return now_s - answered_s < ANSWER_HOLDS_S
+        return now_s - self._answers.answered_s(content) < ANSWER_HOLDS_S
 
     def _judge(self, crashes: Iterable[Crash], now_s: float) -> None:
         """Quarantine the causes of crashes that are new, or have fewer runs now."""
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -227,14 +227,15 @@
         standing = self._crash_book.standing(forwarded.content, now_s)
         with self._random_lock:
             wait_s = retry_wait_s(standing, forwarded.deadline_s - now_s, self._random)
-        if wait_s:
-            self._given_up.wait(wait_s)
+        self._given_up.wait(wait_s)
 
     def _note_success(
         self, forwarded: ForwardedRequest, reply: Reply, took_s: float | None
     ) -> None:
         """Learn from an answer how long the route's work takes and how large it is."""
         route = forwarded.route
+        # Its gate's node may end before it tells of the answer.
+        self._crash_book.answered(forwarded.content, self._clock())
         if took_s is not None:
             self._retries.note_answer(
                 route.service, took_s, reply.limit_ms, route_id(route)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -78,6 +78,14 @@
         self.assertLess(second_s - first_s, third_s - second_s)
         self.assertGreaterEqual(third_s - second_s, RETRIED_WITHIN_S)
 
+    def test_an_ingress_remembers_the_answers_of_its_callers(self):
+        # Guards against an answer that is forgotten with the node of its gate.
+        self.assertEqual(Outcome.ANSWERED, self._forward().outcome)
+        for number in range(3):
+            self._crash(number)
+        standing = self.book.standing(CONTENT, time.monotonic())
+        self.assertFalse(standing.is_suspect)
+
     def test_the_fourth_repeat_is_sent_nowhere_and_others_are(self):
         self.answers = dict.fromkeys(self.NAMES, self._crash_and_answer)
         for _ in range(3):
