--- a/balsamspindle/crashes/recent_answers.py
+++ b/balsamspindle/crashes/recent_answers.py
@@ -13,8 +13,8 @@
     """Remembers answers for `ANSWER_HOLDS_S` and up to twice that.
 
     Load: each answer of each request. Two tables take turns, so that nothing is
-    searched for old entries and no lock is taken; a turn at the same moment in two
-    threads loses a few answers.
+    searched for old entries and no lock is taken; two threads that turn them at the
+    same moment lose one table.
     """
 
     def __init__(self) -> None:
