--- a/tests/test_crash_verdicts.py
+++ b/tests/test_crash_verdicts.py
@@ -334,7 +334,7 @@
 
 
 def test_a_lookup_that_follows_a_regular_wave_is_not_taken_for_the_cause():
-    # Guards against a refusal of who is retried at once at the next victim of a wave.
+    # Guards against a refusal of who is retried where a wave of crashes strikes next.
     played = Played()
     for _ in range(4):
         played.crash({2: 0.24}, after_s=0.25)
