--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -65,7 +65,7 @@
         )
 
     def test_a_request_lost_twice_does_not_follow_the_crash_at_once(self):
-        # Guards against a retry at the backend server that a wave of crashes strikes next.
+        # Guards against a retry where a wave of crashes strikes next.
         times_s = []
 
         def crash_and_note(dispatch):
