Split the gate's refusals, the admission's decisions and the queue's tickets off

The refusals of a gate, the results of an admission with what they are made from, and the tickets of a queue are subjects of their own. No line of logic changed.

--- a/balsamspindle/backend_servers/admission.py
+++ b/balsamspindle/backend_servers/admission.py
@@ -6,9 +6,15 @@
 import math
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import NamedTuple
 
+from balsamspindle.backend_servers.admission_decisions import (
+    Admitted,
+    Availability,
+    Refused,
+    expected_run_s,
+    make_ticket,
+    refusal,
+)
 from balsamspindle.backend_servers.cancellation import CancelToken
 from balsamspindle.backend_servers.queue import QueueDecision, SlotQueue, Ticket
 from balsamspindle.backend_servers.servers import (
@@ -40,31 +46,6 @@
 LAST_START_FACTOR = 2.0
 
 
-@dataclass(frozen=True)
-class Admitted:
-    """An attempt that occupies a slot until `Admission.release` is called for it."""
-
-    server: LocalBackendServer
-    started_s: float
-    kind: WorkKind
-    token: CancelToken
-    attempt_id: AttemptId
-
-
-@dataclass(frozen=True)
-class Refused:
-    """A refusal: the gate has not dispatched the attempt and never will.
-
-    Attributes
-    ----------
-    retry_after_ms : float
-        Estimated wait for a free slot; 0 if the attempt was refused for another reason.
-    """
-
-    reason: Reason
-    retry_after_ms: float = 0.0
-
-
 def _default_document(service: str) -> ServiceDocument:
     return ServiceDocument()
 
@@ -124,7 +105,7 @@
                 admitted.attempt_id
                 for admitted in self._running
                 if self._may_outlast(admitted.server, admitted.kind, now_s)
-                or not _expected_run_s(admitted.server, admitted.kind)
+                or not expected_run_s(admitted.server, admitted.kind)
             ]
 
     def _may_outlast(
@@ -132,7 +113,7 @@
     ) -> bool:
         """Return whether an attempt started now may still run when this node ends."""
         return (
-            now_s + LAST_START_FACTOR * _expected_run_s(server, kind)
+            now_s + LAST_START_FACTOR * expected_run_s(server, kind)
             >= self._node_ends_s
         )
 
@@ -145,7 +126,7 @@
         self, dispatch: Dispatch, token: CancelToken, deadline_s: float
     ) -> Admitted | Refused:
         """Wait until an attempt gets a slot or is refused."""
-        ticket = _ticket(dispatch, deadline_s, time.monotonic())
+        ticket = make_ticket(dispatch, deadline_s, time.monotonic())
         with self._servers.changed:
             queue = self._queue(dispatch.service)
             try:
@@ -176,7 +157,7 @@
         """
         server = self._servers.get(dispatch.backend_server_id)
         kind = WorkKind(dispatch.weight, dispatch.route_id)
-        return token.ingress_ends_s - LAST_START_FACTOR * _expected_run_s(server, kind)
+        return token.ingress_ends_s - LAST_START_FACTOR * expected_run_s(server, kind)
 
     def _recheck_wait_s(
         self, ticket: Ticket, latest_start_s: float, now_s: float
@@ -208,7 +189,7 @@
         match self._availability(dispatch, ticket, now_s):
             case Refused() as refused:
                 return refused
-            case _Availability() as availability:
+            case Availability() as availability:
                 pass
         if now_s >= self._latest_start_s(dispatch, token):
             return Refused(Reason.NODE_STOPPING)
@@ -235,7 +216,7 @@
                 )
                 self._running.add(admitted)
                 return admitted
-        return _refusal(decision, queue, ticket, availability)
+        return refusal(decision, queue, ticket, availability)
 
     def preview(self, query: AdmissionQuery, deadline_s: float) -> Refused | None:
         """Return why an attempt would be refused now, None if it would start or wait.
@@ -244,11 +225,11 @@
         """
         with self._servers.changed:
             now_s = time.monotonic()
-            ticket = _ticket(query, deadline_s, now_s)
+            ticket = make_ticket(query, deadline_s, now_s)
             match self._availability(query, ticket, now_s):
                 case Refused() as refused:
                     return refused
-                case _Availability() as availability:
+                case Availability() as availability:
                     pass
             queue = self._queue(query.service)
             decision = queue.preview(
@@ -260,11 +241,11 @@
             )
             if decision in (QueueDecision.START, QueueDecision.WAIT):
                 return None
-            return _refusal(decision, queue, ticket, availability)
+            return refusal(decision, queue, ticket, availability)
 
     def _availability(
         self, dispatch: Dispatch | AdmissionQuery, ticket: Ticket, now_s: float
-    ) -> "_Availability | Refused":
+    ) -> Availability | Refused:
         """Return the slots available to an attempt, or its refusal.
 
         It is refused if its backend server is unknown or not ready, if its deadline has
@@ -285,7 +266,7 @@
         free = account.free(slots, now_s)
         free -= account.reserved_for_heavier(kind.weight, slots, now_s)
         effective_slots = account.effective_slots(kind.weight, slots, now_s)
-        return _Availability(server, kind, free, slots, effective_slots)
+        return Availability(server, kind, free, slots, effective_slots)
 
     def _slots(self, server: LocalBackendServer, now_s: float) -> int:
         """Return how many slots are usable now; fewer after a start and while cold."""
@@ -329,72 +310,3 @@
             queue = self._queue(server.announcement.service)
             waiting = queue.count_waiting(server.backend_server_id)
             return server.account.free(self._slots(server, now_s), now_s) - waiting
-
-
-class _Availability(NamedTuple):
-    """Slots of a backend server that are available to one kind of request.
-
-    Attributes
-    ----------
-    free_slots : int
-        Slots that are neither occupied nor reserved for heavier requests; may be
-        negative.
-    slots : int
-        All slots that the backend server may use now.
-    effective_slots : float
-        Slots that heavier requests leave free on average.
-    """
-
-    server: LocalBackendServer
-    kind: WorkKind
-    free_slots: int
-    slots: int
-    effective_slots: float
-
-    @property
-    def service_time_s(self) -> float:
-        """Mean service time of the backend server; 0 when unknown."""
-        return self.server.account.service_time_s
-
-
-def _expected_run_s(server: LocalBackendServer, kind: WorkKind) -> float:
-    """Return the mean service time of a kind, or else of the server; 0 when unknown."""
-    return server.account.route_time_s(kind) or server.account.service_time_s
-
-
-def _refusal(
-    decision: QueueDecision,
-    queue: SlotQueue,
-    ticket: Ticket,
-    availability: _Availability,
-) -> Refused:
-    if decision is QueueDecision.WAIT_TOO_LONG:
-        return Refused(Reason.WOULD_WAIT, ticket.expected_wait_s * 1000)
-    delay_ms = _backlog_ms(len(queue), availability.slots, availability.service_time_s)
-    return Refused(Reason.NO_FREE_SLOT, delay_ms)
-
-
-def _ticket(
-    dispatch: Dispatch | AdmissionQuery, deadline_s: float, now_s: float
-) -> Ticket:
-    wait_max_ms, target_remaining_ms = (
-        dispatch.wait_max_ms,
-        dispatch.target_remaining_ms,
-    )
-    return Ticket(
-        dispatch.backend_server_id,
-        dispatch.weight,
-        deadline_s,
-        wait_max_s=None if wait_max_ms is None else wait_max_ms / 1000,
-        target_s=None
-        if target_remaining_ms is None
-        else now_s + target_remaining_ms / 1000,
-        run_was_lost=dispatch.run_was_lost,
-        rank_s=dispatch.rank_ms / 1000,
-        customer=dispatch.customer,
-    )
-
-
-def _backlog_ms(waiting: int, slots: int, service_time_s: float) -> float:
-    """Return the estimated time until all attempts that wait now have ended."""
-    return (waiting / max(1, slots) + 1) * service_time_s * 1000
--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -46,6 +46,7 @@
     KeyRefused,
     RunLedger,
 )
+from balsamspindle.backend_servers.refused_attempts import Refusals
 from balsamspindle.backend_servers.retry_grants import RetryGrants
 from balsamspindle.backend_servers.runner import Runner
 from balsamspindle.backend_servers.servers import (
@@ -116,6 +117,7 @@
         self._events = events
         self._observer = observer or NullHealthObserver()
         self._admission = admission or Admission(servers)
+        self._refusals = Refusals(events, self._observer)
         self._attempts = AttemptTable()
         self._ledger = RunLedger(events.node_id, events.incarnation)
         self._runner = Runner(
@@ -153,7 +155,7 @@
         )
         if begin is BeginResult.DUPLICATE:
             return None
-        return self._refuse(
+        return self._refusals.refuse(
             dispatch, Reason.NO_FREE_SLOT, unchecked_key_outcome(dispatch)
         )
 
@@ -224,7 +226,7 @@
         if begin is BeginResult.DUPLICATE:
             return None
         if begin is not BeginResult.NEW:
-            return self._refuse(
+            return self._refusals.refuse(
                 dispatch, REFUSAL_REASONS[begin], unchecked_key_outcome(dispatch)
             )
         if not is_keyed(dispatch):
@@ -267,7 +269,7 @@
         """Run or refuse a keyed attempt, or return the earlier answer for its key."""
         match self._ledger.begin(dispatch, time.monotonic()):
             case KeyRefused(outcome, reason):
-                return self._refuse(dispatch, reason, outcome)
+                return self._refusals.refuse(dispatch, reason, outcome)
             case EarlierAnswer(reply):
                 self._events.emit("answer_repeated", request=dispatch.request_id)
                 return msgspec.structs.replace(reply, attempt_id=dispatch.attempt_id)
@@ -283,12 +285,12 @@
     def _handle_new(self, dispatch, token, deadline_s) -> Reply:
         received_s = time.monotonic()
         if checksum(dispatch.body) != dispatch.body_checksum:
-            return self._refuse(dispatch, Reason.DAMAGED)
+            return self._refusals.refuse(dispatch, Reason.DAMAGED)
         status = self._crash_history.status_of(dispatch.content_hash, received_s)
         if status.blocked_ms:
-            return self._refuse_blocked(dispatch, status.blocked_ms)
+            return self._refusals.refuse_blocked(dispatch, status.blocked_ms)
         if not self._health_admits(dispatch):
-            return self._refuse(dispatch, Reason.SUSPECTED)
+            return self._refusals.refuse(dispatch, Reason.SUSPECTED)
         service, weight = dispatch.service, dispatch.weight
         # A request suspected of crashing backend servers probably causes its failures
         # itself. Its repeats are therefore limited like those of last-resort attempts:
@@ -301,7 +303,7 @@
             dispatch.is_last_resort or status.is_suspect,
             dispatch.run_was_lost and not status.is_suspect,
         ):
-            return self._refuse(dispatch, Reason.RETRY_BUDGET)
+            return self._refusals.refuse(dispatch, Reason.RETRY_BUDGET)
         reply = self._handle_granted(dispatch, token, deadline_s, received_s)
         if not is_refusal(reply):
             if not dispatch.is_repeat:
@@ -318,7 +320,7 @@
             decision = self._admission.admit(dispatch, token, deadline_s)
         match decision:
             case Refused(reason, retry_after_ms):
-                reply = self._refuse(
+                reply = self._refusals.refuse(
                     dispatch, reason, wait_ms=retry_after_ms, cut_by=token.cause
                 )
                 return msgspec.structs.replace(reply, retry_after_ms=retry_after_ms)
@@ -328,7 +330,7 @@
                 # be dispatched and fail one by one.
                 if not self._health_admits(dispatch):
                     self._admission.release(admitted, WorkEnd.DONE)
-                    return self._refuse(dispatch, Reason.SUSPECTED)
+                    return self._refusals.refuse(dispatch, Reason.SUSPECTED)
                 return self._run_admitted(
                     dispatch, admitted, token, deadline_s, received_s
                 )
@@ -345,11 +347,11 @@
         status = self._crash_history.status_of(dispatch.content_hash, time.monotonic())
         if status.blocked_ms:
             self._admission.release(admitted, WorkEnd.DONE)
-            return self._refuse_blocked(dispatch, status.blocked_ms)
+            return self._refusals.refuse_blocked(dispatch, status.blocked_ms)
         server_id, content_hash = dispatch.backend_server_id, dispatch.content_hash
         if status.is_suspect and not self._suspect_runs.begin(server_id, content_hash):
             self._admission.release(admitted, WorkEnd.DONE)
-            return self._refuse(dispatch, Reason.WOULD_WAIT)
+            return self._refusals.refuse(dispatch, Reason.WOULD_WAIT)
         self._grants.record_run_start(dispatch.is_repeat)
         try:
             return self._runner.run(dispatch, admitted, token, deadline_s, received_s)
@@ -358,10 +360,6 @@
             if status.is_suspect:
                 self._suspect_runs.end(server_id, content_hash)
 
-    def _refuse_blocked(self, dispatch: Dispatch, blocked_ms: float) -> Reply:
-        reply = self._refuse(dispatch, Reason.CRASHES_SERVERS, wait_ms=blocked_ms)
-        return msgspec.structs.replace(reply, retry_after_ms=blocked_ms)
-
     def repeat_fraction(self) -> float:
         """Return the fraction of this gate's running attempts that are repeats."""
         return self._grants.repeat_fraction()
@@ -378,23 +376,3 @@
             time.monotonic(),
             dispatch.is_last_try,
         )
-
-    def _refuse(
-        self,
-        dispatch: Dispatch,
-        reason: Reason,
-        outcome: Outcome = Outcome.NOT_RUN,
-        wait_ms: float = 0.0,
-        cut_by: CancelCause | None = None,
-    ) -> Reply:
-        held_out = self._observer.held_out(dispatch.backend_server_id, time.monotonic())
-        hlc = self._events.emit(
-            "attempt_refused",
-            request=dispatch.request_id,
-            backend_server=dispatch.backend_server_id,
-            cause=reason,
-            held_out_ms=round(held_out.held_out_ms) or None,
-            wait_ms=round(wait_ms) or None,
-            cut_by=cut_by if reason is Reason.CANCELLED else None,
-        )
-        return Reply(dispatch.attempt_id, outcome, reason, hlc=hlc, held_out=held_out)
--- /dev/null
+++ b/balsamspindle/backend_servers/refused_attempts.py
@@ -0,0 +1,46 @@
+"""Replies to the attempts that a gate refuses."""
+
+import time
+
+import msgspec
+
+from balsamspindle.backend_servers.evidence import HealthObserver
+from balsamspindle.protocol.outcomes import CancelCause, Outcome, Reason
+from balsamspindle.timeline import EventLog
+from balsamspindle.wire import Dispatch, Reply
+
+__all__ = ["Refusals"]
+
+
+class Refusals:
+    """Logs refused attempts and makes the replies to them."""
+
+    def __init__(self, events: EventLog, observer: HealthObserver) -> None:
+        self._events = events
+        self._observer = observer
+
+    def refuse_blocked(self, dispatch: Dispatch, blocked_ms: float) -> Reply:
+        """Refuse an attempt whose request crashes backend servers."""
+        reply = self.refuse(dispatch, Reason.CRASHES_SERVERS, wait_ms=blocked_ms)
+        return msgspec.structs.replace(reply, retry_after_ms=blocked_ms)
+
+    def refuse(
+        self,
+        dispatch: Dispatch,
+        reason: Reason,
+        outcome: Outcome = Outcome.NOT_RUN,
+        wait_ms: float = 0.0,
+        cut_by: CancelCause | None = None,
+    ) -> Reply:
+        """Refuse an attempt for any other reason."""
+        held_out = self._observer.held_out(dispatch.backend_server_id, time.monotonic())
+        hlc = self._events.emit(
+            "attempt_refused",
+            request=dispatch.request_id,
+            backend_server=dispatch.backend_server_id,
+            cause=reason,
+            held_out_ms=round(held_out.held_out_ms) or None,
+            wait_ms=round(wait_ms) or None,
+            cut_by=cut_by if reason is Reason.CANCELLED else None,
+        )
+        return Reply(dispatch.attempt_id, outcome, reason, hlc=hlc, held_out=held_out)
