Log and export the limits and the leaving that backend servers announce

Logs and metrics could not tell whether a node heard a limit, or which. A gate now reads both headers from each answer of its backend server, also from one whose body is cut short, logs each change (backend_server_terms), logs values that can't be read, and exports the limit as a gauge. A limit stays between answers; it ends with an answer without one to a request that was sent after the last answer with one, and with the lifetime. Nothing acts on it yet.

--- a/balsamspindle/backend_servers/answers.py
+++ b/balsamspindle/backend_servers/answers.py
@@ -3,6 +3,7 @@
 An answer is foreign if it belongs to another request.
 """
 
+from http import HTTPStatus
 from typing import NamedTuple
 
 from balsamspindle.protocol.connection_headers import (
@@ -54,6 +55,9 @@
         Whether data arrived that is not an answer to this request.
     cut_by : CancelCause or None
         Why the call was cancelled; None if it was not cancelled.
+    headers : tuple of (str, str)
+        Headers of the backend server's answer if only its body was incomplete;
+        otherwise empty.
     """
 
     reason: Reason
@@ -61,6 +65,7 @@
     message: str
     is_foreign: bool = False
     cut_by: CancelCause | None = None
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 def end_to_end_headers(
@@ -154,6 +159,19 @@
             return BackendFailure(Reason.BROKEN_ANSWER, True, error, is_foreign=True)
         return answer
 
+    def incomplete_headers(self) -> tuple[tuple[str, str], ...]:
+        """Return the headers of an answer whose body is incomplete.
+
+        Empty if the head is incomplete or invalid, or if the answer belongs to another
+        request.
+        """
+        answer = BackendAnswer(HTTPStatus.OK, self._headers, b"")
+        if not self._head_done or self._format_error(bodiless=True) is not None:
+            return ()
+        if self._foreign_cause(answer) is not None:
+            return ()
+        return tuple(self._headers)
+
     def _foreign_cause(self, answer: BackendAnswer) -> str | None:
         """Return why an answer does not belong to this request, None if it does.
 
--- a/balsamspindle/backend_servers/client.py
+++ b/balsamspindle/backend_servers/client.py
@@ -201,7 +201,8 @@
             reason = _FAILURE_REASONS.get(code, Reason.BROKEN_ANSWER)
         is_foreign = reason is Reason.BROKEN_ANSWER and code in _NOT_HTTP_CODES
         cut_by = self.token.cause if reason is Reason.CANCELLED else None
-        return BackendFailure(reason, self.sent, message, is_foreign, cut_by)
+        headers = () if is_foreign else self.reader.incomplete_headers()
+        return BackendFailure(reason, self.sent, message, is_foreign, cut_by, headers)
 
 
 class _Handle:
--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -54,6 +54,7 @@
 )
 from balsamspindle.backend_servers.slots import WorkEnd
 from balsamspindle.backend_servers.suspect_runs import SuspectRuns
+from balsamspindle.backend_servers.terms_table import TermsTable
 from balsamspindle.crashes.history import CrashHistory
 from balsamspindle.metrics import Hop
 from balsamspindle.protocol.header_names import DEFAULT_HEADER_NAMES, HeaderNames
@@ -94,6 +95,8 @@
     crash_history : CrashHistory, default=an empty one
         Records which requests are suspected of crashing backend servers, or blocked.
     crash_watch : CrashWatch, default=one that updates only `crash_history`
+    terms : TermsTable, default=an empty one
+        What the backend servers announced in their answers.
     """
 
     def __init__(
@@ -109,6 +112,7 @@
         grants: RetryGrants | None = None,
         crash_history: CrashHistory | None = None,
         crash_watch: CrashWatch | None = None,
+        terms: TermsTable | None = None,
     ) -> None:
         self._crash_history = crash_history or CrashHistory(lambda service: 1)
         self._suspect_runs = SuspectRuns()
@@ -129,6 +133,7 @@
             on_misdirected,
             failed_calls or FailedCalls(),
             crash_watch or CrashWatch(events, self._crash_history),
+            terms or TermsTable(events),
         )
 
     def refuse_new_attempts(self) -> None:
--- a/balsamspindle/backend_servers/runner.py
+++ b/balsamspindle/backend_servers/runner.py
@@ -5,7 +5,7 @@
 """
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from balsamspindle.backend_servers.admission import Admission, Admitted
 from balsamspindle.backend_servers.cancellation import CancelToken
@@ -20,6 +20,7 @@
 from balsamspindle.backend_servers.failed_calls import FailedCalls
 from balsamspindle.backend_servers.refusals import classify_result, is_misdirected
 from balsamspindle.backend_servers.servers import LocalBackendServer
+from balsamspindle.backend_servers.terms_table import AnswerTiming, TermsTable
 from balsamspindle.backend_servers.work_ends import (
     call_outcome,
     run_end,
@@ -28,6 +29,7 @@
     work_result,
 )
 from balsamspindle.metrics import Hop
+from balsamspindle.protocol.announced_terms import read_announced_terms
 from balsamspindle.protocol.header_names import HeaderNames
 from balsamspindle.protocol.outcomes import Reason
 from balsamspindle.timeline import EventLog
@@ -49,6 +51,7 @@
         on_misdirected: Callable[[str], None],
         failed_calls: FailedCalls,
         crash_watch: CrashWatch,
+        terms: TermsTable,
     ) -> None:
         self._client = client
         self._events = events
@@ -58,6 +61,7 @@
         self._on_misdirected = on_misdirected
         self._failed_calls = failed_calls
         self._crash_watch = crash_watch
+        self._terms = terms
 
     def run(
         self,
@@ -83,6 +87,7 @@
             server, attempt_id, dispatch.content_hash, time.monotonic()
         )
         result = None
+        sent_s = time.monotonic()
         try:
             with self._events.metrics.timed(Hop.BACKEND_SERVER):
                 result = self._client.call(
@@ -96,7 +101,8 @@
                     token,
                     dispatch.request_id,
                 )
-                result = self._classify(server, result)
+                raw_headers, result = result.headers, self._classify(server, result)
+                self._record_terms(server, raw_headers, result, sent_s)
         finally:
             has_crashed = self._crash_watch.record_end(
                 server, attempt_id, run_end(result), time.monotonic()
@@ -124,6 +130,31 @@
             return WorkResult.CANCELLED
         return evidence
 
+    def _record_terms(
+        self,
+        server: LocalBackendServer,
+        headers: Sequence[tuple[str, str]],
+        result: BackendAnswer | BackendFailure,
+        sent_s: float,
+    ) -> None:
+        """Record what the backend server announced of itself in an answer's headers."""
+        is_other_server = (
+            isinstance(result, BackendFailure)
+            and result.reason is Reason.NO_BACKEND_SERVER
+        )
+        if not headers or is_other_server or server.has_restarted:
+            return
+        self._terms.record_answer(
+            server.backend_server_id,
+            server.announcement.boot_id,
+            read_announced_terms(headers, self._names),
+            AnswerTiming(
+                sent_s,
+                time.monotonic(),
+                may_end_limit=work_result(result) is WorkResult.ANSWERED,
+            ),
+        )
+
     def _classify(
         self, server: LocalBackendServer, result: BackendAnswer | BackendFailure
     ) -> BackendAnswer | BackendFailure:
--- a/balsamspindle/node/gate_parts.py
+++ b/balsamspindle/node/gate_parts.py
@@ -18,6 +18,7 @@
 from balsamspindle.backend_servers.probes import Prober
 from balsamspindle.backend_servers.retry_grants import RetryGrants
 from balsamspindle.backend_servers.servers import LocalBackendServers
+from balsamspindle.backend_servers.terms_table import TermsTable
 from balsamspindle.crashes.history import CrashHistory
 from balsamspindle.crashes.records import CrashUpdate
 from balsamspindle.settings.documents import RetryBudget, ServiceDocument
@@ -95,6 +96,7 @@
             client,
             lambda service: service_document(service).probe_path,
         )
+        self.terms = TermsTable(events)
         self.admission = Admission(self.servers, service_document)
         crash_watch = CrashWatch(events, crash_history, on_crash_update)
         self.servers.on_replaced = crash_watch.record_replacement
@@ -110,6 +112,7 @@
             self.grants,
             crash_history,
             crash_watch,
+            self.terms,
         )
         self._executor = ThreadPoolExecutor(GATE_WORKERS_MAX, "gate")
         self.link_server = LinkServer(
--- a/balsamspindle/node/gauges.py
+++ b/balsamspindle/node/gauges.py
@@ -8,6 +8,7 @@
 from balsamspindle.backend_servers.health_monitor import HealthMonitor
 from balsamspindle.backend_servers.retry_grants import RetryGrants
 from balsamspindle.backend_servers.servers import LocalBackendServers
+from balsamspindle.backend_servers.terms_table import TermsTable
 from balsamspindle.crashes.history import CrashHistory
 from balsamspindle.membership import Directory, Member
 from balsamspindle.requests.retries import RetryPolicy
@@ -47,7 +48,9 @@
         member: Member,
         guards: list[PlatformGuard],
         crash_history: CrashHistory,
+        terms: TermsTable,
     ) -> None:
+        self._terms = terms
         self._crash_history = crash_history
         self._member = member
         self._guards = guards
@@ -133,6 +136,17 @@
                 {"backend_server": server_id},
             )
 
+            limit_per_s = self._terms.limit_per_s(
+                server_id, server.announcement.boot_id
+            )
+            if limit_per_s is not None:
+                yield Gauge(
+                    "balsamspindle_backend_server_limit_per_second",
+                    "Requests per second that it takes from all nodes together.",
+                    limit_per_s,
+                    {"backend_server": server_id},
+                )
+
     def _service_gauges(self, now_s: float) -> Iterator[Gauge]:
         for service in self._retries.services():
             yield Gauge(
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -333,6 +333,7 @@
             self._member,
             self._guards,
             self._crash_parts.history,
+            self._gate_parts.terms,
         )
         application = AdminApplication(
             self._gate_parts.servers,
--- a/balsamspindle/protocol/header_names.py
+++ b/balsamspindle/protocol/header_names.py
@@ -27,6 +27,11 @@
         request.
     signature : str
         On each answer that a backend server itself produced by running a request.
+    server_limit : str
+        On a backend server's answer: requests per second that it takes from all nodes
+        together, for as long as its answers say so.
+    server_leaving : str
+        On a backend server's answer: 1 if it is about to end.
     credential : str
         From the caller: authenticates it to backend servers; forwarded.
     api_key : str
@@ -45,6 +50,8 @@
     caller_service: str = ""
     not_run: str = ""
     signature: str = ""
+    server_limit: str = "X-Balsamspindle-Server-Limit"
+    server_leaving: str = "X-Balsamspindle-Server-Leaving"
     credential: str = "Authorization"
     api_key: str = "X-Balsamspindle-Key"
     customer: str = "X-Balsamspindle-Customer"
--- a/balsamspindle/standins/backend_server.py
+++ b/balsamspindle/standins/backend_server.py
@@ -67,11 +67,14 @@
         evenly spaced: with 0.25, the fault affects every fourth request.
     delay_s : float
         Delay of the answer with `SLOW` and `HANG`.
+    headers : dict of str to str
+        Headers that are added to all answers to requests, affected or not.
     """
 
     mode: BackendFaultMode = BackendFaultMode.NONE
     share: float = 1.0
     delay_s: float = 30.0
+    headers: dict[str, str] = {}
 
 
 class StandinBackendServer(ThreadingHTTPServer):
@@ -202,6 +205,8 @@
         self.send_response(status)
         self.send_header("Content-Type", "application/json")
         self.send_header("Content-Length", str(length))
+        for name, value in self.server.fault.headers.items():
+            self.send_header(name, value)
         self.end_headers()
 
     def _send(self, status, body):
