Keep to the limit that a backend server names, and leave alone one that says it leaves

The gate fills slots, and a backend server that names a limit still answers quickly, so its slots were free.

Fix: only the gate beside a backend server sends to it, so the gate counts, by a token bucket (the limit a second, at most one second's worth saved, empty at first). First attempts, repeats, second attempts, trials, last resorts, calls, resends on a new connection and status checks all draw on it; what was not sent after all is returned. The bucket bounds the free slots, so the queue, its expected waits, refusals, admission queries and the ingresses' search work as for a busy gate: others are tried at once, waits that fit are waited, and what fits nowhere is refused with the shortest wait that any gate stated. A wait for a limit can't turn out shorter, so it is given up as soon as it would be too long. Without a maximum wait, an attempt is refused at once instead of holding on to one gate.

A gate's replies carry the terms, and ingresses send them back with each attempt. A gate whose node was restarted so learns the limit with the first attempt of any node that was told, and starts with an empty bucket. An ingress that was told of a leaving sends nothing more, whatever a new gate announces. The capacity that gates gossip follows the limit, so the floor does not count slots that a limit leaves unused.

--- a/balsamspindle/backend_servers/admission.py
+++ b/balsamspindle/backend_servers/admission.py
@@ -17,12 +17,14 @@
 )
 from balsamspindle.backend_servers.cancellation import CancelToken
 from balsamspindle.backend_servers.queue import QueueDecision, SlotQueue, Ticket
+from balsamspindle.backend_servers.rate_limits import Allowance
 from balsamspindle.backend_servers.servers import (
     BackendServerState,
     LocalBackendServer,
     LocalBackendServers,
 )
 from balsamspindle.backend_servers.slots import WorkEnd, WorkKind, ramped_slots
+from balsamspindle.backend_servers.terms_table import TermsTable
 from balsamspindle.protocol.outcomes import Reason
 from balsamspindle.settings.documents import ServiceDocument
 from balsamspindle.wire import AdmissionQuery, AttemptId, Dispatch
@@ -57,14 +59,20 @@
     ----------
     service_document : callable, default=the default settings
         Returns the settings in force for a service.
+    terms : TermsTable, default=a new one
+        Limits of the backend servers, and which of them leave.
     """
 
     def __init__(
         self,
         servers: LocalBackendServers,
         service_document: Callable[[str], ServiceDocument] = _default_document,
+        terms: TermsTable | None = None,
     ) -> None:
         self._servers = servers
+        self.terms = terms or TermsTable(
+            lambda server_id, boot_id: servers.drain(server_id)
+        )
         self._service_document = service_document
         self._queues: dict[str, SlotQueue] = {}
         self._leaving = False
@@ -173,6 +181,8 @@
         until_s = min(until_s, latest_start_s)
         if ticket.wait_max_s is not None:
             until_s = min(until_s, now_s + ticket.wait_max_s)
+        if ticket.allowance is not None and ticket.allowance.tokens < 1:
+            until_s = min(until_s, now_s + ticket.allowance.wait_s(1))
         return max(until_s - now_s, RECHECK_MIN_S)
 
     def _decide(
@@ -204,6 +214,10 @@
             case QueueDecision.WAIT:
                 return None
             case QueueDecision.START:
+                server = availability.server
+                is_counted = self.terms.spend(
+                    server.backend_server_id, server.announcement.boot_id
+                )
                 availability.server.account.acquire(availability.kind)
                 availability.server.in_flight += 1
                 availability.server.running.add(token)
@@ -213,6 +227,7 @@
                     availability.kind,
                     token,
                     dispatch.attempt_id,
+                    is_counted,
                 )
                 self._running.add(admitted)
                 return admitted
@@ -265,9 +280,30 @@
             return Refused(Reason.DRAINING)
         free = account.free(slots, now_s)
         free -= account.reserved_for_heavier(kind.weight, slots, now_s)
+        ticket.allowance = allowance = self._allowance(server, now_s)
+        if allowance is not None:
+            free = min(free, int(allowance.tokens))
+            if allowance.tokens < 1 and ticket.wait_max_s is None:
+                # Without a maximum wait, the attempt would wait here although other
+                # backend servers may have free slots.
+                ticket.wait_max_s = 0.0
         effective_slots = account.effective_slots(kind.weight, slots, now_s)
         return Availability(server, kind, free, slots, effective_slots)
 
+    def _allowance(self, server: LocalBackendServer, now_s: float) -> Allowance | None:
+        return self.terms.allowance(
+            server.backend_server_id, server.announcement.boot_id, now_s
+        )
+
+    def try_spend_allowance(self, server: LocalBackendServer, now_s: float) -> bool:
+        """Count a request that needs no slot; False if a limit allows none now."""
+        with self._servers.changed:
+            allowance = self._allowance(server, now_s)
+            if allowance is not None and allowance.tokens < 1:
+                return False
+            self.terms.spend(server.backend_server_id, server.announcement.boot_id)
+            return True
+
     def _slots(self, server: LocalBackendServer, now_s: float) -> int:
         """Return how many slots are usable now; fewer after a start and while cold."""
         announcement = server.announcement
@@ -286,17 +322,43 @@
         is sent to the whole fleet; due to rounding, a cold start causes few changes.
         """
         fraction = self._slots(server, now_s) / server.announcement.slots
+        fraction = min(fraction, self._limited_fraction(server))
         return max(1, int(fraction * CAPACITY_STEPS)) / CAPACITY_STEPS
 
-    def release(self, admitted: Admitted, end: WorkEnd) -> int:
+    def _limited_fraction(self, server: LocalBackendServer) -> float:
+        """Return the fraction of its slots that a limited backend server can occupy.
+
+        The fraction is computed once for each limit, with the mean service time at that
+        time. Otherwise it would change, and be sent to the fleet, with each answer.
+        """
+        limit_per_s = self.terms.limit_per_s(
+            server.backend_server_id, server.announcement.boot_id
+        )
+        if server.limited_fraction[0] != limit_per_s:
+            server.limited_fraction = limit_per_s, 1.0
+            service_time_s = server.account.service_time_s
+            if limit_per_s is not None and service_time_s:
+                occupied = limit_per_s * service_time_s
+                fraction = min(1.0, occupied / server.announcement.slots)
+                server.limited_fraction = limit_per_s, fraction
+        return server.limited_fraction[1]
+
+    def release(self, admitted: Admitted, end: WorkEnd, was_sent: bool = True) -> int:
         """Release the slot of an attempt that has ended or will not run.
 
         After `WorkEnd.IN_DOUBT` the slot stays occupied for a while; see `SlotAccount`.
 
+        Parameters
+        ----------
+        was_sent : bool
+            Whether the request may have reached the backend server. If not, it does not
+            count against the backend server's limit.
+
         Returns
         -------
         int
-            Free slots of the backend server minus attempts that wait for a slot there.
+            Free slots of the backend server, or the requests that its limit allows now
+            if they are fewer, minus attempts that wait for a slot there.
         """
         server = admitted.server
         with self._servers.changed:
@@ -304,9 +366,15 @@
             server.in_flight -= 1
             server.running.discard(admitted.token)
             self._running.discard(admitted)
+            if admitted.is_counted and not was_sent:
+                self.terms.refund(server.backend_server_id, server.announcement.boot_id)
             ran_s = now_s - admitted.started_s
             server.account.release(end, ran_s, now_s, admitted.kind)
             self._servers.changed.notify_all()
             queue = self._queue(server.announcement.service)
             waiting = queue.count_waiting(server.backend_server_id)
-            return server.account.free(self._slots(server, now_s), now_s) - waiting
+            free = server.account.free(self._slots(server, now_s), now_s)
+            allowance = self._allowance(server, now_s)
+            if allowance is not None:
+                free = min(free, int(allowance.tokens))
+            return free - waiting
--- a/balsamspindle/backend_servers/admission_decisions.py
+++ b/balsamspindle/backend_servers/admission_decisions.py
@@ -22,13 +22,20 @@
 
 @dataclass(frozen=True)
 class Admitted:
-    """An attempt that occupies a slot until `Admission.release` is called for it."""
+    """An attempt that occupies a slot until `Admission.release` is called for it.
+
+    Attributes
+    ----------
+    is_counted : bool
+        Whether the attempt is counted against a limit of its backend server.
+    """
 
     server: LocalBackendServer
     started_s: float
     kind: WorkKind
     token: CancelToken
     attempt_id: AttemptId
+    is_counted: bool = False
 
 
 @dataclass(frozen=True)
@@ -52,7 +59,7 @@
     ----------
     free_slots : int
         Slots that are neither occupied nor reserved for heavier requests; may be
-        negative.
+        negative. Not more than the backend server's limit allows requests now.
     slots : int
         All slots that the backend server may use now.
     effective_slots : float
@@ -83,6 +90,10 @@
     availability: Availability,
 ) -> Refused:
     """Return the refusal of an attempt that the queue neither starts nor holds."""
+    if ticket.allowance is not None and ticket.allowance.tokens < 1:
+        # Only the limit delays the attempt here. Other gates may have free slots.
+        wait_s = max(ticket.expected_wait_s, ticket.allowance.wait_s(1))
+        return Refused(Reason.WOULD_WAIT, wait_s * 1000)
     if decision is QueueDecision.WAIT_TOO_LONG:
         return Refused(Reason.WOULD_WAIT, ticket.expected_wait_s * 1000)
     delay_ms = _backlog_ms(len(queue), availability.slots, availability.service_time_s)
--- a/balsamspindle/backend_servers/client.py
+++ b/balsamspindle/backend_servers/client.py
@@ -5,6 +5,7 @@
 import threading
 import time
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import NamedTuple
 
 import pycurl
@@ -73,6 +74,7 @@
         timeout_ms: float,
         token: CancelToken | None = None,
         request_id: str = "",
+        may_resend: Callable[[], bool] = lambda: True,
     ) -> BackendAnswer | BackendFailure:
         """Send a request to a backend server and wait for the result.
 
@@ -89,6 +91,9 @@
             Token by which another thread can cancel the call.
         request_id : str, default=""
             Id that the answer must contain if backend servers echo request ids.
+        may_resend : callable, default=always
+            Called before the request is sent again. If it returns False, the call fails
+            instead.
         """
         deadline_s = time.monotonic() + timeout_ms / 1000
         token = token or CancelToken()
@@ -101,6 +106,8 @@
             handle.close()
             if execution is not Execution.IDEMPOTENT or not handle.was_reused():
                 return result
+            if not may_resend():
+                return result
             # The reused connection contained a second copy of an earlier answer, or
             # other stray bytes. This request must not fail because of these bytes. Send
             # it again on a new connection. The backend server may be running it already
--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -9,7 +9,8 @@
 3. The checksum of the body is correct.
 4. The request is not blocked because it crashes backend servers.
 5. The backend server is healthy, and the retry budget permits the attempt.
-6. A slot is free. Then check 4 and the check of the health are repeated.
+6. A slot is free, and a limit that the backend server names allows one more request.
+   Then check 4 and the check of the health are repeated.
 7. The deadline has not passed; checked with 6, and just before the request is sent.
 """
 
@@ -19,6 +20,7 @@
 import msgspec
 
 from balsamspindle.backend_servers.admission import Admission, Admitted, Refused
+from balsamspindle.backend_servers.answer_terms import AnswerTerms
 from balsamspindle.backend_servers.attempts import (
     REFUSAL_REASONS,
     AttemptTable,
@@ -54,7 +56,6 @@
 )
 from balsamspindle.backend_servers.slots import WorkEnd
 from balsamspindle.backend_servers.suspect_runs import SuspectRuns
-from balsamspindle.backend_servers.terms_table import TermsTable
 from balsamspindle.crashes.history import CrashHistory
 from balsamspindle.metrics import Hop
 from balsamspindle.protocol.header_names import DEFAULT_HEADER_NAMES, HeaderNames
@@ -95,8 +96,8 @@
     crash_history : CrashHistory, default=an empty one
         Records which requests are suspected of crashing backend servers, or blocked.
     crash_watch : CrashWatch, default=one that updates only `crash_history`
-    terms : TermsTable, default=an empty one
-        What the backend servers announced in their answers.
+    answer_terms : AnswerTerms, default=one that records in `admission.terms`
+        Records what the backend servers announce in their answers.
     """
 
     def __init__(
@@ -112,7 +113,7 @@
         grants: RetryGrants | None = None,
         crash_history: CrashHistory | None = None,
         crash_watch: CrashWatch | None = None,
-        terms: TermsTable | None = None,
+        answer_terms: AnswerTerms | None = None,
     ) -> None:
         self._crash_history = crash_history or CrashHistory(lambda service: 1)
         self._suspect_runs = SuspectRuns()
@@ -121,7 +122,9 @@
         self._events = events
         self._observer = observer or NullHealthObserver()
         self._admission = admission or Admission(servers)
-        self._refusals = Refusals(events, self._observer)
+        terms = self._admission.terms
+        self._answer_terms = answer_terms or AnswerTerms(servers, terms, events, names)
+        self._refusals = Refusals(events, self._observer, terms)
         self._attempts = AttemptTable()
         self._ledger = RunLedger(events.node_id, events.incarnation)
         self._runner = Runner(
@@ -133,7 +136,7 @@
             on_misdirected,
             failed_calls or FailedCalls(),
             crash_watch or CrashWatch(events, self._crash_history),
-            terms or TermsTable(events),
+            self._answer_terms,
         )
 
     def refuse_new_attempts(self) -> None:
@@ -289,6 +292,7 @@
 
     def _handle_new(self, dispatch, token, deadline_s) -> Reply:
         received_s = time.monotonic()
+        self._answer_terms.adopt(dispatch, received_s)
         if checksum(dispatch.body) != dispatch.body_checksum:
             return self._refusals.refuse(dispatch, Reason.DAMAGED)
         status = self._crash_history.status_of(dispatch.content_hash, received_s)
@@ -334,7 +338,7 @@
                 # while attempts waited. Without this check, all waiting attempts would
                 # be dispatched and fail one by one.
                 if not self._health_admits(dispatch):
-                    self._admission.release(admitted, WorkEnd.DONE)
+                    self._admission.release(admitted, WorkEnd.DONE, was_sent=False)
                     return self._refusals.refuse(dispatch, Reason.SUSPECTED)
                 return self._run_admitted(
                     dispatch, admitted, token, deadline_s, received_s
@@ -351,11 +355,11 @@
         """
         status = self._crash_history.status_of(dispatch.content_hash, time.monotonic())
         if status.blocked_ms:
-            self._admission.release(admitted, WorkEnd.DONE)
+            self._admission.release(admitted, WorkEnd.DONE, was_sent=False)
             return self._refusals.refuse_blocked(dispatch, status.blocked_ms)
         server_id, content_hash = dispatch.backend_server_id, dispatch.content_hash
         if status.is_suspect and not self._suspect_runs.begin(server_id, content_hash):
-            self._admission.release(admitted, WorkEnd.DONE)
+            self._admission.release(admitted, WorkEnd.DONE, was_sent=False)
             return self._refusals.refuse(dispatch, Reason.WOULD_WAIT)
         self._grants.record_run_start(dispatch.is_repeat)
         try:
--- a/balsamspindle/backend_servers/lifetimes.py
+++ b/balsamspindle/backend_servers/lifetimes.py
@@ -14,7 +14,11 @@
 
 import msgspec
 
-from balsamspindle.backend_servers.servers import Announcement, LocalBackendServers
+from balsamspindle.backend_servers.servers import (
+    Announcement,
+    BackendServerState,
+    LocalBackendServers,
+)
 from balsamspindle.timeline import EventLog
 
 __all__ = ["AnnouncedStatus", "Lifetimes"]
@@ -138,6 +142,22 @@
             self._servers.drain(server_id)
             self._emit("backend_server_leaving", server_id, cause)
 
+    def record_announced_leaving(self, server_id: str, boot_id: str) -> None:
+        """Drain a backend server whose answers say that it leaves.
+
+        Does nothing if the backend server has restarted since, or drains already.
+        """
+        with self._lock, self._servers.changed:
+            server = self._servers.get(server_id)
+            if server is None or server.announcement.boot_id != boot_id:
+                return
+            lifetime = self._lifetimes.get(server_id)
+            if lifetime is not None:
+                lifetime.is_draining = True
+            if server.state is not BackendServerState.DRAINING:
+                self._servers.drain(server_id)
+                self._emit("backend_server_draining", server_id, "its answers say so")
+
     def record_misdirected(self, server_id: str) -> None:
         """Drain a backend server after a request for it reached a different one."""
         self.record_leave(server_id, "another backend server has its address")
--- a/balsamspindle/backend_servers/probes.py
+++ b/balsamspindle/backend_servers/probes.py
@@ -16,7 +16,10 @@
 )
 from balsamspindle.backend_servers.evidence import ProbeResult
 from balsamspindle.backend_servers.health_monitor import HealthMonitor
-from balsamspindle.backend_servers.servers import LocalBackendServers
+from balsamspindle.backend_servers.servers import (
+    LocalBackendServer,
+    LocalBackendServers,
+)
 from balsamspindle.protocol.outcomes import Execution, Reason
 
 __all__ = ["PROBE_INTERVAL_S", "Prober"]
@@ -34,6 +37,9 @@
     ----------
     probe_path : callable
         Returns the path of a service's health endpoint.
+    may_send : callable, default=always
+        Takes a backend server and the present time; returns whether a limit that the
+        backend server names allows one more request, and counts it.
     """
 
     def __init__(
@@ -42,7 +48,9 @@
         monitor: HealthMonitor,
         client: BackendServerClient,
         probe_path: Callable[[str], str],
+        may_send: Callable[[LocalBackendServer, float], bool] = lambda *_: True,
     ) -> None:
+        self._may_send = may_send
         self._servers = servers
         self._monitor = monitor
         self._client = client
@@ -65,7 +73,7 @@
     def _probe(self, backend_server_id: str) -> None:
         with self._servers.changed:
             server = self._servers.get(backend_server_id)
-        if server is None:
+        if server is None or not self._may_send(server, time.monotonic()):
             return
         result = self._client.call(
             server.announcement.address,
--- a/balsamspindle/backend_servers/queue.py
+++ b/balsamspindle/backend_servers/queue.py
@@ -87,7 +87,8 @@
         Parameters
         ----------
         free_slots : int
-            Free slots of the ticket's backend server.
+            Free slots of the ticket's backend server; not more than its limit allows
+            requests now.
         effective_slots : float
             Average number of slots not occupied by requests heavier than the ticket.
         service_time_s : float
@@ -150,6 +151,8 @@
             return QueueDecision.SHED
         ahead, competing = self._count_competing(ticket, now_s)
         wait_s = _expected_wait_s(ahead, free_slots, effective_slots, service_time_s)
+        if ticket.allowance is not None:
+            wait_s = max(wait_s, ticket.allowance.wait_s(ahead + 1))
         run_time_s = ticket.route_time_s or service_time_s
         ends_s = now_s + wait_s + run_time_s
         # An attempt with a free slot and no competing attempts starts even if it is
@@ -301,6 +304,11 @@
         return False
     if ticket.key is None:
         return ticket.expected_wait_s > ticket.wait_max_s
+    if ticket.allowance is not None and ticket.allowance.tokens < 1:
+        # The wait for a limit can't turn out shorter than expected, as that for a slot
+        # can. The attempt is refused as soon as it would be too long.
+        waited_s = now_s - ticket.enqueued_s
+        return waited_s + ticket.expected_wait_s > ticket.wait_max_s
     # A ticket that waits much longer than was estimated when it was enqueued is
     # refused, because another gate may be faster.
     return now_s - ticket.enqueued_s > WAIT_OVERRUN_FACTOR * ticket.wait_max_s
--- a/balsamspindle/backend_servers/refused_attempts.py
+++ b/balsamspindle/backend_servers/refused_attempts.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from balsamspindle.backend_servers.evidence import HealthObserver
+from balsamspindle.backend_servers.terms_table import TermsTable
 from balsamspindle.protocol.outcomes import CancelCause, Outcome, Reason
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import Dispatch, Reply
@@ -15,7 +16,10 @@
 class Refusals:
     """Logs refused attempts and makes the replies to them."""
 
-    def __init__(self, events: EventLog, observer: HealthObserver) -> None:
+    def __init__(
+        self, events: EventLog, observer: HealthObserver, terms: TermsTable
+    ) -> None:
+        self._terms = terms
         self._events = events
         self._observer = observer
 
@@ -43,4 +47,12 @@
             wait_ms=round(wait_ms) or None,
             cut_by=cut_by if reason is Reason.CANCELLED else None,
         )
-        return Reply(dispatch.attempt_id, outcome, reason, hlc=hlc, held_out=held_out)
+        terms = self._terms.shared(dispatch.backend_server_id)
+        return Reply(
+            dispatch.attempt_id,
+            outcome,
+            reason,
+            hlc=hlc,
+            held_out=held_out,
+            terms=terms,
+        )
--- a/balsamspindle/backend_servers/runner.py
+++ b/balsamspindle/backend_servers/runner.py
@@ -5,9 +5,10 @@
 """
 
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 from balsamspindle.backend_servers.admission import Admission, Admitted
+from balsamspindle.backend_servers.answer_terms import AnswerTerms
 from balsamspindle.backend_servers.cancellation import CancelToken
 from balsamspindle.backend_servers.client import (
     BackendAnswer,
@@ -20,7 +21,6 @@
 from balsamspindle.backend_servers.failed_calls import FailedCalls
 from balsamspindle.backend_servers.refusals import classify_result, is_misdirected
 from balsamspindle.backend_servers.servers import LocalBackendServer
-from balsamspindle.backend_servers.terms_table import AnswerTiming, TermsTable
 from balsamspindle.backend_servers.work_ends import (
     call_outcome,
     run_end,
@@ -29,7 +29,6 @@
     work_result,
 )
 from balsamspindle.metrics import Hop
-from balsamspindle.protocol.announced_terms import read_announced_terms
 from balsamspindle.protocol.header_names import HeaderNames
 from balsamspindle.protocol.outcomes import Reason
 from balsamspindle.timeline import EventLog
@@ -51,7 +50,7 @@
         on_misdirected: Callable[[str], None],
         failed_calls: FailedCalls,
         crash_watch: CrashWatch,
-        terms: TermsTable,
+        answer_terms: AnswerTerms,
     ) -> None:
         self._client = client
         self._events = events
@@ -61,7 +60,7 @@
         self._on_misdirected = on_misdirected
         self._failed_calls = failed_calls
         self._crash_watch = crash_watch
-        self._terms = terms
+        self._answer_terms = answer_terms
 
     def run(
         self,
@@ -86,7 +85,7 @@
         self._crash_watch.record_start(
             server, attempt_id, dispatch.content_hash, time.monotonic()
         )
-        result = None
+        result, was_sent = None, True
         sent_s = time.monotonic()
         try:
             with self._events.metrics.timed(Hop.BACKEND_SERVER):
@@ -100,9 +99,13 @@
                     (deadline_s - time.monotonic()) * 1000,
                     token,
                     dispatch.request_id,
+                    lambda: self._admission.try_spend_allowance(
+                        server, time.monotonic()
+                    ),
                 )
-                raw_headers, result = result.headers, self._classify(server, result)
-                self._record_terms(server, raw_headers, result, sent_s)
+                was_sent = isinstance(result, BackendAnswer) or result.sent
+                headers, result = result.headers, self._classify(server, result)
+                self._answer_terms.record(server, headers, result, sent_s)
         finally:
             has_crashed = self._crash_watch.record_end(
                 server, attempt_id, run_end(result), time.monotonic()
@@ -112,7 +115,7 @@
             judgement = self._observer.record_end(
                 server_id, attempt_id, self._evidence(result), time.monotonic()
             )
-            free_slots = self._admission.release(admitted, work_end(result))
+            free_slots = self._admission.release(admitted, work_end(result), was_sent)
         if has_crashed:
             result = result._replace(reason=Reason.SERVER_CRASHED)
         ran_s = time.monotonic() - admitted.started_s
@@ -130,31 +133,6 @@
             return WorkResult.CANCELLED
         return evidence
 
-    def _record_terms(
-        self,
-        server: LocalBackendServer,
-        headers: Sequence[tuple[str, str]],
-        result: BackendAnswer | BackendFailure,
-        sent_s: float,
-    ) -> None:
-        """Record what the backend server announced of itself in an answer's headers."""
-        is_other_server = (
-            isinstance(result, BackendFailure)
-            and result.reason is Reason.NO_BACKEND_SERVER
-        )
-        if not headers or is_other_server or server.has_restarted:
-            return
-        self._terms.record_answer(
-            server.backend_server_id,
-            server.announcement.boot_id,
-            read_announced_terms(headers, self._names),
-            AnswerTiming(
-                sent_s,
-                time.monotonic(),
-                may_end_limit=work_result(result) is WorkResult.ANSWERED,
-            ),
-        )
-
     def _classify(
         self, server: LocalBackendServer, result: BackendAnswer | BackendFailure
     ) -> BackendAnswer | BackendFailure:
@@ -195,5 +173,6 @@
             bad=judgement.bad,
             p99_ms=judgement.p99_ms,
             held_out=held_out,
+            terms=self._admission.terms.shared(server_id),
         )
         return reply if answer is None else with_answer(reply, answer)
--- a/balsamspindle/backend_servers/servers.py
+++ b/balsamspindle/backend_servers/servers.py
@@ -67,6 +67,9 @@
     is_replaced : bool
         Whether another backend server began to use this one's address while this one
         was not draining.
+    limited_fraction : tuple of (float or None, float)
+        The limit that the backend server names, None without one, and the fraction of
+        its slots that it can occupy at this limit.
     """
 
     def __init__(self, backend_server_id, announcement, now_s, cold_s=0.0):
@@ -81,6 +84,7 @@
         self.running: set[CancelToken] = set()
         self.has_restarted = False
         self.is_replaced = False
+        self.limited_fraction: tuple[float | None, float] = (None, 1.0)
         self.account = SlotAccount()
         self.suspicion = 0.0
 
--- a/balsamspindle/backend_servers/tickets.py
+++ b/balsamspindle/backend_servers/tickets.py
@@ -4,6 +4,8 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from balsamspindle.backend_servers.rate_limits import Allowance
+
 __all__ = ["Order", "OrderKey", "QueueDecision", "Ticket"]
 
 
@@ -83,6 +85,9 @@
         that they start together. 0 for an attempt without a rank.
     customer : str
         Customer that sent the request; empty when there is none.
+    allowance : Allowance or None
+        What the limit of its backend server allowed at the last decision; None without
+        a limit.
     """
 
     backend_server_id: str
@@ -98,3 +103,4 @@
     run_was_lost: bool = False
     rank_s: float = 0.0
     customer: str = ""
+    allowance: Allowance | None = None
--- a/balsamspindle/node/gate_parts.py
+++ b/balsamspindle/node/gate_parts.py
@@ -75,6 +75,8 @@
         crash_history = crash_history or CrashHistory(lambda service: 1)
         self.servers = LocalBackendServers(settings.announcement_ttl_s)
         self.lifetimes = Lifetimes(self.servers, events)
+        self.terms = TermsTable(self.lifetimes.record_announced_leaving)
+        self.admission = Admission(self.servers, service_document, self.terms)
         self.failed_calls = FailedCalls()
         self.grants = RetryGrants(retry_budget)
         client = BackendServerClient(
@@ -95,9 +97,8 @@
             self.health,
             client,
             lambda service: service_document(service).probe_path,
+            self.admission.try_spend_allowance,
         )
-        self.terms = TermsTable(events)
-        self.admission = Admission(self.servers, service_document)
         crash_watch = CrashWatch(events, crash_history, on_crash_update)
         self.servers.on_replaced = crash_watch.record_replacement
         self.gate = Gate(
@@ -112,7 +113,6 @@
             self.grants,
             crash_history,
             crash_watch,
-            self.terms,
         )
         self._executor = ThreadPoolExecutor(GATE_WORKERS_MAX, "gate")
         self.link_server = LinkServer(
--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -19,6 +19,7 @@
 from balsamspindle.services.free_slots import FreeSlotEstimates
 from balsamspindle.services.held_out_servers import HeldOutServers
 from balsamspindle.services.holdouts import HoldOuts
+from balsamspindle.services.known_terms import KnownTerms
 from balsamspindle.services.peer_evidence import PeerEvidenceTracker
 from balsamspindle.services.queue_hints import QueueHints
 from balsamspindle.timeline import EventLog
@@ -69,6 +70,7 @@
         self._sequence = itertools.count(1)
         self.held_out_servers = HeldOutServers()
         self.queue_hints = QueueHints()
+        self.known_terms = KnownTerms()
         self._link_attempts = LinkAttempts(
             own,
             self._links,
@@ -211,6 +213,7 @@
             content_hash=forwarded.content_hash,
             customer=forwarded.customer,
             is_last_try=not forwarded.may_send(),
+            terms=self.known_terms.get(placement.backend_server),
         )
 
     def _send_to_own_gate(self, forwarded, placement, hedge: Hedge | None) -> Reply:
@@ -264,6 +267,7 @@
             self._peer_evidence,
             self._record_hold_out,
             self.queue_hints,
+            self.known_terms,
             self._clock,
         )
 
--- a/balsamspindle/requests/placement_selection.py
+++ b/balsamspindle/requests/placement_selection.py
@@ -30,6 +30,7 @@
 is refused at once, so that its caller has time to retry.
 """
 
+import math
 import random
 import threading
 from collections.abc import Iterable, Set
@@ -129,7 +130,9 @@
     def select(self, forwarded: ForwardedRequest, now_s: float) -> Selection | None:
         """Return where to send the next attempt; None when no placement remains."""
         unreachable = self._find_unreachable_servers(forwarded.route.service, now_s)
-        tried, held_out_servers = set(forwarded.tried), self._sender.held_out_servers
+        leaving = self._find_leaving_servers(forwarded)
+        tried = forwarded.tried | leaving
+        held_out_servers = self._sender.held_out_servers
         if forwarded.is_last_resort:
             # Only suspected backend servers remain. Those with several errors in a
             # row are selected in the second pass only: a backend server that fails
@@ -274,7 +277,32 @@
             lambda place: self._free_slots.free_slots(place, now_s),
             self._random,
         )
-        return None if placement is None else Selection(placement)
+        if placement is not None:
+            return Selection(placement)
+        return self._select_next_allowed(forwarded, now_s)
+
+    def _select_next_allowed(
+        self, forwarded: ForwardedRequest, now_s: float
+    ) -> Selection | None:
+        """Select the backend server whose limit allows a request soonest.
+
+        Used when all backend servers have refused a request. None if none of the
+        refusals stated a wait that the request can spend in a queue.
+        """
+        waits_ms = forwarded.search.queue_wait_ms
+        remaining_ms = _remaining_queue_wait_ms(forwarded, now_s)
+        queues = [
+            (waits_ms[place.backend_server.backend_server_id], place)
+            for place in self._picker.view(forwarded.route.service).tiers[-1]
+            if 0 < waits_ms.get(place.backend_server.backend_server_id, 0)
+        ]
+        wait_ms, placement = min(
+            queues, key=lambda queue: queue[0], default=(math.inf, None)
+        )
+        if wait_ms > remaining_ms:
+            return None
+        waits_ms.pop(placement.backend_server.backend_server_id)
+        return Selection(placement, remaining_ms)
 
     def _find_unreachable_servers(self, service: str, now_s: float) -> set[str]:
         """Return the ids of the backend servers at nodes held out as unreachable."""
@@ -287,6 +315,18 @@
             if hold_outs.is_held_out(placement.node.node_id, now_s)
         }
 
+    def _find_leaving_servers(self, forwarded: ForwardedRequest) -> set[str]:
+        """Return the ids of leaving backend servers; the search skips their queues.
+
+        The gate of such a backend server may not know that it leaves, if the gate's
+        node has been restarted since.
+        """
+        placements = self._picker.view(forwarded.route.service).placements
+        leaving = self._sender.known_terms.leaving(placements)
+        for server_id in leaving:
+            forwarded.search.queue_wait_ms.pop(server_id, None)
+        return leaving
+
 
 def _remaining_near_wait_ms(search: Search, wait_ms: float, now_s: float) -> float:
     """Return how many more ms a request may wait in queues of its own zone.
--- a/balsamspindle/requests/retries.py
+++ b/balsamspindle/requests/retries.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from enum import StrEnum
 
+import msgspec
+
 from balsamspindle.backend_servers.heaviest_weight import HeaviestWeight
 from balsamspindle.protocol.outcomes import Execution, Outcome, Reason
 from balsamspindle.requests.latency_estimate import LatencyEstimate
@@ -96,9 +98,19 @@
 
 
 def best_reply(replies: list[Reply]) -> Reply:
-    """Return the last answer of a backend server, even a 503; else the last reply."""
+    """Return the last answer of a backend server, even a 503; else the last reply.
+
+    If the last reply states a wait that is too long, the returned reply contains the
+    shortest wait that any of the gates stated.
+    """
     answers = [reply for reply in replies if reply.outcome is Outcome.ANSWERED]
-    return answers[-1] if answers else replies[-1]
+    best = answers[-1] if answers else replies[-1]
+    if best.reason is not Reason.WOULD_WAIT:
+        return best
+    waits_ms = [
+        reply.retry_after_ms for reply in replies if reply.reason is Reason.WOULD_WAIT
+    ]
+    return msgspec.structs.replace(best, retry_after_ms=min(waits_ms))
 
 
 def _retry_cost(reply: Reply, execution: Execution, retries_errors: bool) -> RetryCost:
--- a/balsamspindle/requests/tracking.py
+++ b/balsamspindle/requests/tracking.py
@@ -7,6 +7,7 @@
 from balsamspindle.requests.forwarded import ForwardedRequest
 from balsamspindle.requests.retries import is_shed
 from balsamspindle.services.free_slots import FREE_SLOTS_TTL_S, FreeSlotEstimates
+from balsamspindle.services.known_terms import KnownTerms
 from balsamspindle.services.peer_evidence import PeerEvidenceTracker
 from balsamspindle.services.queue_hints import QueueHints
 from balsamspindle.wire import HoldOut, Reply
@@ -39,6 +40,7 @@
         peer_evidence: PeerEvidenceTracker,
         record_hold_out: Callable[[Placement, HoldOut, float], None],
         queue_hints: QueueHints,
+        known_terms: KnownTerms,
         clock: Callable[[], float],
     ) -> None:
         self._forwarded = forwarded
@@ -48,7 +50,8 @@
         self._free_slots: FreeSlotEstimates = free_slots
         self._peer_evidence: PeerEvidenceTracker = peer_evidence
         self._record_hold_out = record_hold_out
-        self._queue_hints: QueueHints = queue_hints
+        self._queue_hints = queue_hints
+        self._known_terms = known_terms
         self._clock = clock
         self._started_s = clock()
         free_slots.record_start(server_id)
@@ -73,6 +76,7 @@
         self._free_slots.record_end(self._server_id)
         if reply is not None:
             self._record_hold_out(self._placement, reply.held_out, now_s)
+            self._known_terms.record(self._server_id, reply.terms)
             if is_refusal(reply):
                 self._forwarded.sends -= 1
         if reply is not None and reply.reason in _REASONS_WITHOUT_SLOT_COUNT:
--- a/balsamspindle/services/explanation.py
+++ b/balsamspindle/services/explanation.py
@@ -178,7 +178,8 @@
     elif left_out is None and server.suspicion > 0:
         warnings.append(f"suspicion {server.suspicion:.2f}, threshold {SUSPECTED:g}")
     if server.capacity < 1:
-        warnings.append(f"cold start: {server.capacity:.0%} of its slots are usable")
+        usable = f"{server.capacity:.0%} of its slots are usable"
+        warnings.append(f"cold start, or a limit that it names: {usable}")
     return warnings
 
 
--- a/balsamspindle/wire/__init__.py
+++ b/balsamspindle/wire/__init__.py
@@ -54,6 +54,7 @@
     Verdict,
     VerdictNews,
 )
+from balsamspindle.wire.server_terms import ServerTerms
 
 __all__ = [
     "Ack",
@@ -87,6 +88,7 @@
     "NOT_HELD_OUT",
     "Sender",
     "ServerEntry",
+    "ServerTerms",
     "SyncRequest",
     "SyncSummary",
     "AdmissionAnswer",
--- a/balsamspindle/wire/link_messages.py
+++ b/balsamspindle/wire/link_messages.py
@@ -13,6 +13,7 @@
 
 from balsamspindle.protocol.outcomes import CancelCause, Execution, Outcome, Reason
 from balsamspindle.wire.limit_messages import LimitAnswer, LimitQuestion, LimitReturn
+from balsamspindle.wire.server_terms import ServerTerms
 
 __all__ = [
     "AttemptId",
@@ -198,6 +199,8 @@
         The customer who made the request; empty if there is none.
     is_last_try : bool
         Whether the request's route allows no further attempt after this one.
+    terms : ServerTerms or None
+        Terms of the backend server that the sender knows; None if it knows none.
     """
 
     attempt_id: AttemptId
@@ -230,6 +233,7 @@
     content_hash: int = 0
     customer: str = ""
     is_last_try: bool = False
+    terms: ServerTerms | None = None
 
 
 class AdmissionQuery(msgspec.Struct, array_like=True, tag="ask", frozen=True):
@@ -348,6 +352,8 @@
     p99_ms : float
         The backend server's 99th percentile of latency; 0 if unknown.
     held_out : HoldOut
+    terms : ServerTerms or None
+        Terms of the backend server; None if the gate knows of none.
     """
 
     attempt_id: AttemptId
@@ -364,6 +370,7 @@
     bad: bool | None = None
     p99_ms: float = 0.0
     held_out: HoldOut = NOT_HELD_OUT
+    terms: ServerTerms | None = None
 
 
 LinkMessage = (
--- a/tests/announcing_server.py
+++ b/tests/announcing_server.py
@@ -2,13 +2,15 @@
 
 import threading
 import time
+from collections import defaultdict
 from concurrent.futures import ThreadPoolExecutor
+from http.client import HTTPException
 
 from balsamspindle.protocol.header_names import DEFAULT_HEADER_NAMES
 from balsamspindle.standins.backend_server import Announcer, StandinBackendServer
 from tests.utils import NodeProgram, call, free_port
 
-__all__ = ["AnnouncingServer", "Callers", "most_in_window"]
+__all__ = ["LIMIT_HEADER", "AnnouncingServer", "Callers", "most_in_window"]
 
 LIMIT_HEADER = DEFAULT_HEADER_NAMES.server_limit
 LEAVING_HEADER = DEFAULT_HEADER_NAMES.server_leaving
@@ -62,6 +64,7 @@
 
     def __init__(self, nodes: list[NodeProgram], rate_per_s: float, path: str) -> None:
         self.answers = []
+        self._answers_by_node = defaultdict(list)
         self._nodes = nodes
         self._interval_s = 1 / rate_per_s
         self._path = path
@@ -74,6 +77,10 @@
         self._stopped.set()
         self._thread.join()
 
+    def answers_of(self, node: NodeProgram) -> list:
+        """Return those of `answers` that a node gave."""
+        return list(self._answers_by_node[node.caller_address])
+
     def _run(self) -> None:
         with ThreadPoolExecutor(64) as executor:
             number = 0
@@ -86,9 +93,11 @@
         sent_s = time.monotonic()
         try:
             answer = call(node.caller_address, self._path, timeout_s=5.0)
-        except OSError:
+        except (OSError, HTTPException):
             return
-        self.answers.append((sent_s, answer, time.monotonic() - sent_s))
+        ended = sent_s, answer, time.monotonic() - sent_s
+        self.answers.append(ended)
+        self._answers_by_node[node.caller_address].append(ended)
 
 
 def most_in_window(times_s: list[float], window_s: float, from_s: float) -> int:
--- a/tests/test_announced_terms.py
+++ b/tests/test_announced_terms.py
@@ -1,16 +1,11 @@
 """What a backend server announces of itself in its answers, as a gate reads it."""
 
-import io
-
 from testtools import TestCase
 
-from balsamspindle.backend_servers.terms_table import AnswerTiming, TermsTable
 from balsamspindle.platform.headers import HEADER_NAMES
 from balsamspindle.protocol.announced_terms import AnnouncedTerms, read_announced_terms
-from balsamspindle.timeline import EventLog, HybridClock, parse_event
 
 LIMIT, LEAVING = HEADER_NAMES.server_limit, HEADER_NAMES.server_leaving
-SERVER = "contracts-1"
 
 
 def read(*headers):
@@ -44,50 +39,3 @@
 
     def test_other_headers_say_nothing(self):
         self.assertEqual(AnnouncedTerms(), read(("X-Server-Load", "1,2,3")))
-
-
-class TermsTableTests(TestCase):
-    def setUp(self):
-        super().setUp()
-        self.events = EventLog("node", 1, HybridClock(), io.StringIO())
-        self.table = TermsTable(self.events)
-
-    def _answer(self, limit_per_s, sent_s, received_s, boot_id="1", **changes):
-        timing = AnswerTiming(sent_s, received_s, **changes)
-        self.table.record_answer(SERVER, boot_id, AnnouncedTerms(limit_per_s), timing)
-
-    def _limit(self, boot_id="1"):
-        return self.table.limit_per_s(SERVER, boot_id)
-
-    def test_a_limit_holds_until_a_later_request_is_answered_without_one(self):
-        self._answer(2.0, 0.0, 1.0)
-        self._answer(None, 0.9, 5.0)
-        self.assertEqual(2.0, self._limit())
-        self._answer(None, 1.1, 1.2)
-        self.assertIsNone(self._limit())
-
-    def test_an_error_without_a_limit_does_not_end_the_limit(self):
-        self._answer(2.0, 0.0, 1.0)
-        self._answer(None, 2.0, 3.0, may_end_limit=False)
-        self.assertEqual(2.0, self._limit())
-
-    def test_an_unreadable_limit_leaves_the_known_one_in_force(self):
-        self._answer(2.0, 0.0, 1.0)
-        unreadable = AnnouncedTerms(None, False, ("Server-Limit: nan",))
-        self.table.record_answer(SERVER, "1", unreadable, AnswerTiming(2.0, 3.0))
-        self.assertEqual(2.0, self._limit())
-
-    def test_a_new_lifetime_begins_without_a_limit(self):
-        self._answer(2.0, 0.0, 1.0)
-        self.assertIsNone(self._limit(boot_id="2"))
-        self._answer(None, 2.0, 3.0, boot_id="2")
-        self.assertIsNone(self._limit())
-
-    def test_each_change_is_logged_once(self):
-        for limit_per_s, sent_s in ((2.0, 0), (2.0, 1), (1.5, 2), (None, 3), (None, 4)):
-            self._answer(limit_per_s, sent_s, sent_s + 0.5)
-        lines = map(parse_event, self.events.recent(0, 100).lines)
-        limits = [
-            (line.get("limit_per_s"), line.get("previous_per_s")) for line in lines
-        ]
-        self.assertEqual([("2.0", None), ("1.5", "2.0"), (None, "1.5")], limits)
--- a/tests/test_placement_selection.py
+++ b/tests/test_placement_selection.py
@@ -23,9 +23,15 @@
 from balsamspindle.services.free_slots import FreeSlotEstimates
 from balsamspindle.services.held_out_servers import HeldOutServers
 from balsamspindle.services.holdouts import HoldOuts
+from balsamspindle.services.known_terms import KnownTerms
 from balsamspindle.services.queue_hints import QueueHints
 from balsamspindle.settings.documents import RouteDocument
-from balsamspindle.wire import BackendServerRecord, HoldOut, NodeRecord
+from balsamspindle.wire import (
+    BackendServerRecord,
+    HoldOut,
+    NodeRecord,
+    ServerTerms,
+)
 
 TARGET_MS = 2000.0
 DEADLINE_S = 100.0
@@ -47,7 +53,8 @@
         return [place(name) for name in self._near], [place(name) for name in FAR]
 
     def view(self, service):
-        return NamedTuple("View", [("placements", list)])([])
+        placements = [place(name) for name in (*self._near, *FAR)]
+        return NamedTuple("View", [("placements", list)])(placements)
 
 
 class _Sender:
@@ -55,6 +62,7 @@
         self.held_out_servers = HeldOutServers()
         self.queue_hints = QueueHints()
         self.link_hold_outs = HoldOuts(1.0, 1.0)
+        self.known_terms = KnownTerms()
 
 
 class PlacementSelectionTests(TestCase):
@@ -245,6 +253,20 @@
         self.forwarded.search.restart()
         self.assertIn(self.tries()[0][0], NEAR)
 
+    def test_a_leaving_backend_server_is_not_even_the_last_resort(self):
+        # Guards against work for a backend server whose gate was restarted and does not
+        # know that the backend server leaves.
+        for name in (*NEAR, *FAR[1:]):
+            self.sender.known_terms.record(name, ServerTerms("1", is_leaving=True))
+        self.forwarded.search.queue_wait_ms[NEAR[0]] = 1.0
+        self.forwarded.is_last_resort = True
+        self.assertEqual({FAR[0]}, {name for name, _ in self.tries({})})
+
+    def test_the_leaving_of_an_earlier_lifetime_excludes_nothing(self):
+        self.sender.known_terms.record(NEAR[0], ServerTerms("0", is_leaving=True))
+        tries = self.tries({NEAR[0]: 0.0})
+        self.assertEqual(NEAR[0], tries[-1][0])
+
 
 class ReservedSlotsTests(TestCase):
     HEAVY, LIGHT = WorkKind(0.5, 1), WorkKind(0.3, 2)
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -317,6 +317,10 @@
         }
         return self._add(NodeProgram(settings, self.folder))
 
+    def restart(self, node: NodeProgram) -> NodeProgram:
+        """Start a node that has ended again, with the same settings."""
+        return self._add(NodeProgram(node.settings, self.folder))
+
     def start_backend(self, name, service, node, **options) -> BackendProgram:
         """Start a stand-in backend server beside a node, without waiting for it.
 
