Refuse at once what no limit leaves room for, and ask used-up limits no more

What callers saw: with limits at all six backend servers of a service and three times the load that they allow, a light request was refused after 1.4 s (median, 2.4 s at most), a heavy one after 2.5 s; each request cost 14 attempts and the nodes twice the processor time (10,751 attempts of 759 requests, 29 s; 16 s without limits).

Cause: an attempt joined a queue by the number ahead, but heavier ones overtook it and, once it was late, all new ones. Ingresses looked for free slots at gates whose limit had just refused them, and asked each queue again and again.

Fix: the expected wait counts the rate at which heavier requests use the limit. An attempt waits behind a limit only for as long as its answer can be in time. A wait that a gate stated is remembered for a second, by weight: until then the backend server's free slots are not sought, and its queue is joined only where the wait fits. One gate is asked in any case, so that Retry-After is true.

The load averages of slots moved to a module of their own, which both use.

--- a/balsamspindle/backend_servers/admission.py
+++ b/balsamspindle/backend_servers/admission.py
@@ -216,7 +216,10 @@
             case QueueDecision.START:
                 server = availability.server
                 is_counted = self.terms.spend(
-                    server.backend_server_id, server.announcement.boot_id
+                    server.backend_server_id,
+                    server.announcement.boot_id,
+                    dispatch.weight,
+                    now_s,
                 )
                 availability.server.account.acquire(availability.kind)
                 availability.server.in_flight += 1
@@ -280,19 +283,18 @@
             return Refused(Reason.DRAINING)
         free = account.free(slots, now_s)
         free -= account.reserved_for_heavier(kind.weight, slots, now_s)
-        ticket.allowance = allowance = self._allowance(server, now_s)
-        if allowance is not None:
-            free = min(free, int(allowance.tokens))
-            if allowance.tokens < 1 and ticket.wait_max_s is None:
-                # Without a maximum wait, the attempt would wait here although other
-                # backend servers may have free slots.
-                ticket.wait_max_s = 0.0
+        ticket.allowance = self._allowance(server, now_s, kind.weight)
+        if ticket.allowance is not None:
+            free = min(free, int(ticket.allowance.tokens))
+            ticket.limit_wait(now_s)
         effective_slots = account.effective_slots(kind.weight, slots, now_s)
         return Availability(server, kind, free, slots, effective_slots)
 
-    def _allowance(self, server: LocalBackendServer, now_s: float) -> Allowance | None:
+    def _allowance(
+        self, server: LocalBackendServer, now_s: float, weight: float = math.inf
+    ) -> Allowance | None:
         return self.terms.allowance(
-            server.backend_server_id, server.announcement.boot_id, now_s
+            server.backend_server_id, server.announcement.boot_id, now_s, weight
         )
 
     def try_spend_allowance(self, server: LocalBackendServer, now_s: float) -> bool:
@@ -301,7 +303,9 @@
             allowance = self._allowance(server, now_s)
             if allowance is not None and allowance.tokens < 1:
                 return False
-            self.terms.spend(server.backend_server_id, server.announcement.boot_id)
+            self.terms.spend(
+                server.backend_server_id, server.announcement.boot_id, 0.0, now_s
+            )
             return True
 
     def _slots(self, server: LocalBackendServer, now_s: float) -> int:
--- a/balsamspindle/backend_servers/queue.py
+++ b/balsamspindle/backend_servers/queue.py
@@ -20,10 +20,6 @@
 __all__ = ["Order", "SlotQueue", "Ticket", "QueueDecision"]
 
 
-# An attempt is expected to meet its latency target if the time until the target is at
-# least this many times its route's mean service time. The factor is above 1 because
-# service times vary.
-IN_TIME_FACTOR = 1.5
 # Mean service time that is assumed until the backend server has answered once.
 DEFAULT_SERVICE_TIME_S = 0.1
 # An attempt is refused after it has waited for this many times its `wait_max_s`, so
@@ -267,24 +263,7 @@
     targets.
     """
     weight, turn, target_s, sequence = key
-    return weight, _is_late(ticket, now_s), turn, target_s, sequence
-
-
-def _is_late(ticket: Ticket, now_s: float) -> bool:
-    # An attempt never counts as late if an earlier run of its request was lost. The
-    # loss has made the attempt late, and the request has already waited for a slot
-    # once. If the attempt started after all new attempts, it would never start while
-    # new attempts keep arriving.
-    if ticket.target_s is None or ticket.run_was_lost:
-        return False
-    # An attempt with a rank never counts as late. Attempts with the same rank are calls
-    # that a backend server makes for one request. The request needs the answers to all
-    # of these calls, even late ones, and the calls may wait at different gates. If late
-    # calls started after new attempts, one gate could delay some calls of a request
-    # while another gate answers the rest in vain.
-    if ticket.rank_s:
-        return False
-    return now_s + IN_TIME_FACTOR * ticket.route_time_s > ticket.target_s
+    return weight, ticket.is_late(now_s), turn, target_s, sequence
 
 
 def _expected_wait_s(
--- a/balsamspindle/backend_servers/slots.py
+++ b/balsamspindle/backend_servers/slots.py
@@ -5,6 +5,8 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from balsamspindle.backend_servers.decaying_sums import DecayingSums
+
 __all__ = ["SlotAccount", "WorkEnd", "WorkKind", "ramped_slots"]
 
 # Weight of the newest sample in the moving averages of service times.
@@ -59,37 +61,6 @@
 DEFAULT_KIND = WorkKind()
 
 
-class _LoadAverages:
-    """Average number of slots occupied by the requests of each weight.
-
-    The time that slots were occupied is summed by weight, and each sum decays
-    exponentially with the time constant `LOAD_AVERAGING_S`.
-    """
-
-    def __init__(self) -> None:
-        self._busy_s: dict[float, float] = {}
-        self._changed_s = 0.0
-
-    def record(self, weight: float, ran_s: float, now_s: float) -> None:
-        self._decay(now_s)
-        self._busy_s[weight] = self._busy_s.get(weight, 0.0) + ran_s
-
-    def heavier_than(self, weight: float, now_s: float) -> float:
-        """Return the average number of slots that heavier requests occupy."""
-        self._decay(now_s)
-        heavier = (busy_s for other, busy_s in self._busy_s.items() if other > weight)
-        return sum(heavier) / LOAD_AVERAGING_S
-
-    def _decay(self, now_s: float) -> None:
-        elapsed_s = max(0.0, now_s - self._changed_s)
-        self._changed_s = max(now_s, self._changed_s)
-        decay = math.exp(-elapsed_s / LOAD_AVERAGING_S)
-        for weight in list(self._busy_s):
-            self._busy_s[weight] *= decay
-            if self._busy_s[weight] < 0.001:
-                del self._busy_s[weight]
-
-
 class SlotAccount:
     """Counts the slots of a backend server that are, or may still be, in use.
 
@@ -112,7 +83,7 @@
         self.service_time_s = 0.0
         self._running = 0
         self._running_by_weight: Counter[float] = Counter()
-        self._loads = _LoadAverages()
+        self._loads = DecayingSums(LOAD_AVERAGING_S)
         self._route_time_s: dict[int, float] = {}
         self._delayed_releases_s: list[float] = []
 
@@ -132,7 +103,9 @@
         their answers. Therefore the slots that heavier requests occupy on average are
         reserved for heavier requests, up to half of all slots.
         """
-        reserved = int(self._loads.heavier_than(weight, now_s) + LOAD_ROUNDING)
+        reserved = int(
+            self._loads.heavier_than(weight, now_s) / LOAD_AVERAGING_S + LOAD_ROUNDING
+        )
         running = sum(
             count for other, count in self._running_by_weight.items() if other > weight
         )
@@ -147,7 +120,10 @@
         present queue alone would ignore these heavier requests. If they always occupy
         all slots of a gate, the light request would wait there until its deadline.
         """
-        return max(EFFECTIVE_SLOTS_MIN, slots - self._loads.heavier_than(weight, now_s))
+        return max(
+            EFFECTIVE_SLOTS_MIN,
+            slots - self._loads.heavier_than(weight, now_s) / LOAD_AVERAGING_S,
+        )
 
     def route_time_s(self, kind: WorkKind) -> float:
         """Return the mean service time of the kind's route; 0 when unknown."""
@@ -173,7 +149,7 @@
         self._running_by_weight[kind.weight] -= 1
         if not self._running_by_weight[kind.weight]:
             del self._running_by_weight[kind.weight]
-        self._loads.record(kind.weight, ran_s, now_s)
+        self._loads.add(kind.weight, ran_s, now_s)
         match end:
             case WorkEnd.IN_DOUBT:
                 delay_s = min(max(ran_s, RELEASE_DELAY_MIN_S), RELEASE_DELAY_MAX_S)
--- a/balsamspindle/backend_servers/terms_table.py
+++ b/balsamspindle/backend_servers/terms_table.py
@@ -111,21 +111,23 @@
             terms = self._terms.get(server_id)
             return terms.to_wire() if terms is not None and terms.is_shared else None
 
-    def allowance(self, server_id: str, boot_id: str, now_s: float) -> Allowance | None:
-        """Return what a backend server's limit allows now; None without a limit."""
+    def allowance(
+        self, server_id: str, boot_id: str, now_s: float, weight: float = math.inf
+    ) -> Allowance | None:
+        """Return what a limit allows requests of a weight now; None without a limit."""
         with self._lock:
             terms = self._get(server_id, boot_id)
             if terms is None or terms.rate is None:
                 return None
-            return terms.rate.allowance(now_s)
+            return terms.rate.allowance(now_s, weight)
 
-    def spend(self, server_id: str, boot_id: str) -> bool:
+    def spend(self, server_id: str, boot_id: str, weight: float, now_s: float) -> bool:
         """Count a request that is sent; return False if there is no limit."""
         with self._lock:
             terms = self._get(server_id, boot_id)
             if terms is None or terms.rate is None:
                 return False
-            terms.rate.spend()
+            terms.rate.spend(weight, now_s)
             return True
 
     def refund(self, server_id: str, boot_id: str) -> None:
--- a/balsamspindle/backend_servers/tickets.py
+++ b/balsamspindle/backend_servers/tickets.py
@@ -8,6 +8,11 @@
 
 __all__ = ["Order", "OrderKey", "QueueDecision", "Ticket"]
 
+# An attempt is expected to meet its latency target if the time until the target is at
+# least this many times its route's mean service time. The factor is above 1 because
+# service times vary.
+IN_TIME_FACTOR = 1.5
+
 
 class Order(StrEnum):
     """Which attempt starts first if weight, customer turn and target are equal."""
@@ -104,3 +109,36 @@
     rank_s: float = 0.0
     customer: str = ""
     allowance: Allowance | None = None
+
+    def is_late(self, now_s: float) -> bool:
+        """Return whether the answer will probably miss the latency target."""
+        # An attempt never counts as late if an earlier run of its request was lost. The
+        # loss has made the attempt late, and the request has already waited for a slot
+        # once. If the attempt started after all new attempts, it would never start
+        # while new attempts keep arriving.
+        if self.target_s is None or self.run_was_lost:
+            return False
+        # An attempt with a rank never counts as late. Attempts with the same rank are
+        # calls that a backend server makes for one request. The request needs the
+        # answers to all of these calls, even late ones, and the calls may wait at
+        # different gates. If late calls started after new attempts, one gate could
+        # delay some calls of a request while another gate answers the rest in vain.
+        if self.rank_s:
+            return False
+        return now_s + IN_TIME_FACTOR * self.route_time_s > self.target_s
+
+    def limit_wait(self, now_s: float) -> None:
+        """Shorten the maximum wait at a backend server that names a limit.
+
+        An attempt that has become late starts after all others. Behind a limit, it
+        would hardly ever start while others keep arriving. So an attempt waits only for
+        as long as its answer can be in time. Without a maximum wait it does not wait at
+        all, because it would wait here although other backend servers may have free
+        slots. An attempt that waits already keeps its maximum wait.
+        """
+        if self.wait_max_s is None:
+            if self.allowance.tokens < 1:
+                self.wait_max_s = 0.0
+        elif self.key is None and self.target_s is not None and not self.is_late(now_s):
+            latest_s = self.target_s - IN_TIME_FACTOR * self.route_time_s
+            self.wait_max_s = min(self.wait_max_s, latest_s - now_s)
--- a/balsamspindle/requests/forwarded.py
+++ b/balsamspindle/requests/forwarded.py
@@ -89,6 +89,9 @@
         Expected wait for a slot in ms, by backend server id. Gates reported these waits
         when they refused a request (this one or another) that would have had to wait
         too long.
+    has_asked_anyway : bool
+        Whether one gate was asked although its known wait is too long. It stays set
+        when the search is restarted.
     """
 
     step: Step = Step.NEAR
@@ -96,6 +99,7 @@
     far_tries: int = 0
     queue_near_until_s: float | None = None
     queue_wait_ms: dict[str, float] = field(default_factory=dict)
+    has_asked_anyway: bool = False
 
     def restart(self) -> None:
         """Restart the search at step `NEAR`; discard the reported queue waits."""
--- a/balsamspindle/requests/placement_selection.py
+++ b/balsamspindle/requests/placement_selection.py
@@ -142,10 +142,12 @@
             suspected = tried | held_out_servers.held_out(now_s)
             # Backend servers at unreachable nodes are selected in the second pass only.
             passes = [suspected | unreachable, suspected]
+        self._add_limit_waits(forwarded, tried, now_s)
         with self._lock:
             selected = self._select(forwarded, passes[0], now_s)
             if selected is None and passes[0] != passes[1]:
                 forwarded.search.restart()
+                self._add_limit_waits(forwarded, tried, now_s)
                 selected = self._select(forwarded, passes[1], now_s)
         return selected
 
@@ -168,10 +170,12 @@
         search, route = forwarded.search, forwarded.route
         near, far = self._picker.split_by_zone(route.service, route.execution)
         wait_ms = near_wait_ms(route.target_ms, self._sizes.mean_bytes(route))
+        # Backend servers whose limit allows no request now; see `_add_limit_waits`.
+        used_up = self._sender.known_terms.waits_ms(route.weight, now_s).keys()
         match search.step:
             case Step.NEAR if search.near_tries < NEAR_TRIES_MAX:
                 search.near_tries += 1
-                return self._select_freest(near, excluded, 0.0, now_s)
+                return self._select_freest(near, excluded | used_up, 0.0, now_s)
             case Step.NEAR_QUEUE:
                 # The total wait in all queues of the own zone is limited. Waits may be
                 # longer than reported. Without this limit, a request could spend half
@@ -184,16 +188,39 @@
                 # Gates that just reported a wait longer than `wait_ms` are excluded:
                 # they would refuse again, and each attempt costs traffic between zones.
                 long_queues = self._sender.queue_hints.longer_than(wait_ms, now_s)
-                return self._select_freest(far, excluded | long_queues, wait_ms, now_s)
+                excluded = excluded | long_queues | used_up
+                return self._select_freest(far, excluded, wait_ms, now_s)
             case Step.QUEUE:
                 remaining_ms = _remaining_queue_wait_ms(forwarded, now_s)
                 places = (*near, *far)
                 self._add_reported_queues(search, places, excluded, remaining_ms, now_s)
-                return self._select_shortest_queue(
+                selected = self._select_shortest_queue(
                     near, remaining_ms, search, far, wait_ms
                 )
+                if not _must_ask_anyway(forwarded, selected):
+                    return selected
+                selected = self._select_shortest_queue(
+                    near, math.inf, search, far, wait_ms
+                )
+                return selected and selected._replace(wait_max_ms=remaining_ms)
         return None
 
+    def _add_limit_waits(
+        self, forwarded: ForwardedRequest, tried: Set[str], now_s: float
+    ) -> None:
+        """Add to a search the waits that limits cause, as gates reported them.
+
+        The search then looks for free slots at other backend servers only, and joins a
+        queue behind a limit if the wait is short enough.
+        """
+        search = forwarded.search
+        if search.step is Step.DONE:
+            return
+        waits_ms = self._sender.known_terms.waits_ms(forwarded.route.weight, now_s)
+        for server_id, wait_ms in waits_ms.items():
+            if server_id not in tried:
+                search.queue_wait_ms.setdefault(server_id, wait_ms)
+
     def _add_reported_queues(
         self,
         search: Search,
@@ -270,10 +297,11 @@
         return Selection(placement, shortest_ms * QUEUE_MARGIN + QUEUE_MARGIN_MS)
 
     def _select_any(self, forwarded, excluded, now_s) -> Selection | None:
+        used_up = self._sender.known_terms.waits_ms(forwarded.route.weight, now_s)
         placement = self._picker.pick(
             forwarded.route.service,
             forwarded.route.execution,
-            excluded,
+            excluded | used_up.keys(),
             lambda place: self._free_slots.free_slots(place, now_s),
             self._random,
         )
@@ -299,10 +327,13 @@
         wait_ms, placement = min(
             queues, key=lambda queue: queue[0], default=(math.inf, None)
         )
-        if wait_ms > remaining_ms:
+        if placement is None:
+            return None
+        selected = Selection(placement, remaining_ms)
+        if wait_ms > remaining_ms and not _must_ask_anyway(forwarded, None):
             return None
         waits_ms.pop(placement.backend_server.backend_server_id)
-        return Selection(placement, remaining_ms)
+        return selected
 
     def _find_unreachable_servers(self, service: str, now_s: float) -> set[str]:
         """Return the ids of the backend servers at nodes held out as unreachable."""
@@ -348,3 +379,16 @@
         remaining_s = forwarded.deadline_s - now_s
         forwarded.queue_until_s = now_s + QUEUE_WAIT_FRACTION * remaining_s
     return (forwarded.queue_until_s - now_s) * 1000
+
+
+def _must_ask_anyway(forwarded: ForwardedRequest, selected: Selection | None) -> bool:
+    """Return whether a gate has to be asked although all known waits are too long.
+
+    Only a gate knows the present wait, which the caller is told. So one gate is asked
+    if none has been asked for the request so far.
+    """
+    search = forwarded.search
+    if selected is not None or forwarded.attempts or search.has_asked_anyway:
+        return False
+    search.has_asked_anyway = True
+    return True
--- a/balsamspindle/requests/tracking.py
+++ b/balsamspindle/requests/tracking.py
@@ -4,7 +4,7 @@
 
 from balsamspindle.membership.directory import Placement
 from balsamspindle.protocol.outcomes import Outcome, Reason
-from balsamspindle.requests.forwarded import ForwardedRequest
+from balsamspindle.requests.forwarded import ForwardedRequest, Step
 from balsamspindle.requests.retries import is_shed
 from balsamspindle.services.free_slots import FREE_SLOTS_TTL_S, FreeSlotEstimates
 from balsamspindle.services.known_terms import KnownTerms
@@ -82,7 +82,7 @@
         if reply is not None and reply.reason in _REASONS_WITHOUT_SLOT_COUNT:
             return
         if reply is not None and reply.reason is Reason.WOULD_WAIT:
-            self._forwarded.search.queue_wait_ms[self._server_id] = reply.retry_after_ms
+            self._record_queue_wait(reply.retry_after_ms, now_s)
             self._queue_hints.record(self._server_id, reply.retry_after_ms, now_s)
             self._free_slots.record(self._server_id, 0, now_s)
             return
@@ -93,3 +93,19 @@
             )
         else:
             self._free_slots.record(self._server_id, reply.free_slots, now_s)
+
+    def _record_queue_wait(self, wait_ms: float, now_s: float) -> None:
+        """Record a wait that was too long for the attempt.
+
+        An attempt of step `QUEUE` may wait for as long as any later one of its request,
+        so a limit that refused it would refuse it again.
+        """
+        search, is_limited = (
+            self._forwarded.search,
+            self._known_terms.is_limited(self._server_id),
+        )
+        if is_limited:
+            weight = self._forwarded.route.weight
+            self._known_terms.record_wait(self._server_id, weight, wait_ms, now_s)
+        if not is_limited or search.step is not Step.QUEUE:
+            search.queue_wait_ms[self._server_id] = wait_ms
--- a/balsamspindle/services/known_terms.py
+++ b/balsamspindle/services/known_terms.py
@@ -6,6 +6,7 @@
 
 import threading
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from balsamspindle.membership.directory import Placement
 from balsamspindle.wire import BackendServerRecord, ServerTerms
@@ -13,6 +14,15 @@
 __all__ = ["KnownTerms"]
 
 SERVERS_MAX = 10_000
+# A stated wait is not used for longer than this. The limit may have risen or ended.
+WAIT_VALID_MAX_S = 1.0
+
+
+class _Wait(NamedTuple):
+    """When a limit allows a request of a weight, as a gate's refusal stated it."""
+
+    allowed_s: float
+    expires_s: float
 
 
 class KnownTerms:
@@ -21,6 +31,8 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._terms: dict[str, ServerTerms] = {}
+        # By backend server and by the weight of the refused request.
+        self._waits: dict[str, dict[float, _Wait]] = {}
 
     def record(self, server_id: str, reported: ServerTerms | None) -> None:
         """Record the terms in a gate's reply; None changes nothing.
@@ -51,3 +63,43 @@
         servers = (placement.backend_server for placement in placements)
         known = ((server.backend_server_id, self.get(server)) for server in servers)
         return {server_id for server_id, terms in known if terms and terms.is_leaving}
+
+    def is_limited(self, server_id: str) -> bool:
+        """Return whether a backend server names a limit."""
+        terms = self._terms.get(server_id)
+        return terms is not None and terms.limit_per_s is not None
+
+    def record_wait(
+        self, server_id: str, weight: float, wait_ms: float, now_s: float
+    ) -> None:
+        """Record after which time a limit allows a request of this weight."""
+        allowed_s = now_s + wait_ms / 1000
+        wait = _Wait(allowed_s, min(allowed_s, now_s + WAIT_VALID_MAX_S))
+        with self._lock:
+            waits = self._waits.get(server_id, {})
+            kept = {key: old for key, old in waits.items() if old.expires_s > now_s}
+            self._waits[server_id] = {**kept, weight: wait}
+            if len(self._waits) > SERVERS_MAX:
+                del self._waits[next(iter(self._waits))]
+
+    def waits_ms(self, weight: float, now_s: float) -> dict[str, float]:
+        """Return the waits, by backend server, of those whose limit is used up.
+
+        A wait that was stated to a heavier request holds for a lighter one, too.
+        """
+        if not self._waits:
+            return {}
+        with self._lock:
+            stated = list(self._waits.items())
+        waits_s = {
+            server_id: max(
+                (
+                    wait.allowed_s - now_s
+                    for other, wait in waits.items()
+                    if other >= weight and wait.expires_s > now_s
+                ),
+                default=0.0,
+            )
+            for server_id, waits in stated
+        }
+        return {name: wait_s * 1000 for name, wait_s in waits_s.items() if wait_s > 0}
--- a/tests/test_placement_selection.py
+++ b/tests/test_placement_selection.py
@@ -88,6 +88,7 @@
         while selected := self.selector.select(self.forwarded, 0.0):
             name = selected.placement.backend_server.backend_server_id
             wait_ms = (waits_ms or {}).get(name, 10_000.0)
+            self.forwarded.attempts += 1
             tries.append((name, selected.wait_max_ms))
             if selected.wait_max_ms is None or wait_ms <= selected.wait_max_ms:
                 return tries
@@ -178,6 +179,7 @@
         first = self.selector.select(self.forwarded, 0.0)
         second = self.selector.select(self.forwarded, 4.0)
         self.assertEqual((5000.0, 1000.0), (first.wait_max_ms, second.wait_max_ms))
+        self.forwarded.attempts = 2
         self.forwarded.search.queue_wait_ms = dict.fromkeys(NEAR, 100.0)
         self.assertIsNone(self.selector.select(self.forwarded, 5.0))
 
@@ -253,6 +255,28 @@
         self.forwarded.search.restart()
         self.assertIn(self.tries()[0][0], NEAR)
 
+    def test_a_used_up_limit_is_joined_only_if_its_wait_is_short(self):
+        # Guards against attempts that look for a free slot where a limit allows none.
+        for name in (*NEAR, *FAR):
+            self.sender.known_terms.record(name, ServerTerms("1", 0.5))
+            self.sender.known_terms.record_wait(name, 1.0, 3000.0, 0.0)
+        self.sender.known_terms.record_wait(FAR[2], 1.0, 900.0, 0.0)
+        self.assertEqual([FAR[2]], [name for name, _ in self.tries({FAR[2]: 900.0})])
+
+    def test_one_gate_is_asked_even_if_all_known_waits_are_too_long(self):
+        # Guards against a refusal without a true Retry-After.
+        for name in (*NEAR, *FAR):
+            self.sender.known_terms.record(name, ServerTerms("1", 0.01))
+            self.sender.known_terms.record_wait(name, 1.0, 90_000.0, 0.0)
+        self.assertEqual(1, len(self.tries({})))
+
+    def test_a_wait_stated_to_a_light_request_does_not_hold_for_a_heavier_one(self):
+        terms = self.sender.known_terms
+        terms.record_wait(NEAR[0], 1.0, 3000.0, 0.0)
+        self.assertEqual({NEAR[0]}, set(terms.waits_ms(0.5, 0.0)))
+        self.assertEqual({}, terms.waits_ms(2.0, 0.0))
+        self.assertEqual({}, terms.waits_ms(1.0, 1.5))
+
     def test_a_leaving_backend_server_is_not_even_the_last_resort(self):
         # Guards against work for a backend server whose gate was restarted and does not
         # know that the backend server leaves.
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -25,7 +25,7 @@
     sent_s, now_s = [], from_s
     while now_s < to_s:
         while rate.allowance(now_s).tokens >= 1:
-            rate.spend()
+            rate.spend(1.0, now_s)
             sent_s.append(now_s)
         now_s += STEP_S
     return sent_s
@@ -82,6 +82,17 @@
     def test_a_request_that_was_not_sent_is_not_counted(self):
         rate = RateLimit(1.0, 0.0)
         rate.allowance(1.0)
-        rate.spend()
+        rate.spend(1.0, 1.0)
         rate.refund()
         self.assertEqual(1.0, rate.allowance(1.0).tokens)
+
+    def test_a_light_request_is_told_the_wait_behind_heavier_ones(self):
+        # Guards against light requests that queue although heavier ones use all of the
+        # allowance.
+        rate = RateLimit(2.0, 0.0)
+        for number in range(40):
+            rate.allowance(number / 2)
+            rate.spend(5.0, number / 2)
+        light, heavy = rate.allowance(20.0, 1.0), rate.allowance(20.0, 5.0)
+        self.assertAlmostEqual(1.0, heavy.wait_s(2))
+        self.assertGreater(light.wait_s(2), 4.0)
