Shorten waits only behind a limit that is used up

A limit that allows a request now does not delay it; the wait for a slot then is as long as without a limit. Found by reading the diff; the new test failed before.

--- a/balsamspindle/backend_servers/tickets.py
+++ b/balsamspindle/backend_servers/tickets.py
@@ -128,7 +128,7 @@
         return now_s + IN_TIME_FACTOR * self.route_time_s > self.target_s
 
     def limit_wait(self, now_s: float) -> None:
-        """Shorten the maximum wait at a backend server that names a limit.
+        """Shorten the maximum wait while a limit of the backend server is used up.
 
         An attempt that has become late starts after all others. Behind a limit, it
         would hardly ever start while others keep arriving. So an attempt waits only for
@@ -136,9 +136,10 @@
         all, because it would wait here although other backend servers may have free
         slots. An attempt that waits already keeps its maximum wait.
         """
+        if self.allowance is None or self.allowance.tokens >= 1:
+            return
         if self.wait_max_s is None:
-            if self.allowance.tokens < 1:
-                self.wait_max_s = 0.0
+            self.wait_max_s = 0.0
         elif self.key is None and self.target_s is not None and not self.is_late(now_s):
             latest_s = self.target_s - IN_TIME_FACTOR * self.route_time_s
             self.wait_max_s = min(self.wait_max_s, latest_s - now_s)
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -19,6 +19,7 @@
     LocalBackendServers,
 )
 from balsamspindle.backend_servers.terms_table import TermsTable
+from balsamspindle.backend_servers.tickets import Ticket
 from balsamspindle.platform.headers import HEADER_NAMES
 from balsamspindle.protocol.outcomes import Execution, Outcome, Reason
 from balsamspindle.settings.documents import ServiceDocument
@@ -152,6 +153,23 @@
         self.assertEqual(Outcome.ANSWERED, reply.outcome)
         self.assertLess(time.monotonic() - started_s, 1.0)
 
+    def test_a_limit_that_is_not_used_up_shortens_no_wait_for_a_slot(self):
+        self._name_limit(b"100")
+        time.sleep(0.1)
+        ticket = Ticket(
+            SERVER,
+            1.0,
+            deadline_s=10.0,
+            wait_max_s=5.0,
+            target_s=2.0,
+            allowance=self._allowance(),
+        )
+        ticket.limit_wait(0.0)
+        self.assertEqual(5.0, ticket.wait_max_s)
+        ticket.allowance = ticket.allowance._replace(tokens=0.5)
+        ticket.limit_wait(0.0)
+        self.assertEqual(2.0, ticket.wait_max_s)
+
     def test_an_attempt_without_a_maximum_wait_is_refused_at_once(self):
         # Guards against a request that waits at one gate until its deadline although
         # other backend servers are idle.
