Keep known terms readable while they are replaced, and few stated waits

Found by reading the diff. An ingress took an entry out before it put the new one in, and readers take no lock: for a moment a leaving backend server counted as not leaving. Stated waits were kept for each backend server that ever named a limit, and looked through for each selection. Suspected backend servers behind a limit were asked for their queue in vain.

--- a/balsamspindle/requests/placement_selection.py
+++ b/balsamspindle/requests/placement_selection.py
@@ -142,12 +142,12 @@
             suspected = tried | held_out_servers.held_out(now_s)
             # Backend servers at unreachable nodes are selected in the second pass only.
             passes = [suspected | unreachable, suspected]
-        self._add_limit_waits(forwarded, tried, now_s)
+        self._add_limit_waits(forwarded, passes[0], now_s)
         with self._lock:
             selected = self._select(forwarded, passes[0], now_s)
             if selected is None and passes[0] != passes[1]:
                 forwarded.search.restart()
-                self._add_limit_waits(forwarded, tried, now_s)
+                self._add_limit_waits(forwarded, passes[1], now_s)
                 selected = self._select(forwarded, passes[1], now_s)
         return selected
 
@@ -206,7 +206,7 @@
         return None
 
     def _add_limit_waits(
-        self, forwarded: ForwardedRequest, tried: Set[str], now_s: float
+        self, forwarded: ForwardedRequest, excluded: Set[str], now_s: float
     ) -> None:
         """Add to a search the waits that limits cause, as gates reported them.
 
@@ -218,7 +218,7 @@
             return
         waits_ms = self._sender.known_terms.waits_ms(forwarded.route.weight, now_s)
         for server_id, wait_ms in waits_ms.items():
-            if server_id not in tried:
+            if server_id not in excluded:
                 search.queue_wait_ms.setdefault(server_id, wait_ms)
 
     def _add_reported_queues(
--- a/balsamspindle/services/known_terms.py
+++ b/balsamspindle/services/known_terms.py
@@ -43,7 +43,9 @@
         if reported is None:
             return
         with self._lock:
-            known = self._terms.pop(server_id, None)
+            # The entry is replaced in place: readers take no lock, and must not miss a
+            # leaving meanwhile.
+            known = self._terms.get(server_id)
             if known is not None and known.boot_id == reported.boot_id:
                 is_leaving = known.is_leaving or reported.is_leaving
                 reported = reported._replace(is_leaving=is_leaving)
@@ -76,11 +78,14 @@
         allowed_s = now_s + wait_ms / 1000
         wait = _Wait(allowed_s, min(allowed_s, now_s + WAIT_VALID_MAX_S))
         with self._lock:
-            waits = self._waits.get(server_id, {})
-            kept = {key: old for key, old in waits.items() if old.expires_s > now_s}
-            self._waits[server_id] = {**kept, weight: wait}
-            if len(self._waits) > SERVERS_MAX:
-                del self._waits[next(iter(self._waits))]
+            waits = self._waits.pop(server_id, {})
+            self._waits[server_id] = {**_valid(waits, now_s), weight: wait}
+            # The server that was recorded longest ago comes first.
+            while self._waits:
+                oldest_id = next(iter(self._waits))
+                if _valid(self._waits[oldest_id], now_s):
+                    break
+                del self._waits[oldest_id]
 
     def waits_ms(self, weight: float, now_s: float) -> dict[str, float]:
         """Return the waits, by backend server, of those whose limit is used up.
@@ -91,15 +96,14 @@
             return {}
         with self._lock:
             stated = list(self._waits.items())
-        waits_s = {
-            server_id: max(
-                (
-                    wait.allowed_s - now_s
-                    for other, wait in waits.items()
-                    if other >= weight and wait.expires_s > now_s
-                ),
-                default=0.0,
-            )
-            for server_id, waits in stated
-        }
-        return {name: wait_s * 1000 for name, wait_s in waits_s.items() if wait_s > 0}
+        waits_ms = {}
+        for server_id, waits in stated:
+            valid = _valid(waits, now_s)
+            allowed_s = [wait.allowed_s for key, wait in valid.items() if key >= weight]
+            if allowed_s:
+                waits_ms[server_id] = (max(allowed_s) - now_s) * 1000
+        return waits_ms
+
+
+def _valid(waits: dict[float, _Wait], now_s: float) -> dict[float, _Wait]:
+    return {weight: wait for weight, wait in waits.items() if wait.expires_s > now_s}
