--- a/balsamspindle/standins/backend_server.py
+++ b/balsamspindle/standins/backend_server.py
@@ -24,6 +24,7 @@
     "BackendFaultMode",
     "BackendFaultSwitch",
     "StandinBackendServer",
+    "StandinHandler",
 ]
 
 RUN_KEY_HEADER = "X-Run-Key"
@@ -92,7 +93,7 @@
     request_queue_size = 512
 
     def __init__(self, address: tuple[str, int], name: str, work_s: float) -> None:
-        super().__init__(address, _Handler)
+        super().__init__(address, StandinHandler)
         self.name = name
         self.work_s = work_s
         self.fault = BackendFaultSwitch()
@@ -115,7 +116,9 @@
         """Discard errors, such as that of a caller that closed its connection."""
 
 
-class _Handler(BaseHTTPRequestHandler):
+class StandinHandler(BaseHTTPRequestHandler):
+    """Answers the requests of one connection to a `StandinBackendServer`."""
+
     protocol_version = "HTTP/1.1"
     server: StandinBackendServer
     disable_nagle_algorithm = True
@@ -125,6 +128,7 @@
         """Log nothing, since the node writes events for all requests."""
 
     def do_GET(self):
+        """Answer one request of any method; see `BaseHTTPRequestHandler`."""
         body = self._read_body()
         match self.path:
             case "/health":
--- a/tests/announcing_server.py
+++ b/tests/announcing_server.py
@@ -10,7 +10,13 @@
 from balsamspindle.standins.backend_server import Announcer, StandinBackendServer
 from tests.utils import NodeProgram, call, free_port
 
-__all__ = ["LIMIT_HEADER", "AnnouncingServer", "Callers", "most_in_window"]
+__all__ = [
+    "LEAVING_HEADER",
+    "LIMIT_HEADER",
+    "AnnouncingServer",
+    "Callers",
+    "most_in_window",
+]
 
 LIMIT_HEADER = DEFAULT_HEADER_NAMES.server_limit
 LEAVING_HEADER = DEFAULT_HEADER_NAMES.server_leaving
@@ -18,11 +24,18 @@
 
 
 class AnnouncingServer(StandinBackendServer):
-    """A stand-in that records when requests arrive; status checks are left out."""
+    """A stand-in that records when requests arrive; status checks are left out.
+
+    Attributes
+    ----------
+    node_name : str
+        Id of the node beside which it runs.
+    """
 
     def __init__(self, name: str, service: str, node: NodeProgram, work_s=0.05):
         address = ("127.0.0.1", free_port())
         super().__init__(address, name, work_s)
+        self.node_name = node.settings["node_id"]
         self.arrivals_s: list[float] = []
         self._announcement = {
             "service": service,
