--- a/balsamspindle/protocol/announced_terms.py
+++ b/balsamspindle/protocol/announced_terms.py
@@ -41,22 +41,25 @@
     If an answer contains several limits, the lowest one is returned: a backend server
     that names a limit is overloaded, and the lowest limit is the safe one.
     """
-    limits, leaving, unreadable = [], False, []
+    limits, leavings, unreadable = [], [], []
+    readers = {
+        names.server_limit.lower(): (_read_limit, limits),
+        names.server_leaving.lower(): (_LEAVING_VALUES.get, leavings),
+    }
+    # A deployment may lack one of the headers.
+    readers.pop("", None)
     for header, value in headers:
-        for part in map(str.strip, value.split(",")):
-            if _is_named(header, names.server_limit):
-                if _is_decimal(part):
-                    limits.append(float(part))
-                    continue
-            elif _is_named(header, names.server_leaving):
-                if part in _LEAVING_VALUES:
-                    leaving |= _LEAVING_VALUES[part]
-                    continue
+        read, found = readers.get(header.lower(), (None, None))
+        if read is None:
+            continue
+        for text in map(str.strip, value.split(",")):
+            parsed = read(text)
+            if parsed is None:
+                unreadable.append(f"{header}: {text}"[:UNREADABLE_MAX_CHARACTERS])
             else:
-                break
-            unreadable.append(f"{header}: {part}"[:UNREADABLE_MAX_CHARACTERS])
-    return AnnouncedTerms(min(limits, default=None), leaving, tuple(unreadable))
+                found.append(parsed)
+    return AnnouncedTerms(min(limits, default=None), any(leavings), tuple(unreadable))
 
 
-def _is_named(header: str, name: str) -> bool:
-    return bool(name) and header.lower() == name.lower()
+def _read_limit(text: str) -> float | None:
+    return float(text) if _is_decimal(text) else None
--- a/balsamspindle/requests/retries.py
+++ b/balsamspindle/requests/retries.py
@@ -108,9 +108,11 @@
     if best.reason is not Reason.WOULD_WAIT:
         return best
     waits_ms = [
-        reply.retry_after_ms for reply in replies if reply.reason is Reason.WOULD_WAIT
+        reply.retry_after_ms
+        for reply in replies
+        if reply.reason is Reason.WOULD_WAIT and reply.retry_after_ms
     ]
-    return msgspec.structs.replace(best, retry_after_ms=min(waits_ms))
+    return msgspec.structs.replace(best, retry_after_ms=min(waits_ms, default=0.0))
 
 
 def _retry_cost(reply: Reply, execution: Execution, retries_errors: bool) -> RetryCost:
