Treat downloads as requests that may run more than once

The adapter did not know the kind, so a download that met a failing backend server counted as non-idempotent: it was not retried, and it never was a trial. Unknown kinds stay non-idempotent. The test fails without the entry.

--- a/balsamspindle/platform/configuration.py
+++ b/balsamspindle/platform/configuration.py
@@ -75,7 +75,7 @@
     Attributes
     ----------
     kind : str
-        ``safe`` if a request may run more than once; see `_EXECUTIONS`.
+        ``safe`` or ``download`` if a request may run more than once; see `_EXECUTIONS`.
     timeout : str
         Longest time until the caller gets an answer.
     target_latency : str
@@ -137,6 +137,8 @@
 # Execution by kind of route. Requests of other kinds may run at most once.
 _EXECUTIONS = {
     "safe": Execution.IDEMPOTENT,
+    # Requests with large answers.
+    "download": Execution.IDEMPOTENT,
     "unsafe": Execution.NON_IDEMPOTENT,
     # Requests with large bodies.
     "upload": Execution.NON_IDEMPOTENT,
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -108,6 +108,20 @@
             routes.find("sign.example", "/xapu/ny/", "GET"), Reason
         )
 
+    def test_requests_with_large_answers_may_run_again_and_those_with_large_bodies_not(
+        self,
+    ):
+        route = {**CONFIGURATION["routes"][0], "prefix": "/"}
+        expected = {
+            "download": Execution.IDEMPOTENT,
+            "upload": Execution.NON_IDEMPOTENT,
+            "a kind of a later release": Execution.NON_IDEMPOTENT,
+        }
+        for kind, execution in expected.items():
+            routes = self.translate(routes=[{**route, "kind": kind}]).routes
+            found = routes.find("sign.example", "/a", "GET")
+            self.assertIs(execution, found.execution, kind)
+
     def test_an_invalid_configuration_is_refused_as_a_whole(self):
         route = CONFIGURATION["routes"][0]
         invalid = {
