Order routes within customers of one weight; types of the parts for hard load

orders_routes_within_customers lets the heavier route go first among requests of the same weight; off unless set. SearchWidening and GatePreviews are moved out of forwarding.py and gate.py, unchanged.

--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -42,6 +42,7 @@
     NullHealthObserver,
 )
 from balsamspindle.backend_servers.failed_calls import FailedCalls
+from balsamspindle.backend_servers.gate_previews import GatePreviews, health_admits
 from balsamspindle.backend_servers.ledger import (
     ClaimedKey,
     EarlierAnswer,
@@ -125,6 +126,9 @@
         terms = self._admission.terms
         self._answer_terms = answer_terms or AnswerTerms(servers, terms, events, names)
         self._refusals = Refusals(events, self._observer, terms)
+        self._previews = GatePreviews(
+            self._observer, self._admission, self._crash_history
+        )
         self._attempts = AttemptTable()
         self._ledger = RunLedger(events.node_id, events.incarnation)
         self._runner = Runner(
@@ -242,23 +246,8 @@
         return self._handle_keyed(dispatch, token, deadline_s)
 
     def preview(self, query: AdmissionQuery, received_s: float) -> AdmissionAnswer:
-        """Return whether an attempt would be refused now, and why; reserves no slot."""
-        held_out = self._observer.held_out(query.backend_server_id, received_s)
-        answer = AdmissionAnswer(
-            query.number, held_out=held_out, gate_time_s=received_s
-        )
-        status = self._crash_history.status_of(query.content_hash, received_s)
-        if status.blocked_ms:
-            return msgspec.structs.replace(
-                answer, reason=Reason.CRASHES_SERVERS, wait_ms=status.blocked_ms
-            )
-        if not self._health_admits(query):
-            return msgspec.structs.replace(answer, reason=Reason.SUSPECTED)
-        deadline_s = received_s + query.remaining_ms / 1000
-        match self._admission.preview(query, deadline_s):
-            case Refused(reason, wait_ms):
-                return msgspec.structs.replace(answer, reason=reason, wait_ms=wait_ms)
-        return answer
+        """Return whether an attempt would be refused now; see `GatePreviews`."""
+        return self._previews.preview(query, received_s)
 
     def _begin(self, dispatch, token, deadline_s) -> BeginResult:
         with self._servers.changed:
@@ -298,7 +287,7 @@
         status = self._crash_history.status_of(dispatch.content_hash, received_s)
         if status.blocked_ms:
             return self._refusals.refuse_blocked(dispatch, status.blocked_ms)
-        if not self._health_admits(dispatch):
+        if not health_admits(self._observer, dispatch, time.monotonic()):
             return self._refusals.refuse(dispatch, Reason.SUSPECTED)
         service, weight = dispatch.service, dispatch.weight
         # A request suspected of crashing backend servers probably causes its failures
@@ -337,7 +326,7 @@
                 # Check the health again: the backend server may have become unhealthy
                 # while attempts waited. Without this check, all waiting attempts would
                 # be dispatched and fail one by one.
-                if not self._health_admits(dispatch):
+                if not health_admits(self._observer, dispatch, time.monotonic()):
                     self._admission.release(admitted, WorkEnd.DONE, was_sent=False)
                     return self._refusals.refuse(dispatch, Reason.SUSPECTED)
                 return self._run_admitted(
@@ -372,16 +361,3 @@
     def repeat_fraction(self) -> float:
         """Return the fraction of this gate's running attempts that are repeats."""
         return self._grants.repeat_fraction()
-
-    def _health_admits(self, dispatch: Dispatch | AdmissionQuery) -> bool:
-        """Return whether the backend server's health permits an attempt.
-
-        The health never forbids a last-resort attempt.
-        """
-        return dispatch.is_last_resort or self._observer.admits(
-            dispatch.backend_server_id,
-            dispatch.execution,
-            dispatch.weight,
-            time.monotonic(),
-            dispatch.is_last_try,
-        )
--- a/balsamspindle/customers/admission.py
+++ b/balsamspindle/customers/admission.py
@@ -16,6 +16,10 @@
 
 __all__ = ["Admitted", "CustomerAdmission", "Refused", "identify"]
 
+# Where routes are ordered within customers, the most that a route adds to the weight of
+# a request. It is smaller than the differences between the weights of customers.
+ROUTE_ORDER_MAX = 0.001
+
 
 class Admitted(NamedTuple):
     """An admitted request: its customer and its route.
@@ -80,21 +84,35 @@
     customer = None
     if key_digest is not None and is_fresh:
         customer = configuration.customers.find(key_digest)
+    service = configuration.services.get(route.service)
+    orders_routes = service is not None and service.orders_routes_within_customers
     if customer is not None:
-        return Admitted(customer, _apply_customer_weight(route, customer))
+        return Admitted(customer, _with_weight(route, customer.weight, orders_routes))
     if route.allows_anonymous:
-        return Admitted(None, route)
+        return Admitted(None, _with_weight(route, None, orders_routes))
     if key_digest is None:
         return Refused(Reason.KEY_MISSING)
     return Refused(Reason.KEY_UNKNOWN if is_fresh else Reason.KEYS_UNPROVEN)
 
 
-def _apply_customer_weight(
-    route: RouteDocument, customer: CustomerDocument
+def _with_weight(
+    route: RouteDocument, customer_weight: float | None, orders_routes: bool
 ) -> RouteDocument:
-    if customer.weight is None or customer.weight == route.weight:
+    """Return the route with the weight of a request.
+
+    Parameters
+    ----------
+    customer_weight : float or None
+        Weight of the request's customer; None if the route's weight counts.
+    orders_routes : bool
+        Whether, at the same weight, requests of the heavier route are heavier.
+    """
+    weight = route.weight if customer_weight is None else customer_weight
+    if orders_routes:
+        weight += ROUTE_ORDER_MAX * route.weight / (1 + route.weight)
+    if weight == route.weight:
         return route
-    return msgspec.structs.replace(route, weight=customer.weight)
+    return msgspec.structs.replace(route, weight=weight)
 
 
 class CustomerAdmission:
--- a/balsamspindle/membership/directory.py
+++ b/balsamspindle/membership/directory.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from balsamspindle.membership.fingerprints import BucketDigests
+from balsamspindle.membership.headers import header_of, record_with_header
 from balsamspindle.membership.node_view import (
     GONE,
     ChangedParts,
@@ -16,7 +17,6 @@
 )
 from balsamspindle.wire import (
     BackendServerRecord,
-    NodeHeader,
     NodeNews,
     NodeRecord,
     NodeSummary,
@@ -74,21 +74,13 @@
 
         Known backend servers that a newer record lacks get state `GONE`.
         """
-        header = NodeHeader(
-            record.region,
-            record.availability_zone,
-            record.link_address,
-            record.member_address,
-            record.state,
-            record.admin_address,
-        )
         with self._lock:
             servers = record.backend_servers + self._removed_servers(record)
             news = NodeNews(
                 record.node_id,
                 record.incarnation,
                 record.version,
-                header,
+                header_of(record),
                 [ServerEntry(record.version, server) for server in servers],
             )
             return self.apply(news, now_s).any
@@ -332,18 +324,7 @@
 
 
 def _header_record(news: NodeNews) -> NodeRecord:
-    header = news.header
-    return NodeRecord(
-        news.node_id,
-        news.incarnation,
-        news.version,
-        sys.intern(header.region),
-        sys.intern(header.availability_zone),
-        header.link_address,
-        header.member_address,
-        sys.intern(header.state),
-        admin_address=header.admin_address,
-    )
+    return record_with_header(news.node_id, news.incarnation, news.version, news.header)
 
 
 def _intern_values(record: BackendServerRecord) -> BackendServerRecord:
--- a/balsamspindle/membership/node_view.py
+++ b/balsamspindle/membership/node_view.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from balsamspindle.membership.fingerprints import bucket_of, entry_hash
+from balsamspindle.membership.headers import header_of
 from balsamspindle.wire import (
     BackendServerRecord,
     NodeHeader,
@@ -138,15 +139,7 @@
 
     def header(self) -> NodeHeader:
         """Return the header in the format of `NodeNews`."""
-        record = self.record
-        return NodeHeader(
-            record.region,
-            record.availability_zone,
-            record.link_address,
-            record.member_address,
-            record.state,
-            record.admin_address,
-        )
+        return header_of(self.record)
 
     def news(self, above_version: int = 0) -> NodeNews:
         """Return the header and the entries with versions above `above_version`."""
--- a/balsamspindle/membership/own_record.py
+++ b/balsamspindle/membership/own_record.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from balsamspindle.membership.headers import record_with_header
 from balsamspindle.membership.node_view import GONE, Epoch, NodeState, NodeView
 from balsamspindle.wire import (
     BackendServerRecord,
@@ -130,15 +131,6 @@
         self._view.set_header(self._header_record(epoch))
 
     def _header_record(self, epoch: Epoch) -> NodeRecord:
-        header = self.header
-        return NodeRecord(
-            self.node_id,
-            epoch.incarnation,
-            epoch.version,
-            header.region,
-            header.availability_zone,
-            header.link_address,
-            header.member_address,
-            header.state,
-            admin_address=header.admin_address,
+        return record_with_header(
+            self.node_id, epoch.incarnation, epoch.version, self.header
         )
--- a/balsamspindle/platform/__main__.py
+++ b/balsamspindle/platform/__main__.py
@@ -37,7 +37,8 @@
             print(error.message)
             return ExitStatus.USAGE
     process = NodeProcess(
-        machine.node, Integration(operator_row(machine.retries), sys.stdout)
+        machine.node,
+        Integration(operator_row(machine.retries, machine.contracts), sys.stdout),
     )
     process.serve(
         machine.announcement_address, _announcement_application(process, machine)
--- a/balsamspindle/platform/configuration.py
+++ b/balsamspindle/platform/configuration.py
@@ -6,7 +6,8 @@
 """
 
 import re
-from typing import Any
+from collections.abc import Collection
+from typing import Any, TypedDict
 
 import msgspec
 import xxhash
@@ -145,10 +146,30 @@
 }
 
 
-def operator_row(retries: RetryBounds) -> OperatorRow:
+# The contract under which callers press for more room than the services have.
+PRESSURE_CONTRACT = "pressure"
+
+
+class _HardLoad(TypedDict):
+    """Settings of services that can't serve their load at times."""
+
+    orders_routes_within_customers: bool
+    calls_inherit_importance: bool
+    places_by_expected_end: bool
+    reserves_places: bool
+    admits_by_level: bool
+
+
+# Kinds of routes whose answers can occupy a link for longer than a short request runs.
+_LARGE_ANSWER_KINDS = frozenset({"download"})
+
+
+def operator_row(
+    retries: RetryBounds, contracts: Collection[str] = frozenset()
+) -> OperatorRow:
     """Return the row that stores the operator's configuration, with its decoder."""
     return OperatorRow(
-        TABLE, KEY, lambda value: translate_configuration(value, retries)
+        TABLE, KEY, lambda value: translate_configuration(value, retries, contracts)
     )
 
 
@@ -157,9 +178,16 @@
     return f"{TEAM}/{_document_name(name)}"
 
 
-def translate_configuration(value: Any, retries: RetryBounds) -> WholeSettings:
+def translate_configuration(
+    value: Any, retries: RetryBounds, contracts: Collection[str] = frozenset()
+) -> WholeSettings:
     """Translate the operator's configuration into documents and their revision.
 
+    Parameters
+    ----------
+    contracts : collection of str
+        Names of the contracts in force.
+
     Raises
     ------
     PlatformFormatError
@@ -172,6 +200,7 @@
         raise PlatformFormatError(f"invalid configuration: {error}") from None
     revision = parse_version(configuration.version)
     documents: dict[str, msgspec.Struct] = {}
+    hard_load = _hard_load(configuration, contracts)
     for service in configuration.services:
         slowest_target_ms = max(
             (
@@ -182,7 +211,7 @@
             default=0.0,
         )
         documents[_path("services", service.name)] = _service_document(
-            service, slowest_target_ms, retries
+            service, slowest_target_ms, retries, hard_load
         )
     for route in configuration.routes:
         allows_anonymous = configuration.tenants is None or route.allow_anonymous
@@ -202,7 +231,10 @@
 
 
 def _service_document(
-    service: _Service, slowest_target_ms: float, retries: RetryBounds
+    service: _Service,
+    slowest_target_ms: float,
+    retries: RetryBounds,
+    hard_load: _HardLoad,
 ) -> ServiceDocument:
     return ServiceDocument(
         detection=Detection(
@@ -221,6 +253,25 @@
         ),
         probe_path=service.health_path,
         queue_max=QUEUE_MAX,
+        **hard_load,
+    )
+
+
+def _hard_load(configuration: _Configuration, contracts: Collection[str]) -> _HardLoad:
+    """Return the settings for load that the services can't serve at times.
+
+    They are on if callers press, or if some routes have large answers: these fill
+    links, and the other requests then wait although slots are free.
+    """
+    is_on = PRESSURE_CONTRACT in contracts or any(
+        route.kind in _LARGE_ANSWER_KINDS for route in configuration.routes
+    )
+    return _HardLoad(
+        orders_routes_within_customers=is_on,
+        calls_inherit_importance=is_on,
+        places_by_expected_end=is_on,
+        reserves_places=is_on,
+        admits_by_level=is_on,
     )
 
 
--- a/balsamspindle/platform/settings.py
+++ b/balsamspindle/platform/settings.py
@@ -72,6 +72,13 @@
     address: str
 
 
+class _Limits(msgspec.Struct, frozen=True):
+    """Resources of the VM; 0 means unknown."""
+
+    memory_mb: float = 0.0
+    link_mbps: float = 0.0
+
+
 class _SettingsFile(msgspec.Struct):
     """The settings file; other fields of it are ignored.
 
@@ -85,6 +92,8 @@
         Entries of the form ``name=value``.
     zones : dict of str to str
         Region of each availability zone.
+    contracts : list of str
+        Names of the contracts in force.
     """
 
     node: str
@@ -97,6 +106,8 @@
     platform: _Store
     bounds: list[str] = []
     zones: dict[str, str] = {}
+    limits: _Limits = _Limits()
+    contracts: list[str] = []
 
 
 class RetryBounds(NamedTuple):
@@ -123,6 +134,8 @@
         IP:port for readiness checks and for announcements of backend servers.
     grace_s : float
         Time from SIGTERM to SIGKILL.
+    contracts : frozenset of str
+        Names of the contracts in force.
     """
 
     node: NodeSettings
@@ -130,6 +143,7 @@
     announcement_address: str
     retries: RetryBounds
     grace_s: float
+    contracts: frozenset[str] = frozenset()
 
 
 def load_machine_settings(path: Path) -> Result[MachineSettings, SettingsError]:
@@ -156,6 +170,8 @@
         link_address=file.listen.inbound,
         member_address=f"{file.ip}:{first_port + MEMBER_PORT_OFFSET}",
         admin_address=f"{file.ip}:{first_port + ADMIN_PORT_OFFSET}",
+        link_mbps=file.limits.link_mbps,
+        memory_mb=file.limits.memory_mb,
         platform_address=file.platform.address,
         member_bytes_per_s=MEMBER_BYTES_PER_S,
         headers=HEADER_NAMES,
@@ -177,7 +193,12 @@
         * LIMIT_EXCESS_USED_FRACTION,
     )
     return MachineSettings(
-        node, file.listen.ready, file.listen.control, _retry_bounds(bounds), grace_s
+        node,
+        file.listen.ready,
+        file.listen.control,
+        _retry_bounds(bounds),
+        grace_s,
+        frozenset(file.contracts),
     )
 
 
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -29,6 +29,7 @@
     best_reply,
     is_success,
 )
+from balsamspindle.requests.search_widening import SearchWidening
 from balsamspindle.services.answer_sizes import AnswerSizes
 from balsamspindle.services.free_slots import FreeSlotEstimates
 from balsamspindle.services.held_out_servers import HeldOutServers
@@ -40,12 +41,6 @@
 
 __all__ = ["ForwardedRequest", "Forwarder"]
 
-# A request that all gates refused is sent to them again every SEARCH_AGAIN_S (half of
-# gate_links.HOLD_OUT_S), for a fraction of its remaining time, SEARCH_AGAIN_FRACTIONS.
-# After that time, it may be sent to a suspected backend server. Idempotent requests
-# don't wait: after a wait, the queues of all unsuspected ones would be full.
-SEARCH_AGAIN_S = 0.25
-SEARCH_AGAIN_FRACTIONS = {Execution.IDEMPOTENT: 0.0, Execution.NON_IDEMPOTENT: 0.1}
 # After a reply with one of these reasons, the request may be sent again to gates that
 # refused it (`restart_search`). The attempt's gate announced that its node may stop
 # before the run ends, or the gate cancelled the attempt, or the gate did not reply.
@@ -104,6 +99,9 @@
             picker, self._sender, self._retries, self._select, self._blocked, clock
         )
         self._aborted = threading.Event()
+        self._widening = SearchWidening(
+            picker, self._sender.held_out_servers, self._aborted.wait
+        )
 
     @property
     def held_out_servers(self) -> HeldOutServers:
@@ -183,7 +181,7 @@
                 break
             selected = self._select(forwarded)
             if selected is None:
-                if self._widen_search(forwarded):
+                if self._widening.widen(forwarded, self._clock()):
                     continue
                 forwarded.stopped_by = StopReason.NO_PLACE
                 break
@@ -303,45 +301,6 @@
             sends=forwarded.sends,
         )
 
-    def _widen_search(self, forwarded: ForwardedRequest) -> bool:
-        """Prepare a new search after all gates refused; return False to end the search.
-
-        Every `SEARCH_AGAIN_S`, a non-idempotent request is sent to the gates again, one
-        by one. A suspected backend server's hold-out ends within a second, and a trial
-        begins. If it passes the trial, the next search can select it. After a fraction
-        of its remaining time, the non-idempotent request may be sent to suspected ones
-        as a last resort. The new search for an idempotent request begins at once, as a
-        last resort. So some requests are answered even if all are suspected or busy.
-        """
-        now_s = self._clock()
-        if forwarded.is_last_resort or not forwarded.may_send():
-            return False
-        if not self._has_suspects(forwarded, now_s):
-            return False
-        forwarded.tried = set(forwarded.failed)
-        forwarded.search.restart()
-        if forwarded.search_until_s is None:
-            fraction = SEARCH_AGAIN_FRACTIONS[forwarded.route.execution]
-            remaining_s = forwarded.deadline_s - now_s
-            forwarded.search_until_s = now_s + fraction * remaining_s
-        if now_s + SEARCH_AGAIN_S < forwarded.search_until_s:
-            # This node is about to close its callers' connections: send no attempt.
-            if self._aborted.wait(SEARCH_AGAIN_S):
-                return False
-            return not forwarded.caller.caller_left()
-        forwarded.is_last_resort = True
-        return True
-
-    def _has_suspects(self, forwarded: ForwardedRequest, now_s: float) -> bool:
-        """Return whether a backend server of the request's service is suspected."""
-        if forwarded.refused_as_suspect:
-            return True
-        held_out = self._sender.held_out_servers.held_out(now_s)
-        return any(
-            placement.backend_server.backend_server_id in held_out
-            for placement in self._picker.view(forwarded.route.service).placements
-        )
-
     def _not_run_reply(self, reason: Reason) -> Reply:
         return Reply(self._sender.next_id(), Outcome.NOT_RUN, reason)
 
--- a/balsamspindle/settings/documents.py
+++ b/balsamspindle/settings/documents.py
@@ -166,6 +166,23 @@
         Time in which a new backend server's capacity rises to its full value.
     queue_max : int
         Number of requests that may wait for a slot at one gate.
+    orders_routes_within_customers : bool
+        Whether, of requests whose customers have the same weight, those of the heavier
+        route go first. Otherwise a customer's weight hides which of its requests are
+        urgent.
+    calls_inherit_importance : bool
+        Whether a call that a backend server makes while it runs a request is as
+        important as this request. Suits services whose short calls compete for slots
+        with other, longer requests.
+    places_by_expected_end : bool
+        Whether requests go where their answers are expected to be complete first.
+        Suits services with unequal backend servers, slow links or large bodies.
+    reserves_places : bool
+        Whether a request that has to wait reserves a place at two gates. Suits services
+        whose backend servers have few slots and are all busy at times.
+    admits_by_level : bool
+        Whether ingresses refuse at once what the service has no room for, the least
+        important requests first. Suits services with more demand than room at times.
     """
 
     floor_fraction: Fraction = 0.6
@@ -174,6 +191,11 @@
     probe_path: AbsolutePath = "/health"
     cold_start_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     queue_max: Annotated[int, msgspec.Meta(ge=0)] = 32
+    orders_routes_within_customers: bool = False
+    calls_inherit_importance: bool = False
+    places_by_expected_end: bool = False
+    reserves_places: bool = False
+    admits_by_level: bool = False
 
 
 class ServiceShare(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/balsamspindle/settings/process.py
+++ b/balsamspindle/settings/process.py
@@ -13,7 +13,7 @@
 
 from balsamspindle.protocol.header_names import DEFAULT_HEADER_NAMES, HeaderNames
 from balsamspindle.settings.validation import struct_faults
-from balsamspindle.wire import NodeRecord
+from balsamspindle.wire import LINK_LEVEL, NodeRecord
 from balsamspindle.wire.security import FleetKeys
 
 __all__ = [
@@ -74,6 +74,12 @@
     admin_advertised_address : str, optional
         Where operators on other VMs reach the admin address. If it is not set,
         operators have to enter the node's address themselves.
+    link_mbps : float
+        Bandwidth of the VM's network link in Mbit/s; 0 if unknown. Services with
+        `places_by_expected_end` use it.
+    memory_mb : float
+        Memory that this process may use; 0 if unknown. Services with
+        `places_by_expected_end` use it to bound the bytes that the node holds.
     platform_address : str
         Address of the platform's table service and object store.
     seed_addresses : tuple of str
@@ -154,6 +160,8 @@
     link_advertised_address: Address | None = None
     member_advertised_address: Address | None = None
     admin_advertised_address: Address | None = None
+    link_mbps: Annotated[float, msgspec.Meta(ge=0, le=1e6)] = 0.0
+    memory_mb: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     platform_address: Address | None = None
     seed_addresses: tuple[Address, ...] = ()
     member_bytes_per_s: Annotated[float, msgspec.Meta(ge=1000)] = 9000.0
@@ -193,6 +201,8 @@
             self.member_advertised_address or self.member_address,
             NODE_ALIVE,
             admin_address=self.admin_advertised_address or "",
+            link_mbps=self.link_mbps,
+            link_level=LINK_LEVEL,
         )
 
 
--- a/balsamspindle/wire/__init__.py
+++ b/balsamspindle/wire/__init__.py
@@ -14,21 +14,19 @@
     encode_member,
 )
 from balsamspindle.wire.link_messages import (
-    NOT_HELD_OUT,
+    LINK_LEVEL,
     AdmissionAnswer,
     AdmissionQuery,
-    AttemptId,
     Cancel,
-    Claim,
     Dispatch,
     GateEnding,
     GreetingReply,
     GreetingRequest,
-    HoldOut,
     IngressEnding,
     LinkMessage,
-    PeerEvidence,
     Reply,
+    ReservationCall,
+    ReservationRequest,
 )
 from balsamspindle.wire.member_messages import (
     Ack,
@@ -54,6 +52,15 @@
     Verdict,
     VerdictNews,
 )
+from balsamspindle.wire.message_parts import (
+    NOT_HELD_OUT,
+    AttemptId,
+    Claim,
+    GateLoad,
+    HoldOut,
+    Importance,
+    PeerEvidence,
+)
 from balsamspindle.wire.server_terms import ServerTerms
 
 __all__ = [
@@ -65,11 +72,14 @@
     "Dispatch",
     "Envelope",
     "GateEnding",
+    "GateLoad",
     "Gossip",
     "GreetingRequest",
     "GreetingReply",
     "HoldOut",
+    "Importance",
     "IngressEnding",
+    "LINK_LEVEL",
     "LinkMessage",
     "News",
     "NodeHeader",
@@ -85,6 +95,8 @@
     "Pull",
     "AdmissionQuery",
     "Reply",
+    "ReservationCall",
+    "ReservationRequest",
     "NOT_HELD_OUT",
     "Sender",
     "ServerEntry",
--- a/balsamspindle/wire/link_messages.py
+++ b/balsamspindle/wire/link_messages.py
@@ -7,89 +7,41 @@
 two VMs may differ.
 """
 
-from typing import NamedTuple
-
 import msgspec
 
 from balsamspindle.protocol.outcomes import CancelCause, Execution, Outcome, Reason
 from balsamspindle.wire.limit_messages import LimitAnswer, LimitQuestion, LimitReturn
+from balsamspindle.wire.message_parts import (
+    NOT_HELD_OUT,
+    AttemptId,
+    Claim,
+    GateLoad,
+    HoldOut,
+    Importance,
+    PeerEvidence,
+)
 from balsamspindle.wire.server_terms import ServerTerms
 
 __all__ = [
-    "AttemptId",
+    "LINK_LEVEL",
     "Cancel",
-    "Claim",
     "Dispatch",
     "GateEnding",
     "GreetingRequest",
     "GreetingReply",
-    "HoldOut",
     "IngressEnding",
     "LinkMessage",
-    "PeerEvidence",
     "AdmissionQuery",
     "Reply",
-    "NOT_HELD_OUT",
+    "ReservationCall",
+    "ReservationRequest",
     "AdmissionAnswer",
 ]
 
 
-class HoldOut(NamedTuple):
-    """Whether a gate holds out a backend server, and the evidence for the hold-out.
-
-    Attributes
-    ----------
-    held_out_ms : float
-        Remaining time of the hold-out; 0 if there is none.
-    bad_in_a_row : int
-        Number of consecutive requests, up to the latest one, that failed or were
-        slow. If the number is 1 after hundreds of good requests, the backend server
-        is probably healthy.
-    """
-
-    held_out_ms: float = 0.0
-    bad_in_a_row: int = 0
-
-
-NOT_HELD_OUT = HoldOut()
-
-
-class AttemptId(NamedTuple):
-    """Identifies one attempt; never reused, not even after a restart.
-
-    Attributes
-    ----------
-    node_id : str
-        The node whose ingress made the attempt.
-    incarnation : int
-        Incarnation of that node.
-    sequence : int
-        Increases by one with each attempt of the incarnation.
-    """
-
-    node_id: str
-    incarnation: int
-    sequence: int
-
-
-class Claim(NamedTuple):
-    """The only gate that may run the requests with a given idempotency key.
-
-    Attributes
-    ----------
-    node_id, incarnation
-        The gate's node and its incarnation.
-    version : int
-        Increases each time the claim moves to another gate.
-    gate_time_s : float
-        Reading of the gate's monotonic clock when the claim was made, or slightly
-        earlier.
-    """
-
-    node_id: str
-    incarnation: int
-    version: int
-    gate_time_s: float
+# Newest kind of link messages that this build handles. 0: none of those that a node may
+# send only to peers that announce them. 1: `ReservationRequest`.
+LINK_LEVEL = 1
 
 
 class GreetingRequest(msgspec.Struct, array_like=True, tag="greet", frozen=True):
@@ -110,30 +62,6 @@
     gate_time_s: float
 
 
-class PeerEvidence(NamedTuple):
-    """An ingress's summary of a service's backend servers, except one.
-
-    The summary is sent with a request, and omits the backend server that receives the
-    request.
-
-    Attributes
-    ----------
-    judged_count : int
-        Number of backend servers that a gate judged recently (see `Reply.bad`) or that
-        have a hanging attempt.
-    bad_count : int
-        Number of backend servers in `judged_count` whose latest judged request failed
-        or was slow, or that have a hanging attempt.
-    median_p99_ms : float
-        Median of the 99th percentiles of latency that gates reported for the backend
-        servers; 0 if unknown.
-    """
-
-    judged_count: int = 0
-    bad_count: int = 0
-    median_p99_ms: float = 0.0
-
-
 class Dispatch(msgspec.Struct, array_like=True, tag="dispatch", frozen=True):
     """Ingress to gate: run a request at one of the gate's backend servers.
 
@@ -201,6 +129,10 @@
         Whether the request's route allows no further attempt after this one.
     terms : ServerTerms or None
         Terms of the backend server that the sender knows; None if it knows none.
+    importance : Importance or None
+        What depends on the request beyond its route; None if nothing is known.
+    is_reserved : bool
+        Whether the gate called this attempt: it holds a slot for it.
     """
 
     attempt_id: AttemptId
@@ -234,6 +166,8 @@
     customer: str = ""
     is_last_try: bool = False
     terms: ServerTerms | None = None
+    importance: Importance | None = None
+    is_reserved: bool = False
 
 
 class AdmissionQuery(msgspec.Struct, array_like=True, tag="ask", frozen=True):
@@ -245,8 +179,10 @@
         Identifies the query; the answer repeats it.
     remaining_ms, weight, wait_max_ms, target_remaining_ms, route_id, is_last_resort
         As in `Dispatch`.
-    run_was_lost, rank_ms, content_hash, customer, is_last_try
+    run_was_lost, rank_ms, content_hash, customer, is_last_try, importance
         As in `Dispatch`.
+    body_bytes : int
+        Length of the request's body, which follows only with the attempt itself.
     """
 
     number: int
@@ -264,6 +200,8 @@
     content_hash: int = 0
     customer: str = ""
     is_last_try: bool = False
+    importance: Importance | None = None
+    body_bytes: int = 0
 
 
 class AdmissionAnswer(msgspec.Struct, array_like=True, tag="told", frozen=True):
@@ -281,6 +219,8 @@
     held_out : HoldOut
     gate_time_s : float
         Reading of the gate's monotonic clock when it received the query.
+    load : GateLoad or None
+        Present load of the gate; None if it does not tell its load.
     """
 
     number: int
@@ -288,6 +228,41 @@
     wait_ms: float = 0.0
     held_out: HoldOut = NOT_HELD_OUT
     gate_time_s: float = 0.0
+    load: GateLoad | None = None
+
+
+class ReservationRequest(msgspec.Struct, array_like=True, tag="reserve", frozen=True):
+    """Ingress to gate: let an attempt wait for a slot; its request follows when called.
+
+    `Cancel` with the same attempt id withdraws the reservation. A gate answers with one
+    `ReservationCall` or with a `Reply` that refuses the attempt.
+
+    Attributes
+    ----------
+    attempt_id : AttemptId
+        Id of the attempt, which its `Dispatch` repeats.
+    query : AdmissionQuery
+        The attempt without its request.
+    """
+
+    attempt_id: AttemptId
+    query: AdmissionQuery
+
+
+class ReservationCall(msgspec.Struct, array_like=True, tag="call", frozen=True):
+    """Gate to ingress: a slot is held for the attempt until its `Dispatch` arrives.
+
+    Attributes
+    ----------
+    valid_ms : float
+        For how long the gate holds the slot.
+    gate_time_s : float
+        Reading of the gate's monotonic clock when it sent the call.
+    """
+
+    attempt_id: AttemptId
+    valid_ms: float
+    gate_time_s: float = 0.0
 
 
 class Cancel(msgspec.Struct, array_like=True, tag="cancel", frozen=True):
@@ -354,6 +329,8 @@
     held_out : HoldOut
     terms : ServerTerms or None
         Terms of the backend server; None if the gate knows of none.
+    load : GateLoad or None
+        Present load of the gate; None if it does not tell its load.
     """
 
     attempt_id: AttemptId
@@ -371,6 +348,7 @@
     p99_ms: float = 0.0
     held_out: HoldOut = NOT_HELD_OUT
     terms: ServerTerms | None = None
+    load: GateLoad | None = None
 
 
 LinkMessage = (
@@ -378,6 +356,8 @@
     | GreetingReply
     | AdmissionQuery
     | AdmissionAnswer
+    | ReservationRequest
+    | ReservationCall
     | Dispatch
     | Cancel
     | IngressEnding
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -74,6 +74,8 @@
     "bounds": ["grace=6s", "retry_budget_ratio=0.2", "budget_slack=60", "new=1"],
     "service": "wuno96b",
     "platform": {"address": "10.200.1.7:8627", "form": "table"},
+    "limits": {"memory_mb": 200, "link_mbps": 5.0, "disk_mb": 0},
+    "contracts": ["base", "pressure"],
     "unheard_of": {"a": 1},
 }
 
@@ -122,6 +124,32 @@
             found = routes.find("sign.example", "/a", "GET")
             self.assertIs(execution, found.execution, kind)
 
+    def test_only_callers_that_press_or_large_answers_switch_on_what_hard_load_needs(
+        self,
+    ):
+        download = {**CONFIGURATION["routes"][0], "kind": "download"}
+        cases = [
+            (False, {}, ()),
+            (False, {}, ("base", "quota")),
+            (True, {}, ("base", "pressure")),
+            (True, {"routes": [download]}, ()),
+        ]
+        for is_on, changes, contracts in cases:
+            settings = translate_configuration(
+                {**CONFIGURATION, **changes}, RETRIES, contracts
+            )
+            for service in Configuration(*settings).services.values():
+                self.assertEqual(
+                    (is_on,) * 5,
+                    (
+                        service.orders_routes_within_customers,
+                        service.calls_inherit_importance,
+                        service.places_by_expected_end,
+                        service.reserves_places,
+                        service.admits_by_level,
+                    ),
+                )
+
     def test_an_invalid_configuration_is_refused_as_a_whole(self):
         route = CONFIGURATION["routes"][0]
         invalid = {
@@ -164,6 +192,8 @@
         self.assertEqual("10.1.0.41:8620", machine.announcement_address)
         self.assertEqual("wuno96b", node.caller_service)
         self.assertEqual(RetryBounds(0.2, 6.0), machine.retries)
+        self.assertEqual((5.0, 200), (node.link_mbps, node.memory_mb))
+        self.assertEqual({"base", "pressure"}, machine.contracts)
         self.assertTrue(3 < node.shutdown_timeout_s < 6)
         # The translated settings also pass the validation of the product's own file.
         msgspec.convert(msgspec.to_builtins(node), type(node))
