--- a/balsamspindle/backend_servers/admission.py
+++ b/balsamspindle/backend_servers/admission.py
@@ -23,20 +23,18 @@
     LocalBackendServer,
     LocalBackendServers,
 )
-from balsamspindle.backend_servers.slots import WorkEnd, WorkKind, ramped_slots
+from balsamspindle.backend_servers.slots import WorkEnd, WorkKind
 from balsamspindle.backend_servers.terms_table import TermsTable
+from balsamspindle.backend_servers.usable_slots import (
+    capacity_fraction,
+    usable_slots,
+)
 from balsamspindle.protocol.outcomes import Reason
 from balsamspindle.settings.documents import ServiceDocument
 from balsamspindle.wire import AdmissionQuery, AttemptId, Dispatch
 
 __all__ = ["Admission", "Admitted", "Refused"]
 
-CAPACITY_STEPS = 4
-# Fraction of its slots that a backend server may use while it reports that it is cold.
-# A cold backend server takes about twice as long for each request, so it can answer
-# only half as many requests per second. Ingresses choose a backend server by its usable
-# slots, so these are halved, too.
-COLD_SLOTS_FRACTION = 0.5
 # A waiting attempt requests a slot again at each notification of `changed`, and also
 # after this time, because no notification is sent when a cold server's slots increase.
 RECHECK_INTERVAL_S = 0.5
@@ -309,43 +307,15 @@
             return True
 
     def _slots(self, server: LocalBackendServer, now_s: float) -> int:
-        """Return how many slots are usable now; fewer after a start and while cold."""
-        announcement = server.announcement
-        document = self._service_document(announcement.service)
-        slots = ramped_slots(
-            announcement.slots, now_s - server.started_s, document.cold_start_s
-        )
-        if now_s < server.cold_until_s:
-            slots = min(slots, max(1, int(announcement.slots * COLD_SLOTS_FRACTION)))
-        return slots
+        document = self._service_document(server.announcement.service)
+        return usable_slots(server, document, now_s)
 
     def capacity(self, server: LocalBackendServer, now_s: float) -> float:
-        """Return the fraction of its slots that a backend server may use now.
-
-        The fraction is rounded down to a multiple of 1/4, and at least 1/4. Each change
-        is sent to the whole fleet; due to rounding, a cold start causes few changes.
-        """
-        fraction = self._slots(server, now_s) / server.announcement.slots
-        fraction = min(fraction, self._limited_fraction(server))
-        return max(1, int(fraction * CAPACITY_STEPS)) / CAPACITY_STEPS
-
-    def _limited_fraction(self, server: LocalBackendServer) -> float:
-        """Return the fraction of its slots that a limited backend server can occupy.
-
-        The fraction is computed once for each limit, with the mean service time at that
-        time. Otherwise it would change, and be sent to the fleet, with each answer.
-        """
+        """Return the fraction of its slots that a backend server may use now."""
         limit_per_s = self.terms.limit_per_s(
             server.backend_server_id, server.announcement.boot_id
         )
-        if server.limited_fraction[0] != limit_per_s:
-            server.limited_fraction = limit_per_s, 1.0
-            service_time_s = server.account.service_time_s
-            if limit_per_s is not None and service_time_s:
-                occupied = limit_per_s * service_time_s
-                fraction = min(1.0, occupied / server.announcement.slots)
-                server.limited_fraction = limit_per_s, fraction
-        return server.limited_fraction[1]
+        return capacity_fraction(server, self._slots(server, now_s), limit_per_s)
 
     def release(self, admitted: Admitted, end: WorkEnd, was_sent: bool = True) -> int:
         """Release the slot of an attempt that has ended or will not run.
--- /dev/null
+++ b/balsamspindle/backend_servers/usable_slots.py
@@ -0,0 +1,63 @@
+"""Computes how many slots of a backend server may be used after a start or a limit."""
+
+from balsamspindle.backend_servers.servers import LocalBackendServer
+from balsamspindle.backend_servers.slots import ramped_slots
+from balsamspindle.settings.documents import ServiceDocument
+
+__all__ = ["capacity_fraction", "usable_slots"]
+
+CAPACITY_STEPS = 4
+# Fraction of its slots that a backend server may use while it reports that it is cold.
+# A cold backend server takes about twice as long for each request, so it can answer
+# only half as many requests per second. Ingresses choose a backend server by its usable
+# slots, so these are halved, too.
+COLD_SLOTS_FRACTION = 0.5
+
+
+def usable_slots(
+    server: LocalBackendServer, document: ServiceDocument, now_s: float
+) -> int:
+    """Return how many slots are usable now; fewer after a start and while cold."""
+    announcement = server.announcement
+    slots = ramped_slots(
+        announcement.slots, now_s - server.started_s, document.cold_start_s
+    )
+    if now_s < server.cold_until_s:
+        slots = min(slots, max(1, int(announcement.slots * COLD_SLOTS_FRACTION)))
+    return slots
+
+
+def capacity_fraction(
+    server: LocalBackendServer, slots: int, limit_per_s: float | None
+) -> float:
+    """Return the fraction of its slots that a backend server may use now.
+
+    The fraction is rounded down to a multiple of 1/4, and at least 1/4. Each change
+    is sent to the whole fleet; due to rounding, a cold start causes few changes.
+
+    Parameters
+    ----------
+    slots : int
+        The slots that are usable now.
+    limit_per_s : float or None
+        Requests per second that the backend server's limit allows; None without one.
+    """
+    fraction = slots / server.announcement.slots
+    fraction = min(fraction, _limited_fraction(server, limit_per_s))
+    return max(1, int(fraction * CAPACITY_STEPS)) / CAPACITY_STEPS
+
+
+def _limited_fraction(server: LocalBackendServer, limit_per_s: float | None) -> float:
+    """Return the fraction of its slots that a limited backend server can occupy.
+
+    The fraction is computed once for each limit, with the mean service time at that
+    time. Otherwise it would change, and be sent to the fleet, with each answer.
+    """
+    if server.limited_fraction[0] != limit_per_s:
+        server.limited_fraction = limit_per_s, 1.0
+        service_time_s = server.account.service_time_s
+        if limit_per_s is not None and service_time_s:
+            occupied = limit_per_s * service_time_s
+            fraction = min(1.0, occupied / server.announcement.slots)
+            server.limited_fraction = limit_per_s, fraction
+    return server.limited_fraction[1]
