Weigh calls by the runs that wait for them, and search them a sound gate

A request that calls another service is lost with its call. The calls were refused by sound gates, since these expected a wait by the mean time of all routes (mostly uploads of 0.6 s) over the slots that heavier requests leave; then they went to suspected backend servers at once, where one of four is answered, with half of their time left.

Where calls_inherit_importance is set: - The gate records its open runs. The ingress beside it tells which of them waits for a request without a customer (deadline within the run's; a route of which four of five requests fit a run) and sends the run's weight and spent time with query and attempt. - Gates let a call start before new requests of its parent's customer, the one whose run has spent more first; a call is never late by its own target. - The expected wait comes from what occupies the slots now and for how long. - All requests are sent to gates not suspected for three quarters of the time in which their answers are worth most, before a last resort. Calls wait longer in their zone. - When the run of a call's certain parent is cancelled, the call is cancelled, whether it waits or runs.

The stand-in gate of bench/retry_storm.py gets the table of open runs.

--- a/balsamspindle/backend_servers/admission.py
+++ b/balsamspindle/backend_servers/admission.py
@@ -16,6 +16,7 @@
     refusal,
 )
 from balsamspindle.backend_servers.cancellation import CancelToken
+from balsamspindle.backend_servers.inherited_weight import room_weight
 from balsamspindle.backend_servers.queue import QueueDecision, SlotQueue, Ticket
 from balsamspindle.backend_servers.rate_limits import Allowance
 from balsamspindle.backend_servers.servers import (
@@ -23,8 +24,10 @@
     LocalBackendServer,
     LocalBackendServers,
 )
+from balsamspindle.backend_servers.slot_ends import expected_remaining_s
 from balsamspindle.backend_servers.slots import WorkEnd, WorkKind
 from balsamspindle.backend_servers.terms_table import TermsTable
+from balsamspindle.backend_servers.tickets import BusySlots
 from balsamspindle.backend_servers.usable_slots import (
     capacity_fraction,
     usable_slots,
@@ -77,6 +80,10 @@
         self._node_ends_s = math.inf
         self._running: set[Admitted] = set()
 
+    def inherits_importance(self, service: str) -> bool:
+        """Return whether calls to a service are as important as their parents."""
+        return self._service_document(service).calls_inherit_importance
+
     def refuse_new_attempts(self) -> None:
         """Refuse all new and waiting attempts from now on, as this node is leaving."""
         with self._servers.changed:
@@ -162,7 +169,7 @@
         ends. The time is infinity unless the ingress is leaving.
         """
         server = self._servers.get(dispatch.backend_server_id)
-        kind = WorkKind(dispatch.weight, dispatch.route_id)
+        kind = WorkKind(room_weight(dispatch), dispatch.route_id)
         return token.ingress_ends_s - LAST_START_FACTOR * expected_run_s(server, kind)
 
     def _recheck_wait_s(
@@ -275,19 +282,33 @@
         if now_s >= ticket.deadline_s:
             return Refused(Reason.DEADLINE)
         account, slots = server.account, self._slots(server, now_s)
-        kind = WorkKind(dispatch.weight, dispatch.route_id)
+        kind = WorkKind(room_weight(dispatch), dispatch.route_id)
         ticket.route_time_s = account.route_time_s(kind)
+        if self.inherits_importance(dispatch.service):
+            ticket.busy = BusySlots(self._slot_ends_s(server, now_s), slots)
         if self._may_outlast(server, kind, now_s):
             return Refused(Reason.DRAINING)
         free = account.free(slots, now_s)
         free -= account.reserved_for_heavier(kind.weight, slots, now_s)
-        ticket.allowance = self._allowance(server, now_s, kind.weight)
+        ticket.allowance = self._allowance(server, now_s, dispatch.weight)
         if ticket.allowance is not None:
             free = min(free, int(ticket.allowance.tokens))
             ticket.limit_wait(now_s)
-        effective_slots = account.effective_slots(kind.weight, slots, now_s)
+        effective_slots = account.effective_slots(dispatch.weight, slots, now_s)
         return Availability(server, kind, free, slots, effective_slots)
 
+    def _slot_ends_s(self, server: LocalBackendServer, now_s: float) -> tuple:
+        """Return the expected times until the occupied slots of a server are free."""
+        running_s = (
+            expected_remaining_s(
+                expected_run_s(server, admitted.kind), now_s - admitted.started_s
+            )
+            for admitted in self._running
+            if admitted.server is server
+        )
+        delayed_s = (end - now_s for end in server.account.delayed_releases_s())
+        return (*running_s, *delayed_s)
+
     def _allowance(
         self, server: LocalBackendServer, now_s: float, weight: float = math.inf
     ) -> Allowance | None:
--- a/balsamspindle/backend_servers/admission_decisions.py
+++ b/balsamspindle/backend_servers/admission_decisions.py
@@ -119,6 +119,9 @@
         run_was_lost=dispatch.run_was_lost,
         rank_s=dispatch.rank_ms / 1000,
         customer=dispatch.customer,
+        spent_s=None
+        if dispatch.importance is None
+        else dispatch.importance.spent_ms / 1000,
     )
 
 
--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -43,12 +43,14 @@
 )
 from balsamspindle.backend_servers.failed_calls import FailedCalls
 from balsamspindle.backend_servers.gate_previews import GatePreviews, health_admits
+from balsamspindle.backend_servers.inherited_weight import with_inherited_weight
 from balsamspindle.backend_servers.ledger import (
     ClaimedKey,
     EarlierAnswer,
     KeyRefused,
     RunLedger,
 )
+from balsamspindle.backend_servers.open_runs import OpenRun, OpenRuns
 from balsamspindle.backend_servers.refused_attempts import Refusals
 from balsamspindle.backend_servers.retry_grants import RetryGrants
 from balsamspindle.backend_servers.runner import Runner
@@ -99,6 +101,11 @@
     crash_watch : CrashWatch, default=one that updates only `crash_history`
     answer_terms : AnswerTerms, default=one that records in `admission.terms`
         Records what the backend servers announce in their answers.
+
+    Attributes
+    ----------
+    open_runs : OpenRuns
+        Present runs, of which some may wait for calls that arrive at this node.
     """
 
     def __init__(
@@ -129,6 +136,7 @@
         self._previews = GatePreviews(
             self._observer, self._admission, self._crash_history
         )
+        self.open_runs = OpenRuns(self._admission.inherits_importance)
         self._attempts = AttemptTable()
         self._ledger = RunLedger(events.node_id, events.incarnation)
         self._runner = Runner(
@@ -231,6 +239,9 @@
             None for a duplicate message of an attempt: a second reply could
             contradict the first.
         """
+        dispatch = with_inherited_weight(
+            dispatch, self._admission.inherits_importance(dispatch.service)
+        )
         token = CancelToken()
         token.set_ingress_end(ingress_ends_s(dispatch, received_s))
         deadline_s = attempt_deadline_s(dispatch, received_s)
@@ -247,6 +258,8 @@
 
     def preview(self, query: AdmissionQuery, received_s: float) -> AdmissionAnswer:
         """Return whether an attempt would be refused now; see `GatePreviews`."""
+        inherits = self._admission.inherits_importance(query.service)
+        query = with_inherited_weight(query, inherits)
         return self._previews.preview(query, received_s)
 
     def _begin(self, dispatch, token, deadline_s) -> BeginResult:
@@ -351,9 +364,16 @@
             self._admission.release(admitted, WorkEnd.DONE, was_sent=False)
             return self._refusals.refuse(dispatch, Reason.WOULD_WAIT)
         self._grants.record_run_start(dispatch.is_repeat)
+        started_s, attempt_id = admitted.started_s, dispatch.attempt_id
+        self.open_runs.begin(
+            OpenRun(
+                attempt_id, dispatch.request_id, dispatch.weight, started_s, deadline_s
+            )
+        )
         try:
             return self._runner.run(dispatch, admitted, token, deadline_s, received_s)
         finally:
+            self.open_runs.end(attempt_id, token.cancelled)
             self._grants.record_run_end(dispatch.is_repeat)
             if status.is_suspect:
                 self._suspect_runs.end(server_id, content_hash)
--- /dev/null
+++ b/balsamspindle/backend_servers/open_runs.py
@@ -0,0 +1,170 @@
+"""Records which runs at this node's backend servers may wait for an arriving call.
+
+A backend server that runs a request makes its calls at the node beside it. A call is
+told from a caller's request by three properties:
+
+- It carries no customer's key.
+- Its deadline is not after that of an open run: calls expire with their parent.
+- Nearly all requests of its route have had the first two properties here. Requests of
+  callers arrive whether or not a run is open, and mostly with a later deadline than the
+  runs that started before them.
+
+If several open runs fit, the call counts as a call of the heaviest one, and of the
+longest one among these. If only one fits, the parent is certain: when its run is
+cancelled, its calls are cancelled, too.
+"""
+
+import threading
+from collections import defaultdict
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import NamedTuple
+
+from balsamspindle.wire import AttemptId, Importance
+
+__all__ = ["OpenRun", "OpenRuns", "Parent", "importance_of"]
+
+# A call's deadline may be this much after its parent's: both are computed from times
+# that are sent with a resolution of 1 ms, and a busy VM reads messages later.
+DEADLINE_TOLERANCE_S = 0.02
+# A route's requests are calls if at least this fraction of them fitted an open run. The
+# rest allows for calls whose run has just ended here, because its caller left.
+FITTING_FRACTION_MIN = 0.8
+# Weight of the newest request in the moving average of the fitting fraction. The route
+# of a caller that fits half of the time is recognized after about five requests.
+SMOOTHING_FACTOR = 0.1
+ROUTES_MAX = 1000
+
+
+class OpenRun(NamedTuple):
+    """A request that a backend server of this node runs; times are monotonic.
+
+    Attributes
+    ----------
+    weight : float
+        Weight with which the request got its slot.
+    """
+
+    attempt_id: AttemptId
+    request_id: str
+    weight: float
+    started_s: float
+    deadline_s: float
+
+
+class Parent(NamedTuple):
+    """The run that waits for an arriving call.
+
+    Attributes
+    ----------
+    is_certain : bool
+        Whether no other open run can have made the call.
+    """
+
+    run: OpenRun
+    is_certain: bool
+
+
+class OpenRuns:
+    """The open runs at the backend servers of one node; thread-safe.
+
+    Parameters
+    ----------
+    inherits : callable, default=no service does
+        Returns whether calls to a service are as important as the runs that wait for
+        them (`ServiceDocument.calls_inherit_importance`).
+    """
+
+    def __init__(self, inherits: Callable[[str], bool] = lambda service: False) -> None:
+        self.inherits = inherits
+        self._lock = threading.Lock()
+        self._runs: dict[AttemptId, OpenRun] = {}
+        # By the attempt of their certain parent: what cancels the calls that wait.
+        self._cancels: defaultdict[AttemptId, list[Callable[[], None]]]
+        self._cancels = defaultdict(list)
+        self._fitting_fractions: dict[int, float] = {}
+
+    def begin(self, run: OpenRun) -> None:
+        """Record that a run has started."""
+        with self._lock:
+            self._runs[run.attempt_id] = run
+
+    def end(self, attempt_id: AttemptId, was_cancelled: bool) -> None:
+        """Record that a run has ended; if it was cancelled, cancel its certain calls.
+
+        Nobody waits for these calls any more. They may still be in a gate's queue, or
+        occupy a slot.
+        """
+        with self._lock:
+            self._runs.pop(attempt_id, None)
+            cancels = list(self._cancels.get(attempt_id, ()))
+        if was_cancelled:
+            for cancel in cancels:
+                cancel()
+
+    @contextmanager
+    def waiting(
+        self, parent: Parent | None, cancel: Callable[[], None]
+    ) -> Iterator[None]:
+        """Call `cancel` if the parent's run is cancelled while the context is open.
+
+        Parameters
+        ----------
+        parent : Parent or None
+            As `find_parent` returned it. Without a certain parent, nothing is called.
+        cancel : callable
+            Called in another thread.
+        """
+        if parent is None or not parent.is_certain:
+            yield
+            return
+        attempt_id = parent.run.attempt_id
+        with self._lock:
+            self._cancels[attempt_id].append(cancel)
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._cancels[attempt_id].remove(cancel)
+                if not self._cancels[attempt_id]:
+                    del self._cancels[attempt_id]
+
+    def find_parent(
+        self, service: str, route_id: int, customer: str, deadline_s: float
+    ) -> Parent | None:
+        """Return the run that waits for an arriving request; None for other requests.
+
+        Parameters
+        ----------
+        service : str
+            Service to which the request goes.
+        deadline_s : float
+            The request's deadline, on the monotonic clock.
+        """
+        if customer or not self.inherits(service):
+            return None
+        latest_s = deadline_s - DEADLINE_TOLERANCE_S
+        with self._lock:
+            fitting = [run for run in self._runs.values() if run.deadline_s >= latest_s]
+            are_calls = self._record_arrival(route_id, bool(fitting))
+        if not fitting or not are_calls:
+            return None
+        run = max(fitting, key=lambda run: (run.weight, -run.started_s))
+        return Parent(run, is_certain=len(fitting) == 1)
+
+    def _record_arrival(self, route_id: int, fits: bool) -> bool:
+        """Record whether a request fits a run; return whether its route's are calls."""
+        fractions = self._fitting_fractions
+        if route_id not in fractions and len(fractions) >= ROUTES_MAX:
+            del fractions[next(iter(fractions))]
+        fraction = fractions.get(route_id, 1.0)
+        fractions[route_id] = fraction + SMOOTHING_FACTOR * (fits - fraction)
+        return fractions[route_id] >= FITTING_FRACTION_MIN
+
+
+def importance_of(parent: Parent | None, now_s: float) -> Importance | None:
+    """Return the importance of a call; None without a run that waits for it."""
+    if parent is None:
+        return None
+    spent_s = max(0.0, now_s - parent.run.started_s)
+    return Importance(parent.run.weight, spent_s * 1000)
--- a/balsamspindle/backend_servers/queue.py
+++ b/balsamspindle/backend_servers/queue.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 from balsamspindle.backend_servers.customer_turns import CustomerTurns
+from balsamspindle.backend_servers.slot_ends import expected_wait_s
 from balsamspindle.backend_servers.tickets import (
     Order,
     OrderKey,
@@ -145,8 +146,18 @@
             return QueueDecision.TOO_LATE
         if ticket.is_shed:
             return QueueDecision.SHED
-        ahead, competing = self._count_competing(ticket, now_s)
-        wait_s = _expected_wait_s(ahead, free_slots, effective_slots, service_time_s)
+        before, competing = self._find_competing(ticket, now_s)
+        ahead = len(before)
+        if ticket.busy is None:
+            wait_s = _mean_wait_s(ahead, free_slots, effective_slots, service_time_s)
+        else:
+            wait_s = expected_wait_s(
+                ticket.busy.ends_s,
+                [_run_time_s(other, service_time_s) for other in before],
+                free_slots,
+                ticket.busy.slots,
+                effective_slots,
+            )
         if ticket.allowance is not None:
             wait_s = max(wait_s, ticket.allowance.wait_s(ahead + 1))
         run_time_s = ticket.route_time_s or service_time_s
@@ -161,29 +172,30 @@
         if has_slot:
             return QueueDecision.START
         ticket.expected_wait_s = wait_s or (
-            _expected_wait_s(ahead, free_slots, effective_slots, DEFAULT_SERVICE_TIME_S)
+            _mean_wait_s(ahead, free_slots, effective_slots, DEFAULT_SERVICE_TIME_S)
         )
         if _waits_too_long(ticket, now_s):
             return QueueDecision.WAIT_TOO_LONG
         return QueueDecision.WAIT
 
-    def _count_competing(self, ticket: Ticket, now_s: float) -> tuple[int, int]:
-        """Count the other attempts that wait for the same backend server.
+    def _find_competing(self, ticket: Ticket, now_s: float) -> tuple[list[Ticket], int]:
+        """Find the other attempts that wait for the same backend server.
 
         Returns
         -------
-        tuple of int
-            How many of these attempts start before the ticket, and how many there are.
+        tuple of (list of Ticket, int)
+            Those of these attempts that start before the ticket, and the number of all.
         """
         key = _current_order(ticket, ticket.key or self._next_key(ticket), now_s)
-        ahead = competing = 0
+        before, competing = [], 0
         for other in self._waiting:
             if other.backend_server_id != ticket.backend_server_id:
                 continue
             if other is not ticket:
                 competing += 1
-                ahead += _current_order(other, other.key, now_s) < key
-        return ahead, competing
+                if _current_order(other, other.key, now_s) < key:
+                    before.append(other)
+        return before, competing
 
     def _next_key(self, ticket: Ticket) -> OrderKey:
         """Return the key that sorts a ticket among the waiting ones.
@@ -191,10 +203,13 @@
         It sorts by weight (the heaviest first), then by the customer's turn, by latency
         target and by arrival. Because of the target, a short request whose answer is
         due soon starts before a long request whose answer is due later. Tickets without
-        a target sort by arrival.
+        a target sort by arrival. Of two calls, the one whose run has waited longer in a
+        slot starts first.
         """
         sequence = self._sequence + 1
-        target_s = 0.0 if ticket.target_s is None else ticket.target_s + ticket.rank_s
+        target_s = 0.0
+        if ticket.target_s is not None:
+            target_s = ticket.target_s + ticket.rank_s - (ticket.spent_s or 0.0)
         turn = self._turns.next_turn(ticket.customer)
         return OrderKey(
             -ticket.weight, turn, target_s, sequence * _SEQUENCE_SIGNS[self._order]
@@ -266,7 +281,11 @@
     return weight, ticket.is_late(now_s), turn, target_s, sequence
 
 
-def _expected_wait_s(
+def _run_time_s(ticket: Ticket, service_time_s: float) -> float:
+    return ticket.route_time_s or service_time_s or DEFAULT_SERVICE_TIME_S
+
+
+def _mean_wait_s(
     ahead: int, free_slots: int, effective_slots: float, service_time_s: float
 ) -> float:
     """Return the expected time until a slot is free for a ticket.
--- a/balsamspindle/backend_servers/slots.py
+++ b/balsamspindle/backend_servers/slots.py
@@ -172,6 +172,10 @@
             ran_s - known_s
         )
 
+    def delayed_releases_s(self) -> tuple[float, ...]:
+        """Return when the slots of unanswered attempts are freed, as of `free`."""
+        return tuple(self._delayed_releases_s)
+
     def next_delayed_release_s(self) -> float:
         """Return when the next slot of an unanswered attempt is freed.
 
--- a/balsamspindle/backend_servers/tickets.py
+++ b/balsamspindle/backend_servers/tickets.py
@@ -6,7 +6,7 @@
 
 from balsamspindle.backend_servers.rate_limits import Allowance
 
-__all__ = ["Order", "OrderKey", "QueueDecision", "Ticket"]
+__all__ = ["BusySlots", "Order", "OrderKey", "QueueDecision", "Ticket"]
 
 # An attempt is expected to meet its latency target if the time until the target is at
 # least this many times its route's mean service time. The factor is above 1 because
@@ -35,6 +35,21 @@
     WAIT_TOO_LONG = "too_long"
 
 
+class BusySlots(NamedTuple):
+    """What occupies the slots of a backend server at one decision.
+
+    Attributes
+    ----------
+    ends_s : tuple of float
+        Expected times until the occupied slots become free.
+    slots : int
+        All slots that may be used.
+    """
+
+    ends_s: tuple[float, ...]
+    slots: int
+
+
 class OrderKey(NamedTuple):
     """Sort key of a waiting ticket: the ticket with the smallest key starts first.
 
@@ -45,7 +60,8 @@
     turn : int
         Turn number of the request; see `CustomerTurns`.
     target_s : float
-        The ticket's `target_s` plus its `rank_s`; 0 without a target.
+        The ticket's `target_s` plus its `rank_s`, minus its `spent_s`; 0 without a
+        target.
     sequence : int
         Arrival number, negated for `Order.LIFO`.
     """
@@ -93,6 +109,12 @@
     allowance : Allowance or None
         What the limit of its backend server allowed at the last decision; None without
         a limit.
+    spent_s : float or None
+        For a call: how long the run that waits for the answer has occupied its slot.
+        None if no run is known to wait.
+    busy : BusySlots or None
+        What occupied the slots at the last decision; None if the wait is estimated from
+        the mean service time instead.
     """
 
     backend_server_id: str
@@ -109,6 +131,8 @@
     rank_s: float = 0.0
     customer: str = ""
     allowance: Allowance | None = None
+    spent_s: float | None = None
+    busy: BusySlots | None = None
 
     def is_late(self, now_s: float) -> bool:
         """Return whether the answer will probably miss the latency target."""
@@ -125,6 +149,10 @@
         # delay some calls of a request while another gate answers the rest in vain.
         if self.rank_s:
             return False
+        # A call never counts as late: the run that waits for it is lost without the
+        # answer, and a late answer may still be in time for that run.
+        if self.spent_s is not None:
+            return False
         return now_s + IN_TIME_FACTOR * self.route_time_s > self.target_s
 
     def limit_wait(self, now_s: float) -> None:
--- a/balsamspindle/requests/admission_queries.py
+++ b/balsamspindle/requests/admission_queries.py
@@ -147,6 +147,7 @@
             content_hash=forwarded.content_hash,
             customer=forwarded.customer,
             is_last_try=forwarded.sends + 1 >= route.attempts_max,
+            importance=forwarded.importance,
         )
 
     def _log_declined(
--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -168,6 +168,7 @@
         request, route = forwarded.request, forwarded.route
         server_id = placement.backend_server.backend_server_id
         is_repeat = forwarded.sends > 0
+        importance = forwarded.importance
         forwarded.tried.add(server_id)
         forwarded.sends += 1
         forwarded.attempts += 1
@@ -181,6 +182,9 @@
             free_slots=self._free_slots.free_slots(placement, self._clock()),
             wait_max_ms=_rounded(forwarded.wait_max_ms),
             is_last_resort=forwarded.is_last_resort or None,
+            importance=importance and round(importance.weight, 4),
+            spent_ms=importance and round(importance.spent_ms),
+            parent=forwarded.parent_id or None,
         )
         return Dispatch(
             attempt_id=self.next_id(),
@@ -214,6 +218,7 @@
             customer=forwarded.customer,
             is_last_try=not forwarded.may_send(),
             terms=self.known_terms.get(placement.backend_server),
+            importance=importance,
         )
 
     def _send_to_own_gate(self, forwarded, placement, hedge: Hedge | None) -> Reply:
--- a/balsamspindle/requests/forwarded.py
+++ b/balsamspindle/requests/forwarded.py
@@ -12,7 +12,7 @@
 from balsamspindle.requests.http import CallerRequest, HttpConnection
 from balsamspindle.requests.sent_attempts import ParkedAttempts
 from balsamspindle.settings.documents import RouteDocument
-from balsamspindle.wire import Reply
+from balsamspindle.wire import Importance, Reply
 
 __all__ = [
     "ForwardedRequest",
@@ -167,6 +167,10 @@
         `balsamspindle.requests.content`; 0 when it is not known.
     customer : str
         Customer that sent the request; empty for a request without a customer.
+    importance : Importance or None
+        The run beside this node that waits for the answer; None if none is known.
+    parent_id : str
+        Id of the request of that run; empty if none is known.
     stopped_by : StopReason or None
         Why the request gets no further attempt; None while attempts are made, and
         after a success.
@@ -199,6 +203,8 @@
     rank_ms: float = 0.0
     content_hash: int = 0
     customer: str = ""
+    importance: Importance | None = None
+    parent_id: str = ""
     stopped_by: StopReason | None = None
 
     def restart_search(self) -> None:
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from balsamspindle.backend_servers.gate import Gate
+from balsamspindle.backend_servers.open_runs import Parent, importance_of
 from balsamspindle.crashes.history import CrashHistory
 from balsamspindle.crashes.retry_waits import retry_wait_s
 from balsamspindle.membership.directory import Placement
@@ -76,6 +77,7 @@
         crash_history: CrashHistory | None = None,
     ) -> None:
         self._picker = picker
+        self._open_runs = gate.open_runs
         self._crash_history = crash_history or CrashHistory(lambda service: 1)
         self._events = events
         self._claims = claims or ClaimsTable(None)
@@ -100,7 +102,10 @@
         )
         self._aborted = threading.Event()
         self._widening = SearchWidening(
-            picker, self._sender.held_out_servers, self._aborted.wait
+            picker,
+            self._sender.held_out_servers,
+            self._open_runs.inherits,
+            self._aborted.wait,
         )
 
     @property
@@ -123,10 +128,12 @@
             return self._not_run_reply(Reason.BAD_REQUEST)
         forwarded.claimant = self._claimant(forwarded)
         route = forwarded.route
+        parent = self._find_parent(forwarded, self._clock())
         self._retries.record_request(route.service, self._clock(), route.weight)
         reply = None
         try:
-            reply = self._make_attempts(forwarded)
+            with self._open_runs.waiting(parent, forwarded.caller.stop_reading):
+                reply = self._make_attempts(forwarded)
         finally:
             has_answer = reply is not None and reply.outcome is Outcome.ANSWERED
             self._sender.cancel_parked(forwarded, has_answer)
@@ -137,6 +144,16 @@
             reply = msgspec.structs.replace(reply, outcome=Outcome.UNKNOWN)
         return self._with_retry_after(forwarded, reply)
 
+    def _find_parent(self, forwarded: ForwardedRequest, now_s: float) -> Parent | None:
+        """Return and record the run beside this node that waits for a request."""
+        route = forwarded.route
+        parent = self._open_runs.find_parent(
+            route.service, route_id(route), forwarded.customer, forwarded.deadline_s
+        )
+        forwarded.importance = importance_of(parent, now_s)
+        forwarded.parent_id = "" if parent is None else parent.run.request_id
+        return parent
+
     def _claimant(self, forwarded: ForwardedRequest) -> KeyClaimant | None:
         route = forwarded.route
         if forwarded.idempotency_key is None or route.execution is Execution.IDEMPOTENT:
--- a/balsamspindle/requests/http.py
+++ b/balsamspindle/requests/http.py
@@ -11,13 +11,12 @@
 import struct
 import time
 from collections import deque
-from dataclasses import dataclass, field
-from typing import NamedTuple
 
 import httptools
 
 from balsamspindle.protocol.header_names import DEFAULT_HEADER_NAMES, HeaderNames
 from balsamspindle.protocol.outcomes import Reason
+from balsamspindle.requests.caller_requests import CallerRequest, HttpLimits
 from balsamspindle.requests.heads import (
     HEADERS_MAX,
     BadRequest,
@@ -32,52 +31,6 @@
 _FRAMING_HEAD = b"POST / HTTP/1.1\r\n"
 
 
-class HttpLimits(NamedTuple):
-    """Limits of size and time for the requests and answers on a caller's connection."""
-
-    head_max_bytes: int = 32 * 1024
-    body_max_bytes: int = 8 * 1024 * 1024
-    idle_timeout_s: float = 60.0
-    head_timeout_s: float = 10.0
-    body_timeout_s: float = 60.0
-    answer_timeout_s: float = 60.0
-
-
-@dataclass
-class CallerRequest:
-    """A caller's request; `RequestHead` describes the fields of the head.
-
-    Attributes
-    ----------
-    is_complete : bool
-        Whether the request has been read to the end of its body.
-    """
-
-    method: str = ""
-    target: str = ""
-    headers: list[tuple[str, str]] = field(default_factory=list)
-    body: bytes = b""
-    keep_alive: bool = True
-    host: str = ""
-    control_headers: dict[str, str] = field(default_factory=dict)
-    key_digest: str | None = None
-    is_complete: bool = False
-
-    @property
-    def path(self) -> str:
-        """The target without its query string."""
-        return self.target.partition("?")[0]
-
-    def header(self, name: str) -> str | None:
-        """Return a header's value, by its lower-case name."""
-        if name in self.control_headers:
-            return self.control_headers[name]
-        for known, value in self.headers:
-            if known.lower() == name:
-                return value
-        return None
-
-
 class HttpConnection:
     """Reads requests from one connection and writes answers to it."""
 
@@ -186,6 +139,17 @@
         except OSError:
             return True
 
+    def stop_reading(self) -> None:
+        """Treat the caller as disconnected; wake up the tasks that wait for that.
+
+        Callable from any thread. An answer that is already complete is still written.
+        """
+        try:
+            self._socket.shutdown(socket.SHUT_RD)
+        except OSError:
+            # The connection is closed already.
+            pass
+
     def write(self, data: bytes) -> None:
         """Write one complete answer.
 
--- a/balsamspindle/requests/placement_selection.py
+++ b/balsamspindle/requests/placement_selection.py
@@ -39,6 +39,7 @@
 from balsamspindle.membership.directory import Placement
 from balsamspindle.requests.attempts import AttemptSender
 from balsamspindle.requests.forwarded import ForwardedRequest, Search, Step
+from balsamspindle.requests.search_widening import call_wait_ms
 from balsamspindle.services.answer_sizes import AnswerSizes
 from balsamspindle.services.free_slots import FreeSlotEstimates
 from balsamspindle.services.picker import Picker, choose_freest
@@ -170,6 +171,7 @@
         search, route = forwarded.search, forwarded.route
         near, far = self._picker.split_by_zone(route.service, route.execution)
         wait_ms = near_wait_ms(route.target_ms, self._sizes.mean_bytes(route))
+        wait_ms = max(wait_ms, call_wait_ms(forwarded, now_s))
         # Backend servers whose limit allows no request now; see `_add_limit_waits`.
         used_up = self._sender.known_terms.waits_ms(route.weight, now_s).keys()
         match search.step:
--- a/bench/retry_storm.py
+++ b/bench/retry_storm.py
@@ -15,6 +15,7 @@
 
 import zmq
 
+from balsamspindle.backend_servers.open_runs import OpenRuns
 from balsamspindle.membership import Directory
 from balsamspindle.protocol.outcomes import Execution, Outcome, Reason
 from balsamspindle.requests.forwarded import ForwardedRequest
@@ -94,6 +95,7 @@
         self._failure = failure
         self._failing = failing
         self.now_s = 0.0
+        self.open_runs = OpenRuns()
         self.attempts = 0
         self.runs = 0
 
--- a/tests/test_admission_queries.py
+++ b/tests/test_admission_queries.py
@@ -15,6 +15,7 @@
 from balsamspindle.backend_servers.cancellation import CancelToken
 from balsamspindle.backend_servers.client import BackendServerClient
 from balsamspindle.backend_servers.gate import Gate
+from balsamspindle.backend_servers.open_runs import OpenRun
 from balsamspindle.backend_servers.queue import QueueDecision, SlotQueue, Ticket
 from balsamspindle.backend_servers.servers import Announcement, LocalBackendServers
 from balsamspindle.membership import Directory
@@ -126,6 +127,18 @@
         self.assertEqual("server-there", query.backend_server_id)
         self.assertEqual(1, len(self.gates["there"].dispatches))
 
+    def test_query_and_attempt_tell_which_run_waits_for_the_answer(self):
+        runs, now_s = self.forwarder._open_runs, time.monotonic()
+        runs.inherits = lambda service: True
+        parent = OpenRun(AttemptId("x", 1, 1), "parent", 0.5, now_s - 1, now_s + 60)
+        runs.begin(parent)
+        self._refuse_in_own_zone()
+        self._request()
+        there = self.gates["there"]
+        for [message] in (there.queries, there.dispatches):
+            self.assertEqual(0.5, message.importance.weight)
+            self.assertGreaterEqual(message.importance.spent_ms, 1000.0)
+
     def test_a_gate_in_another_zone_is_not_sent_a_request_that_it_declines(self):
         # Guards against requests that are sent to another zone only to be refused
         # there. Without a query, this happens to two of three such attempts. The
--- /dev/null
+++ b/tests/test_calls_of_runs.py
@@ -0,0 +1,114 @@
+"""Calls that a backend server makes while it runs a request, with real processes."""
+
+import json
+import socket
+
+from testtools import TestCase
+
+from tests.leaving_utils import read_events
+from tests.raw_server import RawServer, answer_with_length
+from tests.utils import call, start_fleet, wait_until
+
+PARENTS, TABLES = "crew/contracts", "crew/tables"
+SETTINGS = {
+    "crew/services/contracts": {},
+    "crew/services/tables": {"calls_inherit_importance": True},
+    "crew/routes/sign": {
+        "service": PARENTS,
+        "execution": "non_idempotent",
+        "methods": ["POST"],
+        "timeout_ms": 600_000,
+        "weight": 3,
+    },
+    "crew/routes/read": {
+        "service": TABLES,
+        "execution": "idempotent",
+        "path_prefix": "/tables",
+        # Long enough that no call ends because of its timeout.
+        "timeout_ms": 300_000,
+    },
+}
+
+
+class CallsOfRunsTests(TestCase):
+    """One node beside a parent's and a called backend server, which has one slot.
+
+    The test itself makes the calls, as the parent's backend server would.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.fleet = start_fleet(self, SETTINGS)
+        self.node = self.fleet.start_node("node", "zone-1")
+        self.parent = RawServer(lambda number: self._answer(self.parent, number))
+        self.called = RawServer(lambda number: self._answer(self.called, number))
+        self.addCleanup(self.parent.close)
+        self.addCleanup(self.called.close)
+        self.fleet.wait_ready([self.node], [])
+        self._announce()
+        self.fleet.wait_ready([self.node], ["contract", "table"])
+
+    def _answer(self, server: RawServer, number: int):
+        """Answer probes; leave requests unanswered until they are cut."""
+        if server.requests[number - 1].startswith(b"GET /health"):
+            return answer_with_length(b"{}"), False
+        return None, False
+
+    def _announce(self):
+        servers = (("contract", PARENTS, self.parent), ("table", TABLES, self.called))
+        for name, service, server in servers:
+            announcement = {
+                "service": service,
+                "address": server.address,
+                "slots": 1,
+                "boot_id": "1",
+            }
+            call(
+                self.node.admin_address,
+                f"/backend-servers/{name}",
+                "PUT",
+                json.dumps(announcement).encode(),
+            )
+
+    def _send(self, head: bytes) -> socket.socket:
+        host, _, port = self.node.caller_address.partition(":")
+        caller = socket.create_connection((host, int(port)))
+        self.addCleanup(caller.close)
+        caller.sendall(head + b" HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+        return caller
+
+    def _events(self, name: str) -> list[dict[str, str]]:
+        events = read_events(self.node.log_path)
+        return [event for event in events if event["event"] == name]
+
+    def _start_parent_and_calls(self) -> tuple[socket.socket, list[socket.socket]]:
+        """Return the parent's caller, and a call that runs and one that waits."""
+        parent = self._send(b"POST /sign")
+        wait_until(lambda: self._events("attempt_dispatched"), "the parent runs")
+        calls = [self._send(b"GET /tables/1")]
+        wait_until(lambda: len(self._events("attempt_dispatched")) == 2, "a call runs")
+        self._announce()
+        calls.append(self._send(b"GET /tables/2"))
+        wait_until(lambda: len(self._events("attempt_sent")) == 3, "a call waits")
+        self._announce()
+        return parent, calls
+
+    def test_a_call_is_sent_with_the_importance_of_the_run_that_waits(self):
+        self._start_parent_and_calls()
+        parent, *calls = self._events("attempt_sent")
+        self.assertNotIn("importance", parent)
+        for sent in calls:
+            self.assertEqual("3.0", sent["importance"])
+            self.assertEqual(parent["request"], sent["parent"])
+
+    def test_calls_end_when_the_parents_caller_leaves(self):
+        # Guards against calls that wait or run for a parent that nobody waits for,
+        # although its backend server does not give them up.
+        parent, calls = self._start_parent_and_calls()
+        parent.close()
+        wait_until(
+            lambda: len(self._events("request_ended")) == 3, "the calls end, too"
+        )
+        ends = {event["cut_by"] for event in self._events("attempt_ended")}
+        self.assertEqual({"own_caller_left"}, ends)
+        self.assertEqual(1, sum(b"/tables" in sent for sent in self.called.requests))
--- a/tests/test_placement_selection.py
+++ b/tests/test_placement_selection.py
@@ -15,9 +15,7 @@
     PlacementSelector,
     near_wait_ms,
 )
-from balsamspindle.wire import (
-    HoldOut,
-)
+from balsamspindle.wire import HoldOut, Importance
 from tests.placement_case import (
     ANSWER_BYTES,
     DEADLINE_S,
@@ -44,6 +42,17 @@
         self.assertEqual("near-1", tries[2][0])
         self.assertEqual(3, len(tries))
 
+    def test_a_call_waits_in_its_own_zone_for_a_part_of_its_time(self):
+        # A call's target says little: the run that waits for it needs a late answer,
+        # too. A queue of 5 s is short for a call with 100 s.
+        waits_ms = {"near-0": 9000.0, "near-1": 5000.0, **dict.fromkeys(FAR, 0.0)}
+        self.forwarded.importance = Importance(0.5, 700.0)
+        self.assertEqual("near-1", self.tries(waits_ms)[-1][0])
+
+    def test_other_requests_do_not_wait_that_long(self):
+        waits_ms = {"near-0": 9000.0, "near-1": 5000.0, **dict.fromkeys(FAR, 0.0)}
+        self.assertIn(self.tries(waits_ms)[-1][0], FAR)
+
     def test_a_request_tries_a_limited_number_of_gates_before_it_queues(self):
         # Without a limit, a request in a zone with sixteen busy gates would try all of
         # them before it joins a queue, and the gates would use their CPU for refusals.
