Keep room for calls by what waits for them, and only while they come

A slot kept by the average load of the last three seconds stayed idle for up to four seconds after the last call, and half of the slots at most were kept: with one of three, calls of 0.12 s at 15 a second waited 0.15 s behind uploads of 0.6 s.

Where calls inherit importance, up to all slots except one are kept, and none a second after the last heavier run. A short request leaves nothing: its slot is free again soon.

--- a/balsamspindle/backend_servers/admission.py
+++ b/balsamspindle/backend_servers/admission.py
@@ -289,7 +289,10 @@
         if self._may_outlast(server, kind, now_s):
             return Refused(Reason.DRAINING)
         free = account.free(slots, now_s)
-        free -= account.reserved_for_heavier(kind.weight, slots, now_s)
+        if ticket.busy is None:
+            free -= account.reserved_for_heavier(kind.weight, slots, now_s)
+        else:
+            free -= account.reserved_while_used(kind, slots, now_s)
         ticket.allowance = self._allowance(server, now_s, dispatch.weight)
         if ticket.allowance is not None:
             free = min(free, int(ticket.allowance.tokens))
--- a/balsamspindle/backend_servers/slots.py
+++ b/balsamspindle/backend_servers/slots.py
@@ -21,6 +21,13 @@
 # load of 1.2 only one. Reserving one of three slots for a load of 0.2 would leave that
 # slot idle for 80% of the time while lighter requests are refused.
 LOAD_ROUNDING = 0.7
+# Slots that `reserved_while_used` reserves are given up this long after the last run of
+# a heavier request. Parents start all the time, so their calls come within a second of
+# each other. By the average load alone, a slot would be kept for up to four seconds.
+RESERVED_IDLE_MAX_S = 1.0
+# A run of at most this fraction of the time of the longest route counts as short. It
+# leaves no slot to heavier requests, because its own slot is free again soon enough.
+SHORT_RUN_FRACTION = 0.5
 # Heavier requests are assumed to leave at least this many slots to lighter requests.
 # The expected wait of a lighter request is inversely proportional to the number of
 # slots that the average load of heavier requests leaves. The average load is accurate
@@ -84,6 +91,8 @@
         self._running = 0
         self._running_by_weight: Counter[float] = Counter()
         self._loads = DecayingSums(LOAD_AVERAGING_S)
+        # By weight, when the last run ended.
+        self._last_ends_s: dict[float, float] = {}
         self._route_time_s: dict[int, float] = {}
         self._delayed_releases_s: list[float] = []
 
@@ -103,13 +112,44 @@
         their answers. Therefore the slots that heavier requests occupy on average are
         reserved for heavier requests, up to half of all slots.
         """
-        reserved = int(
-            self._loads.heavier_than(weight, now_s) / LOAD_AVERAGING_S + LOAD_ROUNDING
+        reserved = min(self._heavier_slots(weight, now_s), slots // 2)
+        return max(0, reserved - self._running_heavier(weight))
+
+    def reserved_while_used(self, kind: WorkKind, slots: int, now_s: float) -> int:
+        """Return how many free slots a request must leave to heavier ones that come.
+
+        Like `reserved_for_heavier`, but up to all slots except one, and only while
+        heavier requests use them: no slot is reserved `RESERVED_IDLE_MAX_S` after the
+        last run of a heavier request. Short requests leave no slot.
+        """
+        if 0 < self.route_time_s(kind) <= SHORT_RUN_FRACTION * self._longest_time_s():
+            return 0
+        running = self._running_heavier(kind.weight)
+        last_end_s = max(
+            (
+                end_s
+                for other, end_s in self._last_ends_s.items()
+                if other > kind.weight
+            ),
+            default=-math.inf,
         )
-        running = sum(
+        if not running and now_s - last_end_s > RESERVED_IDLE_MAX_S:
+            return 0
+        reserved = min(self._heavier_slots(kind.weight, now_s), slots - 1)
+        return max(0, reserved - running)
+
+    def _heavier_slots(self, weight: float, now_s: float) -> int:
+        """Return the average number of slots that heavier requests occupy, rounded."""
+        load = self._loads.heavier_than(weight, now_s) / LOAD_AVERAGING_S
+        return int(load + LOAD_ROUNDING)
+
+    def _running_heavier(self, weight: float) -> int:
+        return sum(
             count for other, count in self._running_by_weight.items() if other > weight
         )
-        return max(0, min(reserved, slots // 2) - running)
+
+    def _longest_time_s(self) -> float:
+        return max(self._route_time_s.values(), default=0.0)
 
     def effective_slots(self, weight: float, slots: int, now_s: float) -> float:
         """Return the average number of slots not occupied by heavier requests.
@@ -150,6 +190,7 @@
         if not self._running_by_weight[kind.weight]:
             del self._running_by_weight[kind.weight]
         self._loads.add(kind.weight, ran_s, now_s)
+        self._record_end(kind.weight, now_s)
         match end:
             case WorkEnd.IN_DOUBT:
                 delay_s = min(max(ran_s, RELEASE_DELAY_MIN_S), RELEASE_DELAY_MAX_S)
@@ -162,6 +203,12 @@
                 )
                 self._update_route_time(kind.route_id, ran_s)
 
+    def _record_end(self, weight: float, now_s: float) -> None:
+        self._last_ends_s.pop(weight, None)
+        self._last_ends_s[weight] = now_s
+        if len(self._last_ends_s) > ROUTES_MAX:
+            del self._last_ends_s[next(iter(self._last_ends_s))]
+
     def _update_route_time(self, route_id: int, ran_s: float) -> None:
         known_s = self._route_time_s.get(route_id)
         if known_s is None:
