Name the call that a request was lost to

An error after a lost call looked like the backend server's own in the logs, so the losses of a service could not be told from those of the services that it calls.

--- a/balsamspindle/backend_servers/runner.py
+++ b/balsamspindle/backend_servers/runner.py
@@ -133,6 +133,12 @@
             return WorkResult.CANCELLED
         return evidence
 
+    def _lost_call(self, result: BackendAnswer | BackendFailure) -> str | None:
+        """Return the call that an error probably results from; None for other ends."""
+        if work_result(result) is not WorkResult.ERROR:
+            return None
+        return self._failed_calls.lost_call(time.monotonic()) or None
+
     def _classify(
         self, server: LocalBackendServer, result: BackendAnswer | BackendFailure
     ) -> BackendAnswer | BackendFailure:
@@ -163,6 +169,7 @@
             cut_by=cut_by,
             ran_ms=round(ran_s * 1000),
             held_out_ms=round(held_out.held_out_ms) or None,
+            lost_call=self._lost_call(result),
         )
         reply = Reply(
             dispatch.attempt_id,
--- a/balsamspindle/cli/timeline.py
+++ b/balsamspindle/cli/timeline.py
@@ -15,7 +15,12 @@
     make_app,
     warn,
 )
-from balsamspindle.timeline.losses import count_losses, lost_requests
+from balsamspindle.timeline.losses import (
+    Loss,
+    count_losses,
+    count_lost_calls,
+    lost_requests,
+)
 from balsamspindle.timeline.merge import (
     EventFilter,
     TimelineEvent,
@@ -98,6 +103,10 @@
         return
     for (name, cause), count in count_losses(lost).most_common():
         typer.echo(f"{count:>7}  {name:<30} {cause}")
+    for (name, cause), count in count_lost_calls(lost).most_common():
+        typer.echo(
+            f"{count:>7}  {name:<30} {Loss.ERROR_AFTER_LOST_CALL}: {cause or 'unknown'}"
+        )
 
 
 def _show_runs(events: list[TimelineEvent], service: str | None, as_json: bool) -> None:
--- a/balsamspindle/metrics/exposition.py
+++ b/balsamspindle/metrics/exposition.py
@@ -84,6 +84,15 @@
         for cause, count in self._report.cuts.items():
             cuts.add_metric((cause,), count)
         yield cuts
+        lost_calls = CounterMetricFamily(
+            "balsamspindle_calls_lost",
+            "Calls of backend servers beside the node that were lost, by cause.",
+            labels=("service", "cause"),
+        )
+        for service, counts in self._report.lost_calls.items():
+            for cause, count in counts.items():
+                lost_calls.add_metric((service, cause), count)
+        yield lost_calls
 
     def _latencies(self) -> Metric:
         metric = Metric(LATENCY_NAME, "Time that each hop took.", "summary")
--- a/balsamspindle/metrics/recorder.py
+++ b/balsamspindle/metrics/recorder.py
@@ -72,12 +72,16 @@
     cuts : dict of str to int
         Number of attempts that were interrupted while a backend server ran them, by
         cause.
+    lost_calls : dict of str to dict of str to int
+        Number of calls of backend servers beside this node that were not answered, or
+        with an error, by the called service, then by reason or status.
     """
 
     hops: dict[str, HopLatency]
     outcomes: dict[str, dict[str, int]]
     events: dict[str, int]
     cuts: dict[str, int] = {}
+    lost_calls: dict[str, dict[str, int]] = {}
 
 
 class Metrics:
@@ -92,6 +96,7 @@
         self._outcomes: Counter[tuple[str, str]] = Counter()
         self._events: Counter[str] = Counter()
         self._cuts: Counter[str] = Counter()
+        self._lost_calls: Counter[tuple[str, str]] = Counter()
 
     def record(self, hop: Hop, duration_s: float) -> None:
         """Record the duration of a hop.
@@ -128,17 +133,21 @@
         with self._lock:
             self._cuts[cause] += 1
 
+    def count_lost_call(self, service: str, cause: str) -> None:
+        """Count a call that a backend server made to a service in vain."""
+        with self._lock:
+            self._lost_calls[service, cause] += 1
+
     def report(self) -> MetricsReport:
         """Return a consistent copy of all metrics."""
         with self._lock:
-            outcomes: dict[str, dict[str, int]] = {}
-            for (service, outcome), count in sorted(self._outcomes.items()):
-                outcomes.setdefault(service, {})[outcome] = count
+            outcomes = _by_service(self._outcomes)
             return MetricsReport(
                 {hop.value: self._latency(hop) for hop in Hop},
                 outcomes,
                 dict(sorted(self._events.items())),
                 dict(sorted(self._cuts.items())),
+                _by_service(self._lost_calls),
             )
 
     def _latency(self, hop: Hop) -> HopLatency:
@@ -155,3 +164,10 @@
             p999_us / 1000,
             histogram.get_max_value() / 1000,
         )
+
+
+def _by_service(counts: Counter[tuple[str, str]]) -> dict[str, dict[str, int]]:
+    by_service: dict[str, dict[str, int]] = {}
+    for (service, value), count in sorted(counts.items()):
+        by_service.setdefault(service, {})[value] = count
+    return by_service
--- a/balsamspindle/requests/forwarded.py
+++ b/balsamspindle/requests/forwarded.py
@@ -220,6 +220,11 @@
         self.search_until_s = self.queue_until_s = None
         self.is_last_resort = False
 
+    @property
+    def call_id(self) -> str:
+        """The request's id if a run beside this node waits for it; else empty."""
+        return self.request_id if self.parent_id else ""
+
     def may_send(self) -> bool:
         """Return whether the route allows an attempt at one more backend server."""
         return self.sends < self.route.attempts_max
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -362,6 +362,9 @@
             # request does not count in the estimate of when other callers should retry.
             return reply
         is_answered = reply.outcome is Outcome.ANSWERED
+        if forwarded.parent_id and not is_success(reply):
+            cause = str(reply.reason or reply.status)
+            self._events.metrics.count_lost_call(forwarded.route.service, cause)
         with self._random_lock:
             retry_after_ms = self._retries.record_end(
                 forwarded.route.service,
--- a/balsamspindle/requests/ingress.py
+++ b/balsamspindle/requests/ingress.py
@@ -52,7 +52,7 @@
     Parameters
     ----------
     on_failure : callable
-        Called after each failed request, with the current monotonic time.
+        Called after each failed request, with the monotonic time and its `call_id`.
     customers : CustomerAdmission
         Admits or refuses requests. By default, customers' keys need no proof, and
         limits are not enforced.
@@ -72,7 +72,7 @@
         forwarder: Forwarder,
         executor: ThreadPoolExecutor,
         events: EventLog,
-        on_failure: Callable[[float], None] = lambda now_s: None,
+        on_failure: Callable[[float, str], None] = lambda now_s, call_id: None,
         customers: CustomerAdmission | None = None,
     ) -> None:
         customers = customers or CustomerAdmission(configuration)
@@ -335,7 +335,7 @@
             # gate must not count the failure of B against the backend server. The
             # failure of A is therefore recorded before the backend server gets the
             # answer.
-            self._on_failure(time.monotonic())
+            self._on_failure(time.monotonic(), forwarded.call_id)
         if reply.outcome is Outcome.NOT_RUN:
             self._admissions.refund(admitted)
         self._log.ended(
--- a/balsamspindle/timeline/losses.py
+++ b/balsamspindle/timeline/losses.py
@@ -13,7 +13,13 @@
 from balsamspindle.timeline.clock import COUNTER_BITS
 from balsamspindle.timeline.merge import TimelineEvent
 
-__all__ = ["Loss", "LostRequest", "count_losses", "lost_requests"]
+__all__ = [
+    "Loss",
+    "LostRequest",
+    "count_losses",
+    "count_lost_calls",
+    "lost_requests",
+]
 
 ERROR_STATUS_MIN = 500
 # A request that is refused within this time after its receipt counts as refused at
@@ -35,6 +41,9 @@
         because the service had no backend server.
     NOT_REACHED
         Refused because a gate could not be reached.
+    ERROR_AFTER_LOST_CALL
+        A backend server answered with an error, because a call that it had made for the
+        request was lost.
     ERROR_AT_SUSPECTED
         A backend server answered with an error. Suspected backend servers were allowed
         for the last attempt, because all backend servers that were not suspected had
@@ -59,6 +68,7 @@
     WAITED_AND_REFUSED = "waited_and_refused"
     NO_HEALTHY_SERVER = "nobody_healthy"
     NOT_REACHED = "not_reached"
+    ERROR_AFTER_LOST_CALL = "lost_by_its_call"
     ERROR_AT_SUSPECTED = "error_at_suspected_one"
     ERROR_RETRY_DENIED = "error_repeat_denied"
     ERROR_AFTER_RETRY = "error_after_repeat"
@@ -77,12 +87,18 @@
     held_ms : float
         Time from the receipt to the end of the request; 0 if the event of its receipt
         is missing.
+    call_id : str
+        Id of the lost call that lost the request; empty for other causes.
+    call_cause : Loss or None
+        Why the call was lost; None if its end is missing.
     """
 
     request_id: str
     service: str
     cause: Loss
     held_ms: float
+    call_id: str = ""
+    call_cause: Loss | None = None
 
 
 _NO_FREE_SLOT_CAUSES = frozenset({"would_wait", "no_free_slot", "deadline"})
@@ -112,9 +128,26 @@
         if ended is None or "service" not in ended.details or _is_served(ended):
             continue
         held_ms = _held_ms(request_events, ended)
-        cause = _cause(request_events, ended, held_ms)
-        lost.append(LostRequest(request_id, ended.details["service"], cause, held_ms))
-    return lost
+        cause, call_id = _cause(request_events, ended, held_ms), ""
+        if cause is Loss.ERROR_AFTER_LOST_CALL:
+            call_id = _lost_call(request_events)
+        service = ended.details["service"]
+        lost.append(LostRequest(request_id, service, cause, held_ms, call_id))
+    causes = {request.request_id: request.cause for request in lost}
+    return [
+        request._replace(call_cause=causes.get(request.call_id)) for request in lost
+    ]
+
+
+def count_lost_calls(
+    lost: Iterable[LostRequest],
+) -> Counter[tuple[str, Loss | None]]:
+    """Return the number of requests lost by a call, by service and the call's cause."""
+    return Counter(
+        (request.service, request.call_cause)
+        for request in lost
+        if request.cause is Loss.ERROR_AFTER_LOST_CALL
+    )
 
 
 def count_losses(lost: Iterable[LostRequest]) -> Counter[tuple[str, Loss]]:
@@ -170,8 +203,16 @@
     return Loss.NOT_REACHED if cause == "unreachable" else Loss.OTHER
 
 
+def _lost_call(events: list[TimelineEvent]) -> str:
+    """Return the call that the last run was lost to; empty if it was not."""
+    runs = [found for found in events if found.event == "attempt_ended"]
+    return runs[-1].details.get("lost_call", "") if runs else ""
+
+
 def _error_cause(events: list[TimelineEvent]) -> Loss:
     """Return the cause for a request that was answered with a server error."""
+    if _lost_call(events):
+        return Loss.ERROR_AFTER_LOST_CALL
     sent = [found for found in events if found.event == "attempt_sent"]
     if sent and sent[-1].details.get("is_last_resort") == "True":
         return Loss.ERROR_AT_SUSPECTED
--- a/tests/test_independent_errors.py
+++ b/tests/test_independent_errors.py
@@ -212,10 +212,11 @@
         self.servers = LocalBackendServers()
         self.failed_calls = FailedCalls()
         self.observer = _Observer()
+        self.events = EventLog("gate", 1, HybridClock())
         self.gate = Gate(
             self.servers,
             BackendServerClient(1000),
-            EventLog("gate", 1, HybridClock()),
+            self.events,
             self.observer,
             failed_calls=self.failed_calls,
         )
@@ -288,6 +289,20 @@
         expected = [WorkResult.ERROR, WorkResult.CANCELLED]
         self.assertEqual(expected, self.observer.results)
 
+    def test_the_end_of_a_run_names_the_call_that_it_was_lost_to(self):
+        self.announce(ERROR_500)
+        self.failed_calls.record(time.monotonic(), "call")
+        # The failure of a caller's request, which is no call, is not named.
+        self.failed_calls.record(time.monotonic())
+        self.handle(time.monotonic())
+        self.assertIn("lost_call=call", self.events.recent(0, 100).lines[-1])
+
+    def test_an_old_failed_call_loses_no_run(self):
+        self.failed_calls.record(10.0, "call")
+        self.assertEqual("call", self.failed_calls.lost_call(10.0))
+        late_s = 10.1 + ERROR_DELAY_MAX_S
+        self.assertEqual("", self.failed_calls.lost_call(late_s))
+
     def test_an_old_failed_call_explains_no_error(self):
         self.failed_calls.record(10.0)
         self.assertTrue(self.failed_calls.explains_error(10.0 + ERROR_DELAY_MAX_S / 2))
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -3,7 +3,12 @@
 from testtools import TestCase
 
 from balsamspindle.timeline.clock import COUNTER_BITS
-from balsamspindle.timeline.losses import Loss, count_losses, lost_requests
+from balsamspindle.timeline.losses import (
+    Loss,
+    count_losses,
+    count_lost_calls,
+    lost_requests,
+)
 from balsamspindle.timeline.merge import TimelineEvent
 
 SERVICE = "crew/contracts"
@@ -50,6 +55,30 @@
         self.assertIs(Loss.ERROR_RETRY_DENIED, self.cause(run, denied, error))
         self.assertIs(Loss.ERROR_AT_SUSPECTED, self.cause(last_resort, run, error))
 
+    def test_a_request_lost_by_its_call_names_the_call_and_its_cause(self):
+        lost_run = event(8, "attempt_ended", status="500", lost_call="c")
+        call = [
+            event(2, "request_received", "c"),
+            event(7, "request_ended", "c", outcome="not_run", cause="suspected"),
+        ]
+        call[1].details["service"] = SERVICE
+        error = ended(9, "answered", status="500")
+        lost = lost_requests([event(0, "request_received"), lost_run, error, *call])
+        [parent] = [found for found in lost if found.request_id == "r"]
+        self.assertIs(Loss.ERROR_AFTER_LOST_CALL, parent.cause)
+        self.assertEqual(("c", Loss.NO_HEALTHY_SERVER), parent[-2:])
+        counts = count_lost_calls(lost)
+        self.assertEqual({(SERVICE, Loss.NO_HEALTHY_SERVER): 1}, dict(counts))
+
+    def test_a_call_lost_in_an_earlier_run_is_not_the_cause(self):
+        lost_run = event(5, "attempt_ended", status="500", lost_call="c")
+        own_error = event(8, "attempt_ended", status="500")
+        run = event(1, "attempt_dispatched")
+        cause = self.cause(
+            run, lost_run, run, own_error, ended(9, "answered", status="500")
+        )
+        self.assertIs(Loss.ERROR_AFTER_RETRY, cause)
+
     def test_losses_are_counted_by_service_and_cause(self):
         events = [ended(3, "unknown", cause="silence")]
         events += [
