Reserve repeats for heavier requests by their demand, where settings ask for it

Half of each gate's repeats is kept for the heaviest weight of the last ten seconds, and one request of a route that hardly anybody uses is enough for that.

With retry_budget.reserves_by_demand lighter requests leave no more than the heavier ones that came or asked for a repeat. The adapter sets it where load is hard.

--- a/balsamspindle/backend_servers/retry_grants.py
+++ b/balsamspindle/backend_servers/retry_grants.py
@@ -16,11 +16,12 @@
 The gate of the called service counts the call as this fraction of a repeat.
 """
 
+import math
 import threading
 from collections.abc import Callable
 
 from balsamspindle.backend_servers.heaviest_weight import HeaviestWeight
-from balsamspindle.backend_servers.retry_window import RetryWindow
+from balsamspindle.backend_servers.retry_window import RetryWindow, WeightCounts
 from balsamspindle.settings.documents import RetryBudget
 
 __all__ = ["RetryGrants"]
@@ -31,10 +32,11 @@
 
 
 class _ServiceState:
-    """Retry window and heaviest recent weight of one service."""
+    """Retry window and weights of the recent requests of one service."""
 
     def __init__(self) -> None:
         self.window = RetryWindow()
+        self.weight_counts = WeightCounts()
         self.heaviest = HeaviestWeight()
 
 
@@ -80,6 +82,7 @@
             state = self._state(service)
             if may_repeat:
                 state.heaviest.record(weight, now_s)
+                state.weight_counts.record(weight, now_s)
             state.window.record_request(self._budget(service, now_s), now_s)
             if repeat_fraction:
                 state.window.record_retries(repeat_fraction, now_s)
@@ -136,11 +139,18 @@
             reserved_fraction = (
                 0.0 if run_was_lost else state.heaviest.reserved_fraction(weight)
             )
+            reserved_max = math.inf
+            if budget.reserves_by_demand:
+                state.weight_counts.record(weight, now_s)
+                reserved_max = state.weight_counts.heavier_than(weight, now_s)
             if is_last_resort:
                 reserved_fraction = max(
                     reserved_fraction, RESERVED_FROM_LAST_RESORTS_FRACTION
                 )
-            return state.window.try_spend(budget, now_s, reserved_fraction)
+                reserved_max = math.inf
+            return state.window.try_spend(
+                budget, now_s, reserved_fraction, reserved_max
+            )
 
     def return_grant(self, service: str) -> None:
         """Add a grant back to the retry budget because its repeat did not run.
--- a/balsamspindle/backend_servers/retry_window.py
+++ b/balsamspindle/backend_servers/retry_window.py
@@ -8,11 +8,12 @@
 window can be filled again within the window, so that twice its size is spent.
 """
 
+import math
 from collections import deque
 
 from balsamspindle.settings.documents import RetryBudget
 
-__all__ = ["WINDOW_S", "RetryWindow"]
+__all__ = ["WINDOW_S", "RetryWindow", "WeightCounts"]
 
 WINDOW_S = 10.0
 # Events are counted in steps of this length. Retries count for one step longer than the
@@ -41,6 +42,27 @@
             self.total -= self._steps.popleft()[1]
 
 
+class WeightCounts:
+    """Numbers of recent requests, by weight."""
+
+    def __init__(self) -> None:
+        self._counts: dict[float, _WindowedCount] = {}
+
+    def record(self, weight: float, now_s: float) -> None:
+        """Count a request."""
+        self._counts.setdefault(weight, _WindowedCount(WINDOW_S)).add(1, now_s)
+
+    def heavier_than(self, weight: float, now_s: float) -> float:
+        """Return how many requests of the last `WINDOW_S` were heavier."""
+        for other in list(self._counts):
+            self._counts[other].discard_old(now_s)
+            if not self._counts[other].total:
+                del self._counts[other]
+        return sum(
+            count.total for other, count in self._counts.items() if other > weight
+        )
+
+
 class RetryWindow:
     """Limit on the retries that one gate grants for one service."""
 
@@ -64,7 +86,11 @@
         return self.remaining(budget, now_s) >= 1
 
     def try_spend(
-        self, budget: RetryBudget, now_s: float, reserved_fraction: float = 0.0
+        self,
+        budget: RetryBudget,
+        now_s: float,
+        reserved_fraction: float = 0.0,
+        reserved_max: float = math.inf,
     ) -> bool:
         """Count a retry and return True, or return False if it is not allowed.
 
@@ -72,8 +98,10 @@
         ----------
         reserved_fraction : float
             Fraction of the window's allowed retries that must remain afterwards.
+        reserved_max : float
+            Number of retries that must remain at most, whatever the fraction.
         """
-        reserved = reserved_fraction * self._allowed(budget)
+        reserved = min(reserved_fraction * self._allowed(budget), reserved_max)
         if self.remaining(budget, now_s) < 1 + reserved:
             return False
         self._retries.add(1, self._now_s)
--- a/balsamspindle/platform/configuration.py
+++ b/balsamspindle/platform/configuration.py
@@ -250,6 +250,7 @@
             fraction=retries.fraction * RETRY_RATIO_USED_FRACTION,
             fleet_per_s_min=retries.per_s * RETRY_RATE_USED_FRACTION,
             on_errors=True,
+            reserves_by_demand=hard_load["admits_by_level"],
         ),
         probe_path=service.health_path,
         queue_max=QUEUE_MAX,
--- a/balsamspindle/settings/documents.py
+++ b/balsamspindle/settings/documents.py
@@ -144,12 +144,18 @@
     on_errors : bool
         Whether an idempotent request is also retried after a backend server
         answered it with status 500 or above.
+    reserves_by_demand : bool
+        Lighter requests leave half of the retries to heavier ones. With True, they
+        leave at most as many as there were heavier requests that may be repeated, and
+        repeats requested for heavier ones, within ten seconds: a single heavy request then keeps no more than one retry from the others.
+        Takes effect where `fleet_per_s_min` is above 0.
     """
 
     fraction: Fraction = 0.1
     per_s_min: Positive = 1.0
     fleet_per_s_min: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     on_errors: bool = False
+    reserves_by_demand: bool = False
 
 
 class ServiceDocument(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/tests/test_retry_grants.py
+++ b/tests/test_retry_grants.py
@@ -38,6 +38,30 @@
         grants.record_first_attempt(SERVICE, 0.3, 0.0)
         self.assertEqual(10, count_grants(grants, 0.3))
 
+    def test_a_single_heavy_request_does_not_keep_half_of_the_repeats_unused(self):
+        """Half of a service's repeats stayed unused while requests were refused."""
+        budget = RetryBudget(
+            fraction=0.0, fleet_per_s_min=PER_S, reserves_by_demand=True
+        )
+        grants = RetryGrants(lambda *_: budget)
+        grants.record_first_attempt(SERVICE, 1.0, 0.0)
+        for _ in range(50):
+            grants.record_first_attempt(SERVICE, 0.5, 0.0)
+        self.assertEqual(9, count_grants(grants, 0.5))
+        self.assertEqual(1, count_grants(grants, 1.0))
+
+    def test_many_heavier_requests_keep_half_of_the_repeats_by_demand_as_well(self):
+        budget = RetryBudget(
+            fraction=0.0, fleet_per_s_min=PER_S, reserves_by_demand=True
+        )
+        grants = RetryGrants(lambda *_: budget)
+        for _ in range(50):
+            grants.record_first_attempt(SERVICE, 0.5, 0.0)
+        self.assertEqual(5, count_grants(grants, 0.3))
+        self.assertEqual(5, count_grants(grants, 0.5))
+        # Heavier requests that are older than the window reserve nothing.
+        self.assertEqual(10, count_grants(grants, 0.3, 3 * WINDOW_S))
+
     def test_nothing_is_reserved_for_heavier_requests_that_must_not_run_twice(self):
         # A filing can't be repeated. If half of the grants were reserved for filings,
         # they would stay unused while lookups fail at unhealthy backend servers.
