Reserve of a service's repeats only what heavier requests asked for and did not get

Now the reserve is what heavier requests asked for in ten seconds, half of the repeats at most, less what they got.

--- a/balsamspindle/backend_servers/retry_grants.py
+++ b/balsamspindle/backend_servers/retry_grants.py
@@ -16,7 +16,6 @@
 The gate of the called service counts the call as this fraction of a repeat.
 """
 
-import math
 import threading
 from collections.abc import Callable
 
@@ -32,13 +31,27 @@
 
 
 class _ServiceState:
-    """Retry window and weights of the recent requests of one service."""
+    """Retry window of one service, and who requested and got its repeats."""
 
     def __init__(self) -> None:
         self.window = RetryWindow()
-        self.weight_counts = WeightCounts()
+        self.requested = WeightCounts()
+        self.granted = WeightCounts()
         self.heaviest = HeaviestWeight()
 
+    def unmet_demand(self, weight: float, reserved: float, now_s: float) -> float:
+        """Return how many of the reserved repeats heavier requests may still use.
+
+        Parameters
+        ----------
+        reserved : float
+            Repeats that are reserved for requests heavier than `weight`, including
+            those that they have used.
+        """
+        requested = self.requested.heavier_than(weight, now_s)
+        used = self.granted.heavier_than(weight, now_s)
+        return max(0.0, min(reserved, requested) - used)
+
 
 class RetryGrants:
     """Grants repeats at one gate within the retry budget; thread-safe.
@@ -82,7 +95,6 @@
             state = self._state(service)
             if may_repeat:
                 state.heaviest.record(weight, now_s)
-                state.weight_counts.record(weight, now_s)
             state.window.record_request(self._budget(service, now_s), now_s)
             if repeat_fraction:
                 state.window.record_retries(repeat_fraction, now_s)
@@ -136,21 +148,19 @@
         with self._lock:
             state = self._state(service)
             state.heaviest.record(weight, now_s)
-            reserved_fraction = (
-                0.0 if run_was_lost else state.heaviest.reserved_fraction(weight)
-            )
-            reserved_max = math.inf
+            allowed = state.window.allowed(budget, now_s)
+            reserved = 0.0
+            if not run_was_lost:
+                reserved = allowed * state.heaviest.reserved_fraction(weight)
             if budget.reserves_by_demand:
-                state.weight_counts.record(weight, now_s)
-                reserved_max = state.weight_counts.heavier_than(weight, now_s)
+                state.requested.record(weight, now_s)
+                reserved = state.unmet_demand(weight, reserved, now_s)
             if is_last_resort:
-                reserved_fraction = max(
-                    reserved_fraction, RESERVED_FROM_LAST_RESORTS_FRACTION
-                )
-                reserved_max = math.inf
-            return state.window.try_spend(
-                budget, now_s, reserved_fraction, reserved_max
-            )
+                reserved = max(reserved, allowed * RESERVED_FROM_LAST_RESORTS_FRACTION)
+            if not state.window.try_spend(budget, now_s, reserved):
+                return False
+            state.granted.record(weight, now_s)
+            return True
 
     def return_grant(self, service: str) -> None:
         """Add a grant back to the retry budget because its repeat did not run.
--- a/balsamspindle/backend_servers/retry_window.py
+++ b/balsamspindle/backend_servers/retry_window.py
@@ -8,7 +8,6 @@
 window can be filled again within the window, so that twice its size is spent.
 """
 
-import math
 from collections import deque
 
 from balsamspindle.settings.documents import RetryBudget
@@ -43,17 +42,17 @@
 
 
 class WeightCounts:
-    """Numbers of recent requests, by weight."""
+    """Numbers of events within the last `WINDOW_S`, by weight of their requests."""
 
     def __init__(self) -> None:
         self._counts: dict[float, _WindowedCount] = {}
 
     def record(self, weight: float, now_s: float) -> None:
-        """Count a request."""
+        """Count an event."""
         self._counts.setdefault(weight, _WindowedCount(WINDOW_S)).add(1, now_s)
 
     def heavier_than(self, weight: float, now_s: float) -> float:
-        """Return how many requests of the last `WINDOW_S` were heavier."""
+        """Return how many of the events had a heavier request."""
         for other in list(self._counts):
             self._counts[other].discard_old(now_s)
             if not self._counts[other].total:
@@ -76,6 +75,11 @@
         self._advance(now_s)
         self._requests.add(1, self._now_s)
 
+    def allowed(self, budget: RetryBudget, now_s: float) -> float:
+        """Return how many retries the window allows, including those made."""
+        self._advance(now_s)
+        return self._allowed(budget)
+
     def remaining(self, budget: RetryBudget, now_s: float) -> float:
         """Return how many more retries are allowed; negative after too many."""
         self._advance(now_s)
@@ -89,19 +93,15 @@
         self,
         budget: RetryBudget,
         now_s: float,
-        reserved_fraction: float = 0.0,
-        reserved_max: float = math.inf,
+        reserved: float = 0.0,
     ) -> bool:
         """Count a retry and return True, or return False if it is not allowed.
 
         Parameters
         ----------
-        reserved_fraction : float
-            Fraction of the window's allowed retries that must remain afterwards.
-        reserved_max : float
-            Number of retries that must remain at most, whatever the fraction.
+        reserved : float
+            Number of the window's allowed retries that must remain afterwards.
         """
-        reserved = min(reserved_fraction * self._allowed(budget), reserved_max)
         if self.remaining(budget, now_s) < 1 + reserved:
             return False
         self._retries.add(1, self._now_s)
--- a/balsamspindle/settings/documents.py
+++ b/balsamspindle/settings/documents.py
@@ -146,10 +146,9 @@
         answered it with status 500 or above.
     reserves_by_demand : bool
         Lighter requests leave half of the retries to heavier ones. With True, they
-        leave at most as many as heavier requests of the last ten seconds could use:
-        those that may be repeated, and repeats that were requested. A single heavy
-        request then keeps no more than a retry or two from the others. Takes effect
-        where `fleet_per_s_min` is above 0.
+        leave of this half only what heavier requests asked for within ten seconds and
+        did not get. Otherwise much of the half stays unused where heavier requests
+        come often and seldom fail. Takes effect where `fleet_per_s_min` is above 0.
     """
 
     fraction: Fraction = 0.1
