--- a/balsamspindle/requests/retries.py
+++ b/balsamspindle/requests/retries.py
@@ -33,6 +33,10 @@
 # retry budgets were used up. If three of about ten gates have no retries remaining, the
 # other gates hardly have any.
 DENIALS_MAX = 3
+# The same where gates reserve repeats by demand. What is left then differs from gate to
+# gate: each has a few repeats in ten seconds, and one that many heavier requests asked
+# has none for lighter ones.
+DENIALS_BY_DEMAND_MAX = 6
 
 
 class RetryCost(StrEnum):
@@ -148,6 +152,13 @@
     )
 
 
+def _denials_max(budget: RetryBudget, run_was_lost: bool) -> int:
+    """Return how many gates may deny a request's repeats before it gets no other."""
+    if run_was_lost:
+        return TRY_ELSEWHERE_MAX
+    return DENIALS_BY_DEMAND_MAX if budget.reserves_by_demand else DENIALS_MAX
+
+
 class _ServiceState:
     """The retry tokens and the estimates of one service at this ingress."""
 
@@ -240,10 +251,10 @@
             See `ForwardedRequest.run_was_lost`. If True, the retry may be sent to
             further gates after `DENIALS_MAX` gates have denied it.
         """
-        denials_max = TRY_ELSEWHERE_MAX if run_was_lost else DENIALS_MAX
         with self._lock:
             state = self._state(service)
             budget = self._budget(service)
+            denials_max = _denials_max(budget, run_was_lost)
             cost = _retry_cost(replies[-1], execution, budget.on_errors)
             is_late = now_s + state.latency(route_id).mean_s >= deadline_s
             if is_late or not _is_below_limits(replies, attempts_max, denials_max):
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -9,7 +9,11 @@
 from balsamspindle.membership.directory import Placement
 from balsamspindle.protocol.outcomes import Execution, Outcome, Reason
 from balsamspindle.requests.latency_estimate import LatencyEstimate
-from balsamspindle.requests.retries import DENIALS_MAX, RetryPolicy
+from balsamspindle.requests.retries import (
+    DENIALS_BY_DEMAND_MAX,
+    DENIALS_MAX,
+    RetryPolicy,
+)
 from balsamspindle.requests.retry_after import RetryAfterEstimator
 from balsamspindle.requests.retry_tokens import FLOOR_BURST_S, RetryTokens
 from balsamspindle.services.free_slots import FreeSlotEstimates
@@ -165,6 +169,17 @@
         self.assertEqual(2.0, policy.hedge_delay_s(SERVICE, True, 2.0, 0.0))
         self.assertLess(policy.hedge_delay_s(SERVICE, False, 2.0, 0.0), 2.0)
 
+    def test_more_gates_are_asked_for_a_retry_where_each_reserves_by_demand(self):
+        """Requests failed while most of the fleet's repeats were not used."""
+        budget = RetryBudget(
+            fraction=0.0, fleet_per_s_min=1.0, on_errors=True, reserves_by_demand=True
+        )
+        policy = RetryPolicy(lambda service: budget)
+        replies = [Reply(ATTEMPT, Outcome.ANSWERED, status=500)]
+        while policy.may_retry(SERVICE, Execution.IDEMPOTENT, replies, 100.0, 0.0):
+            replies.append(Reply(ATTEMPT, Outcome.NOT_RUN, Reason.RETRY_BUDGET))
+        self.assertEqual(1 + DENIALS_BY_DEMAND_MAX, len(replies))
+
     def test_the_high_latency_estimate_is_near_the_95th_percentile(self):
         rng, estimate = random.Random(5), LatencyEstimate()
         for _ in range(5000):
