Show that a limit's end is not noticed while others have room

What callers saw: nothing; the backend server's room was lost. A backend server that named a limit of 1 a second for 5 s gets no request from then on while the others have room: 0 in the 4 s that begin 5 s after the limit ended, where an even part of 45 a second would be 30. The test wants half of that.

Status checks are off in this test (independent errors), as they may not carry the header.

--- a/tests/announcing_server.py
+++ b/tests/announcing_server.py
@@ -32,7 +32,9 @@
         Id of the node beside which it runs.
     """
 
-    def __init__(self, name: str, service: str, node: NodeProgram, work_s=0.05):
+    def __init__(
+        self, name: str, service: str, node: NodeProgram, work_s=0.05, slots=SLOTS
+    ):
         address = ("127.0.0.1", free_port())
         super().__init__(address, name, work_s)
         self.node_name = node.settings["node_id"]
@@ -40,7 +42,7 @@
         self._announcement = {
             "service": service,
             "address": f"127.0.0.1:{address[1]}",
-            "slots": SLOTS,
+            "slots": slots,
             "boot_id": "1",
         }
         self.announce_to(node)
