Send limited backend servers requests that show when the limit ends

What callers saw: nothing at first; the room of a backend server whose limit had ended stayed unused, for as long as the others had room (0 requests in 33 s), and was missing later.

Cause: the capacity that the gate reports falls to the slots that the limit can fill, so that `choose_freest` never selects it while another has more free slots. Then no answer can tell that the limit has ended.

Change: an ingress that knows of a limit sends the first attempt of an idempotent request there when none of its requests got there for a second (`limit_check_selection`, `limit_checks`). The attempt waits for nothing; the gate counts it as any other and refuses what the limit does not allow, so the limit holds as before. A refused check doubles the interval up to 4 s: others use the allowance then, and will see the end. In other zones the interval is twice as long. Where requests got there anyway no check is made. A limited backend server without any attempt for 7 s is one that no ingress with callers knows of; its gate reports all slots again, so that ingresses try it and learn of the limit. Once an answer ends the limit, the gate reports all slots.

--- a/balsamspindle/backend_servers/admission.py
+++ b/balsamspindle/backend_servers/admission.py
@@ -287,6 +287,7 @@
         if ticket.allowance is not None:
             free = min(free, int(ticket.allowance.tokens))
             ticket.limit_wait(now_s)
+            server.limited_capacity.record_attempt(now_s)
         effective_slots = account.effective_slots(kind.weight, slots, now_s)
         return Availability(server, kind, free, slots, effective_slots)
 
@@ -326,26 +327,16 @@
         is sent to the whole fleet; due to rounding, a cold start causes few changes.
         """
         fraction = self._slots(server, now_s) / server.announcement.slots
-        fraction = min(fraction, self._limited_fraction(server))
-        return max(1, int(fraction * CAPACITY_STEPS)) / CAPACITY_STEPS
-
-    def _limited_fraction(self, server: LocalBackendServer) -> float:
-        """Return the fraction of its slots that a limited backend server can occupy.
-
-        The fraction is computed once for each limit, with the mean service time at that
-        time. Otherwise it would change, and be sent to the fleet, with each answer.
-        """
         limit_per_s = self.terms.limit_per_s(
             server.backend_server_id, server.announcement.boot_id
         )
-        if server.limited_fraction[0] != limit_per_s:
-            server.limited_fraction = limit_per_s, 1.0
-            service_time_s = server.account.service_time_s
-            if limit_per_s is not None and service_time_s:
-                occupied = limit_per_s * service_time_s
-                fraction = min(1.0, occupied / server.announcement.slots)
-                server.limited_fraction = limit_per_s, fraction
-        return server.limited_fraction[1]
+        limited = server.limited_capacity.fraction(
+            limit_per_s,
+            server.account.service_time_s,
+            server.announcement.slots,
+            now_s,
+        )
+        return max(1, int(min(fraction, limited) * CAPACITY_STEPS)) / CAPACITY_STEPS
 
     def release(self, admitted: Admitted, end: WorkEnd, was_sent: bool = True) -> int:
         """Release the slot of an attempt that has ended or will not run.
--- a/balsamspindle/backend_servers/servers.py
+++ b/balsamspindle/backend_servers/servers.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from balsamspindle.backend_servers.cancellation import CancelToken
+from balsamspindle.backend_servers.limited_capacity import LimitedCapacity
 from balsamspindle.backend_servers.slots import SlotAccount
 from balsamspindle.protocol.outcomes import CancelCause
 from balsamspindle.wire import BackendServerRecord
@@ -67,9 +68,8 @@
     is_replaced : bool
         Whether another backend server began to use this one's address while this one
         was not draining.
-    limited_fraction : tuple of (float or None, float)
-        The limit that the backend server names, None without one, and the fraction of
-        its slots that it can occupy at this limit.
+    limited_capacity : LimitedCapacity
+        Fraction of the slots that the backend server can occupy at the limit it names.
     """
 
     def __init__(self, backend_server_id, announcement, now_s, cold_s=0.0):
@@ -84,7 +84,7 @@
         self.running: set[CancelToken] = set()
         self.has_restarted = False
         self.is_replaced = False
-        self.limited_fraction: tuple[float | None, float] = (None, 1.0)
+        self.limited_capacity = LimitedCapacity()
         self.account = SlotAccount()
         self.suspicion = 0.0
 
--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -20,6 +20,7 @@
 from balsamspindle.services.held_out_servers import HeldOutServers
 from balsamspindle.services.holdouts import HoldOuts
 from balsamspindle.services.known_terms import KnownTerms
+from balsamspindle.services.limit_checks import LimitChecks
 from balsamspindle.services.peer_evidence import PeerEvidenceTracker
 from balsamspindle.services.queue_hints import QueueHints
 from balsamspindle.timeline import EventLog
@@ -71,6 +72,7 @@
         self.held_out_servers = HeldOutServers()
         self.queue_hints = QueueHints()
         self.known_terms = KnownTerms()
+        self.limit_checks = LimitChecks()
         self._link_attempts = LinkAttempts(
             own,
             self._links,
@@ -268,6 +270,7 @@
             self._record_hold_out,
             self.queue_hints,
             self.known_terms,
+            self.limit_checks,
             self._clock,
         )
 
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -22,13 +22,10 @@
 )
 from balsamspindle.requests.heads import IDEMPOTENCY_KEY_MAX_CHARACTERS
 from balsamspindle.requests.hedging import HedgePlanner
+from balsamspindle.requests.limit_check_selection import LimitCheckSelector
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.requests.placement_selection import PlacementSelector, Selection
-from balsamspindle.requests.retries import (
-    RetryPolicy,
-    best_reply,
-    is_success,
-)
+from balsamspindle.requests.retries import RetryPolicy, best_reply, is_success
 from balsamspindle.services.answer_sizes import AnswerSizes
 from balsamspindle.services.free_slots import FreeSlotEstimates
 from balsamspindle.services.held_out_servers import HeldOutServers
@@ -93,13 +90,14 @@
         self._random = random.Random(f"{own.node_id}/{own.incarnation}")
         self._random_lock = threading.Lock()
         self._sizes = AnswerSizes()
-        self._selector = PlacementSelector(
+        selector = PlacementSelector(
             picker,
             self._sender,
             self._free_slots,
             self._sizes,
             random.Random(f"{own.node_id}/{own.incarnation}/places"),
         )
+        self._selector = LimitCheckSelector(selector, picker, self._sender, events)
         self._hedge_planner = HedgePlanner(
             picker, self._sender, self._retries, self._select, self._blocked, clock
         )
--- a/balsamspindle/requests/tracking.py
+++ b/balsamspindle/requests/tracking.py
@@ -8,6 +8,7 @@
 from balsamspindle.requests.retries import is_shed
 from balsamspindle.services.free_slots import FREE_SLOTS_TTL_S, FreeSlotEstimates
 from balsamspindle.services.known_terms import KnownTerms
+from balsamspindle.services.limit_checks import LimitChecks
 from balsamspindle.services.peer_evidence import PeerEvidenceTracker
 from balsamspindle.services.queue_hints import QueueHints
 from balsamspindle.wire import HoldOut, Reply
@@ -41,6 +42,7 @@
         record_hold_out: Callable[[Placement, HoldOut, float], None],
         queue_hints: QueueHints,
         known_terms: KnownTerms,
+        limit_checks: LimitChecks,
         clock: Callable[[], float],
     ) -> None:
         self._forwarded = forwarded
@@ -52,6 +54,7 @@
         self._record_hold_out = record_hold_out
         self._queue_hints = queue_hints
         self._known_terms = known_terms
+        self._limit_checks = limit_checks
         self._clock = clock
         self._started_s = clock()
         free_slots.record_start(server_id)
@@ -76,7 +79,7 @@
         self._free_slots.record_end(self._server_id)
         if reply is not None:
             self._record_hold_out(self._placement, reply.held_out, now_s)
-            self._known_terms.record(self._server_id, reply.terms)
+            self._record_terms(reply, now_s)
             if is_refusal(reply):
                 self._forwarded.sends -= 1
         if reply is not None and reply.reason in _REASONS_WITHOUT_SLOT_COUNT:
@@ -94,16 +97,24 @@
         else:
             self._free_slots.record(self._server_id, reply.free_slots, now_s)
 
+    def _record_terms(self, reply: Reply, now_s: float) -> None:
+        self._known_terms.record(self._server_id, reply.terms)
+        limit_per_s = self._known_terms.limit_per_s(self._server_id)
+        if limit_per_s is None:
+            self._limit_checks.remove(self._server_id)
+        else:
+            self._limit_checks.record_reply(
+                self._server_id, limit_per_s, is_refusal(reply), now_s
+            )
+
     def _record_queue_wait(self, wait_ms: float, now_s: float) -> None:
         """Record a wait that was too long for the attempt.
 
         An attempt of step `QUEUE` may wait for as long as any later one of its request,
         so a limit that refused it would refuse it again.
         """
-        search, is_limited = (
-            self._forwarded.search,
-            self._known_terms.is_limited(self._server_id),
-        )
+        search = self._forwarded.search
+        is_limited = self._known_terms.limit_per_s(self._server_id) is not None
         if is_limited:
             weight = self._forwarded.route.weight
             self._known_terms.record_wait(self._server_id, weight, wait_ms, now_s)
--- a/balsamspindle/services/known_terms.py
+++ b/balsamspindle/services/known_terms.py
@@ -31,6 +31,7 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._terms: dict[str, ServerTerms] = {}
+        self._limited: set[str] = set()
         # By backend server and by the weight of the refused request.
         self._waits: dict[str, dict[float, _Wait]] = {}
 
@@ -50,8 +51,14 @@
                 is_leaving = known.is_leaving or reported.is_leaving
                 reported = reported._replace(is_leaving=is_leaving)
             self._terms[server_id] = reported
+            if reported.limit_per_s is None:
+                self._limited.discard(server_id)
+            else:
+                self._limited.add(server_id)
             if len(self._terms) > SERVERS_MAX:
-                del self._terms[next(iter(self._terms))]
+                oldest_id = next(iter(self._terms))
+                del self._terms[oldest_id]
+                self._limited.discard(oldest_id)
 
     def get(self, server: BackendServerRecord) -> ServerTerms | None:
         """Return the known terms of a backend server's present lifetime."""
@@ -66,10 +73,14 @@
         known = ((server.backend_server_id, self.get(server)) for server in servers)
         return {server_id for server_id, terms in known if terms and terms.is_leaving}
 
-    def is_limited(self, server_id: str) -> bool:
-        """Return whether a backend server names a limit."""
+    def limit_per_s(self, server_id: str) -> float | None:
+        """Return the limit that a backend server names; None if it names none."""
         terms = self._terms.get(server_id)
-        return terms is not None and terms.limit_per_s is not None
+        return None if terms is None else terms.limit_per_s
+
+    def has_limits(self) -> bool:
+        """Return whether any backend server names a limit."""
+        return bool(self._limited)
 
     def record_wait(
         self, server_id: str, weight: float, wait_ms: float, now_s: float
--- a/tests/test_limits_that_end.py
+++ b/tests/test_limits_that_end.py
@@ -4,8 +4,13 @@
 
 from testtools import TestCase
 
-from tests.announcing_server import AnnouncingServer, Callers, most_in_window
-from tests.utils import start_fleet
+from balsamspindle.backend_servers.limited_capacity import UNATTEMPTED_S
+from tests.announcing_server import (
+    AnnouncingServer,
+    Callers,
+    most_in_window,
+)
+from tests.utils import start_fleet, wait_until
 
 SERVICE = "crew/contracts"
 SETTINGS = {
@@ -27,12 +32,16 @@
 SERVED_AGAIN_S = 5.0
 
 
-class EndedLimitTests(TestCase):
+class LimitThatEndsCase(TestCase):
+    """A fleet with a backend server beside each node, and callers at all nodes."""
+
+    zones = 2
+
     def setUp(self):
         super().setUp()
         self.fleet = start_fleet(self, SETTINGS)
         self.nodes = [
-            self.fleet.start_node(f"node-{number}", f"zone-{number % 2}")
+            self.fleet.start_node(f"node-{number}", f"zone-{number % self.zones}")
             for number in range(NODES)
         ]
         self.servers = [
@@ -43,9 +52,19 @@
             self.addCleanup(server.server_close)
             self.addCleanup(server.shutdown)
         self.fleet.wait_ready(self.nodes, [server.name for server in self.servers])
-        self.callers = Callers(self.nodes, REQUESTS_PER_S, "/contracts/7")
+        self._call(self.nodes)
+
+    def _call(self, nodes) -> None:
+        self.callers = Callers(nodes, REQUESTS_PER_S, "/contracts/7")
         self.addCleanup(self.callers.stop)
 
+    def _check_served_again(self, server, ended_s) -> None:
+        later = [at for at in server.arrivals_s if at > ended_s + SERVED_AGAIN_S]
+        even_part = REQUESTS_PER_S * WINDOW_S / NODES
+        self.assertGreaterEqual(len(later), even_part / 2)
+
+
+class EndedLimitTests(LimitThatEndsCase):
     def test_a_backend_server_whose_limit_ended_is_served_again(self):
         # Guards against a limit whose end nobody notices, because other backend servers
         # have room and the limited one gets no request.
@@ -61,6 +80,26 @@
             most_in_window(while_limited, WINDOW_S, named_s + STABILITY_S),
             1.5 * LIMIT_PER_S * WINDOW_S + 5,
         )
-        later = [at for at in limited.arrivals_s if at > ended_s + SERVED_AGAIN_S]
-        even_part = REQUESTS_PER_S * WINDOW_S / NODES
-        self.assertGreaterEqual(len(later), even_part / 2)
+        self._check_served_again(limited, ended_s)
+
+
+class UnknownLimitTests(LimitThatEndsCase):
+    # Requests go to other zones only if their own has no room.
+    zones = 1
+
+    def test_the_end_is_noticed_where_no_node_with_callers_knows_of_the_limit(self):
+        # Guards against a limit that only nodes without callers were told of.
+        limited = self.servers[0]
+        self.callers.stop()
+        told, others = self.nodes[:2], self.nodes[2:]
+        self._call(told)
+        wait_until(lambda: limited.arrivals_s, "the backend server gets a request")
+        limited.set_terms(str(LIMIT_PER_S))
+        time.sleep(2.0)
+        self.callers.stop()
+        self._call(others)
+        time.sleep(UNATTEMPTED_S + 2)
+        ended_s = limited.set_terms()
+        time.sleep(SERVED_AGAIN_S + WINDOW_S)
+        self.callers.stop()
+        self._check_served_again(limited, ended_s)
