Let status checks end a limit that they named, and leave the limit to requests

What callers saw: a limit whose end no request showed lasted for ever, and where one of about 1 a second was named, status checks (one a second once no request had ended for 2 s) took the tokens that requests needed.

A status check may end a limit only if the answer to the check before it named one: that shows that this endpoint sends the header. An endpoint that never named a limit ends none, since it may lack the header while answers to callers have it. If a request is answered with a limit after a check ended one, checks end none until one of them names it again. So a status endpoint that disagrees with the answers can't end the limit with each check. Errors still end nothing.

An answer without any header now counts as an answer that names no limit; it was taken for no answer.

`test_terms_in_the_answer_to_a_status_check_are_heard` asked that a second status check without the header leaves the limit in force. That is what changes, for an endpoint that had named it. Its last two lines are replaced by two tests: such an endpoint ends the limit, one that never named a limit ends none.

--- a/balsamspindle/backend_servers/answer_terms.py
+++ b/balsamspindle/backend_servers/answer_terms.py
@@ -52,20 +52,20 @@
         Parameters
         ----------
         headers : sequence of (str, str)
-            Headers of the answer; empty if there was none.
+            Headers of the answer; empty if there was no answer.
         result : BackendAnswer or BackendFailure
             The call's result, as `refusals.classify_result` returns it.
         sent_s : float
             When the request was sent, or earlier.
         is_probe : bool
-            Whether the request was a status check. Its answer ends no limit: it may
-            lack a header that answers to callers' requests have.
+            Whether the request was a status check; see `AnswerTiming`.
         """
         is_other_server = (
             isinstance(result, BackendFailure)
             and result.reason is Reason.NO_BACKEND_SERVER
         )
-        if not headers or is_other_server or server.has_restarted:
+        has_answer = bool(headers) or isinstance(result, BackendAnswer)
+        if not has_answer or is_other_server or server.has_restarted:
             return
         server_id = server.backend_server_id
         announced = read_announced_terms(headers, self._names)
@@ -78,13 +78,14 @@
         timing = AnswerTiming(
             sent_s,
             time.monotonic(),
-            may_end_limit=not is_probe and work_result(result) is WorkResult.ANSWERED,
+            may_end_limit=work_result(result) is WorkResult.ANSWERED,
+            is_status_check=is_probe,
         )
         boot_id = server.announcement.boot_id
         self._log(
             server_id,
             self._table.record_answer(server_id, boot_id, announced, timing),
-            "answer",
+            "status_check" if is_probe else "answer",
         )
 
     def adopt(self, dispatch: Dispatch, now_s: float) -> None:
--- a/balsamspindle/backend_servers/terms_table.py
+++ b/balsamspindle/backend_servers/terms_table.py
@@ -28,11 +28,16 @@
     may_end_limit : bool
         Whether the limit ends if the answer names none. Errors, refusals and incomplete
         answers may lack a header that the backend server's other answers have.
+    is_status_check : bool
+        Whether the request was a status check. Its answer ends a limit only if the
+        answer to the status check before it named one. Otherwise, the status endpoint
+        may lack the header although answers to callers' requests have it.
     """
 
     sent_s: float
     received_s: float
     may_end_limit: bool = True
+    is_status_check: bool = False
 
 
 class TermsChange(NamedTuple):
@@ -55,6 +60,8 @@
     is_answered : bool
         Whether the backend server has answered this node's gate. From then on, the
         gate knows the terms better than any ingress.
+    is_named_by_checks : bool
+        Whether the latest answer to a status check named a limit.
     is_shared : bool
         Whether ingresses may know terms of this lifetime, so that replies to them have
         to contain the current ones.
@@ -65,6 +72,7 @@
     is_leaving: bool = False
     named_s: float = -math.inf
     is_answered: bool = False
+    is_named_by_checks: bool = False
     is_shared: bool = False
 
     def limit_per_s(self) -> float | None:
@@ -148,7 +156,7 @@
 
         The limit ends only if an answer without a limit belongs to a request that was
         sent after the last answer with a limit arrived. Otherwise, a slow answer from
-        before the limit would end it.
+        before the limit would end it. See `AnswerTiming` for answers to status checks.
         """
         with self._lock:
             terms = self._of_lifetime(server_id, boot_id)
@@ -160,6 +168,8 @@
                 terms.named_s = timing.received_s
             elif _ends_limit(announced, timing, terms):
                 terms.set_limit(None, timing.received_s)
+            if timing.is_status_check and timing.may_end_limit:
+                terms.is_named_by_checks = announced.limit_per_s is not None
             change = self._change(previous, terms)
         if announced.is_leaving:
             self._on_leaving(server_id, boot_id)
@@ -214,4 +224,5 @@
 
 def _ends_limit(announced: AnnouncedTerms, timing: AnswerTiming, terms: _Terms) -> bool:
     is_later = timing.sent_s > terms.named_s
-    return timing.may_end_limit and is_later and not announced.unreadable
+    has_header = not timing.is_status_check or terms.is_named_by_checks
+    return timing.may_end_limit and has_header and is_later and not announced.unreadable
--- a/balsamspindle/node/gate_parts.py
+++ b/balsamspindle/node/gate_parts.py
@@ -19,6 +19,7 @@
 from balsamspindle.backend_servers.probes import Prober, StatusChecks
 from balsamspindle.backend_servers.retry_grants import RetryGrants
 from balsamspindle.backend_servers.servers import LocalBackendServers
+from balsamspindle.backend_servers.status_check_pacing import StatusCheckPacing
 from balsamspindle.backend_servers.terms_table import TermsTable
 from balsamspindle.crashes.history import CrashHistory
 from balsamspindle.crashes.records import CrashUpdate
@@ -102,7 +103,7 @@
                 settings.headers,
                 AnswerTerms(self.servers, self.terms, events, settings.headers),
                 self.lifetimes.record_misdirected,
-                self.admission.try_spend_allowance,
+                StatusCheckPacing(self.admission).may_send,
             ),
         )
         crash_watch = CrashWatch(events, crash_history, on_crash_update)
--- a/tests/test_probe_answers.py
+++ b/tests/test_probe_answers.py
@@ -11,7 +11,9 @@
 from balsamspindle.backend_servers.evidence import ProbeResult
 from balsamspindle.backend_servers.probes import Prober, StatusChecks
 from balsamspindle.backend_servers.servers import Announcement, LocalBackendServers
+from balsamspindle.backend_servers.terms_table import AnswerTiming
 from balsamspindle.platform.headers import HEADER_NAMES
+from balsamspindle.protocol.announced_terms import AnnouncedTerms
 from balsamspindle.timeline import EventLog, HybridClock
 from tests.raw_server import RawServer, answer_with_length
 
@@ -81,9 +83,23 @@
         # Guards against a backend server without requests whose terms nobody hears.
         self._probe(b"X-Instance-Id: i-1\r\nServer-Limit: 30\r\n")
         self.assertEqual(30.0, self._limit())
+
+    def test_a_status_endpoint_that_named_a_limit_also_ends_it(self):
+        # Guards against a limit that lasts for ever where no request gets through.
+        self._probe(b"Server-Limit: 30\r\n")
         time.sleep(0.1)
-        self._probe(b"X-Instance-Id: i-1\r\n")
-        self.assertEqual(30.0, self._limit())
+        self._probe(b"")
+        self.assertIsNone(self._limit())
+
+    def test_a_status_endpoint_that_named_no_limit_ends_none(self):
+        # Guards against the end of a limit by an endpoint that lacks the header.
+        self.admission.terms.record_answer(
+            SERVER, "1", AnnouncedTerms(30.0), AnswerTiming(0.0, 0.0)
+        )
+        for _ in range(2):
+            time.sleep(0.1)
+            self._probe(b"X-Instance-Id: i-1\r\n")
+            self.assertEqual(30.0, self._limit())
 
     def test_a_status_check_that_a_limit_does_not_allow_is_left_out(self):
         self._probe(b"Server-Limit: 0.1\r\n")
--- a/tests/test_terms_table.py
+++ b/tests/test_terms_table.py
@@ -97,6 +97,25 @@
         self._answer(None, 1.6, 2.0)
         self.assertIsNone(self._limit())
 
+    def test_a_status_check_ends_only_a_limit_that_the_check_before_it_named(self):
+        # Guards against the end of a limit by a status endpoint that lacks the header.
+        self._answer(2.0, 0.0, 1.0)
+        self._answer(None, 2.0, 3.0, is_status_check=True)
+        self.assertEqual(2.0, self._limit())
+        self._answer(2.0, 4.0, 5.0, is_status_check=True)
+        self._answer(None, 6.0, 7.0, is_status_check=True, may_end_limit=False)
+        self.assertEqual(2.0, self._limit())
+        self._answer(None, 8.0, 9.0, is_status_check=True)
+        self.assertIsNone(self._limit())
+
+    def test_a_status_check_ends_no_limit_that_a_later_answer_named(self):
+        # Guards against a limit that each status check ends and each answer names.
+        self._answer(2.0, 0.0, 1.0, is_status_check=True)
+        self._answer(None, 2.0, 3.0, is_status_check=True)
+        self._answer(2.0, 4.0, 5.0)
+        self._answer(None, 6.0, 7.0, is_status_check=True)
+        self.assertEqual(2.0, self._limit())
+
     def test_a_limit_that_is_no_number_is_not_adopted(self):
         for limit_per_s in (math.nan, math.inf, -1.0):
             self.table.adopt(SERVER, ServerTerms("1", limit_per_s), 1.0)
