Adopt a limit that ingresses know after an answer that may lack the header

What a backend server would see: after a restart of its gate's node, requests beyond its limit.

Cause: any first answer, also an error or that to a status check, made the gate believe that it knows the terms better than the ingresses that were told. Such answers may lack the header, so that the gate ignored the limit until an answer named it again. Now only an answer counts that names a limit, or would name one. The test failed before the change.

--- a/balsamspindle/backend_servers/terms_table.py
+++ b/balsamspindle/backend_servers/terms_table.py
@@ -58,8 +58,8 @@
     named_s : float
         When the last answer that names a limit arrived.
     is_answered : bool
-        Whether the backend server has answered this node's gate. From then on, the
-        gate knows the terms better than any ingress.
+        Whether an answer has shown this node's gate which limit is in force, or that
+        none is. From then on, the gate knows the terms better than any ingress.
     is_named_by_checks : bool
         Whether the latest answer to a status check named a limit.
     is_shared : bool
@@ -161,15 +161,17 @@
         with self._lock:
             terms = self._of_lifetime(server_id, boot_id)
             previous = terms.to_wire()
-            terms.is_answered = True
+            names_limit = announced.limit_per_s is not None
+            shows_limit = names_limit or _has_header(announced, timing, terms)
+            terms.is_answered |= shows_limit
             terms.is_leaving |= announced.is_leaving
-            if announced.limit_per_s is not None:
+            if names_limit:
                 terms.set_limit(announced.limit_per_s, timing.received_s)
                 terms.named_s = timing.received_s
-            elif _ends_limit(announced, timing, terms):
+            elif shows_limit and timing.sent_s > terms.named_s:
                 terms.set_limit(None, timing.received_s)
             if timing.is_status_check and timing.may_end_limit:
-                terms.is_named_by_checks = announced.limit_per_s is not None
+                terms.is_named_by_checks = names_limit
             change = self._change(previous, terms)
         if announced.is_leaving:
             self._on_leaving(server_id, boot_id)
@@ -222,7 +224,7 @@
         return terms
 
 
-def _ends_limit(announced: AnnouncedTerms, timing: AnswerTiming, terms: _Terms) -> bool:
-    is_later = timing.sent_s > terms.named_s
-    has_header = not timing.is_status_check or terms.is_named_by_checks
-    return timing.may_end_limit and has_header and is_later and not announced.unreadable
+def _has_header(announced: AnnouncedTerms, timing: AnswerTiming, terms: _Terms) -> bool:
+    """Return whether an answer would name the limit if one were in force."""
+    is_informed = not timing.is_status_check or terms.is_named_by_checks
+    return timing.may_end_limit and is_informed and not announced.unreadable
--- a/tests/test_terms_table.py
+++ b/tests/test_terms_table.py
@@ -79,6 +79,14 @@
         self.assertEqual([(SERVER, "1")], self.leaving)
         self.assertLess(self.table.allowance(SERVER, "1", 5.0).tokens, 1)
 
+    def test_answers_that_may_lack_the_header_do_not_keep_a_gate_from_adopting(self):
+        # Guards against the end of a limit with the restart of its gate's node, if the
+        # first answer after the restart is an error or belongs to a status check.
+        self._answer(None, 0.0, 1.0, may_end_limit=False)
+        self._answer(None, 1.0, 2.0, is_status_check=True)
+        self.table.adopt(SERVER, ServerTerms("1", 2.0), 3.0)
+        self.assertEqual(2.0, self._limit())
+
     def test_adopting_the_same_limit_again_does_not_restart_its_count(self):
         for now_s in (0.0, 0.3, 0.6):
             self.table.adopt(SERVER, ServerTerms("1", 2.0), now_s)
