--- a/tests/test_server_limits_processes.py
+++ b/tests/test_server_limits_processes.py
@@ -2,63 +2,20 @@
 
 import time
 
-from testtools import TestCase
-
-from tests.announcing_server import (
-    LIMIT_HEADER,
-    AnnouncingServer,
-    Callers,
-    most_in_window,
+from tests.announcing_server import most_in_window
+from tests.limited_fleet import (
+    DRAIN_S,
+    STABILITY_S,
+    WINDOW_S,
+    LimitedFleet,
+    allowed,
 )
-from tests.utils import start_fleet, wait_until
+from tests.utils import wait_until
 
-SERVICE = "crew/contracts"
-SETTINGS = {
-    f"crew/services/{SERVICE.split('/')[1]}": {},
-    "crew/routes/read": {
-        "service": SERVICE,
-        "execution": "idempotent",
-        "path_prefix": "/contracts",
-        "target_ms": 2000,
-        "timeout_ms": 5000,
-    },
-}
-# A backend server's limit binds from this long after its first answer with the limit.
-STABILITY_S = 3.0
-WINDOW_S = 4.0
-# A backend server may get requests for this long after an answer said that it leaves.
-DRAIN_S = 2.0
-REQUESTS_PER_S = 30.0
 TIMEOUT_S = 5.0
 
 
-def allowed(limit_per_s: float) -> float:
-    """Return how many requests a limit allows in `WINDOW_S`."""
-    return 1.5 * limit_per_s * WINDOW_S + 5
-
-
-class ServerLimitTests(TestCase):
-    def setUp(self):
-        super().setUp()
-        self.fleet = start_fleet(self, SETTINGS)
-        self.nodes = [
-            self.fleet.start_node(f"node-{number}", f"zone-{number % 2}")
-            for number in range(3)
-        ]
-        self.limited, self.other = (
-            self._start_server(f"contracts-{number}", node)
-            for number, node in enumerate(self.nodes[:2])
-        )
-        self.fleet.wait_ready(self.nodes, ["contracts-0", "contracts-1"])
-        self.callers = Callers(self.nodes, REQUESTS_PER_S, "/contracts/7")
-        self.addCleanup(self.callers.stop)
-
-    def _start_server(self, name, node):
-        server = AnnouncingServer(name, SERVICE, node)
-        self.addCleanup(server.server_close)
-        self.addCleanup(server.shutdown)
-        return server
-
+class ServerLimitTests(LimitedFleet):
     def test_a_backend_server_gets_no_more_requests_than_the_limit_it_names(self):
         # Guards against a limit that no gate enforces over the requests of all nodes.
         time.sleep(1.0)
@@ -82,7 +39,7 @@
         time.sleep(1.0)
         named_s = self.limited.set_terms("2.0")
         wait_until(
-            lambda: self._knows_limit(self.nodes[2]),
+            lambda: self.knows_limit(self.nodes[2]),
             "an answer with the limit reaches a caller of another node",
         )
         for _ in range(2):
@@ -96,12 +53,6 @@
         count = most_in_window(self.limited.arrivals_s, WINDOW_S, named_s + STABILITY_S)
         self.assertLessEqual(count, allowed(2.0))
 
-    def _knows_limit(self, node) -> bool:
-        return any(
-            LIMIT_HEADER.lower() in answer.headers
-            for _, answer, _ in self.callers.answers_of(node)
-        )
-
     def test_what_limits_leave_no_room_for_is_refused_at_once(self):
         # Guards against requests that wait until their deadline in a queue that limits
         # make longer than that, and against an allowance that stays unused.
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -385,6 +385,6 @@
     """
     fleet = Fleet()
     case.addCleanup(fleet.__exit__)
-    fleet.start_platform()
+    fleet.platform = fleet.start_platform()
     fleet.put_settings(settings)
     return fleet
