--- a/balsamspindle/settings/documents.py
+++ b/balsamspindle/settings/documents.py
@@ -144,12 +144,18 @@
     on_errors : bool
         Whether an idempotent request is also retried after a backend server
         answered it with status 500 or above.
+    reserves_by_demand : bool
+        Lighter requests leave half of the retries to heavier ones. With True, they
+        leave of this half only what heavier requests asked for within ten seconds and
+        did not get. Otherwise much of the half stays unused where heavier requests
+        come often and seldom fail. Takes effect where `fleet_per_s_min` is above 0.
     """
 
     fraction: Fraction = 0.1
     per_s_min: Positive = 1.0
     fleet_per_s_min: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     on_errors: bool = False
+    reserves_by_demand: bool = False
 
 
 class ServiceDocument(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -166,6 +172,23 @@
         Time in which a new backend server's capacity rises to its full value.
     queue_max : int
         Number of requests that may wait for a slot at one gate.
+    orders_routes_within_customers : bool
+        Whether, of requests whose customers have the same weight, those of the heavier
+        route go first. Otherwise a customer's weight hides which of its requests are
+        urgent.
+    calls_inherit_importance : bool
+        Whether a call that a backend server makes while it runs a request is as
+        important as this request. Suits services whose short calls compete for slots
+        with other, longer requests.
+    places_by_expected_end : bool
+        Whether requests go where their answers are expected to be complete first.
+        Suits services with unequal backend servers, slow links or large bodies.
+    reserves_places : bool
+        Whether a request that has to wait reserves a place at two gates. Suits services
+        whose backend servers have few slots and are all busy at times.
+    admits_by_level : bool
+        Whether ingresses refuse at once what the service has no room for, the least
+        important requests first. Suits services with more demand than room at times.
     """
 
     floor_fraction: Fraction = 0.6
@@ -174,6 +197,11 @@
     probe_path: AbsolutePath = "/health"
     cold_start_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     queue_max: Annotated[int, msgspec.Meta(ge=0)] = 32
+    orders_routes_within_customers: bool = False
+    calls_inherit_importance: bool = False
+    places_by_expected_end: bool = False
+    reserves_places: bool = False
+    admits_by_level: bool = False
 
 
 class ServiceShare(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
