Keep a crash whose backend server's replacement answers before it announces itself

Cause: an answer to a run that began after a recorded crash counted as proof that the backend server had not crashed. A replacement listens at the same address, and until its first announcement arrives, requests for its predecessor reach it. Its answer took the crash, and with it the evidence against the cause, back on all nodes.

Fix: an answer retracts a crash only if the same start of the backend server has announced itself more than a second after the recorded end and was not replaced since. A backend server that stopped listening for a while still announces itself, so its crash is retracted with its first answer after that.

--- a/balsamspindle/backend_servers/crash_watch.py
+++ b/balsamspindle/backend_servers/crash_watch.py
@@ -34,9 +34,9 @@
 # itself at the same address.
 REPLACED_WITHIN_S = 5.0
 CONNECT_TIMEOUT_S = 0.25
-# On a busy VM, an answer that was sent before a crash may be read up to this long after
-# the crash.
-LATE_READ_S = 1.0
+# An announcement that is received within this time after the detection of a crash may
+# have been sent before the crash.
+LATE_ANNOUNCEMENT_S = 1.0
 PROCESSES_MAX = 64
 REPORTED_RUNS_MAX = 32
 
@@ -78,24 +78,17 @@
         """Whether the end of this process was detected."""
         return self.ended_s is not None
 
-    def is_refuted_by_answer(self, run: _Run | None, now_s: float) -> bool:
+    def is_refuted_by_answer(self, server: LocalBackendServer) -> bool:
         """Return whether an answer received now shows that this process has not ended.
 
-        If no end was recorded, the result is False. Otherwise it is True in two cases:
-
-        - The answered run began after the recorded end. A process that has ended cannot
-          begin a run.
-        - The recorded end is more than `LATE_READ_S` ago. An answer that the process
-          sent before its end would have been read by now.
-
-        Parameters
-        ----------
-        run : _Run or None
-            The answered run. If the run is unknown, the result is False.
+        The answer alone does not: a replacement at the same address also answers, and
+        its first announcement may arrive later. So this process must also have
+        announced itself more than `LATE_ANNOUNCEMENT_S` after its recorded end, and
+        must not have been replaced.
         """
-        if self.ended_s is None or run is None:
+        if self.ended_s is None or server.has_restarted or server.is_replaced:
             return False
-        return run.started_s > self.ended_s or now_s > self.ended_s + LATE_READ_S
+        return server.announced_s > self.ended_s + LATE_ANNOUNCEMENT_S
 
 
 class CrashWatch:
@@ -151,7 +144,8 @@
         """Record a run's end; return whether a crash of the backend server caused it.
 
         If `end.is_broken` is False, the run did not end in a crash. An answer may show
-        that a crash was recorded by mistake; the crash is then retracted.
+        that a crash was recorded by mistake, see `_ServerProcess.is_refuted_by_answer`;
+        the crash is then retracted.
         """
         key = _key(server)
         with self._lock:
@@ -162,12 +156,11 @@
                 process.lost.append(
                     _LostRun(run.content_hash, ran_s, now_s, end.is_broken)
                 )
-            was_refuted = end.is_answer and process.is_refuted_by_answer(run, now_s)
+            was_refuted = end.is_answer and process.is_refuted_by_answer(server)
             process.ended_s = None if was_refuted else process.ended_s
         if was_refuted:
-            # The answer shows that the backend server has not crashed. A backend server
-            # may refuse connections although it runs, because it may stop listening
-            # while its own queue is long.
+            # A backend server may refuse connections although it runs, because it may
+            # stop listening while its own queue is long.
             self._on_update(self._history.retract(key, now_s), now_s)
             self._events.emit("backend_server_crash_retracted", backend_server=key[0])
         if end.is_success and run is not None:
--- a/tests/crash_watch_case.py
+++ b/tests/crash_watch_case.py
@@ -58,9 +58,9 @@
             **options,
         )
 
-    def _announce(self, boot_id, slots=SLOTS):
+    def _announce(self, boot_id, now_s=0.0, slots=SLOTS):
         announcement = Announcement(SERVICE, self.server.address, slots, boot_id)
-        self.servers.announce("server", announcement, 0.0)
+        self.servers.announce("server", announcement, now_s)
 
     def _announce_another(self, sequence):
         """Announce another backend server at the same address."""
