Count each crash that a process and its unannounced replacements have

Cause: a crash is known by its backend server's start. Requests for a backend server that crashed run at its replacement until that announces itself. When the replacement crashed, too, its crash had the key of the first one: `CrashHistory` had it already and added nothing, or, while the first was not retracted, the gate did not report it at all. The same happened to a crash of a process whose earlier crash had been retracted.

Fix: a run that began after a recorded crash, was accepted, and lost its connection while the address refuses connections is a crash of its own, with a number in its key. Only runs that began after the crash before are lost in it. An answer that retracts a crash of a process retracts all of them.

Tests: five new ones, which failed before.

--- a/balsamspindle/backend_servers/crash_watch.py
+++ b/balsamspindle/backend_servers/crash_watch.py
@@ -1,6 +1,7 @@
 """Detects crashes of a gate's backend servers, and the requests lost in each crash."""
 
 import errno
+import math
 import socket
 import threading
 from collections import OrderedDict, deque
@@ -56,27 +57,54 @@
 
 class _LostRun(NamedTuple):
     content_hash: int
-    ran_s: float
+    started_s: float
     lost_s: float
     is_broken: bool
 
+    @property
+    def ran_s(self) -> float:
+        return self.lost_s - self.started_s
+
 
 @dataclass
 class _ServerProcess:
-    """One process of a backend server: its runs, and when its end was detected."""
+    """One process of a backend server: its runs, and when its end was detected.
+
+    Until a replacement at the same address announces itself, requests for this process
+    run at the replacement. So a further crash may be detected after the first one.
+
+    Attributes
+    ----------
+    ended_s : float
+        When the last crash was detected; minus infinity if there was none, or if it
+        was retracted.
+    crash_count : int
+        Number of crashes that were detected, including retracted ones.
+    """
 
     running: dict[AttemptId, _Run] = field(default_factory=dict)
     lost: deque[_LostRun] = field(
         default_factory=lambda: deque(maxlen=REPORTED_RUNS_MAX)
     )
-    checked_s: float = float("-inf")
+    checked_s: float = -math.inf
     check_lock: threading.Lock = field(default_factory=threading.Lock)
-    ended_s: float | None = None
+    ended_s: float = -math.inf
+    crash_count: int = 0
+
+    def record_crash(self, now_s: float) -> int:
+        """Record that a crash was detected; return its number, from 0."""
+        self.ended_s = now_s
+        self.crash_count += 1
+        return self.crash_count - 1
 
     @property
     def has_ended(self) -> bool:
         """Whether the end of this process was detected."""
-        return self.ended_s is not None
+        return self.ended_s > -math.inf
+
+    def began_after_end(self, run: _Run | None) -> bool:
+        """Return whether a run began after the last crash was detected."""
+        return self.has_ended and run is not None and run.started_s > self.ended_s
 
     def is_refuted_by_answer(self, server: LocalBackendServer) -> bool:
         """Return whether an answer received now shows that this process has not ended.
@@ -86,7 +114,7 @@
         announced itself more than `LATE_ANNOUNCEMENT_S` after its recorded end, and
         must not have been replaced.
         """
-        if self.ended_s is None or server.has_restarted or server.is_replaced:
+        if not self.has_ended or server.has_restarted or server.is_replaced:
             return False
         return server.announced_s > self.ended_s + LATE_ANNOUNCEMENT_S
 
@@ -152,20 +180,20 @@
             process = self._process_of(key)
             run = process.running.pop(attempt_id, None)
             if run is not None and end.is_lost:
-                ran_s = now_s - run.started_s
-                process.lost.append(
-                    _LostRun(run.content_hash, ran_s, now_s, end.is_broken)
-                )
+                process.lost.append(_LostRun(*run, now_s, end.is_broken))
             was_refuted = end.is_answer and process.is_refuted_by_answer(server)
-            process.ended_s = None if was_refuted else process.ended_s
+            if was_refuted:
+                process.ended_s = -math.inf
         if was_refuted:
             # A backend server may refuse connections although it runs, because it may
             # stop listening while its own queue is long.
-            self._on_update(self._history.retract(key, now_s), now_s)
+            for number in range(process.crash_count):
+                crash_key = _crash_key(server, number)
+                self._on_update(self._history.retract(crash_key, now_s), now_s)
             self._events.emit("backend_server_crash_retracted", backend_server=key[0])
         if end.is_success and run is not None:
             self._on_update(self._history.record_answer(run.content_hash, now_s), now_s)
-        return end.is_broken and self._detect_crash(server, process, now_s)
+        return end.is_broken and self._detect_crash(server, process, run, now_s)
 
     def record_replacement(self, server: LocalBackendServer, now_s: float) -> None:
         """Record the crash of a backend server whose address another one now has.
@@ -186,48 +214,105 @@
         with process.check_lock:
             if process.has_ended:
                 return
-            process.ended_s = now_s
+            number = process.record_crash(now_s)
         # If no run's connection ended recently, the backend server crashed while idle,
         # and no request caused the crash. Record this crash, too: such crashes show how
         # often backend servers crash for reasons other than requests.
         is_recent = broken_s and now_s - broken_s[-1] <= REPLACED_WITHIN_S
-        self._record_crash(server, process, broken_s[-1] if is_recent else now_s)
+        crashed_s = broken_s[-1] if is_recent else now_s
+        runs = self._lost_runs(process, crashed_s)
+        self._report_crash(server, number, runs, crashed_s)
 
     def _detect_crash(
-        self, server: LocalBackendServer, process: _ServerProcess, now_s: float
+        self,
+        server: LocalBackendServer,
+        process: _ServerProcess,
+        run: _Run | None,
+        now_s: float,
     ) -> bool:
         """Return whether a process has crashed, and record a newly detected crash.
 
         Parameters
         ----------
+        run : _Run or None
+            The run whose connection ended without an answer; None if unknown.
         now_s : float
-            When a run's connection ended without an answer.
+            When the connection ended.
         """
         with process.check_lock:
-            if process.has_ended:
+            if process.has_ended and not process.began_after_end(run):
                 return True
-            if not (server.has_restarted or server.is_replaced):
-                if server.state is BackendServerState.DRAINING:
-                    # The backend server had announced that it would stop, so its end
-                    # is not a crash.
-                    return False
-                if now_s <= process.checked_s:
-                    # Another thread checked the address after this run had ended, and
-                    # the backend server was running.
-                    return False
-                process.checked_s = now_s
-                if not self._is_down(_address(server)):
-                    return False
-            process.ended_s = now_s
-        self._record_crash(server, process, now_s)
+            if not self._is_new_crash(server, process, now_s):
+                return process.has_ended
+            previous_s = process.ended_s
+            number = process.record_crash(now_s)
+        self._report_crash(
+            server, number, self._lost_runs(process, now_s, previous_s), now_s
+        )
         return True
 
-    def _record_crash(
+    def _is_new_crash(
         self, server: LocalBackendServer, process: _ServerProcess, now_s: float
-    ) -> None:
+    ) -> bool:
+        """Return whether the process at a backend server's address has just ended."""
+        if server.has_restarted or server.is_replaced:
+            if not process.has_ended:
+                return True
+        elif server.state is BackendServerState.DRAINING:
+            # The backend server had announced that it would stop, so its end is not a
+            # crash.
+            return False
+        if now_s <= process.checked_s:
+            # Another thread checked the address after this run had ended, and the
+            # backend server was running.
+            return False
+        process.checked_s = now_s
+        return self._is_down(_address(server))
+
+    def _lost_runs(
+        self, process: _ServerProcess, now_s: float, previous_s: float = -math.inf
+    ) -> list[CrashedRun]:
+        """Return the requests lost in a crash, each once, the shortest run first.
+
+        Requests without a content hash are omitted. If there are more than
+        `REPORTED_RUNS_MAX` requests, those with the longest runs are omitted.
+
+        Parameters
+        ----------
+        previous_s : float
+            When an earlier crash was detected. Runs that began before were lost in that
+            crash, and are omitted.
+        """
         with self._lock:
-            runs = _runs_at(process, now_s)
-        crash = Crash(*_key(server), server.announcement.service, 0, tuple(runs))
+            running, lost = [*process.running.values()], [*process.lost]
+        run_times_s = {
+            run.content_hash: max(0.0, now_s - run.started_s)
+            for run in running
+            if run.started_s > previous_s
+        }
+        for one in lost:
+            if now_s - one.lost_s <= LOST_TOGETHER_S and one.started_s > previous_s:
+                run_times_s[one.content_hash] = min(
+                    one.ran_s, run_times_s.get(one.content_hash, one.ran_s)
+                )
+        run_times_s.pop(0, None)
+        shortest = sorted(run_times_s.items(), key=lambda item: item[1])[
+            :REPORTED_RUNS_MAX
+        ]
+        return [
+            CrashedRun(content_hash, round(ran_s * 1000))
+            for content_hash, ran_s in shortest
+        ]
+
+    def _report_crash(
+        self,
+        server: LocalBackendServer,
+        number: int,
+        runs: list[CrashedRun],
+        now_s: float,
+    ) -> None:
+        service = server.announcement.service
+        crash = Crash(*_crash_key(server, number), service, 0, tuple(runs))
         self._events.emit(
             "backend_server_crashed",
             backend_server=crash.backend_server_id,
@@ -245,29 +330,6 @@
         return process
 
 
-def _runs_at(process: _ServerProcess, now_s: float) -> list[CrashedRun]:
-    """Return the requests lost in a crash, each once, the shortest run first.
-
-    Requests without a content hash are omitted. If there are more than
-    `REPORTED_RUNS_MAX` requests, those with the longest runs are omitted.
-    """
-    run_times_s = {
-        run.content_hash: max(0.0, now_s - run.started_s)
-        for run in process.running.values()
-    }
-    for lost in process.lost:
-        if now_s - lost.lost_s <= LOST_TOGETHER_S:
-            run_times_s[lost.content_hash] = min(
-                lost.ran_s, run_times_s.get(lost.content_hash, lost.ran_s)
-            )
-    run_times_s.pop(0, None)
-    shortest = sorted(run_times_s.items(), key=lambda item: item[1])[:REPORTED_RUNS_MAX]
-    return [
-        CrashedRun(content_hash, round(ran_s * 1000))
-        for content_hash, ran_s in shortest
-    ]
-
-
 def refuses_connections(address: str) -> bool:
     """Return whether no process listens at an address.
 
@@ -284,5 +346,12 @@
     return server.backend_server_id, start_id(server.announcement.boot_id)
 
 
+def _crash_key(server: LocalBackendServer, number: int) -> tuple[str, int]:
+    """Return the key of a crash; a repeated key would merge it with an earlier one."""
+    boot_id = server.announcement.boot_id
+    start = start_id(f"{boot_id}#{number}" if number else boot_id)
+    return server.backend_server_id, start
+
+
 def _address(server: LocalBackendServer) -> str:
     return server.announcement.address
--- a/tests/test_crash_retractions.py
+++ b/tests/test_crash_retractions.py
@@ -56,21 +56,27 @@
         super().setUp()
         self.watch = CrashWatch(self.log, self.history, is_down=lambda address: True)
 
+    def _lose(self, sequence, content_hash, started_s, ended_s, replaced=lambda: None):
+        """Run a request until its connection ends without an answer."""
+        server, attempt_id = self.servers.get("server"), AttemptId("x", 1, sequence)
+        self.watch.record_start(server, attempt_id, content_hash, started_s)
+        replaced()
+        broken = RunEnd(is_lost=True, is_broken=True)
+        self.assertTrue(self.watch.record_end(server, attempt_id, broken, ended_s))
+
+    def _lost_contents(self, now_s):
+        crashes = self.history.export(now_s).crashes
+        return [[run.content_hash for run in crash.runs] for crash in crashes]
+
     def _lose_and_answer(self, lost_s, replaced=lambda: None):
         """Crash the backend server by one run, and let its address answer another."""
-        watch, server = self.watch, self.servers.get("server")
-        cause, other = AttemptId("x", 1, 1), AttemptId("x", 1, 2)
-        watch.record_start(server, cause, CAUSE, lost_s - 0.1)
-        broken = RunEnd(is_lost=True, is_broken=True)
-        self.assertTrue(watch.record_end(server, cause, broken, lost_s))
-        watch.record_start(server, other, OTHER, lost_s + 1.0)
+        server, answered = self.servers.get("server"), AttemptId("x", 1, 2)
+        self._lose(1, CAUSE, lost_s - 0.1, lost_s)
+        self.watch.record_start(server, answered, OTHER, lost_s + 1.0)
         replaced()
         whole = RunEnd(is_success=True, is_answer=True)
-        watch.record_end(server, other, whole, lost_s + 2 * LATE_ANNOUNCEMENT_S)
-
-    def _lost_content(self, now_s):
-        (crash,) = self.history.export(now_s).crashes
-        return [run.content_hash for run in crash.runs]
+        answered_s = lost_s + 2 * LATE_ANNOUNCEMENT_S
+        self.watch.record_end(server, answered, whole, answered_s)
 
     def test_an_answer_before_any_announcement_retracts_no_crash(self):
         # Guards against a cause of crashes that is found too late. A replacement has
@@ -78,7 +84,7 @@
         # for the backend server that crashed reach the replacement.
         now_s = time.monotonic()
         self._lose_and_answer(now_s)
-        self.assertEqual([CAUSE], self._lost_content(now_s + 5.0))
+        self.assertEqual([[CAUSE]], self._lost_contents(now_s + 5.0))
 
     def test_a_late_announcement_does_not_let_an_answer_retract_the_crash(self):
         # Guards against the same, when the last announcement from before the crash
@@ -86,7 +92,7 @@
         now_s = time.monotonic()
         late_s = now_s + LATE_ANNOUNCEMENT_S / 2
         self._lose_and_answer(now_s, lambda: self._announce("1", late_s))
-        self.assertEqual([CAUSE], self._lost_content(now_s + 5.0))
+        self.assertEqual([[CAUSE]], self._lost_contents(now_s + 5.0))
 
     def test_an_answer_after_the_replacement_retracts_no_crash(self):
         # Guards against the same, when the replacement announces itself while it runs
@@ -95,4 +101,55 @@
         now_s = time.monotonic()
         self.servers.get("server").announced_s = now_s + 2 * LATE_ANNOUNCEMENT_S
         self._lose_and_answer(now_s, lambda: self._announce_another(1))
-        self.assertEqual([CAUSE], self._lost_content(now_s + 5.0))
+        self.assertEqual([[CAUSE]], self._lost_contents(now_s + 5.0))
+
+    def test_the_crash_of_an_unannounced_replacement_is_reported(self):
+        # Guards against a cause of crashes that is found too late because only the
+        # first of two processes that it crashed had announced itself.
+        now_s = time.monotonic()
+        self._lose(1, CAUSE, now_s, now_s + 0.1)
+        self._lose(2, CAUSE, now_s + 1.0, now_s + 1.1)
+        self.assertEqual([[CAUSE], [CAUSE]], self._lost_contents(now_s + 2.0))
+
+    def test_a_run_sent_to_a_predecessor_is_lost_in_the_crash_of_its_replacement(self):
+        # Guards against the same, when the replacement announces itself while it runs
+        # the request that crashes it.
+        self._announce_first()
+        now_s = time.monotonic()
+        self._lose(1, CAUSE, now_s, now_s + 0.1)
+        self._lose(
+            2, CAUSE, now_s + 1.0, now_s + 1.1, lambda: self._announce_another(1)
+        )
+        self.assertEqual([[CAUSE], [CAUSE]], self._lost_contents(now_s + 2.0))
+
+    def test_a_run_that_began_before_a_crash_is_lost_in_that_crash_only(self):
+        # Guards against one crash that counts twice against a request, since the end of
+        # the request's connection is noticed late.
+        server, now_s = self.servers.get("server"), time.monotonic()
+        self.watch.record_start(server, AttemptId("x", 1, 1), OTHER, now_s)
+        self._lose(2, CAUSE, now_s, now_s + 0.1)
+        self._lose(3, CAUSE, now_s + 0.2, now_s + 0.3)
+        broken = RunEnd(is_lost=True, is_broken=True)
+        self.watch.record_end(server, AttemptId("x", 1, 1), broken, now_s + 0.4)
+        contents = self._lost_contents(now_s + 2.0)
+        self.assertEqual([{CAUSE, OTHER}, {CAUSE}], list(map(set, contents)))
+
+    def test_a_crash_after_a_retracted_one_is_reported(self):
+        # Guards against a cause of crashes whose later crashes count no more, because
+        # an earlier crash of the same process was reported by mistake.
+        now_s = time.monotonic()
+        self._lose_and_answer(
+            now_s, lambda: self._announce("1", now_s + 2 * LATE_ANNOUNCEMENT_S)
+        )
+        self._lose(3, CAUSE, now_s + 3.0, now_s + 3.1)
+        self.assertEqual([[], [CAUSE]], self._lost_contents(now_s + 4.0))
+
+    def test_an_answer_retracts_all_crashes_of_a_process(self):
+        # Guards against suspected requests whose backend server refused connections
+        # more than once, but has not crashed.
+        now_s = time.monotonic()
+        self._lose(4, OTHER, now_s - 0.5, now_s - 0.2)
+        self._lose_and_answer(
+            now_s, lambda: self._announce("1", now_s + 2 * LATE_ANNOUNCEMENT_S)
+        )
+        self.assertEqual([[], []], self._lost_contents(now_s + 4.0))
