Keep the logs of a failed soak of crashes, and what it checked

A failed soak printed its crash events, which a run of the whole test suite cuts off, and removed its folder: of five listed failures only one has a log. The soak now copies all logs and a `facts.json` (faults, disturbances, runs, crashes, answers, load, both clocks) to a new folder and prints its path before anything else.

The checks are unchanged.

--- a/tests/soak_crashes.py
+++ b/tests/soak_crashes.py
@@ -18,7 +18,6 @@
 """
 
 import argparse
-import http.client
 import itertools
 import random
 import re
@@ -29,9 +28,12 @@
 from collections import Counter
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 
 from tests.crashing_server import CrashingServer, Run
+from tests.disturbances import Disturbances
+from tests.failed_soaks import kept_on_failure
+from tests.persistent_connection import PersistentConnection
 from tests.platform_fleet import PlatformFleet, PlatformNode
 from tests.utils import wait_until
 
@@ -55,7 +57,6 @@
 WORK_TIMES_S = (0.05, 0.3, 1.0, 2.0)
 RESEND_MIN_S, RESEND_MAX_S = 0.1, 0.6
 GAP_MAX_S, FAULT_MIN_S, FAULT_MAX_S = 1.5, 0.3, 2.0
-CALL_TIMEOUT_S = 11.0
 SERVED_TIMEOUT_S = 30.0
 CRASH_EVENTS = re.compile(r"backend_server_crash|request_quarantined|quarantine_lifted")
 
@@ -69,45 +70,16 @@
     crashed_s: list[float] = field(default_factory=list)
 
 
-class PersistentConnection:
-    """A caller's connection to one node; opened again after it closed."""
-
-    def __init__(self, node: PlatformNode) -> None:
-        self._node = node
-        self._connection: http.client.HTTPConnection | None = None
-
-    def send(self, target: str, request_id: str) -> tuple[int, bytes]:
-        """Send a GET request; return status and body, or status 0 without an answer."""
-        if self._connection is None:
-            self._connection = http.client.HTTPConnection(
-                self._node.caller_address, timeout=CALL_TIMEOUT_S
-            )
-        headers = {"Host": HOST, "X-Request-Id": request_id}
-        try:
-            self._connection.request("GET", target, headers=headers)
-            response = self._connection.getresponse()
-            answer = response.status, response.read()
-        except (OSError, http.client.HTTPException):
-            self._connection.close()
-            self._connection = None
-            return 0, b""
-        if response.will_close:
-            self._connection.close()
-            self._connection = None
-        return answer
-
-
 class CrashSoak:
     """Sends the requests and injects the faults of one seed in one fleet."""
 
     def __init__(self, seed: int, load_s: float = LOAD_S) -> None:
-        self._random = random.Random(seed)
+        self._seed, self._random = seed, random.Random(seed)
         self._load_s = load_s
         self._done = threading.Event()
         self._lock = threading.Lock()
         self._numbers = itertools.count()
-        # Start and end of the time in which a node was killed or suspended, by node.
-        self._disturbances: list[list[tuple[float, float]]] = [[] for _ in range(NODES)]
+        self._disturbances = Disturbances(NODES)
         self._affected_targets: set[str] = set()
         self.causes = {
             f"/vacancies/broken-{number}": Cause(
@@ -137,10 +109,13 @@
             self._fleet, self._nodes = fleet, fleet.start_nodes(NODES)
             self._servers = [self._start_server(node) for node in self._nodes]
             try:
-                self._wait_served()
-                self._run_load()
-                self._check()
-                self._wait_served()
+                with kept_on_failure(
+                    f"soak-crashes-{self._seed}", fleet.folder, self._facts
+                ):
+                    self._wait_served()
+                    self._run_load()
+                    self._check()
+                    self._wait_served()
             except AssertionError:
                 self._print_crash_events()
                 raise
@@ -172,7 +147,7 @@
             list(executor.map(self._wait_served_by, self._nodes))
 
     def _wait_served_by(self, node: PlatformNode) -> None:
-        connection = PersistentConnection(node)
+        connection = PersistentConnection(node.caller_address, HOST)
         for target in self._work_time_s:
             wait_until(
                 lambda target=target: (
@@ -204,7 +179,9 @@
 
     def _send_all(self, target: str, rng: random.Random) -> None:
         """Send requests for one path to random nodes on persistent connections."""
-        connections = [PersistentConnection(node) for node in self._nodes]
+        connections = [
+            PersistentConnection(node.caller_address, HOST) for node in self._nodes
+        ]
         is_cause = target in self.causes
         while not self._done.wait(rng.uniform(RESEND_MIN_S, RESEND_MAX_S)):
             number = rng.randrange(NODES)
@@ -275,7 +252,7 @@
             server.crash()
 
     def _kill(self, number: int, fault_s: float) -> None:
-        with self._record_disturbance(number):
+        with self._disturbances.record(number):
             self._nodes[number].kill()
             time.sleep(fault_s)
             self._nodes[number].start()
@@ -285,15 +262,12 @@
             self._kill(number, 0.0)
 
     def _pause(self, number: int, fault_s: float) -> None:
-        with self._record_disturbance(number):
+        with self._disturbances.record(number):
             process = self._nodes[number].process
             process.send_signal(signal.SIGSTOP)
             time.sleep(fault_s)
             process.send_signal(signal.SIGCONT)
 
-    def _record_disturbance(self, number: int) -> "_Disturbance":
-        return _Disturbance(self._disturbances[number])
-
     def _check(self) -> None:
         assert not self.violations, (self.violations[:3], self.injected)
         for cause in self.causes.values():
@@ -305,6 +279,23 @@
                 self.injected,
             )
 
+    def _facts(self) -> dict:
+        """Return what happened, with times on the monotonic clock."""
+        with self._lock:
+            return {
+                "causes": [asdict(cause) for cause in self.causes.values()],
+                "work_time_s": self._work_time_s,
+                "injected": self.injected,
+                "disturbances": self._disturbances.times_s,
+                "crashed_s": [server.crashed_s for server in self._servers],
+                "runs": [
+                    [run._replace(body="") for run in server.runs]
+                    for server in self._servers
+                ],
+                "answer_counts": self.answer_counts,
+                "violations": self.violations,
+            }
+
     def _print_crash_events(self) -> None:
         """Print the events on crashes and quarantines from the logs of all nodes."""
         for node in self._nodes:
@@ -323,32 +314,12 @@
             for run in server.runs
             if run.target == cause.target
             and run.began_s > counted_from_s
-            and self._is_undisturbed(number, run.began_s)
-            and self._is_undisturbed(int(run.request_id.partition("-")[0]), run.began_s)
+            and all(
+                self._disturbances.is_undisturbed(node, run.began_s, PROPAGATION_S)
+                for node in (number, int(run.request_id.partition("-")[0]))
+            )
         ]
 
-    def _is_undisturbed(self, number: int, at_s: float) -> bool:
-        """Return whether a node was undisturbed for `PROPAGATION_S` up to `at_s`."""
-        return not any(
-            started_s <= at_s <= ended_s + PROPAGATION_S
-            for started_s, ended_s in self._disturbances[number]
-        )
-
-
-class _Disturbance:
-    """Context manager that records the start and end of a node's disturbance."""
-
-    def __init__(self, times: list[tuple[float, float]]) -> None:
-        self._times = times
-
-    def __enter__(self) -> None:
-        self._started_s = time.monotonic()
-        # `__exit__` replaces the infinite end.
-        self._times.append((self._started_s, float("inf")))
-
-    def __exit__(self, *_) -> None:
-        self._times[-1] = (self._started_s, time.monotonic())
-
 
 def _configuration() -> dict:
     route = {
