Accept all connections in the backlog of a closing listener, however long it takes

Callers saw: a connection that a leaving node had in its backlog was reset after the caller had sent its request, so the caller could not know whether it ran.

Cause: the loop that empties the backlog ended 0.5 s after its start, also while connections waited. A process that gets no processor time for so long, or that serves a full backlog slowly, closed the listener on the rest.

The bound is needed only without the filter that drops new handshakes: with it the backlog cannot grow.

Test: one caller accepted each 125 ms, eight of them; it failed before with ConnectionResetError.

--- a/balsamspindle/requests/closing.py
+++ b/balsamspindle/requests/closing.py
@@ -41,12 +41,16 @@
     are refused before they send a request. Handshakes that began before the filter was
     installed have `HANDSHAKES_TIMEOUT_S` to complete before the listener is closed.
 
+    With the filter the backlog gets no more connections, so all of them are accepted,
+    however long that takes. Without the filter, callers may connect faster than this
+    function accepts connections. Accepting then ends after twice that time.
+
     Parameters
     ----------
     serve : callable
         Called with each accepted connection, to serve it.
     """
-    _drop_new_handshakes(listener)
+    drops_handshakes = _drop_new_handshakes(listener)
     listener.settimeout(ACCEPT_TIMEOUT_S)
     end_s = time.monotonic() + HANDSHAKES_TIMEOUT_S
     has_pending = True
@@ -57,11 +61,14 @@
             has_pending = False
             continue
         serve(connection)
-        has_pending = time.monotonic() < end_s + HANDSHAKES_TIMEOUT_S
+        has_pending = (
+            drops_handshakes or time.monotonic() < end_s + HANDSHAKES_TIMEOUT_S
+        )
     listener.close()
 
 
-def _drop_new_handshakes(listener: socket.socket) -> None:
+def _drop_new_handshakes(listener: socket.socket) -> bool:
+    """Install a filter that drops new handshakes; return whether it is installed."""
     instructions = b"".join(
         struct.pack("HBBI", *instruction) for instruction in _DROP_HANDSHAKES_FILTER
     )
@@ -73,7 +80,8 @@
         # The filter can't be installed, so the listener is closed without it. Then a
         # connection is reset if it arrives in the microseconds between the last
         # `accept` and the close.
-        pass
+        return False
+    return True
 
 
 def close_gracefully(connection: socket.socket) -> None:
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -2,10 +2,15 @@
 
 import socket
 import threading
+import time
 
 from testtools import TestCase
 
-from balsamspindle.requests.closing import close_gracefully, close_listener
+from balsamspindle.requests.closing import (
+    HANDSHAKES_TIMEOUT_S,
+    close_gracefully,
+    close_listener,
+)
 
 REQUEST = b"GET / HTTP/1.1\r\n\r\n"
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
@@ -37,6 +42,25 @@
         )
         self.assertEqual([ANSWER] * CALLERS, [caller.recv(100) for caller in callers])
 
+    def test_connections_in_the_backlog_are_served_by_a_slow_process(self):
+        # Guards against resets of connections in the listener's backlog, when the
+        # process that closes the listener gets too little processor time to accept
+        # them within the time in which handshakes complete.
+        listener = socket.create_server(("127.0.0.1", 0), backlog=CALLERS)
+        callers = [
+            socket.create_connection(listener.getsockname(), 5) for _ in range(CALLERS)
+        ]
+        for caller in callers:
+            caller.sendall(REQUEST)
+            self.addCleanup(caller.close)
+
+        def serve_after_a_stall(connection):
+            time.sleep(4 * HANDSHAKES_TIMEOUT_S / CALLERS)
+            threading.Thread(target=serve, args=[connection]).start()
+
+        close_listener(listener, serve_after_a_stall)
+        self.assertEqual([ANSWER] * CALLERS, [caller.recv(100) for caller in callers])
+
     def test_callers_that_connect_during_the_close_are_served_or_refused(self):
         # Guards against resets, after which a caller does not know whether its request
         # was run. While the listener closes, callers connect one after the other, as
