Test a late first answer without the time that a new link may take

The listed failure of test_a_late_first_answer_wins_over_a_silent_second_attempt: the first answer came at 1.5 s and the second attempt had not reached its gate.

Cause: the test, not the product. The second attempt needs a new link, and a gate that does not complete one within `links.CONNECT_TIMEOUT_S` (0.25 s) gets no attempt, as for any peer that is unreachable. The fake gates' threads share the test's process, so a busy machine can stall them that long.

The test now connects the links beforehand, and the first gate answers half a second after the second attempt has reached its gate, whenever that is. It is as strict: the answer must be the first one's, within the same deadline, and exactly two attempts must have been sent (before: at least two).

--- a/tests/test_two_gates.py
+++ b/tests/test_two_gates.py
@@ -111,18 +111,22 @@
             self.assertIs(Outcome.ANSWERED, reply.outcome)
 
     def test_a_late_first_answer_wins_over_a_silent_second_attempt(self):
-        late = threading.Event()
+        # A gate that does not accept a new link within `links.CONNECT_TIMEOUT_S` gets
+        # no attempt. The links therefore exist before the request.
+        self._connect_links()
+        second_arrived = threading.Event()
 
         def first_late(dispatch):
             if self._dispatches() == 1:
-                return [(1.5, answer(dispatch)[0][1])]
-            late.set()
+                second_arrived.wait(3.0)
+                return [(0.5, answer(dispatch)[0][1])]
+            second_arrived.set()
             return []
 
         self.answers = {"a": first_late, "b": first_late}
         reply = self._request(timeout_s=3.0)
         self.assertEqual((Outcome.ANSWERED, BODY), (reply.outcome, reply.body))
-        self.assertTrue(late.is_set())
+        self.assertEqual(2, self._dispatches())
 
     def test_a_silent_non_idempotent_request_has_one_attempt(self):
         self.answers = {"a": lambda dispatch: [], "b": lambda dispatch: []}
--- a/tests/two_gates.py
+++ b/tests/two_gates.py
@@ -28,7 +28,7 @@
     encode,
 )
 from tests.fake_gate import FakeGate
-from tests.utils import free_address
+from tests.utils import free_address, wait_until
 
 __all__ = ["BODY", "OWN", "SERVICE", "TwoGateCase", "answer"]
 
@@ -62,9 +62,9 @@
     def setUp(self):
         super().setUp()
         self.answers = dict.fromkeys(self.NAMES, answer)
-        self.gates, self.directory = {}, Directory()
+        self.gates, self.addresses, self.directory = {}, {}, Directory()
         for name in self.answers:
-            address = free_address()
+            address = self.addresses[name] = free_address()
             gate = FakeGate(address, lambda dispatch, n=name: self.answers[n](dispatch))
             self.addCleanup(gate.close)
             server = BackendServerRecord(f"server-{name}", SERVICE, "1", 4, "ready")
@@ -104,5 +104,16 @@
                 )
             )
 
+    def _connect_links(self):
+        """Connect a link to each gate, as earlier requests would have done."""
+        for name, address in self.addresses.items():
+            link = wait_until(
+                lambda address=address: self.links.acquire(
+                    address, time.monotonic() + 1.0
+                ),
+                f"a link to {name}",
+            )
+            self.links.release(link)
+
     def _dispatches(self):
         return sum(len(gate.dispatches) for gate in self.gates.values())
