Bound the time in which a closing listener empties its backlog

A system may take the filter and not apply it; a node would then accept for as long as callers connect, and not end. Two seconds are four times what the loop had before, and twice what its test needs.

--- a/balsamspindle/requests/closing.py
+++ b/balsamspindle/requests/closing.py
@@ -10,6 +10,8 @@
 
 HANDSHAKES_TIMEOUT_S = 0.25
 ACCEPT_TIMEOUT_S = 0.02
+# How long the backlog is emptied once its size can't grow any more.
+BACKLOG_TIMEOUT_S = 2.0
 LINGER_S = 1.0
 DISCARD_READ_BYTES = 64 * 1024
 DISCARD_MAX_BYTES = 8 * 1024 * 1024
@@ -41,18 +43,23 @@
     are refused before they send a request. Handshakes that began before the filter was
     installed have `HANDSHAKES_TIMEOUT_S` to complete before the listener is closed.
 
-    With the filter the backlog gets no more connections, so all of them are accepted,
-    however long that takes. Without the filter, callers may connect faster than this
-    function accepts connections. Accepting then ends after twice that time.
+    With the filter the backlog gets no more connections, and a slow process has
+    `BACKLOG_TIMEOUT_S` to accept all of them. Without the filter, callers may connect
+    faster than this function accepts connections, and accepting ends after twice
+    `HANDSHAKES_TIMEOUT_S`. Both times are bounded, as a system may take the filter and
+    not apply it.
 
     Parameters
     ----------
     serve : callable
         Called with each accepted connection, to serve it.
     """
-    drops_handshakes = _drop_new_handshakes(listener)
+    timeout_s = 2 * HANDSHAKES_TIMEOUT_S
+    if _drop_new_handshakes(listener):
+        timeout_s = BACKLOG_TIMEOUT_S
     listener.settimeout(ACCEPT_TIMEOUT_S)
-    end_s = time.monotonic() + HANDSHAKES_TIMEOUT_S
+    started_s = time.monotonic()
+    end_s = started_s + HANDSHAKES_TIMEOUT_S
     has_pending = True
     while has_pending or time.monotonic() < end_s:
         try:
@@ -61,9 +68,7 @@
             has_pending = False
             continue
         serve(connection)
-        has_pending = (
-            drops_handshakes or time.monotonic() < end_s + HANDSHAKES_TIMEOUT_S
-        )
+        has_pending = time.monotonic() < started_s + timeout_s
     listener.close()
 
 
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -1,11 +1,14 @@
 """Closing of listeners and connections, on plain sockets."""
 
+import contextlib
 import socket
 import threading
 import time
+from unittest import mock
 
 from testtools import TestCase
 
+from balsamspindle.requests import closing
 from balsamspindle.requests.closing import (
     HANDSHAKES_TIMEOUT_S,
     close_gracefully,
@@ -61,6 +64,28 @@
         close_listener(listener, serve_after_a_stall)
         self.assertEqual([ANSWER] * CALLERS, [caller.recv(100) for caller in callers])
 
+    def test_the_close_ends_where_the_filter_has_no_effect(self):
+        # Guards against a node that never stops, on a system that takes the filter and
+        # still completes handshakes, while callers keep connecting.
+        address, done = ("127.0.0.1", 0), threading.Event()
+        listener = socket.create_server(address, backlog=CALLERS)
+        address = listener.getsockname()
+
+        def connect():
+            while not done.is_set():
+                with contextlib.suppress(OSError):
+                    socket.create_connection(address, 1).close()
+
+        callers = threading.Thread(target=connect)
+        with mock.patch.object(closing, "_drop_new_handshakes", return_value=True):
+            callers.start()
+            try:
+                close_listener(listener, socket.socket.close)
+            finally:
+                done.set()
+                callers.join()
+        self.assertEqual(-1, listener.fileno())
+
     def test_callers_that_connect_during_the_close_are_served_or_refused(self):
         # Guards against resets, after which a caller does not know whether its request
         # was run. While the listener closes, callers connect one after the other, as
