--- a/balsamspindle/backend_servers/admission.py
+++ b/balsamspindle/backend_servers/admission.py
@@ -297,6 +297,7 @@
         if ticket.allowance is not None:
             free = min(free, int(ticket.allowance.tokens))
             ticket.limit_wait(now_s)
+            server.limited_capacity.record_attempt(now_s)
         effective_slots = account.effective_slots(dispatch.weight, slots, now_s)
         return Availability(server, kind, free, slots, effective_slots)
 
@@ -339,7 +340,7 @@
         limit_per_s = self.terms.limit_per_s(
             server.backend_server_id, server.announcement.boot_id
         )
-        return capacity_fraction(server, self._slots(server, now_s), limit_per_s)
+        return capacity_fraction(server, self._slots(server, now_s), limit_per_s, now_s)
 
     def release(self, admitted: Admitted, end: WorkEnd, was_sent: bool = True) -> int:
         """Release the slot of an attempt that has ended or will not run.
--- a/balsamspindle/backend_servers/retry_window.py
+++ b/balsamspindle/backend_servers/retry_window.py
@@ -12,7 +12,7 @@
 
 from balsamspindle.settings.documents import RetryBudget
 
-__all__ = ["WINDOW_S", "RetryWindow"]
+__all__ = ["WINDOW_S", "RetryWindow", "WeightCounts"]
 
 WINDOW_S = 10.0
 # Events are counted in steps of this length. Retries count for one step longer than the
@@ -41,6 +41,27 @@
             self.total -= self._steps.popleft()[1]
 
 
+class WeightCounts:
+    """Numbers of events within the last `WINDOW_S`, by weight of their requests."""
+
+    def __init__(self) -> None:
+        self._counts: dict[float, _WindowedCount] = {}
+
+    def record(self, weight: float, now_s: float) -> None:
+        """Count an event."""
+        self._counts.setdefault(weight, _WindowedCount(WINDOW_S)).add(1, now_s)
+
+    def heavier_than(self, weight: float, now_s: float) -> float:
+        """Return how many of the events had a heavier request."""
+        for other in list(self._counts):
+            self._counts[other].discard_old(now_s)
+            if not self._counts[other].total:
+                del self._counts[other]
+        return sum(
+            count.total for other, count in self._counts.items() if other > weight
+        )
+
+
 class RetryWindow:
     """Limit on the retries that one gate grants for one service."""
 
@@ -54,6 +75,11 @@
         self._advance(now_s)
         self._requests.add(1, self._now_s)
 
+    def allowed(self, budget: RetryBudget, now_s: float) -> float:
+        """Return how many retries the window allows, including those made."""
+        self._advance(now_s)
+        return self._allowed(budget)
+
     def remaining(self, budget: RetryBudget, now_s: float) -> float:
         """Return how many more retries are allowed; negative after too many."""
         self._advance(now_s)
@@ -64,16 +90,18 @@
         return self.remaining(budget, now_s) >= 1
 
     def try_spend(
-        self, budget: RetryBudget, now_s: float, reserved_fraction: float = 0.0
+        self,
+        budget: RetryBudget,
+        now_s: float,
+        reserved: float = 0.0,
     ) -> bool:
         """Count a retry and return True, or return False if it is not allowed.
 
         Parameters
         ----------
-        reserved_fraction : float
-            Fraction of the window's allowed retries that must remain afterwards.
+        reserved : float
+            Number of the window's allowed retries that must remain afterwards.
         """
-        reserved = reserved_fraction * self._allowed(budget)
         if self.remaining(budget, now_s) < 1 + reserved:
             return False
         self._retries.add(1, self._now_s)
--- a/balsamspindle/backend_servers/terms_table.py
+++ b/balsamspindle/backend_servers/terms_table.py
@@ -28,11 +28,16 @@
     may_end_limit : bool
         Whether the limit ends if the answer names none. Errors, refusals and incomplete
         answers may lack a header that the backend server's other answers have.
+    is_status_check : bool
+        Whether the request was a status check. Its answer ends a limit only if the
+        answer to the status check before it named one. Otherwise, the status endpoint
+        may lack the header although answers to callers' requests have it.
     """
 
     sent_s: float
     received_s: float
     may_end_limit: bool = True
+    is_status_check: bool = False
 
 
 class TermsChange(NamedTuple):
@@ -53,8 +58,10 @@
     named_s : float
         When the last answer that names a limit arrived.
     is_answered : bool
-        Whether the backend server has answered this node's gate. From then on, the
-        gate knows the terms better than any ingress.
+        Whether an answer has shown this node's gate which limit is in force, or that
+        none is. From then on, the gate knows the terms better than any ingress.
+    is_named_by_checks : bool
+        Whether the latest answer to a status check named a limit.
     is_shared : bool
         Whether ingresses may know terms of this lifetime, so that replies to them have
         to contain the current ones.
@@ -65,6 +72,7 @@
     is_leaving: bool = False
     named_s: float = -math.inf
     is_answered: bool = False
+    is_named_by_checks: bool = False
     is_shared: bool = False
 
     def limit_per_s(self) -> float | None:
@@ -148,18 +156,22 @@
 
         The limit ends only if an answer without a limit belongs to a request that was
         sent after the last answer with a limit arrived. Otherwise, a slow answer from
-        before the limit would end it.
+        before the limit would end it. See `AnswerTiming` for answers to status checks.
         """
         with self._lock:
             terms = self._of_lifetime(server_id, boot_id)
             previous = terms.to_wire()
-            terms.is_answered = True
+            names_limit = announced.limit_per_s is not None
+            shows_limit = names_limit or _has_header(announced, timing, terms)
+            terms.is_answered |= shows_limit
             terms.is_leaving |= announced.is_leaving
-            if announced.limit_per_s is not None:
+            if names_limit:
                 terms.set_limit(announced.limit_per_s, timing.received_s)
                 terms.named_s = timing.received_s
-            elif _ends_limit(announced, timing, terms):
+            elif shows_limit and timing.sent_s > terms.named_s:
                 terms.set_limit(None, timing.received_s)
+            if timing.is_status_check and timing.may_end_limit:
+                terms.is_named_by_checks = names_limit
             change = self._change(previous, terms)
         if announced.is_leaving:
             self._on_leaving(server_id, boot_id)
@@ -212,6 +224,7 @@
         return terms
 
 
-def _ends_limit(announced: AnnouncedTerms, timing: AnswerTiming, terms: _Terms) -> bool:
-    is_later = timing.sent_s > terms.named_s
-    return timing.may_end_limit and is_later and not announced.unreadable
+def _has_header(announced: AnnouncedTerms, timing: AnswerTiming, terms: _Terms) -> bool:
+    """Return whether an answer would name the limit if one were in force."""
+    is_informed = not timing.is_status_check or terms.is_named_by_checks
+    return timing.may_end_limit and is_informed and not announced.unreadable
--- a/balsamspindle/backend_servers/usable_slots.py
+++ b/balsamspindle/backend_servers/usable_slots.py
@@ -28,7 +28,7 @@
 
 
 def capacity_fraction(
-    server: LocalBackendServer, slots: int, limit_per_s: float | None
+    server: LocalBackendServer, slots: int, limit_per_s: float | None, now_s: float
 ) -> float:
     """Return the fraction of its slots that a backend server may use now.
 
@@ -43,21 +43,7 @@
         Requests per second that the backend server's limit allows; None without one.
     """
     fraction = slots / server.announcement.slots
-    fraction = min(fraction, _limited_fraction(server, limit_per_s))
-    return max(1, int(fraction * CAPACITY_STEPS)) / CAPACITY_STEPS
-
-
-def _limited_fraction(server: LocalBackendServer, limit_per_s: float | None) -> float:
-    """Return the fraction of its slots that a limited backend server can occupy.
-
-    The fraction is computed once for each limit, with the mean service time at that
-    time. Otherwise it would change, and be sent to the fleet, with each answer.
-    """
-    if server.limited_fraction[0] != limit_per_s:
-        server.limited_fraction = limit_per_s, 1.0
-        service_time_s = server.account.service_time_s
-        if limit_per_s is not None and service_time_s:
-            occupied = limit_per_s * service_time_s
-            fraction = min(1.0, occupied / server.announcement.slots)
-            server.limited_fraction = limit_per_s, fraction
-    return server.limited_fraction[1]
+    limited = server.limited_capacity.fraction(
+        limit_per_s, server.account.service_time_s, server.announcement.slots, now_s
+    )
+    return max(1, int(min(fraction, limited) * CAPACITY_STEPS)) / CAPACITY_STEPS
