Count only calls of repeated runs as repeats, and cancel no request of a new route

With each request a node told which fraction of its backend server's runs were repeats, since it could not tell calls from requests of its callers. The gates count these as repeats: of a service that calls no others, a part of each gate's repeats was spent on requests that no run had made. Where calls are told apart, a request is told the fraction of the runs that can have made it, and 0 if none can.

A request of a route that is new at a node counted as a call when a run was open, and was cancelled with it, a caller's request as well.

--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -367,7 +367,12 @@
         started_s, attempt_id = admitted.started_s, dispatch.attempt_id
         self.open_runs.begin(
             OpenRun(
-                attempt_id, dispatch.request_id, dispatch.weight, started_s, deadline_s
+                attempt_id,
+                dispatch.request_id,
+                dispatch.weight,
+                started_s,
+                deadline_s,
+                dispatch.is_repeat,
             )
         )
         try:
--- a/balsamspindle/backend_servers/open_runs.py
+++ b/balsamspindle/backend_servers/open_runs.py
@@ -30,6 +30,11 @@
 # A route's requests are calls if at least this fraction of them fitted an open run. The
 # rest allows for calls whose run has just ended here, because its caller left.
 FITTING_FRACTION_MIN = 0.8
+# The parent of a call is certain only if this fraction of its route's requests fitted
+# an open run. A new route has `FITTING_FRACTION_MIN`, and reaches this one after
+# fourteen calls in a row. Otherwise, a caller's first requests could be cancelled with
+# a run.
+CERTAIN_FRACTION_MIN = 0.95
 # Weight of the newest request in the moving average of the fitting fraction. The route
 # of a caller that fits half of the time is recognized after about five requests.
 SMOOTHING_FACTOR = 0.1
@@ -43,6 +48,8 @@
     ----------
     weight : float
         Weight with which the request got its slot.
+    is_repeat : bool
+        Whether the run repeats an earlier one of its request.
     """
 
     attempt_id: AttemptId
@@ -50,6 +57,7 @@
     weight: float
     started_s: float
     deadline_s: float
+    is_repeat: bool = False
 
 
 class Parent(NamedTuple):
@@ -59,10 +67,13 @@
     ----------
     is_certain : bool
         Whether no other open run can have made the call.
+    repeat_fraction : float
+        Fraction of the runs that can have made the call that are repeats.
     """
 
     run: OpenRun
     is_certain: bool
+    repeat_fraction: float = 0.0
 
 
 class OpenRuns:
@@ -146,20 +157,22 @@
         latest_s = deadline_s - DEADLINE_TOLERANCE_S
         with self._lock:
             fitting = [run for run in self._runs.values() if run.deadline_s >= latest_s]
-            are_calls = self._record_arrival(route_id, bool(fitting))
-        if not fitting or not are_calls:
+            fraction = self._record_arrival(route_id, bool(fitting))
+        if not fitting or fraction < FITTING_FRACTION_MIN:
             return None
         run = max(fitting, key=lambda run: (run.weight, -run.started_s))
-        return Parent(run, is_certain=len(fitting) == 1)
+        is_certain = len(fitting) == 1 and fraction >= CERTAIN_FRACTION_MIN
+        repeats = sum(run.is_repeat for run in fitting)
+        return Parent(run, is_certain, repeats / len(fitting))
 
-    def _record_arrival(self, route_id: int, fits: bool) -> bool:
-        """Record whether a request fits a run; return whether its route's are calls."""
+    def _record_arrival(self, route_id: int, fits: bool) -> float:
+        """Record whether a request fits a run; return the fraction that does."""
         fractions = self._fitting_fractions
         if route_id not in fractions and len(fractions) >= ROUTES_MAX:
             del fractions[next(iter(fractions))]
-        fraction = fractions.get(route_id, 1.0)
+        fraction = fractions.get(route_id, FITTING_FRACTION_MIN)
         fractions[route_id] = fraction + SMOOTHING_FACTOR * (fits - fraction)
-        return fractions[route_id] >= FITTING_FRACTION_MIN
+        return fractions[route_id]
 
 
 def importance_of(parent: Parent | None, now_s: float) -> Importance | None:
--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -212,7 +212,7 @@
             target_remaining_ms=forwarded.target_remaining_ms(self._clock()),
             route_id=route_id(route),
             is_repeat=is_repeat,
-            repeat_fraction=self._gate.repeat_fraction(),
+            repeat_fraction=self._repeat_fraction(forwarded),
             ingress_remaining_ms=self._link_attempts.time_to_stop_ms(),
             run_was_lost=forwarded.run_was_lost,
             rank_ms=forwarded.rank_ms,
@@ -223,6 +223,12 @@
             importance=importance,
         )
 
+    def _repeat_fraction(self, forwarded: ForwardedRequest) -> float:
+        """Return the probability that a repeated run sent a request, as a call."""
+        if forwarded.repeat_fraction is None:
+            return self._gate.repeat_fraction()
+        return forwarded.repeat_fraction
+
     def _send_to_own_gate(self, forwarded, placement, hedge: Hedge | None) -> Reply:
         # This thread makes the call to the backend server itself, so this thread cannot
         # start a second attempt in parallel. If a second attempt is planned, the first
--- a/balsamspindle/requests/forwarded.py
+++ b/balsamspindle/requests/forwarded.py
@@ -171,6 +171,9 @@
         The run beside this node that waits for the answer; None if none is known.
     parent_id : str
         Id of the request of that run; empty if none is known.
+    repeat_fraction : float or None
+        Probability that a repeated run made the request as a call; None if it is not
+        known which requests are calls.
     stopped_by : StopReason or None
         Why the request gets no further attempt; None while attempts are made, and
         after a success.
@@ -205,6 +208,7 @@
     customer: str = ""
     importance: Importance | None = None
     parent_id: str = ""
+    repeat_fraction: float | None = None
     stopped_by: StopReason | None = None
 
     def restart_search(self) -> None:
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -148,6 +148,8 @@
         parent = self._open_runs.find_parent(
             route.service, route_id(route), forwarded.customer, forwarded.deadline_s
         )
+        if self._open_runs.inherits(route.service):
+            forwarded.repeat_fraction = parent.repeat_fraction if parent else 0.0
         forwarded.importance = importance_of(parent, now_s)
         forwarded.parent_id = "" if parent is None else parent.run.request_id
         return parent
