Count no crash twice when a stale connection or a replacement's end is noticed

Callers would have seen: a lookup that crashes nothing blamed for crashes in which it seems to have run alone.

And a run that was sent to a predecessor and lost with the replacement, which had announced itself meanwhile, was reported beside the replacement's own crash, as if it had been the only one there.

Fix: only runs that began more than a second after the crash, and whose backend server is not known to be replaced, count. Weighed: listing the second kind with the crash of the replacement; the watch keeps runs by start, so that needs a link between the two.

--- a/balsamspindle/backend_servers/crash_watch.py
+++ b/balsamspindle/backend_servers/crash_watch.py
@@ -31,6 +31,9 @@
 # caller may disconnect. Or the thread that handles the run may notice the end of the
 # run's connection before another thread detects the crash.
 LOST_TOGETHER_S = 1.0
+# A run that begins within this time after the detection of a crash may use an idle
+# connection that the crash ended. The loss of such a run is no further crash.
+STALE_CONNECTION_S = 1.0
 # The longest time from the crash of a backend server until its replacement announces
 # itself at the same address.
 REPLACED_WITHIN_S = 5.0
@@ -103,8 +106,9 @@
         return self.ended_s > -math.inf
 
     def began_after_end(self, run: _Run | None) -> bool:
-        """Return whether a run began after the last crash was detected."""
-        return self.has_ended and run is not None and run.started_s > self.ended_s
+        """Return whether a run began `STALE_CONNECTION_S` after the last crash."""
+        earliest_s = self.ended_s + STALE_CONNECTION_S
+        return self.has_ended and run is not None and run.started_s > earliest_s
 
     def is_refuted_by_answer(self, server: LocalBackendServer) -> bool:
         """Return whether an answer received now shows that this process has not ended.
@@ -256,9 +260,9 @@
     ) -> bool:
         """Return whether the process at a backend server's address has just ended."""
         if server.has_restarted or server.is_replaced:
-            if not process.has_ended:
-                return True
-        elif server.state is BackendServerState.DRAINING:
+            # A crash of the process that runs there now is detected by its own runs.
+            return not process.has_ended
+        if server.state is BackendServerState.DRAINING:
             # The backend server had announced that it would stop, so its end is not a
             # crash.
             return False
