Test that a limited backend server gets work while its limit lasts

Without any limit checks the test of the ended limit passed, since the backend server was reported with all slots 7 s after its last attempt. It now also wants a request 2 s and more after the limit was named, and fails without the checks.

--- a/tests/test_limits_that_end.py
+++ b/tests/test_limits_that_end.py
@@ -30,6 +30,8 @@
 LIMIT_PER_S, LIMITED_S = 1.0, 5.0
 STABILITY_S, WINDOW_S = 3.0, 4.0
 SERVED_AGAIN_S = 5.0
+# After this time all nodes know the capacity that the limit leaves, and prefer others.
+GOSSIP_S = 2.0
 
 
 class LimitThatEndsCase(TestCase):
@@ -80,6 +82,8 @@
             most_in_window(while_limited, WINDOW_S, named_s + STABILITY_S),
             1.5 * LIMIT_PER_S * WINDOW_S + 5,
         )
+        checked = [at for at in while_limited if at > named_s + GOSSIP_S]
+        self.assertGreaterEqual(len(checked), 1)
         self._check_served_again(limited, ended_s)
 
 
@@ -95,7 +99,7 @@
         self._call(told)
         wait_until(lambda: limited.arrivals_s, "the backend server gets a request")
         limited.set_terms(str(LIMIT_PER_S))
-        time.sleep(2.0)
+        time.sleep(GOSSIP_S)
         self.callers.stop()
         self._call(others)
         time.sleep(UNATTEMPTED_S + 2)
