--- a/balsamspindle/backend_servers/admission.py
+++ b/balsamspindle/backend_servers/admission.py
@@ -3,6 +3,7 @@
 All decisions are made under the lock in `LocalBackendServers.changed`.
 """
 
+import dataclasses
 import math
 import time
 from collections.abc import Callable
@@ -15,7 +16,9 @@
     make_ticket,
     refusal,
 )
+from balsamspindle.backend_servers.announced_capacity import announced_capacity
 from balsamspindle.backend_servers.cancellation import CancelToken
+from balsamspindle.backend_servers.gate_loads import GateLoads, Room, room_at
 from balsamspindle.backend_servers.queue import QueueDecision, SlotQueue, Ticket
 from balsamspindle.backend_servers.rate_limits import Allowance
 from balsamspindle.backend_servers.servers import (
@@ -31,7 +34,6 @@
 
 __all__ = ["Admission", "Admitted", "Refused"]
 
-CAPACITY_STEPS = 4
 # Fraction of its slots that a backend server may use while it reports that it is cold.
 # A cold backend server takes about twice as long for each request, so it can answer
 # only half as many requests per second. Ingresses choose a backend server by its usable
@@ -78,6 +80,7 @@
         self._leaving = False
         self._node_ends_s = math.inf
         self._running: set[Admitted] = set()
+        self.loads = GateLoads(self.room, service_document)
 
     def refuse_new_attempts(self) -> None:
         """Refuse all new and waiting attempts from now on, as this node is leaving."""
@@ -319,33 +322,29 @@
             slots = min(slots, max(1, int(announcement.slots * COLD_SLOTS_FRACTION)))
         return slots
 
-    def capacity(self, server: LocalBackendServer, now_s: float) -> float:
-        """Return the fraction of its slots that a backend server may use now.
-
-        The fraction is rounded down to a multiple of 1/4, and at least 1/4. Each change
-        is sent to the whole fleet; due to rounding, a cold start causes few changes.
-        """
-        fraction = self._slots(server, now_s) / server.announcement.slots
-        fraction = min(fraction, self._limited_fraction(server))
-        return max(1, int(fraction * CAPACITY_STEPS)) / CAPACITY_STEPS
-
-    def _limited_fraction(self, server: LocalBackendServer) -> float:
-        """Return the fraction of its slots that a limited backend server can occupy.
+    def room(self, backend_server_id: str, now_s: float) -> Room | None:
+        """Return the room at a backend server; None if it is unknown."""
+        with self._servers.changed:
+            server = self._servers.get(backend_server_id)
+            if server is None:
+                return None
+            queue = self._queue(server.announcement.service)
+            return room_at(server, self._slots(server, now_s), queue, now_s)
 
-        The fraction is computed once for each limit, with the mean service time at that
-        time. Otherwise it would change, and be sent to the fleet, with each answer.
-        """
+    def capacity(self, server: LocalBackendServer, now_s: float) -> float:
+        """Return the fraction of its slots that it may use, as the fleet is told."""
         limit_per_s = self.terms.limit_per_s(
             server.backend_server_id, server.announcement.boot_id
         )
-        if server.limited_fraction[0] != limit_per_s:
-            server.limited_fraction = limit_per_s, 1.0
-            service_time_s = server.account.service_time_s
-            if limit_per_s is not None and service_time_s:
-                occupied = limit_per_s * service_time_s
-                fraction = min(1.0, occupied / server.announcement.slots)
-                server.limited_fraction = limit_per_s, fraction
-        return server.limited_fraction[1]
+        return announced_capacity(server, self._slots(server, now_s), limit_per_s)
+
+    def restart_run(self, admitted: Admitted, now_s: float) -> Admitted:
+        """Return an attempt whose slot was held for its dispatch; it runs from now."""
+        with self._servers.changed:
+            self._running.discard(admitted)
+            admitted = dataclasses.replace(admitted, started_s=now_s)
+            self._running.add(admitted)
+        return admitted
 
     def release(self, admitted: Admitted, end: WorkEnd, was_sent: bool = True) -> int:
         """Release the slot of an attempt that has ended or will not run.
--- a/balsamspindle/backend_servers/admission_decisions.py
+++ b/balsamspindle/backend_servers/admission_decisions.py
@@ -119,6 +119,7 @@
         run_was_lost=dispatch.run_was_lost,
         rank_s=dispatch.rank_ms / 1000,
         customer=dispatch.customer,
+        is_reservation=isinstance(dispatch, Dispatch) and dispatch.is_reserved,
     )
 
 
--- a/balsamspindle/backend_servers/attempts.py
+++ b/balsamspindle/backend_servers/attempts.py
@@ -101,6 +101,10 @@
             # sent the caller the outcome 'unknown' before it cancelled the attempt.
             self._add(attempt_id, CancelToken(), deadline_s)
 
+    def is_known(self, attempt_id: AttemptId) -> bool:
+        """Return whether an attempt has begun or was cancelled."""
+        return attempt_id in self._tokens
+
     def set_ingress_end(self, attempt_id: AttemptId, ends_s: float) -> bool:
         """Record at what time the ingress of an attempt ends.
 
--- a/balsamspindle/backend_servers/customer_turns.py
+++ b/balsamspindle/backend_servers/customer_turns.py
@@ -46,6 +46,14 @@
         if len(self._next_turns) > CUSTOMERS_PRUNE_LIMIT:
             self._discard_served()
 
+    def return_turn(self, customer: str, turn: int) -> None:
+        """Take back the turn of a request that left the queue without a start.
+
+        Only the customer's latest turn is taken back. Later requests keep theirs.
+        """
+        if self._next_turns[customer] == turn + 1:
+            self._next_turns[customer] = turn
+
     def advance_to(self, turn: int) -> None:
         """Raise the current turn to the turn number of a request that starts."""
         self._current_turn = max(self._current_turn, turn)
--- a/balsamspindle/backend_servers/dispatches.py
+++ b/balsamspindle/backend_servers/dispatches.py
@@ -7,13 +7,14 @@
 
 from balsamspindle.protocol.header_names import HeaderNames
 from balsamspindle.protocol.outcomes import Execution, Outcome
-from balsamspindle.wire import Dispatch
+from balsamspindle.wire import Dispatch, ReservationRequest
 
 __all__ = [
     "attempt_deadline_s",
     "ingress_ends_s",
     "is_keyed",
     "backend_server_headers",
+    "reserved_dispatch",
     "unchecked_key_outcome",
 ]
 
@@ -57,6 +58,36 @@
     return Outcome.UNKNOWN if is_keyed(dispatch) else Outcome.NOT_RUN
 
 
+def reserved_dispatch(request: ReservationRequest) -> Dispatch:
+    """Return the dispatch of a reserved attempt as far as it is known beforehand."""
+    query = request.query
+    return Dispatch(
+        request.attempt_id,
+        "",
+        query.service,
+        query.backend_server_id,
+        query.execution,
+        query.remaining_ms,
+        query.weight,
+        "",
+        "",
+        [],
+        b"",
+        0,
+        is_last_resort=query.is_last_resort,
+        wait_max_ms=query.wait_max_ms,
+        target_remaining_ms=query.target_remaining_ms,
+        route_id=query.route_id,
+        run_was_lost=query.run_was_lost,
+        rank_ms=query.rank_ms,
+        content_hash=query.content_hash,
+        customer=query.customer,
+        is_last_try=query.is_last_try,
+        importance=query.importance,
+        is_reserved=True,
+    )
+
+
 def backend_server_headers(
     dispatch: Dispatch, names: HeaderNames
 ) -> list[tuple[str, str]]:
--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -19,7 +19,7 @@
 
 import msgspec
 
-from balsamspindle.backend_servers.admission import Admission, Admitted, Refused
+from balsamspindle.backend_servers.admission import Admission
 from balsamspindle.backend_servers.answer_terms import AnswerTerms
 from balsamspindle.backend_servers.attempts import (
     REFUSAL_REASONS,
@@ -27,6 +27,7 @@
     BeginResult,
 )
 from balsamspindle.backend_servers.cancellation import CancelToken
+from balsamspindle.backend_servers.checked_attempts import CheckedAttempts
 from balsamspindle.backend_servers.client import (
     BackendServerClient,
 )
@@ -35,6 +36,7 @@
     attempt_deadline_s,
     ingress_ends_s,
     is_keyed,
+    reserved_dispatch,
     unchecked_key_outcome,
 )
 from balsamspindle.backend_servers.evidence import (
@@ -42,7 +44,7 @@
     NullHealthObserver,
 )
 from balsamspindle.backend_servers.failed_calls import FailedCalls
-from balsamspindle.backend_servers.gate_previews import GatePreviews, health_admits
+from balsamspindle.backend_servers.gate_previews import GatePreviews
 from balsamspindle.backend_servers.ledger import (
     ClaimedKey,
     EarlierAnswer,
@@ -50,17 +52,16 @@
     RunLedger,
 )
 from balsamspindle.backend_servers.refused_attempts import Refusals
+from balsamspindle.backend_servers.reservations import ReservationState
+from balsamspindle.backend_servers.reserved_attempts import HeldSlot, ReservedAttempts
 from balsamspindle.backend_servers.retry_grants import RetryGrants
 from balsamspindle.backend_servers.runner import Runner
 from balsamspindle.backend_servers.servers import (
     LocalBackendServers,
 )
-from balsamspindle.backend_servers.slots import WorkEnd
-from balsamspindle.backend_servers.suspect_runs import SuspectRuns
 from balsamspindle.crashes.history import CrashHistory
-from balsamspindle.metrics import Hop
 from balsamspindle.protocol.header_names import DEFAULT_HEADER_NAMES, HeaderNames
-from balsamspindle.protocol.outcomes import CancelCause, Execution, Outcome, Reason
+from balsamspindle.protocol.outcomes import CancelCause, Outcome, Reason
 from balsamspindle.settings.documents import RetryBudget
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import (
@@ -69,9 +70,9 @@
     AttemptId,
     Dispatch,
     Reply,
-    checksum,
+    ReservationCall,
+    ReservationRequest,
 )
-from balsamspindle.wire.replies import is_refusal
 
 __all__ = ["Gate"]
 
@@ -116,31 +117,47 @@
         crash_watch: CrashWatch | None = None,
         answer_terms: AnswerTerms | None = None,
     ) -> None:
-        self._crash_history = crash_history or CrashHistory(lambda service: 1)
-        self._suspect_runs = SuspectRuns()
         self._grants = grants or RetryGrants(lambda *_: RetryBudget())
         self._servers = servers
         self._events = events
-        self._observer = observer or NullHealthObserver()
+        observer = observer or NullHealthObserver()
         self._admission = admission or Admission(servers)
         terms = self._admission.terms
-        self._answer_terms = answer_terms or AnswerTerms(servers, terms, events, names)
-        self._refusals = Refusals(events, self._observer, terms)
-        self._previews = GatePreviews(
-            self._observer, self._admission, self._crash_history
-        )
+        answer_terms = answer_terms or AnswerTerms(servers, terms, events, names)
+        self._refusals = Refusals(events, observer, terms, self._admission.loads)
+        crash_history = crash_history or CrashHistory(lambda service: 1)
+        self._previews = GatePreviews(observer, self._admission, crash_history)
         self._attempts = AttemptTable()
         self._ledger = RunLedger(events.node_id, events.incarnation)
-        self._runner = Runner(
+        runner = Runner(
             client,
             events,
-            self._observer,
+            observer,
             self._admission,
             names,
             on_misdirected,
             failed_calls or FailedCalls(),
-            crash_watch or CrashWatch(events, self._crash_history),
-            self._answer_terms,
+            crash_watch or CrashWatch(events, crash_history),
+            answer_terms,
+        )
+        self._checked = CheckedAttempts(
+            events,
+            observer,
+            self._admission,
+            self._refusals,
+            self._grants,
+            crash_history,
+            answer_terms,
+            runner,
+        )
+        self._reserved = ReservedAttempts(
+            servers,
+            self._attempts,
+            self._admission,
+            self._previews,
+            self._refusals,
+            events,
+            self._start_reserved,
         )
 
     def refuse_new_attempts(self) -> None:
@@ -155,6 +172,7 @@
         """Cancel all waiting and running attempts, as this node ends now."""
         with self._servers.changed:
             self._attempts.cancel_all(CancelCause.NODE_LEAVING)
+            self._reserved.withdraw_all(CancelCause.NODE_LEAVING)
             self._servers.changed.notify_all()
 
     def refuse_busy(self, dispatch: Dispatch, received_s: float) -> Reply | None:
@@ -196,11 +214,13 @@
     ) -> None:
         """Cancel an attempt, even if its message has not arrived yet.
 
+        An attempt that only has a reservation loses the reservation.
         If the request has not been sent to the backend server, the attempt is refused.
         Otherwise the call is aborted and its connection to the backend server closed.
         """
         now_s = time.monotonic()
         with self._servers.changed:
+            self._reserved.withdraw(attempt_id, cause)
             self._attempts.cancel(
                 attempt_id, gate_deadline_s or now_s + CANCELLATION_TTL_S, now_s, cause
             )
@@ -242,9 +262,50 @@
                 dispatch, REFUSAL_REASONS[begin], unchecked_key_outcome(dispatch)
             )
         if not is_keyed(dispatch):
-            return self._handle_new(dispatch, token, deadline_s)
+            return self._checked.handle(dispatch, token, deadline_s)
         return self._handle_keyed(dispatch, token, deadline_s)
 
+    def reserve(
+        self,
+        request: ReservationRequest,
+        received_s: float,
+        send_call: Callable[[ReservationCall], None],
+    ) -> Reply | None:
+        """Let an attempt wait for a slot; see `ReservedAttempts.reserve`."""
+        return self._reserved.reserve(request, received_s, send_call)
+
+    def refuse_reservation(self, request: ReservationRequest) -> Reply:
+        """Refuse a reservation because too many attempts wait for a worker thread."""
+        return self._refusals.refuse_reservation(
+            reserved_dispatch(request), Reason.NO_FREE_SLOT
+        )
+
+    def take_reserved(self, dispatch: Dispatch, received_s: float) -> bool:
+        """Hand a dispatch to the task that holds its slot; False if none is held."""
+        return self._reserved.take(dispatch, received_s)
+
+    def reservations(self, state: ReservationState) -> int:
+        """Return how many reservations are in a state."""
+        return self._reserved.count(state)
+
+    def _start_reserved(
+        self,
+        dispatch: Dispatch,
+        token: CancelToken,
+        held: HeldSlot,
+        received_s: float,
+    ) -> Reply | None:
+        """Handle a dispatch whose slot is held; its id may still not be new."""
+        token.set_ingress_end(ingress_ends_s(dispatch, received_s))
+        deadline_s = attempt_deadline_s(dispatch, received_s)
+        match self._begin(dispatch, token, deadline_s):
+            case BeginResult.NEW:
+                return self._checked.handle(dispatch, token, deadline_s, held)
+            case BeginResult.DUPLICATE:
+                return None
+            case begin:
+                return self._refusals.refuse(dispatch, REFUSAL_REASONS[begin])
+
     def preview(self, query: AdmissionQuery, received_s: float) -> AdmissionAnswer:
         """Return whether an attempt would be refused now; see `GatePreviews`."""
         return self._previews.preview(query, received_s)
@@ -270,94 +331,15 @@
             case EarlierAnswer(reply):
                 self._events.emit("answer_repeated", request=dispatch.request_id)
                 return msgspec.structs.replace(reply, attempt_id=dispatch.attempt_id)
-        # If `_handle_new` raises an exception, the ledger records this reply, so that
+        # If `handle` raises an exception, the ledger records this reply, so that
         # the key stays claimed.
         reply = Reply(dispatch.attempt_id, Outcome.UNKNOWN, Reason.BROKEN_ANSWER)
         try:
-            reply = self._handle_new(dispatch, token, deadline_s)
+            reply = self._checked.handle(dispatch, token, deadline_s)
         finally:
             self._ledger.end(dispatch, reply, time.monotonic())
         return reply
 
-    def _handle_new(self, dispatch, token, deadline_s) -> Reply:
-        received_s = time.monotonic()
-        self._answer_terms.adopt(dispatch, received_s)
-        if checksum(dispatch.body) != dispatch.body_checksum:
-            return self._refusals.refuse(dispatch, Reason.DAMAGED)
-        status = self._crash_history.status_of(dispatch.content_hash, received_s)
-        if status.blocked_ms:
-            return self._refusals.refuse_blocked(dispatch, status.blocked_ms)
-        if not health_admits(self._observer, dispatch, time.monotonic()):
-            return self._refusals.refuse(dispatch, Reason.SUSPECTED)
-        service, weight = dispatch.service, dispatch.weight
-        # A request suspected of crashing backend servers probably causes its failures
-        # itself. Its repeats are therefore limited like those of last-resort attempts:
-        # they leave half of the service's repeats to other requests. `run_was_lost`
-        # gives access to repeats reserved for heavier requests. It is ignored here.
-        if dispatch.is_repeat and not self._grants.try_grant(
-            service,
-            weight,
-            received_s,
-            dispatch.is_last_resort or status.is_suspect,
-            dispatch.run_was_lost and not status.is_suspect,
-        ):
-            return self._refusals.refuse(dispatch, Reason.RETRY_BUDGET)
-        reply = self._handle_granted(dispatch, token, deadline_s, received_s)
-        if not is_refusal(reply):
-            if not dispatch.is_repeat:
-                may_repeat = dispatch.execution is Execution.IDEMPOTENT
-                self._grants.record_first_attempt(
-                    service, weight, received_s, may_repeat, dispatch.repeat_fraction
-                )
-        elif dispatch.is_repeat:
-            self._grants.return_grant(service)
-        return reply
-
-    def _handle_granted(self, dispatch, token, deadline_s, received_s) -> Reply:
-        with self._events.metrics.timed(Hop.QUEUE):
-            decision = self._admission.admit(dispatch, token, deadline_s)
-        match decision:
-            case Refused(reason, retry_after_ms):
-                reply = self._refusals.refuse(
-                    dispatch, reason, wait_ms=retry_after_ms, cut_by=token.cause
-                )
-                return msgspec.structs.replace(reply, retry_after_ms=retry_after_ms)
-            case Admitted() as admitted:
-                # Check the health again: the backend server may have become unhealthy
-                # while attempts waited. Without this check, all waiting attempts would
-                # be dispatched and fail one by one.
-                if not health_admits(self._observer, dispatch, time.monotonic()):
-                    self._admission.release(admitted, WorkEnd.DONE, was_sent=False)
-                    return self._refusals.refuse(dispatch, Reason.SUSPECTED)
-                return self._run_admitted(
-                    dispatch, admitted, token, deadline_s, received_s
-                )
-
-    def _run_admitted(
-        self, dispatch, admitted: Admitted, token, deadline_s, received_s
-    ) -> Reply:
-        """Run an attempt that has a slot, unless its request crashes backend servers.
-
-        The crash history is checked again here, because copies of a request may wait
-        for slots while another copy crashes a backend server. A suspected request is
-        refused while a different suspected request runs at the same backend server.
-        """
-        status = self._crash_history.status_of(dispatch.content_hash, time.monotonic())
-        if status.blocked_ms:
-            self._admission.release(admitted, WorkEnd.DONE, was_sent=False)
-            return self._refusals.refuse_blocked(dispatch, status.blocked_ms)
-        server_id, content_hash = dispatch.backend_server_id, dispatch.content_hash
-        if status.is_suspect and not self._suspect_runs.begin(server_id, content_hash):
-            self._admission.release(admitted, WorkEnd.DONE, was_sent=False)
-            return self._refusals.refuse(dispatch, Reason.WOULD_WAIT)
-        self._grants.record_run_start(dispatch.is_repeat)
-        try:
-            return self._runner.run(dispatch, admitted, token, deadline_s, received_s)
-        finally:
-            self._grants.record_run_end(dispatch.is_repeat)
-            if status.is_suspect:
-                self._suspect_runs.end(server_id, content_hash)
-
     def repeat_fraction(self) -> float:
         """Return the fraction of this gate's running attempts that are repeats."""
         return self._grants.repeat_fraction()
--- a/balsamspindle/backend_servers/gate_previews.py
+++ b/balsamspindle/backend_servers/gate_previews.py
@@ -30,7 +30,10 @@
         """Return whether an attempt would be refused now, and why; reserves no slot."""
         held_out = self._observer.held_out(query.backend_server_id, received_s)
         answer = AdmissionAnswer(
-            query.number, held_out=held_out, gate_time_s=received_s
+            query.number,
+            held_out=held_out,
+            gate_time_s=received_s,
+            load=self._admission.loads.load(query.backend_server_id, received_s),
         )
         status = self._crash_history.status_of(query.content_hash, received_s)
         if status.blocked_ms:
--- a/balsamspindle/backend_servers/link_server.py
+++ b/balsamspindle/backend_servers/link_server.py
@@ -23,6 +23,8 @@
     IngressEnding,
     LinkMessage,
     Reply,
+    ReservationCall,
+    ReservationRequest,
     WireError,
     decode_link,
     encode,
@@ -44,6 +46,8 @@
 # executor's threads. Further attempts would wait in the executor's queue, which is
 # unbounded and ignores deadlines.
 PENDING_MAX = 256
+# Last frame of a message from a worker thread that is not the attempt's reply.
+CALL_MARK = b"call"
 
 
 class LinkServer:
@@ -136,6 +140,9 @@
 
     def _send_replies(self) -> None:
         for frames in _receive_ready(self._replies):
+            if frames[-1] == CALL_MARK:
+                self._router.send_multipart(frames[:-1], copy=False)
+                continue
             self._pending -= 1
             # A message without a second frame only reports that an attempt has ended
             # without a reply: the attempt was a duplicate, or raised an exception.
@@ -175,17 +182,17 @@
         queued, the attempt first. A cancelled attempt must not begin.
         """
         received_s = time.monotonic()
-        dispatches = []
+        attempts = []
         for peer, *_, frame in _receive_ready(self._router):
             match decode_link(frame):
-                case Dispatch() as dispatch:
-                    dispatches.append((peer, dispatch))
+                case Dispatch() | ReservationRequest() as attempt:
+                    attempts.append((peer, attempt))
                 case WireError(message):
                     self._events.emit("message_dropped", cause=message)
                 case message:
                     self._handle(peer, message)
-        for peer, dispatch in dispatches:
-            self._submit(peer, dispatch, received_s)
+        for peer, attempt in attempts:
+            self._submit(peer, attempt, received_s)
 
     def _handle(self, peer: bytes, message: LinkMessage) -> None:
         match message:
@@ -218,27 +225,42 @@
         if answer is not None:
             self._router.send_multipart([peer, encode(answer)])
 
-    def _submit(self, peer: bytes, dispatch: Dispatch, received_s: float) -> None:
+    def _submit(
+        self, peer: bytes, attempt: Dispatch | ReservationRequest, received_s: float
+    ) -> None:
+        if isinstance(attempt, Dispatch) and attempt.is_reserved:
+            # The task that holds the slot runs the dispatch and sends the reply.
+            self._events.clock.observe(attempt.hlc, time.time())
+            if self._gate.take_reserved(attempt, received_s):
+                return
         if self._pending >= PENDING_MAX:
-            refusal = self._gate.refuse_busy(dispatch, received_s)
+            refusal = self._refuse_busy(attempt, received_s)
             if refusal is not None:
                 self._router.send_multipart([peer, _encode_now(refusal)])
             return
         self._pending += 1
-        self._peers[dispatch.attempt_id] = peer
-        self._executor.submit(self._run, peer, dispatch, received_s)
-
-    def _run(self, peer: bytes, dispatch: Dispatch, received_s: float) -> None:
+        self._peers[attempt.attempt_id] = peer
+        self._executor.submit(self._run, peer, attempt, received_s)
+
+    def _refuse_busy(
+        self, attempt: Dispatch | ReservationRequest, received_s: float
+    ) -> Reply | None:
+        if isinstance(attempt, ReservationRequest):
+            return self._gate.refuse_reservation(attempt)
+        return self._gate.refuse_busy(attempt, received_s)
+
+    def _run(
+        self, peer: bytes, attempt: Dispatch | ReservationRequest, received_s: float
+    ) -> None:
         frames = [peer]
         try:
-            self._events.clock.observe(dispatch.hlc, time.time())
-            ends_s = self._ingress_ends_s.get(dispatch.attempt_id)
-            if ends_s is not None:
-                remaining_ms = (ends_s - received_s) * 1000
-                dispatch = msgspec.structs.replace(
-                    dispatch, ingress_remaining_ms=remaining_ms
-                )
-            reply = self._gate.handle(dispatch, received_s)
+            match attempt:
+                case Dispatch() as dispatch:
+                    reply = self._handle_dispatch(dispatch, received_s)
+                case ReservationRequest() as request:
+                    reply = self._gate.reserve(
+                        request, received_s, lambda call: self._send_call(peer, call)
+                    )
             if reply is not None:
                 frames.append(_encode_now(reply))
         except Exception as error:
@@ -247,9 +269,23 @@
             self._events.emit("attempt_failed", cause=repr(error))
             raise
         finally:
-            self._peers.pop(dispatch.attempt_id, None)
+            self._peers.pop(attempt.attempt_id, None)
             self._thread_socket().send_multipart(frames)
 
+    def _handle_dispatch(self, dispatch: Dispatch, received_s: float) -> Reply | None:
+        self._events.clock.observe(dispatch.hlc, time.time())
+        ends_s = self._ingress_ends_s.get(dispatch.attempt_id)
+        if ends_s is not None:
+            remaining_ms = (ends_s - received_s) * 1000
+            dispatch = msgspec.structs.replace(
+                dispatch, ingress_remaining_ms=remaining_ms
+            )
+        return self._gate.handle(dispatch, received_s)
+
+    def _send_call(self, peer: bytes, call: ReservationCall) -> None:
+        """Send a call from a worker thread, whose attempt stays pending."""
+        self._thread_socket().send_multipart([peer, encode(call), CALL_MARK])
+
     def _thread_socket(self) -> zmq.Socket:
         socket = getattr(self._thread_sockets, "push", None)
         if socket is None:
--- a/balsamspindle/backend_servers/queue.py
+++ b/balsamspindle/backend_servers/queue.py
@@ -98,7 +98,7 @@
         if decision is QueueDecision.START and ticket.key is not None:
             self._turns.advance_to(ticket.key.turn)
         if decision is not QueueDecision.WAIT:
-            self.withdraw(ticket)
+            self.withdraw(ticket, has_started=decision is QueueDecision.START)
         return decision
 
     def preview(
@@ -128,9 +128,11 @@
             ticket.backend_server_id == backend_server_id for ticket in self._waiting
         )
 
-    def withdraw(self, ticket: Ticket) -> None:
+    def withdraw(self, ticket: Ticket, has_started: bool = False) -> None:
         """Remove an attempt from the queue, if it is in the queue."""
         if ticket.key is not None:
+            if ticket.is_reservation and not has_started:
+                self._turns.return_turn(ticket.customer, ticket.key.turn)
             ticket.key = None
             if not ticket.is_shed:
                 self._waiting.remove(ticket)
--- a/balsamspindle/backend_servers/refused_attempts.py
+++ b/balsamspindle/backend_servers/refused_attempts.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from balsamspindle.backend_servers.evidence import HealthObserver
+from balsamspindle.backend_servers.gate_loads import GateLoads
 from balsamspindle.backend_servers.terms_table import TermsTable
 from balsamspindle.protocol.outcomes import CancelCause, Outcome, Reason
 from balsamspindle.timeline import EventLog
@@ -17,8 +18,13 @@
     """Logs refused attempts and makes the replies to them."""
 
     def __init__(
-        self, events: EventLog, observer: HealthObserver, terms: TermsTable
+        self,
+        events: EventLog,
+        observer: HealthObserver,
+        terms: TermsTable,
+        loads: GateLoads,
     ) -> None:
+        self._loads = loads
         self._terms = terms
         self._events = events
         self._observer = observer
@@ -37,17 +43,50 @@
         cut_by: CancelCause | None = None,
     ) -> Reply:
         """Refuse an attempt for any other reason."""
-        held_out = self._observer.held_out(dispatch.backend_server_id, time.monotonic())
-        hlc = self._events.emit(
+        return self._refuse(
+            dispatch,
             "attempt_refused",
-            request=dispatch.request_id,
-            backend_server=dispatch.backend_server_id,
-            cause=reason,
-            held_out_ms=round(held_out.held_out_ms) or None,
+            {"request": dispatch.request_id},
+            reason,
+            outcome,
             wait_ms=round(wait_ms) or None,
             cut_by=cut_by if reason is Reason.CANCELLED else None,
         )
-        terms = self._terms.shared(dispatch.backend_server_id)
+
+    def refuse_reservation(
+        self, dispatch: Dispatch, reason: Reason, wait_ms: float = 0.0
+    ) -> Reply:
+        """Refuse a reservation, of whose request nothing has been sent."""
+        reply = self._refuse(
+            dispatch,
+            "reservation_refused",
+            {"attempt": "/".join(map(str, dispatch.attempt_id))},
+            reason,
+            Outcome.NOT_RUN,
+            wait_ms=round(wait_ms) or None,
+        )
+        return msgspec.structs.replace(reply, retry_after_ms=wait_ms)
+
+    def _refuse(
+        self,
+        dispatch: Dispatch,
+        event: str,
+        subject: dict[str, str],
+        reason: Reason,
+        outcome: Outcome,
+        **fields: object,
+    ) -> Reply:
+        server_id = dispatch.backend_server_id
+        held_out = self._observer.held_out(server_id, time.monotonic())
+        hlc = self._events.emit(
+            event,
+            **subject,
+            backend_server=server_id,
+            cause=reason,
+            held_out_ms=round(held_out.held_out_ms) or None,
+            **fields,
+        )
+        terms = self._terms.shared(server_id)
         return Reply(
             dispatch.attempt_id,
             outcome,
@@ -55,4 +94,5 @@
             hlc=hlc,
             held_out=held_out,
             terms=terms,
+            load=self._loads.load(server_id, time.monotonic()),
         )
--- a/balsamspindle/backend_servers/tickets.py
+++ b/balsamspindle/backend_servers/tickets.py
@@ -93,6 +93,9 @@
     allowance : Allowance or None
         What the limit of its backend server allowed at the last decision; None without
         a limit.
+    is_reservation : bool
+        Whether it also waits at another gate. If it starts there, its customer's turn
+        here does not count.
     """
 
     backend_server_id: str
@@ -109,6 +112,7 @@
     rank_s: float = 0.0
     customer: str = ""
     allowance: Allowance | None = None
+    is_reservation: bool = False
 
     def is_late(self, now_s: float) -> bool:
         """Return whether the answer will probably miss the latency target."""
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -309,6 +309,7 @@
             self._retries,
             on_hold_out=self._hints.share,
             crash_history=self._crash_parts.history,
+            service_document=self._service_document,
         )
         self._member.register({SuspectHint: self._hints.receive})
         self._ingress = Ingress(
--- a/balsamspindle/requests/admission_queries.py
+++ b/balsamspindle/requests/admission_queries.py
@@ -114,7 +114,7 @@
                 forwarded, placement, DeclinedAttempt(Reason.UNREACHABLE)
             )
         match link.query(
-            self._build_query(forwarded, placement), now_s + QUERY_TIMEOUT_S
+            self.build_query(forwarded, placement), now_s + QUERY_TIMEOUT_S
         ):
             case None:
                 link.close()
@@ -129,7 +129,10 @@
                 )
         return self._log_declined(forwarded, placement, declined)
 
-    def _build_query(self, forwarded, placement) -> AdmissionQuery:
+    def build_query(
+        self, forwarded: ForwardedRequest, placement: Placement
+    ) -> AdmissionQuery:
+        """Return the query that describes a request's next attempt to its gate."""
         route, now_s = forwarded.route, self._clock()
         return AdmissionQuery(
             next(self._numbers),
@@ -147,6 +150,7 @@
             content_hash=forwarded.content_hash,
             customer=forwarded.customer,
             is_last_try=forwarded.sends + 1 >= route.attempts_max,
+            body_bytes=len(forwarded.request.body),
         )
 
     def _log_declined(
--- a/balsamspindle/requests/attempt_outcomes.py
+++ b/balsamspindle/requests/attempt_outcomes.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable
 
+from balsamspindle.membership.directory import Placement
 from balsamspindle.protocol.outcomes import CancelCause, Outcome, Reason
 from balsamspindle.requests.claims import record_claim_reply
 from balsamspindle.requests.forwarded import ForwardedRequest
@@ -12,7 +13,7 @@
 from balsamspindle.wire import Reply
 from balsamspindle.wire.replies import is_refusal
 
-__all__ = ["AttemptOutcomes", "is_answered"]
+__all__ = ["AttemptOutcomes", "is_answered", "record_failure"]
 
 # Causes that the event log gives for attempts that ended without a reply.
 _UNANSWERED_CAUSES = {
@@ -102,5 +103,20 @@
     return waited is not None and waited.reply.outcome is Outcome.ANSWERED
 
 
+def record_failure(
+    forwarded: ForwardedRequest, placement: Placement, reply: Reply
+) -> None:
+    """Record that a gate suspects its backend server, or that an attempt failed."""
+    server_id = placement.backend_server.backend_server_id
+    if reply.reason is Reason.SUSPECTED:
+        forwarded.refused_as_suspect.add(server_id)
+    if not is_refusal(reply):
+        forwarded.failed.add(server_id)
+    if reply.reason is Reason.SERVER_CRASHED:
+        # Without the crash, the request would probably have been answered. So it
+        # may use retries that are reserved for routes of a higher weight.
+        forwarded.run_was_lost = True
+
+
 def _was_refused(reply: Reply | None) -> bool:
     return reply is not None and is_refusal(reply)
--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -14,6 +14,7 @@
 from balsamspindle.requests.gate_links import GateLinks
 from balsamspindle.requests.link_attempts import LinkAttempts
 from balsamspindle.requests.links import LinkPool
+from balsamspindle.requests.reservation_plans import ReservationPlan
 from balsamspindle.requests.retries import is_success
 from balsamspindle.requests.tracking import TrackedAttempt
 from balsamspindle.services.free_slots import FreeSlotEstimates
@@ -161,6 +162,25 @@
         forwarded.may_have_run |= reply.outcome is Outcome.UNKNOWN
         return reply
 
+    def send_reserved(
+        self,
+        forwarded: ForwardedRequest,
+        plan: ReservationPlan,
+        hedge: Hedge | None = None,
+    ) -> tuple[Placement, Reply]:
+        """Reserve places at other nodes' gates; make an attempt where one calls.
+
+        Returns the placement of the attempt, and its reply.
+        """
+        forwarded.wait_max_ms = plan.wait_max_ms
+        placement, reply = self._link_attempts.send_reserved(forwarded, plan, hedge)
+        forwarded.may_have_run |= reply.outcome is Outcome.UNKNOWN
+        return placement, reply
+
+    def is_leaving(self) -> bool:
+        """Return whether this node is going to stop."""
+        return self._link_attempts.time_to_stop_ms() is not None
+
     def _build_dispatch(
         self, forwarded: ForwardedRequest, placement: Placement, deadline_s: float
     ) -> Dispatch:
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -12,6 +12,7 @@
 from balsamspindle.crashes.retry_waits import retry_wait_s
 from balsamspindle.membership.directory import Placement
 from balsamspindle.protocol.outcomes import PROBLEMS, Execution, Outcome, Reason
+from balsamspindle.requests.attempt_outcomes import record_failure
 from balsamspindle.requests.attempts import AttemptSender
 from balsamspindle.requests.claims import ClaimsTable, KeyClaimant
 from balsamspindle.requests.forwarded import (
@@ -24,6 +25,7 @@
 from balsamspindle.requests.hedging import HedgePlanner
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.requests.placement_selection import PlacementSelector, Selection
+from balsamspindle.requests.reservation_planner import ReservationPlanner
 from balsamspindle.requests.retries import (
     RetryPolicy,
     best_reply,
@@ -34,7 +36,7 @@
 from balsamspindle.services.free_slots import FreeSlotEstimates
 from balsamspindle.services.held_out_servers import HeldOutServers
 from balsamspindle.services.picker import Picker
-from balsamspindle.settings.documents import RetryBudget
+from balsamspindle.settings.documents import RetryBudget, ServiceDocument
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import HoldOut, NodeRecord, Reply
 from balsamspindle.wire.replies import is_refusal
@@ -60,6 +62,8 @@
         See `AttemptSender`.
     crash_history : CrashHistory, default=an empty one
         Crashes of backend servers, and the requests quarantined because of them.
+    service_document : callable, default=the default settings
+        Returns the settings in force for a service.
     """
 
     def __init__(
@@ -74,6 +78,9 @@
         clock: Callable[[], float] = time.monotonic,
         on_hold_out: Callable[[NodeRecord, str, HoldOut, float], None] | None = None,
         crash_history: CrashHistory | None = None,
+        service_document: Callable[[str], ServiceDocument] = lambda service: (
+            ServiceDocument()
+        ),
     ) -> None:
         self._picker = picker
         self._crash_history = crash_history or CrashHistory(lambda service: 1)
@@ -95,6 +102,14 @@
             self._sizes,
             random.Random(f"{own.node_id}/{own.incarnation}/places"),
         )
+        self._planner = ReservationPlanner(
+            picker,
+            self._sender,
+            self._free_slots,
+            self._sizes,
+            lambda service: service_document(service).reserves_places,
+            random.Random(f"{own.node_id}/{own.incarnation}/reservations"),
+        )
         self._hedge_planner = HedgePlanner(
             picker, self._sender, self._retries, self._select, self._blocked, clock
         )
@@ -190,7 +205,7 @@
             is_only_attempt = not forwarded.parked
             started_s = self._clock()
             hedge = self._hedge_planner.plan(forwarded, selected, started_s)
-            reply = self._sender.send(forwarded, *selected, hedge=hedge)
+            placement, reply = self._send(forwarded, selected, hedge)
             replies.append(reply)
             now_s = self._clock()
             if is_success(reply):
@@ -198,7 +213,7 @@
                 self._record_success(forwarded, reply, latency_s)
                 self._hedge_planner.refund(forwarded, hedge)
                 break
-            self._record_failure(forwarded, selected.placement, reply)
+            record_failure(forwarded, placement, reply)
             if self._stop_or_restart(forwarded, reply):
                 forwarded.stopped_by = self._stop_reason(forwarded)
                 self._hedge_planner.refund(forwarded, hedge)
@@ -212,6 +227,19 @@
         else:
             forwarded.stopped_by = StopReason.NODE_LEAVING
 
+    def _send(
+        self, forwarded: ForwardedRequest, selected: Selection, hedge: Hedge | None
+    ) -> tuple[Placement, Reply]:
+        """Make an attempt, with reservations where the service's settings say so.
+
+        Returns the placement of the attempt, and its reply.
+        """
+        plan = self._planner.plan(forwarded, selected, self._clock())
+        if plan is None:
+            reply = self._sender.send(forwarded, *selected, hedge=hedge)
+            return selected.placement, reply
+        return self._sender.send_reserved(forwarded, plan, hedge)
+
     def _blocked(self, forwarded: ForwardedRequest) -> Reply | None:
         """Return the refusal if the request crashes backend servers, else None.
 
@@ -244,20 +272,6 @@
             )
         self._sizes.record(route, len(reply.body))
 
-    def _record_failure(
-        self, forwarded: ForwardedRequest, placement: Placement, reply: Reply
-    ) -> None:
-        """Record that a gate suspects its backend server, or that an attempt failed."""
-        server_id = placement.backend_server.backend_server_id
-        if reply.reason is Reason.SUSPECTED:
-            forwarded.refused_as_suspect.add(server_id)
-        if not is_refusal(reply):
-            forwarded.failed.add(server_id)
-        if reply.reason is Reason.SERVER_CRASHED:
-            # Without the crash, the request would probably have been answered. So it
-            # may use retries that are reserved for routes of a higher weight.
-            forwarded.run_was_lost = True
-
     def _may_retry(
         self,
         forwarded: ForwardedRequest,
--- a/balsamspindle/requests/link_attempts.py
+++ b/balsamspindle/requests/link_attempts.py
@@ -7,20 +7,25 @@
 """
 
 import math
-import socket
-import threading
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 
+import msgspec
+
 from balsamspindle.membership.directory import Placement
-from balsamspindle.protocol.outcomes import CancelCause, Execution, Outcome, Reason
+from balsamspindle.protocol.outcomes import CancelCause, Outcome, Reason
 from balsamspindle.requests.admission_queries import AdmissionQueries, DeclinedAttempt
 from balsamspindle.requests.attempt_outcomes import AttemptOutcomes, is_answered
 from balsamspindle.requests.claims import GateIdentity, with_claim
+from balsamspindle.requests.declined_attempts import declined_reply
 from balsamspindle.requests.forwarded import ForwardedRequest, Hedge
 from balsamspindle.requests.gate_links import GateLinks
 from balsamspindle.requests.links import Link
+from balsamspindle.requests.parked_replies import ParkedResult, listening
+from balsamspindle.requests.parking import find_attempt_to_park, may_park
 from balsamspindle.requests.reply_wait import WaitOptions, WaitResult, wait_first
+from balsamspindle.requests.reservation_plans import ReservationPlan
+from balsamspindle.requests.reservations import CalledReservation, Reservations
 from balsamspindle.requests.retries import is_success
 from balsamspindle.requests.sent_attempts import SentAttempt
 from balsamspindle.requests.tracking import TrackedAttempt
@@ -36,13 +41,6 @@
 REPLY_RESERVE_S = 0.2
 
 
-class ParkedResult:
-    """A parked attempt's successful reply; `answer` is None until one arrives."""
-
-    def __init__(self) -> None:
-        self.answer: Reply | None = None
-
-
 class LinkAttempts:
     """Sends attempts to the gates of other nodes and waits for their replies.
 
@@ -77,6 +75,15 @@
         self._aborted = False
         self._announced_end_s = math.inf
         self._outcomes = AttemptOutcomes(events, clock, lambda: self._aborted)
+        self._reservations = Reservations(
+            links,
+            events,
+            clock,
+            self._queries.build_query,
+            track,
+            next_id,
+            lambda: self._aborted,
+        )
 
     def set_end_time(self, ends_s: float) -> None:
         """Set the time at which this node stops; see `AttemptSender.set_end_time`."""
@@ -103,16 +110,44 @@
         if self._queries.should_query(forwarded, placement):
             match self._queries.query(forwarded, placement):
                 case DeclinedAttempt() as declined:
-                    return self._declined_reply(forwarded, placement, declined)
+                    return declined_reply(
+                        forwarded, placement, declined, self._next_id(), self._track
+                    )
                 case link:
                     pass
-        first = self._start(forwarded, placement, link)
+        return self._finish(forwarded, self._start(forwarded, placement, link), hedge)
+
+    def send_reserved(
+        self,
+        forwarded: ForwardedRequest,
+        plan: ReservationPlan,
+        hedge: Hedge | None,
+    ) -> tuple[Placement, Reply]:
+        """Reserve places, and make the attempt at the gate that calls.
+
+        Returns the attempt's placement and reply. Without a call, returns the first
+        placement and its refusal.
+        """
+        match self._reservations.wait(forwarded, plan):
+            case CalledReservation(link, placement, attempt_id):
+                sent = self._start(forwarded, placement, link, attempt_id)
+                return placement, self._finish(forwarded, sent, hedge)
+            case refusal:
+                return plan.placements[0], refusal
+
+    def _finish(
+        self,
+        forwarded: ForwardedRequest,
+        first: SentAttempt | Reply,
+        hedge: Hedge | None,
+    ) -> Reply:
+        """Wait for the reply to an attempt that was sent; return it, or the refusal."""
         if isinstance(first, Reply):
             return first
         attempts, waited, parked = [first], None, None
         try:
             waited = self._wait_hedged(forwarded, attempts, hedge)
-            parked = self._find_attempt_to_park(forwarded, attempts, waited)
+            parked = self._attempt_to_park(forwarded, attempts, waited)
         finally:
             ended = [sent for sent in attempts if sent is not parked]
             self._end_attempts(forwarded, ended, waited)
@@ -142,7 +177,7 @@
         if hedge is not None:
             hedge_start_s = self._clock() + hedge.hedge_delay_s
             waited = self._wait(forwarded, attempts, hedge_start_s)
-            if waited or self._find_attempt_to_park(forwarded, attempts, waited):
+            if waited or self._attempt_to_park(forwarded, attempts, waited):
                 return waited
             if self._should_hedge(forwarded, attempts[0], hedge_start_s):
                 attempts += self._start_hedge(forwarded, hedge)
@@ -157,40 +192,16 @@
             and not forwarded.caller.caller_left()
         )
 
-    def _may_park(self, forwarded: ForwardedRequest) -> bool:
-        """Return whether to park an attempt; a request has at most one parked attempt.
-
-        A leaving node cancels its runs when it stops. Without parking, the ingress
-        would send a long-running request to another gate only after this stop. The time
-        until the stop would be lost, and the ingress's node might then also be leaving.
-        """
-        return (
-            forwarded.route.execution is Execution.IDEMPOTENT
-            and not forwarded.parked
-            and forwarded.may_send()
-        )
-
-    def _find_attempt_to_park(
+    def _attempt_to_park(
         self,
         forwarded: ForwardedRequest,
         attempts: list[SentAttempt],
         waited: WaitResult | None,
     ) -> SentAttempt | None:
-        """Return the attempt to park; None if none has to be parked.
-
-        An attempt is parked if it is the only one without a reply, its gate has sent
-        the notice that the attempt may not finish, no other attempt was answered, and
-        `_may_park` returns True.
-        """
-        replies = {} if waited is None else waited.replies
-        unanswered = [sent for sent in attempts if sent.link not in replies]
-        if len(unanswered) != 1 or not unanswered[0].has_ending_notice():
-            return None
-        if is_answered(waited) or not self._may_park(forwarded):
-            return None
+        """Return the attempt to park; None if none has to be parked."""
         if self._aborted or forwarded.caller.caller_left():
             return None
-        return unanswered[0]
+        return find_attempt_to_park(forwarded, attempts, waited)
 
     def cancel_parked(self, forwarded: ForwardedRequest, has_answer: bool) -> None:
         """Cancel any parked attempt; `has_answer`: whether the request was answered."""
@@ -224,13 +235,12 @@
             Called in another thread when a successful reply arrives.
         """
         result = ParkedResult()
-        listener_end, own_end = socket.socketpair()
 
-        def listen() -> None:
+        def listen(descriptor: int) -> None:
             attempts = forwarded.parked.all()
-            # The wait ends when `own_end` is closed below, after the other attempt.
+            # The wait ends when `descriptor` is readable, after the other attempt.
             wait = self._build_wait(
-                forwarded, forwarded.deadline_s, listener_end.fileno(), lambda: True
+                forwarded, forwarded.deadline_s, descriptor, lambda: True
             )
             waited = wait_first({sent.link: sent.attempt_id for sent in attempts}, wait)
             self._end_attempts(forwarded, [], waited)
@@ -243,14 +253,8 @@
             else:
                 forwarded.parked_replies.append(reply)
 
-        listener = threading.Thread(target=listen, name="left-open", daemon=True)
-        with listener_end:
-            listener.start()
-            try:
-                yield result
-            finally:
-                own_end.close()
-                listener.join()
+        with listening(listen):
+            yield result
 
     def _start_hedge(self, forwarded, hedge) -> list[SentAttempt]:
         if not forwarded.may_send():
@@ -269,28 +273,20 @@
         )
         return [second]
 
-    def _declined_reply(self, forwarded, placement, declined: DeclinedAttempt) -> Reply:
-        """Record an attempt that was not sent because of a query; return a refusal."""
-        forwarded.tried.add(placement.backend_server.backend_server_id)
-        forwarded.attempts += 1
-        reply = Reply(
-            self._next_id(),
-            Outcome.NOT_RUN,
-            declined.reason,
-            retry_after_ms=declined.wait_ms,
-            held_out=declined.held_out,
-        )
-        if declined.reason is not Reason.UNREACHABLE:
-            forwarded.sends += 1
-            self._track(forwarded, placement).end(reply)
-        return reply
-
     def _start(
-        self, forwarded, placement, link: Link | None = None
+        self,
+        forwarded,
+        placement,
+        link: Link | None = None,
+        reserved_id: AttemptId | None = None,
     ) -> SentAttempt | Reply:
         """Send an attempt over a link; return a reply with a reason if not sent."""
         node_id = placement.node.node_id
         dispatch = self._build_dispatch(forwarded, placement, forwarded.deadline_s)
+        if reserved_id is not None:
+            dispatch = msgspec.structs.replace(
+                dispatch, attempt_id=reserved_id, is_reserved=True
+            )
         unreachable = Reply(dispatch.attempt_id, Outcome.NOT_RUN, Reason.UNREACHABLE)
         link = link or self._links.acquire(
             placement, dispatch.execution, forwarded.deadline_s, self._clock()
@@ -348,7 +344,7 @@
             on_dropped=lambda cause: self._events.emit("message_dropped", cause=cause),
             is_aborted=lambda: self._aborted,
             node_ends_s=lambda: self._announced_end_s,
-            ends_at_notice=lambda: self._may_park(forwarded),
+            ends_at_notice=lambda: may_park(forwarded),
             parked_attempts=forwarded.parked.by_link(),
             on_parked=lambda link, reply: self._on_parked(forwarded, link, reply),
         )
--- a/balsamspindle/requests/links.py
+++ b/balsamspindle/requests/links.py
@@ -14,6 +14,7 @@
 
 from balsamspindle.metrics import Hop, Metrics
 from balsamspindle.protocol.outcomes import CancelCause, Execution, Outcome, Reason
+from balsamspindle.requests.gate_clock import GateClock
 from balsamspindle.requests.peer_timeout import PeerTimeout
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import (
@@ -28,6 +29,8 @@
     IngressEnding,
     LinkMessage,
     Reply,
+    ReservationCall,
+    ReservationRequest,
     WireError,
     checksum,
     decode_link,
@@ -45,33 +48,6 @@
 CHECK_VALID_S = {Execution.NON_IDEMPOTENT: 1.0, Execution.IDEMPOTENT: 10.0}
 IDLE_LINKS_PER_PEER_MAX = 8
 CANCEL_LINGER_MS = 1000
-# Upper bound for the relative drift between two quartz clocks.
-CLOCK_DRIFT_MAX = 0.0005
-
-
-class GateClock:
-    """An estimate of the monotonic clock of the gate at the other end of a link.
-
-    The gate's time in a message is out of date when the message arrives, so the
-    estimate is never ahead of the gate's clock. A deadline that is converted to the
-    gate's time is therefore never too late. It is too early by at most the delay of one
-    message from the gate.
-    """
-
-    def __init__(self) -> None:
-        self._offset_s = float("-inf")
-        self._updated_s = 0.0
-
-    def update(self, gate_time_s: float, now_s: float) -> None:
-        """Update the estimate from a message that was just received."""
-        drift_s = (now_s - self._updated_s) * CLOCK_DRIFT_MAX
-        self._offset_s = max(gate_time_s - now_s, self._offset_s - drift_s)
-        self._updated_s = now_s
-
-    def at(self, local_s: float) -> float:
-        """Convert a local time to the gate's time, or to a slightly earlier one."""
-        drift_s = max(0.0, local_s - self._updated_s) * CLOCK_DRIFT_MAX
-        return local_s + self._offset_s - drift_s
 
 
 class Link:
@@ -95,6 +71,8 @@
         self._stop_notice_sent = False
         # The attempt for which the gate sent the last notice; see `has_ending_notice`.
         self._ending_attempt_id: AttemptId | None = None
+        # Reservation that was withdrawn last. Its call or refusal may still arrive.
+        self._withdrawn_id: AttemptId | None = None
         self._socket = context.socket(zmq.DEALER)
         self._socket.setsockopt(zmq.LINGER, 0)
         # With IMMEDIATE, sending fails while there is no connection. Otherwise, ZeroMQ
@@ -195,6 +173,35 @@
         )
         return self._send(message)
 
+    def send_reservation(self, request: ReservationRequest, deadline_s: float) -> bool:
+        """Send a reservation; return False if there was no connection."""
+        self._gate_deadline_s = self.gate_clock.at(deadline_s)
+        return self._send(request)
+
+    def withdraw(self, attempt_id: AttemptId, cause: CancelCause) -> None:
+        """Withdraw a reservation; the link can then be used for other attempts."""
+        self._withdrawn_id = attempt_id
+        self._send(Cancel(attempt_id, 0, self._gate_deadline_s, cause))
+
+    def receive_call(
+        self, ready, attempt_id, on_dropped
+    ) -> ReservationCall | Reply | None:
+        """Read one message if there is any; return it if it answers the reservation."""
+        if self._socket not in ready:
+            return None
+        match decode_link(self._socket.recv()):
+            case ReservationCall() | Reply() as answer:
+                if answer.attempt_id == attempt_id:
+                    self._record_received(answer.gate_time_s)
+                    return answer
+                if answer.attempt_id != self._withdrawn_id:
+                    on_dropped("answer to another reservation")
+            case WireError(message):
+                on_dropped(message)
+            case _:
+                on_dropped("message does not answer a reservation")
+        return None
+
     def has_ending_notice(self, attempt_id: AttemptId) -> bool:
         """Return whether the gate reported that it may stop before the attempt ends."""
         return self._ending_attempt_id == attempt_id
@@ -261,7 +268,10 @@
                     return _verify_checksum(reply)
                 # This is a late reply to an earlier attempt over this link. The caller
                 # of the present attempt must not receive it as an answer.
-                on_dropped("reply to another attempt")
+                if reply.attempt_id != self._withdrawn_id:
+                    on_dropped("reply to another attempt")
+            case ReservationCall(called_id) if called_id == self._withdrawn_id:
+                pass
             case GateEnding(ending_id):
                 self._ending_attempt_id = ending_id
             case WireError(message):
--- a/tests/fake_gate.py
+++ b/tests/fake_gate.py
@@ -16,6 +16,7 @@
     Dispatch,
     GreetingReply,
     GreetingRequest,
+    ReservationRequest,
     decode_link,
     encode,
 )
@@ -40,6 +41,11 @@
     declines : Reason, None or SILENT
         The reason with which admission queries are declined. None admits them, and
         `SILENT` leaves them unanswered.
+    reservations : list of ReservationRequest
+        The reservations that were received.
+    on_reservation : callable
+        Takes a reservation; returns (delay_s, frame) pairs as `answer` does. By default
+        reservations wait for ever.
     """
 
     def __init__(
@@ -51,6 +57,8 @@
         self.cancels: list[Cancel] = []
         self.queries: list[AdmissionQuery] = []
         self.declines: Reason | None | str = None
+        self.reservations: list[ReservationRequest] = []
+        self.on_reservation = lambda request: []
         self._answer = answer
         self._scheduled: list[tuple[float, int, list[bytes]]] = []
         self._order = itertools.count()
@@ -101,8 +109,12 @@
                 self.cancels.append(message)
             case Dispatch():
                 self.dispatches.append(message)
-                for delay_s, frame in self._answer(message):
-                    due_s = time.monotonic() + delay_s
-                    heapq.heappush(
-                        self._scheduled, (due_s, next(self._order), [peer, frame])
-                    )
+                self._schedule(peer, self._answer(message))
+            case ReservationRequest():
+                self.reservations.append(message)
+                self._schedule(peer, self.on_reservation(message))
+
+    def _schedule(self, peer: bytes, answers: list[tuple[float, bytes]]) -> None:
+        for delay_s, frame in answers:
+            due_s = time.monotonic() + delay_s
+            heapq.heappush(self._scheduled, (due_s, next(self._order), [peer, frame]))
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -1,6 +1,5 @@
 """The gate: each attempt is refused, dispatched or cancelled, and runs at most once."""
 
-import io
 import time
 from concurrent.futures import ThreadPoolExecutor
 
@@ -15,101 +14,19 @@
     BeginResult,
 )
 from balsamspindle.backend_servers.cancellation import CancelToken
-from balsamspindle.backend_servers.client import BackendServerClient
 from balsamspindle.backend_servers.evidence import (
-    Judgement,
-    NullHealthObserver,
     WorkResult,
 )
-from balsamspindle.backend_servers.gate import Gate
 from balsamspindle.backend_servers.retry_grants import RetryGrants
-from balsamspindle.backend_servers.servers import Announcement, LocalBackendServers
-from balsamspindle.protocol.outcomes import CancelCause, Execution, Outcome, Reason
+from balsamspindle.protocol.outcomes import CancelCause, Outcome, Reason
 from balsamspindle.settings.documents import RetryBudget
-from balsamspindle.timeline import EventLog, HybridClock, parse_event
-from balsamspindle.wire import AttemptId, Claim, Dispatch, checksum
-from tests.raw_server import RawServer, answer_with_length
+from balsamspindle.wire import AttemptId, Claim, checksum
+from tests.gate_case import INCARNATION, NODE, RAN_MS_MIN, GateCase
+from tests.raw_server import answer_with_length
 from tests.utils import wait_until
 
-SERVICE = "crew/contracts"
-BODY = b"signature"
-NODE, INCARNATION = "gate", 7
-RAN_MS_MIN = 20
-
-
-class Observer(NullHealthObserver):
-    """Records the evidence that the gate reports."""
-
-    def __init__(self):
-        self.started_ids, self.results = [], []
-
-    def record_start(self, backend_server_id, attempt_id, now_s):
-        self.started_ids.append(attempt_id)
-
-    def record_end(self, backend_server_id, attempt_id, result, now_s):
-        self.results.append(result)
-        return Judgement()
-
-
-class GateTests(TestCase):
-    def setUp(self):
-        super().setUp()
-        self.server = RawServer(
-            lambda number: (answer_with_length(b"%d" % number), True)
-        )
-        self.addCleanup(self.server.close)
-        self.servers = LocalBackendServers()
-        self._announce("1")
-        self.observer = Observer()
-        self.log = EventLog(NODE, INCARNATION, HybridClock(), io.StringIO())
-        self.gate = Gate(
-            self.servers, BackendServerClient(1000), self.log, self.observer
-        )
-
-    def _announce(self, boot_id):
-        announcement = Announcement(SERVICE, self.server.address, 1, boot_id)
-        self.servers.announce("server", announcement, 0.0)
-
-    def _logged(self, name):
-        events = map(parse_event, self.log.recent(0, 1000).lines)
-        return [event for event in events if event["event"] == name]
-
-    def _dispatch(self, sequence=1, **changes):
-        fields = {
-            "attempt_id": AttemptId("ingress", 1, sequence),
-            "request_id": "id",
-            "service": SERVICE,
-            "backend_server_id": "server",
-            "execution": Execution.NON_IDEMPOTENT,
-            "remaining_ms": 5000.0,
-            "weight": 1.0,
-            "method": "POST",
-            "target": "/sign",
-            "headers": [],
-            "body": BODY,
-            "body_checksum": checksum(BODY),
-            **changes,
-        }
-        return Dispatch(**fields)
-
-    def _keyed(self, sequence, key="key", version=1, age_s=0.0, **changes):
-        claim = Claim(NODE, INCARNATION, version, time.monotonic() - age_s)
-        fields = {"idempotency_key": key, "claim": claim, **changes}
-        return self._dispatch(sequence, **fields)
-
-    def _handle(self, dispatch):
-        return self.gate.handle(dispatch, time.monotonic())
-
-    def _ended(self, dispatch):
-        reply = self._handle(dispatch)
-        return reply.outcome, reply.reason
-
-    def _hang(self):
-        self.server.answer = lambda number: (None, False)
-
-    def _wait_until_sent(self, number):
-        wait_until(lambda: len(self.server.requests) >= number, "the attempt is sent")
 
+class GateTests(GateCase):
     def test_a_second_message_of_an_attempt_has_no_effect_and_no_reply(self):
         self.assertEqual(Outcome.ANSWERED, self._handle(self._dispatch()).outcome)
         self.assertIsNone(self._handle(self._dispatch()))
@@ -119,7 +36,7 @@
         # The budget allows one more repeat. The gate grants it but then refuses the
         # attempt for another reason, so the next repeat must still be granted.
         budget = RetryBudget(fraction=0.0, fleet_per_s_min=0.1)
-        self.gate._grants = RetryGrants(lambda *_: budget)
+        self.gate._checked._grants = RetryGrants(lambda *_: budget)
         away = self._dispatch(1, is_repeat=True, backend_server_id="elsewhere")
         self.assertEqual((Outcome.NOT_RUN, Reason.NO_BACKEND_SERVER), self._ended(away))
         granted = self._handle(self._dispatch(2, is_repeat=True))
--- a/tests/test_link_server_bound.py
+++ b/tests/test_link_server_bound.py
@@ -18,7 +18,14 @@
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.requests.reply_wait import WaitOptions, wait_first
 from balsamspindle.timeline import EventLog, HybridClock
-from balsamspindle.wire import AttemptId, Dispatch, Reply, checksum
+from balsamspindle.wire import (
+    AdmissionQuery,
+    AttemptId,
+    Dispatch,
+    Reply,
+    ReservationRequest,
+    checksum,
+)
 from tests.utils import free_address, wait_until
 
 THREADS = 2
@@ -44,6 +51,13 @@
         )
 
 
+def _reservation():
+    query = AdmissionQuery(
+        1, "crew/contracts", "server", Execution.IDEMPOTENT, TIMEOUT_S * 1000, 1.0
+    )
+    return ReservationRequest(AttemptId("own", 1, THREADS + 1), query)
+
+
 class LinkServerBoundTests(TestCase):
     def test_an_attempt_without_a_thread_is_refused_and_not_queued(self):
         # The backend servers of a node hang, and all worker threads of its gate wait
@@ -69,6 +83,10 @@
                 (Outcome.NOT_RUN, Reason.NO_FREE_SLOT),
                 (refused.outcome, refused.reason),
             )
+            # A reservation waits in a thread, too.
+            self.assertTrue(link.send_reservation(_reservation(), time.monotonic()))
+            refused = self._wait(link, _reservation().attempt_id)
+            self.assertEqual(Reason.NO_FREE_SLOT, refused.reason)
             gate.finish.set()
             replies = [self._wait(*sent) for sent in first]
             self.assertEqual([200] * THREADS, [reply.status for reply in replies])
