--- a/balsamspindle/backend_servers/admission.py
+++ b/balsamspindle/backend_servers/admission.py
@@ -16,9 +16,9 @@
     make_ticket,
     refusal,
 )
-from balsamspindle.backend_servers.announced_capacity import announced_capacity
 from balsamspindle.backend_servers.cancellation import CancelToken
 from balsamspindle.backend_servers.gate_loads import GateLoads, Room, room_at
+from balsamspindle.backend_servers.inherited_weight import room_weight
 from balsamspindle.backend_servers.queue import QueueDecision, SlotQueue, Ticket
 from balsamspindle.backend_servers.rate_limits import Allowance
 from balsamspindle.backend_servers.servers import (
@@ -26,19 +26,20 @@
     LocalBackendServer,
     LocalBackendServers,
 )
-from balsamspindle.backend_servers.slots import WorkEnd, WorkKind, ramped_slots
+from balsamspindle.backend_servers.slot_ends import expected_remaining_s
+from balsamspindle.backend_servers.slots import WorkEnd, WorkKind
 from balsamspindle.backend_servers.terms_table import TermsTable
+from balsamspindle.backend_servers.tickets import BusySlots
+from balsamspindle.backend_servers.usable_slots import (
+    capacity_fraction,
+    usable_slots,
+)
 from balsamspindle.protocol.outcomes import Reason
 from balsamspindle.settings.documents import ServiceDocument
 from balsamspindle.wire import AdmissionQuery, AttemptId, Dispatch
 
 __all__ = ["Admission", "Admitted", "Refused"]
 
-# Fraction of its slots that a backend server may use while it reports that it is cold.
-# A cold backend server takes about twice as long for each request, so it can answer
-# only half as many requests per second. Ingresses choose a backend server by its usable
-# slots, so these are halved, too.
-COLD_SLOTS_FRACTION = 0.5
 # A waiting attempt requests a slot again at each notification of `changed`, and also
 # after this time, because no notification is sent when a cold server's slots increase.
 RECHECK_INTERVAL_S = 0.5
@@ -82,6 +83,10 @@
         self._running: set[Admitted] = set()
         self.loads = GateLoads(self.room, service_document)
 
+    def inherits_importance(self, service: str) -> bool:
+        """Return whether calls to a service are as important as their parents."""
+        return self._service_document(service).calls_inherit_importance
+
     def refuse_new_attempts(self) -> None:
         """Refuse all new and waiting attempts from now on, as this node is leaving."""
         with self._servers.changed:
@@ -167,7 +172,7 @@
         ends. The time is infinity unless the ingress is leaving.
         """
         server = self._servers.get(dispatch.backend_server_id)
-        kind = WorkKind(dispatch.weight, dispatch.route_id)
+        kind = WorkKind(room_weight(dispatch), dispatch.route_id)
         return token.ingress_ends_s - LAST_START_FACTOR * expected_run_s(server, kind)
 
     def _recheck_wait_s(
@@ -280,19 +285,37 @@
         if now_s >= ticket.deadline_s:
             return Refused(Reason.DEADLINE)
         account, slots = server.account, self._slots(server, now_s)
-        kind = WorkKind(dispatch.weight, dispatch.route_id)
+        kind = WorkKind(room_weight(dispatch), dispatch.route_id)
         ticket.route_time_s = account.route_time_s(kind)
+        if self.inherits_importance(dispatch.service):
+            ticket.busy = BusySlots(self._slot_ends_s(server, now_s), slots)
         if self._may_outlast(server, kind, now_s):
             return Refused(Reason.DRAINING)
         free = account.free(slots, now_s)
-        free -= account.reserved_for_heavier(kind.weight, slots, now_s)
-        ticket.allowance = self._allowance(server, now_s, kind.weight)
+        if ticket.busy is None:
+            free -= account.reserved_for_heavier(kind.weight, slots, now_s)
+        else:
+            free -= account.reserved_while_used(kind, slots, now_s)
+        ticket.allowance = self._allowance(server, now_s, dispatch.weight)
         if ticket.allowance is not None:
             free = min(free, int(ticket.allowance.tokens))
             ticket.limit_wait(now_s)
-        effective_slots = account.effective_slots(kind.weight, slots, now_s)
+            server.limited_capacity.record_attempt(now_s)
+        effective_slots = account.effective_slots(dispatch.weight, slots, now_s)
         return Availability(server, kind, free, slots, effective_slots)
 
+    def _slot_ends_s(self, server: LocalBackendServer, now_s: float) -> tuple:
+        """Return the expected times until the occupied slots of a server are free."""
+        running_s = (
+            expected_remaining_s(
+                expected_run_s(server, admitted.kind), now_s - admitted.started_s
+            )
+            for admitted in self._running
+            if admitted.server is server
+        )
+        delayed_s = (end - now_s for end in server.account.delayed_releases_s())
+        return (*running_s, *delayed_s)
+
     def _allowance(
         self, server: LocalBackendServer, now_s: float, weight: float = math.inf
     ) -> Allowance | None:
@@ -312,15 +335,8 @@
             return True
 
     def _slots(self, server: LocalBackendServer, now_s: float) -> int:
-        """Return how many slots are usable now; fewer after a start and while cold."""
-        announcement = server.announcement
-        document = self._service_document(announcement.service)
-        slots = ramped_slots(
-            announcement.slots, now_s - server.started_s, document.cold_start_s
-        )
-        if now_s < server.cold_until_s:
-            slots = min(slots, max(1, int(announcement.slots * COLD_SLOTS_FRACTION)))
-        return slots
+        document = self._service_document(server.announcement.service)
+        return usable_slots(server, document, now_s)
 
     def room(self, backend_server_id: str, now_s: float) -> Room | None:
         """Return the room at a backend server; None if it is unknown."""
@@ -332,11 +348,11 @@
             return room_at(server, self._slots(server, now_s), queue, now_s)
 
     def capacity(self, server: LocalBackendServer, now_s: float) -> float:
-        """Return the fraction of its slots that it may use, as the fleet is told."""
+        """Return the fraction of its slots that a backend server may use now."""
         limit_per_s = self.terms.limit_per_s(
             server.backend_server_id, server.announcement.boot_id
         )
-        return announced_capacity(server, self._slots(server, now_s), limit_per_s)
+        return capacity_fraction(server, self._slots(server, now_s), limit_per_s, now_s)
 
     def restart_run(self, admitted: Admitted, now_s: float) -> Admitted:
         """Return an attempt whose slot was held for its dispatch; it runs from now."""
--- a/balsamspindle/backend_servers/admission_decisions.py
+++ b/balsamspindle/backend_servers/admission_decisions.py
@@ -120,6 +120,9 @@
         rank_s=dispatch.rank_ms / 1000,
         customer=dispatch.customer,
         is_reservation=isinstance(dispatch, Dispatch) and dispatch.is_reserved,
+        spent_s=None
+        if dispatch.importance is None
+        else dispatch.importance.spent_ms / 1000,
     )
 
 
--- a/balsamspindle/backend_servers/checked_attempts.py
+++ b/balsamspindle/backend_servers/checked_attempts.py
@@ -9,6 +9,7 @@
 from balsamspindle.backend_servers.cancellation import CancelToken
 from balsamspindle.backend_servers.evidence import HealthObserver
 from balsamspindle.backend_servers.gate_previews import health_admits
+from balsamspindle.backend_servers.open_runs import OpenRun, OpenRuns
 from balsamspindle.backend_servers.refused_attempts import Refusals
 from balsamspindle.backend_servers.reserved_attempts import HeldSlot
 from balsamspindle.backend_servers.retry_grants import RetryGrants
@@ -38,7 +39,9 @@
         crash_history: CrashHistory,
         answer_terms: AnswerTerms,
         runner: Runner,
+        open_runs: OpenRuns,
     ) -> None:
+        self._open_runs = open_runs
         self._events = events
         self._observer = observer
         self._admission = admission
@@ -145,9 +148,21 @@
             self._admission.release(admitted, WorkEnd.DONE, was_sent=False)
             return self._refusals.refuse(dispatch, Reason.WOULD_WAIT)
         self._grants.record_run_start(dispatch.is_repeat)
+        started_s, attempt_id = admitted.started_s, dispatch.attempt_id
+        self._open_runs.begin(
+            OpenRun(
+                attempt_id,
+                dispatch.request_id,
+                dispatch.weight,
+                started_s,
+                deadline_s,
+                dispatch.is_repeat,
+            )
+        )
         try:
             return self._runner.run(dispatch, admitted, token, deadline_s, received_s)
         finally:
+            self._open_runs.end(attempt_id, token.cancelled)
             self._grants.record_run_end(dispatch.is_repeat)
             if status.is_suspect:
                 self._suspect_runs.end(server_id, content_hash)
--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -45,12 +45,14 @@
 )
 from balsamspindle.backend_servers.failed_calls import FailedCalls
 from balsamspindle.backend_servers.gate_previews import GatePreviews
+from balsamspindle.backend_servers.inherited_weight import with_inherited_weight
 from balsamspindle.backend_servers.ledger import (
     ClaimedKey,
     EarlierAnswer,
     KeyRefused,
     RunLedger,
 )
+from balsamspindle.backend_servers.open_runs import OpenRuns
 from balsamspindle.backend_servers.refused_attempts import Refusals
 from balsamspindle.backend_servers.reservations import ReservationState
 from balsamspindle.backend_servers.reserved_attempts import HeldSlot, ReservedAttempts
@@ -100,6 +102,11 @@
     crash_watch : CrashWatch, default=one that updates only `crash_history`
     answer_terms : AnswerTerms, default=one that records in `admission.terms`
         Records what the backend servers announce in their answers.
+
+    Attributes
+    ----------
+    open_runs : OpenRuns
+        Present runs, of which some may wait for calls that arrive at this node.
     """
 
     def __init__(
@@ -127,6 +134,7 @@
         self._refusals = Refusals(events, observer, terms, self._admission.loads)
         crash_history = crash_history or CrashHistory(lambda service: 1)
         self._previews = GatePreviews(observer, self._admission, crash_history)
+        self.open_runs = OpenRuns(self._admission.inherits_importance)
         self._attempts = AttemptTable()
         self._ledger = RunLedger(events.node_id, events.incarnation)
         runner = Runner(
@@ -149,6 +157,7 @@
             crash_history,
             answer_terms,
             runner,
+            self.open_runs,
         )
         self._reserved = ReservedAttempts(
             servers,
@@ -251,6 +260,9 @@
             None for a duplicate message of an attempt: a second reply could
             contradict the first.
         """
+        dispatch = with_inherited_weight(
+            dispatch, self._admission.inherits_importance(dispatch.service)
+        )
         token = CancelToken()
         token.set_ingress_end(ingress_ends_s(dispatch, received_s))
         deadline_s = attempt_deadline_s(dispatch, received_s)
@@ -272,6 +284,9 @@
         send_call: Callable[[ReservationCall], None],
     ) -> Reply | None:
         """Let an attempt wait for a slot; see `ReservedAttempts.reserve`."""
+        inherits = self._admission.inherits_importance(request.query.service)
+        query = with_inherited_weight(request.query, inherits)
+        request = msgspec.structs.replace(request, query=query)
         return self._reserved.reserve(request, received_s, send_call)
 
     def refuse_reservation(self, request: ReservationRequest) -> Reply:
@@ -296,6 +311,9 @@
         received_s: float,
     ) -> Reply | None:
         """Handle a dispatch whose slot is held; its id may still not be new."""
+        dispatch = with_inherited_weight(
+            dispatch, self._admission.inherits_importance(dispatch.service)
+        )
         token.set_ingress_end(ingress_ends_s(dispatch, received_s))
         deadline_s = attempt_deadline_s(dispatch, received_s)
         match self._begin(dispatch, token, deadline_s):
@@ -308,6 +326,8 @@
 
     def preview(self, query: AdmissionQuery, received_s: float) -> AdmissionAnswer:
         """Return whether an attempt would be refused now; see `GatePreviews`."""
+        inherits = self._admission.inherits_importance(query.service)
+        query = with_inherited_weight(query, inherits)
         return self._previews.preview(query, received_s)
 
     def _begin(self, dispatch, token, deadline_s) -> BeginResult:
--- a/balsamspindle/requests/admission_queries.py
+++ b/balsamspindle/requests/admission_queries.py
@@ -155,6 +155,7 @@
             customer=forwarded.customer,
             is_last_try=forwarded.sends + 1 >= route.attempts_max,
             body_bytes=len(forwarded.request.body),
+            importance=forwarded.importance,
         )
 
     def _log_declined(
--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -22,6 +22,7 @@
 from balsamspindle.services.held_out_servers import HeldOutServers
 from balsamspindle.services.holdouts import HoldOuts
 from balsamspindle.services.known_terms import KnownTerms
+from balsamspindle.services.limit_checks import LimitChecks
 from balsamspindle.services.peer_evidence import PeerEvidenceTracker
 from balsamspindle.services.queue_hints import QueueHints
 from balsamspindle.timeline import EventLog
@@ -74,6 +75,7 @@
         self.queue_hints = QueueHints()
         self.known_terms = KnownTerms()
         self.room_news = RoomNews()
+        self.limit_checks = LimitChecks()
         self._link_attempts = LinkAttempts(
             own,
             self._links,
@@ -190,6 +192,7 @@
         request, route = forwarded.request, forwarded.route
         server_id = placement.backend_server.backend_server_id
         is_repeat = forwarded.sends > 0
+        importance = forwarded.importance
         forwarded.tried.add(server_id)
         forwarded.sends += 1
         forwarded.attempts += 1
@@ -203,6 +206,9 @@
             free_slots=self._free_slots.free_slots(placement, self._clock()),
             wait_max_ms=_rounded(forwarded.wait_max_ms),
             is_last_resort=forwarded.is_last_resort or None,
+            importance=importance and round(importance.weight, 4),
+            spent_ms=importance and round(importance.spent_ms),
+            parent=forwarded.parent_id or None,
         )
         return Dispatch(
             attempt_id=self.next_id(),
@@ -228,7 +234,7 @@
             target_remaining_ms=forwarded.target_remaining_ms(self._clock()),
             route_id=route_id(route),
             is_repeat=is_repeat,
-            repeat_fraction=self._gate.repeat_fraction(),
+            repeat_fraction=self._repeat_fraction(forwarded),
             ingress_remaining_ms=self._link_attempts.time_to_stop_ms(),
             run_was_lost=forwarded.run_was_lost,
             rank_ms=forwarded.rank_ms,
@@ -236,8 +242,15 @@
             customer=forwarded.customer,
             is_last_try=not forwarded.may_send(),
             terms=self.known_terms.get(placement.backend_server),
+            importance=importance,
         )
 
+    def _repeat_fraction(self, forwarded: ForwardedRequest) -> float:
+        """Return the probability that a repeated run sent a request, as a call."""
+        if forwarded.repeat_fraction is None:
+            return self._gate.repeat_fraction()
+        return forwarded.repeat_fraction
+
     def _send_to_own_gate(self, forwarded, placement, hedge: Hedge | None) -> Reply:
         # This thread makes the call to the backend server itself, so this thread cannot
         # start a second attempt in parallel. If a second attempt is planned, the first
@@ -290,6 +303,7 @@
             self._record_hold_out,
             self.queue_hints,
             self.known_terms,
+            self.limit_checks,
             self._clock,
             self.room_news,
         )
--- a/balsamspindle/requests/forwarded.py
+++ b/balsamspindle/requests/forwarded.py
@@ -12,7 +12,7 @@
 from balsamspindle.requests.http import CallerRequest, HttpConnection
 from balsamspindle.requests.sent_attempts import ParkedAttempts
 from balsamspindle.settings.documents import RouteDocument
-from balsamspindle.wire import Reply
+from balsamspindle.wire import Importance, Reply
 
 __all__ = [
     "ForwardedRequest",
@@ -170,6 +170,13 @@
         `balsamspindle.requests.content`; 0 when it is not known.
     customer : str
         Customer that sent the request; empty for a request without a customer.
+    importance : Importance or None
+        The run beside this node that waits for the answer; None if none is known.
+    parent_id : str
+        Id of the request of that run; empty if none is known.
+    repeat_fraction : float or None
+        Probability that a repeated run made the request as a call; None if it is not
+        known which requests are calls.
     stopped_by : StopReason or None
         Why the request gets no further attempt; None while attempts are made, and
         after a success.
@@ -202,6 +209,9 @@
     rank_ms: float = 0.0
     content_hash: int = 0
     customer: str = ""
+    importance: Importance | None = None
+    parent_id: str = ""
+    repeat_fraction: float | None = None
     stopped_by: StopReason | None = None
 
     def restart_search(self) -> None:
@@ -217,6 +227,11 @@
         self.search_until_s = self.queue_until_s = None
         self.is_last_resort = False
 
+    @property
+    def call_id(self) -> str:
+        """The request's id if a run beside this node waits for it; else empty."""
+        return self.request_id if self.parent_id else ""
+
     def may_send(self) -> bool:
         """Return whether the route allows an attempt at one more backend server."""
         return self.sends < self.route.attempts_max
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from balsamspindle.backend_servers.gate import Gate
+from balsamspindle.backend_servers.open_runs import Parent, importance_of
 from balsamspindle.crashes.history import CrashHistory
 from balsamspindle.crashes.retry_waits import retry_wait_s
 from balsamspindle.membership.directory import Placement
@@ -24,14 +25,11 @@
 from balsamspindle.requests.heads import IDEMPOTENCY_KEY_MAX_CHARACTERS
 from balsamspindle.requests.hedging import HedgePlanner
 from balsamspindle.requests.level_refusals import LevelRefusals
+from balsamspindle.requests.limit_check_selection import LimitCheckSelector
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.requests.placement_selection import PlacementSelector, Selection
 from balsamspindle.requests.reservation_planner import ReservationPlanner
-from balsamspindle.requests.retries import (
-    RetryPolicy,
-    best_reply,
-    is_success,
-)
+from balsamspindle.requests.retries import RetryPolicy, best_reply, is_success
 from balsamspindle.requests.retry_reports import report_retry_denied
 from balsamspindle.requests.search_widening import SearchWidening
 from balsamspindle.services.answer_sizes import AnswerSizes
@@ -85,6 +83,7 @@
         ),
     ) -> None:
         self._picker = picker
+        self._open_runs = gate.open_runs
         self._crash_history = crash_history or CrashHistory(lambda service: 1)
         self._events = events
         self._claims = claims or ClaimsTable(None)
@@ -97,16 +96,18 @@
         self._random = random.Random(f"{own.node_id}/{own.incarnation}")
         self._random_lock = threading.Lock()
         self._sizes = AnswerSizes()
-        self._selector = PlacementSelector(
+        selector = PlacementSelector(
             picker,
             self._sender,
             self._free_slots,
             self._sizes,
             random.Random(f"{own.node_id}/{own.incarnation}/places"),
         )
+        self._selector = LimitCheckSelector(selector, picker, self._sender, events)
         self._level_refusals = LevelRefusals(
             self._sender.room_news,
             events,
+            self._sender.next_id,
             lambda service: service_document(service).admits_by_level,
         )
         self._planner = ReservationPlanner(
@@ -122,7 +123,10 @@
         )
         self._aborted = threading.Event()
         self._widening = SearchWidening(
-            picker, self._sender.held_out_servers, self._aborted.wait
+            picker,
+            self._sender.held_out_servers,
+            self._open_runs.inherits,
+            self._aborted.wait,
         )
 
     @property
@@ -149,10 +153,13 @@
             return self._not_run_reply(Reason.BAD_REQUEST)
         forwarded.claimant = self._claimant(forwarded)
         route = forwarded.route
+        parent = self._find_parent(forwarded, self._clock())
         self._retries.record_request(route.service, self._clock(), route.weight)
         reply = None
         try:
-            reply = self._refuse_by_level(forwarded) or self._make_attempts(forwarded)
+            with self._open_runs.waiting(parent, forwarded.caller.stop_reading):
+                reply = self._level_refusals.refuse(forwarded, self._clock())
+                reply = reply or self._make_attempts(forwarded)
         finally:
             has_answer = reply is not None and reply.outcome is Outcome.ANSWERED
             self._sender.cancel_parked(forwarded, has_answer)
@@ -163,6 +170,18 @@
             reply = msgspec.structs.replace(reply, outcome=Outcome.UNKNOWN)
         return self._with_retry_after(forwarded, reply)
 
+    def _find_parent(self, forwarded: ForwardedRequest, now_s: float) -> Parent | None:
+        """Return and record the run beside this node that waits for a request."""
+        route = forwarded.route
+        parent = self._open_runs.find_parent(
+            route.service, route_id(route), forwarded.customer, forwarded.deadline_s
+        )
+        if self._open_runs.inherits(route.service):
+            forwarded.repeat_fraction = parent.repeat_fraction if parent else 0.0
+        forwarded.importance = importance_of(parent, now_s)
+        forwarded.parent_id = "" if parent is None else parent.run.request_id
+        return parent
+
     def _claimant(self, forwarded: ForwardedRequest) -> KeyClaimant | None:
         route = forwarded.route
         if forwarded.idempotency_key is None or route.execution is Execution.IDEMPOTENT:
@@ -171,15 +190,6 @@
             self._claims, route.service, forwarded.idempotency_key, forwarded.deadline_s
         )
 
-    def _refuse_by_level(self, forwarded: ForwardedRequest) -> Reply | None:
-        """Return a refusal if the request's service has no room for it."""
-        decision = self._level_refusals.refuse(forwarded, self._clock())
-        if decision is None:
-            return None
-        forwarded.stopped_by = StopReason.NO_ROOM
-        refusal = self._not_run_reply(Reason.NO_FREE_SLOT)
-        return msgspec.structs.replace(refusal, retry_after_ms=decision.retry_after_ms)
-
     def _make_attempts(self, forwarded: ForwardedRequest) -> Reply:
         not_run = self._not_run_reply(Reason.NO_BACKEND_SERVER)
         service = forwarded.route.service
@@ -361,6 +371,9 @@
             # request does not count in the estimate of when other callers should retry.
             return reply
         is_answered = reply.outcome is Outcome.ANSWERED
+        if forwarded.parent_id and not is_success(reply):
+            cause = str(reply.reason or reply.status)
+            self._events.metrics.count_lost_call(forwarded.route.service, cause)
         with self._random_lock:
             retry_after_ms = self._retries.record_end(
                 forwarded.route.service,
--- a/balsamspindle/requests/level_refusals.py
+++ b/balsamspindle/requests/level_refusals.py
@@ -2,17 +2,16 @@
 
 from collections.abc import Callable
 
-from balsamspindle.protocol.outcomes import Reason
+from balsamspindle.protocol.outcomes import Outcome, Reason
 from balsamspindle.requests.admission_levels import (
-    LevelDecision,
     RankedRequest,
     draw_of,
 )
-from balsamspindle.requests.forwarded import ForwardedRequest
+from balsamspindle.requests.forwarded import ForwardedRequest, StopReason
 from balsamspindle.requests.placement_selection import QUEUE_WAIT_FRACTION
 from balsamspindle.requests.room_news import RoomNews
 from balsamspindle.timeline import EventLog
-from balsamspindle.wire import Reply
+from balsamspindle.wire import AttemptId, Reply
 
 __all__ = ["LevelRefusals"]
 
@@ -24,6 +23,8 @@
 
     Parameters
     ----------
+    next_id : callable
+        Returns a new attempt id, for replies.
     admits_by_level : callable
         Returns whether the settings of a service ask for admission by level.
     """
@@ -32,10 +33,12 @@
         self,
         news: RoomNews,
         events: EventLog,
+        next_id: Callable[[], AttemptId],
         admits_by_level: Callable[[str], bool],
     ) -> None:
         self._news = news
         self._events = events
+        self._next_id = next_id
         self._admits_by_level = admits_by_level
 
     def room_after_ms(
@@ -52,8 +55,8 @@
         room_ms = self._news.room_after_ms(service, draw, now_s)
         return None if room_ms is None else max(room_ms, reply.retry_after_ms)
 
-    def refuse(self, forwarded: ForwardedRequest, now_s: float) -> LevelDecision | None:
-        """Return the decision that refuses a request; None if attempts are made.
+    def refuse(self, forwarded: ForwardedRequest, now_s: float) -> Reply | None:
+        """Refuse a request for which there is no room; None if attempts are made.
 
         A request with an idempotency key is not refused: an earlier send with the same
         key may have run, which only its gate knows.
@@ -62,8 +65,11 @@
         if not self._admits_by_level(route.service) or forwarded.claimant is not None:
             return None
         remaining_ms = (forwarded.deadline_s - now_s) * 1000
+        weight = route.weight
+        if forwarded.importance is not None:
+            weight = max(weight, forwarded.importance.weight)
         request = RankedRequest(
-            route.weight,
+            weight,
             QUEUE_WAIT_FRACTION * remaining_ms,
             draw_of(forwarded.request_id),
         )
@@ -74,11 +80,17 @@
             "request_refused_by_level",
             request=forwarded.request_id,
             service=route.service,
-            weight=round(route.weight, 4),
+            weight=round(weight, 4),
             level=round(decision.level, 2),
             position=round(decision.position, 2),
             gates=decision.gates,
             gates_with_room=decision.gates_with_room,
             retry_after_ms=round(decision.retry_after_ms),
         )
-        return decision
+        forwarded.stopped_by = StopReason.NO_ROOM
+        return Reply(
+            self._next_id(),
+            Outcome.NOT_RUN,
+            Reason.NO_FREE_SLOT,
+            retry_after_ms=decision.retry_after_ms,
+        )
