--- a/balsamspindle/requests/reservation_planner.py
+++ b/balsamspindle/requests/reservation_planner.py
@@ -68,8 +68,8 @@
         ):
             return None
         near_ms = near_wait_ms(route.target_ms, self._sizes.mean_bytes(route))
-        # In step NEAR, the longest wait is 0: two gates look for a free slot at once.
-        wait_max_ms = selected.wait_max_ms
+        is_near_step = forwarded.search.step is Step.NEAR
+        wait_max_ms = near_ms if is_near_step else selected.wait_max_ms
         queues = self._queues(forwarded, near_ms, now_s)
         second = choose_second(queues, first, wait_max_ms, self._random.random)
         if second is None:
@@ -78,7 +78,7 @@
             return ReservationPlan((first,), wait_max_ms)
         server_id = second.backend_server.backend_server_id
         forwarded.search.queue_wait_ms.pop(server_id, None)
-        forwarded.search.near_tries += forwarded.search.step is Step.NEAR
+        forwarded.search.near_tries += is_near_step
         return ReservationPlan((first, second), wait_max_ms)
 
     def _queues(
