--- a/balsamspindle/backend_servers/admission.py
+++ b/balsamspindle/backend_servers/admission.py
@@ -3,6 +3,7 @@
 All decisions are made under the lock in `LocalBackendServers.changed`.
 """
 
+import dataclasses
 import math
 import time
 from collections.abc import Callable
@@ -16,6 +17,7 @@
     refusal,
 )
 from balsamspindle.backend_servers.cancellation import CancelToken
+from balsamspindle.backend_servers.gate_loads import GateLoads, Room, room_at
 from balsamspindle.backend_servers.inherited_weight import room_weight
 from balsamspindle.backend_servers.queue import QueueDecision, SlotQueue, Ticket
 from balsamspindle.backend_servers.rate_limits import Allowance
@@ -79,6 +81,7 @@
         self._leaving = False
         self._node_ends_s = math.inf
         self._running: set[Admitted] = set()
+        self.loads = GateLoads(self.room, service_document)
 
     def inherits_importance(self, service: str) -> bool:
         """Return whether calls to a service are as important as their parents."""
@@ -335,6 +338,15 @@
         document = self._service_document(server.announcement.service)
         return usable_slots(server, document, now_s)
 
+    def room(self, backend_server_id: str, now_s: float) -> Room | None:
+        """Return the room at a backend server; None if it is unknown."""
+        with self._servers.changed:
+            server = self._servers.get(backend_server_id)
+            if server is None:
+                return None
+            queue = self._queue(server.announcement.service)
+            return room_at(server, self._slots(server, now_s), queue, now_s)
+
     def capacity(self, server: LocalBackendServer, now_s: float) -> float:
         """Return the fraction of its slots that a backend server may use now."""
         limit_per_s = self.terms.limit_per_s(
@@ -342,6 +354,14 @@
         )
         return capacity_fraction(server, self._slots(server, now_s), limit_per_s, now_s)
 
+    def restart_run(self, admitted: Admitted, now_s: float) -> Admitted:
+        """Return an attempt whose slot was held for its dispatch; it runs from now."""
+        with self._servers.changed:
+            self._running.discard(admitted)
+            admitted = dataclasses.replace(admitted, started_s=now_s)
+            self._running.add(admitted)
+        return admitted
+
     def release(self, admitted: Admitted, end: WorkEnd, was_sent: bool = True) -> int:
         """Release the slot of an attempt that has ended or will not run.
 
--- a/balsamspindle/backend_servers/queue.py
+++ b/balsamspindle/backend_servers/queue.py
@@ -29,6 +29,9 @@
 WAIT_OVERRUN_FACTOR = 1.3
 
 
+# Expected number of starts at this gate of an attempt that waits at two gates.
+RESERVATION_PLACES = 0.5
+
 _SEQUENCE_SIGNS = {Order.FIFO: 1, Order.LIFO: -1}
 
 
@@ -99,7 +102,7 @@
         if decision is QueueDecision.START and ticket.key is not None:
             self._turns.advance_to(ticket.key.turn)
         if decision is not QueueDecision.WAIT:
-            self.withdraw(ticket)
+            self.withdraw(ticket, has_started=decision is QueueDecision.START)
         return decision
 
     def preview(
@@ -119,7 +122,7 @@
         decision = self._judge(
             ticket, free_slots, effective_slots, service_time_s, now_s
         )
-        if decision is QueueDecision.WAIT and len(self._waiting) >= self.queue_max:
+        if decision is QueueDecision.WAIT and self._is_full():
             return QueueDecision.SHED
         return decision
 
@@ -129,9 +132,22 @@
             ticket.backend_server_id == backend_server_id for ticket in self._waiting
         )
 
-    def withdraw(self, ticket: Ticket) -> None:
+    def expected_starts(self, backend_server_id: str) -> float:
+        """Return how many waiting attempts are expected to start at a backend server.
+
+        It is less than their number, because reservations may start elsewhere.
+        """
+        return sum(
+            _places_taken(ticket)
+            for ticket in self._waiting
+            if ticket.backend_server_id == backend_server_id
+        )
+
+    def withdraw(self, ticket: Ticket, has_started: bool = False) -> None:
         """Remove an attempt from the queue, if it is in the queue."""
         if ticket.key is not None:
+            if ticket.is_reservation and not has_started:
+                self._turns.return_turn(ticket.customer, ticket.key.turn)
             ticket.key = None
             if not ticket.is_shed:
                 self._waiting.remove(ticket)
@@ -149,11 +165,19 @@
         before, competing = self._find_competing(ticket, now_s)
         ahead = len(before)
         if ticket.busy is None:
-            wait_s = _mean_wait_s(ahead, free_slots, effective_slots, service_time_s)
+            wait_s = _mean_wait_s(
+                sum(map(_places_taken, before)),
+                free_slots,
+                effective_slots,
+                service_time_s,
+            )
         else:
             wait_s = expected_wait_s(
                 ticket.busy.ends_s,
-                [_run_time_s(other, service_time_s) for other in before],
+                [
+                    _places_taken(other) * _run_time_s(other, service_time_s)
+                    for other in before
+                ],
                 free_slots,
                 ticket.busy.slots,
                 effective_slots,
@@ -172,7 +196,12 @@
         if has_slot:
             return QueueDecision.START
         ticket.expected_wait_s = wait_s or (
-            _mean_wait_s(ahead, free_slots, effective_slots, DEFAULT_SERVICE_TIME_S)
+            _mean_wait_s(
+                sum(map(_places_taken, before)),
+                free_slots,
+                effective_slots,
+                DEFAULT_SERVICE_TIME_S,
+            )
         )
         if _waits_too_long(ticket, now_s):
             return QueueDecision.WAIT_TOO_LONG
@@ -218,7 +247,7 @@
     def _enqueue(self, ticket: Ticket, now_s: float) -> QueueDecision:
         if ticket.key is not None:
             return QueueDecision.WAIT
-        if len(self._waiting) >= self.queue_max and not self._shed_for(ticket):
+        if self._is_full() and not self._shed_for(ticket):
             return QueueDecision.SHED
         ticket.key = self._next_key(ticket)
         self._turns.assign_turn(ticket.customer)
@@ -227,6 +256,9 @@
         self._waiting.append(ticket)
         return QueueDecision.WAIT
 
+    def _is_full(self) -> bool:
+        return sum(map(_places_taken, self._waiting)) >= self.queue_max
+
     def _shed_for(self, ticket: Ticket) -> bool:
         """Shed one of the lightest waiting attempts to make room for the ticket.
 
@@ -281,12 +313,21 @@
     return weight, ticket.is_late(now_s), turn, target_s, sequence
 
 
+def _places_taken(ticket: Ticket) -> float:
+    """Return the expected number of starts here that a waiting ticket stands for.
+
+    A reservation also waits at another gate. If each counted fully, all queues would
+    look twice as long as they are, and would be full with half of the requests.
+    """
+    return RESERVATION_PLACES if ticket.is_reservation else 1.0
+
+
 def _run_time_s(ticket: Ticket, service_time_s: float) -> float:
     return ticket.route_time_s or service_time_s or DEFAULT_SERVICE_TIME_S
 
 
 def _mean_wait_s(
-    ahead: int, free_slots: int, effective_slots: float, service_time_s: float
+    ahead: float, free_slots: int, effective_slots: float, service_time_s: float
 ) -> float:
     """Return the expected time until a slot is free for a ticket.
 
--- a/balsamspindle/backend_servers/tickets.py
+++ b/balsamspindle/backend_servers/tickets.py
@@ -109,6 +109,9 @@
     allowance : Allowance or None
         What the limit of its backend server allowed at the last decision; None without
         a limit.
+    is_reservation : bool
+        Whether it also waits at another gate. If it starts there, its customer's turn
+        here does not count.
     spent_s : float or None
         For a call: how long the run that waits for the answer has occupied its slot.
         None if no run is known to wait.
@@ -131,6 +134,7 @@
     rank_s: float = 0.0
     customer: str = ""
     allowance: Allowance | None = None
+    is_reservation: bool = False
     spent_s: float | None = None
     busy: BusySlots | None = None
 
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -309,6 +309,7 @@
             self._retries,
             on_hold_out=self._hints.share,
             crash_history=self._crash_parts.history,
+            service_document=self._service_document,
         )
         self._member.register({SuspectHint: self._hints.receive})
         self._ingress = Ingress(
@@ -334,6 +335,8 @@
             self._guards,
             self._crash_parts.history,
             self._gate_parts.terms,
+            self._gate_parts.gate,
+            self._forwarder.room_levels,
         )
         application = AdminApplication(
             self._gate_parts.servers,
--- a/balsamspindle/requests/admission_queries.py
+++ b/balsamspindle/requests/admission_queries.py
@@ -30,6 +30,7 @@
     NOT_HELD_OUT,
     AdmissionAnswer,
     AdmissionQuery,
+    GateLoad,
     HoldOut,
     NodeRecord,
 )
@@ -57,11 +58,14 @@
         which the request stays blocked. 0 with other reasons.
     held_out : HoldOut
         The hold-out of the backend server, as the gate reported it.
+    load : GateLoad or None
+        The gate's load; None if it told none.
     """
 
     reason: Reason
     wait_ms: float = 0.0
     held_out: HoldOut = NOT_HELD_OUT
+    load: GateLoad | None = None
 
 
 class AdmissionQueries:
@@ -114,7 +118,7 @@
                 forwarded, placement, DeclinedAttempt(Reason.UNREACHABLE)
             )
         match link.query(
-            self._build_query(forwarded, placement), now_s + QUERY_TIMEOUT_S
+            self.build_query(forwarded, placement), now_s + QUERY_TIMEOUT_S
         ):
             case None:
                 link.close()
@@ -125,11 +129,14 @@
             case AdmissionAnswer() as answer:
                 self._links.release(link)
                 declined = DeclinedAttempt(
-                    answer.reason, answer.wait_ms, answer.held_out
+                    answer.reason, answer.wait_ms, answer.held_out, answer.load
                 )
         return self._log_declined(forwarded, placement, declined)
 
-    def _build_query(self, forwarded, placement) -> AdmissionQuery:
+    def build_query(
+        self, forwarded: ForwardedRequest, placement: Placement
+    ) -> AdmissionQuery:
+        """Return the query that describes a request's next attempt to its gate."""
         route, now_s = forwarded.route, self._clock()
         return AdmissionQuery(
             next(self._numbers),
@@ -147,6 +154,7 @@
             content_hash=forwarded.content_hash,
             customer=forwarded.customer,
             is_last_try=forwarded.sends + 1 >= route.attempts_max,
+            body_bytes=len(forwarded.request.body),
             importance=forwarded.importance,
         )
 
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -13,6 +13,7 @@
 from balsamspindle.crashes.retry_waits import retry_wait_s
 from balsamspindle.membership.directory import Placement
 from balsamspindle.protocol.outcomes import PROBLEMS, Execution, Outcome, Reason
+from balsamspindle.requests.attempt_outcomes import record_failure
 from balsamspindle.requests.attempts import AttemptSender
 from balsamspindle.requests.claims import ClaimsTable, KeyClaimant
 from balsamspindle.requests.forwarded import (
@@ -23,16 +24,19 @@
 )
 from balsamspindle.requests.heads import IDEMPOTENCY_KEY_MAX_CHARACTERS
 from balsamspindle.requests.hedging import HedgePlanner
+from balsamspindle.requests.level_refusals import LevelRefusals
 from balsamspindle.requests.limit_check_selection import LimitCheckSelector
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.requests.placement_selection import PlacementSelector, Selection
+from balsamspindle.requests.reservation_planner import ReservationPlanner
 from balsamspindle.requests.retries import RetryPolicy, best_reply, is_success
+from balsamspindle.requests.retry_reports import report_retry_denied
 from balsamspindle.requests.search_widening import SearchWidening
 from balsamspindle.services.answer_sizes import AnswerSizes
 from balsamspindle.services.free_slots import FreeSlotEstimates
 from balsamspindle.services.held_out_servers import HeldOutServers
 from balsamspindle.services.picker import Picker
-from balsamspindle.settings.documents import RetryBudget
+from balsamspindle.settings.documents import RetryBudget, ServiceDocument
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import HoldOut, NodeRecord, Reply
 from balsamspindle.wire.replies import is_refusal
@@ -58,6 +62,8 @@
         See `AttemptSender`.
     crash_history : CrashHistory, default=an empty one
         Crashes of backend servers, and the requests quarantined because of them.
+    service_document : callable, default=the default settings
+        Returns the settings in force for a service.
     """
 
     def __init__(
@@ -72,6 +78,9 @@
         clock: Callable[[], float] = time.monotonic,
         on_hold_out: Callable[[NodeRecord, str, HoldOut, float], None] | None = None,
         crash_history: CrashHistory | None = None,
+        service_document: Callable[[str], ServiceDocument] = lambda service: (
+            ServiceDocument()
+        ),
     ) -> None:
         self._picker = picker
         self._open_runs = gate.open_runs
@@ -95,6 +104,20 @@
             random.Random(f"{own.node_id}/{own.incarnation}/places"),
         )
         self._selector = LimitCheckSelector(selector, picker, self._sender, events)
+        self._level_refusals = LevelRefusals(
+            self._sender.room_news,
+            events,
+            self._sender.next_id,
+            lambda service: service_document(service).admits_by_level,
+        )
+        self._planner = ReservationPlanner(
+            picker,
+            self._sender,
+            self._free_slots,
+            self._sizes,
+            lambda service: service_document(service).reserves_places,
+            random.Random(f"{own.node_id}/{own.incarnation}/reservations"),
+        )
         self._hedge_planner = HedgePlanner(
             picker, self._sender, self._retries, self._select, self._blocked, clock
         )
@@ -111,6 +134,10 @@
         """Backend servers that their gates reported as held out."""
         return self._sender.held_out_servers
 
+    def room_levels(self) -> dict[str, float]:
+        """Return the admission level of each service with recent requests."""
+        return self._sender.room_news.levels()
+
     def set_end_time(self, ends_s: float) -> None:
         """Set the time at which this node stops; see `AttemptSender.set_end_time`."""
         self._sender.set_end_time(ends_s)
@@ -131,7 +158,8 @@
         reply = None
         try:
             with self._open_runs.waiting(parent, forwarded.caller.stop_reading):
-                reply = self._make_attempts(forwarded)
+                reply = self._level_refusals.refuse(forwarded, self._clock())
+                reply = reply or self._make_attempts(forwarded)
         finally:
             has_answer = reply is not None and reply.outcome is Outcome.ANSWERED
             self._sender.cancel_parked(forwarded, has_answer)
@@ -207,7 +235,7 @@
             is_only_attempt = not forwarded.parked
             started_s = self._clock()
             hedge = self._hedge_planner.plan(forwarded, selected, started_s)
-            reply = self._sender.send(forwarded, *selected, hedge=hedge)
+            placement, reply = self._send(forwarded, selected, hedge)
             replies.append(reply)
             now_s = self._clock()
             if is_success(reply):
@@ -215,20 +243,35 @@
                 self._record_success(forwarded, reply, latency_s)
                 self._hedge_planner.refund(forwarded, hedge)
                 break
-            self._record_failure(forwarded, selected.placement, reply)
+            record_failure(forwarded, placement, reply)
             if self._stop_or_restart(forwarded, reply):
                 forwarded.stopped_by = self._stop_reason(forwarded)
                 self._hedge_planner.refund(forwarded, hedge)
                 break
             if not self._may_retry(forwarded, replies, hedge, now_s):
                 forwarded.stopped_by = StopReason.REPEAT_DENIED
-                self._report_retry_denied(forwarded, reply)
+                report_retry_denied(
+                    self._events, self._retries, forwarded, reply, now_s
+                )
                 break
             if reply.reason is Reason.SERVER_CRASHED:
                 self._wait_after_crash(forwarded, now_s)
         else:
             forwarded.stopped_by = StopReason.NODE_LEAVING
 
+    def _send(
+        self, forwarded: ForwardedRequest, selected: Selection, hedge: Hedge | None
+    ) -> tuple[Placement, Reply]:
+        """Make an attempt, with reservations where the service's settings say so.
+
+        Returns the placement of the attempt, and its reply.
+        """
+        plan = self._planner.plan(forwarded, selected, self._clock())
+        if plan is None:
+            reply = self._sender.send(forwarded, *selected, hedge=hedge)
+            return selected.placement, reply
+        return self._sender.send_reserved(forwarded, plan, hedge)
+
     def _blocked(self, forwarded: ForwardedRequest) -> Reply | None:
         """Return the refusal if the request crashes backend servers, else None.
 
@@ -261,20 +304,6 @@
             )
         self._sizes.record(route, len(reply.body))
 
-    def _record_failure(
-        self, forwarded: ForwardedRequest, placement: Placement, reply: Reply
-    ) -> None:
-        """Record that a gate suspects its backend server, or that an attempt failed."""
-        server_id = placement.backend_server.backend_server_id
-        if reply.reason is Reason.SUSPECTED:
-            forwarded.refused_as_suspect.add(server_id)
-        if not is_refusal(reply):
-            forwarded.failed.add(server_id)
-        if reply.reason is Reason.SERVER_CRASHED:
-            # Without the crash, the request would probably have been answered. So it
-            # may use retries that are reserved for routes of a higher weight.
-            forwarded.run_was_lost = True
-
     def _may_retry(
         self,
         forwarded: ForwardedRequest,
@@ -298,26 +327,6 @@
             run_was_lost=forwarded.run_was_lost,
         )
 
-    def _report_retry_denied(self, forwarded: ForwardedRequest, reply: Reply) -> None:
-        """Emit `retry_denied`, but not if a non-idempotent request may have run."""
-        route = forwarded.route
-        if reply.outcome is not Outcome.NOT_RUN and (
-            route.execution is Execution.NON_IDEMPOTENT
-        ):
-            return
-        left = None
-        if not self._retries.gates_limit_retries(route.service):
-            left = round(
-                self._retries.remaining_tokens(route.service, self._clock()), 1
-            )
-        self._events.emit(
-            "retry_denied",
-            request=forwarded.request_id,
-            after=reply.reason or reply.status,
-            retries_left=left,
-            sends=forwarded.sends,
-        )
-
     def _not_run_reply(self, reason: Reason) -> Reply:
         return Reply(self._sender.next_id(), Outcome.NOT_RUN, reason)
 
@@ -376,4 +385,10 @@
         problem = PROBLEMS.get(reply.reason)
         if problem is None or problem.retry_after_s is None:
             return reply
+        room_ms = self._level_refusals.room_after_ms(forwarded, reply, self._clock())
+        if forwarded.stopped_by is StopReason.NO_ROOM:
+            # The refusal already states when the gates expect room.
+            return reply
+        if room_ms is not None:
+            retry_after_ms = room_ms
         return msgspec.structs.replace(reply, retry_after_ms=retry_after_ms)
