Let a node that has just started decide on no quarantine

Cause: a node that was back after a kill quarantined the lookup 0.14 s after its start. The first update that reached it listed four of nine crashes, all four with the lookup, and it counted 11 backend servers in place of six, since it did not know which starts had ended. So the crash rate seemed far too low. Its peers, which knew all, did not quarantine the lookup, but joined its decision.

Fix: for 3 s after its start a node only merges quarantines. The news of all crashes reaches it within about a second of its first message.

A cause is quarantined at its next crash after that time, also if all nodes started at once.

--- a/balsamspindle/crashes/history.py
+++ b/balsamspindle/crashes/history.py
@@ -1,14 +1,13 @@
 """Stores the crashes and quarantines that one node knows."""
 
+import math
 import threading
 from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-import msgspec
-import xxhash
-
 from balsamspindle.crashes.attribution import CrashAttribution, KnownCrash
+from balsamspindle.crashes.digest import compute_digest
 from balsamspindle.crashes.recent_answers import ANSWER_VALID_S, RecentAnswers
 from balsamspindle.crashes.records import (
     UNSUSPECTED,
@@ -74,6 +73,10 @@
         Called when a quarantine is new to this node or was just lifted. Must not block,
         as the lock is held. Arguments: the quarantine; ids of backend servers that
         crashed while the request ran; the new evidence, or `NO_EVIDENCE`.
+    judges_from_s : float, default=always
+        Until this time, this node only merges quarantines that others decided on. A
+        node that has just started may know only the crashes in which one request was
+        lost. The request would seem to be running at each crash of its service.
     """
 
     def __init__(
@@ -82,7 +85,9 @@
         on_quarantine: Callable[
             [Quarantine, list[str], CauseEvidence], None
         ] = lambda *_: None,
+        judges_from_s: float = -math.inf,
     ) -> None:
+        self._judges_from_s = judges_from_s
         self._count_servers = count_servers
         self._on_quarantine = on_quarantine
         self._lock = threading.RLock()
@@ -196,7 +201,9 @@
         digest = self._digest
         if digest is None:
             with self._lock:
-                digest = self._digest = self._compute_digest()
+                digest = self._digest = compute_digest(
+                    self._crashes, self._counts, self._quarantined
+                )
         return digest
 
     def blocked_count(self, now_s: float) -> int:
@@ -248,6 +255,8 @@
 
     def _quarantine_causes(self, crashes: Iterable[Crash], now_s: float) -> None:
         """Quarantine each request in `crashes` that now counts as a cause."""
+        if now_s < self._judges_from_s:
+            return
         attribution = self._attribution()
         for content_hash in {run.content_hash for one in crashes for run in one.runs}:
             quarantined = self._quarantined.get(content_hash)
@@ -382,19 +391,3 @@
         for content_hash in old_quarantines:
             del self._quarantined[content_hash]
             self._digest = None
-
-    def _compute_digest(self) -> int:
-        # Requests that were lost only once are left out: nodes do not share whether
-        # these were answered, so the nodes' digests might never become equal.
-        crashes = [
-            (key, sorted(run for run in known.runs if self._counts[run] > 1))
-            for key, known in sorted(self._crashes.items())
-        ]
-        quarantines = [
-            (content_hash, quarantined.term, quarantined.is_lifted)
-            for content_hash, quarantined in sorted(self._quarantined.items())
-        ]
-        if not crashes and not quarantines:
-            return 0
-        encoded = msgspec.msgpack.encode((crashes, quarantines))
-        return xxhash.xxh32_intdigest(encoded) or 1
--- a/balsamspindle/node/crash_parts.py
+++ b/balsamspindle/node/crash_parts.py
@@ -15,6 +15,10 @@
 
 __all__ = ["CrashParts"]
 
+# Time from a node's start until it has received the crashes that its peers know. A
+# node that decided earlier would quarantine requests that cause no crash.
+CATCH_UP_S = 3.0
+
 
 class CrashParts:
     """Connects a node's crash history with its event log, its peers and the store.
@@ -41,7 +45,11 @@
         self._directory = directory
         self._events = events
         self.quarantine_store: QuarantineStore | None = None
-        self.history = CrashHistory(self._count_servers, self._report_quarantine)
+        self.history = CrashHistory(
+            self._count_servers,
+            self._report_quarantine,
+            time.monotonic() + CATCH_UP_S,
+        )
         self._gossip = CrashGossip(own, directory, self.history, send, time.monotonic)
 
     def connect(self, member: Member) -> None:
