--- a/balsamspindle/backend_servers/crash_watch.py
+++ b/balsamspindle/backend_servers/crash_watch.py
@@ -32,8 +32,9 @@
 # run's connection before another thread detects the crash.
 LOST_TOGETHER_S = 1.0
 # A run that begins within this time after the detection of a crash may use an idle
-# connection that the crash ended. The loss of such a run is no further crash.
-STALE_CONNECTION_S = 1.0
+# connection that the crash ended. The loss of such a run is no further crash. A longer
+# time would miss crashes of replacements that start within a second.
+STALE_CONNECTION_S = 0.5
 # The longest time from the crash of a backend server until its replacement announces
 # itself at the same address.
 REPLACED_WITHIN_S = 5.0
