Take back settings and fields of a part that is not built

places_by_expected_end, link_mbps and memory_mb were described to operators and did nothing.

A node's header is shorter by one field, and with that a play of the membership tests fails that depends on sizes of messages: not every node knows every backend server 120 s after a zone returned.

--- a/balsamspindle/backend_servers/gate_loads.py
+++ b/balsamspindle/backend_servers/gate_loads.py
@@ -50,11 +50,7 @@
 
 def tells_load(document: ServiceDocument) -> bool:
     """Return whether ingresses use a gate's load, by the settings of its service."""
-    return (
-        document.places_by_expected_end
-        or document.reserves_places
-        or document.admits_by_level
-    )
+    return document.reserves_places or document.admits_by_level
 
 
 class GateLoads:
--- a/balsamspindle/membership/headers.py
+++ b/balsamspindle/membership/headers.py
@@ -16,7 +16,6 @@
         record.member_address,
         record.state,
         record.admin_address,
-        record.link_mbps,
         record.link_level,
     )
 
@@ -35,6 +34,5 @@
         header.member_address,
         sys.intern(header.state),
         admin_address=header.admin_address,
-        link_mbps=header.link_mbps,
         link_level=header.link_level,
     )
--- a/balsamspindle/platform/configuration.py
+++ b/balsamspindle/platform/configuration.py
@@ -155,7 +155,6 @@
 
     orders_routes_within_customers: bool
     calls_inherit_importance: bool
-    places_by_expected_end: bool
     reserves_places: bool
     admits_by_level: bool
 
@@ -270,7 +269,6 @@
     return _HardLoad(
         orders_routes_within_customers=is_on,
         calls_inherit_importance=is_on,
-        places_by_expected_end=is_on,
         reserves_places=is_on,
         admits_by_level=is_on,
     )
--- a/balsamspindle/platform/settings.py
+++ b/balsamspindle/platform/settings.py
@@ -72,13 +72,6 @@
     address: str
 
 
-class _Limits(msgspec.Struct, frozen=True):
-    """Resources of the VM; 0 means unknown."""
-
-    memory_mb: float = 0.0
-    link_mbps: float = 0.0
-
-
 class _SettingsFile(msgspec.Struct):
     """The settings file; other fields of it are ignored.
 
@@ -106,7 +99,6 @@
     platform: _Store
     bounds: list[str] = []
     zones: dict[str, str] = {}
-    limits: _Limits = _Limits()
     contracts: list[str] = []
 
 
@@ -170,8 +162,6 @@
         link_address=file.listen.inbound,
         member_address=f"{file.ip}:{first_port + MEMBER_PORT_OFFSET}",
         admin_address=f"{file.ip}:{first_port + ADMIN_PORT_OFFSET}",
-        link_mbps=file.limits.link_mbps,
-        memory_mb=file.limits.memory_mb,
         platform_address=file.platform.address,
         member_bytes_per_s=MEMBER_BYTES_PER_S,
         headers=HEADER_NAMES,
--- a/balsamspindle/settings/documents.py
+++ b/balsamspindle/settings/documents.py
@@ -180,9 +180,6 @@
         Whether a call that a backend server makes while it runs a request is as
         important as this request. Suits services whose short calls compete for slots
         with other, longer requests.
-    places_by_expected_end : bool
-        Whether requests go where their answers are expected to be complete first.
-        Suits services with unequal backend servers, slow links or large bodies.
     reserves_places : bool
         Whether a request that has to wait reserves a place at two gates. Suits services
         whose backend servers have few slots and are all busy at times.
@@ -199,7 +196,6 @@
     queue_max: Annotated[int, msgspec.Meta(ge=0)] = 32
     orders_routes_within_customers: bool = False
     calls_inherit_importance: bool = False
-    places_by_expected_end: bool = False
     reserves_places: bool = False
     admits_by_level: bool = False
 
--- a/balsamspindle/settings/process.py
+++ b/balsamspindle/settings/process.py
@@ -74,12 +74,6 @@
     admin_advertised_address : str, optional
         Where operators on other VMs reach the admin address. If it is not set,
         operators have to enter the node's address themselves.
-    link_mbps : float
-        Bandwidth of the VM's network link in Mbit/s; 0 if unknown. Services with
-        `places_by_expected_end` use it.
-    memory_mb : float
-        Memory that this process may use; 0 if unknown. Services with
-        `places_by_expected_end` use it to bound the bytes that the node holds.
     platform_address : str
         Address of the platform's table service and object store.
     seed_addresses : tuple of str
@@ -160,8 +154,6 @@
     link_advertised_address: Address | None = None
     member_advertised_address: Address | None = None
     admin_advertised_address: Address | None = None
-    link_mbps: Annotated[float, msgspec.Meta(ge=0, le=1e6)] = 0.0
-    memory_mb: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     platform_address: Address | None = None
     seed_addresses: tuple[Address, ...] = ()
     member_bytes_per_s: Annotated[float, msgspec.Meta(ge=1000)] = 9000.0
@@ -201,7 +193,6 @@
             self.member_advertised_address or self.member_address,
             NODE_ALIVE,
             admin_address=self.admin_advertised_address or "",
-            link_mbps=self.link_mbps,
             link_level=LINK_LEVEL,
         )
 
--- a/balsamspindle/wire/member_messages.py
+++ b/balsamspindle/wire/member_messages.py
@@ -147,8 +147,6 @@
         A `NodeState` value.
     admin_address : str
         Address for operators; empty if the node announces none.
-    link_mbps : float
-        Bandwidth of the VM's network link in Mbit/s; 0 if unknown.
     link_level : int
         Newest kind of link messages that the node handles; see `LINK_LEVEL`.
     """
@@ -163,7 +161,6 @@
     state: str
     backend_servers: tuple[BackendServerRecord, ...] = ()
     admin_address: str = ""
-    link_mbps: float = 0.0
     link_level: int = 0
 
 
@@ -176,7 +173,6 @@
     member_address: PeerAddress
     state: str
     admin_address: Annotated[str, msgspec.Meta(max_length=21)] = ""
-    link_mbps: Annotated[float, msgspec.Meta(ge=0, le=1e6)] = 0.0
     link_level: Count = 0
 
 
--- a/balsamspindle/wire/message_parts.py
+++ b/balsamspindle/wire/message_parts.py
@@ -126,12 +126,6 @@
         Attempts that wait for a slot.
     wait_ms : float
         Expected wait of a new attempt that takes precedence over no waiting one.
-    speed : float
-        Mean time of the fleet for the same routes, divided by this backend server's;
-        above 1 if it is faster.
-    transfer_ms : float
-        Time until the bytes that are under way to and from the gate have passed its
-        VM's link.
     weight_min : float
         Lowest weight of an attempt that recently got a slot without being refused for
         want of room; 0 if none was refused.
@@ -140,6 +134,4 @@
     free_slots: int = 0
     waiting: int = 0
     wait_ms: float = 0.0
-    speed: float = 1.0
-    transfer_ms: float = 0.0
     weight_min: float = 0.0
