Leave later fields at their defaults out of translated documents

Nodes of an earlier release refuse documents with fields that they do not know, and keep the older form. With the settings for hard load in each service document, they would have kept it for all services of every deployment while a fleet is upgraded.

--- a/balsamspindle/platform/configuration.py
+++ b/balsamspindle/platform/configuration.py
@@ -28,6 +28,7 @@
     RouteDocument,
     ServiceDocument,
     ServiceShare,
+    encode_document,
 )
 from balsamspindle.settings.watcher import OperatorRow, WholeSettings
 
@@ -220,7 +221,7 @@
     documents |= _customer_documents(configuration.tenants or [])
     if configuration.limits is not None:
         documents[_path("limits", "callers")] = _caller_limits(configuration.limits)
-    encoded = {path: msgspec.json.encode(value) for path, value in documents.items()}
+    encoded = {path: encode_document(value) for path, value in documents.items()}
     return WholeSettings(revision, encoded)
 
 
--- a/balsamspindle/settings/documents.py
+++ b/balsamspindle/settings/documents.py
@@ -25,6 +25,7 @@
     "ServiceDocument",
     "ServiceShare",
     "document_type",
+    "encode_document",
 ]
 
 # A request that failed on this many backend servers is not worth another attempt.
@@ -300,6 +301,40 @@
 }
 
 
+# Fields that earlier releases do not know. These releases cannot read a document that
+# contains them.
+_LATER_FIELDS: dict[type, tuple[str, ...]] = {
+    ServiceDocument: (
+        "orders_routes_within_customers",
+        "calls_inherit_importance",
+        "reserves_places",
+        "admits_by_level",
+    ),
+    RetryBudget: ("reserves_by_demand",),
+}
+
+
+def encode_document(document: msgspec.Struct) -> bytes:
+    """Encode a document, without the later fields that have their defaults.
+
+    While nodes of two releases form one fleet, both can read documents that use no
+    setting of the newer one.
+    """
+    return msgspec.json.encode(_known_fields(document))
+
+
+def _known_fields(document: msgspec.Struct) -> dict[str, object]:
+    later = _LATER_FIELDS.get(type(document), ())
+    fields = {}
+    for field in msgspec.structs.fields(document):
+        value = getattr(document, field.name)
+        if field.name in later and value == field.default:
+            continue
+        is_struct = isinstance(value, msgspec.Struct)
+        fields[field.name] = _known_fields(value) if is_struct else value
+    return fields
+
+
 def document_type(path: str) -> type | None:
     """Return the type of the document at a path, or None for an invalid path."""
     segments = path.split("/")
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -148,6 +148,24 @@
                     ),
                 )
 
+    def test_documents_without_settings_for_hard_load_are_those_of_earlier_releases(
+        self,
+    ):
+        # Guards against nodes of an earlier release that cannot read the settings, in
+        # a fleet that is being upgraded.
+        later = {
+            "orders_routes_within_customers",
+            "calls_inherit_importance",
+            "reserves_places",
+            "admits_by_level",
+        }
+        for contracts, expected in (((), set()), (("pressure",), later)):
+            settings = translate_configuration(CONFIGURATION, RETRIES, contracts)
+            document = json.loads(settings.documents["operator/services/huvo11a"])
+            self.assertEqual(expected, later & document.keys())
+            reserves = "reserves_by_demand" in document["retry_budget"]
+            self.assertEqual(bool(expected), reserves)
+
     def test_an_invalid_configuration_is_refused_as_a_whole(self):
         route = CONFIGURATION["routes"][0]
         invalid = {
