--- a/balsamspindle/backend_servers/gate_loads.py
+++ b/balsamspindle/backend_servers/gate_loads.py
@@ -28,7 +28,6 @@
         Expected wait of a new attempt that takes precedence over no waiting one.
     """
 
-    service: str
     free_slots: int
     waiting: int
     wait_ms: float
@@ -45,7 +44,7 @@
     service_time_s = server.account.service_time_s or DEFAULT_SERVICE_TIME_S
     wait_ms = starts_ahead * service_time_s / max(1, slots) * 1000
     free_slots = 0 if waiting else max(0, free)
-    return Room(server.announcement.service, free_slots, waiting, wait_ms)
+    return Room(free_slots, waiting, wait_ms)
 
 
 def tells_load(document: ServiceDocument) -> bool:
@@ -88,10 +87,14 @@
         if reason in _ROOM_REASONS:
             self._refused_s[backend_server_id] = now_s
 
-    def load(self, backend_server_id: str, now_s: float) -> GateLoad | None:
+    def load(
+        self, service: str, backend_server_id: str, now_s: float
+    ) -> GateLoad | None:
         """Return the load at a backend server; None if no ingress uses it."""
+        if not tells_load(self._service_document(service)):
+            return None
         room = self._room(backend_server_id, now_s)
-        if room is None or not tells_load(self._service_document(room.service)):
+        if room is None:
             return None
         return GateLoad(
             room.free_slots,
--- a/balsamspindle/backend_servers/gate_previews.py
+++ b/balsamspindle/backend_servers/gate_previews.py
@@ -33,7 +33,9 @@
             query.number,
             held_out=held_out,
             gate_time_s=received_s,
-            load=self._admission.loads.load(query.backend_server_id, received_s),
+            load=self._admission.loads.load(
+                query.service, query.backend_server_id, received_s
+            ),
         )
         status = self._crash_history.status_of(query.content_hash, received_s)
         if status.blocked_ms:
--- a/balsamspindle/backend_servers/refused_attempts.py
+++ b/balsamspindle/backend_servers/refused_attempts.py
@@ -90,5 +90,5 @@
             hlc=hlc,
             held_out=held_out,
             terms=self._terms.shared(server_id),
-            load=self._loads.load(server_id, time.monotonic()),
+            load=self._loads.load(dispatch.service, server_id, time.monotonic()),
         )
--- a/balsamspindle/backend_servers/runner.py
+++ b/balsamspindle/backend_servers/runner.py
@@ -181,6 +181,8 @@
             p99_ms=judgement.p99_ms,
             held_out=held_out,
             terms=self._admission.terms.shared(server_id),
-            load=self._admission.loads.load(server_id, time.monotonic()),
+            load=self._admission.loads.load(
+                dispatch.service, server_id, time.monotonic()
+            ),
         )
         return reply if answer is None else with_answer(reply, answer)
