Keep more than half of the slots for calls alone

Where calls inherit importance, a gate kept up to all slots except one for whatever is heavier, and orders use a little more than one of three.

The rule is for calls, without which work is lost that was done already. Other heavier requests have half of the slots kept, as everywhere.

--- a/balsamspindle/backend_servers/admission.py
+++ b/balsamspindle/backend_servers/admission.py
@@ -15,10 +15,10 @@
     expected_run_s,
     make_ticket,
     refusal,
+    work_kind,
 )
 from balsamspindle.backend_servers.cancellation import CancelToken
 from balsamspindle.backend_servers.gate_loads import GateLoads, Room, room_at
-from balsamspindle.backend_servers.inherited_weight import room_weight
 from balsamspindle.backend_servers.queue import QueueDecision, SlotQueue, Ticket
 from balsamspindle.backend_servers.rate_limits import Allowance
 from balsamspindle.backend_servers.servers import (
@@ -172,7 +172,7 @@
         ends. The time is infinity unless the ingress is leaving.
         """
         server = self._servers.get(dispatch.backend_server_id)
-        kind = WorkKind(room_weight(dispatch), dispatch.route_id)
+        kind = work_kind(dispatch)
         return token.ingress_ends_s - LAST_START_FACTOR * expected_run_s(server, kind)
 
     def _recheck_wait_s(
@@ -285,7 +285,7 @@
         if now_s >= ticket.deadline_s:
             return Refused(Reason.DEADLINE)
         account, slots = server.account, self._slots(server, now_s)
-        kind = WorkKind(room_weight(dispatch), dispatch.route_id)
+        kind = work_kind(dispatch)
         ticket.route_time_s = account.route_time_s(kind)
         if self.inherits_importance(dispatch.service):
             ticket.busy = BusySlots(self._slot_ends_s(server, now_s), slots)
--- a/balsamspindle/backend_servers/admission_decisions.py
+++ b/balsamspindle/backend_servers/admission_decisions.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from balsamspindle.backend_servers.cancellation import CancelToken
+from balsamspindle.backend_servers.inherited_weight import room_weight
 from balsamspindle.backend_servers.queue import QueueDecision, SlotQueue, Ticket
 from balsamspindle.backend_servers.servers import LocalBackendServer
 from balsamspindle.backend_servers.slots import WorkKind
@@ -17,6 +18,7 @@
     "expected_run_s",
     "make_ticket",
     "refusal",
+    "work_kind",
 ]
 
 
@@ -100,6 +102,12 @@
     return Refused(Reason.NO_FREE_SLOT, delay_ms)
 
 
+def work_kind(attempt: Dispatch | AdmissionQuery) -> WorkKind:
+    """Return the kind of work that an attempt is."""
+    is_call = attempt.importance is not None
+    return WorkKind(room_weight(attempt), attempt.route_id, is_call)
+
+
 def make_ticket(
     dispatch: Dispatch | AdmissionQuery, deadline_s: float, now_s: float
 ) -> Ticket:
--- a/balsamspindle/backend_servers/slots.py
+++ b/balsamspindle/backend_servers/slots.py
@@ -59,10 +59,13 @@
     ----------
     route_id : int
         Id of the route, whose requests have similar service times; 0 when unknown.
+    is_call : bool
+        Whether a run waits for the request's answer.
     """
 
     weight: float = 1.0
     route_id: int = 0
+    is_call: bool = False
 
 
 DEFAULT_KIND = WorkKind()
@@ -91,6 +94,7 @@
         self._running = 0
         self._running_by_weight: Counter[float] = Counter()
         self._loads = DecayingSums(LOAD_AVERAGING_S)
+        self._call_loads = DecayingSums(LOAD_AVERAGING_S)
         # By weight, when the last run ended.
         self._last_ends_s: dict[float, float] = {}
         self._route_time_s: dict[int, float] = {}
@@ -112,15 +116,17 @@
         their answers. Therefore the slots that heavier requests occupy on average are
         reserved for heavier requests, up to half of all slots.
         """
-        reserved = min(self._heavier_slots(weight, now_s), slots // 2)
+        reserved = min(_average_slots(self._loads, weight, now_s), slots // 2)
         return max(0, reserved - self._running_heavier(weight))
 
     def reserved_while_used(self, kind: WorkKind, slots: int, now_s: float) -> int:
         """Return how many free slots a request must leave to heavier ones that come.
 
-        Like `reserved_for_heavier`, but up to all slots except one, and only while
-        heavier requests use them: no slot is reserved `RESERVED_IDLE_MAX_S` after the
-        last run of a heavier request. Short requests leave no slot.
+        Like `reserved_for_heavier`, with three differences. For calls, up to all slots
+        except one are reserved, because the runs that wait for them are lost without
+        them. Slots are reserved only while heavier requests use them: none is reserved
+        `RESERVED_IDLE_MAX_S` after the last run of a heavier request. Short requests
+        leave no slot.
         """
         if 0 < self.route_time_s(kind) <= SHORT_RUN_FRACTION * self._longest_time_s():
             return 0
@@ -135,14 +141,11 @@
         )
         if not running and now_s - last_end_s > RESERVED_IDLE_MAX_S:
             return 0
-        reserved = min(self._heavier_slots(kind.weight, now_s), slots - 1)
+        for_all = _average_slots(self._loads, kind.weight, now_s)
+        for_calls = _average_slots(self._call_loads, kind.weight, now_s)
+        reserved = max(min(for_all, slots // 2), min(for_calls, slots - 1))
         return max(0, reserved - running)
 
-    def _heavier_slots(self, weight: float, now_s: float) -> int:
-        """Return the average number of slots that heavier requests occupy, rounded."""
-        load = self._loads.heavier_than(weight, now_s) / LOAD_AVERAGING_S
-        return int(load + LOAD_ROUNDING)
-
     def _running_heavier(self, weight: float) -> int:
         return sum(
             count for other, count in self._running_by_weight.items() if other > weight
@@ -190,6 +193,8 @@
         if not self._running_by_weight[kind.weight]:
             del self._running_by_weight[kind.weight]
         self._loads.add(kind.weight, ran_s, now_s)
+        if kind.is_call:
+            self._call_loads.add(kind.weight, ran_s, now_s)
         self._record_end(kind.weight, now_s)
         match end:
             case WorkEnd.IN_DOUBT:
@@ -232,6 +237,11 @@
         return min(self._delayed_releases_s, default=math.inf)
 
 
+def _average_slots(loads: DecayingSums, weight: float, now_s: float) -> int:
+    """Return the average number of slots that heavier requests occupy, rounded."""
+    return int(loads.heavier_than(weight, now_s) / LOAD_AVERAGING_S + LOAD_ROUNDING)
+
+
 def ramped_slots(slots: int, age_s: float, cold_start_s: float) -> int:
     """Return how many slots may be used at a backend server of this age.
 
--- a/tests/test_reserved_room.py
+++ b/tests/test_reserved_room.py
@@ -12,7 +12,7 @@
     WorkKind,
 )
 
-UPLOAD, CALL = WorkKind(0.3, 1), WorkKind(0.5, 2)
+UPLOAD, CALL = WorkKind(0.3, 1), WorkKind(0.5, 2, is_call=True)
 RUN_S = {UPLOAD: 0.6, CALL: 0.12}
 SLOTS = 3
 DURATION_S, STEP_S = 60.0, 0.01
@@ -94,6 +94,16 @@
         self.assertEqual(0, account.reserved_while_used(CALL, SLOTS, 1.0))
         self.assertGreater(account.reserved_while_used(UPLOAD, SLOTS, 1.0), 0)
 
+    def test_requests_that_no_run_waits_for_are_left_half_of_the_slots(self):
+        # Guards against lookups that get one slot in three because more urgent orders,
+        # which nobody else waits for, use a little more than one.
+        account = SlotAccount()
+        order = WorkKind(0.9, 3)
+        for _ in range(100):
+            account.acquire(order)
+            account.release(WorkEnd.ANSWERED, 0.12, 1.0, order)
+        self.assertEqual(SLOTS // 2, account.reserved_while_used(UPLOAD, SLOTS, 1.0))
+
     def test_one_slot_is_always_left_to_lighter_requests(self):
         account = SlotAccount()
         for _ in range(100):
