Log by which settings and proof each key is accepted

Callers saw requests with a revoked key run later than the bound, and no log could say why: request_ended carries the revision at a request's end, and neither the proof nor its age were in any event. key_accepted has the revision in which the key was looked up, the proof's revision, its age, and whether this node or a peer read the store. The three hypotheses of the incident differ in these fields: a proof newer than the settings, a peer's proof right after a start, or a small age on a machine that was suspended.

What is decided does not change: the proof is read where it was read before.

--- a/balsamspindle/customers/__init__.py
+++ b/balsamspindle/customers/__init__.py
@@ -9,6 +9,11 @@
 are new enough, and `proofs.py` gets these proofs from the store and from other nodes.
 """
 
-from balsamspindle.customers.admission import Admitted, CustomerAdmission, Refused
+from balsamspindle.customers.admission import (
+    Admitted,
+    CustomerAdmission,
+    KeyCheck,
+    Refused,
+)
 
-__all__ = ["Admitted", "CustomerAdmission", "Refused"]
+__all__ = ["Admitted", "CustomerAdmission", "KeyCheck", "Refused"]
--- a/balsamspindle/customers/admission.py
+++ b/balsamspindle/customers/admission.py
@@ -8,19 +8,37 @@
 import msgspec
 
 from balsamspindle.customers.buckets import Denial
-from balsamspindle.customers.freshness import Freshness
+from balsamspindle.customers.freshness import Freshness, Proof
 from balsamspindle.customers.limits import Grant, Limiter
 from balsamspindle.protocol.outcomes import Reason
 from balsamspindle.settings.configuration import Configuration, CurrentConfiguration
 from balsamspindle.settings.documents import CustomerDocument, RouteDocument
 
-__all__ = ["Admitted", "CustomerAdmission", "Refused", "identify"]
+__all__ = ["Admitted", "CustomerAdmission", "KeyCheck", "Refused", "identify"]
 
 # Where routes are ordered within customers, the most that a route adds to the weight of
 # a request. It is smaller than the differences between the weights of customers.
 ROUTE_ORDER_MAX = 0.001
 
 
+class KeyCheck(NamedTuple):
+    """What the decision on a request's key is based on.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the configuration in which the key was looked up.
+    proof : Proof or None
+        None if keys are used without a proof.
+    proof_age_s : float
+        Age of the proof at the decision; 0 without a proof.
+    """
+
+    revision: int
+    proof: Proof | None = None
+    proof_age_s: float = 0.0
+
+
 class Admitted(NamedTuple):
     """An admitted request: its customer and its route.
 
@@ -33,11 +51,14 @@
     grant : Grant or None
         Permission to run the request within the customer's limit; None if limits were
         not checked.
+    key_check : KeyCheck or None
+        None for a request that was admitted without a valid key.
     """
 
     customer: CustomerDocument | None
     route: RouteDocument
     grant: Grant | None = None
+    key_check: KeyCheck | None = None
 
     @property
     def name(self) -> str:
@@ -142,14 +163,27 @@
         Blocks while nodes that grant the customer's requests are queried.
         """
         configuration = self._configuration.get()
-        is_fresh = self._freshness.is_fresh(configuration.revision, now_s)
+        proof = self._freshness.usable_proof(configuration.revision)
+        is_fresh = self._freshness.is_young(proof, now_s)
         identified = identify(configuration, route, key_digest, is_fresh)
         match identified:
-            case Admitted(customer=CustomerDocument() as customer) if self._limiter:
-                acquired = self._limiter.acquire(customer, configuration.revision)
-                return _apply_limit(identified, acquired)
+            case Admitted(customer=CustomerDocument() as customer):
+                check = KeyCheck(configuration.revision)
+                if self._freshness.requires_proof:
+                    check = check._replace(
+                        proof=proof, proof_age_s=now_s - proof.began_s
+                    )
+                return self._limit(identified._replace(key_check=check), customer)
         return identified
 
+    def _limit(
+        self, admitted: Admitted, customer: CustomerDocument
+    ) -> Admitted | Refused:
+        if self._limiter is None:
+            return admitted
+        acquired = self._limiter.acquire(customer, admitted.key_check.revision)
+        return _apply_limit(admitted, acquired)
+
     def refund(self, admitted: Admitted) -> None:
         """Give back the grant of a request that did not run, to the granting node."""
         if self._limiter is not None and admitted.grant is not None:
--- a/balsamspindle/customers/freshness.py
+++ b/balsamspindle/customers/freshness.py
@@ -22,10 +22,14 @@
     ----------
     began_s : float
         When the read began, on this process's monotonic clock.
+    source : str
+        Member address of the peer that sent the proof; empty if this node read the
+        store.
     """
 
     began_s: float
     revision: int
+    source: str = ""
 
 
 _NO_PROOF = Proof(float("-inf"), -1)
@@ -83,9 +87,11 @@
         True if the newest usable proof is younger than `age_max_s`, or if keys are used
         without a proof.
         """
-        if self._age_max_s is None:
-            return True
-        return now_s - self.usable_proof(own_revision).began_s < self._age_max_s
+        return self.is_young(self.usable_proof(own_revision), now_s)
+
+    def is_young(self, proof: Proof, now_s: float) -> bool:
+        """Return whether keys may be used by a proof, or without one."""
+        return self._age_max_s is None or now_s - proof.began_s < self._age_max_s
 
     def _update_usable(self, own_revision: int) -> None:
         if self._newest.revision <= own_revision:
--- a/balsamspindle/customers/proofs.py
+++ b/balsamspindle/customers/proofs.py
@@ -177,7 +177,8 @@
             self._answer_count += question is not None
         if question is not None and answer.revision >= 0:
             began_s = question.sent_s - max(0.0, answer.age_ms) / 1000
-            is_newer = self._record_proof(Proof(began_s, answer.revision))
+            proof = Proof(began_s, answer.revision, question.address)
+            is_newer = self._record_proof(proof)
             with self._lock:
                 self._preferred_address = question.address if is_newer else None
 
--- a/balsamspindle/requests/admissions.py
+++ b/balsamspindle/requests/admissions.py
@@ -4,9 +4,10 @@
 Refused requests do not count against their customers' limits.
 """
 
-from balsamspindle.customers import Admitted, CustomerAdmission, Refused
+from balsamspindle.customers import Admitted, CustomerAdmission, KeyCheck, Refused
 from balsamspindle.protocol.outcomes import Reason
 from balsamspindle.requests.http import CallerRequest
+from balsamspindle.requests.request_log import RequestLog
 from balsamspindle.settings.configuration import CurrentConfiguration
 from balsamspindle.settings.documents import RouteDocument
 from balsamspindle.settings.routes import MethodNotAllowed
@@ -20,25 +21,31 @@
     Parameters
     ----------
     customers : CustomerAdmission
+    log : RequestLog
     """
 
     def __init__(
-        self, configuration: CurrentConfiguration, customers: CustomerAdmission
+        self,
+        configuration: CurrentConfiguration,
+        customers: CustomerAdmission,
+        log: RequestLog,
     ) -> None:
         self._configuration = configuration
         self._customers = customers
+        self._log = log
 
-    def admit(self, request: CallerRequest, now_s: float) -> Admitted | Refused:
+    def admit(
+        self, request: CallerRequest, request_id: str, now_s: float
+    ) -> Admitted | Refused:
         """Admit a request and count it against its customer's limit, or refuse it.
 
-        The request's route and customer are determined first. This method may block for
-        a moment while it requests a grant from another node.
+        This method may block for a moment while it requests a grant from another node.
         """
-        match self._route(request):
-            case RouteDocument() as route:
-                return self._customers.admit(route, request.key_digest, now_s)
-            case refused:
-                return refused
+        decision = self._decide(request, now_s)
+        match decision:
+            case Admitted(key_check=KeyCheck() as key_check):
+                self._log.key_accepted(request_id, key_check)
+        return decision
 
     def refuse_on_head(self, request: CallerRequest, now_s: float) -> Refused | None:
         """Return why a request is refused before its body is read; None if it is not.
@@ -48,7 +55,7 @@
         heads arrive, the bodies of many counted requests could arrive at the same time.
         These requests would then run at the same time and together exceed the limit.
         """
-        match self.admit(request, now_s):
+        match self._decide(request, now_s):
             case Refused() as refused:
                 return refused
             case Admitted() as admitted:
@@ -59,6 +66,14 @@
         """Subtract an admitted request that did not run from its customer's count."""
         self._customers.refund(admitted)
 
+    def _decide(self, request: CallerRequest, now_s: float) -> Admitted | Refused:
+        """Determine a request's route first, then its customer."""
+        match self._route(request):
+            case RouteDocument() as route:
+                return self._customers.admit(route, request.key_digest, now_s)
+            case refused:
+                return refused
+
     def _route(self, request: CallerRequest) -> RouteDocument | Refused:
         configuration = self._configuration.get()
         if configuration is None:
--- a/balsamspindle/requests/ingress.py
+++ b/balsamspindle/requests/ingress.py
@@ -76,7 +76,8 @@
         customers: CustomerAdmission | None = None,
     ) -> None:
         customers = customers or CustomerAdmission(configuration)
-        self._admissions = Admissions(configuration, customers)
+        self._log = RequestLog(events, configuration)
+        self._admissions = Admissions(configuration, customers, self._log)
         self._on_failure = on_failure
         self._settings = settings
         self._caller_protocol = CallerProtocol(settings, configuration)
@@ -88,7 +89,6 @@
         self._forwarder = forwarder
         self._executor = executor
         self._events = events
-        self._log = RequestLog(events, configuration)
         self._ready_wait_end_s = 0.0
         self._is_ready: Callable[[], bool] = lambda: True
         self._leaving = threading.Event()
@@ -270,7 +270,8 @@
             self._write(caller, request_id, answer)
             return False
         self._wait_until_ready()
-        match refused or self._admissions.admit(request, time.monotonic()):
+        now_s = time.monotonic()
+        match refused or self._admissions.admit(request, request_id, now_s):
             case Refused() as refused:
                 answer = self._encode_refusal(request, request_id, refused)
             case Admitted() as admitted:
--- a/balsamspindle/requests/request_log.py
+++ b/balsamspindle/requests/request_log.py
@@ -2,6 +2,7 @@
 
 import time
 
+from balsamspindle.customers import KeyCheck
 from balsamspindle.protocol.outcomes import Outcome, Reason
 from balsamspindle.requests.http import CallerRequest
 from balsamspindle.settings.configuration import CurrentConfiguration
@@ -38,6 +39,18 @@
             content=f"{content_hash:016x}" if request.is_complete else None,
         )
 
+    def key_accepted(self, request_id: str, check: KeyCheck) -> None:
+        """Log by which settings, and by which proof, a request's key is accepted."""
+        proof = check.proof
+        self._events.emit(
+            "key_accepted",
+            request=request_id,
+            revision=check.revision,
+            proof_revision=proof and proof.revision,
+            proof_age_ms=proof and round(check.proof_age_s * 1000),
+            proof_source=proof and (proof.source or "store"),
+        )
+
     def ended(
         self,
         request_id: str,
--- a/tests/test_customer_keys.py
+++ b/tests/test_customer_keys.py
@@ -1,15 +1,18 @@
 """Identification of customers by key; keys are neither logged nor forwarded."""
 
 import json
+import time
 
 from testtools import TestCase
 
 from balsamspindle.backend_servers.dispatches import backend_server_headers
-from balsamspindle.customers.freshness import Freshness
+from balsamspindle.customers.freshness import Freshness, Proof
 from balsamspindle.platform.headers import HEADER_NAMES
 from balsamspindle.protocol.api_keys import key_digest
 from balsamspindle.protocol.header_names import HeaderNames
 from balsamspindle.protocol.outcomes import Execution
+from balsamspindle.timeline import parse_event
+from balsamspindle.timeline.line_budget import LINES_PER_S
 from balsamspindle.wire import AttemptId, Dispatch, encode
 from tests.caller_side import DOCUMENTS, IngressFixture
 
@@ -138,6 +141,52 @@
         self.assertIn("cause=key_unknown", output)
 
 
+class AcceptedKeyEventTests(TestCase):
+    def _accepted(self, fixture) -> list[dict[str, str]]:
+        lines = map(parse_event, fixture.logged().splitlines())
+        return [line for line in lines if line["event"] == "key_accepted"]
+
+    def test_the_log_shows_by_which_settings_and_proof_a_key_was_accepted(self):
+        freshness = Freshness(5.0)
+        fixture = IngressFixture(KEYED, freshness, headers=NAMES)
+        self.addCleanup(fixture.close)
+        freshness.record(Proof(time.monotonic() - 1.0, 1, "10.0.0.7:1"), 1)
+        request = get(f"X-Key: {KEY}", "X-Request-Id: request-12345678")
+        self.assertEqual(200, fixture.caller().send(request).read().status)
+        (line,) = self._accepted(fixture)
+        self.assertEqual("1", line["revision"])
+        self.assertEqual("1", line["proof_revision"])
+        self.assertEqual("10.0.0.7:1", line["proof_source"])
+        self.assertGreaterEqual(int(line["proof_age_ms"]), 1000)
+        (received,) = [
+            parse_event(text)
+            for text in fixture.logged().splitlines()
+            if "event=request_received" in text
+        ]
+        self.assertEqual(received["request"], line["request"])
+
+    def test_the_lines_of_accepted_keys_are_limited_under_load(self):
+        # Guards against a log that takes processor time from the requests.
+        fixture = IngressFixture(KEYED, headers=NAMES)
+        self.addCleanup(fixture.close)
+        caller = fixture.caller()
+        for _ in range(3 * LINES_PER_S):
+            self.assertEqual(200, caller.send(get(f"X-Key: {KEY}")).read().status)
+        seconds = {int(float(line["wall_s"])) for line in self._accepted(fixture)}
+        limit = LINES_PER_S * len(seconds)
+        self.assertLessEqual(len(self._accepted(fixture)), limit)
+
+    def test_requests_without_a_valid_key_have_no_line(self):
+        fixture = IngressFixture(KEYED, headers=NAMES)
+        self.addCleanup(fixture.close)
+        sign = b"POST /contracts HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+        self.assertEqual(200, fixture.caller().send(sign).read().status)
+        self.assertEqual(
+            401, fixture.caller().send(get("X-Key: k-never")).read().status
+        )
+        self.assertEqual([], self._accepted(fixture))
+
+
 class UnprovenKeysTests(TestCase):
     def test_without_a_proof_keys_are_refused_with_a_retry_time(self):
         # Guards against a 401 for a valid key, from a node whose settings may be too
