Failing tests: a decision on a request that mixes two revisions

A switch of the settings and its proof are placed after each read of the configuration in one decision. A third test shows a service of one revision with a customer that only the next one has.

Two tests hold what the mend may not cost: valid keys are accepted at each of these switches.

--- /dev/null
+++ b/tests/test_revoked_keys.py
@@ -0,0 +1,181 @@
+"""Settings and proofs that change while requests are admitted."""
+
+import json
+import threading
+from io import StringIO
+
+from testtools import TestCase
+
+from balsamspindle.customers import Admitted, CustomerAdmission
+from balsamspindle.customers.freshness import Freshness, Proof
+from balsamspindle.protocol.api_keys import key_digest
+from balsamspindle.requests.admissions import Admissions
+from balsamspindle.requests.caller_requests import CallerRequest
+from balsamspindle.requests.request_log import RequestLog
+from balsamspindle.settings.configuration import CurrentConfiguration
+from balsamspindle.timeline import EventLog, HybridClock
+from tests.test_customer_keys import KEY, KEYED, OTHER_KEY, customer
+
+AGE_MAX_S = 5.0
+OLD_S, NOW_S = 100.0, 109.0
+# Reads of the configuration in one decision; more than any version makes.
+READS_MAX = 6
+# Time for which a read waits for the change that runs beside it. A change that needs a
+# lock of the decision ends after it.
+CHANGE_WAIT_S = 0.1
+WORKERS, SWITCHES = 16, 40
+REVOKED = {**KEYED, "crew/customers/anna": customer("Anna")}
+REQUEST = CallerRequest("GET", "/contracts/7", key_digest=key_digest(KEY))
+
+
+class ChangingConfiguration(CurrentConfiguration):
+    """Makes a change in another thread right after one of its reads.
+
+    Attributes
+    ----------
+    reads_left : int
+        Number of reads up to the change.
+    change : callable
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.reads_left = 0
+        self.change = lambda: None
+
+    def get(self):
+        configuration = super().get()
+        if self.reads_left:
+            self.reads_left -= 1
+            if not self.reads_left:
+                change = threading.Thread(target=self.change)
+                change.start()
+                change.join(CHANGE_WAIT_S)
+        return configuration
+
+
+class World:
+    """The admissions of one node, which has revision 1 in force."""
+
+    def __init__(self, configuration: CurrentConfiguration | None = None) -> None:
+        self.configuration = configuration or CurrentConfiguration()
+        self.configuration.offer(1, KEYED)
+        self.freshness = Freshness(AGE_MAX_S)
+        events = EventLog("node", 1, HybridClock(), StringIO())
+        self.admissions = Admissions(
+            self.configuration,
+            CustomerAdmission(self.configuration, self.freshness),
+            RequestLog(events, self.configuration),
+        )
+
+    def prove(self, began_s: float, revision: int) -> None:
+        """Record a proof."""
+        self.freshness.record(Proof(began_s, revision), self.configuration.revision)
+
+    def switch(self, documents: dict[str, bytes], began_s: float = NOW_S) -> None:
+        """Put revision 2 in force and record its proof."""
+        self.configuration.offer(2, documents)
+        self.prove(began_s, 2)
+
+    def admit(self, request: CallerRequest = REQUEST):
+        """Decide on a request that arrives now."""
+        return self.admissions.admit(request, "r", NOW_S)
+
+
+class SwitchDuringDecisionTests(TestCase):
+    def _decisions(self, documents, proven_s, request=REQUEST):
+        """Return one decision for each read at which the switch can fall."""
+        for reads in range(1, READS_MAX + 1):
+            configuration = ChangingConfiguration()
+            world = World(configuration)
+            world.prove(proven_s, 1)
+            configuration.change = lambda world=world: world.switch(documents)
+            configuration.reads_left = reads
+            yield world.admit(request)
+
+    def test_a_proof_of_newer_settings_does_not_prolong_the_use_of_a_revoked_key(self):
+        # Guards against a decision by old settings and by the proof of newer ones.
+        for decision in self._decisions(REVOKED, OLD_S):
+            self.assertNotIsInstance(decision, Admitted)
+
+    def test_a_valid_key_is_accepted_while_settings_change(self):
+        # Guards against refusals by a node whose proofs are new enough all the time.
+        for decision in self._decisions(KEYED, NOW_S - 1):
+            self.assertIsInstance(decision, Admitted)
+
+
+class ManyRequestsTests(TestCase):
+    def _count_admitted(self, documents, proven_s: float) -> tuple[int, int]:
+        """Return how many decisions beside the switches admitted, and their number."""
+        admitted = decided = 0
+        for _ in range(SWITCHES):
+            world, ended = World(), threading.Event()
+            world.prove(proven_s, 1)
+            counts: list[tuple[int, int]] = []
+            workers = [
+                threading.Thread(target=_admit_until, args=(world, ended, counts))
+                for _ in range(WORKERS)
+            ]
+            for worker in workers:
+                worker.start()
+            world.switch(documents)
+            ended.set()
+            for worker in workers:
+                worker.join()
+            admitted += sum(count for count, _ in counts)
+            decided += sum(count for _, count in counts)
+        return admitted, decided
+
+    def test_no_request_with_a_revoked_key_is_admitted_as_a_node_is_in_touch_again(
+        self,
+    ):
+        # Guards against the same fault where only the interpreter switches threads.
+        admitted, decided = self._count_admitted(REVOKED, OLD_S)
+        self.assertEqual(0, admitted, f"of {decided} requests")
+
+    def test_no_request_with_a_valid_key_is_refused_as_settings_change(self):
+        admitted, decided = self._count_admitted(KEYED, NOW_S - 1)
+        self.assertEqual(decided, admitted)
+
+
+def _admit_until(
+    world: World, ended: threading.Event, counts: list[tuple[int, int]]
+) -> None:
+    admitted = decided = 0
+    while True:
+        is_last = ended.is_set()
+        decided += 1
+        admitted += isinstance(world.admit(), Admitted)
+        if is_last:
+            break
+    counts.append((admitted, decided))
+
+
+class OneConfigurationTests(TestCase):
+    def test_route_and_customer_of_a_request_come_from_the_same_settings(self):
+        # Guards against a service and a customer together that no settings allow.
+        moved = {
+            **json.loads(KEYED["crew/routes/read"]),
+            "service": "crew/next",
+        }
+        before = {**KEYED, "crew/customers/ben": customer("Ben")}
+        after = {
+            **KEYED,
+            "crew/services/next": b"{}",
+            "crew/routes/read": json.dumps(moved).encode(),
+        }
+        request = CallerRequest("GET", "/contracts/7", key_digest=key_digest(OTHER_KEY))
+        for reads in range(1, READS_MAX + 1):
+            configuration = ChangingConfiguration()
+            world = World(configuration)
+            world.configuration.offer(2, before)
+            world.prove(NOW_S - 1, 2)
+
+            def change(world=world):
+                world.configuration.offer(3, after)
+                world.prove(NOW_S, 3)
+
+            configuration.change, configuration.reads_left = change, reads
+            match world.admit(request):
+                case Admitted(route=route):
+                    self.assertEqual("crew/next", route.service)
