Read the settings and the proof that covers them at one moment

Callers saw requests with a revoked key run later than the bound. Admission took the configuration in force, then asked for the newest proof. Where a newer revision and its proof came in force between the two, the proof made the older configuration seem fresh, in which the key was still valid. So a node that had no proof for longer than the bound accepted a few revoked keys at the moment in which it was in touch again.

Freshness now reads both under one lock and returns them as a ProvenConfiguration; nothing else answers whether a bare revision is fresh, so no caller can pair a revision with a proof of another. The revision in force never decreases, so a proof that was usable at an earlier read covers every later configuration. Weighed: comparing the proof's revision as well, and deciding again when it is newer. This needs a bound on the repeats, and leaves both reads to each caller.

--- a/balsamspindle/customers/admission.py
+++ b/balsamspindle/customers/admission.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from balsamspindle.customers.buckets import Denial
-from balsamspindle.customers.freshness import Freshness, Proof
+from balsamspindle.customers.freshness import Freshness, Proof, ProvenConfiguration
 from balsamspindle.customers.limits import Grant, Limiter
 from balsamspindle.protocol.outcomes import Reason
 from balsamspindle.settings.configuration import Configuration, CurrentConfiguration
@@ -151,8 +151,7 @@
         freshness: Freshness | None = None,
         limiter: Limiter | None = None,
     ) -> None:
-        self._configuration = configuration
-        self._freshness = freshness or Freshness(None)
+        self._freshness = freshness or Freshness(None, configuration)
         self._limiter = limiter
 
     def admit(
@@ -162,20 +161,20 @@
 
         Blocks while nodes that grant the customer's requests are queried.
         """
-        configuration = self._configuration.get()
-        proof = self._freshness.usable_proof(configuration.revision)
-        is_fresh = self._freshness.is_young(proof, now_s)
-        identified = identify(configuration, route, key_digest, is_fresh)
+        proven = self._freshness.proven()
+        is_fresh = self._freshness.is_fresh(proven, now_s)
+        identified = identify(proven.configuration, route, key_digest, is_fresh)
         match identified:
             case Admitted(customer=CustomerDocument() as customer):
-                check = KeyCheck(configuration.revision)
-                if self._freshness.requires_proof:
-                    check = check._replace(
-                        proof=proof, proof_age_s=now_s - proof.began_s
-                    )
+                check = self._key_check(proven, now_s)
                 return self._limit(identified._replace(key_check=check), customer)
         return identified
 
+    def _key_check(self, proven: ProvenConfiguration, now_s: float) -> KeyCheck:
+        if not self._freshness.requires_proof:
+            return KeyCheck(proven.revision)
+        return KeyCheck(proven.revision, proven.proof, proven.age_s(now_s))
+
     def _limit(
         self, admitted: Admitted, customer: CustomerDocument
     ) -> Admitted | Refused:
--- a/balsamspindle/customers/freshness.py
+++ b/balsamspindle/customers/freshness.py
@@ -12,7 +12,9 @@
 import threading
 from typing import NamedTuple
 
-__all__ = ["Freshness", "Proof"]
+from balsamspindle.settings.configuration import Configuration, CurrentConfiguration
+
+__all__ = ["Freshness", "Proof", "ProvenConfiguration"]
 
 
 class Proof(NamedTuple):
@@ -32,7 +34,34 @@
     source: str = ""
 
 
-_NO_PROOF = Proof(float("-inf"), -1)
+NO_PROOF = Proof(float("-inf"), -1)
+
+
+class ProvenConfiguration(NamedTuple):
+    """The configuration in force with the newest proof that covers it.
+
+    Both are read at one moment. A request whose key is looked up in one configuration
+    and accepted by the proof of another could use a key that is revoked.
+
+    Attributes
+    ----------
+    configuration : Configuration or None
+        None if none is in force yet.
+    proof : Proof
+        Its revision is that of the configuration or an older one; -1 without a proof.
+    """
+
+    configuration: Configuration | None
+    proof: Proof
+
+    @property
+    def revision(self) -> int:
+        """Revision of the configuration; -1 if there is none."""
+        return -1 if self.configuration is None else self.configuration.revision
+
+    def age_s(self, now_s: float) -> float:
+        """Return the age of the proof; infinite without a proof."""
+        return now_s - self.proof.began_s
 
 
 class Freshness:
@@ -48,51 +77,46 @@
         Age at which a proof expires; None if keys are used without a proof.
     """
 
-    def __init__(self, age_max_s: float | None) -> None:
+    def __init__(
+        self, age_max_s: float | None, configuration: CurrentConfiguration
+    ) -> None:
         self._age_max_s = age_max_s
+        self._configuration = configuration
         self._lock = threading.Lock()
-        self._newest = _NO_PROOF
+        self._newest = NO_PROOF
         # The newest proof that was usable when it was last compared with the revision
         # in force at this node.
-        self._usable = _NO_PROOF
+        self._usable = NO_PROOF
 
     @property
     def requires_proof(self) -> bool:
         """Whether keys are used only with a proof."""
         return self._age_max_s is not None
 
-    def record(self, proof: Proof, own_revision: int) -> None:
-        """Store a proof if its read began later than that of the newest proof.
-
-        Parameters
-        ----------
-        own_revision : int
-            The revision in force at this node.
-        """
+    def record(self, proof: Proof) -> None:
+        """Store a proof if its read began later than that of the newest proof."""
         with self._lock:
-            self._update_usable(own_revision)
+            self._read_proven()
             if proof.began_s > self._newest.began_s:
                 self._newest = proof
-            self._update_usable(own_revision)
 
-    def usable_proof(self, own_revision: int) -> Proof:
-        """Return the newest usable proof; its revision is -1 if there is none."""
+    def proven(self) -> ProvenConfiguration:
+        """Return the configuration in force and its newest usable proof."""
         with self._lock:
-            self._update_usable(own_revision)
-            return self._usable
+            return self._read_proven()
 
-    def is_fresh(self, own_revision: int, now_s: float) -> bool:
-        """Return whether keys may be used now.
+    def is_fresh(self, proven: ProvenConfiguration, now_s: float) -> bool:
+        """Return whether keys of a configuration may be used now.
 
-        True if the newest usable proof is younger than `age_max_s`, or if keys are used
-        without a proof.
+        True if its proof is younger than `age_max_s`, or if keys are used without a
+        proof.
         """
-        return self.is_young(self.usable_proof(own_revision), now_s)
-
-    def is_young(self, proof: Proof, now_s: float) -> bool:
-        """Return whether keys may be used by a proof, or without one."""
-        return self._age_max_s is None or now_s - proof.began_s < self._age_max_s
+        return self._age_max_s is None or proven.age_s(now_s) < self._age_max_s
 
-    def _update_usable(self, own_revision: int) -> None:
-        if self._newest.revision <= own_revision:
+    def _read_proven(self) -> ProvenConfiguration:
+        # The lock is held from here to the comparison, and the revision in force never
+        # decreases. So a proof that was usable before covers this configuration, too.
+        proven = ProvenConfiguration(self._configuration.get(), self._usable)
+        if self._newest.revision <= proven.revision:
             self._usable = self._newest
+        return proven._replace(proof=self._usable)
--- a/balsamspindle/node/customer_parts.py
+++ b/balsamspindle/node/customer_parts.py
@@ -86,8 +86,7 @@
         links: LinkPool,
         link_server: LinkServer,
     ) -> None:
-        self._configuration = configuration
-        self._freshness = Freshness(settings.key_proof_max_age_s)
+        self._freshness = Freshness(settings.key_proof_max_age_s, configuration)
         policy = LimitPolicy(
             settings.availability_zones,
             settings.limit_window_s,
@@ -109,7 +108,6 @@
             own,
             directory,
             self._freshness,
-            configuration,
             events,
             renew_proof,
             member.send,
@@ -127,12 +125,12 @@
 
     def is_ready(self, now_s: float) -> bool:
         """Return whether customers' requests can be admitted."""
-        configuration = self._configuration.get()
-        if configuration is None:
+        proven = self._freshness.proven()
+        if proven.configuration is None:
             return False
-        if configuration.limits_customers and not self._limiter.is_ready(now_s):
+        if proven.configuration.limits_customers and not self._limiter.is_ready(now_s):
             return False
-        return self._freshness.is_fresh(configuration.revision, now_s)
+        return self._freshness.is_fresh(proven, now_s)
 
     def refresh(self, now_s: float) -> None:
         """Update the limiter; called about once a second."""
