Number questions about proofs differently in each process

A node could accept a revoked key later than the bound after a restart. Each process counted its questions to peers from 1, and an answer was matched by the number alone. An answer that waited in a peer's socket while the node was restarted at the same address has the number of a new question, and the proof's age then counted from that later question: the time for which the answer had waited was lost. Not seen by callers; found by reading and by the failing test.

The first number is now random in 62 bits, so two processes share no number. Old and new processes understand each other, as a peer only returns the number.

--- a/balsamspindle/customers/proofs.py
+++ b/balsamspindle/customers/proofs.py
@@ -10,6 +10,7 @@
 import itertools
 import math
 import random
+import secrets
 import threading
 import time
 from collections.abc import Callable
@@ -49,6 +50,7 @@
 # so the interval rises to the maximum after a single read.
 OWN_READ_INTERVAL_S, OWN_READ_INTERVAL_MAX_S = 1.0, 8.0
 OPEN_QUESTIONS_MAX = 16
+NUMBER_START_BITS = 62
 
 
 class ProofQuestion(msgspec.Struct, array_like=True, tag="proof_ask", frozen=True):
@@ -117,7 +119,9 @@
         self._clock = clock
         self._random = random.Random(f"{own.node_id}/{own.incarnation}/proofs")
         self._stopped = threading.Event()
-        self._numbers = itertools.count(1)
+        # An answer to a question of an earlier process at this address may still
+        # arrive, so the numbers of two processes must differ.
+        self._numbers = itertools.count(secrets.randbits(NUMBER_START_BITS))
         self._lock = threading.Lock()
         self._open_questions: dict[int, _OpenQuestion] = {}
         self._next_question_s = 0.0
--- a/tests/test_key_proofs.py
+++ b/tests/test_key_proofs.py
@@ -8,6 +8,7 @@
 
 from balsamspindle.customers.freshness import Freshness, Proof
 from balsamspindle.customers.proofs import (
+    OPEN_QUESTIONS_MAX,
     QUERY_AT_AGE_S,
     ProofAnswer,
     ProofQuestion,
@@ -294,6 +295,22 @@
         self.assertFalse(other.is_fresh())
         self.assertTrue(reader.is_fresh())
 
+    def test_an_answer_to_an_earlier_process_at_the_same_address_is_ignored(self):
+        # Guards against an age that counts from a question which was sent after the
+        # answer: the answer waited in the peer's socket while the node was restarted.
+        fleet = Fleet(2, zones=1)
+        reader, before = fleet.nodes.values()
+        reader.refresher.record_read(fleet.now_s, 1)
+        before.refresher.send_question(reader.address, fleet.now_s)
+        reader.handle(fleet.in_flight.pop()[3])
+        answer = fleet.in_flight.pop()[3]
+        fleet.now_s += AGE_MAX_S + 1
+        after = Node(fleet, before.record)
+        for _ in range(OPEN_QUESTIONS_MAX):
+            after.refresher.send_question(reader.address, fleet.now_s)
+        after.handle(answer)
+        self.assertFalse(after.is_fresh())
+
     def test_an_answer_that_arrives_twice_counts_once(self):
         fleet = Fleet(2, zones=1)
         reader, other = fleet.nodes.values()
