--- a/balsamspindle/requests/ingress.py
+++ b/balsamspindle/requests/ingress.py
@@ -22,6 +22,7 @@
 from balsamspindle.requests.http import CallerRequest, HttpConnection
 from balsamspindle.requests.request_log import RequestLog, elapsed_ms
 from balsamspindle.requests.siblings import SiblingRanks
+from balsamspindle.requests.start_wait import READY_POLL_S, StartWait
 from balsamspindle.services.shares import ServiceShares
 from balsamspindle.settings.configuration import CurrentConfiguration
 from balsamspindle.settings.process import NodeSettings
@@ -32,7 +33,6 @@
 ACCEPT_POLL_S = 0.2
 ACCEPT_FAILED_PAUSE_S = 0.05
 BACKLOG = 512
-READY_POLL_S = 0.02
 # After a stopping node has closed its listener, it waits this long for the first
 # request on each connection that has not received any.
 FIRST_REQUEST_TIMEOUT_S = 1.0
@@ -89,8 +89,7 @@
         self._forwarder = forwarder
         self._executor = executor
         self._events = events
-        self._ready_wait_end_s = 0.0
-        self._is_ready: Callable[[], bool] = lambda: True
+        self._start_wait = StartWait()
         self._leaving = threading.Event()
         self._stopped = threading.Event()
         self._accepting = threading.Event()
@@ -118,8 +117,7 @@
             although other nodes can serve the requests.
         """
         listen_by_s = time.monotonic() + self._settings.start_wait_s
-        self._ready_wait_end_s = time.monotonic() + self._settings.start_hold_s
-        self._is_ready = ready
+        self._start_wait.begin(ready, time.monotonic() + self._settings.start_hold_s)
         while not (
             ready() or time.monotonic() >= listen_by_s or self._stopped.is_set()
         ):
@@ -232,7 +230,7 @@
         request = caller.read_head()
         if request is None or request.is_complete:
             return request, None
-        self._wait_until_ready()
+        self._start_wait.wait()
         refused = self._admissions.refuse_on_head(request, time.monotonic())
         if refused is not None:
             return request, refused
@@ -269,7 +267,7 @@
             answer = self._encode_refusal(request, request_id, stopping)
             self._write(caller, request_id, answer)
             return False
-        self._wait_until_ready()
+        self._start_wait.wait()
         now_s = time.monotonic()
         match refused or self._admissions.admit(request, request_id, now_s):
             case Refused() as refused:
@@ -284,11 +282,6 @@
         self._write(caller, request_id, answer)
         return request.keep_alive
 
-    def _wait_until_ready(self) -> None:
-        """Wait until backend servers are known, at most until `_ready_wait_end_s`."""
-        while time.monotonic() < self._ready_wait_end_s and not self._is_ready():
-            time.sleep(READY_POLL_S)
-
     def _decide_keep_alive(self, request: CallerRequest) -> bool:
         """Return whether the connection stays open; update `request.keep_alive`.
 
