Count the age of proofs while the machine is suspended

A key that is revoked while a machine is suspended would be accepted there for up to the bound after it resumes. Proofs were dated by the monotonic clock, which stops during a suspension, so settings that were read before it seemed new.

Reads of the store, questions to peers, and the time at which a key is looked up now use proof_time_s, which reads CLOCK_BOOTTIME. Readiness to admit takes both clocks, since limits stay on the monotonic one, and returns the one configuration that it decided by.

--- a/balsamspindle/customers/admission.py
+++ b/balsamspindle/customers/admission.py
@@ -173,6 +173,8 @@
         ----------
         proven : ProvenConfiguration
             The configuration that contains the route.
+        now_s : float
+            Present time on the clock of `proof_time_s`.
         """
         is_fresh = self._freshness.is_fresh(proven, now_s)
         identified = identify(proven.configuration, route, key_digest, is_fresh)
--- a/balsamspindle/customers/freshness.py
+++ b/balsamspindle/customers/freshness.py
@@ -23,7 +23,7 @@
     Attributes
     ----------
     began_s : float
-        When the read began, on this process's monotonic clock.
+        When the read began, on the clock of `proof_time_s`.
     source : str
         Member address of the peer that sent the proof; empty if this node read the
         store.
@@ -60,7 +60,13 @@
         return -1 if self.configuration is None else self.configuration.revision
 
     def age_s(self, now_s: float) -> float:
-        """Return the age of the proof; infinite without a proof."""
+        """Return the age of the proof; infinite without a proof.
+
+        Parameters
+        ----------
+        now_s : float
+            Present time on the clock of `proof_time_s`.
+        """
         return now_s - self.proof.began_s
 
 
--- a/balsamspindle/customers/proofs.py
+++ b/balsamspindle/customers/proofs.py
@@ -12,7 +12,6 @@
 import random
 import secrets
 import threading
-import time
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -21,6 +20,7 @@
 from balsamspindle.customers.freshness import Freshness, Proof
 from balsamspindle.membership.directory import Directory
 from balsamspindle.settings.reader import is_reader, select_readers
+from balsamspindle.tables.proof_clock import proof_time_s
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import NodeRecord
 
@@ -108,7 +108,7 @@
         events: EventLog,
         read: Callable[[], None],
         send: Callable[[str, msgspec.Struct], None],
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = proof_time_s,
     ) -> None:
         self._own = own
         self._directory = directory
--- a/balsamspindle/node/customer_parts.py
+++ b/balsamspindle/node/customer_parts.py
@@ -12,7 +12,7 @@
 from balsamspindle.membership import Directory, Member
 from balsamspindle.protocol.outcomes import Execution
 from balsamspindle.requests.links import Link, LinkPool
-from balsamspindle.settings.configuration import CurrentConfiguration
+from balsamspindle.settings.configuration import Configuration, CurrentConfiguration
 from balsamspindle.settings.process import NodeSettings
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import NodeRecord
@@ -123,14 +123,23 @@
         """Record the start time of a read of the store and the revision it returned."""
         self._proofs.record_read(began_s, revision)
 
-    def is_ready(self, now_s: float) -> bool:
-        """Return whether customers' requests can be admitted."""
+    def ready_configuration(
+        self, now_s: float, proof_now_s: float
+    ) -> Configuration | None:
+        """Return the configuration in force; None if requests can't be admitted by it.
+
+        Parameters
+        ----------
+        now_s, proof_now_s : float
+            Present time on the monotonic clock and on the clock of `proof_time_s`.
+        """
         proven = self._freshness.proven()
-        if proven.configuration is None:
-            return False
-        if proven.configuration.limits_customers and not self._limiter.is_ready(now_s):
-            return False
-        return self._freshness.is_fresh(proven, now_s)
+        configuration = proven.configuration
+        if configuration is None or not self._freshness.is_fresh(proven, proof_now_s):
+            return None
+        if configuration.limits_customers and not self._limiter.is_ready(now_s):
+            return None
+        return configuration
 
     def refresh(self, now_s: float) -> None:
         """Update the limiter; called about once a second."""
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -35,6 +35,7 @@
 from balsamspindle.settings.configuration import CurrentConfiguration
 from balsamspindle.settings.documents import ServiceDocument
 from balsamspindle.settings.process import NodeSettings
+from balsamspindle.tables.proof_clock import proof_time_s
 from balsamspindle.timeline import EventLog, HybridClock
 from balsamspindle.wire import NodeRecord, SuspectHint
 from balsamspindle.wire.security import start_authenticator
@@ -207,10 +208,11 @@
 
     def _can_serve(self) -> bool:
         """Return whether requests can be admitted and each service has a gate."""
-        configuration = self._configuration.get()
-        if configuration is None or not self._customer_parts.is_ready(time.monotonic()):
-            return False
-        return all(map(self._directory.placements, configuration.services))
+        now_s, proof_now_s = time.monotonic(), proof_time_s()
+        configuration = self._customer_parts.ready_configuration(now_s, proof_now_s)
+        return configuration is not None and all(
+            map(self._directory.placements, configuration.services)
+        )
 
     def _run_task(self, task) -> None:
         """Run a task; if it fails, stop the whole process."""
--- a/balsamspindle/requests/admissions.py
+++ b/balsamspindle/requests/admissions.py
@@ -18,6 +18,8 @@
 class Admissions:
     """Admits or refuses the requests of one node's callers.
 
+    The present time is given on the clock of `proof_time_s`.
+
     Parameters
     ----------
     customers : CustomerAdmission
--- a/balsamspindle/requests/ingress.py
+++ b/balsamspindle/requests/ingress.py
@@ -26,6 +26,7 @@
 from balsamspindle.services.shares import ServiceShares
 from balsamspindle.settings.configuration import CurrentConfiguration
 from balsamspindle.settings.process import NodeSettings
+from balsamspindle.tables.proof_clock import proof_time_s
 from balsamspindle.timeline import EventLog, submit_logged
 
 __all__ = ["IDEMPOTENCY_KEY_HEADER", "Ingress"]
@@ -231,7 +232,7 @@
         if request is None or request.is_complete:
             return request, None
         self._start_wait.wait()
-        refused = self._admissions.refuse_on_head(request, time.monotonic())
+        refused = self._admissions.refuse_on_head(request, proof_time_s())
         if refused is not None:
             return request, refused
         return caller.read_body(), None
@@ -268,7 +269,7 @@
             self._write(caller, request_id, answer)
             return False
         self._start_wait.wait()
-        now_s = time.monotonic()
+        now_s = proof_time_s()
         match refused or self._admissions.admit(request, request_id, now_s):
             case Refused() as refused:
                 answer = self._encode_refusal(request, request_id, refused)
--- a/balsamspindle/settings/reader.py
+++ b/balsamspindle/settings/reader.py
@@ -31,6 +31,7 @@
 from balsamspindle.settings.snapshots import SNAPSHOT_INTERVAL_REVISIONS, write_snapshot
 from balsamspindle.settings.subtree import delta_of_change
 from balsamspindle.tables import ObjectStore, TableService
+from balsamspindle.tables.proof_clock import proof_time_s
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import NodeRecord
 
@@ -158,9 +159,9 @@
     offered_revision : callable
         Returns the highest revision that peers offered this node.
     on_read : callable
-        Called after a poll with the monotonic time at which the poll began and
-        the platform's revision. Not called if the poll failed or the platform
-        lost changes.
+        Called after a poll with the time at which the poll began, on the clock of
+        `proof_time_s`, and the platform's revision. Not called if the poll failed
+        or the platform lost changes.
     """
 
     def __init__(
@@ -214,7 +215,7 @@
 
     def poll(self) -> None:
         """Read the platform's revision and put missing changes in force."""
-        began_s, own_revision = time.monotonic(), self._configuration.revision
+        began_s, own_revision = proof_time_s(), self._configuration.revision
         match read_update(self._tables, self._configuration.revision):
             case Result(tag="ok", ok=update):
                 self.platform_revision = update.fleet.revision
--- a/balsamspindle/settings/watcher.py
+++ b/balsamspindle/settings/watcher.py
@@ -18,6 +18,7 @@
 from balsamspindle.settings.configuration import ApplyResult, CurrentConfiguration
 from balsamspindle.settings.reader import PlatformState
 from balsamspindle.tables import Changes, HistoryLost, Row, TableService
+from balsamspindle.tables.proof_clock import proof_time_s
 from balsamspindle.timeline import EventLog
 
 __all__ = ["OperatorRow", "SettingsWatcher", "WholeSettings"]
@@ -73,9 +74,9 @@
     on_in_force : callable
         Called each time that newer settings came in force.
     on_read : callable
-        Called after a read of the row with the monotonic time at which the
-        read began and the revision in the row. Not called if the read failed or
-        the store lost changes.
+        Called after a read of the row with the time at which the read began, on
+        the clock of `proof_time_s`, and the revision in the row. Not called if the
+        read failed or the store lost changes.
 
     Attributes
     ----------
@@ -164,7 +165,7 @@
         )
 
     def _start_read(self) -> _RowRead:
-        return _RowRead(time.monotonic(), self._configuration.revision)
+        return _RowRead(proof_time_s(), self._configuration.revision)
 
     def _report_read(self, read: _RowRead, row_revision: int | None) -> None:
         """Call `on_read`, unless the read failed or the store lost changes.
--- a/tests/test_revoked_keys.py
+++ b/tests/test_revoked_keys.py
@@ -2,19 +2,27 @@
 
 import json
 import threading
+import time
 from io import StringIO
 
 from testtools import TestCase
 
 from balsamspindle.customers import Admitted, CustomerAdmission
 from balsamspindle.customers.freshness import Freshness, Proof
+from balsamspindle.customers.proofs import ProofQuestion, ProofRefresher
+from balsamspindle.membership import Directory
 from balsamspindle.protocol.api_keys import key_digest
 from balsamspindle.requests.admissions import Admissions
 from balsamspindle.requests.caller_requests import CallerRequest
 from balsamspindle.requests.request_log import RequestLog
 from balsamspindle.settings.configuration import CurrentConfiguration
+from balsamspindle.settings.watcher import OperatorRow, SettingsWatcher, WholeSettings
+from balsamspindle.tables.proof_clock import proof_time_s
 from balsamspindle.timeline import EventLog, HybridClock
-from tests.test_customer_keys import KEY, KEYED, OTHER_KEY, customer
+from balsamspindle.wire import NodeRecord
+from tests.caller_side import IngressFixture
+from tests.test_customer_keys import KEY, KEYED, NAMES, OTHER_KEY, customer, get
+from tests.test_watcher_proofs import SlowTables
 
 AGE_MAX_S = 5.0
 OLD_S, NOW_S = 100.0, 109.0
@@ -150,6 +158,57 @@
     counts.append((admitted, decided))
 
 
+class SuspendedMachineTests(TestCase):
+    """While a machine is suspended, its monotonic clock stops."""
+
+    def _suspend(self, duration_s: float) -> None:
+        clock_gettime = time.clock_gettime
+
+        def after_suspension(clock: int) -> float:
+            passed_s = duration_s if clock == time.CLOCK_BOOTTIME else 0.0
+            return clock_gettime(clock) + passed_s
+
+        self.patch(time, "clock_gettime", after_suspension)
+
+    def test_no_key_is_accepted_by_a_proof_from_before_a_suspension(self):
+        # Guards against a key that is revoked while the machine is suspended.
+        fixture = IngressFixture(KEYED, AGE_MAX_S, headers=NAMES)
+        self.addCleanup(fixture.close)
+        tables = SlowTables()
+        tables.read_s = 0.0
+        watcher = SettingsWatcher(
+            tables,
+            OperatorRow("op", "config", lambda value: WholeSettings(value, KEYED)),
+            fixture.configuration,
+            fixture.events,
+            lambda: True,
+            on_read=lambda *read: fixture.freshness.record(Proof(*read)),
+        )
+        watcher.renew_proof()
+        request = get(f"X-Key: {KEY}")
+        self.assertEqual(200, fixture.caller().send(request).read().status)
+        self._suspend(AGE_MAX_S + 1)
+        self.assertEqual(503, fixture.caller().send(request).read().status)
+
+    def test_a_suspension_counts_in_the_age_that_peers_are_told(self):
+        configuration = CurrentConfiguration()
+        configuration.offer(1, {})
+        record = NodeRecord("node", 1, 0, "r", "zone", "a:1", "a:2", "alive")
+        sent = []
+        refresher = ProofRefresher(
+            record,
+            Directory(),
+            Freshness(AGE_MAX_S, configuration),
+            EventLog("node", 1, HybridClock(), StringIO()),
+            lambda: None,
+            lambda address, message: sent.append(message),
+        )
+        refresher.record_read(proof_time_s(), 1)
+        self._suspend(AGE_MAX_S + 1)
+        refresher.answer_question(ProofQuestion("b:2", 1))
+        self.assertGreater(sent[0].age_ms, AGE_MAX_S * 1000)
+
+
 class OneConfigurationTests(TestCase):
     def test_route_and_customer_of_a_request_come_from_the_same_settings(self):
         # Guards against a service and a customer together that no settings allow.
