Take away the keys that an undecodable customer's document no longer lists

A revoked key stayed valid for as long as a node could not decode the customer's newest document, for example because a newer release wrote it: the node kept the last document that it could decode, while revision and proof were new. Not seen by callers; found by reading.

The two tests of UndecodableCustomerTests failed before: the revoked key was accepted with revision 2 and a proof of revision 2. The customer now keeps only those keys that the new document lists as well, so valid keys go on working. Where the keys can't be read at all, or the customer is new, the node can't tell which keys are valid: it answers 503 (keys_unproven) in place of 401.

--- a/balsamspindle/customers/admission.py
+++ b/balsamspindle/customers/admission.py
@@ -113,7 +113,8 @@
         return Admitted(None, _with_weight(route, None, orders_routes))
     if key_digest is None:
         return Refused(Reason.KEY_MISSING)
-    return Refused(Reason.KEY_UNKNOWN if is_fresh else Reason.KEYS_UNPROVEN)
+    is_unknown = is_fresh and configuration.lists_all_keys
+    return Refused(Reason.KEY_UNKNOWN if is_unknown else Reason.KEYS_UNPROVEN)
 
 
 def _with_weight(
--- a/balsamspindle/settings/configuration.py
+++ b/balsamspindle/settings/configuration.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from balsamspindle.settings.customers import CustomerTable
+from balsamspindle.settings.customers import CustomerTable, keep_listed_keys
 from balsamspindle.settings.documents import (
     CallerLimits,
     CustomerDocument,
@@ -80,7 +80,8 @@
     customers : CustomerTable
     unusable : dict of str to str
         Decoding errors by path, for documents that this node can't decode. The
-        last decodable version of such a document, if any, stays in force.
+        last decodable version of such a document, if any, stays in force. A
+        customer then keeps only the keys that the new document lists, too.
     """
 
     def __init__(
@@ -144,6 +145,13 @@
         """Whether any customer has a limit."""
         return any(customer.rate_per_s for customer in self._customers.values())
 
+    @property
+    def lists_all_keys(self) -> bool:
+        """Whether each valid key is listed; False if a customer can't be decoded."""
+        return not any(
+            document_type(path) is CustomerDocument for path in self.unusable
+        )
+
     @property
     def caller_limits(self) -> CallerLimits | None:
         """The strictest value of each limit on callers; None without any limits."""
@@ -161,6 +169,9 @@
             value = msgspec.json.decode(document, type=document_type(path))
         except (msgspec.MsgspecError, TypeError) as error:
             self.unusable[path] = str(error)
+            if path in self._customers:
+                listed = keep_listed_keys(self._customers[path], document)
+                self._customers[path] = listed
             return
         self.unusable.pop(path, None)
         match value:
--- a/balsamspindle/settings/customers.py
+++ b/balsamspindle/settings/customers.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Iterable, Iterator
 
+import msgspec
+
 from balsamspindle.settings.documents import CustomerDocument
 
-__all__ = ["CustomerTable"]
+__all__ = ["CustomerTable", "keep_listed_keys"]
 
 # A table made by `CustomerTable.with_changes` shares one dictionary of keys with the
 # table that it was made from, and stores changed keys in a dictionary of its own. This
@@ -62,6 +64,24 @@
         self._changes = {}
 
 
+class _Keys(msgspec.Struct):
+    key_digests: tuple[str, ...] = ()
+
+
+def keep_listed_keys(customer: CustomerDocument, document: bytes) -> CustomerDocument:
+    """Return the customer without the keys that a newer document does not list.
+
+    The document can't be decoded as a whole, for example because a newer release wrote
+    it. If its keys can't be read either, the customer keeps none.
+    """
+    try:
+        listed = frozenset(msgspec.json.decode(document, type=_Keys).key_digests)
+    except msgspec.MsgspecError:
+        listed = frozenset()
+    kept = tuple(digest for digest in customer.key_digests if digest in listed)
+    return msgspec.structs.replace(customer, key_digests=kept)
+
+
 def _by_key(
     customers: Iterable[CustomerDocument],
 ) -> Iterator[tuple[bytes, CustomerDocument]]:
--- a/tests/test_revoked_keys.py
+++ b/tests/test_revoked_keys.py
@@ -7,11 +7,12 @@
 
 from testtools import TestCase
 
-from balsamspindle.customers import Admitted, CustomerAdmission
+from balsamspindle.customers import Admitted, CustomerAdmission, Refused
 from balsamspindle.customers.freshness import Freshness, Proof
 from balsamspindle.customers.proofs import ProofQuestion, ProofRefresher
 from balsamspindle.membership import Directory
 from balsamspindle.protocol.api_keys import key_digest
+from balsamspindle.protocol.outcomes import Reason
 from balsamspindle.requests.admissions import Admissions
 from balsamspindle.requests.caller_requests import CallerRequest
 from balsamspindle.requests.request_log import RequestLog
@@ -21,7 +22,15 @@
 from balsamspindle.timeline import EventLog, HybridClock
 from balsamspindle.wire import NodeRecord
 from tests.caller_side import IngressFixture
-from tests.test_customer_keys import KEY, KEYED, NAMES, OTHER_KEY, customer, get
+from tests.test_customer_keys import (
+    KEY,
+    KEYED,
+    NAMES,
+    NEXT_KEY,
+    OTHER_KEY,
+    customer,
+    get,
+)
 from tests.test_watcher_proofs import SlowTables
 
 AGE_MAX_S = 5.0
@@ -209,6 +218,29 @@
         self.assertGreater(sent[0].age_ms, AGE_MAX_S * 1000)
 
 
+class UndecodableCustomerTests(TestCase):
+    """A newer release writes a customer's document that this release can't decode."""
+
+    def _decide(self, document: bytes, key: str) -> Admitted | Refused:
+        world = World()
+        world.switch({**KEYED, "crew/customers/anna": document})
+        request = CallerRequest("GET", "/contracts/7", key_digest=key_digest(key))
+        return world.admit(request)
+
+    def test_a_key_that_the_document_no_longer_lists_is_not_accepted(self):
+        # Guards against a revoked key that stays in the last decodable document.
+        document = customer("Anna", NEXT_KEY, added_later=1)
+        self.assertNotIsInstance(self._decide(document, KEY), Admitted)
+        self.assertEqual("Anna", self._decide(document, NEXT_KEY).name)
+
+    def test_keys_that_cant_be_read_are_refused_as_unproven(self):
+        # Guards against a key that may be revoked, and against a 401 for a valid key.
+        document = b'{"name": "Anna", "key_digests": 7}'
+        for key in (KEY, NEXT_KEY, "k-unknown"):
+            self.assertEqual(Reason.KEYS_UNPROVEN, self._decide(document, key).reason)
+        self.assertEqual("Ben", self._decide(document, OTHER_KEY).name)
+
+
 class OneConfigurationTests(TestCase):
     def test_route_and_customer_of_a_request_come_from_the_same_settings(self):
         # Guards against a service and a customer together that no settings allow.
