Take no proof from a store with another history of changes

After the store was restored from a backup, it can give a revision that is in force at a node to other settings, which may revoke a key. The node noticed (state diverged), and took the read for a proof all the same, so it accepted the key for as long as it read the store. Not seen by callers; found by reading, as a decision by revision alone.

test_a_revision_of_another_history_proves_nothing failed before (proofs of [2, 2, 3] for [2]). Open: a store whose restored row has the same revision where no digest of the history is kept (the operator's row of the users' platform).

--- a/balsamspindle/settings/reader.py
+++ b/balsamspindle/settings/reader.py
@@ -161,7 +161,7 @@
     on_read : callable
         Called after a poll with the time at which the poll began, on the clock of
         `proof_time_s`, and the platform's revision. Not called if the poll failed
-        or the platform lost changes.
+        or the platform lost changes or has a different history of changes.
     """
 
     def __init__(
@@ -223,7 +223,9 @@
                 # If the platform's revision is older than this node's, the platform
                 # lost changes, possibly also changes that this node never received.
                 # So the poll does not prove that this node's settings are the newest.
-                if update.fleet.revision >= own_revision:
+                # Nor does a revision of another history, which has other changes.
+                is_diverged = self.state is PlatformState.DIVERGED
+                if update.fleet.revision >= own_revision and not is_diverged:
                     self._on_read(began_s, update.fleet.revision)
             case Result(error=error):
                 self._set_state(PlatformState.UNREACHABLE, error.message)
--- a/tests/test_watcher_proofs.py
+++ b/tests/test_watcher_proofs.py
@@ -1,4 +1,4 @@
-"""Reads of the operator's row that prove how new a node's settings are."""
+"""Reads of the store that prove how new a node's settings are."""
 
 import time
 from io import StringIO
@@ -8,9 +8,13 @@
 
 from balsamspindle.customers.freshness import Proof
 from balsamspindle.settings.configuration import CurrentConfiguration
+from balsamspindle.settings.reader import PollPlan, SettingsReader
+from balsamspindle.settings.store import SettingsStore
 from balsamspindle.settings.watcher import OperatorRow, SettingsWatcher, WholeSettings
 from balsamspindle.tables import Changes, Row, TableService
 from balsamspindle.timeline import EventLog, HybridClock
+from tests.settings_utils import PlatformServer, node_record
+from tests.utils import call
 
 
 class SlowTables(TableService):
@@ -81,3 +85,32 @@
         self.tables.wait_for_changes = lambda *_: Ok(Changes([], 1))
         self.watcher.wait_for_change(1)
         self.assertEqual([], self.proofs)
+
+
+class ReaderProofTests(TestCase):
+    def test_a_revision_of_another_history_proves_nothing(self):
+        # Guards against the use of keys that a restored store revokes under a revision
+        # which it has given to other settings before.
+        platform = PlatformServer()
+        self.addCleanup(platform.stop)
+        store = SettingsStore(platform.tables())
+        configuration, proofs = CurrentConfiguration(), []
+        reader = SettingsReader(
+            platform.tables(),
+            configuration,
+            EventLog("node", 1, HybridClock(), StringIO()),
+            PollPlan(node_record(0), lambda: []),
+            on_read=lambda *read: proofs.append(Proof(*read)),
+        )
+        store.put("crew/services/a", {})
+        backup = call(platform.address, "/v1/backup").body
+        store.put("crew/services/b", {})
+        reader.poll()
+        self.assertEqual([2], [proof.revision for proof in proofs])
+        call(platform.address, "/v1/backup", "PUT", backup)
+        store.put("crew/services/c", {})
+        reader.poll()
+        store.put("crew/services/d", {})
+        reader.poll()
+        self.assertEqual([2], [proof.revision for proof in proofs])
+        self.assertEqual(2, configuration.revision)
