--- a/tests/persistent_connection.py
+++ b/tests/persistent_connection.py
@@ -22,13 +22,17 @@
         self._address, self._host = address, host
         self._connection: http.client.HTTPConnection | None = None
 
-    def send(self, target: str, request_id: str) -> tuple[int, bytes]:
-        """Send a GET request; return status and body, or status 0 without an answer."""
+    def send(self, target: str, request_id: str, **more: str) -> tuple[int, bytes]:
+        """Send a GET request; return status and body, or status 0 without an answer.
+
+        `more` are further headers; an underscore in a name stands for a hyphen.
+        """
         if self._connection is None:
             self._connection = http.client.HTTPConnection(
                 self._address, timeout=CALL_TIMEOUT_S
             )
         headers = {"Host": self._host, "X-Request-Id": request_id}
+        headers |= {name.replace("_", "-"): value for name, value in more.items()}
         try:
             self._connection.request("GET", target, headers=headers)
             response = self._connection.getresponse()
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -26,9 +26,24 @@
 
 
 class PlatformNode:
-    """A process that runs ``python -m balsamspindle.platform``."""
-
-    def __init__(self, name: str, zone: str, store: str, folder: Path) -> None:
+    """A process that runs ``python -m balsamspindle.platform``.
+
+    Parameters
+    ----------
+    store : str
+        Address of the store, or of a relay to it.
+    bounds : tuple of str
+        Bounds of the platform in addition to the usual ones.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        store: str,
+        folder: Path,
+        bounds: tuple[str, ...] = (),
+    ) -> None:
         first_port = _free_port_range()
         self.admin_address = f"{HOST}:{first_port + 1}"
         listen = {
@@ -46,7 +61,12 @@
             "port_range": [first_port, first_port + PORT_COUNT - 1],
             "service": "crew",
             "platform": {"address": store},
-            "bounds": ["retry_budget_ratio=0.2", "budget_slack=60", "grace=6s"],
+            "bounds": [
+                "retry_budget_ratio=0.2",
+                "budget_slack=60",
+                "grace=6s",
+                *bounds,
+            ],
         }
         self._settings_path = folder / f"{name}.json"
         self._settings_path.write_text(json.dumps(settings))
@@ -105,6 +125,12 @@
             for number in range(count)
         ]
 
+    def start_node_at(
+        self, store: str, name: str, zone: str, bounds: tuple[str, ...]
+    ) -> PlatformNode:
+        """Start a node that reaches the store at an address, without waiting for it."""
+        return self._add(PlatformNode(name, zone, store, self.folder, bounds))
+
     def put_configuration(self, configuration: dict, name: str = "config") -> None:
         """Write a row of the operator's table, by default its configuration."""
         body = json.dumps(configuration).encode()
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -1,6 +1,7 @@
 """A TCP relay that simulates network faults by losing or delaying data."""
 
 import socket
+import struct
 import threading
 import time
 from enum import StrEnum
@@ -30,6 +31,9 @@
         How data to the target and data from the target is handled.
     delay_s : float
         Delay of each chunk of data in either direction.
+    refusal : bytes or None
+        If not None, each new connection gets these bytes in answer to the first data
+        that it sends, and is then closed. If empty, it is reset at once.
     """
 
     def __init__(self, target: str) -> None:
@@ -37,6 +41,7 @@
         self.forward = Flow.PASS
         self.backward = Flow.PASS
         self.delay_s = 0.0
+        self.refusal: bytes | None = None
         port = free_port()
         self.address = f"127.0.0.1:{port}"
         self._listener = socket.create_server(("127.0.0.1", port))
@@ -62,6 +67,9 @@
                 near, _ = self._listener.accept()
             except OSError:
                 return
+            if self.refusal is not None:
+                _refuse(near, self.refusal)
+                continue
             host, _, port = self.target.partition(":")
             try:
                 far = socket.create_connection((host, int(port)), timeout=5)
@@ -93,6 +101,23 @@
         _close(sink)
 
 
+def _refuse(connection: socket.socket, refusal: bytes) -> None:
+    """Answer one request with `refusal`, or reset the connection if that is empty."""
+    try:
+        if refusal:
+            connection.settimeout(1.0)
+            connection.recv(CHUNK_BYTES)
+            connection.sendall(refusal)
+        else:
+            no_linger = struct.pack("ii", 1, 0)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
+            connection.close()
+            return
+    except OSError:
+        pass
+    _close(connection)
+
+
 def _close(connection: socket.socket) -> None:
     try:
         connection.shutdown(socket.SHUT_RDWR)
