--- a/tests/soak_revocations.py
+++ b/tests/soak_revocations.py
@@ -179,7 +179,7 @@
         valid ^= {key}
         self._spans.append(Span(key, was_valid, since_s, time.monotonic()))
         self._version += 1
-        self._fleet.put_configuration(_configuration(self._version, valid))
+        self._fleet.put_configuration(configuration(self._version, valid))
         self._states[key] = (not was_valid, time.monotonic())
 
     def _call(self, number: int, seed: float) -> None:
@@ -303,7 +303,7 @@
         }
 
 
-def _configuration(version: int, valid: set[str]) -> dict:
+def configuration(version: int, valid: set[str]) -> dict:
     route = {
         "name": "look",
         "hostname": HOST,
