--- a/balsamspindle/requests/attempt_outcomes.py
+++ b/balsamspindle/requests/attempt_outcomes.py
@@ -5,8 +5,8 @@
 
 from balsamspindle.membership.directory import Placement
 from balsamspindle.protocol.outcomes import CancelCause, Outcome, Reason
-from balsamspindle.requests.claims import record_claim_reply
 from balsamspindle.requests.forwarded import ForwardedRequest
+from balsamspindle.requests.key_claimant import record_claim_reply
 from balsamspindle.requests.reply_wait import WaitResult
 from balsamspindle.requests.sent_attempts import SentAttempt
 from balsamspindle.timeline import EventLog
--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -9,9 +9,10 @@
 from balsamspindle.membership.directory import Placement
 from balsamspindle.protocol.outcomes import CancelCause, Outcome
 from balsamspindle.requests.caller_watch import CallerWatch
-from balsamspindle.requests.claims import GateIdentity, record_claim_reply, with_claim
+from balsamspindle.requests.claims import GateIdentity
 from balsamspindle.requests.forwarded import ForwardedRequest, Hedge, Step, route_id
 from balsamspindle.requests.gate_links import GateLinks
+from balsamspindle.requests.key_claimant import record_claim_reply, with_claim
 from balsamspindle.requests.link_attempts import LinkAttempts
 from balsamspindle.requests.links import LinkPool
 from balsamspindle.requests.reservation_plans import ReservationPlan
--- a/balsamspindle/requests/forwarded.py
+++ b/balsamspindle/requests/forwarded.py
@@ -8,8 +8,8 @@
 
 from balsamspindle.membership.directory import Placement
 from balsamspindle.protocol.outcomes import Outcome, Reason
-from balsamspindle.requests.claims import KeyClaimant
 from balsamspindle.requests.http import CallerRequest, HttpConnection
+from balsamspindle.requests.key_claimant import KeyClaimant
 from balsamspindle.requests.sent_attempts import ParkedAttempts
 from balsamspindle.settings.documents import RouteDocument
 from balsamspindle.wire import Importance, Reply
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -15,7 +15,7 @@
 from balsamspindle.protocol.outcomes import PROBLEMS, Execution, Outcome, Reason
 from balsamspindle.requests.attempt_outcomes import record_failure
 from balsamspindle.requests.attempts import AttemptSender
-from balsamspindle.requests.claims import ClaimsTable, KeyClaimant
+from balsamspindle.requests.claims import ClaimsTable
 from balsamspindle.requests.forwarded import (
     ForwardedRequest,
     Hedge,
@@ -24,6 +24,7 @@
 )
 from balsamspindle.requests.heads import IDEMPOTENCY_KEY_MAX_CHARACTERS
 from balsamspindle.requests.hedging import HedgePlanner
+from balsamspindle.requests.key_claimant import KeyClaimant
 from balsamspindle.requests.level_refusals import LevelRefusals
 from balsamspindle.requests.limit_check_selection import LimitCheckSelector
 from balsamspindle.requests.links import LinkPool
--- a/balsamspindle/requests/link_attempts.py
+++ b/balsamspindle/requests/link_attempts.py
@@ -16,10 +16,11 @@
 from balsamspindle.protocol.outcomes import CancelCause, Outcome, Reason
 from balsamspindle.requests.admission_queries import AdmissionQueries, DeclinedAttempt
 from balsamspindle.requests.attempt_outcomes import AttemptOutcomes, is_answered
-from balsamspindle.requests.claims import GateIdentity, with_claim
+from balsamspindle.requests.claims import GateIdentity
 from balsamspindle.requests.declined_attempts import declined_reply
 from balsamspindle.requests.forwarded import ForwardedRequest, Hedge
 from balsamspindle.requests.gate_links import GateLinks
+from balsamspindle.requests.key_claimant import with_claim
 from balsamspindle.requests.links import Link
 from balsamspindle.requests.parked_replies import ParkedResult, listening
 from balsamspindle.requests.parking import find_attempt_to_park, may_park
--- a/tests/claim_world.py
+++ b/tests/claim_world.py
@@ -11,7 +11,8 @@
 from balsamspindle.protocol.outcomes import Execution, Outcome
 from balsamspindle.requests.claim_eras import ClaimEras, ClaimHolder
 from balsamspindle.requests.claim_restorer import ClaimRestorer
-from balsamspindle.requests.claims import ClaimsTable, GateIdentity, KeyClaimant
+from balsamspindle.requests.claims import ClaimsTable, GateIdentity
+from balsamspindle.requests.key_claimant import KeyClaimant
 from balsamspindle.timeline import EventLog, HybridClock
 from balsamspindle.wire import AttemptId, Claim, Dispatch, Reply
 from tests.restorable_store import RestorableStore, StoreView
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -9,7 +9,8 @@
 
 from balsamspindle.backend_servers import ledger
 from balsamspindle.protocol.outcomes import Execution, Outcome, Reason
-from balsamspindle.requests.claims import ClaimsTable, GateIdentity, KeyClaimant
+from balsamspindle.requests.claims import ClaimsTable, GateIdentity
+from balsamspindle.requests.key_claimant import KeyClaimant
 from balsamspindle.tables import (
     Conflict,
     Put,
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -9,7 +9,8 @@
 from balsamspindle.platform import HttpTableService
 from balsamspindle.protocol.outcomes import Execution, Outcome, Reason
 from balsamspindle.requests.claim_eras import ClaimEras
-from balsamspindle.requests.claims import ClaimsTable, GateIdentity, KeyClaimant
+from balsamspindle.requests.claims import ClaimsTable, GateIdentity
+from balsamspindle.requests.key_claimant import KeyClaimant
 from balsamspindle.settings.configuration import CurrentConfiguration
 from balsamspindle.settings.watcher import OperatorRow, SettingsWatcher, WholeSettings
 from balsamspindle.tables import (
