Use a claim only where the store's era was settled before the call

After the store was restored from an older copy, a caller could be told not_run for a request that ran, and a key could be claimed for a second gate. A claim was read or written first, and whether the store's era is settled was asked afterwards. Where the era was settled in between, because the lost claims were written again, the missing row counted as proof that the key had never been claimed. The window is the time of one call.

Three tests of EraDuringCallTests failed before (not_run in place of unknown; an Ok from the read; a claim from the write); the fourth holds that claims of settled eras are used. The newest settled era is now taken before the call, and the era that the call's answer shows has to be no later. Tried first: the store's era before and after the call must be the same. That refused the first call after each restore that this process had not heard of (two tests of test_store_restored.py failed).

--- a/balsamspindle/requests/claim_eras.py
+++ b/balsamspindle/requests/claim_eras.py
@@ -134,6 +134,11 @@
             self._changed.notify_all()
             return True
 
+    @property
+    def newest_settled(self) -> int:
+        """The newest settled era; all earlier eras are settled, too."""
+        return self._newest_settled_era
+
     def is_settled(self, era: int) -> bool:
         """Return whether an era is settled.
 
--- a/balsamspindle/requests/claims.py
+++ b/balsamspindle/requests/claims.py
@@ -146,11 +146,13 @@
         if not self._wait_until_settled(deadline_s):
             return self.read(key, deadline_s).default_value(None)
         value = StoredClaim(*gate, gate_time_s, time.time())
+        settled_era = self._eras.newest_settled
         claim = self._call_store(deadline_s, lambda: self._write(key, version, value))
         # The store may have been restored from an older copy during the call and may
         # have lost a claim of this key. Then the write found no conflict, but another
-        # gate may run the request. So the new claim is used only in a settled era.
-        return claim if self._is_settled() else None
+        # gate may run the request. So the claim is used only if the store's era was
+        # settled before the call; an era that was settled meanwhile does not suffice.
+        return claim if self._was_settled(settled_era) else None
 
     def read(self, key: str, deadline_s: float) -> Result[Claim | None, None]:
         """Read a key's claim.
@@ -160,8 +162,10 @@
 
         In any other era, the store may have lost claims. Returns `Error` if the key has
         no claim. If it has one, that claim may have been written in place of a lost
-        claim. So the claim is returned with `REPEAT_ONLY_VERSION`.
+        claim. So the claim is returned with `REPEAT_ONLY_VERSION`. The same holds if
+        the era is settled during the call.
         """
+        settled_era = self._eras.newest_settled
         answer = self._call_store(
             deadline_s, lambda: self._tables.read(CLAIMS_TABLE, [key])
         )
@@ -170,7 +174,7 @@
                 claim = _claim(row)
             case _:
                 return Error(None)
-        if self._is_settled():
+        if self._was_settled(settled_era):
             return Ok(claim)
         if claim is None:
             return Error(None)
@@ -194,6 +198,16 @@
     def _is_settled(self) -> bool:
         return self._tables is None or self._eras.is_settled(self._tables.era)
 
+    def _was_settled(self, settled_era: int) -> bool:
+        """Return whether a call that just ended was made in a settled era.
+
+        Parameters
+        ----------
+        settled_era : int
+            The newest era that was settled before the call.
+        """
+        return self._tables is None or self._tables.era <= settled_era
+
     def _wait_until_settled(self, deadline_s: float) -> bool:
         if self._is_settled():
             return True
--- a/tests/test_claims_restored.py
+++ b/tests/test_claims_restored.py
@@ -2,14 +2,18 @@
 
 import time
 
+from expression import Ok
 from testtools import TestCase
 
 from balsamspindle.backend_servers.ledger import KeyRefused
 from balsamspindle.protocol.outcomes import Outcome, Reason
 from balsamspindle.requests import claim_eras
 from balsamspindle.requests.claim_eras import ClaimEras, ClaimHolder, Confirmation
+from balsamspindle.requests.claims import ClaimsTable, GateIdentity
+from balsamspindle.requests.key_claimant import KeyClaimant
+from balsamspindle.tables import Row, TableService
 from balsamspindle.tables.eras import pack_version
-from balsamspindle.wire import Claim
+from balsamspindle.wire import AttemptId, Claim, Reply
 from tests.claim_world import KEY, World, make_dispatch, make_reply
 
 
@@ -253,3 +257,81 @@
         started_s = time.monotonic()
         self.assertFalse(eras.wait_until_settled(2, now_s, now_s + 60.0))
         self.assertLess(time.monotonic() - started_s, claim_eras.RESTORE_WAIT_S)
+
+
+class MeanwhileTables(TableService):
+    """A store without rows; `meanwhile` runs between a call and its answer.
+
+    Attributes
+    ----------
+    era : int
+        See `TableService`.
+    """
+
+    def __init__(self, era: int) -> None:
+        self.era = era
+        self.meanwhile = lambda: None
+
+    def read(self, table, keys):
+        self.meanwhile()
+        return Ok([Row(key, 0) for key in keys])
+
+    def transact(self, transaction):
+        self.meanwhile()
+        return Ok(pack_version(self.era, 7))
+
+
+class EraDuringCallTests(TestCase):
+    """An era of the store is settled between a call and the look at the era."""
+
+    def setUp(self):
+        super().setUp()
+        self.eras = ClaimEras()
+        self.deadline_s = time.monotonic() + 5
+
+    def _settle(self, era: int) -> None:
+        self.eras.begin(era, time.monotonic())
+        self.eras.settle(era)
+
+    def test_a_key_without_a_claim_in_an_unsettled_era_does_not_count_as_unclaimed(
+        self,
+    ):
+        # Guards against `not_run` for a request that ran: its lost claim is written
+        # again right after the read.
+        tables = MeanwhileTables(era=2)
+        self.eras.begin(2, time.monotonic())
+        tables.meanwhile = lambda: self.eras.settle(2)
+        claims = ClaimsTable(tables, self.eras)
+        self.assertTrue(claims.read("s:key", self.deadline_s).is_error())
+
+    def test_a_caller_is_not_told_that_a_request_with_such_a_key_did_not_run(self):
+        tables = MeanwhileTables(era=2)
+        self.eras.begin(2, time.monotonic())
+        tables.meanwhile = lambda: self.eras.settle(2)
+        claimant = KeyClaimant(
+            ClaimsTable(tables, self.eras), "s", "key", self.deadline_s
+        )
+        reply = Reply(AttemptId("n", 1, 1), Outcome.NOT_RUN, Reason.DEADLINE)
+        self.assertEqual(Outcome.UNKNOWN, claimant.final_reply(reply).outcome)
+
+    def test_a_claim_written_before_an_era_was_settled_is_not_used(self):
+        # Guards against a second run: the write found no conflict, since the store had
+        # lost the claim of the first run, and the era was settled before its answer.
+        tables = MeanwhileTables(era=1)
+
+        def restore():
+            tables.era = 2
+            self._settle(2)
+
+        tables.meanwhile = restore
+        claims = ClaimsTable(tables, self.eras)
+        claim = claims.write("s:key", 0, GateIdentity("n", 1), 0.0, self.deadline_s)
+        self.assertIsNone(claim)
+
+    def test_a_claim_in_a_settled_era_is_used(self):
+        tables = MeanwhileTables(era=2)
+        self._settle(2)
+        claims = ClaimsTable(tables, self.eras)
+        self.assertEqual(Ok(None), claims.read("s:key", self.deadline_s))
+        claim = claims.write("s:key", 0, GateIdentity("n", 1), 0.0, self.deadline_s)
+        self.assertEqual("n", claim.node_id)
