--- a/tests/soak_revocations.py
+++ b/tests/soak_revocations.py
@@ -88,6 +88,8 @@
         self._stopped = threading.Event()
         self._numbers = itertools.count()
         self._disturbances = Disturbances(NODES)
+        # Start and end of each time in which all nodes were cut off from the store.
+        self._store_times_s: list[list[float]] = []
         self._cuts: list[list[Cut]] = [[] for _ in range(NODES)]
         self._lock = threading.Lock()
         self._sent: dict[str, Sent] = {}
@@ -173,7 +175,11 @@
             thread.join()
 
     def _change(self, key: str) -> None:
-        """Revoke a valid key, or give a revoked one back."""
+        """Revoke a valid key, or give a revoked one back.
+
+        The key's state is sure until the operator begins to write the change, and from
+        the store's confirmation on.
+        """
         was_valid, since_s = self._states.get(key, (False, float("inf")))
         valid = {known for known, (is_valid, _) in self._states.items() if is_valid}
         valid ^= {key}
@@ -223,7 +229,7 @@
     def _cut(self, numbers, cut: Cut) -> Iterator[None]:
         """Cut nodes off from the store; the latest cut of a node counts."""
         is_whole_store = len(numbers) > 1
-        with self._record_all() if is_whole_store else nullcontext():
+        with self._record_store_cut() if is_whole_store else nullcontext():
             for number in numbers:
                 self._cuts[number].append(cut)
                 self._apply(number)
@@ -233,9 +239,8 @@
                 self._apply(number)
 
     @contextmanager
-    def _record_all(self) -> Iterator[None]:
-        if not hasattr(self, "_store_times_s"):
-            self._store_times_s: list[list[float]] = []
+    def _record_store_cut(self) -> Iterator[None]:
+        """Record that all nodes are cut off for the duration of the block."""
         times_s = [time.monotonic(), float("inf")]
         self._store_times_s.append(times_s)
         yield
@@ -256,23 +261,31 @@
     def _check(self, runs) -> None:
         for key, (is_valid, since_s) in self._states.items():
             self._spans.append(Span(key, is_valid, since_s, float("inf")))
-        by_state: dict[tuple[str, bool], list[Span]] = {}
+        spans: dict[tuple[str, bool], list[Span]] = {}
         for span in self._spans:
-            by_state.setdefault((span.key, span.is_valid), []).append(span)
+            spans.setdefault((span.key, span.is_valid), []).append(span)
+        self._check_revoked(runs, spans)
+        self._check_valid(spans)
+        assert self.figures["valid 200"], "no request with a valid key was served"
+        assert not self.violations, "; ".join(self.violations[:10])
+
+    def _check_revoked(self, runs, spans) -> None:
+        """Find runs of requests that were sent too late after a revocation."""
         for run in runs:
             sent = self._sent.get(run.request_id)
-            if sent is None:
-                continue
-            for span in by_state.get((sent.key, False), []):
+            for span in spans.get((sent.key, False), []) if sent else []:
                 late_s = sent.sent_s - span.from_s - REVOKE_S
                 if late_s > 0 and run.began_s < span.to_s:
                     self.violations.append(
                         f"{run.request_id} at n{sent.node} ran {late_s:.3f} s too late"
                     )
+
+    def _check_valid(self, spans) -> None:
+        """Count the answers to requests with valid keys; find those of 401."""
         for request_id, sent in self._sent.items():
             if not any(
                 span.from_s + REVOKE_S < sent.sent_s and sent.ended_s < span.to_s
-                for span in by_state.get((sent.key, True), [])
+                for span in spans.get((sent.key, True), [])
             ):
                 continue
             self.figures[f"valid {sent.status}"] += 1
@@ -282,13 +295,11 @@
                 self.violations.append(
                     f"{request_id} at n{sent.node}: {sent.status} for a valid key"
                 )
-        assert self.figures["valid 200"], "no request with a valid key was served"
-        assert not self.violations, "; ".join(self.violations[:10])
 
     def _is_undisturbed(self, sent: Sent) -> bool:
         is_store_there = not any(
             started_s <= sent.ended_s and sent.sent_s <= ended_s + SETTLE_S
-            for started_s, ended_s in getattr(self, "_store_times_s", [])
+            for started_s, ended_s in self._store_times_s
         )
         return is_store_there and self._disturbances.is_undisturbed(
             sent.node, sent.sent_s, SETTLE_S
