Hold the case of settings that come into force after their proof

A starved node that is in touch all the time has the same fault as one that was cut off: the proof of a new revision is recorded, but not usable before that revision is in force.

--- a/tests/test_revoked_keys.py
+++ b/tests/test_revoked_keys.py
@@ -114,6 +114,22 @@
         for decision in self._decisions(REVOKED, OLD_S):
             self.assertNotIsInstance(decision, Admitted)
 
+    def test_settings_that_come_into_force_after_their_proof_cover_no_older_ones(self):
+        # Guards against the same fault at a node that is in touch all the time, but
+        # starved: its settings come into force later than the bound.
+        for reads in range(1, READS_MAX + 1):
+            configuration = ChangingConfiguration()
+            world = World(configuration)
+            world.prove(OLD_S, 1)
+            world.prove(NOW_S, 2)
+
+            def change(world=world):
+                world.configuration.offer(2, REVOKED)
+                world.admit()
+
+            configuration.change, configuration.reads_left = change, reads
+            self.assertNotIsInstance(world.admit(), Admitted)
+
     def test_a_valid_key_is_accepted_while_settings_change(self):
         # Guards against refusals by a node whose proofs are new enough all the time.
         for decision in self._decisions(KEYED, NOW_S - 1):
