--- a/tests/revocation_storm.py
+++ b/tests/revocation_storm.py
@@ -15,7 +15,6 @@
 import time
 from typing import NamedTuple
 
-from tests.crashing_server import CrashingServer
 from tests.platform_fleet import PlatformFleet
 from tests.relay import Relay
 from tests.soak_revocations import (
@@ -23,9 +22,9 @@
     HOST,
     KEYS,
     REVOKE_S,
-    SLOTS,
     TARGET,
     configuration,
+    start_servers,
 )
 from tests.utils import try_call, wait_until
 
@@ -67,17 +66,7 @@
             fleet.start_node_at(relay.address, f"n{number}", "z0", BOUNDS)
             for number in range(NODES)
         ]
-        servers = [
-            CrashingServer(
-                node.announce_address,
-                "crew",
-                SLOTS,
-                lambda target: WORK_S,
-                lambda run: None,
-                down_s=0.0,
-            )
-            for node in nodes
-        ]
+        servers = start_servers(nodes, WORK_S)
         for node in nodes:
             _wait_status(node, 200)
         stopped, results = multiprocessing.Event(), multiprocessing.Queue()
--- a/tests/soak_revocations.py
+++ b/tests/soak_revocations.py
@@ -26,7 +26,7 @@
 from tests.disturbances import Disturbances
 from tests.failed_soaks import kept_on_failure
 from tests.persistent_connection import PersistentConnection
-from tests.platform_fleet import PlatformFleet
+from tests.platform_fleet import PlatformFleet, PlatformNode
 from tests.relay import Flow, Relay
 from tests.utils import wait_until
 
@@ -113,17 +113,7 @@
                 )
                 for number, relay in enumerate(self._relays)
             ]
-            servers = [
-                CrashingServer(
-                    node.announce_address,
-                    "crew",
-                    SLOTS,
-                    lambda target: WORK_S,
-                    lambda run: None,
-                    down_s=0.0,
-                )
-                for node in self._nodes
-            ]
+            servers = start_servers(self._nodes, WORK_S)
             try:
                 with kept_on_failure(
                     f"soak-revocations-{self._seed}", fleet.folder, self._facts
@@ -314,7 +304,23 @@
         }
 
 
+def start_servers(nodes: list[PlatformNode], work_s: float) -> list[CrashingServer]:
+    """Start a backend server beside each node; none of them crashes."""
+    return [
+        CrashingServer(
+            node.announce_address,
+            "crew",
+            SLOTS,
+            lambda target: work_s,
+            lambda run: None,
+            down_s=0.0,
+        )
+        for node in nodes
+    ]
+
+
 def configuration(version: int, valid: set[str]) -> dict:
+    """Return a version of the operator's configuration with these valid keys."""
     route = {
         "name": "look",
         "hostname": HOST,
