--- a/balsamspindle/settings/gossip.py
+++ b/balsamspindle/settings/gossip.py
@@ -13,13 +13,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from balsamspindle.settings.configuration import (
-    ApplyResult,
-    Configuration,
-    CurrentConfiguration,
-)
+from balsamspindle.settings.configuration import ApplyResult, CurrentConfiguration
 from balsamspindle.settings.page_download import DownloadStep, PageDownload
-from balsamspindle.settings.pages import pages_of_documents
+from balsamspindle.settings.page_sender import PageSender
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import NodeRecord
 from balsamspindle.wire.settings_messages import (
@@ -54,9 +50,6 @@
 INBOX_MAX = 1000
 TICK_S = 0.1
 IDLE_TICK_S = 1.0
-# Number of revisions for which a node stores the pages that it sends to peers. A page
-# is a compressed part of a revision's documents; see `pages_of_documents`.
-PAGED_REVISIONS_MAX = 2
 
 
 class SettingsGossip:
@@ -101,7 +94,7 @@
         self._other_zone_pull_s = 0.0
         self._next_offer_request_s = 0.0
         self._next_no_source_report_s: float | None = None
-        self._pages_by_revision: dict[int, tuple[str, list[bytes]]] = {}
+        self._page_sender = PageSender(own.member_address, send, configuration)
 
     def receive(self, message: Any) -> None:
         """Enqueue a settings message for `run`; drop it if the queue is full."""
@@ -152,7 +145,7 @@
                 self._apply(address, deltas)
                 self._handle_notice(SettingsNotice(address, revision), now_s)
             case SettingsPagePull(address, revision, page):
-                self._send_page(address, revision, page)
+                self._page_sender.send_page(address, revision, page)
             case SettingsPage():
                 self._receive_page(message, now_s)
 
@@ -253,7 +246,7 @@
             if deltas:
                 self._send(address, SettingsDeltas(self._address, own.revision, deltas))
                 return
-        self._send_page(address, -1, 0)
+        self._page_sender.send_page(address, -1, 0)
 
     def _apply(self, address: str, deltas: list) -> None:
         applied = self._configuration.apply(deltas)
@@ -281,37 +274,6 @@
             accepted_ms=accepted_ms,
         )
 
-    def _send_page(self, address: str, revision: int, page: int) -> None:
-        own = self._configuration.get()
-        if own is None:
-            return
-        if revision not in self._pages_by_revision:
-            self._build_pages(own)
-            if revision != own.revision:
-                revision, page = own.revision, 0
-        chain, pages = self._pages_by_revision[revision]
-        if 0 <= page < len(pages):
-            body = pages[page]
-            self._send(
-                address,
-                SettingsPage(self._address, revision, chain, page, len(pages), body),
-            )
-
-    def _build_pages(self, own: Configuration) -> None:
-        """Build the pages of a configuration if they have not been built yet.
-
-        The pages of the previous revision are kept, so that peers that are
-        downloading them can finish.
-        """
-        if own.revision in self._pages_by_revision:
-            return
-        self._pages_by_revision[own.revision] = (
-            own.chain,
-            pages_of_documents(own.documents),
-        )
-        while len(self._pages_by_revision) > PAGED_REVISIONS_MAX:
-            del self._pages_by_revision[min(self._pages_by_revision)]
-
     def _receive_page(self, page: SettingsPage, now_s: float) -> None:
         if page.revision <= self._configuration.revision:
             return
--- a/tests/settings_network.py
+++ b/tests/settings_network.py
@@ -34,7 +34,8 @@
 class Network:
     """A `SettingsGossip` per node; messages are delivered through a list.
 
-    Messages to the addresses in `unreachable` are lost.
+    Messages to the addresses in `unreachable` are lost, and so are the messages for
+    which `is_lost` returns True.
     """
 
     def __init__(self, count: int, zones: int = 3) -> None:
@@ -45,6 +46,7 @@
         self.received_bytes = [0] * count
         self.received = [0] * count
         self.unreachable: set[str] = set()
+        self.is_lost = lambda message: False
         self.now_s = 0.0
         self.nodes = [
             SettingsGossip(
@@ -72,8 +74,9 @@
             while self.sent:
                 messages, self.sent = self.sent, []
                 for address, message in messages:
-                    if address not in self.unreachable:
-                        self._deliver(int(address[1:]), message)
+                    if address in self.unreachable or self.is_lost(message):
+                        continue
+                    self._deliver(int(address[1:]), message)
 
     def _deliver(self, number, message) -> None:
         self.received[number] += 1
--- a/tests/test_settings_gossip.py
+++ b/tests/test_settings_gossip.py
@@ -267,15 +267,14 @@
         network = Network(2, zones=1)
         network.configurations[1].offer(7, {"t/services/s": b"{}"})
         lost = []
-        send = network.nodes[1]._send
 
-        def lose_first_page(address, message):
+        def lose_first_page(message):
             if isinstance(message, SettingsPage) and not lost:
                 lost.append(message)
-                return
-            send(address, message)
+                return True
+            return False
 
-        network.nodes[1]._send = lose_first_page
+        network.is_lost = lose_first_page
         network.run(40)
         self.assertEqual(1, len(lost))
         self.assertEqual(7, network.configurations[0].revision)
@@ -291,15 +290,14 @@
         network.configurations[0].offer(3, {"t/services/s": b"{}"})
         network.configurations[1].offer(7, documents)
         lost = []
-        send = network.nodes[1]._send
 
-        def lose_second_page(address, message):
+        def lose_second_page(message):
             if isinstance(message, SettingsPage) and message.page == 1 and not lost:
                 lost.append(message)
-                return
-            send(address, message)
+                return True
+            return False
 
-        network.nodes[1]._send = lose_second_page
+        network.is_lost = lose_second_page
         network.run(40)
         self.assertEqual(1, len(lost))
         self.assertEqual({7}, network.revisions())
@@ -312,7 +310,7 @@
         }
         self.assertGreater(len(pages_of_documents(documents)), 3)
         network.configurations[1].offer(7, documents)
-        damaged = network.nodes[1]._pages_by_revision
+        damaged = network.nodes[1]._page_sender._pages_by_revision
         damaged[7] = ("", [b"damaged"])
         network.run(10)
         self.assertIn("settings_refused", network.events[0].names)
