Log how a node gets settings from peers, and by which revision it routes

The record of two nodes that were behind does not tell whether they lacked the newer settings or decided by something older, nor what they asked for in vain. No logic of the gossip has changed.

--- a/balsamspindle/customers/admission.py
+++ b/balsamspindle/customers/admission.py
@@ -53,12 +53,15 @@
         not checked.
     key_check : KeyCheck or None
         None for a request that was admitted without a valid key.
+    revision : int
+        Revision of the configuration that has the route; -1 if unknown.
     """
 
     customer: CustomerDocument | None
     route: RouteDocument
     grant: Grant | None = None
     key_check: KeyCheck | None = None
+    revision: int = -1
 
     @property
     def name(self) -> str:
@@ -79,12 +82,16 @@
     allow : tuple of str
         Methods that the request's target supports, if the request was refused because
         of its method.
+    revision : int
+        Revision of the configuration by which the request is refused; -1 if it was
+        refused without one.
     """
 
     reason: Reason
     retry_after_ms: float = 0.0
     customer: str = ""
     allow: tuple[str, ...] = ()
+    revision: int = -1
 
 
 def identify(
--- a/balsamspindle/membership/member.py
+++ b/balsamspindle/membership/member.py
@@ -174,7 +174,19 @@
 
     def send_settings(self, address: str, message: Any) -> None:
         """Send a message with importance `SETTINGS`; callable from any thread."""
-        self.send(address, message, Importance.SETTINGS)
+        self.channel.call_soon(lambda: self._send_settings(address, message))
+
+    def _send_settings(self, address: str, message: Any) -> None:
+        """Send a message with settings; emit an event if it is not sent."""
+        now_s = self._now_s()
+        if self.channel.send(address, message, now_s, Importance.SETTINGS):
+            return
+        self._events.emit(
+            "settings_not_sent",
+            peer=address,
+            kind=message.__struct_config__.tag,
+            cause="refused by the byte cap or by the transport",
+        )
 
     def set_contacts(self, addresses: tuple[str, ...]) -> None:
         """Set the addresses to contact besides the seeds; callable from any thread."""
--- a/balsamspindle/requests/admissions.py
+++ b/balsamspindle/requests/admissions.py
@@ -71,9 +71,12 @@
         proven = self._customers.proven()
         match _route(proven.configuration, request):
             case RouteDocument() as route:
-                return self._customers.admit(proven, route, request.key_digest, now_s)
+                decision = self._customers.admit(
+                    proven, route, request.key_digest, now_s
+                )
             case refused:
-                return refused
+                decision = refused
+        return decision._replace(revision=proven.revision)
 
 
 def _route(
--- a/balsamspindle/requests/ingress.py
+++ b/balsamspindle/requests/ingress.py
@@ -303,7 +303,7 @@
             timeout_ms = self._caller_protocol.timeout_ms(request, route)
         except BadRequest as error:
             self._admissions.refund(admitted)
-            refused = Refused(error.reason)
+            refused = Refused(error.reason, revision=admitted.revision)
             return self._encode_refusal(request, request_id, refused, error.detail)
         # The backend server can log the request id, by which its log entries can be
         # matched with entries of the event log.
@@ -338,6 +338,7 @@
             reply.outcome,
             reply.reason,
             reply.status,
+            admitted.revision,
             service=route.service,
             route=f"{route.host}{route.path_prefix}",
             attempts=forwarded.attempts,
@@ -355,17 +356,16 @@
     def _encode_refusal(
         self, request, request_id, refused: Refused, detail: str | None = None
     ) -> bytes:
-        reason, retry_after_ms, customer, allow = refused
-        self._log.ended(request_id, Outcome.NOT_RUN, reason, customer=customer or None)
+        self._log.refused(request_id, refused)
         return self._caller_protocol.encode_problem(
-            reason,
+            refused.reason,
             Outcome.NOT_RUN,
             request_id,
             self._decide_keep_alive(request),
             request.method == "HEAD",
             detail,
-            allow,
-            retry_after_ms,
+            refused.allow,
+            refused.retry_after_ms,
         )
 
     def _refuse(self, caller, reason: Reason, detail: str | None = None) -> None:
--- a/balsamspindle/requests/request_log.py
+++ b/balsamspindle/requests/request_log.py
@@ -2,7 +2,7 @@
 
 import time
 
-from balsamspindle.customers import KeyCheck
+from balsamspindle.customers import KeyCheck, Refused
 from balsamspindle.protocol.outcomes import Outcome, Reason
 from balsamspindle.requests.http import CallerRequest
 from balsamspindle.settings.configuration import CurrentConfiguration
@@ -57,20 +57,42 @@
         outcome: Outcome,
         reason: Reason | None,
         status: int | None = None,
+        routed_revision: int = -1,
         **decisions,
     ) -> None:
-        """Log the outcome of a request; `decisions` are additional event fields."""
+        """Log the outcome of a request.
+
+        Parameters
+        ----------
+        routed_revision : int
+            Revision of the settings by which the request was routed or refused; -1 if
+            it was refused without settings. The settings in force at its end may be
+            newer.
+        decisions : dict
+            Additional event fields.
+        """
         self._events.emit(
             "request_ended",
             request=request_id,
             outcome=outcome,
             cause=reason,
             status=status or None,
+            routed_revision=None if routed_revision < 0 else routed_revision,
             settings_revision=self._configuration.revision,
             leaving_ms=elapsed_ms(self.leaving_s),
             **decisions,
         )
 
+    def refused(self, request_id: str, refused: Refused) -> None:
+        """Log that a request was refused before it was sent anywhere."""
+        self.ended(
+            request_id,
+            Outcome.NOT_RUN,
+            refused.reason,
+            routed_revision=refused.revision,
+            customer=refused.customer or None,
+        )
+
     def not_delivered(self, request_id: str, error: OSError) -> None:
         """Log that a caller did not get its answer; the request may still have run."""
         self._events.emit("answer_not_delivered", request=request_id, cause=error)
--- a/balsamspindle/settings/gossip.py
+++ b/balsamspindle/settings/gossip.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from balsamspindle.settings.configuration import ApplyResult, CurrentConfiguration
+from balsamspindle.settings.gossip_log import GossipLog
 from balsamspindle.settings.page_download import DownloadStep, PageDownload
 from balsamspindle.settings.page_sender import PageSender
 from balsamspindle.timeline import EventLog
@@ -87,6 +88,8 @@
         self._stopped = False
         self._download = PageDownload()
         self._notified_revision = -1
+        self._log = GossipLog(events)
+        self._unanswered_pull: SettingsNotice | None = None
         self._next_notice_s = 0.0
         self._pull_deadline_s = 0.0
         self._next_pull: SettingsNotice | None = None
@@ -142,7 +145,8 @@
                 self._answer_pull(address, (above_revision, *older_revisions))
             case SettingsDeltas(address, revision, deltas):
                 self._pull_deadline_s = 0.0
-                self._apply(address, deltas)
+                self._unanswered_pull = None
+                self._apply(address, deltas, now_s)
                 self._handle_notice(SettingsNotice(address, revision), now_s)
             case SettingsPagePull(address, revision, page):
                 self._page_sender.send_page(address, revision, page)
@@ -161,6 +165,7 @@
                 self._next_pull or self._other_zone_notice,
                 None,
             )
+        self._report_unanswered_pull(now_s)
         if self._next_pull is not None and now_s >= self._pull_deadline_s:
             self._pull(self._next_pull, now_s)
         revision = self._configuration.revision
@@ -188,6 +193,7 @@
         if self._configuration.get() is None:
             self._download.record_offer(notice.address, notice.revision, now_s)
         elif notice.revision > self._configuration.revision:
+            self._log.announced(notice, self._configuration.revision, now_s)
             self._schedule_pull(notice, now_s)
 
     def _schedule_pull(self, notice: SettingsNotice, now_s: float) -> None:
@@ -223,6 +229,8 @@
             configuration = self._configuration
             older = configuration.older_revisions()
             pull = SettingsPull(self._address, configuration.revision, older)
+            self._unanswered_pull = notice
+            self._log.pulled(notice, configuration.revision, now_s)
             self._send(notice.address, pull)
 
     def _answer_pull(self, address: str, revisions: tuple[int, ...]) -> None:
@@ -248,31 +256,32 @@
                 return
         self._page_sender.send_page(address, -1, 0)
 
-    def _apply(self, address: str, deltas: list) -> None:
+    def _apply(self, address: str, deltas: list, now_s: float) -> None:
         applied = self._configuration.apply(deltas)
         if applied is ApplyResult.GAP and deltas:
             applied = self._configuration.apply_to_older(deltas)
         match applied:
             case ApplyResult.IN_FORCE:
-                self._report_in_force(address, deltas[-1].accepted_ms)
+                self._report_in_force(address, now_s, deltas[-1].accepted_ms)
             case ApplyResult.DIVERGED:
-                self._events.emit(
-                    "settings_diverged",
-                    peer=address,
-                    revision=self._configuration.revision,
-                    offered_revision=deltas[-1].revision,
-                    cause="the peer has a different history of changes",
-                )
-
-    def _report_in_force(self, address: str, accepted_ms: int | None = None) -> None:
+                self._log.diverged(address, deltas[-1], self._configuration.revision)
+            case ApplyResult.GAP if deltas:
+                self._log.not_applied(address, deltas, self._configuration.revision)
+
+    def _report_unanswered_pull(self, now_s: float) -> None:
+        """Log a pull that was not answered within `PULL_TIMEOUT_S`."""
+        pull = self._unanswered_pull
+        if pull is None or now_s < self._pull_deadline_s:
+            return
+        self._unanswered_pull = None
+        if pull.revision > self._configuration.revision:
+            self._log.unanswered(pull, self._configuration.revision, now_s)
+
+    def _report_in_force(
+        self, address: str, now_s: float, accepted_ms: int | None = None
+    ) -> None:
         self._next_no_source_report_s = None
-        self._events.emit(
-            "settings_in_force",
-            revision=self._configuration.revision,
-            source="peer",
-            peer=address,
-            accepted_ms=accepted_ms,
-        )
+        self._log.in_force(address, self._configuration.revision, now_s, accepted_ms)
 
     def _receive_page(self, page: SettingsPage, now_s: float) -> None:
         if page.revision <= self._configuration.revision:
@@ -283,11 +292,11 @@
         try:
             documents = self._download.pop_documents()
         except ValueError as error:
-            self._events.emit("settings_refused", peer=page.address, cause=str(error))
+            self._log.refused(page.address, error)
             return
         applied = self._configuration.offer(page.revision, documents, page.chain)
         if applied is ApplyResult.IN_FORCE:
-            self._report_in_force(page.address)
+            self._report_in_force(page.address, now_s)
 
     def _load_initial(self, now_s: float) -> None:
         match self._download.next_step(now_s):
@@ -311,11 +320,7 @@
             self._next_no_source_report_s = now_s + NO_SOURCE_AFTER_S
         if now_s >= self._next_no_source_report_s:
             self._next_no_source_report_s = now_s + NO_SOURCE_REPEAT_S
-            self._events.emit(
-                "settings_no_source",
-                peers=len(self._addresses()),
-                cause="neither the platform nor a peer sent settings",
-            )
+            self._log.no_source(len(self._addresses()))
 
     def _addresses(self) -> list[str]:
         known = {record.member_address for record in self._records()}
