Repeat a pull of settings at another peer until the revision is in force

Callers were routed by settings that were replaced seconds ago, at single nodes.

Cause: a node that heard of a newer revision asked one peer, once, and forgot who else had offered it. If the pull, its answer or the peer was lost, nothing happened until some peer's next message; PULL_TIMEOUT_S only forbade an earlier pull. An answer with nothing newer was no answer at all.

Now PullSchedule stores who announced what. While an announced revision is not in force, one pull is open: after 0.5 s without an answer it goes to another peer that announced it, then to random ones, and round again. A peer that has nothing newer says so, so the next is asked at once.

--- a/balsamspindle/membership/member.py
+++ b/balsamspindle/membership/member.py
@@ -109,13 +109,13 @@
     def register(
         self,
         handlers: dict[type, Callable[[Any], None]],
-        on_peer_revision: Callable[[str, int], None] | None = None,
+        on_peer_revision: Callable[[str, int, float], None] | None = None,
     ) -> None:
         """Register handlers of tagged message types and of settings revisions.
 
         `on_peer_revision` is called with the address and the settings revision
-        of each message's sender. All callables run in the member task and must
-        not block.
+        of each message's sender, and the present time. All callables run in the
+        member task and must not block.
         """
         for message_type, handler in handlers.items():
             kind = message_type.__struct_config__.tag
@@ -123,7 +123,7 @@
         if on_peer_revision is not None:
             self.channel.on_peer(
                 lambda peer, now_s: on_peer_revision(
-                    peer.address, peer.settings_revision
+                    peer.address, peer.settings_revision, now_s
                 )
             )
 
--- a/balsamspindle/settings/gossip.py
+++ b/balsamspindle/settings/gossip.py
@@ -17,6 +17,7 @@
 from balsamspindle.settings.gossip_log import GossipLog
 from balsamspindle.settings.page_download import DownloadStep, PageDownload
 from balsamspindle.settings.page_sender import PageSender
+from balsamspindle.settings.pulls import PullSchedule
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import NodeRecord
 from balsamspindle.wire.settings_messages import (
@@ -33,13 +34,9 @@
 FANOUT_ZONE = 4
 FANOUT_OTHER_ZONES = 1
 NOTICE_INTERVAL_S = 0.05
-# A node whose pull was not answered in this time may pull again. The time is longer
-# than a peer needs for a large answer: on a link of 10 Mbit/s, sending a change of
-# 2,000 routes (some 60 KB deflated) to four nodes takes a quarter of a second.
-PULL_TIMEOUT_S = 0.5
-# After a notice from another zone, a node waits this long for a notice from its own
-# zone before it pulls from the other zone. It is time for three rounds of notices.
-ZONE_PEER_WAIT_S = 0.4
+# Numbers of peers of the own zone and of other zones that a node may ask for a revision
+# although they did not announce it.
+OTHER_PEERS_ZONE, OTHER_PEERS_OTHER_ZONES = 2, 2
 # Interval at which a node without settings requests offers, and the number of peers
 # that it asks each time.
 OFFER_REQUEST_INTERVAL_S = 0.5
@@ -89,12 +86,8 @@
         self._download = PageDownload()
         self._notified_revision = -1
         self._log = GossipLog(events)
-        self._unanswered_pull: SettingsNotice | None = None
+        self._pulls = PullSchedule(self._random, self._other_peers)
         self._next_notice_s = 0.0
-        self._pull_deadline_s = 0.0
-        self._next_pull: SettingsNotice | None = None
-        self._other_zone_notice: SettingsNotice | None = None
-        self._other_zone_pull_s = 0.0
         self._next_offer_request_s = 0.0
         self._next_no_source_report_s: float | None = None
         self._page_sender = PageSender(own.member_address, send, configuration)
@@ -111,7 +104,7 @@
         """Highest revision that a peer offered; -1 before the first offer."""
         return self._download.offered_revision
 
-    def receive_revision(self, address: str, revision: int) -> None:
+    def receive_revision(self, address: str, revision: int, now_s: float) -> None:
         """Enqueue a notice if a peer's member message has a newer revision."""
         if revision > self._configuration.revision:
             self.receive(SettingsNotice(address, revision))
@@ -144,8 +137,7 @@
             case SettingsPull(address, above_revision, older_revisions):
                 self._answer_pull(address, (above_revision, *older_revisions))
             case SettingsDeltas(address, revision, deltas):
-                self._pull_deadline_s = 0.0
-                self._unanswered_pull = None
+                self._pulls.record_answer(address)
                 self._apply(address, deltas, now_s)
                 self._handle_notice(SettingsNotice(address, revision), now_s)
             case SettingsPagePull(address, revision, page):
@@ -160,14 +152,7 @@
             return
         if self._download.revision > self._configuration.revision:
             self._request_pages(now_s)
-        if self._other_zone_notice is not None and now_s >= self._other_zone_pull_s:
-            self._next_pull, self._other_zone_notice = (
-                self._next_pull or self._other_zone_notice,
-                None,
-            )
-        self._report_unanswered_pull(now_s)
-        if self._next_pull is not None and now_s >= self._pull_deadline_s:
-            self._pull(self._next_pull, now_s)
+        self._pull(now_s)
         revision = self._configuration.revision
         if revision > self._notified_revision and now_s >= self._next_notice_s:
             self._notified_revision = revision
@@ -182,8 +167,7 @@
     def _inbox_timeout_s(self) -> float:
         has_pending_work = (
             self._configuration.get() is None
-            or self._next_pull is not None
-            or self._other_zone_notice is not None
+            or self._pulls.behind_since_s(self._configuration.revision) is not None
             or self._download.revision > self._configuration.revision
             or self._configuration.revision > self._notified_revision
         )
@@ -194,22 +178,18 @@
             self._download.record_offer(notice.address, notice.revision, now_s)
         elif notice.revision > self._configuration.revision:
             self._log.announced(notice, self._configuration.revision, now_s)
-            self._schedule_pull(notice, now_s)
-
-    def _schedule_pull(self, notice: SettingsNotice, now_s: float) -> None:
-        """Schedule a pull of the revision that a peer offers.
+            self._record_offer(notice, now_s)
+        else:
+            # This is also the answer of a peer that was asked and has nothing newer.
+            self._pulls.record_answer(notice.address)
 
-        Peers in this node's zone are preferred. A peer in another zone is used only if
-        no peer in this node's zone sends a notice within `ZONE_PEER_WAIT_S`.
-        """
+    def _record_offer(self, notice: SettingsNotice, now_s: float) -> None:
         if notice.revision == self._download.revision:
             self._download.record_offer(notice.address, notice.revision, now_s)
-        if self._is_in_own_zone(notice.address):
-            self._next_pull = _newer(notice, self._next_pull)
-            return
-        if self._other_zone_notice is None:
-            self._other_zone_pull_s = now_s + ZONE_PEER_WAIT_S
-        self._other_zone_notice = _newer(notice, self._other_zone_notice)
+        is_own_zone = self._is_in_own_zone(notice.address)
+        self._pulls.record_offer(
+            notice, is_own_zone, self._configuration.revision, now_s
+        )
 
     def _is_in_own_zone(self, address: str) -> bool:
         zone = self._own.availability_zone
@@ -218,20 +198,25 @@
             for record in self._records()
         )
 
-    def _pull(self, notice: SettingsNotice, now_s: float) -> None:
-        """Pull changes from the notice's sender, unless they are in force already.
+    def _pull(self, now_s: float) -> None:
+        """Pull newer changes, if a pull is due, from the peer that is due.
 
-        Only one peer is asked, because several peers would send the same changes.
+        Only one peer is asked at a time, because several peers would send the same
+        changes.
         """
-        self._next_pull = None
-        if notice.revision > self._configuration.revision:
-            self._pull_deadline_s = now_s + PULL_TIMEOUT_S
-            configuration = self._configuration
-            older = configuration.older_revisions()
-            pull = SettingsPull(self._address, configuration.revision, older)
-            self._unanswered_pull = notice
-            self._log.pulled(notice, configuration.revision, now_s)
-            self._send(notice.address, pull)
+        revision = self._configuration.revision
+        unanswered = self._pulls.pop_unanswered(now_s)
+        if unanswered is not None and unanswered.revision > revision:
+            self._log.unanswered(unanswered, revision, now_s)
+        notice = self._pulls.next_pull(revision, now_s)
+        if notice is not None:
+            older = self._configuration.older_revisions()
+            self._log.pulled(notice, revision, now_s)
+            self._send(notice.address, SettingsPull(self._address, revision, older))
+
+    def _other_peers(self) -> list[str]:
+        """Return a few random peers, which may have a revision unannounced."""
+        return self._sample_peers(OTHER_PEERS_ZONE, OTHER_PEERS_OTHER_ZONES)
 
     def _answer_pull(self, address: str, revisions: tuple[int, ...]) -> None:
         """Answer a peer that pulls changes.
@@ -241,12 +226,12 @@
         changes applies directly, and sends this change and the later ones. If there is
         no such revision, this node sends the first page of all settings. A peer
         without settings (revision -1) receives a notice instead of changes, and then
-        requests the pages.
+        requests the pages. So does a peer that lacks no change, which then asks others.
         """
         own = self._configuration.get()
-        if own is None or own.revision <= revisions[0]:
+        if own is None:
             return
-        if revisions[0] < 0:
+        if revisions[0] < 0 or own.revision <= revisions[0]:
             self._send(address, SettingsNotice(self._address, own.revision))
             return
         for revision in revisions:
@@ -268,15 +253,6 @@
             case ApplyResult.GAP if deltas:
                 self._log.not_applied(address, deltas, self._configuration.revision)
 
-    def _report_unanswered_pull(self, now_s: float) -> None:
-        """Log a pull that was not answered within `PULL_TIMEOUT_S`."""
-        pull = self._unanswered_pull
-        if pull is None or now_s < self._pull_deadline_s:
-            return
-        self._unanswered_pull = None
-        if pull.revision > self._configuration.revision:
-            self._log.unanswered(pull, self._configuration.revision, now_s)
-
     def _report_in_force(
         self, address: str, now_s: float, accepted_ms: int | None = None
     ) -> None:
@@ -286,6 +262,7 @@
     def _receive_page(self, page: SettingsPage, now_s: float) -> None:
         if page.revision <= self._configuration.revision:
             return
+        self._pulls.record_page(now_s)
         if not self._download.receive(page):
             self._request_pages(now_s)
             return
@@ -328,6 +305,10 @@
 
     def _select_peers(self) -> list[str]:
         """Return addresses of random peers: a few in the own zone, one in another."""
+        return self._sample_peers(FANOUT_ZONE, FANOUT_OTHER_ZONES)
+
+    def _sample_peers(self, zone_count: int, other_zone_count: int) -> list[str]:
+        """Return addresses of up to so many random peers in this and other zones."""
         zone_peers, other_zone_peers = [], []
         for record in self._records():
             if record.member_address == self._address:
@@ -336,14 +317,8 @@
             (zone_peers if is_same_zone else other_zone_peers).append(
                 record.member_address
             )
-        zone_count = min(FANOUT_ZONE, len(zone_peers))
-        other_zone_count = min(FANOUT_OTHER_ZONES, len(other_zone_peers))
+        zone_count = min(zone_count, len(zone_peers))
+        other_zone_count = min(other_zone_count, len(other_zone_peers))
         return self._random.sample(zone_peers, zone_count) + self._random.sample(
             other_zone_peers, other_zone_count
         )
-
-
-def _newer(notice: SettingsNotice, known: SettingsNotice | None) -> SettingsNotice:
-    if known is None or notice.revision >= known.revision:
-        return notice
-    return known
--- a/bench/capacity/in_force.py
+++ b/bench/capacity/in_force.py
@@ -95,11 +95,8 @@
     Each membership message reports the settings revision of its sender. `per_s` is the
     number of messages that a node receives per second.
     """
-    for node in network.nodes:
+    for number in range(len(network.nodes)):
         # A node receives at most one message per round, even if `per_s` exceeds the
         # number of rounds per second. One message is enough to report a new revision.
         if rng.random() < per_s * ROUND_S:
-            peer = rng.randrange(len(network.nodes))
-            node.receive_revision(f"n{peer}", network.configurations[peer].revision)
-        while not node._inbox.empty():
-            node.handle(node._inbox.get(), network.now_s)
+            network.announce(number, rng.randrange(len(network.nodes)))
--- a/tests/settings_network.py
+++ b/tests/settings_network.py
@@ -78,6 +78,15 @@
                         continue
                     self._deliver(int(address[1:]), message)
 
+    def announce(self, receiver: int, sender: int) -> None:
+        """Let a node receive a member message, which has its sender's revision."""
+        node = self.nodes[receiver]
+        address = self.records[sender].member_address
+        revision = self.configurations[sender].revision
+        node.receive_revision(address, revision, self.now_s)
+        while not node._inbox.empty():
+            node.handle(node._inbox.get(), self.now_s)
+
     def _deliver(self, number, message) -> None:
         self.received[number] += 1
         self.received_bytes[number] += len(encode(message))
--- a/tests/spreading_fleet.py
+++ b/tests/spreading_fleet.py
@@ -2,7 +2,7 @@
 
 from balsamspindle.settings.gossip import SettingsGossip
 from balsamspindle.settings.reader import is_reader
-from balsamspindle.wire.settings_messages import SETTINGS_MESSAGES, SettingsNotice
+from balsamspindle.wire.settings_messages import SETTINGS_MESSAGES
 from tests.member_network import FakeNode, MemberNetwork
 
 __all__ = ["READERS_PER_ZONE", "SpreadingFleet", "SpreadingNode"]
@@ -41,9 +41,10 @@
     def _handle(self, message) -> None:
         self.gossip.handle(message, self._network.now_s)
 
-    def _receive_revision(self, address: str, revision: int) -> None:
-        if revision > self.configuration.revision:
-            self._handle(SettingsNotice(address, revision))
+    def _receive_revision(self, address: str, revision: int, now_s: float) -> None:
+        self.gossip.receive_revision(address, revision, now_s)
+        while not self.gossip._inbox.empty():
+            self._handle(self.gossip._inbox.get())
 
 
 class SpreadingFleet:
--- a/tests/test_settings_gossip.py
+++ b/tests/test_settings_gossip.py
@@ -191,10 +191,8 @@
         network.run(20)
         # A node that missed all notices receives the revision with a peer's next member
         # message.
-        for number, node in enumerate(network.nodes):
-            node.receive_revision(f"n{(number + 1) % 250}", 1)
-            if not node._inbox.empty():
-                node.handle(node._inbox.get(), network.now_s)
+        for number in range(250):
+            network.announce(number, (number + 1) % 250)
         network.run(10)
         self.assertEqual({1}, network.revisions())
         # Each node receives the change of 1,000 bytes once. The other bytes are notices
--- a/tests/test_settings_losses.py
+++ b/tests/test_settings_losses.py
@@ -6,7 +6,6 @@
 
 from balsamspindle.wire.settings_messages import SettingsDeltas, SettingsPull
 from tests.settings_network import History, Network
-from tests.settings_utils import node_record
 from tests.spreading_fleet import SpreadingFleet
 
 # Time after which the last node must have a change that the store has confirmed.
@@ -56,8 +55,7 @@
         network.configurations[2].apply(network.configurations[1].changes_above(0))
         network.nodes[2]._notified_revision = 1
         for sender in (2, 1):
-            network.nodes[0].receive_revision(node_record(sender).member_address, 1)
-            network.nodes[0].handle(network.nodes[0]._inbox.get(), network.now_s)
+            network.announce(0, sender)
         network.unreachable = {"n1"}
         network.run(round(IN_FORCE_MAX_S * ROUNDS_PER_S))
         self.assertEqual(1, network.configurations[0].revision)
@@ -67,8 +65,7 @@
         network.configurations[2].apply(network.configurations[1].changes_above(0))
         for number in (1, 2):
             network.nodes[number]._notified_revision = 1
-        network.nodes[0].receive_revision(node_record(1).member_address, 1)
-        network.nodes[0].handle(network.nodes[0]._inbox.get(), network.now_s)
+        network.announce(0, 1)
         network.unreachable = {"n1"}
         network.run(round(IN_FORCE_MAX_S * ROUNDS_PER_S))
         self.assertEqual(1, network.configurations[0].revision)
