Replace a member connection on which nothing is acknowledged

A node's pulls, and the answers to them, vanished for seconds after machines had been cut off or connections had gone silent: a member connection had no time limit at all. Only a probe of the same peer, one peer a second, closed a dead one; the kernel retransmits at doubling intervals, up to seconds after the network has recovered.

The sockets now have a limit for unacknowledged data and one for opening, 1 s each, and a bound for the pause between attempts to connect. None of them sends a byte on a healthy connection.

--- a/balsamspindle/membership/transport.py
+++ b/balsamspindle/membership/transport.py
@@ -20,6 +20,14 @@
 RECEIVE_QUEUE_MAX = 2000
 RECEIVE_BATCH_MAX = 200
 HANDSHAKE_TIMEOUT_MS = 2000
+# A connection may die without a reset, and its messages are then lost without an error.
+# It is closed when data has not been acknowledged for this long, and a connection that
+# is not established by then is opened anew. Without the limits, the kernel would
+# retransmit at doubling intervals, and messages would be lost for seconds after the
+# network has recovered.
+UNACKNOWLEDGED_MAX_MS = 1000
+CONNECT_TIMEOUT_MS = 1000
+RECONNECT_INTERVAL_MAX_MS = 1000
 # Bytes on the network for each message besides its payload: ZMTP framing, and the TCP
 # and IP headers of the message and of its ACK.
 MESSAGE_OVERHEAD_BYTES = 80
@@ -203,6 +211,9 @@
         socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MAX)
         socket.setsockopt(zmq.RCVHWM, RECEIVE_QUEUE_MAX)
         socket.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS)
+        socket.setsockopt(zmq.TCP_MAXRT, UNACKNOWLEDGED_MAX_MS)
+        socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_INTERVAL_MAX_MS)
         # ZeroMQ closes a connection on which a message above `MEMBER_MESSAGE_MAX_BYTES`
         # arrives, before the message takes memory in this process.
         socket.setsockopt(zmq.MAXMSGSIZE, MEMBER_MESSAGE_MAX_BYTES)
