Repeat notices once, and pull from two peers after a timeout

Callers of a node that no notice of the first round had reached were routed by old settings until a member message came. A repeated pull could be lost as well.

A node repeats its notice once, 0.5 s later, to two other peers of its zone; a newer revision replaces the repetition, so changes in series cost no more.

--- a/balsamspindle/settings/gossip.py
+++ b/balsamspindle/settings/gossip.py
@@ -35,6 +35,10 @@
 FANOUT_ZONE = 4
 FANOUT_OTHER_ZONES = 1
 NOTICE_INTERVAL_S = 0.05
+# A few nodes of a large zone are reached by no notice of the first round. So each node
+# repeats its notice once, to other peers of its zone, when the first round has ended.
+NOTICE_REPEAT_AFTER_S = 0.5
+FANOUT_REPEAT = 2
 # Numbers of peers of the own zone and of other zones that a node may ask for a revision
 # although they did not announce it.
 OTHER_PEERS_ZONE, OTHER_PEERS_OTHER_ZONES = 2, 2
@@ -96,6 +100,7 @@
         self._read_store = read_store
         self._heard_s = float("inf")
         self._next_notice_s = 0.0
+        self._repeat_notice_s = float("inf")
         self._next_offer_request_s = 0.0
         self._next_no_source_report_s: float | None = None
         self._page_sender = PageSender(own.member_address, send, configuration)
@@ -163,23 +168,38 @@
             self._request_pages(now_s)
         self._pull(now_s)
         self._catch_up_from_store(now_s)
-        revision = self._configuration.revision
-        if revision > self._notified_revision and now_s >= self._next_notice_s:
-            self._notified_revision = revision
-            self._next_notice_s = now_s + NOTICE_INTERVAL_S
-            for address in self._select_peers():
-                self._send(address, SettingsNotice(self._address, revision))
+        self._notify_peers(now_s)
 
     @property
     def _address(self) -> str:
         return self._own.member_address
 
+    def _notify_peers(self, now_s: float) -> None:
+        """Notify peers of the revision in force, and once more after the first round.
+
+        A revision that comes in force before the repetition replaces it.
+        """
+        revision = self._configuration.revision
+        if revision > self._notified_revision and now_s >= self._next_notice_s:
+            self._notified_revision = revision
+            self._next_notice_s = now_s + NOTICE_INTERVAL_S
+            self._repeat_notice_s = now_s + NOTICE_REPEAT_AFTER_S
+            addresses = self._sample_peers(FANOUT_ZONE, FANOUT_OTHER_ZONES)
+        elif now_s >= self._repeat_notice_s:
+            self._repeat_notice_s = float("inf")
+            addresses = self._sample_peers(FANOUT_REPEAT, 0)
+        else:
+            return
+        for address in addresses:
+            self._send(address, SettingsNotice(self._address, revision))
+
     def _inbox_timeout_s(self) -> float:
         has_pending_work = (
             self._configuration.get() is None
             or self._pulls.behind_since_s(self._configuration.revision) is not None
             or self._download.revision > self._configuration.revision
             or self._configuration.revision > self._notified_revision
+            or self._repeat_notice_s < float("inf")
         )
         return TICK_S if has_pending_work else IDLE_TICK_S
 
@@ -209,17 +229,12 @@
         )
 
     def _pull(self, now_s: float) -> None:
-        """Pull newer changes, if a pull is due, from the peer that is due.
-
-        Only one peer is asked at a time, because several peers would send the same
-        changes.
-        """
+        """Pull newer changes, if a pull is due, from the peer that is due."""
         revision = self._configuration.revision
-        unanswered = self._pulls.pop_unanswered(now_s)
-        if unanswered is not None and unanswered.revision > revision:
-            self._log.unanswered(unanswered, revision, now_s)
-        notice = self._pulls.next_pull(revision, now_s)
-        if notice is not None:
+        for unanswered in self._pulls.pop_unanswered(now_s):
+            if unanswered.revision > revision:
+                self._log.unanswered(unanswered, revision, now_s)
+        while (notice := self._pulls.next_pull(revision, now_s)) is not None:
             older = self._configuration.older_revisions()
             self._log.pulled(notice, revision, now_s)
             self._send(notice.address, SettingsPull(self._address, revision, older))
@@ -281,7 +296,7 @@
     def _receive_page(self, page: SettingsPage, now_s: float) -> None:
         if page.revision <= self._configuration.revision:
             return
-        self._pulls.record_page(now_s)
+        self._pulls.record_page(page.address, now_s)
         if not self._download.receive(page):
             self._request_pages(now_s)
             return
@@ -322,10 +337,6 @@
         known = {record.member_address for record in self._records()}
         return sorted({*known, *self._seeds} - {self._address})
 
-    def _select_peers(self) -> list[str]:
-        """Return addresses of random peers: a few in the own zone, one in another."""
-        return self._sample_peers(FANOUT_ZONE, FANOUT_OTHER_ZONES)
-
     def _sample_peers(self, zone_count: int, other_zone_count: int) -> list[str]:
         """Return addresses of up to so many random peers in this and other zones."""
         zone_peers, other_zone_peers = [], []
--- a/balsamspindle/settings/pulls.py
+++ b/balsamspindle/settings/pulls.py
@@ -1,8 +1,8 @@
 """Decides from which peer a node pulls the settings that it lacks, and when.
 
 A pull, its answer, or the peer itself may be lost. So a node that knows of a newer
-revision has one pull open at any time until it has the revision in force: when a pull
-is not answered in time, the node pulls from another peer.
+revision has a pull open at any time until it has the revision in force. When a pull is
+not answered in time, the node pulls from two other peers at a time.
 """
 
 import random
@@ -17,6 +17,10 @@
 # longer than a peer needs for a large answer: on a link of 10 Mbit/s, sending a change
 # of 2,000 routes (some 60 KB deflated) to four nodes takes a quarter of a second.
 PULL_TIMEOUT_S = 0.5
+# Maximum number of open pulls before and after a pull was not answered. Several peers
+# would send the same changes, so a second peer is asked only if the first may have
+# ended.
+OPEN_PULLS_MAX, OPEN_PULLS_MAX_AFTER_TIMEOUT = 1, 2
 # After a notice from another zone, a node waits this long for a notice from its own
 # zone before it pulls from the other zone. It is time for three rounds of notices.
 ZONE_PEER_WAIT_S = 0.4
@@ -55,7 +59,8 @@
         # By address; the latest announcement last.
         self._offers: dict[str, _Offer] = {}
         self._asked: set[str] = set()
-        self._open: _OpenPull | None = None
+        self._open: list[_OpenPull] = []
+        self._had_timeout = False
         self._own_revision = -1
         self._round_started_s = float("-inf")
         self._announced_revision = -1
@@ -91,36 +96,40 @@
 
     def record_answer(self, address: str) -> None:
         """Record that a peer answered, so that the next pull need not wait."""
-        if self._open is not None and self._open.notice.address == address:
-            self._open = None
-
-    def record_page(self, now_s: float) -> None:
-        """Record a page of the answer to the open pull; more pages will follow."""
-        if self._open is not None:
-            self._open = self._open._replace(sent_s=now_s)
-
-    def pop_unanswered(self, now_s: float) -> SettingsNotice | None:
-        """Return the pull that was not answered in time, once; None without one."""
-        if self._open is None or now_s < self._open.sent_s + PULL_TIMEOUT_S:
-            return None
-        unanswered, self._open = self._open.notice, None
-        return unanswered
+        self._open = [pull for pull in self._open if pull.notice.address != address]
+
+    def record_page(self, address: str, now_s: float) -> None:
+        """Record a page of the answer to an open pull; more pages will follow."""
+        self._open = [
+            pull._replace(sent_s=now_s) if pull.notice.address == address else pull
+            for pull in self._open
+        ]
+
+    def pop_unanswered(self, now_s: float) -> list[SettingsNotice]:
+        """Return the pulls that were not answered in time, each of them once."""
+        unanswered = [
+            pull for pull in self._open if now_s >= pull.sent_s + PULL_TIMEOUT_S
+        ]
+        self._open = [pull for pull in self._open if pull not in unanswered]
+        self._had_timeout = self._had_timeout or bool(unanswered)
+        return [pull.notice for pull in unanswered]
 
     def next_pull(self, own_revision: int, now_s: float) -> SettingsNotice | None:
         """Return the peer to pull from now, with the revision that it may have.
 
-        None if this node is not behind, if a pull is open, or if no peer is due.
+        None if this node is not behind, if enough pulls are open, or if no peer is due.
         """
         self._forget_older(own_revision)
         if self.behind_since_s(own_revision) is None:
-            self._open = None
+            self._open = []
             return None
-        if self._open is not None:
+        limit = OPEN_PULLS_MAX_AFTER_TIMEOUT if self._had_timeout else OPEN_PULLS_MAX
+        if len(self._open) >= limit:
             return None
         notice = self._choose(now_s)
         if notice is not None:
             self._asked.add(notice.address)
-            self._open = _OpenPull(notice, now_s)
+            self._open.append(_OpenPull(notice, now_s))
         return notice
 
     def _forget_older(self, own_revision: int) -> None:
@@ -128,6 +137,7 @@
         if own_revision == self._own_revision:
             return
         self._own_revision = own_revision
+        self._had_timeout = False
         self._asked.clear()
         self._offers = {
             address: offer
