Pull ever less often what no peer and no store can deliver

A revision that peers announce but that can't be applied, since the peers have another history or the store was restored from a backup, would be pulled from every known peer at the speed of their answers, and read from the store once a second, for ever.

Peers that announced nothing are asked at most four times a round, rounds double from 0.5 to 8 s, and reads of a node that is behind from 1 to 30 s. A node that hears no peer still reads once a second: it may miss a change at any time. Two tests fail without it (6,000 pulls in a minute, one at each step of the test; 299 reads in 300 s).

--- a/balsamspindle/settings/catch_up.py
+++ b/balsamspindle/settings/catch_up.py
@@ -10,9 +10,11 @@
 # A node that hears nothing from its peers for this long may have missed a change. The
 # time is longer than the interval of probes, each of which is answered.
 SILENCE_MAX_S = 1.5
-# Interval of the reads of one node, and the reads per second of the whole fleet that
-# the interval of a large fleet's nodes allows: half of what the store serves.
-READ_INTERVAL_MIN_S = 1.0
+# Interval of the reads of one node. If the store does not have the announced revision
+# either, since it was restored from a backup, the interval doubles up to the maximum.
+READ_INTERVAL_MIN_S, READ_INTERVAL_MAX_S = 1.0, 30.0
+# Reads per second of the whole fleet for which the interval of a large fleet's nodes is
+# long enough: half of what the store serves.
 FLEET_READS_PER_S = 1_000
 
 
@@ -28,6 +30,7 @@
     def __init__(self, rng: random.Random) -> None:
         self._random = rng
         self._next_read_s: float | None = None
+        self._read_interval_s = READ_INTERVAL_MIN_S
         self._node_count_max = 1
 
     def is_due(
@@ -51,18 +54,20 @@
             no other is a reader of the store.
         """
         self._node_count_max = max(self._node_count_max, node_count)
-        doubts_s = []
-        if behind_since_s is not None:
-            doubts_s.append(behind_since_s + BEHIND_MAX_S)
-        if node_count > 1:
-            doubts_s.append(heard_s + SILENCE_MAX_S)
-        if not doubts_s or now_s < min(doubts_s):
+        is_silent = node_count > 1 and now_s >= heard_s + SILENCE_MAX_S
+        is_behind = (
+            behind_since_s is not None and now_s >= behind_since_s + BEHIND_MAX_S
+        )
+        if not is_silent and not is_behind:
             self._next_read_s = None
+            self._read_interval_s = READ_INTERVAL_MIN_S
             return False
-        interval_s = self._node_count_max / FLEET_READS_PER_S
+        spread_s = self._node_count_max / FLEET_READS_PER_S
         if self._next_read_s is None:
-            self._next_read_s = min(doubts_s) + self._random.random() * interval_s
+            self._next_read_s = now_s + self._random.random() * spread_s
         if now_s < self._next_read_s:
             return False
-        self._next_read_s = now_s + max(READ_INTERVAL_MIN_S, 2 * interval_s)
+        self._next_read_s = now_s + max(self._read_interval_s, 2 * spread_s)
+        if not is_silent:
+            self._read_interval_s = min(READ_INTERVAL_MAX_S, 2 * self._read_interval_s)
         return True
--- a/balsamspindle/settings/gossip.py
+++ b/balsamspindle/settings/gossip.py
@@ -39,8 +39,8 @@
 # repeats its notice once, to other peers of its zone, when the first round has ended.
 NOTICE_REPEAT_AFTER_S = 0.5
 FANOUT_REPEAT = 2
-# Numbers of peers of the own zone and of other zones that a node may ask for a revision
-# although they did not announce it.
+# Numbers of peers of the own zone and of other zones among which a node chooses one
+# that it asks although the peer did not announce a revision.
 OTHER_PEERS_ZONE, OTHER_PEERS_OTHER_ZONES = 2, 2
 # Interval at which a node without settings requests offers, and the number of peers
 # that it asks each time.
--- a/balsamspindle/settings/pulls.py
+++ b/balsamspindle/settings/pulls.py
@@ -24,6 +24,12 @@
 # After a notice from another zone, a node waits this long for a notice from its own
 # zone before it pulls from the other zone. It is time for three rounds of notices.
 ZONE_PEER_WAIT_S = 0.4
+# When all peers were asked, the node starts over after this time, which doubles each
+# time. A revision that can't be applied here, because the peers have another history of
+# changes, would otherwise be pulled without end.
+ROUND_INTERVAL_MIN_S, ROUND_INTERVAL_MAX_S = 0.5, 8.0
+# Number of peers that are asked each time although they announced nothing.
+OTHER_PEERS_MAX = 4
 # Number of peers whose announcements are stored; the oldest is discarded first.
 OFFERS_MAX = 32
 
@@ -63,6 +69,8 @@
         self._had_timeout = False
         self._own_revision = -1
         self._round_started_s = float("-inf")
+        self._round_interval_s = ROUND_INTERVAL_MIN_S
+        self._others_asked = 0
         self._announced_revision = -1
         self._behind_since_s = 0.0
 
@@ -85,7 +93,9 @@
         self._forget_older(own_revision)
         if self._announced_revision <= self._own_revision:
             self._behind_since_s = now_s
-        self._announced_revision = max(self._announced_revision, notice.revision)
+        if notice.revision > self._announced_revision:
+            self._announced_revision = notice.revision
+            self._round_interval_s = ROUND_INTERVAL_MIN_S
         known = self._offers.pop(notice.address, None)
         from_s = now_s if is_own_zone else now_s + ZONE_PEER_WAIT_S
         if known is not None:
@@ -138,7 +148,8 @@
             return
         self._own_revision = own_revision
         self._had_timeout = False
-        self._asked.clear()
+        self._round_interval_s = ROUND_INTERVAL_MIN_S
+        self._forget_asked()
         self._offers = {
             address: offer
             for address, offer in self._offers.items()
@@ -160,12 +171,19 @@
             return SettingsNotice(address, due[address].revision)
         if any(offer.from_s > now_s for offer in self._offers.values()):
             return None
-        others = [peer for peer in self._other_peers() if peer not in self._asked]
-        if others:
-            address = self._random.choice(others)
-            return SettingsNotice(address, self._announced_revision)
-        if now_s < self._round_started_s + PULL_TIMEOUT_S:
+        if self._others_asked < OTHER_PEERS_MAX:
+            others = [peer for peer in self._other_peers() if peer not in self._asked]
+            if others:
+                self._others_asked += 1
+                address = self._random.choice(others)
+                return SettingsNotice(address, self._announced_revision)
+        if now_s < self._round_started_s + self._round_interval_s:
             return None
         self._round_started_s = now_s
-        self._asked.clear()
+        self._round_interval_s = min(ROUND_INTERVAL_MAX_S, 2 * self._round_interval_s)
+        self._forget_asked()
         return self._choose(now_s)
+
+    def _forget_asked(self) -> None:
+        self._asked.clear()
+        self._others_asked = 0
--- a/tests/test_settings_catch_up.py
+++ b/tests/test_settings_catch_up.py
@@ -39,6 +39,16 @@
         self.assertLess(reads_s[0], IN_FORCE_MAX_S)
         self.assertGreater(len(reads_s), 20)
 
+    def test_a_revision_that_the_store_lacks_is_read_ever_less_often(self):
+        # The store was restored from a backup; the peers have the lost revision.
+        schedule = CatchUpReads(random.Random(1))
+        reads = sum(
+            schedule.is_due(0.0, tick * TICK_S, 98, tick * TICK_S)
+            for tick in range(3_000)
+        )
+        self.assertLess(reads, 16)
+        self.assertGreater(reads, 8)
+
     def test_a_node_without_live_peers_reads_nothing(self):
         self.assertEqual([], self.reads(1, None, 0.0))
 
--- a/tests/test_settings_pulls.py
+++ b/tests/test_settings_pulls.py
@@ -67,6 +67,20 @@
                 self.schedule.record_answer(address)
         self.assertLessEqual(pulls, 3)
 
+    def test_a_revision_that_no_peer_can_deliver_is_pulled_ever_less_often(self):
+        # All peers answer, but with changes of another history.
+        for number in range(3):
+            self.offer(f"a{number}")
+        self.others = [f"b{number}" for number in range(1_000)]
+        pulls = []
+        for step in range(6_000):
+            address = self.pull(step / 100)
+            if address is not None:
+                pulls.append(step / 100)
+                self.schedule.record_answer(address)
+        self.assertLess(len(pulls), 100)
+        self.assertGreater(pulls[-1], 50.0)
+
     def test_a_node_that_has_the_change_pulls_nothing(self):
         self.offer("a")
         self.pull(0.0)
