--- a/balsamspindle/settings/gossip.py
+++ b/balsamspindle/settings/gossip.py
@@ -2,9 +2,11 @@
 
 A node with a new revision notifies a few peers. Each of these peers pulls the
 changes that it lacks, puts them in force and notifies a few peers in turn. A notice
-takes tens of bytes, and each change is sent to each node once. Every member message
-carries its sender's revision too, so a node that misses all notices learns the
-revision from the next member message.
+takes tens of bytes, and each change is sent to each node once, unless a message is
+lost. Every member message carries its sender's revision too, so a node that misses all
+notices learns the revision from the next member message. When a pull is repeated:
+`balsamspindle.settings.pulls`; when a node reads the store instead:
+`balsamspindle.settings.catch_up`.
 """
 
 import queue
--- a/balsamspindle/settings/gossip_log.py
+++ b/balsamspindle/settings/gossip_log.py
@@ -19,7 +19,9 @@
         self._announced_revision = -1
         self._announced_s = 0.0
 
-    def announced(self, notice: SettingsNotice, own_revision: int, now_s: float):
+    def announced(
+        self, notice: SettingsNotice, own_revision: int, now_s: float
+    ) -> None:
         """Log a revision that is newer than all that peers announced before."""
         if notice.revision <= self._announced_revision:
             return
