Lose answers of the stand-in store and the relay as the platform does

A connection on which an answer is lost delivers nothing further, says the platform's protocol. The stand-in store closed it, and the relay passed the end of the connection on although it had dropped the answer. So a node got "empty reply" and read again at once, and no test could see what a silent connection does.

Now the stand-in keeps the connection open until the caller closes it, and loses the answers that are due while the fault lasts, also those of waits that began before. A connection of the relay that has lost data delivers nothing further, not even its end; the caller's own end still reaches the store.

--- a/balsamspindle/standins/platform.py
+++ b/balsamspindle/standins/platform.py
@@ -24,6 +24,7 @@
 
 import base64
 import random
+import socket
 import threading
 import time
 from typing import NamedTuple
@@ -204,7 +205,9 @@
                 self._call_later(request, endpoint, arguments, fault.delay_s)
                 raise ConnectionResetError
         response = getattr(self, f"_{endpoint}")(request, **arguments)
-        if fault.mode is FaultMode.LOST_REPLY:
+        lost = self._select_fault(fault_endpoint, request.remote_addr, True)
+        if lost.mode is FaultMode.LOST_REPLY:
+            _wait_until_closed(request.environ["werkzeug.socket"])
             # werkzeug's server closes the connection without an answer when the
             # application raises a connection error.
             raise ConnectionResetError
@@ -217,10 +220,13 @@
         timer.daemon = True
         timer.start()
 
-    def _select_fault(self, endpoint, caller_ip) -> FaultSwitch:
+    def _select_fault(self, endpoint, caller_ip, is_answered=False) -> FaultSwitch:
         with self._changed:
-            self._calls[endpoint] = self._calls.get(endpoint, 0) + 1
-            return select_fault(self._switches, endpoint, caller_ip, self._random)
+            if not is_answered:
+                self._calls[endpoint] = self._calls.get(endpoint, 0) + 1
+            return select_fault(
+                self._switches, endpoint, caller_ip, self._random, is_answered
+            )
 
     # Calls for tests only.
 
@@ -374,6 +380,16 @@
     return 0 if row is None else row.ver
 
 
+def _wait_until_closed(connection: socket.socket) -> None:
+    """Wait until the caller closes its connection."""
+    try:
+        while connection.recv(1024):
+            pass
+    except OSError:
+        # The caller reset the connection.
+        pass
+
+
 def _json(value, status=200):
     body = msgspec.json.encode(value)
     return Response(body, status=status, mimetype="application/json")
--- a/balsamspindle/standins/store_faults.py
+++ b/balsamspindle/standins/store_faults.py
@@ -31,7 +31,9 @@
         ``down`` answers 503 and ``busy`` 429. ``refuse`` closes the connection
         without executing the call. ``slow`` and ``stall`` execute the call after a
         delay; ``stall`` is meant for delays longer than the caller's timeout.
-        ``lost_reply`` executes the call and closes the connection without an answer.
+        ``lost_reply`` executes the call and loses the answer: the connection stays open
+        and delivers nothing further. It affects the answers that are due while the
+        fault is in force, also those to calls that began before.
         ``late`` closes the connection and executes the call after a delay.
     count : int or None
         Number of remaining calls that the fault affects; None for no limit.
@@ -72,12 +74,21 @@
     endpoint: str,
     caller_ip: str | None,
     rng: random.Random,
+    is_answered: bool = False,
 ) -> FaultSwitch:
     """Return the first fault that applies to a call, and decrement its `count`.
 
     If no fault applies, return a fault of mode `NONE`.
+
+    Parameters
+    ----------
+    is_answered : bool, default=False
+        Whether the call was executed and its answer is due. Only ``lost_reply`` affects
+        an answer, and all other modes affect the call.
     """
     for fault in switches:
+        if is_answered is not (fault.mode is FaultMode.LOST_REPLY):
+            continue
         if fault.endpoint not in (None, endpoint) or fault.count == 0:
             continue
         if fault.caller_ip not in (None, caller_ip):
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -18,7 +18,8 @@
     PASS = "pass"
     # Data is delayed until the flow is `PASS` again, and then forwarded in order.
     HOLD = "hold"
-    # Data is discarded, and the connection stays open, as in a one-way partition.
+    # Data is discarded. A connection that has lost data stays open, but delivers
+    # nothing further in either direction, not even its end.
     DROP = "drop"
 
 
@@ -46,6 +47,8 @@
         self.address = f"127.0.0.1:{port}"
         self._listener = socket.create_server(("127.0.0.1", port))
         self._sockets: list[socket.socket] = []
+        # Sockets of connections that have lost data.
+        self._lossy: set[socket.socket] = set()
         self._closed = False
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -54,6 +57,7 @@
         for connection in self._sockets:
             _close(connection)
         self._sockets.clear()
+        self._lossy.clear()
 
     def close(self) -> None:
         """Close the relay and all its connections."""
@@ -93,12 +97,15 @@
                     time.sleep(self.delay_s)
                 while getattr(self, direction) is Flow.HOLD and not self._closed:
                     time.sleep(IDLE_POLL_S)
-                if getattr(self, direction) is Flow.PASS:
+                if getattr(self, direction) is Flow.DROP:
+                    self._lossy |= {source, sink}
+                if source not in self._lossy:
                     sink.sendall(data)
         except OSError:
             pass
         _close(source)
-        _close(sink)
+        if direction == "forward" or source not in self._lossy:
+            _close(sink)
 
 
 def _refuse(connection: socket.socket, refusal: bytes) -> None:
