Log when a poll for settings began and how it ended

A node that waits at the store logs nothing from one change to the next, whether the store has nothing new or its answers are lost. Nor was it known how old the newest proof is that a node's settings are the store's.

A proof counts from the start of a call that was answered; a call without an answer proves nothing.

--- a/balsamspindle/node/settings_tasks.py
+++ b/balsamspindle/node/settings_tasks.py
@@ -1,6 +1,7 @@
 """Creates the tasks of a node that read the fleet's settings and share them."""
 
 import threading
+import time
 from collections.abc import Callable
 
 from balsamspindle.membership import Directory, Member
@@ -143,4 +144,5 @@
             configuration.unusable if configuration else {},
             reader.state if reader else None,
             reader.platform_revision if reader else -1,
+            reader.proof_age_s(time.monotonic()) if reader else None,
         )
--- a/balsamspindle/node/status.py
+++ b/balsamspindle/node/status.py
@@ -22,6 +22,9 @@
         None if the node does not use the platform.
     platform_revision : int
         Newest revision read from the platform; -1 before the first read.
+    proof_age_s : float or None
+        Age of the newest answer of the platform by which these settings, or those of
+        `platform_revision`, were its newest; None without one.
     """
 
     revision: int
@@ -29,6 +32,7 @@
     unusable: dict[str, str]
     platform: PlatformState | None
     platform_revision: int
+    proof_age_s: float | None = None
 
 
 class NodeStatus(msgspec.Struct, frozen=True):
--- a/balsamspindle/settings/reader.py
+++ b/balsamspindle/settings/reader.py
@@ -187,6 +187,8 @@
         self._on_in_force = on_in_force
         self._wake = threading.Event()
         self._stopped = False
+        # Start of the newest poll that the platform answered, on the monotonic clock.
+        self._proven_s: float | None = None
         self.state = PlatformState.NOT_READ
         self.platform_revision = -1
 
@@ -213,12 +215,24 @@
         """Poll now, so that `on_read` receives the platform's current revision."""
         self._wake.set()
 
+    def proof_age_s(self, now_s: float) -> float | None:
+        """Return the age of the newest poll that was answered; None without one.
+
+        Parameters
+        ----------
+        now_s : float
+            Present time on the monotonic clock.
+        """
+        return None if self._proven_s is None else now_s - self._proven_s
+
     def poll(self) -> None:
         """Read the platform's revision and put missing changes in force."""
+        polled_s = time.monotonic()
         began_s, own_revision = proof_time_s(), self._configuration.revision
         match read_update(self._tables, self._configuration.revision):
             case Result(tag="ok", ok=update):
                 self.platform_revision = update.fleet.revision
+                self._proven_s = polled_s
                 self._compare_revisions(update)
                 # If the platform's revision is older than this node's, the platform
                 # lost changes, possibly also changes that this node never received.
--- a/balsamspindle/settings/watcher.py
+++ b/balsamspindle/settings/watcher.py
@@ -109,6 +109,9 @@
         # Version of the row that was decoded last, and the settings revision in it.
         self._last_row = (0, -1)
         self._state_since_s = time.monotonic()
+        # Start of the newest read or wait that the store has answered, on the monotonic
+        # clock. At that time the row decoded last was the store's newest.
+        self._proven_s: float | None = None
         self.state = PlatformState.NOT_READ
         self.platform_revision = -1
 
@@ -141,8 +144,10 @@
 
         Returns None on failure.
         """
-        read = self._start_read()
-        return self._handle_result(self._tables.snapshot(self._row.table), read)
+        read, began_s = self._start_read(), time.monotonic()
+        return self._handle_result(
+            self._tables.snapshot(self._row.table), began_s, read
+        )
 
     def renew_proof(self) -> None:
         """Read the row and report its revision to `on_read`; callable from any thread.
@@ -150,19 +155,34 @@
         A long poll that has not been answered does not prove that the settings in
         force are the newest, since its connection may be dead.
         """
-        read = self._start_read()
+        read, began_s = self._start_read(), time.monotonic()
         match self._tables.read(self._row.table, [self._row.key]):
             case Result(tag="ok", ok=[row]):
-                self._report_read(read, self._apply_row(row))
+                row_revision = self._apply_row(row)
+                self._record_proof(began_s)
+                self._report_read(read, row_revision)
 
     def wait_for_change(self, version: int) -> int | None:
         """Wait for a change after a version of the table; return the new version.
 
         Returns None on failure.
         """
-        return self._handle_result(
-            self._tables.wait_for_changes(self._row.table, version, WAIT_TIMEOUT_S)
-        )
+        began_s = time.monotonic()
+        result = self._tables.wait_for_changes(self._row.table, version, WAIT_TIMEOUT_S)
+        self._report_poll(result, began_s, time.monotonic())
+        return self._handle_result(result, began_s)
+
+    def proof_age_s(self, now_s: float) -> float | None:
+        """Return the age of the newest proof that the row here is the store's newest.
+
+        None if there is no proof.
+
+        Parameters
+        ----------
+        now_s : float
+            Present time on the monotonic clock.
+        """
+        return None if self._proven_s is None else now_s - self._proven_s
 
     def _start_read(self) -> _RowRead:
         return _RowRead(proof_time_s(), self._configuration.revision)
@@ -185,8 +205,28 @@
                 return
             remaining_s -= READER_CHECK_INTERVAL_S
 
+    def _record_proof(self, began_s: float) -> None:
+        self._proven_s = max(began_s, self._proven_s or began_s)
+
+    def _report_poll(self, result: Result, began_s: float, now_s: float) -> None:
+        """Log when a poll began, how it ended, and how old the newest proof was."""
+        match result:
+            case Result(tag="ok", ok=Changes(rows, _)):
+                ending, cause = ("changed" if rows else "unchanged"), None
+            case Result(error=error):
+                ending, cause = "failed", error.message
+        proof_age_s = self.proof_age_s(now_s)
+        self._events.emit(
+            "settings_poll_ended",
+            ending=ending,
+            lasted_ms=round((now_s - began_s) * 1000),
+            revision=self._configuration.revision,
+            proof_age_ms=None if proof_age_s is None else round(proof_age_s * 1000),
+            cause=cause,
+        )
+
     def _handle_result(
-        self, result: Result, read: _RowRead | None = None
+        self, result: Result, began_s: float, read: _RowRead | None = None
     ) -> int | None:
         match result:
             case Result(tag="ok", ok=Changes(rows, version)):
@@ -196,6 +236,7 @@
                         row_revision = self._apply_row(row)
                         if read is not None:
                             self._report_read(read, row_revision)
+                self._record_proof(began_s)
                 self._set_state(PlatformState.CURRENT)
                 return version
             case Result(error=HistoryLost(message)):
--- /dev/null
+++ b/tests/test_settings_poll_log.py
@@ -0,0 +1,73 @@
+"""What a node logs of its long polls for settings."""
+
+import time
+from io import StringIO
+
+from expression import Error, Ok
+from testtools import TestCase
+
+from balsamspindle.settings.configuration import CurrentConfiguration
+from balsamspindle.settings.watcher import OperatorRow, SettingsWatcher, WholeSettings
+from balsamspindle.tables import Changes, Row, TableService, Unknown
+from balsamspindle.timeline import EventLog, HybridClock, parse_event
+
+
+class AnsweredTables(TableService):
+    """A store whose waits end at once with the next of `answers`."""
+
+    def __init__(self) -> None:
+        self.answers = []
+
+    def snapshot(self, table):
+        return Ok(Changes([Row("config", 1, 1)], 1))
+
+    def wait_for_changes(self, table, after_version, wait_s):
+        return self.answers.pop(0)
+
+
+class PollLogTests(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.log, self.tables = StringIO(), AnsweredTables()
+        self.events = EventLog("node", 1, HybridClock(), self.log)
+        self.watcher = SettingsWatcher(
+            self.tables,
+            OperatorRow("op", "config", lambda value: WholeSettings(value, {})),
+            CurrentConfiguration(),
+            self.events,
+            lambda: True,
+        )
+
+    def _polls(self) -> list[dict]:
+        self.events.flush()
+        lines = [parse_event(line) for line in self.log.getvalue().splitlines()]
+        return [line for line in lines if line["event"] == "settings_poll_ended"]
+
+    def test_each_poll_is_logged_with_its_length_and_how_it_ended(self):
+        # Guards against silence of the log on what a node last heard from the store.
+        self.tables.answers = [
+            Ok(Changes([Row("config", 2, 2)], 2)),
+            Ok(Changes([], 2)),
+            Error(Unknown("timed out")),
+        ]
+        version = self.watcher.read_row()
+        for _ in range(3):
+            self.watcher.wait_for_change(version)
+        polls = self._polls()
+        self.assertEqual(
+            ["changed", "unchanged", "failed"], [poll["ending"] for poll in polls]
+        )
+        self.assertEqual([0, 0, 0], [int(poll["lasted_ms"]) // 1000 for poll in polls])
+        self.assertIn("timed out", polls[2]["cause"])
+
+    def test_the_age_of_the_proof_counts_from_the_start_of_an_answered_call(self):
+        # Guards against a failed poll that is taken for word from the store.
+        self.assertIsNone(self.watcher.proof_age_s(time.monotonic()))
+        self.watcher.read_row()
+        proven_s = time.monotonic()
+        self.tables.answers = [Error(Unknown("timed out"))]
+        time.sleep(0.05)
+        self.watcher.wait_for_change(1)
+        (poll,) = self._polls()
+        self.assertGreaterEqual(int(poll["proof_age_ms"]), 50)
+        self.assertGreaterEqual(self.watcher.proof_age_s(proven_s + 1.0), 1.0)
