--- a/balsamspindle/platform/__init__.py
+++ b/balsamspindle/platform/__init__.py
@@ -1,6 +1,7 @@
 """Adapters between the users' platform and the product.
 
-- `store.py`: client of the platform's metadata store.
+- `store.py`, `object_store.py`: clients of the tables and objects of the platform's
+  metadata store; `store_calls.py` makes their calls.
 - `values.py`: decoders of the platform's durations, versions, bytes and bounds.
 - `configuration.py`: translates the operator's configuration.
 - `settings.py`: translates the settings file of a process.
@@ -8,6 +9,7 @@
 - `__main__.py`: runs a node on the platform.
 """
 
-from balsamspindle.platform.store import HttpObjectStore, HttpTableService
+from balsamspindle.platform.object_store import HttpObjectStore
+from balsamspindle.platform.store import HttpTableService
 
 __all__ = ["HttpObjectStore", "HttpTableService"]
--- a/balsamspindle/platform/store.py
+++ b/balsamspindle/platform/store.py
@@ -13,7 +13,7 @@
 """
 
 from typing import Any
-from urllib.parse import quote, urlencode
+from urllib.parse import urlencode
 
 import msgspec
 from expression import Error, Ok, Result
@@ -22,6 +22,7 @@
     LongPollConnections,
     StoreAnswer,
     call_store,
+    classify_failure,
 )
 from balsamspindle.platform.values import (
     PlatformFormatError,
@@ -33,7 +34,6 @@
     Check,
     Conflict,
     HistoryLost,
-    ObjectStore,
     PlatformError,
     Row,
     StoreEras,
@@ -44,7 +44,7 @@
 )
 from balsamspindle.tables.eras import era_of, number_of, pack_version
 
-__all__ = ["HttpObjectStore", "HttpTableService"]
+__all__ = ["HttpTableService"]
 
 # Rows in one answer; the store's own limit.
 PAGE_ROWS_MAX = 500
@@ -59,11 +59,6 @@
 # other key can lie between them.
 _NEXT_KEY_SUFFIX = "\0"
 
-_OK, _NOT_FOUND, _GONE, _CONFLICT = 200, 404, 410, 412
-# Statuses after which nothing was written: invalid call (other 4xx), rate limit (429),
-# unavailable (503), storage full (507).
-_REFUSALS = frozenset({400, 403, 404, 413, 429, 503, 507})
-
 
 _RESTORED = HistoryLost("the store was restored from an older copy")
 
@@ -185,7 +180,7 @@
                     lambda page: Error(Conflict(_checked_rows(transaction, page)))
                 )
             case result:
-                return _classify_failure(result)
+                return classify_failure(result)
 
     def _reread_checked_rows(self, checks: list[Check]) -> Result[int, PlatformError]:
         """Read a transaction's checked rows again and return them as a `Conflict`.
@@ -224,7 +219,7 @@
                 self._eras.record_answer(answer.era)
                 return Error(HistoryLost("the store no longer has these older changes"))
             case result:
-                return _classify_failure(result)
+                return classify_failure(result)
 
     def _read_all(self, table: str) -> Result[Changes, Unreachable | Unknown]:
         """Read a table page by page.
@@ -263,7 +258,7 @@
             case Result(tag="ok", ok=StoreAnswer(200) as answer):
                 return self._decode_page(answer)
             case result:
-                return _classify_failure(result)
+                return classify_failure(result)
 
     def _decode_page(self, answer: StoreAnswer) -> Result[_Page, Unknown]:
         """Decode an answer; it is an error if `StoreEras` rejects the answer's era."""
@@ -278,42 +273,6 @@
         return Ok(page)
 
 
-class HttpObjectStore(ObjectStore):
-    """The store's objects at one address."""
-
-    def __init__(self, address: str) -> None:
-        self._url = f"http://{address}"
-
-    def get(self, name):
-        """See `ObjectStore.get`."""
-        match call_store("GET", f"{self._url}/blob-get/{quote(name, safe='')}"):
-            case Result(tag="ok", ok=StoreAnswer(200, body)):
-                return Ok(body)
-            case Result(tag="ok", ok=StoreAnswer(404)):
-                return Ok(None)
-            case result:
-                return _classify_failure(result)
-
-    def put(self, name, body):
-        """See `ObjectStore.put`."""
-        match call_store("PUT", f"{self._url}/blob-put/{quote(name, safe='')}", body):
-            case Result(tag="ok", ok=StoreAnswer(200)):
-                return Ok(None)
-            case result:
-                return _classify_failure(result)
-
-
-def _classify_failure(result: Result) -> Result[Any, Unreachable | Unknown]:
-    """Return `Unreachable` if the call wrote nothing, `Unknown` if it may have."""
-    match result:
-        case Result(tag="ok", ok=StoreAnswer(status)) if status in _REFUSALS:
-            return Error(Unreachable(f"the store refused the call ({status})"))
-        case Result(tag="ok", ok=StoreAnswer(status)):
-            return Error(Unknown(f"the store answered {status}"))
-        case Result(error=error):
-            return Error(error)
-
-
 def _transaction_result(page: _Page, checked_eras: list[int]) -> Result[int, Unknown]:
     """Return the version that a transaction wrote.
 
--- a/balsamspindle/platform/store_calls.py
+++ b/balsamspindle/platform/store_calls.py
@@ -4,7 +4,7 @@
 import socket
 import threading
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import pycurl
 from expression import Error, Ok, Result
@@ -12,7 +12,7 @@
 from balsamspindle.protocol.field_values import field_value
 from balsamspindle.tables import Unknown, Unreachable
 
-__all__ = ["StoreAnswer", "LongPollConnections", "call_store"]
+__all__ = ["StoreAnswer", "LongPollConnections", "call_store", "classify_failure"]
 
 CONNECT_TIMEOUT_MS = 500
 # The store answers in a few milliseconds, so this suffices even if it becomes 60 times
@@ -40,6 +40,11 @@
 )
 
 
+# Statuses after which nothing was written: invalid call (other 4xx), rate limit (429),
+# unavailable (503), storage full (507).
+_REFUSALS = frozenset({400, 403, 404, 413, 429, 503, 507})
+
+
 class StoreAnswer(NamedTuple):
     """The store's answer to a call.
 
@@ -142,6 +147,17 @@
         handle.close()
 
 
+def classify_failure(result: Result) -> Result[Any, Unreachable | Unknown]:
+    """Return `Unreachable` if the call wrote nothing, `Unknown` if it may have."""
+    match result:
+        case Result(tag="ok", ok=StoreAnswer(status)) if status in _REFUSALS:
+            return Error(Unreachable(f"the store refused the call ({status})"))
+        case Result(tag="ok", ok=StoreAnswer(status)):
+            return Error(Unknown(f"the store answered {status}"))
+        case Result(error=error):
+            return Error(error)
+
+
 def _record_era(line: bytes, eras: list[str]) -> None:
     """Append the header's value to `eras` if `line` is the era header."""
     name, _, value = line.partition(b":")
--- a/tests/test_soak_settings.py
+++ b/tests/test_soak_settings.py
@@ -6,5 +6,5 @@
 
 
 def test_a_short_soak_of_settings_keeps_the_promises():
-    """Guards against nodes that stay behind since a peer, message or answer was lost."""
+    """Guards against nodes that stay behind since a peer or an answer was lost."""
     assert run_seed(SHORT_SEED, SHORT_S) is None
