Ask a peer again at once when it is heard again after silence

What callers could get: routes of an older version for up to 8 s after a cut, at a node that had heard of a change just before it. (Found by reading, at the schedule; not seen at real processes.)

A node that knows of a newer revision pulls it from each peer once, then waits for its next round, at intervals that double from 0.5 to 8 s. Pulls that were lost counted like answers of peers that have nothing newer. So after some seconds without a network the node waited out its interval, though every message told it of the revision.

Now a peer that did not answer, and is heard again, may be asked again, one such pull a second: a peer that is heard may still be unreachable. Peers that answered without the change wait for the next round as before.

Test before: no pull at 20 s, when the silent peer was heard again. Peers that are heard and never answer get fewer than 150 pulls a minute.

--- a/balsamspindle/settings/pulls.py
+++ b/balsamspindle/settings/pulls.py
@@ -28,6 +28,9 @@
 # time. A revision that can't be applied here, because the peers have another history of
 # changes, would otherwise be pulled without end.
 ROUND_INTERVAL_MIN_S, ROUND_INTERVAL_MAX_S = 0.5, 8.0
+# Interval at which peers that did not answer may be asked again because they were heard
+# again. A peer that can be heard may still not be reached.
+REPEAT_INTERVAL_S = 1.0
 # Number of peers that are asked each time although they announced nothing.
 OTHER_PEERS_MAX = 4
 # Number of peers whose announcements are stored; the oldest is discarded first.
@@ -65,6 +68,9 @@
         # By address; the latest announcement last.
         self._offers: dict[str, _Offer] = {}
         self._asked: set[str] = set()
+        # Those of `_asked` that did not answer in time.
+        self._unanswered: set[str] = set()
+        self._next_repeat_s = float("-inf")
         self._open: list[_OpenPull] = []
         self._had_timeout = False
         self._own_revision = -1
@@ -96,6 +102,7 @@
         if notice.revision > self._announced_revision:
             self._announced_revision = notice.revision
             self._round_interval_s = ROUND_INTERVAL_MIN_S
+        self._allow_repeat(notice.address, now_s)
         known = self._offers.pop(notice.address, None)
         from_s = now_s if is_own_zone else now_s + ZONE_PEER_WAIT_S
         if known is not None:
@@ -104,8 +111,20 @@
         if len(self._offers) > OFFERS_MAX:
             del self._offers[next(iter(self._offers))]
 
+    def _allow_repeat(self, address: str, now_s: float) -> None:
+        """Allow another pull from a peer that did not answer and is heard again.
+
+        The pull or its answer was lost, and the network may have recovered since. After
+        a peer that answered without the change, the node waits for the next round.
+        """
+        if address in self._unanswered and now_s >= self._next_repeat_s:
+            self._next_repeat_s = now_s + REPEAT_INTERVAL_S
+            self._unanswered.discard(address)
+            self._asked.discard(address)
+
     def record_answer(self, address: str) -> None:
         """Record that a peer answered, so that the next pull need not wait."""
+        self._unanswered.discard(address)
         self._open = [pull for pull in self._open if pull.notice.address != address]
 
     def record_page(self, address: str, now_s: float) -> None:
@@ -122,6 +141,7 @@
         ]
         self._open = [pull for pull in self._open if pull not in unanswered]
         self._had_timeout = self._had_timeout or bool(unanswered)
+        self._unanswered |= {pull.notice.address for pull in unanswered}
         return [pull.notice for pull in unanswered]
 
     def next_pull(self, own_revision: int, now_s: float) -> SettingsNotice | None:
@@ -186,4 +206,5 @@
 
     def _forget_asked(self) -> None:
         self._asked.clear()
+        self._unanswered.clear()
         self._others_asked = 0
--- a/tests/test_settings_catch_up.py
+++ b/tests/test_settings_catch_up.py
@@ -1,6 +1,7 @@
 """When a node reads the store because peers may not deliver a change."""
 
 import random
+from itertools import pairwise
 
 from testtools import TestCase
 
@@ -22,14 +23,14 @@
         return [
             now_s
             for now_s in times_s
-            if schedule.is_due(behind_since_s, heard_s, node_count, now_s)
+            if schedule.is_due(behind_since_s, heard_s, node_count, now_s, now_s)
         ]
 
     def test_a_node_in_touch_with_its_peers_reads_nothing(self):
         schedule = CatchUpReads(random.Random(1))
         for tick in range(300):
             now_s = tick * TICK_S
-            self.assertFalse(schedule.is_due(None, now_s - 1.2, 98, now_s))
+            self.assertFalse(schedule.is_due(None, now_s - 1.2, 98, now_s, now_s))
 
     def test_a_node_that_stays_behind_reads_in_time(self):
         self.assertLess(self.reads(98, 0.0, 30.0)[0], IN_FORCE_MAX_S)
@@ -43,12 +44,23 @@
         # The store was restored from a backup; the peers have the lost revision.
         schedule = CatchUpReads(random.Random(1))
         reads = sum(
-            schedule.is_due(0.0, tick * TICK_S, 98, tick * TICK_S)
+            schedule.is_due(0.0, tick * TICK_S, 98, tick * TICK_S, tick * TICK_S)
             for tick in range(3_000)
         )
         self.assertLess(reads, 16)
         self.assertGreater(reads, 8)
 
+    def test_reads_that_the_store_does_not_answer_are_repeated_in_time(self):
+        # Guards against silence of the store that is taken for a lack of the change.
+        schedule = CatchUpReads(random.Random(1))
+        reads_s = [
+            tick * TICK_S
+            for tick in range(300)
+            if schedule.is_due(0.0, tick * TICK_S, 98, tick * TICK_S, None)
+        ]
+        gaps_s = [after - before for before, after in pairwise(reads_s)]
+        self.assertLess(max(gaps_s), IN_FORCE_MAX_S)
+
     def test_a_node_without_live_peers_reads_nothing(self):
         self.assertEqual([], self.reads(1, None, 0.0))
 
--- a/tests/test_settings_pulls.py
+++ b/tests/test_settings_pulls.py
@@ -57,6 +57,21 @@
         asked = [self.pull(step * PULL_TIMEOUT_S) for step in range(3)]
         self.assertEqual(["a", "c", "a"], asked)
 
+    def test_a_silent_peer_that_is_heard_again_is_asked_at_once(self):
+        # Guards against a node that waits for its next round when a cut has ended.
+        self.offer("a")
+        for tick in range(200):
+            self.pull(tick / 10)
+        self.offer("a", now_s=20.0)
+        self.assertEqual("a", self.pull(20.0))
+
+    def test_peers_that_are_heard_but_do_not_answer_are_not_asked_in_a_loop(self):
+        pulls = 0
+        for tick in range(600):
+            self.offer(f"peer-{tick % 9}", now_s=tick / 10)
+            pulls += self.pull(tick / 10) is not None
+        self.assertLess(pulls, 150)
+
     def test_peers_that_answer_without_the_change_are_not_asked_in_a_loop(self):
         self.offer("a")
         pulls = 0
