--- a/balsamspindle/settings/watcher.py
+++ b/balsamspindle/settings/watcher.py
@@ -218,7 +218,8 @@
             case Result(tag="ok", ok=Changes(rows, newest)):
                 self._had_failed_check = False
                 self._apply_rows(rows)
-                self._version = max(self._version, newest)
+                if self._version == version:
+                    self._version = newest
                 self._record_proof(began_s)
             case Result(error=error):
                 if not self._had_failed_check:
@@ -292,7 +293,7 @@
                 for row_revision in self._apply_rows(rows):
                     if read is not None:
                         self._report_read(read, row_revision)
-                self._version = max(self._version, version)
+                self._version = version
                 self._record_proof(began_s)
                 self._set_state(PlatformState.CURRENT)
                 return version
--- a/tests/test_store_checks.py
+++ b/tests/test_store_checks.py
@@ -177,6 +177,16 @@
         self.watcher.check_store()
         self.assertTrue(self.tables.poll_began.wait(5.0))
 
+    def test_a_store_with_lower_versions_is_not_read_without_end(self):
+        # Guards against checks after a version that a replaced store never reaches.
+        self.tables.row = Row("config", 10, 1)
+        self.watcher.read_row()
+        self.tables.row = Row("config", 3, 1)
+        self.watcher.read_row()
+        self.tables.row = Row("config", 4, 2)
+        self.watcher.check_store()
+        self.assertEqual(2, self.configuration.revision)
+
     def test_a_check_is_made_while_the_circuit_is_open_and_closes_it(self):
         # Guards against a node that waits after the store has become well again.
         for _ in range(3):
