Log each read of the settings at the store

The age of a node's newest proof that its settings are the store's could be read from /status alone, and from the end of a poll, which comes once in 25 s. Now each check and each read of the row writes settings_read with its length and how it ended; of failures in a row only the first.

The watch for overdue polls has a lock: two tasks use it.

--- a/balsamspindle/settings/store_checks.py
+++ b/balsamspindle/settings/store_checks.py
@@ -7,6 +7,7 @@
 polls missed is found by the next of these checks, and gossip tells the other nodes.
 """
 
+import threading
 from typing import NamedTuple
 
 from balsamspindle.settings.reader_selection import ReaderPosition
@@ -53,7 +54,7 @@
 
 
 class PollWatch:
-    """Finds out that an open poll should have returned a change by now.
+    """Finds out that an open poll should have returned a change by now; thread-safe.
 
     A revision that came in force since the poll began, from a peer or by another call,
     is a change that the poll should return. If the store lacks it, since the store was
@@ -61,15 +62,18 @@
     """
 
     def __init__(self) -> None:
+        self._lock = threading.Lock()
         self._poll: _OpenPoll | None = None
 
     def record_began(self, revision: int) -> None:
         """Record that a poll begins while `revision` is in force."""
-        self._poll = _OpenPoll(revision, None)
+        with self._lock:
+            self._poll = _OpenPoll(revision, None)
 
     def record_ended(self) -> None:
         """Record that the poll ended."""
-        self._poll = None
+        with self._lock:
+            self._poll = None
 
     def is_overdue(self, revision: int, now_s: float) -> bool:
         """Return whether the open poll has missed a change.
@@ -79,10 +83,11 @@
         revision : int
             Revision that is in force now.
         """
-        poll = self._poll
-        if poll is None or revision <= poll.revision:
-            return False
-        if poll.overdue_s is None:
-            self._poll = poll._replace(overdue_s=now_s + POLL_ANSWER_MAX_S)
-            return False
-        return now_s >= poll.overdue_s
+        with self._lock:
+            poll = self._poll
+            if poll is None or revision <= poll.revision:
+                return False
+            if poll.overdue_s is None:
+                self._poll = poll._replace(overdue_s=now_s + POLL_ANSWER_MAX_S)
+                return False
+            return now_s >= poll.overdue_s
--- a/balsamspindle/settings/watcher.py
+++ b/balsamspindle/settings/watcher.py
@@ -121,7 +121,8 @@
         self._checks = CheckSchedule()
         self._poll_watch = PollWatch()
         self._is_poll_overdue = False
-        self._had_failed_check = False
+        # Kinds of calls of which the last one failed.
+        self._failing_calls: set[str] = set()
         # Version of the row that was decoded last, and the settings revision in it.
         self._last_row = (0, -1)
         self._state_since_s = time.monotonic()
@@ -159,9 +160,9 @@
         Returns None on failure.
         """
         read, began_s = self._start_read(), time.monotonic()
-        return self._handle_result(
-            self._tables.snapshot(self._row.table), began_s, read
-        )
+        result = self._tables.snapshot(self._row.table)
+        self._report_call("read", result, began_s)
+        return self._handle_result(result, began_s, read)
 
     def renew_proof(self) -> None:
         """Read the row and report its revision to `on_read`; callable from any thread.
@@ -170,7 +171,9 @@
         force are the newest, since its connection may be dead.
         """
         read, began_s = self._start_read(), time.monotonic()
-        match self._tables.read(self._row.table, [self._row.key]):
+        result = self._tables.read(self._row.table, [self._row.key])
+        self._report_call("read", result, began_s)
+        match result:
             case Result(tag="ok", ok=[row]):
                 row_revision = self._apply_row(row)
                 self._record_proof(began_s)
@@ -214,19 +217,16 @@
         if not version:
             return
         began_s = time.monotonic()
-        match self._tables.changes_after(self._row.table, version):
+        result = self._tables.changes_after(self._row.table, version)
+        self._report_call("check", result, began_s)
+        match result:
             case Result(tag="ok", ok=Changes(rows, newest)):
-                self._had_failed_check = False
                 self._apply_rows(rows)
                 if self._version == version:
                     self._version = newest
                 self._record_proof(began_s)
-            case Result(error=error):
-                if not self._had_failed_check:
-                    self._events.emit("settings_check_failed", cause=error.message)
-                self._had_failed_check = True
-                if isinstance(error, HistoryLost):
-                    self._end_poll()
+            case Result(error=HistoryLost()):
+                self._end_poll()
 
     def end_overdue_poll(self, now_s: float) -> None:
         """End the long poll if it has missed a change; then the row is read again."""
@@ -265,6 +265,25 @@
     def _record_proof(self, began_s: float) -> None:
         self.proven_s = max(began_s, self.proven_s or began_s)
 
+    def _report_call(self, call: str, result: Result, began_s: float) -> None:
+        """Log a call that the store answers at once; of failures in a row the first."""
+        is_repeated = result.is_error() and call in self._failing_calls
+        match result:
+            case Result(tag="ok"):
+                self._failing_calls.discard(call)
+                cause = None
+            case Result(error=error):
+                self._failing_calls.add(call)
+                cause = error.message
+        if not is_repeated:
+            self._events.emit(
+                "settings_read",
+                call=call,
+                ending="failed" if cause else "answered",
+                lasted_ms=round((time.monotonic() - began_s) * 1000),
+                cause=cause,
+            )
+
     def _report_poll(self, result: Result, began_s: float, now_s: float) -> None:
         """Log when a poll began, how it ended, and how old the newest proof was."""
         match result:
