--- a/tests/soak_settings.py
+++ b/tests/soak_settings.py
@@ -304,8 +304,8 @@
     soak = SettingsSoak(seed, load_s, zones)
     try:
         soak.run()
-    except AssertionError as error:
-        return f"seed {seed}: {error}"
+    except (AssertionError, OSError) as error:
+        return f"seed {seed}: {error!r}"
     finally:
         print(f"seed {seed}:", dict(sorted(soak.figures.items())), flush=True)
     return None
