Begin each check of the store without waiting for the one before

The checks of the store timed out after 1 s (settings_read ending=failed, 65,536 of some 200,000 bytes received): the store was slow as well, 0.3 s for each 64 KB, so a change of 400 routes took 1.5 s.

The short timeout was there so that a lost answer would not hold up the next check. Now each check has a thread of its own, up to four at a time, and the same 2 s as any call. Test: with a check that is not answered, one check in 4 s before, three now.

What is logged of calls of the store moves to a module of its own. The test of the log reads the events of its own node: other tests of the same process may still write to the sink that all share, which failed it once in a run with two other files.

--- a/balsamspindle/platform/store.py
+++ b/balsamspindle/platform/store.py
@@ -19,7 +19,6 @@
 from expression import Error, Ok, Result
 
 from balsamspindle.platform.store_calls import (
-    CHECK_TIMEOUT_MS,
     LongPollConnections,
     StoreAnswer,
     call_store,
@@ -216,7 +215,7 @@
 
     def changes_after(self, table, version):
         """See `TableService.changes_after`."""
-        return self._feed(table, version, 0, timeout_ms=CHECK_TIMEOUT_MS)
+        return self._feed(table, version, 0)
 
     def _feed(
         self, table: str, after_version: int, wait_ms: int, **options: Any
--- a/balsamspindle/platform/store_calls.py
+++ b/balsamspindle/platform/store_calls.py
@@ -13,7 +13,6 @@
 from balsamspindle.tables import Unknown, Unreachable
 
 __all__ = [
-    "CHECK_TIMEOUT_MS",
     "LongPollConnections",
     "StoreAnswer",
     "call_store",
@@ -24,8 +23,6 @@
 # The store answers in a few milliseconds, so this suffices even if it becomes 60 times
 # slower.
 CALL_TIMEOUT_MS = 2000
-# Timeout of a call that another one replaces if it fails.
-CHECK_TIMEOUT_MS = 1000
 # TCP keep-alive detects a connection that was lost without a reset: probes start after
 # 1 s of silence, and the connection fails after two probes without an answer.
 KEEP_ALIVE_IDLE_S = 1
@@ -120,7 +117,6 @@
     url: str,
     body: bytes | None = None,
     wait_ms: int = 0,
-    timeout_ms: int = CALL_TIMEOUT_MS,
     open_socket: Callable = lambda *arguments: _open_socket(*arguments),
 ) -> Result[StoreAnswer, Unreachable | Unknown]:
     """Make one call on a new connection.
@@ -129,7 +125,7 @@
     ----------
     wait_ms : int
         Time that the store may wait for changes before it answers. It is added to
-        `timeout_ms`.
+        timeout.
     open_socket : callable
         Callback for libcurl's ``OPENSOCKETFUNCTION``.
     """
@@ -139,7 +135,7 @@
     handle.setopt(pycurl.CUSTOMREQUEST, method)
     handle.setopt(pycurl.NOSIGNAL, 1)
     handle.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
-    handle.setopt(pycurl.TIMEOUT_MS, timeout_ms + wait_ms)
+    handle.setopt(pycurl.TIMEOUT_MS, CALL_TIMEOUT_MS + wait_ms)
     handle.setopt(pycurl.OPENSOCKETFUNCTION, open_socket)
     handle.setopt(pycurl.PROXY, "")
     handle.setopt(pycurl.WRITEDATA, answer)
--- a/balsamspindle/settings/watcher.py
+++ b/balsamspindle/settings/watcher.py
@@ -12,6 +12,7 @@
 import threading
 import time
 from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any, NamedTuple
 
 from expression import Result
@@ -20,6 +21,7 @@
 from balsamspindle.settings.reader import PlatformState
 from balsamspindle.settings.reader_selection import ReaderPosition
 from balsamspindle.settings.store_checks import CheckSchedule, PollWatch
+from balsamspindle.settings.store_log import StoreLog
 from balsamspindle.tables import Changes, HistoryLost, Row, TableService
 from balsamspindle.tables.proof_clock import proof_time_s
 from balsamspindle.timeline import EventLog
@@ -39,6 +41,9 @@
 READER_CHECK_INTERVAL_S = 2.0
 # A starting node knows few others at first, and would check the store too often.
 CHECKS_DELAY_S = 2.0
+# Checks of one node that are open at a time. It is as many as a single node begins
+# until the first of them times out.
+CHECKS_OPEN_MAX = 4
 
 
 class WholeSettings(NamedTuple):
@@ -121,8 +126,7 @@
         self._checks = CheckSchedule()
         self._poll_watch = PollWatch()
         self._is_poll_overdue = False
-        # Kinds of calls of which the last one failed.
-        self._failing_calls: set[str] = set()
+        self._log = StoreLog(events, configuration)
         # Version of the row that was decoded last, and the settings revision in it.
         self._last_row = (0, -1)
         self._state_since_s = time.monotonic()
@@ -161,7 +165,7 @@
         """
         read, began_s = self._start_read(), time.monotonic()
         result = self._tables.snapshot(self._row.table)
-        self._report_call("read", result, began_s)
+        self._log.call_ended("read", result, began_s, time.monotonic())
         return self._handle_result(result, began_s, read)
 
     def renew_proof(self) -> None:
@@ -172,7 +176,7 @@
         """
         read, began_s = self._start_read(), time.monotonic()
         result = self._tables.read(self._row.table, [self._row.key])
-        self._report_call("read", result, began_s)
+        self._log.call_ended("read", result, began_s, time.monotonic())
         match result:
             case Result(tag="ok", ok=[row]):
                 row_revision = self._apply_row(row)
@@ -189,14 +193,23 @@
         self._poll_watch.record_began(self._configuration.revision)
         result = self._tables.wait_for_changes(self._row.table, version, WAIT_TIMEOUT_S)
         self._poll_watch.record_ended()
-        self._report_poll(result, began_s, time.monotonic())
-        if self._is_poll_overdue and result.is_error():
+        is_overdue = self._is_poll_overdue and result.is_error()
+        self._log.poll_ended(
+            result, began_s, time.monotonic(), self.proven_s, is_overdue
+        )
+        if is_overdue:
             self._retry_delay_s = 0.0
             return None
         return self._handle_result(result, began_s)
 
     def run_checks(self) -> None:
-        """Find the changes that the long poll missed, until `stop` is called."""
+        """Find the changes that the long poll missed, until `stop` is called.
+
+        A check has a thread of its own. If it waited for the one before, a lost answer
+        would delay the checks after it, too.
+        """
+        executor = ThreadPoolExecutor(CHECKS_OPEN_MAX, "check")
+        checks: list[Future] = []
         self._stopped.wait(CHECKS_DELAY_S)
         while not self._stopped.is_set():
             position, wait_s = self._reader_position(), READER_CHECK_INTERVAL_S
@@ -206,10 +219,15 @@
                 is_due = due_in_s <= wait_s
                 wait_s = min(wait_s, due_in_s)
             if self._stopped.wait(wait_s):
-                return
-            if is_due:
-                self.check_store()
+                break
+            for check in [check for check in checks if check.done()]:
+                checks.remove(check)
+                # Raises the exception of a check that failed unexpectedly.
+                check.result()
+            if is_due and len(checks) < CHECKS_OPEN_MAX:
+                checks.append(executor.submit(self.check_store))
             self.end_overdue_poll(time.monotonic())
+        executor.shutdown(wait=False, cancel_futures=True)
 
     def check_store(self) -> None:
         """Get the changes that the store has now."""
@@ -218,7 +236,7 @@
             return
         began_s = time.monotonic()
         result = self._tables.changes_after(self._row.table, version)
-        self._report_call("check", result, began_s)
+        self._log.call_ended("check", result, began_s, time.monotonic())
         match result:
             case Result(tag="ok", ok=Changes(rows, newest)):
                 self._apply_rows(rows)
@@ -265,44 +283,6 @@
     def _record_proof(self, began_s: float) -> None:
         self.proven_s = max(began_s, self.proven_s or began_s)
 
-    def _report_call(self, call: str, result: Result, began_s: float) -> None:
-        """Log a call that the store answers at once; of failures in a row the first."""
-        is_repeated = result.is_error() and call in self._failing_calls
-        match result:
-            case Result(tag="ok"):
-                self._failing_calls.discard(call)
-                cause = None
-            case Result(error=error):
-                self._failing_calls.add(call)
-                cause = error.message
-        if not is_repeated:
-            self._events.emit(
-                "settings_read",
-                call=call,
-                ending="failed" if cause else "answered",
-                lasted_ms=round((time.monotonic() - began_s) * 1000),
-                cause=cause,
-            )
-
-    def _report_poll(self, result: Result, began_s: float, now_s: float) -> None:
-        """Log when a poll began, how it ended, and how old the newest proof was."""
-        match result:
-            case Result(tag="error") if self._is_poll_overdue:
-                ending, cause = "overdue", "it has missed a change"
-            case Result(tag="ok", ok=Changes(rows, _)):
-                ending, cause = ("changed" if rows else "unchanged"), None
-            case Result(error=error):
-                ending, cause = "failed", error.message
-        proof_age_s = None if self.proven_s is None else now_s - self.proven_s
-        self._events.emit(
-            "settings_poll_ended",
-            ending=ending,
-            lasted_ms=round((now_s - began_s) * 1000),
-            revision=self._configuration.revision,
-            proof_age_ms=None if proof_age_s is None else round(proof_age_s * 1000),
-            cause=cause,
-        )
-
     def _handle_result(
         self, result: Result, began_s: float, read: _RowRead | None = None
     ) -> int | None:
--- a/balsamspindle/tables/protocol.py
+++ b/balsamspindle/tables/protocol.py
@@ -149,7 +149,7 @@
     def changes_after(
         self, table: str, version: int
     ) -> Result[Changes, Unreachable | Unknown | HistoryLost]:
-        """Return the changes of a table after a version, at once and within a second.
+        """Return the changes of a table after a version, at once.
 
         The caller limits how often it calls: no rate limit or circuit breaker does.
         """
--- a/tests/test_settings_poll_log.py
+++ b/tests/test_settings_poll_log.py
@@ -32,8 +32,8 @@
 class PollLogTests(TestCase):
     def setUp(self):
         super().setUp()
-        self.log, self.tables = StringIO(), AnsweredTables()
-        self.events = EventLog("node", 1, HybridClock(), self.log)
+        self.tables = AnsweredTables()
+        self.events = EventLog("node", 1, HybridClock(), StringIO())
         self.watcher = SettingsWatcher(
             self.tables,
             OperatorRow("op", "config", lambda value: WholeSettings(value, {})),
@@ -43,8 +43,7 @@
         )
 
     def _events(self, name: str) -> list[dict]:
-        self.events.flush()
-        lines = [parse_event(line) for line in self.log.getvalue().splitlines()]
+        lines = map(parse_event, self.events.recent(0, 100).lines)
         return [line for line in lines if line["event"] == name]
 
     def test_each_poll_is_logged_with_its_length_and_how_it_ended(self):
--- a/tests/test_store_checks.py
+++ b/tests/test_store_checks.py
@@ -32,6 +32,7 @@
 )
 from balsamspindle.timeline import EventLog, HybridClock
 from tests.settings_utils import node_record
+from tests.utils import wait_until
 
 WATCHERS_PER_ZONE = 8
 READS_PER_S_MAX = 2_000
@@ -45,13 +46,17 @@
     def __init__(self) -> None:
         self.row = Row("config", 1, 1)
         self.error = None
-        self.polls = 0
+        self.polls = self.checks = 0
+        self.check_ends = threading.Event()
+        self.check_ends.set()
         self.poll_began, self._poll_ended = threading.Event(), threading.Event()
 
     def snapshot(self, table):
         return Ok(Changes([self.row], self.row.version))
 
     def changes_after(self, table, version):
+        self.checks += 1
+        self.check_ends.wait(5.0)
         if self.error is not None:
             return Error(self.error)
         rows = [self.row] if self.row.version > version else []
@@ -160,6 +165,17 @@
         self.watcher.check_store()
         self.assertEqual(2, self.configuration.revision)
 
+    def test_a_check_without_an_answer_does_not_delay_the_next(self):
+        # Guards against a node that waits for a lost answer while the store is well.
+        self._run()
+        self.tables.check_ends.clear()
+        self.addCleanup(self.tables.check_ends.set)
+        thread = threading.Thread(target=self.watcher.run_checks)
+        thread.start()
+        self.addCleanup(thread.join)
+        self.addCleanup(self.watcher.stop)
+        wait_until(lambda: self.tables.checks >= 3, "three checks were begun", 4.0)
+
     def test_a_poll_that_missed_a_change_of_a_peer_is_replaced(self):
         # Guards against a reader that follows its peers and waits on in vain.
         self._run()
