Let checks of a slow store take longer than calls that are waited for

The trace: checks end "timed out after 2001 ms with 259,072 of 266,357 bytes received". Nodes that missed three large changes get all of them in one answer, and the store was slow.

Nothing waits for a check, so its time limit may be longer than its period: 4 s, and up to ten of a node are open.

--- a/balsamspindle/platform/store.py
+++ b/balsamspindle/platform/store.py
@@ -19,6 +19,7 @@
 from expression import Error, Ok, Result
 
 from balsamspindle.platform.store_calls import (
+    UNAWAITED_TIMEOUT_MS,
     LongPollConnections,
     StoreAnswer,
     call_store,
@@ -215,7 +216,7 @@
 
     def changes_after(self, table, version):
         """See `TableService.changes_after`."""
-        return self._feed(table, version, 0)
+        return self._feed(table, version, 0, timeout_ms=UNAWAITED_TIMEOUT_MS)
 
     def _feed(
         self, table: str, after_version: int, wait_ms: int, **options: Any
--- a/balsamspindle/platform/store_calls.py
+++ b/balsamspindle/platform/store_calls.py
@@ -13,6 +13,7 @@
 from balsamspindle.tables import Unknown, Unreachable
 
 __all__ = [
+    "UNAWAITED_TIMEOUT_MS",
     "LongPollConnections",
     "StoreAnswer",
     "call_store",
@@ -23,6 +24,9 @@
 # The store answers in a few milliseconds, so this suffices even if it becomes 60 times
 # slower.
 CALL_TIMEOUT_MS = 2000
+# Timeout of a call that nothing waits for. Its answer may have several versions of all
+# settings, which a slow store needs longer to send.
+UNAWAITED_TIMEOUT_MS = 4000
 # TCP keep-alive detects a connection that was lost without a reset: probes start after
 # 1 s of silence, and the connection fails after two probes without an answer.
 KEEP_ALIVE_IDLE_S = 1
@@ -117,6 +121,7 @@
     url: str,
     body: bytes | None = None,
     wait_ms: int = 0,
+    timeout_ms: int = CALL_TIMEOUT_MS,
     open_socket: Callable = lambda *arguments: _open_socket(*arguments),
 ) -> Result[StoreAnswer, Unreachable | Unknown]:
     """Make one call on a new connection.
@@ -125,7 +130,7 @@
     ----------
     wait_ms : int
         Time that the store may wait for changes before it answers. It is added to
-        timeout.
+        `timeout_ms`.
     open_socket : callable
         Callback for libcurl's ``OPENSOCKETFUNCTION``.
     """
@@ -135,7 +140,7 @@
     handle.setopt(pycurl.CUSTOMREQUEST, method)
     handle.setopt(pycurl.NOSIGNAL, 1)
     handle.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
-    handle.setopt(pycurl.TIMEOUT_MS, CALL_TIMEOUT_MS + wait_ms)
+    handle.setopt(pycurl.TIMEOUT_MS, timeout_ms + wait_ms)
     handle.setopt(pycurl.OPENSOCKETFUNCTION, open_socket)
     handle.setopt(pycurl.PROXY, "")
     handle.setopt(pycurl.WRITEDATA, answer)
--- a/balsamspindle/settings/watcher.py
+++ b/balsamspindle/settings/watcher.py
@@ -41,9 +41,9 @@
 READER_CHECK_INTERVAL_S = 2.0
 # A starting node knows few others at first, and would check the store too often.
 CHECKS_DELAY_S = 2.0
-# Checks of one node that are open at a time. It is as many as a single node begins
-# until the first of them times out.
-CHECKS_OPEN_MAX = 4
+# Checks of one node that are open at a time. It is more than a single node begins until
+# the first of them times out.
+CHECKS_OPEN_MAX = 10
 
 
 class WholeSettings(NamedTuple):
