--- a/bench/capacity/in_force.py
+++ b/bench/capacity/in_force.py
@@ -12,7 +12,8 @@
 
 import random
 
-from balsamspindle.settings.reader import JITTER, POLL_INTERVAL_S, READERS_PER_ZONE
+from balsamspindle.settings.reader import JITTER, POLL_INTERVAL_S
+from balsamspindle.settings.reader_selection import READERS_PER_ZONE
 from bench.capacity.sizes import LONG_RUN
 from bench.settings import spread
 from tests.test_settings_gossip import History, Network
--- a/bench/capacity/rows.py
+++ b/bench/capacity/rows.py
@@ -10,8 +10,8 @@
     NON_READER_POLL_INTERVAL_S,
     POLL_INTERVAL_MAX_S,
     POLL_INTERVAL_S,
-    READERS_PER_ZONE,
 )
+from balsamspindle.settings.reader_selection import READERS_PER_ZONE
 from bench.capacity.sizes import LIMITS, LONG_RUN
 
 __all__ = [
