Review: work for an upstream whose leave was confirmed

Cause: which upstreams have left is kept in the memory of the node that confirmed it. A node that is killed and started again takes a late heartbeat for that of a ready upstream.

Change: case 3 of the review; an upstream's exit now ends its connections.

--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -179,6 +179,7 @@
         self.address = f"{HOST}:{self.server_address[1]}"
         self.lock = threading.Lock()
         self.runs: list[Run] = []
+        self.connections: set[socket.socket] = set()
         self.sequence = 0
         self.state = "ready"
         self.beats = True
@@ -227,10 +228,25 @@
             return sum(run.ended_s is None for run in self.runs)
 
     def end(self) -> None:
-        """End the upstream."""
+        """End the upstream; what it still runs ends with its connections."""
         self.ended.set()
         self.shutdown()
         self.server_close()
+        with self.lock:
+            connections = list(self.connections)
+        for connection in connections:
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+
+    def finish_request(self, request, client_address) -> None:
+        """Serve one connection."""
+        with self.lock:
+            self.connections.add(request)
+        try:
+            super().finish_request(request, client_address)
+        finally:
+            with self.lock:
+                self.connections.discard(request)
 
     def handle_error(self, request, client_address) -> None:
         """Say nothing of a node that closed its connection."""
