Review: a node whose peers are replaced closes all requests

Cause: the pool keeps idle links to addresses that are gone for good. Each takes three sockets of the ZeroMQ context, whose limit is never raised. When it is reached, a new link raises an error that nothing catches, and the caller's connection is closed.

Cases take ports below those of outgoing connections, as nodes had met ports that were taken.

--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -8,8 +8,10 @@
 import contextlib
 import hashlib
 import http.client
+import itertools
 import json
 import os
+import random
 import select
 import shutil
 import signal
@@ -30,6 +32,8 @@
 HOST = "127.0.0.1"
 HEARTBEAT_S = 1.5
 START_TIMEOUT_S = 25.0
+# A case uses some dozens of ports, upwards from a random one of these.
+FIRST_PORTS, PORT_STEP, PORT_TRIES = (12_000, 28_000), 24, 60
 BOUNDS = [
     "seed_lag=3s",
     "reuse_after=2s",
@@ -56,6 +60,8 @@
     "header_timeout": "3s",
     "idle_timeout": "15s",
 }
+# The ends of shorter runs are left out of the record.
+RECORDED_RUN_S = 0.5
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 
 
@@ -79,21 +85,25 @@
             self._file.flush()
 
 
+_next_ports = itertools.count(random.randrange(*FIRST_PORTS, PORT_STEP), PORT_STEP)
+
+
 def free_ports(count: int) -> list[int]:
-    """Return consecutive free ports."""
-    while True:
-        with contextlib.ExitStack() as stack:
-            try:
-                first = stack.enter_context(socket.socket())
-                first.bind((HOST, 0))
-                ports = [first.getsockname()[1]]
-                for number in range(1, count):
-                    port = stack.enter_context(socket.socket())
-                    port.bind((HOST, ports[0] + number))
-                    ports.append(ports[0] + number)
-            except (OSError, OverflowError):
-                continue
+    """Return consecutive free ports, below those of outgoing connections."""
+    for first in itertools.islice(_next_ports, PORT_TRIES):
+        ports = [first + number for number in range(count)]
+        if all(map(_is_free, ports)):
             return ports
+    raise CaseNotRun("no free ports")
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
 
 
 def call(
@@ -212,6 +222,17 @@
         path = f"/instances/{self.name}"
         return call(self.control, "PUT", path, self.announcement(), 1.0)
 
+    def leave(self, serves_s: float) -> None:
+        """Leave: report it, serve on for a while, send the DELETE and end."""
+        self.state = "draining"
+        self.beat()
+        self.record.write(f"{self.name} says that it leaves")
+        time.sleep(serves_s)
+        self.beats = False
+        call(self.control, "DELETE", f"/instances/{self.name}", timeout_s=1.0)
+        self.end()
+        self.record.write(f"{self.name} has ended")
+
     def _beat(self) -> None:
         while not self.ended.is_set():
             if self.beats:
@@ -287,8 +308,10 @@
         except OSError:
             run.was_cut = True
         run.ended_s = time.monotonic()
-        end = "was cut off from" if run.was_cut else "ended"
-        upstream.record.write(f"{upstream.name} {end} {request_id}")
+        if run.was_cut:
+            upstream.record.write(f"{upstream.name} was cut off from {request_id}")
+        elif run.ended_s - run.began_s >= RECORDED_RUN_S:
+            upstream.record.write(f"{upstream.name} ended {request_id}")
 
     def _answer(self, request_id: str, work: Work, began_s: float) -> bool:
         """Work and answer; return False if the connection was closed meanwhile."""
@@ -438,6 +461,8 @@
     ----------
     status : int
         Status; 0 if the connection ended without a complete answer.
+    was_kept : bool
+        Whether the connection had carried an answer before.
     """
 
     request_id: str
@@ -446,6 +471,7 @@
     body: bytes = b""
     headers: dict[str, str] = field(default_factory=dict)
     fault: str = ""
+    was_kept: bool = False
     sent_s: float = 0.0
     ended_s: float = 0.0
 
@@ -482,8 +508,9 @@
             **(headers or {}),
         }
         answer.sent_s = time.monotonic()
+        answer.was_kept = self._connection is not None
         self._record.write(
-            f"requester at {self._node.name} sends {answer.request_id} {method} {path}"
+            f"{self._node.name} is sent {answer.request_id} {method} {path}"
         )
         try:
             if self._connection is None:
@@ -504,12 +531,12 @@
             answer.fault = repr(error)
             self.close()
         answer.ended_s = time.monotonic()
+        seen = f"{answer.status}, {len(answer.body)} bytes, {answer.signature}"
+        if answer.signature is None:
+            seen += f", {answer.fault} {answer.body[:160].decode('latin-1')}"
         self._record.write(
-            f"requester at {self._node.name} has {answer.request_id}: status"
-            f" {answer.status}, {len(answer.body)} bytes, signature"
-            f" {answer.signature}, {answer.fault or 'complete'}, after"
+            f"{self._node.name} answers {answer.request_id}: {seen}, after"
             f" {answer.ended_s - answer.sent_s:.3f} s"
-            f"{'' if answer.signature else ' ' + answer.body[:200].decode('latin-1')}"
         )
         return answer
 
