--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -380,14 +380,8 @@
         zone: str,
         record: Record,
     ) -> None:
-        ports = free_ports(20)
-        names = ("inbound", "outbound", "ready", "control")
-        listen = {
-            key: f"{HOST}:{port}" for key, port in zip(names, ports[16:], strict=True)
-        }
         self.name, self.record = name, record
-        self.outbound, self.ready = listen["outbound"], listen["ready"]
-        self.control, self.admin = listen["control"], f"{HOST}:{ports[1]}"
+        self._was_ready = False
         self.settings = {
             "node": name,
             "role": "node",
@@ -397,8 +391,6 @@
             "zone": zone,
             "region": "uy-south",
             "zones": zones,
-            "listen": listen,
-            "port_range": [ports[0], ports[15]],
             "seeds": [],
             "bootstrap": True,
             "counts_as_loss": False,
@@ -416,11 +408,20 @@
         }
         self.path = folder / f"{name}.json"
         self.log = folder / f"{name}.log"
-        self.write_settings()
+        self._choose_ports()
         self.start()
 
-    def write_settings(self) -> None:
-        """Write the settings file."""
+    def _choose_ports(self) -> None:
+        """Choose free ports, and write the settings file."""
+        ports = free_ports(20)
+        names = ("inbound", "outbound", "ready", "control")
+        listen = {
+            key: f"{HOST}:{port}" for key, port in zip(names, ports[16:], strict=True)
+        }
+        self.outbound, self.ready = listen["outbound"], listen["ready"]
+        self.control = listen["control"]
+        self.settings["listen"] = listen
+        self.settings["port_range"] = [ports[0], ports[15]]
         self.path.write_text(json.dumps(self.settings))
 
     def start(self) -> None:
@@ -443,8 +444,18 @@
         self.process.send_signal(number)
 
     def is_ready(self) -> bool:
-        """Return whether the node says that it serves."""
-        return call(self.ready, "GET", "/ready") == 200
+        """Return whether the node says that it serves.
+
+        A node that ends before it was ready once has met a port that another program
+        took meanwhile. It is started again with other ports.
+        """
+        if not self._was_ready and self.process.poll() is not None:
+            self.record.write(f"{self.name} ended at its start, and gets other ports")
+            self._choose_ports()
+            self.start()
+        is_ready = call(self.ready, "GET", "/ready") == 200
+        self._was_ready |= is_ready
+        return is_ready
 
     def kill(self) -> None:
         """End the process, if it runs."""
