Log the cancellation of a call that ends as an answer

A node that cancels its call to a backend server logs cut_by only where the call failed. A call that libcurl reports as a success after this node shut its connection down is logged like an answer that the backend server ended itself, so the log can't tell whose end it was. attempt_ended now has cut_by in both cases.

--- a/balsamspindle/backend_servers/runner.py
+++ b/balsamspindle/backend_servers/runner.py
@@ -30,7 +30,7 @@
 )
 from balsamspindle.metrics import Hop
 from balsamspindle.protocol.header_names import HeaderNames
-from balsamspindle.protocol.outcomes import Reason
+from balsamspindle.protocol.outcomes import CancelCause, Reason
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import Dispatch, Reply
 
@@ -119,7 +119,8 @@
         if has_crashed:
             result = result._replace(reason=Reason.SERVER_CRASHED)
         ran_s = time.monotonic() - admitted.started_s
-        return self._reply(dispatch, result, free_slots, judgement, ran_s)
+        cut_by = token.cause if isinstance(result, BackendAnswer) else result.cut_by
+        return self._reply(dispatch, result, free_slots, judgement, ran_s, cut_by)
 
     def _evidence(self, result: BackendAnswer | BackendFailure | None) -> WorkResult:
         """Return a call's result as evidence of the backend server's health.
@@ -151,12 +152,19 @@
             self._on_misdirected(server.backend_server_id)
         return classify_result(result, server.has_restarted, self._names)
 
-    def _reply(self, dispatch, result, free_slots, judgement, ran_s: float) -> Reply:
+    def _reply(
+        self,
+        dispatch,
+        result,
+        free_slots,
+        judgement,
+        ran_s: float,
+        cut_by: CancelCause | None,
+    ) -> Reply:
         outcome, reason = call_outcome(result)
         server_id = dispatch.backend_server_id
         answer = result if isinstance(result, BackendAnswer) else None
-        cut_by = None if answer else result.cut_by
-        if cut_by is not None:
+        if cut_by is not None and answer is None:
             self._events.metrics.count_cut(cut_by)
         held_out = self._observer.held_out(server_id, time.monotonic())
         hlc = self._events.emit(
--- a/tests/gate_case.py
+++ b/tests/gate_case.py
@@ -38,7 +38,15 @@
 
 
 class GateCase(TestCase):
-    """The gate, its backend server, and makers of dispatches."""
+    """The gate, its backend server, and makers of dispatches.
+
+    Attributes
+    ----------
+    accepts_unframed : bool
+        See `BackendServerClient`.
+    """
+
+    accepts_unframed = False
 
     def setUp(self):
         super().setUp()
@@ -50,9 +58,8 @@
         self._announce("1")
         self.observer = Observer()
         self.log = EventLog(NODE, INCARNATION, HybridClock(), io.StringIO())
-        self.gate = Gate(
-            self.servers, BackendServerClient(1000), self.log, self.observer
-        )
+        client = BackendServerClient(1000, accepts_unframed=self.accepts_unframed)
+        self.gate = Gate(self.servers, client, self.log, self.observer)
 
     def _announce(self, boot_id):
         announcement = Announcement(SERVICE, self.server.address, 1, boot_id)
--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -31,6 +31,8 @@
 
     Attributes
     ----------
+    sent_count : int
+        Number of answers that were sent completely.
     closed_s : list of float
         When the client closed a connection without an answer, on the monotonic clock.
     """
@@ -39,6 +41,7 @@
         self.answer = answer
         self._lock = threading.Lock()
         self.requests: list[bytes] = []
+        self.sent_count = 0
         self.closed_s: list[float] = []
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
@@ -77,6 +80,8 @@
                     self.closed_s.append(time.monotonic())
                     return
                 connection.sendall(answer)
+                with self._lock:
+                    self.sent_count += 1
 
 
 def _read_request(connection: socket.socket) -> bytes:
