Reject an answer that ends because this project cancelled its call

Callers saw: when a node stops, half of an answer without a length, as 200 OK with the backend server's signature and a Content-Length of its own.

Cause: a call is cancelled by shutting its socket down. For an answer that ends with its connection, libcurl takes that for the end and reports success, and nothing looked at the cancellation afterwards. libcurl also reports success for a head that ends early, of any framing: a status line alone became an empty 200.

Why it works: a cancelled call yields an answer only if the answer itself marks its end (a length, the last chunk, a status or method without a body, after a complete head). Whether the call was cancelled is read under the lock that guards the socket, so a cancellation after the last byte spoils nothing. All cancellations share this path: the eight causes, idempotent or not, and an attempt at the own gate that is cancelled because a parked one was answered. The caller gets 'unknown' or another attempt's answer.

--- a/balsamspindle/backend_servers/answers.py
+++ b/balsamspindle/backend_servers/answers.py
@@ -144,9 +144,15 @@
         self._chunks.append(chunk)
         return None
 
+    def ends_with_connection(self, status: int, method: str) -> bool:
+        """Return whether only the end of the connection marks the answer's end."""
+        if not self._head_done:
+            return True
+        return not (_is_bodiless(status, method) or self._has_framing())
+
     def answer(self, status: int, method: str) -> BackendAnswer | BackendFailure:
         """Return the answer once the call has ended, or a failure if it is invalid."""
-        error = self._format_error(method == "HEAD" or status in _BODILESS_STATUSES)
+        error = self._format_error(_is_bodiless(status, method))
         if error is not None:
             return BackendFailure(Reason.BROKEN_ANSWER, True, error)
         answer = BackendAnswer(
@@ -217,3 +223,7 @@
 
     def _values(self, wanted_name: str) -> list[str]:
         return [value for name, value in self._headers if name.lower() == wanted_name]
+
+
+def _is_bodiless(status: int, method: str) -> bool:
+    return method == "HEAD" or status in _BODILESS_STATUSES
--- a/balsamspindle/backend_servers/cancellation.py
+++ b/balsamspindle/backend_servers/cancellation.py
@@ -60,10 +60,17 @@
             self._socket = connection
             return not self.cancelled
 
-    def detach(self) -> None:
-        """Remove the socket after the call has ended."""
+    def detach(self) -> bool:
+        """Remove the socket after the call has ended.
+
+        Returns
+        -------
+        bool
+            Whether the call was cancelled before, so that `cancel` may have ended it.
+        """
         with self._lock:
             self._socket = None
+            return self.cancelled
 
 
 def _shut_down(connection: socket.socket) -> None:
--- a/balsamspindle/backend_servers/client.py
+++ b/balsamspindle/backend_servers/client.py
@@ -169,6 +169,7 @@
         self.reader: AnswerReader = reader
         self.sent = False
         self.too_late = False
+        self.was_cancelled = False
 
     def may_send(self, connection: socket.socket | None) -> bool:
         """Return whether the request may be sent now, and record the decision.
@@ -195,6 +196,17 @@
         """
         return not self.sent and time.monotonic() >= self.deadline_s
 
+    def ended(self, status: int, method: str) -> BackendAnswer | BackendFailure:
+        """Return the result of a call that libcurl reports as successful.
+
+        An answer that ends with its connection is complete only if the backend server
+        closed the connection. libcurl can't tell that end from a cancellation, which
+        shuts the socket down.
+        """
+        if self.was_cancelled and self.reader.ends_with_connection(status, method):
+            return self.failure(pycurl.E_OK, "cancelled before the answer ended")
+        return self.reader.answer(status, method)
+
     def failure(self, code: int, message: str) -> BackendFailure:
         if self.token.cancelled:
             reason = Reason.CANCELLED
@@ -240,9 +252,9 @@
         except pycurl.error as error:
             return call.failure(*error.args)
         finally:
-            call.token.detach()
+            call.was_cancelled = call.token.detach()
             self._call = None
-        return call.reader.answer(self.curl.getinfo(pycurl.RESPONSE_CODE), method)
+        return call.ended(self.curl.getinfo(pycurl.RESPONSE_CODE), method)
 
     def was_reused(self) -> bool:
         """Return whether the last call reused the connection of an earlier call."""
