Reject an answer whose connection ends within its head

Callers saw: an empty 200 (or the status of the cut head) where a backend server's connection ended within the head, with any header lines that had arrived, the signature among them, and also where a Content-Length of 5 was among them.

Cause: libcurl reports such a call as successful; only the end of the head was never checked. Found beside the cancelled calls, where the end was this project's.

Why it works: the end of the head is a blank line, which libcurl passes on; without it the result is 'broken_answer'.

The two tests with the new cases fail before.

--- a/balsamspindle/backend_servers/answers.py
+++ b/balsamspindle/backend_servers/answers.py
@@ -172,7 +172,7 @@
         request.
         """
         answer = BackendAnswer(HTTPStatus.OK, self._headers, b"")
-        if not self._head_done or self._format_error(bodiless=True) is not None:
+        if self._format_error(bodiless=True) is not None:
             return ()
         if self._foreign_cause(answer) is not None:
             return ()
@@ -200,6 +200,9 @@
         return None
 
     def _format_error(self, bodiless: bool) -> str | None:
+        if not self._head_done:
+            # libcurl reports a head that its connection cut off as a complete one.
+            return "the connection ended within the head"
         for name, value in self._headers:
             # libcurl does not treat a bare CR as a line end, but the caller's client
             # may. That client would then read a header or a complete answer that the
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -32,6 +32,11 @@
     "no bytes": (b"", Reason.BROKEN_ANSWER),
     "a head only": (HEAD_200, Reason.BROKEN_ANSWER),
     "half of its length": (WHOLE[:-2], Reason.BROKEN_ANSWER),
+    "part of a head with its length": (WHOLE[:-7], Reason.BROKEN_ANSWER),
+    "part of a head without a body": (
+        b"HTTP/1.1 204 No Content\r\nX-Note: 1\r\n",
+        Reason.BROKEN_ANSWER,
+    ),
     "no length": (HEAD_200 + b"\r\nfragment?", Reason.BROKEN_ANSWER),
     "a coding without an end": (
         HEAD_200 + b"Transfer-Encoding: identity\r\n\r\nfragment?",
@@ -375,6 +380,9 @@
         self.assertEqual(b"whole", lenient.call(ended.address, *arguments).body)
         strict = self.client.call(ended.address, *arguments)
         self.assertEqual(Reason.BROKEN_ANSWER, strict.reason)
+        head = self._server(lambda number: (HEAD_200 + b"X-Note: 1\r\n", False))
+        cut = lenient.call(head.address, *arguments)
+        self.assertEqual((Reason.BROKEN_ANSWER, True), cut[:2])
         reset = _ResettingServer(answer)
         self.addCleanup(reset.close)
         broken = lenient.call(reset.address, *arguments)
