End no request because another one's run was cancelled

Callers saw: orders that their upstream was working on were cut off there, at a node that had got SIGTERM 0.8 s before, and answered with 504 'silence' with 3 s left.

Cause: a node took the orders for calls of another request's run at the backend server beside it, since their deadlines were earlier than that run's and requests of their route had always fitted one (habit). When the run was given up, because another gate had answered its request, the reading side of the orders' connections was shut, so that their callers counted as gone.

Why it works: the guess has no way left to end a request. A call ends when its own connection does, which proves that its backend server gave it up. The guess still orders the start of requests and counts repeats.

--- a/balsamspindle/backend_servers/checked_attempts.py
+++ b/balsamspindle/backend_servers/checked_attempts.py
@@ -162,7 +162,7 @@
         try:
             return self._runner.run(dispatch, admitted, token, deadline_s, received_s)
         finally:
-            self._open_runs.end(attempt_id, token.cancelled)
+            self._open_runs.end(attempt_id)
             self._grants.record_run_end(dispatch.is_repeat)
             if status.is_suspect:
                 self._suspect_runs.end(server_id, content_hash)
--- a/balsamspindle/backend_servers/open_runs.py
+++ b/balsamspindle/backend_servers/open_runs.py
@@ -10,14 +10,15 @@
   runs that started before them.
 
 If several open runs fit, the call counts as a call of the heaviest one, and of the
-longest one among these. If only one fits, the parent is certain: when its run is
-cancelled, its calls are cancelled, too.
+longest one among these.
+
+A caller's request may have the same properties, so the parent found is never certain.
+It only changes the order in which requests start and how repeats are counted. It ends
+no request: a call ends when its own connection does, as any other request.
 """
 
 import threading
-from collections import defaultdict
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from typing import NamedTuple
 
 from balsamspindle.wire import AttemptId, Importance
@@ -30,11 +31,6 @@
 # A route's requests are calls if at least this fraction of them fitted an open run. The
 # rest allows for calls whose run has just ended here, because its caller left.
 FITTING_FRACTION_MIN = 0.8
-# The parent of a call is certain only if this fraction of its route's requests fitted
-# an open run. A new route has `FITTING_FRACTION_MIN`, and reaches this one after
-# fourteen calls in a row. Otherwise, a caller's first requests could be cancelled with
-# a run.
-CERTAIN_FRACTION_MIN = 0.95
 # Weight of the newest request in the moving average of the fitting fraction. The route
 # of a caller that fits half of the time is recognized after about five requests.
 SMOOTHING_FACTOR = 0.1
@@ -61,18 +57,15 @@
 
 
 class Parent(NamedTuple):
-    """The run that waits for an arriving call.
+    """The run that probably waits for an arriving call.
 
     Attributes
     ----------
-    is_certain : bool
-        Whether no other open run can have made the call.
     repeat_fraction : float
         Fraction of the runs that can have made the call that are repeats.
     """
 
     run: OpenRun
-    is_certain: bool
     repeat_fraction: float = 0.0
 
 
@@ -90,9 +83,6 @@
         self.inherits = inherits
         self._lock = threading.Lock()
         self._runs: dict[AttemptId, OpenRun] = {}
-        # By the attempt of their certain parent: what cancels the calls that wait.
-        self._cancels: defaultdict[AttemptId, list[Callable[[], None]]]
-        self._cancels = defaultdict(list)
         self._fitting_fractions: dict[int, float] = {}
 
     def begin(self, run: OpenRun) -> None:
@@ -100,50 +90,15 @@
         with self._lock:
             self._runs[run.attempt_id] = run
 
-    def end(self, attempt_id: AttemptId, was_cancelled: bool) -> None:
-        """Record that a run has ended; if it was cancelled, cancel its certain calls.
-
-        Nobody waits for these calls any more. They may still be in a gate's queue, or
-        occupy a slot.
-        """
+    def end(self, attempt_id: AttemptId) -> None:
+        """Record that a run has ended."""
         with self._lock:
             self._runs.pop(attempt_id, None)
-            cancels = list(self._cancels.get(attempt_id, ()))
-        if was_cancelled:
-            for cancel in cancels:
-                cancel()
-
-    @contextmanager
-    def waiting(
-        self, parent: Parent | None, cancel: Callable[[], None]
-    ) -> Iterator[None]:
-        """Call `cancel` if the parent's run is cancelled while the context is open.
-
-        Parameters
-        ----------
-        parent : Parent or None
-            As `find_parent` returned it. Without a certain parent, nothing is called.
-        cancel : callable
-            Called in another thread.
-        """
-        if parent is None or not parent.is_certain:
-            yield
-            return
-        attempt_id = parent.run.attempt_id
-        with self._lock:
-            self._cancels[attempt_id].append(cancel)
-        try:
-            yield
-        finally:
-            with self._lock:
-                self._cancels[attempt_id].remove(cancel)
-                if not self._cancels[attempt_id]:
-                    del self._cancels[attempt_id]
 
     def find_parent(
         self, service: str, route_id: int, customer: str, deadline_s: float
     ) -> Parent | None:
-        """Return the run that waits for an arriving request; None for other requests.
+        """Return the run that probably waits for an arriving request, or None.
 
         Parameters
         ----------
@@ -161,9 +116,8 @@
         if not fitting or fraction < FITTING_FRACTION_MIN:
             return None
         run = max(fitting, key=lambda run: (run.weight, -run.started_s))
-        is_certain = len(fitting) == 1 and fraction >= CERTAIN_FRACTION_MIN
         repeats = sum(run.is_repeat for run in fitting)
-        return Parent(run, is_certain, repeats / len(fitting))
+        return Parent(run, repeats / len(fitting))
 
     def _record_arrival(self, route_id: int, fits: bool) -> float:
         """Record whether a request fits a run; return the fraction that does."""
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from balsamspindle.backend_servers.gate import Gate
-from balsamspindle.backend_servers.open_runs import Parent, importance_of
+from balsamspindle.backend_servers.open_runs import importance_of
 from balsamspindle.crashes.history import CrashHistory
 from balsamspindle.crashes.retry_waits import retry_wait_s
 from balsamspindle.membership.directory import Placement
@@ -154,13 +154,12 @@
             return self._not_run_reply(Reason.BAD_REQUEST)
         forwarded.claimant = self._claimant(forwarded)
         route = forwarded.route
-        parent = self._find_parent(forwarded, self._clock())
+        self._record_parent(forwarded, self._clock())
         self._retries.record_request(route.service, self._clock(), route.weight)
         reply = None
         try:
-            with self._open_runs.waiting(parent, forwarded.caller.stop_reading):
-                reply = self._level_refusals.refuse(forwarded, self._clock())
-                reply = reply or self._make_attempts(forwarded)
+            reply = self._level_refusals.refuse(forwarded, self._clock())
+            reply = reply or self._make_attempts(forwarded)
         finally:
             has_answer = reply is not None and reply.outcome is Outcome.ANSWERED
             self._sender.cancel_parked(forwarded, has_answer)
@@ -171,8 +170,8 @@
             reply = msgspec.structs.replace(reply, outcome=Outcome.UNKNOWN)
         return self._with_retry_after(forwarded, reply)
 
-    def _find_parent(self, forwarded: ForwardedRequest, now_s: float) -> Parent | None:
-        """Return and record the run beside this node that waits for a request."""
+    def _record_parent(self, forwarded: ForwardedRequest, now_s: float) -> None:
+        """Record the run beside this node that probably waits for a request."""
         route = forwarded.route
         parent = self._open_runs.find_parent(
             route.service, route_id(route), forwarded.customer, forwarded.deadline_s
@@ -181,7 +180,6 @@
             forwarded.repeat_fraction = parent.repeat_fraction if parent else 0.0
         forwarded.importance = importance_of(parent, now_s)
         forwarded.parent_id = "" if parent is None else parent.run.request_id
-        return parent
 
     def _claimant(self, forwarded: ForwardedRequest) -> KeyClaimant | None:
         route = forwarded.route
--- a/balsamspindle/requests/http.py
+++ b/balsamspindle/requests/http.py
@@ -139,17 +139,6 @@
         except OSError:
             return True
 
-    def stop_reading(self) -> None:
-        """Treat the caller as disconnected; wake up the tasks that wait for that.
-
-        Callable from any thread. An answer that is already complete is still written.
-        """
-        try:
-            self._socket.shutdown(socket.SHUT_RD)
-        except OSError:
-            # The connection is closed already.
-            pass
-
     def write(self, data: bytes) -> None:
         """Write one complete answer.
 
