Cancel the runs of a backend server only after a later start

Cause: any announcement with another start cancelled the runs of the start known so far.

Why it works: a lifetime has ended for sure only where both starts are known and the new one is later. Otherwise the announcement is applied as before, and runs end by their answer, their connection or their deadline.

The test fails before, for each of the three cases of an unproven restart.

--- a/balsamspindle/backend_servers/lifetimes.py
+++ b/balsamspindle/backend_servers/lifetimes.py
@@ -65,6 +65,15 @@
     has_left: bool = False
     is_draining: bool = False
 
+    def ended_before(self, status: AnnouncedStatus) -> bool:
+        """Return whether an announcement proves that this lifetime has ended.
+
+        Only a later start proves it. An announcement with an earlier start or without
+        one may be a late one of an earlier lifetime, or come from another writer, while
+        requests of this lifetime run.
+        """
+        return 0 < self.start_unix_ms < status.start_unix_ms
+
     def blocks_earlier_lifetimes(self, now_s: float) -> bool:
         """Return whether announcements with an earlier start time are ignored as late.
 
@@ -202,6 +211,7 @@
             self._servers.mark_replaced(replaced, now_s)
             self._emit("backend_server_replaced", replaced, f"by {server_id}")
         lifetime = self._lifetimes.get(server_id)
+        has_restarted = lifetime is not None and lifetime.ended_before(status)
         if lifetime is None or lifetime.start_unix_ms != status.start_unix_ms:
             lifetime = self._add(
                 server_id, _Lifetime(status.start_unix_ms, status.sequence, now_s)
@@ -217,7 +227,9 @@
         announcement = msgspec.structs.replace(
             announcement, boot_id=_boot_id(server_id, status.start_unix_ms)
         )
-        is_new = self._servers.announce(server_id, announcement, now_s, status.cold_s)
+        is_new = self._servers.announce(
+            server_id, announcement, now_s, status.cold_s, ends_runs=has_restarted
+        )
         if is_new:
             self._emit("backend_server_announced", server_id, announcement.service)
         if status.is_draining and not lifetime.is_draining:
--- a/balsamspindle/backend_servers/servers.py
+++ b/balsamspindle/backend_servers/servers.py
@@ -154,11 +154,17 @@
         announcement: Announcement,
         now_s: float,
         cold_s: float = 0.0,
+        ends_runs: bool = True,
     ) -> bool:
         """Record an announcement; return True if it differs from the last one.
 
-        It differs at a start or restart, or when a field such as `slots` changed. At a
-        restart, the attempts that run at the backend server are also cancelled.
+        It differs at a start or restart, or when a field such as `slots` changed.
+
+        Parameters
+        ----------
+        ends_runs : bool, default=True
+            Whether a new boot id proves that the backend server has restarted, so that
+            the attempts that run at it are cancelled.
         """
         with self.changed:
             server = self._servers.get(backend_server_id)
@@ -168,9 +174,11 @@
                     server.state = self._announced_state(server)
                     self._record_change()
                 return False
-            if server is not None and server.announcement.boot_id != (
-                announcement.boot_id
-            ):
+            is_new_boot = (
+                server is not None
+                and server.announcement.boot_id != announcement.boot_id
+            )
+            if is_new_boot and ends_runs:
                 server.cancel_runs()
             server = LocalBackendServer(backend_server_id, announcement, now_s, cold_s)
             server.state = self._announced_state(server)
--- a/tests/test_lifetimes.py
+++ b/tests/test_lifetimes.py
@@ -163,3 +163,20 @@
         self.assertTrue(token.cancelled)
         (server,) = self.servers.all()
         self.assertEqual(6, server.account.free(6, 1.0))
+
+    def test_only_a_later_start_ends_the_attempts_that_run(self):
+        # Guards against requests that are cut off because an announcement of an
+        # earlier lifetime arrived late, or one was sent without its start.
+        starts = {
+            "earlier": (9000, 7000),
+            "missing": (9000, 0),
+            "known late": (0, 9000),
+        }
+        for name, (first_ms, second_ms) in starts.items():
+            self.announce(name, 5, 0.0, start_unix_ms=first_ms)
+            server = self.servers.get(name)
+            token = CancelToken()
+            server.running.add(token)
+            self.announce(name, 6, REPLACED_SILENT_S + 0.1, start_unix_ms=second_ms)
+            self.assertIsNot(server, self.servers.get(name), name)
+            self.assertFalse(token.cancelled, name)
