Bound the links to other nodes, and give back those to nodes that are gone

Callers saw: after some 28 replaced VMs, connections that are closed at once without an answer, for as long as the node ran, while it said that it was ready.

Cause: up to eight idle links stayed in the pool for each address ever used; they were closed only when the address was asked for again. Each link takes three sockets of a ZeroMQ context that had the default limit of 1,023, so 340 links were all it could have, and the next Link raised ZMQError, which nothing catches.

Without a free link a request is refused with no_free_link (503, not run), its gate is not held out for it, links_exhausted is logged and the node is not ready until 2 s after the last refusal. A link that could be opened in part only gives its sockets back.

--- a/balsamspindle/node/customer_parts.py
+++ b/balsamspindle/node/customer_parts.py
@@ -11,7 +11,8 @@
 from balsamspindle.customers.proofs import ProofAnswer, ProofQuestion, ProofRefresher
 from balsamspindle.membership import Directory, Member
 from balsamspindle.protocol.outcomes import Execution
-from balsamspindle.requests.links import Link, LinkPool
+from balsamspindle.requests.link_pool import LinkPool, LinksExhausted
+from balsamspindle.requests.links import Link
 from balsamspindle.settings.configuration import Configuration, CurrentConfiguration
 from balsamspindle.settings.process import NodeSettings
 from balsamspindle.timeline import EventLog
@@ -57,7 +58,12 @@
         # A limit message may be sent twice without harm. The link is therefore acquired
         # as for an idempotent request: fewer idle links are checked before their use.
         deadline_s = time.monotonic() + QUESTION_TIMEOUT_S
-        return self._links.acquire(node.link_address, deadline_s, Execution.IDEMPOTENT)
+        try:
+            return self._links.acquire(
+                node.link_address, deadline_s, Execution.IDEMPOTENT
+            )
+        except LinksExhausted:
+            return None
 
 
 class CustomerParts:
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -26,7 +26,7 @@
 from balsamspindle.requests.claims import ClaimsTable
 from balsamspindle.requests.forwarding import Forwarder
 from balsamspindle.requests.ingress import Ingress
-from balsamspindle.requests.links import LinkPool
+from balsamspindle.requests.link_pool import CONTEXT_SOCKETS_MAX, LinkPool
 from balsamspindle.requests.retries import RetryPolicy
 from balsamspindle.requests.zone_hints import ZoneHints
 from balsamspindle.services.explanation import ServiceExplanation, explain_service
@@ -66,6 +66,7 @@
         self._extra_servers: list[AdminServer] = []
         self._settings_watch: SettingsWatch | None = None
         self._context = zmq.Context()
+        self._context.max_sockets = CONTEXT_SOCKETS_MAX
         self._authenticator = start_authenticator(self._context, settings.fleet_keys)
         self._directory = Directory()
         self._configuration = CurrentConfiguration()
@@ -168,6 +169,7 @@
             self._ingress.accepting()
             and not self._stop_requested.is_set()
             and self._configuration.get() is not None
+            and not self._links.is_exhausted(time.monotonic())
         )
 
     def run(self) -> None:
@@ -197,6 +199,7 @@
                 now_s = time.monotonic()
                 self._gate_parts.remove_silent(now_s)
                 self._customer_parts.refresh(now_s)
+                self._links.close_unused(now_s)
             self._shut_down()
         # Wait at most `LINGER_MS` until the messages still queued on links are sent.
         self._context.destroy(linger=LINGER_MS)
--- a/balsamspindle/protocol/outcomes.py
+++ b/balsamspindle/protocol/outcomes.py
@@ -93,6 +93,8 @@
     DEADLINE = "deadline"
     CANCELLED = "cancelled"
     UNREACHABLE = "unreachable"
+    NO_FREE_LINK = "no_free_link"
+    INTERNAL_ERROR = "internal_error"
     RETRY_BUDGET = "retry_budget"
     SILENCE = "silence"
     BROKEN_ANSWER = "broken_answer"
@@ -219,6 +221,10 @@
     Reason.DEADLINE: Problem(504, "The time allowed for the request ran out.", 1),
     Reason.CANCELLED: Problem(503, "The request was cancelled.", 1),
     Reason.UNREACHABLE: Problem(503, "The backend server can't be reached.", 1),
+    Reason.NO_FREE_LINK: Problem(
+        503, "This node has no free connection to the other nodes.", 1
+    ),
+    Reason.INTERNAL_ERROR: Problem(500, "The node failed to forward the request.", 1),
     Reason.RETRY_BUDGET: Problem(
         503, "The request failed and the service's retry budget is spent.", 2
     ),
--- a/balsamspindle/requests/admission_queries.py
+++ b/balsamspindle/requests/admission_queries.py
@@ -113,10 +113,8 @@
         link = self._links.acquire(
             placement, forwarded.route.execution, forwarded.deadline_s, now_s
         )
-        if link is None:
-            return self._log_declined(
-                forwarded, placement, DeclinedAttempt(Reason.UNREACHABLE)
-            )
+        if isinstance(link, Reason):
+            return self._log_declined(forwarded, placement, DeclinedAttempt(link))
         match link.query(
             self.build_query(forwarded, placement), now_s + QUERY_TIMEOUT_S
         ):
--- a/balsamspindle/requests/attempts.py
+++ b/balsamspindle/requests/attempts.py
@@ -14,7 +14,7 @@
 from balsamspindle.requests.gate_links import GateLinks
 from balsamspindle.requests.key_claimant import record_claim_reply, with_claim
 from balsamspindle.requests.link_attempts import LinkAttempts
-from balsamspindle.requests.links import LinkPool
+from balsamspindle.requests.link_pool import LinkPool
 from balsamspindle.requests.reservation_plans import ReservationPlan
 from balsamspindle.requests.retries import is_success
 from balsamspindle.requests.room_news import RoomNews
--- a/balsamspindle/requests/declined_attempts.py
+++ b/balsamspindle/requests/declined_attempts.py
@@ -30,7 +30,7 @@
         held_out=declined.held_out,
         load=declined.load,
     )
-    if declined.reason is not Reason.UNREACHABLE:
+    if declined.reason not in (Reason.UNREACHABLE, Reason.NO_FREE_LINK):
         forwarded.sends += 1
         track(forwarded, placement).end(reply)
     return reply
--- a/balsamspindle/requests/forwarding.py
+++ b/balsamspindle/requests/forwarding.py
@@ -27,7 +27,7 @@
 from balsamspindle.requests.key_claimant import KeyClaimant
 from balsamspindle.requests.level_refusals import LevelRefusals
 from balsamspindle.requests.limit_check_selection import LimitCheckSelector
-from balsamspindle.requests.links import LinkPool
+from balsamspindle.requests.link_pool import LinkPool
 from balsamspindle.requests.placement_selection import PlacementSelector, Selection
 from balsamspindle.requests.reservation_planner import ReservationPlanner
 from balsamspindle.requests.retries import RetryPolicy, best_reply, is_success
--- a/balsamspindle/requests/gate_links.py
+++ b/balsamspindle/requests/gate_links.py
@@ -1,8 +1,9 @@
 """Links to the gates of other nodes, and hold-outs for unreachable gates."""
 
 from balsamspindle.membership.directory import Placement
-from balsamspindle.protocol.outcomes import Execution
-from balsamspindle.requests.links import Link, LinkPool
+from balsamspindle.protocol.outcomes import Execution, Reason
+from balsamspindle.requests.link_pool import LinkPool, LinksExhausted
+from balsamspindle.requests.links import Link
 from balsamspindle.services.holdouts import HoldOuts
 from balsamspindle.timeline import EventLog
 
@@ -33,16 +34,26 @@
         execution: Execution,
         deadline_s: float,
         now_s: float,
-    ) -> Link | None:
-        """Return a working link for exclusive use; None if the gate is unreachable.
+    ) -> Link | Reason:
+        """Return a working link for exclusive use, or why there is none.
 
         Starts a hold-out if the gate is unreachable; ends any hold-out if the gate is
         reachable.
+
+        Returns
+        -------
+        Link or Reason
+            `UNREACHABLE`, or `NO_FREE_LINK` if this node can open no link, which says
+            nothing about the gate.
         """
-        link = self._links.acquire(placement.node.link_address, deadline_s, execution)
+        address = placement.node.link_address
+        try:
+            link = self._links.acquire(address, deadline_s, execution)
+        except LinksExhausted:
+            return Reason.NO_FREE_LINK
         if link is None:
             self.record_unreachable(placement, now_s)
-            return None
+            return Reason.UNREACHABLE
         node_id = placement.node.node_id
         unreachable_s = self.hold_outs.record_success(node_id, now_s)
         if unreachable_s is not None:
--- a/balsamspindle/requests/link_attempts.py
+++ b/balsamspindle/requests/link_attempts.py
@@ -288,13 +288,12 @@
             dispatch = msgspec.structs.replace(
                 dispatch, attempt_id=reserved_id, is_reserved=True
             )
-        unreachable = Reply(dispatch.attempt_id, Outcome.NOT_RUN, Reason.UNREACHABLE)
         link = link or self._links.acquire(
             placement, dispatch.execution, forwarded.deadline_s, self._clock()
         )
-        if link is None:
+        if isinstance(link, Reason):
             forwarded.sends -= 1
-            return unreachable
+            return Reply(dispatch.attempt_id, Outcome.NOT_RUN, link)
         if self._aborted:
             return self._release_unused(forwarded, dispatch, link)
         # The idempotency key is claimed only once the gate is known to be alive: a
@@ -311,7 +310,7 @@
         if not link.send_dispatch(claimed, forwarded.deadline_s):
             link.close()
             forwarded.sends -= 1
-            return unreachable
+            return Reply(dispatch.attempt_id, Outcome.NOT_RUN, Reason.UNREACHABLE)
         tracked = self._track(forwarded, placement)
         return SentAttempt(link, dispatch, node_id, tracked.end)
 
--- a/balsamspindle/requests/links.py
+++ b/balsamspindle/requests/links.py
@@ -1,14 +1,12 @@
-"""Links from this node's ingress to other nodes' gates.
+"""A link from this node's ingress to another node's gate: a ZeroMQ DEALER socket.
 
-A link is a ZeroMQ DEALER socket. A task acquires a link from the pool, uses it
-exclusively and releases it. The pool's lock is the memory barrier that ZeroMQ
-requires when a socket moves between threads.
+`balsamspindle.requests.link_pool` lends links to tasks.
 """
 
 import math
-import threading
 import time
 from collections import deque
+from collections.abc import Callable
 
 import msgspec
 import zmq
@@ -17,7 +15,6 @@
 from balsamspindle.protocol.outcomes import CancelCause, Execution, Outcome, Reason
 from balsamspindle.requests.gate_clock import GateClock
 from balsamspindle.requests.peer_timeout import PeerTimeout
-from balsamspindle.timeline import EventLog
 from balsamspindle.wire import (
     AdmissionAnswer,
     AdmissionQuery,
@@ -40,21 +37,30 @@
 from balsamspindle.wire.limit_messages import LimitAnswer, LimitQuestion
 from balsamspindle.wire.security import FleetKeys, protect_connection
 
-__all__ = ["GateClock", "Link", "LinkPool", "poll_timeout_ms"]
+__all__ = ["GateClock", "Link", "poll_timeout_ms"]
 
-CONNECT_TIMEOUT_S = 0.25
 # A link over which nothing was received for longer than this is checked before use,
 # because one direction of the network may have failed in the meantime. The check costs
 # a round trip, so it is made less often for idempotent requests, which can be retried.
 CHECK_VALID_S = {Execution.NON_IDEMPOTENT: 1.0, Execution.IDEMPOTENT: 10.0}
-IDLE_LINKS_PER_PEER_MAX = 8
 CANCEL_LINGER_MS = 1000
 # Number of withdrawn reservations whose late answers a link ignores without an event.
 WITHDRAWN_MAX = 8
 
 
 class Link:
-    """One connection to a peer's gate, for one attempt at a time."""
+    """One connection to a peer's gate, for one attempt at a time.
+
+    Parameters
+    ----------
+    on_close : callable
+        Called once, when the link is closed.
+
+    Raises
+    ------
+    zmq.ZMQError
+        If the context or the process has no more sockets.
+    """
 
     def __init__(
         self,
@@ -62,8 +68,10 @@
         address: str,
         keys: FleetKeys | None,
         metrics: Metrics,
+        on_close: Callable[[], None] = lambda: None,
     ) -> None:
         self.address = address
+        self._on_close = on_close
         self._metrics = metrics
         self._sent_s = 0.0
         self.gate_clock = GateClock()
@@ -77,6 +85,14 @@
         # Reservations withdrawn last. Their calls or refusals may still arrive.
         self._withdrawn_ids: deque[AttemptId] = deque(maxlen=WITHDRAWN_MAX)
         self._socket = context.socket(zmq.DEALER)
+        self._disconnect_monitor: zmq.Socket | None = None
+        try:
+            self._connect(keys)
+        except zmq.ZMQError:
+            self._close_sockets()
+            raise
+
+    def _connect(self, keys: FleetKeys | None) -> None:
         self._socket.setsockopt(zmq.LINGER, 0)
         # With IMMEDIATE, sending fails while there is no connection. Otherwise, ZeroMQ
         # would queue the message and deliver it once the peer is up, after the request
@@ -88,7 +104,7 @@
             zmq.EVENT_DISCONNECTED | zmq.EVENT_CLOSED
         )
         protect_connection(self._socket, keys)
-        self._socket.connect(f"tcp://{address}")
+        self._socket.connect(f"tcp://{self.address}")
 
     @property
     def last_received_s(self) -> float:
@@ -224,8 +240,13 @@
 
     def close(self) -> None:
         """Close the link's sockets."""
-        self._socket.disable_monitor()
-        self._disconnect_monitor.close(0)
+        self._close_sockets()
+        self._on_close()
+
+    def _close_sockets(self) -> None:
+        if self._disconnect_monitor is not None:
+            self._socket.disable_monitor()
+            self._disconnect_monitor.close(0)
         self._socket.close()
 
     def register(self, poller: zmq.Poller) -> None:
@@ -284,65 +305,6 @@
         return None
 
 
-class LinkPool:
-    """A pool of idle links to all peers, by peer address."""
-
-    def __init__(
-        self, context: zmq.Context, events: EventLog, keys: FleetKeys | None = None
-    ) -> None:
-        self._context = context
-        self._keys = keys
-        self._events = events
-        self._lock = threading.Lock()
-        self._idle: dict[str, list[Link]] = {}
-
-    def acquire(
-        self,
-        address: str,
-        deadline_s: float,
-        execution: Execution = Execution.NON_IDEMPOTENT,
-    ) -> Link | None:
-        """Return a working link for exclusive use; None if the peer is unreachable."""
-        timeout = PeerTimeout(CONNECT_TIMEOUT_S, deadline_s)
-        while True:
-            with self._lock:
-                idle = self._idle.get(address)
-                link = idle.pop() if idle else None
-            is_new = link is None
-            link = link or Link(
-                self._context, address, self._keys, self._events.metrics
-            )
-            if link.check_ready(time.monotonic(), timeout, execution):
-                return link
-            # If a new link fails, or a connected link gets no greeting, the peer
-            # is unreachable. Its idle links don't work either and are closed.
-            is_unresponsive = link.connected()
-            link.close()
-            if is_new or is_unresponsive:
-                self._close_idle(address)
-                return None
-
-    def _close_idle(self, address: str) -> None:
-        with self._lock:
-            links = self._idle.pop(address, [])
-        for link in links:
-            link.close()
-
-    def release(self, link: Link) -> None:
-        """Return a link to the pool; close it if enough links to its peer are idle."""
-        with self._lock:
-            idle = self._idle.setdefault(link.address, [])
-            if len(idle) < IDLE_LINKS_PER_PEER_MAX:
-                idle.append(link)
-                return
-        link.close()
-
-    def close(self) -> None:
-        """Close all idle links."""
-        for address in list(self._idle):
-            self._close_idle(address)
-
-
 def _verify_checksum(reply: Reply) -> Reply:
     """Return the reply, or an `unknown` reply if the body was damaged in transit.
 
--- a/balsamspindle/requests/reservations.py
+++ b/balsamspindle/requests/reservations.py
@@ -111,7 +111,12 @@
             request = ReservationRequest(
                 attempt_id, self._build_query(forwarded, placement)
             )
-            if link is None or not link.send_reservation(request, forwarded.deadline_s):
+            if link is Reason.NO_FREE_LINK:
+                replies.append(Reply(attempt_id, Outcome.NOT_RUN, link))
+                break
+            if link is Reason.UNREACHABLE or not link.send_reservation(
+                request, forwarded.deadline_s
+            ):
                 replies.append(self._unreachable(forwarded, placement, attempt_id))
                 continue
             made.append(_Made(link, placement, attempt_id))
--- a/balsamspindle/requests/retries.py
+++ b/balsamspindle/requests/retries.py
@@ -63,6 +63,7 @@
     # backend server, the run may end in time.
     Reason.NODE_STOPPING: RetryCost.FREE,
     Reason.UNREACHABLE: RetryCost.FREE,
+    Reason.NO_FREE_LINK: RetryCost.FREE,
     Reason.DAMAGED: RetryCost.FREE,
     Reason.CLAIM_MOVED: RetryCost.FREE,
     Reason.NO_FREE_SLOT: RetryCost.FIRST_FREE,
--- a/balsamspindle/timeline/losses.py
+++ b/balsamspindle/timeline/losses.py
@@ -40,7 +40,7 @@
         Refused because the service's backend servers were suspected or draining, or
         because the service had no backend server.
     NOT_REACHED
-        Refused because a gate could not be reached.
+        Refused because a gate could not be reached, or no link to one was free.
     ERROR_AFTER_LOST_CALL
         A backend server answered with an error, because a call that it had made for the
         request was lost.
@@ -106,6 +106,7 @@
 _LEAVING_CUT_BY = frozenset({"node_leaving", "ingress_leaving"})
 # Value of the field `cause` when a leaving ingress stopped waiting for a reply.
 _LEAVING_CAUSE = "this node is leaving"
+_NOT_REACHED_CAUSES = frozenset({"unreachable", "no_free_link"})
 _NO_HEALTHY_SERVER_CAUSES = frozenset({"suspected", "no_backend_server", "draining"})
 
 
@@ -200,7 +201,7 @@
         return Loss.REFUSED_AT_ONCE if is_immediate else Loss.WAITED_AND_REFUSED
     if cause in _NO_HEALTHY_SERVER_CAUSES:
         return Loss.NO_HEALTHY_SERVER
-    return Loss.NOT_REACHED if cause == "unreachable" else Loss.OTHER
+    return Loss.NOT_REACHED if cause in _NOT_REACHED_CAUSES else Loss.OTHER
 
 
 def _lost_call(events: list[TimelineEvent]) -> str:
--- a/tests/one_gate.py
+++ b/tests/one_gate.py
@@ -14,7 +14,7 @@
 from balsamspindle.protocol.outcomes import Execution, Outcome
 from balsamspindle.requests.forwarding import ForwardedRequest, Forwarder
 from balsamspindle.requests.http import CallerRequest, HttpConnection, HttpLimits
-from balsamspindle.requests.links import LinkPool
+from balsamspindle.requests.link_pool import LINKS_MAX, LinkPool
 from balsamspindle.services.picker import Picker
 from balsamspindle.settings.configuration import CurrentConfiguration
 from balsamspindle.settings.documents import RouteDocument
@@ -60,9 +60,14 @@
     The fake gate listens at `gate_address` and has `servers_count` backend servers.
     """
 
-    def __init__(self, gate_address: str, servers_count: int = 1) -> None:
+    def __init__(
+        self,
+        gate_address: str,
+        servers_count: int = 1,
+        links_max: int = LINKS_MAX,
+    ) -> None:
         self.events = io.StringIO()
-        events = EventLog("own", 1, HybridClock(), self.events)
+        self.log = events = EventLog("own", 1, HybridClock(), self.events)
         directory = Directory()
         servers = tuple(
             BackendServerRecord(f"server-{number}", ROUTE.service, "1", 1000, "ready")
@@ -70,7 +75,7 @@
         )
         peer = NodeRecord("gate", 1, 1, "r", "z", gate_address, "-", "alive", servers)
         directory.update(peer, 0.0)
-        self.links = LinkPool(zmq.Context.instance(), events)
+        self.links = LinkPool(zmq.Context.instance(), events, links_max=links_max)
         gate = Gate(LocalBackendServers(), BackendServerClient(1000), events)
         picker = Picker(OWN, directory, CurrentConfiguration())
         self._forwarder = Forwarder(OWN, picker, gate, self.links, events)
--- a/tests/test_admission_queries.py
+++ b/tests/test_admission_queries.py
@@ -23,7 +23,7 @@
 from balsamspindle.requests.forwarded import ForwardedRequest
 from balsamspindle.requests.forwarding import Forwarder
 from balsamspindle.requests.http import CallerRequest, HttpConnection, HttpLimits
-from balsamspindle.requests.links import LinkPool
+from balsamspindle.requests.link_pool import LinkPool
 from balsamspindle.services.picker import Picker
 from balsamspindle.settings.configuration import CurrentConfiguration
 from balsamspindle.settings.documents import RouteDocument
--- a/tests/test_ending_ingresses.py
+++ b/tests/test_ending_ingresses.py
@@ -21,7 +21,7 @@
 from balsamspindle.node.gate_parts import GateParts
 from balsamspindle.protocol.outcomes import Execution, Outcome, Reason
 from balsamspindle.requests import links
-from balsamspindle.requests.links import LinkPool
+from balsamspindle.requests.link_pool import LinkPool
 from balsamspindle.requests.reply_wait import WaitOptions, wait_first
 from balsamspindle.settings.documents import RetryBudget, ServiceDocument
 from balsamspindle.settings.process import NodeSettings
--- a/tests/test_link_server_bound.py
+++ b/tests/test_link_server_bound.py
@@ -15,7 +15,7 @@
 from balsamspindle.backend_servers.link_server import LinkServer
 from balsamspindle.backend_servers.servers import LocalBackendServers
 from balsamspindle.protocol.outcomes import Execution, Outcome, Reason
-from balsamspindle.requests.links import LinkPool
+from balsamspindle.requests.link_pool import LinkPool
 from balsamspindle.requests.reply_wait import WaitOptions, wait_first
 from balsamspindle.timeline import EventLog, HybridClock
 from balsamspindle.wire import (
