Answer a request when the node fails to forward it

Cause: the task of a connection ends with the exception, which closes the connection. Why it works: forwarding is the part that runs for every request; its exceptions are logged (request_failed, with the request's id) and answered with 500, internal_error and the outcome unknown, since an attempt may have been sent.

--- a/balsamspindle/requests/ingress.py
+++ b/balsamspindle/requests/ingress.py
@@ -23,6 +23,7 @@
 from balsamspindle.requests.request_log import RequestLog, elapsed_ms
 from balsamspindle.requests.siblings import SiblingRanks
 from balsamspindle.requests.start_wait import READY_POLL_S, StartWait
+from balsamspindle.requests.unexpected_errors import forward_or_fail
 from balsamspindle.services.shares import ServiceShares
 from balsamspindle.settings.configuration import CurrentConfiguration
 from balsamspindle.settings.process import NodeSettings
@@ -323,7 +324,7 @@
             content_hash=content_hash,
             customer=admitted.name,
         )
-        reply = self._forwarder.forward(forwarded)
+        reply = forward_or_fail(self._forwarder.forward, forwarded, self._events)
         if reply.outcome is not Outcome.ANSWERED or reply.status >= ERROR_STATUS_MIN:
             # The caller may be the backend server beside this node: it sent this
             # request A to serve a request B. If B fails because A failed, this node's
--- a/balsamspindle/requests/zone_hints.py
+++ b/balsamspindle/requests/zone_hints.py
@@ -74,10 +74,8 @@
             return
         until_s = now_s + held_out_ms / 1000
         with self._lock:
-            reported_s = self._reported_until_s.pop(backend_server_id, 0.0)
-            self._reported_until_s[backend_server_id] = max(reported_s, until_s)
-            if len(self._reported_until_s) > REPORTED_MAX:
-                del self._reported_until_s[next(iter(self._reported_until_s))]
+            reported_s = self._reported_until_s.get(backend_server_id, 0.0)
+            self._record_reported(backend_server_id, max(reported_s, until_s))
             if until_s - reported_s < EXTENSION_MIN_MS / 1000:
                 return
             addresses = self._peer_addresses()
@@ -90,9 +88,15 @@
         now_s = time.monotonic()
         until_s = now_s + hint.held_out.held_out_ms / 1000
         with self._lock:
-            self._reported_until_s[hint.backend_server_id] = until_s
+            self._record_reported(hint.backend_server_id, until_s)
         self._held_out_servers().record(hint.backend_server_id, hint.held_out, now_s)
 
+    def _record_reported(self, backend_server_id: str, until_s: float) -> None:
+        self._reported_until_s.pop(backend_server_id, None)
+        self._reported_until_s[backend_server_id] = until_s
+        if len(self._reported_until_s) > REPORTED_MAX:
+            del self._reported_until_s[next(iter(self._reported_until_s))]
+
     def _peer_addresses(self) -> list[str]:
         addresses = [
             record.member_address
