Give back connections of lost peers, and bound three records

- Connections that other nodes opened (links, member messages) had no keep-alive.
A VM that loses power closes none of them, so each kept a descriptor for ever.
All other records by peer, customer, route or server were found bounded or removed.

--- a/balsamspindle/backend_servers/gate_loads.py
+++ b/balsamspindle/backend_servers/gate_loads.py
@@ -16,6 +16,7 @@
 # what a gate told them.
 RECENT_S = 2.0
 STARTS_MAX = 1000
+SERVERS_MAX = 100
 _ROOM_REASONS = frozenset({Reason.WOULD_WAIT, Reason.NO_FREE_SLOT, Reason.DEADLINE})
 
 
@@ -79,6 +80,7 @@
         """Record that an attempt got a slot."""
         starts = self._starts.setdefault(backend_server_id, deque(maxlen=STARTS_MAX))
         starts.append((now_s, weight))
+        _discard_oldest(self._starts)
 
     def record_refusal(
         self, backend_server_id: str, reason: Reason, now_s: float
@@ -86,6 +88,7 @@
         """Record a refusal; it counts only if it was for want of room."""
         if reason in _ROOM_REASONS:
             self._refused_s[backend_server_id] = now_s
+            _discard_oldest(self._refused_s)
 
     def load(
         self, service: str, backend_server_id: str, now_s: float
@@ -109,3 +112,12 @@
             return 0.0
         starts = tuple(self._starts.get(backend_server_id, ()))
         return min((weight for at_s, weight in starts if at_s > since_s), default=0.0)
+
+
+def _discard_oldest(by_server: dict) -> None:
+    """Discard the oldest entry if there are more than `SERVERS_MAX`.
+
+    A node has one backend server at a time, with a new id after each start.
+    """
+    if len(by_server) > SERVERS_MAX:
+        by_server.pop(next(iter(by_server)), None)
--- a/balsamspindle/backend_servers/lifetimes.py
+++ b/balsamspindle/backend_servers/lifetimes.py
@@ -241,7 +241,12 @@
         self._lifetimes.pop(server_id, None)
         self._lifetimes[server_id] = lifetime
         if len(self._lifetimes) > LIFETIMES_MAX:
-            self._lifetimes.popitem(last=False)
+            oldest_id, _ = self._lifetimes.popitem(last=False)
+            self._ids_by_address = {
+                address: other_id
+                for address, other_id in self._ids_by_address.items()
+                if other_id != oldest_id
+            }
         return lifetime
 
     def _emit(self, event: str, server_id: str, cause: str | None = None) -> None:
--- a/balsamspindle/backend_servers/link_server.py
+++ b/balsamspindle/backend_servers/link_server.py
@@ -29,6 +29,7 @@
     decode_link,
     encode,
 )
+from balsamspindle.wire.keep_alive import keep_alive
 from balsamspindle.wire.security import FleetKeys, protect_listener
 
 __all__ = ["LinkServer"]
@@ -87,6 +88,7 @@
         # After the socket is closed, queued replies are still sent for this long.
         self._router.setsockopt(zmq.LINGER, LINGER_MS)
         protect_listener(self._router, keys)
+        keep_alive(self._router)
         self._router.bind(f"tcp://{address}")
         self._replies = context.socket(zmq.PULL)
         self._replies.setsockopt(zmq.LINGER, 0)
--- a/balsamspindle/membership/transport.py
+++ b/balsamspindle/membership/transport.py
@@ -7,6 +7,7 @@
 import zmq
 
 from balsamspindle.wire.codec import MEMBER_MESSAGE_MAX_BYTES
+from balsamspindle.wire.keep_alive import keep_alive
 from balsamspindle.wire.security import (
     FleetKeys,
     protect_connection,
@@ -121,6 +122,7 @@
         self._wake_fd = os.eventfd(0, os.EFD_NONBLOCK)
         self._router = self._create_socket(zmq.ROUTER)
         protect_listener(self._router, keys)
+        keep_alive(self._router)
         self._router.bind(f"tcp://{address}")
         self._poller = zmq.Poller()
         self._poller.register(self._router, zmq.POLLIN)
