--- /dev/null
+++ b/balsamspindle/backend_servers/curl_calls.py
@@ -0,0 +1,225 @@
+"""Single calls with libcurl, and a pool of the handles that make them."""
+
+import os
+import socket
+import threading
+import time
+from collections import OrderedDict
+
+import pycurl
+
+from balsamspindle.backend_servers.answers import (
+    AnswerReader,
+    BackendAnswer,
+    BackendFailure,
+)
+from balsamspindle.backend_servers.cancellation import CancelToken
+from balsamspindle.protocol.outcomes import Execution, Reason
+
+__all__ = ["Call", "Handle", "HandlePool"]
+
+CONNECT_TIMEOUT_MS = 1000
+IDLE_HANDLES_MAX = 512
+# libcurl's error codes for received bytes that are not an HTTP answer, such as stray
+# data in a reused connection.
+_NOT_HTTP_CODES = {pycurl.E_UNSUPPORTED_PROTOCOL, pycurl.E_FTP_WEIRD_SERVER_REPLY}
+_FAILURE_REASONS = {pycurl.E_OPERATION_TIMEDOUT: Reason.SILENCE}
+
+
+class Call:
+    """State of a call: its deadline, whether the request was sent, and the answer."""
+
+    def __init__(self, token, deadline_s, reader):
+        self.token: CancelToken = token
+        self.deadline_s: float = deadline_s
+        self.reader: AnswerReader = reader
+        self.sent = False
+        self.too_late = False
+        self.was_cancelled = False
+
+    def may_send(self, connection: socket.socket | None) -> bool:
+        """Return whether the request may be sent now, and record the decision.
+
+        Called when the connection is open. The result is False if the call was
+        cancelled or its deadline has passed. The admission has checked the deadline
+        already, but the process may have been suspended since then. Without another
+        check here, the request could run long after its caller received a timeout.
+        """
+        if not self.token.attach(connection):
+            return False
+        if time.monotonic() >= self.deadline_s:
+            self.too_late = True
+            return False
+        self.sent = True
+        return True
+
+    def _timed_out_before_sending(self) -> bool:
+        """Return whether the deadline passed before the request was sent.
+
+        Such a timeout is no evidence about the backend server. If the timeout were
+        reported as `Reason.UNREACHABLE`, each request that arrives shortly before its
+        deadline would count against the backend server's health.
+        """
+        return not self.sent and time.monotonic() >= self.deadline_s
+
+    def ended(self, status: int, method: str) -> BackendAnswer | BackendFailure:
+        """Return the result of a call that libcurl reports as successful.
+
+        An answer that ends with its connection is complete only if the backend server
+        closed the connection. libcurl can't tell that end from a cancellation, which
+        shuts the socket down.
+        """
+        if self.was_cancelled and self.reader.ends_with_connection(status, method):
+            return self.failure(pycurl.E_OK, "cancelled before the answer ended")
+        return self.reader.answer(status, method)
+
+    def failure(self, code: int, message: str) -> BackendFailure:
+        if self.token.cancelled:
+            reason = Reason.CANCELLED
+        elif self.reader.too_large:
+            reason = Reason.ANSWER_TOO_LARGE
+        elif self.too_late or self._timed_out_before_sending():
+            reason = Reason.DEADLINE
+        elif not self.sent:
+            reason = Reason.UNREACHABLE
+        else:
+            reason = _FAILURE_REASONS.get(code, Reason.BROKEN_ANSWER)
+        is_foreign = reason is Reason.BROKEN_ANSWER and code in _NOT_HTTP_CODES
+        cut_by = self.token.cause if reason is Reason.CANCELLED else None
+        headers = () if is_foreign else self.reader.incomplete_headers()
+        return BackendFailure(reason, self.sent, message, is_foreign, cut_by, headers)
+
+
+class Handle:
+    """A curl handle with at most one connection; stores that connection's socket."""
+
+    def __init__(self, execution: Execution) -> None:
+        self.curl = pycurl.Curl()
+        self._connection: socket.socket | None = None
+        self._was_reused = False
+        self._call: Call | None = None
+        self._set_options()
+        if execution is Execution.NON_IDEMPOTENT:
+            # When a reused connection turns out to be closed, libcurl itself sends the
+            # request again on a new connection. The backend server could then run the
+            # request twice. libcurl never repeats a request that it sent on a new
+            # connection, so use a new connection for each non-idempotent request.
+            self.curl.setopt(pycurl.FRESH_CONNECT, 1)
+            self.curl.setopt(pycurl.FORBID_REUSE, 1)
+
+    def perform(self, call: Call, method: str) -> BackendAnswer | BackendFailure:
+        """Send the request that the handle's options describe; return the result."""
+        self._call = call
+        self.curl.setopt(pycurl.WRITEFUNCTION, call.reader.on_body)
+        self.curl.setopt(pycurl.HEADERFUNCTION, call.reader.on_header)
+        self._was_reused = self._connection is not None
+        try:
+            self.curl.perform()
+        except pycurl.error as error:
+            return call.failure(*error.args)
+        finally:
+            call.was_cancelled = call.token.detach()
+            self._call = None
+        return call.ended(self.curl.getinfo(pycurl.RESPONSE_CODE), method)
+
+    def was_reused(self) -> bool:
+        """Return whether the last call reused the connection of an earlier call."""
+        return self._was_reused
+
+    def close(self) -> None:
+        """Close the handle and its connection."""
+        self.curl.close()
+
+    def _set_options(self) -> None:
+        curl = self.curl
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.TCP_NODELAY, 1)
+        curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
+        curl.setopt(pycurl.FOLLOWLOCATION, 0)
+        curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+        curl.setopt(pycurl.HTTP09_ALLOWED, 0)
+        curl.setopt(pycurl.PATH_AS_IS, 1)
+        curl.setopt(pycurl.PROXY, "")
+        curl.setopt(pycurl.MAXCONNECTS, 1)
+        curl.setopt(pycurl.OPENSOCKETFUNCTION, self._on_open)
+        curl.setopt(pycurl.CLOSESOCKETFUNCTION, self._on_close)
+        curl.setopt(pycurl.PREREQFUNCTION, self._on_connected)
+
+    def _on_open(self, _purpose, address) -> socket.socket | int:
+        connection = socket.socket(address.family, address.socktype, address.protocol)
+        if not self._call.token.attach(connection):
+            connection.close()
+            return pycurl.SOCKET_BAD
+        self._connection = connection
+        return connection
+
+    def _on_close(self, descriptor: int) -> int:
+        # libcurl uses a duplicate of the descriptor in `_connection`. The backend
+        # server sees the end of the connection only after both descriptors are closed.
+        os.close(descriptor)
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+        return 0
+
+    def _on_connected(self, *_) -> int:
+        if self._call.may_send(self._connection):
+            return pycurl.PREREQFUNC_OK
+        return pycurl.PREREQFUNC_ABORT
+
+
+class HandlePool:
+    """Idle handles, shared by all threads.
+
+    The pool's lock is also the memory barrier when a handle passes from one thread to
+    another. The gate's slots limit the handles in use, and thereby the connections
+    to each backend server. If each thread cached its own handles instead, there would
+    be a connection for each pair of thread and backend server.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._idle: OrderedDict[str, list[Handle]] = OrderedDict()
+        self._count = 0
+
+    def acquire(self, address: str, execution: Execution) -> Handle:
+        key = _pool_key(address, execution)
+        with self._lock:
+            idle = self._idle.get(key)
+            if idle:
+                self._count -= 1
+                return idle.pop()
+        return Handle(execution)
+
+    def release(self, address: str, execution: Execution, handle: Handle) -> None:
+        key = _pool_key(address, execution)
+        with self._lock:
+            self._idle.setdefault(key, []).append(handle)
+            self._idle.move_to_end(key)
+            self._count += 1
+            surplus = self._pop_surplus()
+        if surplus is not None:
+            surplus.close()
+
+    def _pop_surplus(self) -> Handle | None:
+        """Remove and return a handle of the least recently used address.
+
+        Return None if the pool contains at most `IDLE_HANDLES_MAX` handles.
+        """
+        if self._count <= IDLE_HANDLES_MAX:
+            return None
+        while True:
+            key, handles = next(iter(self._idle.items()))
+            if handles:
+                self._count -= 1
+                return handles.pop(0)
+            del self._idle[key]
+
+
+def _pool_key(address: str, execution: Execution) -> str:
+    """Return the pool key of a handle.
+
+    A handle for non-idempotent requests closes its connection after each call, so it
+    can be used for any address. All such handles have the same key.
+    """
+    return address if execution is Execution.IDEMPOTENT else ""
