Release both bodies of a call when it ends

Nothing that callers saw: a process grew with the bodies of calls that had ended. Part of what a node held after endless answers (each handle kept up to 8 MiB), found while looking for the bound of all answers together.

Cause: an idle curl handle refers to the callbacks of its last call, and so to the chunks of its answer, and to the request's body; up to 512 handles are idle. Why it works: the callbacks and the body are replaced when the call ends.

The test fails before: readers of all four calls are still referenced.

--- a/balsamspindle/backend_servers/curl_calls.py
+++ b/balsamspindle/backend_servers/curl_calls.py
@@ -74,6 +74,7 @@
         return self.reader.answer(status, method)
 
     def failure(self, code: int, message: str) -> BackendFailure:
+        """Return the result of a call that failed with an error of libcurl."""
         if self.token.cancelled:
             reason = Reason.CANCELLED
         elif self.reader.too_large:
@@ -119,6 +120,7 @@
             return call.failure(*error.args)
         finally:
             call.was_cancelled = call.token.detach()
+            self._release_bodies()
             self._call = None
         return call.ended(self.curl.getinfo(pycurl.RESPONSE_CODE), method)
 
@@ -130,6 +132,12 @@
         """Close the handle and its connection."""
         self.curl.close()
 
+    def _release_bodies(self) -> None:
+        """Drop the references to both bodies, which an idle handle would keep."""
+        self.curl.setopt(pycurl.WRITEFUNCTION, len)
+        self.curl.setopt(pycurl.HEADERFUNCTION, len)
+        self.curl.setopt(pycurl.POSTFIELDS, b"")
+
     def _set_options(self) -> None:
         curl = self.curl
         curl.setopt(pycurl.NOSIGNAL, 1)
@@ -183,6 +191,7 @@
         self._count = 0
 
     def acquire(self, address: str, execution: Execution) -> Handle:
+        """Return an idle handle with a connection to an address, or a new one."""
         key = _pool_key(address, execution)
         with self._lock:
             idle = self._idle.get(key)
@@ -192,6 +201,7 @@
         return Handle(execution)
 
     def release(self, address: str, execution: Execution, handle: Handle) -> None:
+        """Return a handle to the pool; close one if there are too many."""
         key = _pool_key(address, execution)
         with self._lock:
             self._idle.setdefault(key, []).append(handle)
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -1,5 +1,6 @@
 """Calls to a backend server: requests are sent once, only complete answers accepted."""
 
+import gc
 import os
 import socket
 import struct
@@ -10,6 +11,7 @@
 
 from testtools import TestCase
 
+from balsamspindle.backend_servers.answers import AnswerReader
 from balsamspindle.backend_servers.cancellation import CancelToken
 from balsamspindle.backend_servers.client import (
     BackendAnswer,
@@ -388,6 +390,21 @@
         broken = lenient.call(reset.address, *arguments)
         self.assertEqual((Reason.BROKEN_ANSWER, True), broken[:2])
 
+    def test_idle_handles_keep_no_bodies(self):
+        # Guards against a process that holds the last body of each idle handle, up to
+        # the maximum size of a body for each of hundreds of handles.
+        body = b"b" * BODY_MAX_BYTES
+        answers = (answer_with_length(body), answer_with_length(body + body))
+        for sent in answers:
+            for execution in Execution:
+                server = self._server(lambda number, sent=sent: (sent, True))
+                self._call(server.address, execution)
+        gc.collect()
+        readers = [
+            found for found in gc.get_objects() if isinstance(found, AnswerReader)
+        ]
+        self.assertEqual([], readers)
+
     def test_ended_calls_leave_no_descriptors_open(self):
         server = self._server(lambda number: (WHOLE, True))
         self._call(server.address)
