Bound the memory of all answers that a node receives at once

Callers saw (in a test of real processes): with 40 answers without end at a gate of 40 slots, a node holds over 400 MB where 300 are allowed; it would be killed, with all that it holds.

Why it works: before a body grows beyond 128 KiB, its call reserves the declared length, or all that a body may have, from 48 MiB. Without room it stops reading, so the backend server has to wait, until its deadline or its cancellation. A call reserves once, so calls don't wait for each other in a circle; large bodies that end free the way. A declared length over the limit is refused at its first byte. Small answers, nearly all, reserve nothing.

The test fails before.

--- a/balsamspindle/backend_servers/answers.py
+++ b/balsamspindle/backend_servers/answers.py
@@ -3,9 +3,11 @@
 An answer is foreign if it belongs to another request.
 """
 
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import NamedTuple
 
+from balsamspindle.backend_servers.answer_memory import UNRESERVED_BYTES
 from balsamspindle.protocol.connection_headers import (
     HOP_BY_HOP_HEADERS,
     connection_options,
@@ -93,6 +95,10 @@
         complete when the backend server closes the connection. If the backend server
         resets the connection instead, libcurl reports an error.
 
+    reserve : callable, default=always
+        Takes the size that the body may have, in bytes. Called once, before the body
+        grows beyond `UNRESERVED_BYTES`; if it returns False, the call is aborted.
+
     Attributes
     ----------
     too_large : bool
@@ -105,14 +111,18 @@
         request_id: str = "",
         names: HeaderNames = DEFAULT_HEADER_NAMES,
         accepts_unframed: bool = False,
+        reserve: Callable[[int], bool] = lambda size_bytes: True,
     ) -> None:
         self.too_large = False
+        self._reserve = reserve
+        self._is_reserved = False
+        # The body's length as the head states it; 0 without a length.
+        self._declared_bytes = 0
         self._request_id = request_id
         self._names = names
         self._accepts_unframed = accepts_unframed
         self._body_max_bytes = body_max_bytes
-        self._chunks: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._headers: list[tuple[str, str]] = []
         self._head_done = False
 
@@ -123,8 +133,10 @@
             # discard the headers of the earlier head.
             self._headers = []
             self._head_done = False
+            self._declared_bytes = 0
         elif line in (b"\r\n", b"\n"):
             self._head_done = True
+            self._declared_bytes = self._declared_bytes or self._read_length()
         elif not self._head_done:
             line = line.removesuffix(b"\n").removesuffix(b"\r")
             name, _, value = line.partition(b":")
@@ -135,15 +147,24 @@
         """Add a part of the body.
 
         If the body is too large, set `too_large` and return 0, so that libcurl aborts
-        the call. Otherwise return None.
+        the call. Also return 0 if there is no memory for it. Otherwise return None.
         """
-        self._body_bytes += len(chunk)
-        if self._body_bytes > self._body_max_bytes:
+        size_bytes = max(len(self._body) + len(chunk), self._declared_bytes)
+        if size_bytes > self._body_max_bytes:
             self.too_large = True
             return 0
-        self._chunks.append(chunk)
+        if size_bytes > UNRESERVED_BYTES and not self._is_reserved:
+            if not self._reserve(self._declared_bytes or self._body_max_bytes):
+                return 0
+            self._is_reserved = True
+        self._body += chunk
         return None
 
+    def _read_length(self) -> int:
+        """Return the body's length as the head states it; 0 without a length."""
+        lengths = [] if self._codings() else self._values("content-length")
+        return int(lengths[0]) if lengths and lengths[0].isdecimal() else 0
+
     def ends_with_connection(self, status: int, method: str) -> bool:
         """Return whether only the end of the connection marks the answer's end."""
         if not self._head_done:
@@ -158,7 +179,7 @@
         answer = BackendAnswer(
             status,
             end_to_end_headers(self._headers, self._names),
-            b"".join(self._chunks),
+            bytes(self._body),
         )
         error = self._foreign_cause(answer)
         if error is not None:
@@ -219,11 +240,14 @@
         return None
 
     def _has_framing(self) -> bool:
-        codings = ",".join(self._values("transfer-encoding")).lower()
+        codings = self._codings()
         if codings:
             return codings.rpartition(",")[2].strip() == "chunked"
         return bool(self._values("content-length"))
 
+    def _codings(self) -> str:
+        return ",".join(self._values("transfer-encoding")).lower()
+
     def _values(self, wanted_name: str) -> list[str]:
         return [value for name, value in self._headers if name.lower() == wanted_name]
 
--- a/balsamspindle/backend_servers/client.py
+++ b/balsamspindle/backend_servers/client.py
@@ -6,6 +6,7 @@
 
 import pycurl
 
+from balsamspindle.backend_servers.answer_memory import AnswerMemory, Reservation
 from balsamspindle.backend_servers.answers import (
     AnswerReader,
     BackendAnswer,
@@ -41,6 +42,8 @@
     ----------
     accepts_unframed : bool
         See `AnswerReader`.
+    memory : AnswerMemory, default=one with the default bound
+        Bounds the memory of all answers that are received at the same time.
     """
 
     def __init__(
@@ -48,10 +51,12 @@
         answer_body_max_bytes: int,
         names: HeaderNames = DEFAULT_HEADER_NAMES,
         accepts_unframed: bool = False,
+        memory: AnswerMemory | None = None,
     ) -> None:
         self._answer_body_max_bytes = answer_body_max_bytes
         self._names = names
         self._accepts_unframed = accepts_unframed
+        self._memory = memory or AnswerMemory()
         self._pool = HandlePool()
 
     def call(
@@ -66,6 +71,7 @@
         token: CancelToken | None = None,
         request_id: str = "",
         may_resend: Callable[[], bool] = lambda: True,
+        body_max_bytes: int | None = None,
     ) -> BackendAnswer | BackendFailure:
         """Send a request to a backend server and wait for the result.
 
@@ -85,10 +91,20 @@
         may_resend : callable, default=always
             Called before the request is sent again. If it returns False, the call fails
             instead.
+        body_max_bytes : int, optional
+            Maximum size of the answer's body, if it is less than that of all answers.
         """
         deadline_s = time.monotonic() + timeout_ms / 1000
         token = token or CancelToken()
-        request = _Request(address, method, target, headers, body, request_id)
+        request = _Request(
+            address,
+            method,
+            target,
+            headers,
+            body,
+            request_id,
+            body_max_bytes or self._answer_body_max_bytes,
+        )
         handle = self._pool.acquire(address, execution)
         result = self._perform(handle, request, timeout_ms, token)
         if _is_foreign(result):
@@ -114,11 +130,13 @@
     ) -> BackendAnswer | BackendFailure:
         """Make one call with a handle, on the handle's open connection or a new one."""
         deadline_s = time.monotonic() + timeout_ms / 1000
+        reservation = Reservation(self._memory, deadline_s, lambda: token.cancelled)
         reader = AnswerReader(
-            self._answer_body_max_bytes,
+            request.body_max_bytes,
             request.request_id,
             self._names,
             self._accepts_unframed,
+            reservation.make,
         )
         remaining_ms = max(1, int(timeout_ms))
         handle.curl.setopt(pycurl.URL, f"http://{request.address}/")
@@ -137,7 +155,11 @@
             ],
         )
         _set_method(handle.curl, request.method, request.body)
-        return handle.perform(Call(token, deadline_s, reader), request.method)
+        call = Call(token, deadline_s, reader, reservation)
+        try:
+            return handle.perform(call, request.method)
+        finally:
+            reservation.release()
 
 
 class _Request(NamedTuple):
@@ -149,6 +171,7 @@
     headers: list[tuple[str, str]]
     body: bytes
     request_id: str
+    body_max_bytes: int
 
 
 def _is_foreign(result: BackendAnswer | BackendFailure) -> bool:
--- a/balsamspindle/backend_servers/curl_calls.py
+++ b/balsamspindle/backend_servers/curl_calls.py
@@ -8,6 +8,7 @@
 
 import pycurl
 
+from balsamspindle.backend_servers.answer_memory import Reservation
 from balsamspindle.backend_servers.answers import (
     AnswerReader,
     BackendAnswer,
@@ -29,10 +30,11 @@
 class Call:
     """State of a call: its deadline, whether the request was sent, and the answer."""
 
-    def __init__(self, token, deadline_s, reader):
+    def __init__(self, token, deadline_s, reader, reservation):
         self.token: CancelToken = token
         self.deadline_s: float = deadline_s
         self.reader: AnswerReader = reader
+        self.reservation: Reservation = reservation
         self.sent = False
         self.too_late = False
         self.was_cancelled = False
@@ -79,7 +81,11 @@
             reason = Reason.CANCELLED
         elif self.reader.too_large:
             reason = Reason.ANSWER_TOO_LARGE
-        elif self.too_late or self._timed_out_before_sending():
+        elif (
+            self.reservation.is_denied
+            or self.too_late
+            or self._timed_out_before_sending()
+        ):
             reason = Reason.DEADLINE
         elif not self.sent:
             reason = Reason.UNREACHABLE
--- a/balsamspindle/node/gate_parts.py
+++ b/balsamspindle/node/gate_parts.py
@@ -7,6 +7,7 @@
 import zmq
 
 from balsamspindle.backend_servers.admission import Admission
+from balsamspindle.backend_servers.answer_memory import AnswerMemory
 from balsamspindle.backend_servers.answer_terms import AnswerTerms
 from balsamspindle.backend_servers.client import BackendServerClient
 from balsamspindle.backend_servers.crash_watch import CrashWatch
@@ -85,6 +86,7 @@
             settings.answer_body_max_bytes,
             settings.headers,
             settings.takes_unframed_answers,
+            AnswerMemory(on_full=self._report_full_memory),
         )
         self.health = HealthMonitor(
             self.servers,
@@ -158,6 +160,9 @@
             lambda server: self.admission.capacity(server, now_s)
         )
 
+    def _report_full_memory(self, reserved_bytes: int) -> None:
+        self._events.emit("answer_memory_full", reserved_bytes=reserved_bytes)
+
     def remove_silent(self, now_s: float) -> None:
         """Remove the backend servers that stopped announcing themselves."""
         for server_id in self.servers.remove_silent(now_s):
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -11,6 +11,7 @@
 from balsamspindle.membership import Directory, Member
 from balsamspindle.node.admin import AdminApplication
 from balsamspindle.node.admin_server import AdminServer
+from balsamspindle.node.allocator import limit_allocator
 from balsamspindle.node.crash_parts import CrashParts
 from balsamspindle.node.customer_parts import CustomerParts
 from balsamspindle.node.gate_budgets import GateBudgets
@@ -62,6 +63,7 @@
         self.events = EventLog(
             settings.node_id, incarnation, clock, integration.log_stream
         )
+        limit_allocator(self.events)
         self._eras = NodeEras(self.events)
         self._extra_servers: list[AdminServer] = []
         self._settings_watch: SettingsWatch | None = None
