End a call with tiny chunks at its deadline, and bound status checks

Callers saw: one of 39 answers with endless chunks of one byte, on a busy machine, came 1.13 s after its deadline (1.0 allowed by the test).

Cause: libcurl checks its timeout only after it has passed on all that it has read, which may be thousands of chunks, with a wait for the interpreter lock before each. Besides, status checks accepted bodies of 8 MiB.

Why it works: the callback for the body checks the deadline and the cancellation itself; a status check takes 64 KiB.

Two new tests of the client name the new parts and fail before. The tests with real processes, for 13 kinds of answers, fast and trickling, of requests, status checks and idle connections, also passed before in one run of two; the late call above is the other. Endless chunk extensions and one-byte chunks use the network and, in part, the processor until the deadline; nothing else bounds them.

--- a/balsamspindle/backend_servers/answers.py
+++ b/balsamspindle/backend_servers/answers.py
@@ -98,11 +98,16 @@
     reserve : callable, default=always
         Takes the size that the body may have, in bytes. Called once, before the body
         grows beyond `UNRESERVED_BYTES`; if it returns False, the call is aborted.
+    is_over : callable, default=never
+        Returns whether the call has to end. libcurl checks this only after it has
+        passed on all bytes that it has read, which may be thousands of tiny chunks.
 
     Attributes
     ----------
     too_large : bool
         Whether the body is longer than `body_max_bytes`.
+    was_over : bool
+        Whether the call was aborted because of `is_over`.
     """
 
     def __init__(
@@ -112,8 +117,10 @@
         names: HeaderNames = DEFAULT_HEADER_NAMES,
         accepts_unframed: bool = False,
         reserve: Callable[[int], bool] = lambda size_bytes: True,
+        is_over: Callable[[], bool] = lambda: False,
     ) -> None:
-        self.too_large = False
+        self.too_large = self.was_over = False
+        self._is_over = is_over
         self._reserve = reserve
         self._is_reserved = False
         # The body's length as the head states it; 0 without a length.
@@ -127,7 +134,10 @@
         self._head_done = False
 
     def on_header(self, line: bytes) -> None:
-        """Process one line of a head or of the trailers."""
+        """Process one line of a head or of the trailers.
+
+        libcurl bounds their number and size, over interim heads and trailers too.
+        """
         if line.startswith(b"HTTP/"):
             # A head starts. An earlier head belonged to an interim answer (1xx):
             # discard the headers of the earlier head.
@@ -147,8 +157,12 @@
         """Add a part of the body.
 
         If the body is too large, set `too_large` and return 0, so that libcurl aborts
-        the call. Also return 0 if there is no memory for it. Otherwise return None.
+        the call. Also return 0 if there is no memory for it, or if the call is over.
+        Otherwise return None.
         """
+        if self._is_over():
+            self.was_over = True
+            return 0
         size_bytes = max(len(self._body) + len(chunk), self._declared_bytes)
         if size_bytes > self._body_max_bytes:
             self.too_large = True
--- a/balsamspindle/backend_servers/client.py
+++ b/balsamspindle/backend_servers/client.py
@@ -137,6 +137,7 @@
             self._names,
             self._accepts_unframed,
             reservation.make,
+            lambda: token.cancelled or time.monotonic() >= deadline_s,
         )
         remaining_ms = max(1, int(timeout_ms))
         handle.curl.setopt(pycurl.URL, f"http://{request.address}/")
--- a/balsamspindle/backend_servers/curl_calls.py
+++ b/balsamspindle/backend_servers/curl_calls.py
@@ -89,6 +89,8 @@
             reason = Reason.DEADLINE
         elif not self.sent:
             reason = Reason.UNREACHABLE
+        elif self.reader.was_over:
+            reason = Reason.SILENCE
         else:
             reason = _FAILURE_REASONS.get(code, Reason.BROKEN_ANSWER)
         is_foreign = reason is Reason.BROKEN_ANSWER and code in _NOT_HTTP_CODES
--- a/balsamspindle/backend_servers/probes.py
+++ b/balsamspindle/backend_servers/probes.py
@@ -30,6 +30,7 @@
 PROBE_INTERVAL_S = 1.0
 PROBE_TIMEOUT_MS = 1000
 PROBE_THREADS_MAX = 4
+PROBE_BODY_MAX_BYTES = 64 * 1024
 PASSED_STATUS_END = 300
 
 
@@ -121,6 +122,7 @@
             b"",
             Execution.IDEMPOTENT,
             PROBE_TIMEOUT_MS,
+            body_max_bytes=PROBE_BODY_MAX_BYTES,
         )
         if not self._checks.is_own_answer(server, result, sent_s):
             return
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -20,6 +20,7 @@
 )
 from balsamspindle.protocol.header_names import HeaderNames
 from balsamspindle.protocol.outcomes import CancelCause, Execution, Reason
+from tests.endless_server import EndlessServer
 from tests.raw_server import RawServer, answer_with_length
 from tests.utils import free_address, wait_until
 
@@ -390,6 +391,27 @@
         broken = lenient.call(reset.address, *arguments)
         self.assertEqual((Reason.BROKEN_ANSWER, True), broken[:2])
 
+    def test_heads_and_trailers_without_end_do_not_last_until_the_deadline(self):
+        # Guards against heads and trailers that no limit of libcurl ends.
+        for kind in ("status-line", "header", "head", "interim", "trailers"):
+            server = EndlessServer(kind)
+            self.addCleanup(server.close)
+            failure = self._call(server.address, timeout_ms=10_000)
+            self.assertEqual((Reason.BROKEN_ANSWER, True), failure[:2], kind)
+
+    def test_a_call_may_accept_less_than_other_answers(self):
+        server = self._server(lambda number: (WHOLE, True))
+        self.assertEqual(200, self._call(server.address, body_max_bytes=5).status)
+        failure = self._call(server.address, body_max_bytes=4)
+        self.assertEqual(Reason.ANSWER_TOO_LARGE, failure.reason)
+
+    def test_a_call_that_is_over_takes_no_more_bytes(self):
+        # Guards against a call that outlasts its deadline with thousands of tiny chunks
+        # that libcurl has already read.
+        reader = AnswerReader(BODY_MAX_BYTES, is_over=lambda: True)
+        self.assertEqual(0, reader.on_body(b"x"))
+        self.assertTrue(reader.was_over)
+
     def test_idle_handles_keep_no_bodies(self):
         # Guards against a process that holds the last body of each idle handle, up to
         # the maximum size of a body for each of hundreds of handles.
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -121,3 +121,43 @@
             self._start(kind)
             self._call_all([kind] * SLOTS)
             self._check_node()
+
+    def test_answers_of_every_kind_without_end_are_cut_off(self):
+        # Guards against heads, chunks or trailers that no limit ends.
+        for kind in ENDLESS:
+            self._start(kind)
+        self._call_all(list(ENDLESS) * 3)
+        self._check_node()
+
+    def test_answers_that_trickle_without_end_are_cut_off(self):
+        # Guards against bytes that come slowly, so that no limit on size ends them.
+        for kind in ENDLESS:
+            self._start(kind, is_trickling=True)
+        self._call_all(list(ENDLESS))
+        self._check_node()
+
+    def test_health_answers_without_end_are_cut_off(self):
+        # Guards against status checks that fill the memory of a node.
+        for kind in ENDLESS:
+            self._start(kind, is_healthy=False)
+        # A backend server is checked once it has failed a request.
+        self._call_all(list(ENDLESS))
+        wait_until(
+            lambda: all(server.check_count for server in self.servers.values()),
+            "each is checked",
+        )
+        for server in self.servers.values():
+            server.close()
+        self._check_node()
+
+    def test_bytes_without_end_on_an_idle_connection_do_no_harm(self):
+        # Guards against bytes after an answer that are held, or that become the answer
+        # to the next request.
+        whole = answer_with_length(b"whole")
+        for kind in ENDLESS:
+            self._start(kind, answer=whole)
+        for _ in range(3):
+            for kind in ENDLESS:
+                answer, _ = self._call(kind)
+                self.assertEqual((200, b"whole"), (answer.status, answer.body), kind)
+        self.assertLess(self._memory_peak_bytes(), MEMORY_MAX_BYTES)
