Keep a request id with any visible character

Callers saw: an id with a character such as /, + or = replaced by one of the node's, so neither their logs nor those of the backend server had the id that they sent.

Cause: only letters, digits and four other characters were kept. Why it works: every visible character of ASCII is safe in a header; the event log quotes ids that need it, and commands quote them in paths. Ids with spaces, control characters or over 128 characters are replaced as before.

--- a/balsamspindle/requests/caller_protocol.py
+++ b/balsamspindle/requests/caller_protocol.py
@@ -15,7 +15,8 @@
 
 __all__ = ["CallerProtocol", "new_request_id"]
 
-_match_request_id = re.compile(r"[A-Za-z0-9._:-]{1,128}").fullmatch
+# All visible characters of ASCII.
+_match_request_id = re.compile(r"[!-~]{1,128}").fullmatch
 _match_timeout = re.compile(r"[0-9]{1,9}(\.[0-9]{1,6})?").fullmatch
 _request_ids = random.Random(os.urandom(32))
 
