Reject an error without an id on a connection that was used before

Callers saw: a 404 that a faulty backend server had sent on a kept connection after an earlier answer, as the answer to another caller's GET.

Cause: where backend servers echo request ids, an error without an id passed as the answer, since one may be about a request that had none. Why it works: such an error is certain to belong to the request only if it is the first answer on its connection. On a used one it is foreign, and the request, which is idempotent there, is sent again on a new connection. A connection that libcurl opens in place of a closed one now counts as new.

The test of unread second answers fails before with the new case: the 404's body is given out.

--- a/balsamspindle/backend_servers/answers.py
+++ b/balsamspindle/backend_servers/answers.py
@@ -193,8 +193,16 @@
             return True
         return not (_is_bodiless(status, method) or self._has_framing())
 
-    def answer(self, status: int, method: str) -> BackendAnswer | BackendFailure:
-        """Return the answer once the call has ended, or a failure if it is invalid."""
+    def answer(
+        self, status: int, method: str, is_first: bool = True
+    ) -> BackendAnswer | BackendFailure:
+        """Return the answer once the call has ended, or a failure if it is invalid.
+
+        Parameters
+        ----------
+        is_first : bool, default=True
+            Whether no earlier request was sent on the connection.
+        """
         error = self._format_error(_is_bodiless(status, method))
         if error is not None:
             return BackendFailure(Reason.BROKEN_ANSWER, True, error)
@@ -203,7 +211,7 @@
             end_to_end_headers(self._headers, self._names),
             bytes(self._body),
         )
-        error = self._foreign_cause(answer)
+        error = self._foreign_cause(answer, is_first)
         if error is not None:
             return BackendFailure(Reason.BROKEN_ANSWER, True, error, is_foreign=True)
         return answer
@@ -217,17 +225,19 @@
         answer = BackendAnswer(HTTPStatus.OK, self._headers, b"")
         if self._format_error(bodiless=True) is not None:
             return ()
-        if self._foreign_cause(answer) is not None:
+        if self._foreign_cause(answer, is_first=True) is not None:
             return ()
         return tuple(self._headers)
 
-    def _foreign_cause(self, answer: BackendAnswer) -> str | None:
+    def _foreign_cause(self, answer: BackendAnswer, is_first: bool) -> str | None:
         """Return why an answer does not belong to this request, None if it does.
 
         A backend server may send an answer twice. The next request on the same
         connection then receives the second copy. If the copy were taken for the answer
         to the next request, a caller would get another caller's data. Where backend
-        servers echo request ids, the copy is recognized by its id.
+        servers echo request ids, the copy is recognized by its id. An error without an
+        id may be about a request without one, but it is certain to belong to this
+        request only if it is the first answer on its connection.
 
         If the deployment has a signature header, backend servers add it to each answer
         that they produced by running a request. A successful answer without this header
@@ -236,7 +246,8 @@
         names, is_success = self._names, 200 <= answer.status < 300
         if names.echoes_request_id:
             echoed = answer.header(names.request_id)
-            if echoed != self._request_id and (is_success or echoed is not None):
+            needs_id = is_success or not is_first or echoed is not None
+            if echoed != self._request_id and needs_id:
                 return "the answer belongs to another request"
         if names.signature and is_success and answer.header(names.signature) is None:
             return "the answer has no signature header"
--- a/balsamspindle/backend_servers/curl_calls.py
+++ b/balsamspindle/backend_servers/curl_calls.py
@@ -64,7 +64,9 @@
         """
         return not self.sent and time.monotonic() >= self.deadline_s
 
-    def ended(self, status: int, method: str) -> BackendAnswer | BackendFailure:
+    def ended(
+        self, status: int, method: str, is_first: bool
+    ) -> BackendAnswer | BackendFailure:
         """Return the result of a call that libcurl reports as successful.
 
         An answer that ends with its connection is complete only if the backend server
@@ -73,7 +75,7 @@
         """
         if self.was_cancelled and self.reader.ends_with_connection(status, method):
             return self.failure(pycurl.E_OK, "cancelled before the answer ended")
-        return self.reader.answer(status, method)
+        return self.reader.answer(status, method, is_first)
 
     def failure(self, code: int, message: str) -> BackendFailure:
         """Return the result of a call that failed with an error of libcurl."""
@@ -130,7 +132,8 @@
             call.was_cancelled = call.token.detach()
             self._release_bodies()
             self._call = None
-        return call.ended(self.curl.getinfo(pycurl.RESPONSE_CODE), method)
+        status = self.curl.getinfo(pycurl.RESPONSE_CODE)
+        return call.ended(status, method, not self._was_reused)
 
     def was_reused(self) -> bool:
         """Return whether the last call reused the connection of an earlier call."""
@@ -166,6 +169,7 @@
         if not self._call.token.attach(connection):
             connection.close()
             return pycurl.SOCKET_BAD
+        self._was_reused = False
         self._connection = connection
         return connection
 
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -367,7 +367,8 @@
         names = HeaderNames(echoes_request_id=True)
         one = answer_with_length(b"one", b"X-Request-Id: r1\r\n")
         two = answer_with_length(b"two", b"X-Request-Id: r2\r\n")
-        for stray in (one, b"no answer\r\n\r\n"):
+        error = b"HTTP/1.1 404 Not Found\r\nContent-Length: 1\r\n\r\n?"
+        for stray in (one, error, b"no answer\r\n\r\n"):
             answers = [one, stray, two]
             client = BackendServerClient(BODY_MAX_BYTES, names)
             server = self._server(
@@ -389,6 +390,16 @@
             self.assertEqual([b"one", b"two"], bodies, stray)
             self.assertEqual(3, len(server.requests))
 
+    def test_an_error_without_an_id_is_accepted_on_a_new_connection(self):
+        # Guards against the loss of an error about a request that had no id.
+        error = b"HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n"
+        server = self._server(lambda number: (error, False))
+        client = BackendServerClient(
+            BODY_MAX_BYTES, HeaderNames(echoes_request_id=True)
+        )
+        arguments = ("GET", "/", [], b"", Execution.IDEMPOTENT, 3000)
+        self.assertEqual(400, client.call(server.address, *arguments).status)
+
     def test_an_answer_without_a_length_is_accepted_only_after_a_clean_close(self):
         # By default, an answer without a length is never accepted. A client can be set
         # to accept it after the backend server has closed the connection. Even then,
