Ignore SIGHUP from the first moment of a node's start

Callers saw: requests of a node that had just been started lost with it, when the platform said in its first 0.3 s that its settings file had changed.

Cause: until NodeProcess was made, SIGHUP had its default effect, the end of the process; the imports before it take some tenths of a second. Why it works: the module that Python runs sets SIGHUP to be ignored before it imports anything else, and the package imports nothing either; the settings are read later and watched from then on, so no change is lost. What Python itself needs to start (some 20 ms) remains.

--- a/balsamspindle/cli/ctl_recovery.py
+++ b/balsamspindle/cli/ctl_recovery.py
@@ -11,7 +11,7 @@
     FLEET_KEY_OPTION,
     PLATFORM_OPTION,
 )
-from balsamspindle.platform import HttpTableService
+from balsamspindle.platform.store import HttpTableService
 from balsamspindle.settings.recovery import restart_history
 from balsamspindle.settings.store import Credentials
 
--- a/balsamspindle/cli/ctl_settings.py
+++ b/balsamspindle/cli/ctl_settings.py
@@ -16,7 +16,7 @@
 from balsamspindle.cli.program import JSON_OPTION, fail, make_app, warn
 from balsamspindle.cli.settings_options import DOCUMENTS_ARGUMENT, PLATFORM_OPTION
 from balsamspindle.cli.tables import format_table
-from balsamspindle.platform import HttpTableService
+from balsamspindle.platform.store import HttpTableService
 from balsamspindle.settings.history import (
     HISTORY_LIMIT,
     DocumentDiff,
--- a/balsamspindle/cli/edit_results.py
+++ b/balsamspindle/cli/edit_results.py
@@ -8,7 +8,7 @@
 
 from balsamspindle.cli.exit_status import ExitStatus
 from balsamspindle.cli.program import fail
-from balsamspindle.platform import HttpTableService
+from balsamspindle.platform.store import HttpTableService
 from balsamspindle.settings.results import (
     Accepted,
     EditError,
--- a/balsamspindle/node/settings_tasks.py
+++ b/balsamspindle/node/settings_tasks.py
@@ -6,7 +6,8 @@
 
 from balsamspindle.membership import Directory, Member
 from balsamspindle.node.status import SettingsStatus
-from balsamspindle.platform import HttpObjectStore, HttpTableService
+from balsamspindle.platform.object_store import HttpObjectStore
+from balsamspindle.platform.store import HttpTableService
 from balsamspindle.settings.configuration import CurrentConfiguration
 from balsamspindle.settings.gossip import SettingsGossip
 from balsamspindle.settings.process import NodeSettings
--- a/balsamspindle/node/store_parts.py
+++ b/balsamspindle/node/store_parts.py
@@ -9,7 +9,7 @@
 from balsamspindle.membership import Directory, Member
 from balsamspindle.membership.registry import Registry
 from balsamspindle.node.store_eras import NodeEras
-from balsamspindle.platform import HttpTableService
+from balsamspindle.platform.store import HttpTableService
 from balsamspindle.requests.claim_eras import ClaimEras, ClaimHolder
 from balsamspindle.requests.claim_restorer import ClaimRestorer
 from balsamspindle.requests.claims import ClaimsTable
--- a/balsamspindle/platform/__init__.py
+++ b/balsamspindle/platform/__init__.py
@@ -6,10 +6,7 @@
 - `configuration.py`: translates the operator's configuration.
 - `settings.py`: translates the settings file of a process.
 - `announcements.py`: receives the announcements of backend servers.
-- `__main__.py`: runs a node on the platform.
-"""
-
-from balsamspindle.platform.object_store import HttpObjectStore
-from balsamspindle.platform.store import HttpTableService
+- `run.py`, `__main__.py`: run a node on the platform.
 
-__all__ = ["HttpObjectStore", "HttpTableService"]
+The package imports none of its modules: `__main__.py` handles signals before they load.
+"""
--- a/bench/settings.py
+++ b/bench/settings.py
@@ -37,7 +37,7 @@
 
 import typer
 
-from balsamspindle.platform import HttpTableService
+from balsamspindle.platform.store import HttpTableService
 from balsamspindle.settings.store import (
     SettingsStore,
 )
--- a/bench/settings_full_size.py
+++ b/bench/settings_full_size.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Any
 
-from balsamspindle.platform import HttpTableService
+from balsamspindle.platform.store import HttpTableService
 from balsamspindle.settings.configuration import ApplyResult, CurrentConfiguration
 from balsamspindle.settings.pages import pages_of_documents
 from balsamspindle.settings.reader_selection import is_reader
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -6,7 +6,7 @@
 import sys
 from pathlib import Path
 
-from balsamspindle.platform.__main__ import SETTINGS_VARIABLE
+from balsamspindle.platform.run import SETTINGS_VARIABLE
 from tests.utils import ROOT, Fleet, PlatformInProcess, call, free_port, try_call
 
 __all__ = ["PlatformFleet", "PlatformNode"]
--- a/tests/settings_utils.py
+++ b/tests/settings_utils.py
@@ -4,7 +4,7 @@
 
 from werkzeug.serving import WSGIRequestHandler, make_server
 
-from balsamspindle.platform import HttpTableService
+from balsamspindle.platform.store import HttpTableService
 from balsamspindle.standins.platform import StandinPlatform
 from balsamspindle.wire import NodeRecord
 from tests.utils import free_address
--- a/tests/test_customers_processes.py
+++ b/tests/test_customers_processes.py
@@ -6,7 +6,7 @@
 
 from testtools import TestCase
 
-from balsamspindle.platform import HttpTableService
+from balsamspindle.platform.store import HttpTableService
 from balsamspindle.protocol.api_keys import key_digest
 from balsamspindle.settings.store import SettingsStore
 from tests.caller_side import RawCaller
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -5,7 +5,7 @@
 
 from testtools import TestCase
 
-from balsamspindle.platform import HttpObjectStore
+from balsamspindle.platform.object_store import HttpObjectStore
 from balsamspindle.standins.store_faults import FaultMode, FaultSwitch
 from balsamspindle.tables import (
     Changes,
--- a/tests/test_quarantine_store.py
+++ b/tests/test_quarantine_store.py
@@ -10,7 +10,7 @@
 )
 from balsamspindle.crashes.records import Crash, CrashedRun, CrashUpdate, Quarantine
 from balsamspindle.membership import Directory
-from balsamspindle.platform import HttpTableService
+from balsamspindle.platform.store import HttpTableService
 from balsamspindle.tables import Put, Transaction
 from balsamspindle.timeline import EventLog, HybridClock
 from balsamspindle.wire import NodeRecord
--- a/tests/test_settings_outage.py
+++ b/tests/test_settings_outage.py
@@ -6,7 +6,7 @@
 
 from testtools import TestCase
 
-from balsamspindle.platform import HttpTableService
+from balsamspindle.platform.store import HttpTableService
 from balsamspindle.settings.recovery import restart_history
 from balsamspindle.settings.store import Credentials, SettingsStore
 from tests.test_whole_path import SETTINGS
--- a/tests/test_settings_races.py
+++ b/tests/test_settings_races.py
@@ -8,7 +8,7 @@
 from expression import Error, Result
 from testtools import TestCase
 
-from balsamspindle.platform import HttpObjectStore
+from balsamspindle.platform.object_store import HttpObjectStore
 from balsamspindle.settings.configuration import Configuration, CurrentConfiguration
 from balsamspindle.settings.history import (
     DocumentDiff,
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -6,7 +6,7 @@
 from testtools import TestCase
 
 from balsamspindle.backend_servers.ledger import KeyRefused, RunLedger
-from balsamspindle.platform import HttpTableService
+from balsamspindle.platform.store import HttpTableService
 from balsamspindle.protocol.outcomes import Execution, Outcome, Reason
 from balsamspindle.requests.claim_eras import ClaimEras
 from balsamspindle.requests.claims import ClaimsTable, GateIdentity
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -286,7 +286,7 @@
 
     def put_settings(self, documents: dict[str, dict]) -> None:
         """Write settings documents to the store, services before routes."""
-        from balsamspindle.platform import HttpTableService
+        from balsamspindle.platform.store import HttpTableService
         from balsamspindle.settings.store import SettingsStore
 
         store = SettingsStore(HttpTableService(self.platform_address))
