Read what has already arrived when a call has to end

Nothing that callers saw: found in the review of the commit that ends calls with tiny chunks. It refused the body of an answer that had arrived completely before the deadline or the cancellation, if this process read it later, for example after a stall.

Why it works: the call may go on for 0.2 s from the first byte that is read too late.

--- a/balsamspindle/backend_servers/answers.py
+++ b/balsamspindle/backend_servers/answers.py
@@ -4,6 +4,7 @@
 """
 
 import re
+import time
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import NamedTuple
@@ -28,6 +29,8 @@
 # that forwards the message sets the others itself.
 _DROPPED_HEADERS = HOP_BY_HOP_HEADERS | {"content-length", "expect"}
 _BODILESS_STATUSES = frozenset({204, 304})
+# How long a call may go on after it has to end, to read what has already arrived.
+OVERRUN_MAX_S = 0.2
 # A header line (RFC 9110, 5.1 and 5.5): a token as its name, and no control characters
 # but tabs in its value.
 _match_header_line = re.compile(
@@ -104,14 +107,15 @@
         Takes the size that the body may have, in bytes. Called once, before the body
         grows beyond `UNRESERVED_BYTES`; if it returns False, the call is aborted.
     is_over : callable, default=never
-        Returns whether the call has to end. libcurl checks this only after it has
-        passed on all bytes that it has read, which may be thousands of tiny chunks.
+        Returns whether the call was cancelled or its deadline has passed. libcurl ends
+        a call only after it has passed on all bytes that it has read, which may be
+        thousands of tiny chunks, so the call is aborted after `OVERRUN_MAX_S`.
 
     Attributes
     ----------
     too_large : bool
         Whether the body is longer than `body_max_bytes`.
-    was_over : bool
+    has_overrun : bool
         Whether the call was aborted because of `is_over`.
     """
 
@@ -124,8 +128,9 @@
         reserve: Callable[[int], bool] = lambda size_bytes: True,
         is_over: Callable[[], bool] = lambda: False,
     ) -> None:
-        self.too_large = self.was_over = False
+        self.too_large = self.has_overrun = False
         self._is_over = is_over
+        self._over_since_s: float | None = None
         self._reserve = reserve
         self._is_reserved = False
         # The body's length as the head states it; 0 without a length.
@@ -165,11 +170,11 @@
         """Add a part of the body.
 
         If the body is too large, set `too_large` and return 0, so that libcurl aborts
-        the call. Also return 0 if there is no memory for it, or if the call is over.
-        Otherwise return None.
+        the call. Also return 0 if there is no memory for it, or if the call has
+        overrun. Otherwise return None.
         """
-        if self._is_over():
-            self.was_over = True
+        self.has_overrun = self._has_overrun(time.monotonic())
+        if self.has_overrun:
             return 0
         size_bytes = max(len(self._body) + len(chunk), self._declared_bytes)
         if size_bytes > self._body_max_bytes:
@@ -182,6 +187,17 @@
         self._body += chunk
         return None
 
+    def _has_overrun(self, now_s: float) -> bool:
+        """Return whether `is_over` has been true for `OVERRUN_MAX_S`.
+
+        An answer that had arrived before a stall of this process is thus still read.
+        """
+        if not self._is_over():
+            return False
+        if self._over_since_s is None:
+            self._over_since_s = now_s
+        return now_s - self._over_since_s > OVERRUN_MAX_S
+
     def _read_length(self) -> int:
         """Return the body's length as the head states it; 0 without a length."""
         lengths = [] if self._codings() else self._values("content-length")
--- a/balsamspindle/backend_servers/curl_calls.py
+++ b/balsamspindle/backend_servers/curl_calls.py
@@ -91,7 +91,7 @@
             reason = Reason.DEADLINE
         elif not self.sent:
             reason = Reason.UNREACHABLE
-        elif self.reader.was_over:
+        elif self.reader.has_overrun:
             reason = Reason.SILENCE
         else:
             reason = _FAILURE_REASONS.get(code, Reason.BROKEN_ANSWER)
