Reject a final status below 200

Callers saw: 101 as an answer, with bytes that are no HTTP, from a backend server that switched protocols without being asked.

Cause: where answers without a length are accepted, any status was. Why it works: this node offers no upgrade, so an interim status that ends a call is no answer.

The test fails before: (101, []) in place of broken_answer. Besides, methods in order and two comments.

--- a/balsamspindle/backend_servers/answers.py
+++ b/balsamspindle/backend_servers/answers.py
@@ -102,7 +102,6 @@
         Whether an answer that is neither chunked nor has a Content-Length counts as
         complete when the backend server closes the connection. If the backend server
         resets the connection instead, libcurl reports an error.
-
     reserve : callable, default=always
         Takes the size that the body may have, in bytes. Called once, before the body
         grows beyond `UNRESERVED_BYTES`; if it returns False, the call is aborted.
@@ -187,22 +186,6 @@
         self._body += chunk
         return None
 
-    def _has_overrun(self, now_s: float) -> bool:
-        """Return whether `is_over` has been true for `OVERRUN_MAX_S`.
-
-        An answer that had arrived before a stall of this process is thus still read.
-        """
-        if not self._is_over():
-            return False
-        if self._over_since_s is None:
-            self._over_since_s = now_s
-        return now_s - self._over_since_s > OVERRUN_MAX_S
-
-    def _read_length(self) -> int:
-        """Return the body's length as the head states it; 0 without a length."""
-        lengths = [] if self._codings() else self._values("content-length")
-        return int(lengths[0]) if lengths and lengths[0].isdecimal() else 0
-
     def ends_with_connection(self, status: int, method: str) -> bool:
         """Return whether only the end of the connection marks the answer's end."""
         if not self._head_done:
@@ -219,6 +202,10 @@
         is_first : bool, default=True
             Whether no earlier request was sent on the connection.
         """
+        if status < HTTPStatus.OK:
+            # This node asks for no other protocol, and libcurl reads on after all
+            # other interim heads.
+            return BackendFailure(Reason.BROKEN_ANSWER, True, "an interim status only")
         error = self._format_error(_is_bodiless(status, method))
         if error is not None:
             return BackendFailure(Reason.BROKEN_ANSWER, True, error)
@@ -245,6 +232,22 @@
             return ()
         return tuple(self._headers)
 
+    def _has_overrun(self, now_s: float) -> bool:
+        """Return whether `is_over` has been true for `OVERRUN_MAX_S`.
+
+        An answer that had arrived before a stall of this process is thus still read.
+        """
+        if not self._is_over():
+            return False
+        if self._over_since_s is None:
+            self._over_since_s = now_s
+        return now_s - self._over_since_s > OVERRUN_MAX_S
+
+    def _read_length(self) -> int:
+        """Return the body's length as the head states it; 0 without a length."""
+        lengths = [] if self._codings() else self._values("content-length")
+        return int(lengths[0]) if lengths and lengths[0].isdecimal() else 0
+
     def _foreign_cause(self, answer: BackendAnswer, is_first: bool) -> str | None:
         """Return why an answer does not belong to this request, None if it does.
 
--- a/balsamspindle/backend_servers/curl_calls.py
+++ b/balsamspindle/backend_servers/curl_calls.py
@@ -145,6 +145,7 @@
 
     def _release_bodies(self) -> None:
         """Drop the references to both bodies, which an idle handle would keep."""
+        # `len` accepts all bytes and keeps none.
         self.curl.setopt(pycurl.WRITEFUNCTION, len)
         self.curl.setopt(pycurl.HEADERFUNCTION, len)
         self.curl.setopt(pycurl.POSTFIELDS, b"")
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -412,6 +412,10 @@
         self.assertEqual(b"whole", lenient.call(ended.address, *arguments).body)
         strict = self.client.call(ended.address, *arguments)
         self.assertEqual(Reason.BROKEN_ANSWER, strict.reason)
+        switched = b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\nhello"
+        upgraded = self._server(lambda number: (switched, False))
+        refused = lenient.call(upgraded.address, *arguments)
+        self.assertEqual((Reason.BROKEN_ANSWER, True), refused[:2])
         head = self._server(lambda number: (HEAD_200 + b"X-Note: 1\r\n", False))
         cut = lenient.call(head.address, *arguments)
         self.assertEqual((Reason.BROKEN_ANSWER, True), cut[:2])
