A confirmed leaving holds when its node is killed the next moment

The node had been killed 0.3 s after the confirmation and started again; a heartbeat that was made before the DELETE arrived after that.

Cause: only the memory of the process that confirmed knew that the lifetime had left. The next process takes any announcement of an unknown lifetime for that of a running backend server. A drain by announcement was forgotten in the same way, and both were confirmed in the same way where nothing could be kept.

Evidence: the logs tell it apart without a new event: `backend_server_leaving` of the first incarnation, `backend_server_announced` of the second for the same id, and no restart between them. Without the kill no order arrives.

Change: a confirmation is given once the store or a peer keeps the drain, with the start of the lifetime; else the backend server is told 503, and its drain is in force all the same. A starting node reads its row before any announcement counts (for 2 s at most), and peers that keep drains of a node send them to its next process, which makes them its own. A store that came back from an older copy gets the row again. Not chosen: the store alone (nothing can be confirmed while it is away), peers alone (a fleet that loses power forgets), a second heartbeat before a server counts as ready (the late one need not come alone).

A leaving costs one write of the store and up to four messages, a start one read.

--- a/balsamspindle/backend_servers/lifetimes.py
+++ b/balsamspindle/backend_servers/lifetimes.py
@@ -19,6 +19,7 @@
     BackendServerState,
     LocalBackendServers,
 )
+from balsamspindle.drains.records import DrainedServer
 from balsamspindle.timeline import EventLog
 
 __all__ = ["AnnouncedStatus", "Lifetimes"]
@@ -33,6 +34,7 @@
 # lifetime or of the replaced backend server are then no longer ignored.
 REPLACED_SILENT_S = 4.0
 _EARLIER_START = "a later start of the backend server is known"
+_RESTORED = "an earlier process of this node has confirmed it"
 
 
 class AnnouncedStatus(NamedTuple):
@@ -125,6 +127,8 @@
             cause = self._ignore_cause(server_id, announcement, status, now_s)
             if cause is not None:
                 self._emit("announcement_ignored", server_id, cause)
+                if status.is_draining:
+                    self._record_late_draining(server_id, status)
                 return
             self._apply(server_id, announcement, status, now_s)
 
@@ -151,6 +155,31 @@
             self._servers.drain(server_id)
             self._emit("backend_server_leaving", server_id, cause)
 
+    def drained(self, server_id: str) -> DrainedServer | None:
+        """Return the latest known lifetime of a backend server if it is to end."""
+        with self._lock:
+            lifetime = self._lifetimes.get(server_id)
+            if lifetime is None or not (lifetime.has_left or lifetime.is_draining):
+                return None
+            start_unix_ms = lifetime.start_unix_ms
+            boot_id = _boot_id(server_id, start_unix_ms)
+            return DrainedServer(server_id, boot_id, start_unix_ms)
+
+    def restore(self, drained: DrainedServer) -> None:
+        """Record a drain that an earlier process of this node has confirmed."""
+        server_id, start_unix_ms = drained.backend_server_id, drained.start_unix_ms
+        self._servers.restore_drained(server_id, drained.boot_id)
+        if not drained.has_announced:
+            return
+        with self._lock:
+            lifetime = self._lifetimes.get(server_id)
+            if lifetime is None or lifetime.start_unix_ms < start_unix_ms:
+                lifetime = self._add(server_id, _Lifetime(start_unix_ms, 0, 0.0))
+            if lifetime.start_unix_ms == start_unix_ms:
+                lifetime.has_left = True
+                self._servers.drain(server_id)
+                self._emit("backend_server_leaving", server_id, _RESTORED)
+
     def record_announced_leaving(self, server_id: str, boot_id: str) -> None:
         """Drain a backend server whose answers say that it leaves.
 
@@ -199,6 +228,13 @@
             return "another backend server has its address"
         return None
 
+    def _record_late_draining(self, server_id: str, status: AnnouncedStatus) -> None:
+        """Drain a backend server by an announcement that is otherwise ignored."""
+        lifetime = self._lifetimes.get(server_id)
+        if lifetime is not None and lifetime.start_unix_ms == status.start_unix_ms:
+            lifetime.is_draining = True
+            self._servers.drain(server_id)
+
     def _apply(
         self,
         server_id: str,
--- a/balsamspindle/backend_servers/servers.py
+++ b/balsamspindle/backend_servers/servers.py
@@ -191,9 +191,17 @@
         with self.changed:
             server = self._servers.get(backend_server_id)
             if server is not None:
-                self._add_drained(server)
+                self._remember_drained(backend_server_id, server.announcement.boot_id)
             return self._set_state(backend_server_id, BackendServerState.DRAINING)
 
+    def restore_drained(self, backend_server_id: str, boot_id: str) -> None:
+        """Make a start of a backend server drain, whether it is known yet or not."""
+        with self.changed:
+            self._remember_drained(backend_server_id, boot_id)
+            server = self._servers.get(backend_server_id)
+            if server is not None and server.announcement.boot_id == boot_id:
+                self._set_state(backend_server_id, BackendServerState.DRAINING)
+
     def mark_replaced(self, backend_server_id: str, now_s: float) -> None:
         """Drain a backend server because another one uses its address now.
 
@@ -293,9 +301,9 @@
             return BackendServerState.DRAINING
         return BackendServerState.READY
 
-    def _add_drained(self, server: LocalBackendServer) -> None:
-        self._drained_boot_ids.pop(server.backend_server_id, None)
-        self._drained_boot_ids[server.backend_server_id] = server.announcement.boot_id
+    def _remember_drained(self, backend_server_id: str, boot_id: str) -> None:
+        self._drained_boot_ids.pop(backend_server_id, None)
+        self._drained_boot_ids[backend_server_id] = boot_id
         if len(self._drained_boot_ids) > DRAINED_BOOT_IDS_MAX:
             del self._drained_boot_ids[next(iter(self._drained_boot_ids))]
 
--- /dev/null
+++ b/balsamspindle/drains/peers.py
@@ -0,0 +1,108 @@
+"""Keeps the drains of other nodes, and sends them to a node that has restarted."""
+
+import threading
+from collections import OrderedDict
+from collections.abc import Callable
+
+from balsamspindle.drains.own_drains import OwnDrains
+from balsamspindle.drains.records import DrainsKept, DrainsVersion, NodeDrains
+from balsamspindle.membership.directory import Directory
+from balsamspindle.membership.fanout import Fanout
+from balsamspindle.wire import NodeRecord
+
+__all__ = ["DrainPeers"]
+
+KEPT_NODES_MAX = 1_000
+
+
+class _Kept:
+    """Drains of another node, and the incarnations of it that they were sent to.
+
+    Attributes
+    ----------
+    sent_incarnation, delivered_incarnation : int
+        The latest incarnation that they were sent to, and that has acknowledged them.
+    """
+
+    def __init__(self, drains: NodeDrains) -> None:
+        self.drains = drains
+        self.sent_incarnation = self.delivered_incarnation = drains.incarnation
+
+
+class DrainPeers:
+    """Exchanges confirmed drains with peers; thread-safe.
+
+    Parameters
+    ----------
+    send : callable
+        Takes a member address and a message; must be thread-safe.
+    """
+
+    def __init__(
+        self,
+        own: NodeRecord,
+        directory: Directory,
+        drains: OwnDrains,
+        send: Callable[[str, NodeDrains | DrainsKept], None],
+    ) -> None:
+        self._node_id = own.node_id
+        self._directory = directory
+        self._drains = drains
+        self._send = send
+        self._lock = threading.Lock()
+        self._fanout = Fanout(own, directory, "drains")
+        self._kept: OrderedDict[str, _Kept] = OrderedDict()
+
+    def share(self, drains: NodeDrains) -> None:
+        """Send this node's drains to a few peers, which keep and acknowledge them."""
+        with self._lock:
+            addresses = self._fanout.choose()
+        for address in addresses:
+            self._send(address, drains)
+
+    def deliver(self) -> None:
+        """Send kept drains to those nodes that have restarted since."""
+        with self._lock:
+            kept = dict(self._kept)
+        if not kept:
+            return
+        for node in self._directory.alive():
+            one = kept.get(node.node_id)
+            if one is not None and one.delivered_incarnation < node.incarnation:
+                one.sent_incarnation = node.incarnation
+                self._send(node.member_address, one.drains)
+
+    def receive(self, peer_address: str, drains: NodeDrains) -> None:
+        """Keep a peer's drains, or restore those of this node; acknowledge them."""
+        if drains.node_id == self._node_id:
+            self._drains.restore(drains)
+        else:
+            self._keep(drains)
+        kept = DrainsKept(drains.node_id, drains.incarnation, drains.number)
+        self._send(peer_address, kept)
+
+    def record_kept(self, kept: DrainsKept) -> None:
+        """Process the acknowledgement of drains that this node has sent."""
+        if kept.node_id == self._node_id:
+            self._drains.record_kept(kept.version)
+            return
+        with self._lock:
+            one = self._kept.get(kept.node_id)
+            if one is not None and one.drains.version == kept.version:
+                one.delivered_incarnation = one.sent_incarnation
+
+    def kept_version(self, node_id: str) -> DrainsVersion | None:
+        """Return the version of a node's drains that this node keeps."""
+        with self._lock:
+            one = self._kept.get(node_id)
+            return None if one is None else one.drains.version
+
+    def _keep(self, drains: NodeDrains) -> None:
+        with self._lock:
+            known = self._kept.get(drains.node_id)
+            if known is not None and known.drains.version >= drains.version:
+                return
+            self._kept[drains.node_id] = _Kept(drains)
+            self._kept.move_to_end(drains.node_id)
+            if len(self._kept) > KEPT_NODES_MAX:
+                self._kept.popitem(last=False)
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -2,7 +2,6 @@
 
 import threading
 import time
-from collections.abc import Iterable
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
@@ -14,6 +13,8 @@
 from balsamspindle.node.allocator import limit_allocator
 from balsamspindle.node.crash_parts import CrashParts
 from balsamspindle.node.customer_parts import CustomerParts
+from balsamspindle.node.drain_parts import DrainParts
+from balsamspindle.node.floor_events import FloorEvents
 from balsamspindle.node.gate_budgets import GateBudgets
 from balsamspindle.node.gate_parts import GateParts
 from balsamspindle.node.gauges import NodeGauges
@@ -31,7 +32,6 @@
 from balsamspindle.requests.retries import RetryPolicy
 from balsamspindle.requests.zone_hints import ZoneHints
 from balsamspindle.services.explanation import ServiceExplanation, explain_service
-from balsamspindle.services.floor import FloorDecision, Suspect
 from balsamspindle.services.picker import Picker
 from balsamspindle.settings.configuration import CurrentConfiguration
 from balsamspindle.settings.documents import ServiceDocument
@@ -116,6 +116,16 @@
         store_parts = StoreParts(
             settings, own, self._directory, self.events, self._eras
         )
+        self._drain_parts = DrainParts(
+            own,
+            self._directory,
+            self._member,
+            self.events,
+            store_parts.tables("drains"),
+            self._eras,
+            self.lifetimes.restore,
+        )
+        self.drains = self._drain_parts.drains
         claims = store_parts.claims_table()
         self._make_ingress(own, claims)
         self._settings_tasks = SettingsTasks(
@@ -183,16 +193,10 @@
             self._admin.serve_forever,
             *self._settings_tasks.tasks(),
             *self._customer_parts.tasks(),
+            *self._drain_parts.tasks(),
+            *(part.run for part in self._optional_parts() if part is not None),
+            *(server.serve_forever for server in self._extra_servers),
         ]
-        if self._registry is not None:
-            tasks.append(self._registry.run)
-        if self._crash_parts.quarantine_store is not None:
-            tasks.append(self._crash_parts.quarantine_store.run)
-        if self._restorer is not None:
-            tasks.append(self._restorer.run)
-        tasks += [server.serve_forever for server in self._extra_servers]
-        if self._settings_watch is not None:
-            tasks.append(self._settings_watch.run)
         with ThreadPoolExecutor(len(tasks), "task") as executor:
             for task in tasks:
                 executor.submit(self._run_task, task)
@@ -202,10 +206,20 @@
                 self._gate_parts.remove_silent(now_s)
                 self._customer_parts.refresh(now_s)
                 self._links.close_unused(now_s)
+                self._drain_parts.deliver()
             self._shut_down()
         # Wait at most `LINGER_MS` until the messages still queued on links are sent.
         self._context.destroy(linger=LINGER_MS)
 
+    def _optional_parts(self) -> tuple:
+        """Return the parts with a task that not every node has; None for the others."""
+        return (
+            self._registry,
+            self._crash_parts.quarantine_store,
+            self._restorer,
+            self._settings_watch,
+        )
+
     def may_be_defined(self, service: str) -> bool:
         """Return whether a service is defined; True while no settings are in force."""
         configuration = self._configuration.get()
@@ -250,13 +264,11 @@
         """End all tasks and threads, because a running one would block the exit."""
         self._settings_tasks.stop()
         self._customer_parts.stop()
-        if self._registry is not None:
-            self._registry.stop()
-        if self._restorer is not None:
-            self._restorer.stop()
+        self._drain_parts.stop()
+        for part in self._optional_parts():
+            if part is not None:
+                part.stop()
         self._member.stop()
-        if self._settings_watch is not None:
-            self._settings_watch.stop()
         servers = (self._admin, *self._extra_servers)
         # The servers are shut down in parallel, because each call of `shutdown` blocks
         # until the loop of its server has ended.
@@ -274,27 +286,13 @@
             for placement in self._directory.placements(service)
         )
 
-    def _report_floor(self, service: str, decision: FloorDecision) -> None:
-        """Emit which suspected backend servers are left out, and which stay in use.
-
-        A backend server that is left out gets a request only as a trial, or if a claim
-        names its gate. A suspected backend server that stays in use gets requests as if
-        it were not suspected.
-        """
-        self.events.emit(
-            "floor_decided",
-            service=service,
-            cause=decision.cause,
-            left_out=_ids(decision.left_out),
-            kept=_ids(decision.kept),
-            in_use_slots=decision.in_use_slots,
-            floor_slots=decision.floor_slots,
-        )
-
     def _make_ingress(self, own: NodeRecord, claims: ClaimsTable) -> None:
         """Create the parts that handle callers' requests until they reach a gate."""
         self._picker = Picker(
-            own, self._directory, self._configuration, self._report_floor
+            own,
+            self._directory,
+            self._configuration,
+            FloorEvents(self.events).report,
         )
         self._hints = ZoneHints(
             own,
@@ -390,7 +388,3 @@
             self._picker.floor_decision(service),
             self._gate_parts.health.reports(time.monotonic()),
         )
-
-
-def _ids(suspects: Iterable[Suspect]) -> str | None:
-    return ",".join(suspect.backend_server_id for suspect in suspects) or None
--- a/balsamspindle/node/store_parts.py
+++ b/balsamspindle/node/store_parts.py
@@ -47,6 +47,10 @@
         self._claim_eras = ClaimEras(settings.key_resend_max_s, eras.request_claims)
         self.guards: list[PlatformGuard] = []
 
+    def tables(self, purpose: str) -> GuardedTableService | None:
+        """Return the store's tables for one part; None without a platform."""
+        return None if self._address is None else self._guarded_tables(purpose)
+
     def claims_table(self) -> ClaimsTable:
         """Create the table in which idempotency keys are claimed.
 
--- a/balsamspindle/platform/announcements.py
+++ b/balsamspindle/platform/announcements.py
@@ -1,7 +1,9 @@
 """WSGI applications for announcements of backend servers and for readiness checks.
 
 The backend server beside the node announces here that it is ready, drains or
-leaves. The gate applies an announcement before the announcement is acknowledged.
+leaves. The gate applies an announcement before the announcement is acknowledged. That a
+backend server drains or leaves is acknowledged only once something besides this process
+keeps it: this process may be killed, and its successor must know it.
 """
 
 import time
@@ -9,12 +11,13 @@
 from typing import Annotated, Literal
 
 import msgspec
-from werkzeug.exceptions import BadRequest, HTTPException
+from werkzeug.exceptions import BadRequest, HTTPException, ServiceUnavailable
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
 
 from balsamspindle.backend_servers.lifetimes import AnnouncedStatus, Lifetimes
 from balsamspindle.backend_servers.servers import Announcement
+from balsamspindle.drains import OwnDrains
 from balsamspindle.platform.configuration import service_name
 from balsamspindle.platform.values import PlatformFormatError, parse_duration_ms
 
@@ -82,6 +85,8 @@
 
     Parameters
     ----------
+    drains : OwnDrains
+        Keeps what is acknowledged.
     is_service_allowed : callable
         Takes a service's name; returns whether backend servers of this service may
         announce themselves. Announcements of other services are ignored. A node allows
@@ -94,10 +99,12 @@
     def __init__(
         self,
         lifetimes: Lifetimes,
+        drains: OwnDrains,
         is_service_allowed: Callable[[str], bool] = lambda service: True,
         on_ignored: Callable[[str], None] = lambda cause: None,
     ) -> None:
         self._lifetimes = lifetimes
+        self._drains = drains
         self._is_service_allowed = is_service_allowed
         self._on_ignored = on_ignored
 
@@ -135,12 +142,23 @@
             parse_duration_ms(body.status.cold_remaining) / 1000,
             body.born,
         )
+        if not self._drains.wait_restored():
+            raise ServiceUnavailable("the earlier process's drains are not known yet")
         self._lifetimes.announce(server_id, announcement, status, time.monotonic())
+        if status.is_draining:
+            self._keep_drain(server_id)
 
     def _leave(self, request, server_id):
         data = request.get_data()
         body = msgspec.json.decode(data, type=_LeaveBody) if data else _LeaveBody()
+        self._drains.wait_restored()
         self._lifetimes.record_leave(server_id, start_unix_ms=body.born)
+        self._keep_drain(server_id)
+
+    def _keep_drain(self, server_id: str) -> None:
+        drained = self._lifetimes.drained(server_id)
+        if drained is not None and not self._drains.add(drained):
+            raise ServiceUnavailable("neither the store nor a peer keeps the drain")
 
 
 class ReadinessApplication:
--- a/balsamspindle/platform/run.py
+++ b/balsamspindle/platform/run.py
@@ -66,6 +66,7 @@
     own_service = service_name(machine.node.caller_service)
     return AnnouncementApplication(
         process.lifetimes,
+        process.drains,
         lambda service: service == own_service or process.may_be_defined(service),
         lambda cause: process.events.emit("announcement_ignored", cause=cause),
     )
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -10,6 +10,7 @@
     BackendServerState,
     LocalBackendServers,
 )
+from balsamspindle.drains import OwnDrains
 from balsamspindle.platform.announcements import AnnouncementApplication
 
 URL = "/instances/i-1"
@@ -37,9 +38,17 @@
         super().setUp()
         self.servers = LocalBackendServers()
         self.ignored = []
+        drains = OwnDrains(
+            "node",
+            1,
+            _NoEvents(),
+            share=lambda shared: drains.record_kept(shared.version),
+        )
+        drains.restore(None, from_store=True)
         self.client = Client(
             AnnouncementApplication(
                 Lifetimes(self.servers, _NoEvents()),
+                drains,
                 lambda service: service == "operator/a",
                 self.ignored.append,
             )
