Event attempt_resent: a request goes to its backend server once more

The log could not tell a send that a node decided from one that libcurl made by itself: `attempt_dispatched` stands for both, once. The event is emitted before each further send of one attempt.

--- a/balsamspindle/backend_servers/client.py
+++ b/balsamspindle/backend_servers/client.py
@@ -72,6 +72,7 @@
         request_id: str = "",
         may_resend: Callable[[], bool] = lambda: True,
         body_max_bytes: int | None = None,
+        on_resend: Callable[[], None] = lambda: None,
     ) -> BackendAnswer | BackendFailure:
         """Send a request to a backend server and wait for the result.
 
@@ -93,6 +94,8 @@
             instead.
         body_max_bytes : int, optional
             Maximum size of the answer's body, if it is less than that of all answers.
+        on_resend : callable
+            Called before the request is sent again, by this client or by libcurl.
         """
         deadline_s = time.monotonic() + timeout_ms / 1000
         token = token or CancelToken()
@@ -104,6 +107,7 @@
             body,
             request_id,
             body_max_bytes or self._answer_body_max_bytes,
+            on_resend,
         )
         handle = self._pool.acquire(address, execution)
         result = self._perform(handle, request, timeout_ms, token)
@@ -115,6 +119,7 @@
                 return result
             if not may_resend():
                 return result
+            on_resend()
             # The reused connection contained a second copy of an earlier answer, or
             # other stray bytes. This request must not fail because of these bytes. Send
             # it again on a new connection. The backend server may be running it already
@@ -156,7 +161,7 @@
             ],
         )
         _set_method(handle.curl, request.method, request.body)
-        call = Call(token, deadline_s, reader, reservation)
+        call = Call(token, deadline_s, reader, reservation, request.on_resend)
         try:
             return handle.perform(call, request.method)
         finally:
@@ -173,6 +178,7 @@
     body: bytes
     request_id: str
     body_max_bytes: int
+    on_resend: Callable[[], None]
 
 
 def _is_foreign(result: BackendAnswer | BackendFailure) -> bool:
--- a/balsamspindle/backend_servers/curl_calls.py
+++ b/balsamspindle/backend_servers/curl_calls.py
@@ -5,6 +5,7 @@
 import threading
 import time
 from collections import OrderedDict
+from collections.abc import Callable
 
 import pycurl
 
@@ -28,13 +29,20 @@
 
 
 class Call:
-    """State of a call: its deadline, whether the request was sent, and the answer."""
+    """State of a call: its deadline, whether the request was sent, and the answer.
 
-    def __init__(self, token, deadline_s, reader, reservation):
+    Parameters
+    ----------
+    on_resend : callable
+        Called before libcurl sends the request again by itself.
+    """
+
+    def __init__(self, token, deadline_s, reader, reservation, on_resend):
         self.token: CancelToken = token
         self.deadline_s: float = deadline_s
         self.reader: AnswerReader = reader
         self.reservation: Reservation = reservation
+        self.on_resend: Callable[[], None] = on_resend
         self.sent = False
         self.too_late = False
         self.was_cancelled = False
@@ -52,6 +60,8 @@
         if time.monotonic() >= self.deadline_s:
             self.too_late = True
             return False
+        if self.sent:
+            self.on_resend()
         self.sent = True
         return True
 
--- a/balsamspindle/backend_servers/runner.py
+++ b/balsamspindle/backend_servers/runner.py
@@ -102,6 +102,7 @@
                     lambda: self._admission.try_spend_allowance(
                         server, time.monotonic()
                     ),
+                    on_resend=lambda: self._emit_resend(dispatch, sent_s, deadline_s),
                 )
                 was_sent = isinstance(result, BackendAnswer) or result.sent
                 headers, result = result.headers, self._classify(server, result)
@@ -122,6 +123,18 @@
         cut_by = token.cause if isinstance(result, BackendAnswer) else result.cut_by
         return self._reply(dispatch, result, free_slots, judgement, ran_s, cut_by)
 
+    def _emit_resend(
+        self, dispatch: Dispatch, sent_s: float, deadline_s: float
+    ) -> None:
+        now_s = time.monotonic()
+        self._events.emit(
+            "attempt_resent",
+            request=dispatch.request_id,
+            backend_server=dispatch.backend_server_id,
+            after_ms=round((now_s - sent_s) * 1000),
+            left_ms=round((deadline_s - now_s) * 1000),
+        )
+
     def _evidence(self, result: BackendAnswer | BackendFailure | None) -> WorkResult:
         """Return a call's result as evidence of the backend server's health.
 
