The gate decides each send of a request; libcurl repeats none

Cause: libcurl sends a request again by itself when a kept connection ends before the first byte of an answer. Nothing asked whether the backend server still takes work, no gate counted the send, and it had the headers of the first one.

Change: a call sends at most once; where libcurl asks for a connection for a second send, it gets none. A failure says whether its cause lies outside the backend server: a kept connection that ended within 0.1 s of the send (stale), or one with stray bytes. Only then, and only for an idempotent request, the gate may send again, after the same questions as before the first send: time left (written anew), crash history, health, readiness and lifetime, retry budget, limit. All other lost answers go back to the node that took the request, whose retry is counted and goes elsewhere. After a stale end connections to that address are kept for half of the idle time, for 30 s. A stale end is no evidence against health.

Failed try: without the look before the use, a server that closes idle connections cost a repeat each time, and tests of limits and cuts failed.

The default of BackendServerClient.call is now that nothing is sent again; one test of foreign answers says so where it relies on it, and checks as much as before.

--- a/balsamspindle/backend_servers/answers.py
+++ b/balsamspindle/backend_servers/answers.py
@@ -6,6 +6,7 @@
 import re
 import time
 from collections.abc import Callable
+from enum import StrEnum
 from http import HTTPStatus
 from typing import NamedTuple
 
@@ -22,6 +23,7 @@
     "AnswerReader",
     "BackendAnswer",
     "BackendFailure",
+    "ResendCause",
     "end_to_end_headers",
 ]
 
@@ -54,6 +56,22 @@
         return None
 
 
+class ResendCause(StrEnum):
+    """Why a failed request may be sent again, on a new connection.
+
+    Attributes
+    ----------
+    STALE_CONNECTION
+        A kept connection ended right after the request was sent. Its backend server
+        probably closed it while it was idle, so the request has probably not run.
+    FOREIGN_ANSWER
+        A kept connection contained bytes that do not belong to this request.
+    """
+
+    STALE_CONNECTION = "stale_connection"
+    FOREIGN_ANSWER = "foreign_answer"
+
+
 class BackendFailure(NamedTuple):
     """A call that got no complete and valid answer.
 
@@ -68,6 +86,9 @@
     headers : tuple of (str, str)
         Headers of the backend server's answer if only its body was incomplete;
         otherwise empty.
+    resend_cause : ResendCause or None
+        Why the failure says nothing about the backend server's health; None for all
+        other failures.
     """
 
     reason: Reason
@@ -76,6 +97,7 @@
     is_foreign: bool = False
     cut_by: CancelCause | None = None
     headers: tuple[tuple[str, str], ...] = ()
+    resend_cause: ResendCause | None = None
 
 
 def end_to_end_headers(
--- a/balsamspindle/backend_servers/client.py
+++ b/balsamspindle/backend_servers/client.py
@@ -11,12 +11,13 @@
     AnswerReader,
     BackendAnswer,
     BackendFailure,
+    ResendCause,
     end_to_end_headers,
 )
 from balsamspindle.backend_servers.cancellation import CancelToken
 from balsamspindle.backend_servers.curl_calls import Call, Handle, HandlePool
 from balsamspindle.protocol.header_names import DEFAULT_HEADER_NAMES, HeaderNames
-from balsamspindle.protocol.outcomes import Execution
+from balsamspindle.protocol.outcomes import Execution, Reason
 
 __all__ = ["BackendAnswer", "BackendFailure", "BackendServerClient"]
 
@@ -70,14 +71,13 @@
         timeout_ms: float,
         token: CancelToken | None = None,
         request_id: str = "",
-        may_resend: Callable[[], bool] = lambda: True,
+        may_resend: Callable[[ResendCause], bool] = lambda cause: False,
         body_max_bytes: int | None = None,
-        on_resend: Callable[[], None] = lambda: None,
     ) -> BackendAnswer | BackendFailure:
         """Send a request to a backend server and wait for the result.
 
-        If a reused connection returns bytes that do not belong to this request, an
-        idempotent request is sent again.
+        An idempotent request may be sent twice, if its failure says nothing about the
+        backend server; see `ResendCause`.
 
         Parameters
         ----------
@@ -89,13 +89,11 @@
             Token by which another thread can cancel the call.
         request_id : str, default=""
             Id that the answer must contain if backend servers echo request ids.
-        may_resend : callable, default=always
+        may_resend : callable, default=never
             Called before the request is sent again. If it returns False, the call fails
             instead.
         body_max_bytes : int, optional
             Maximum size of the answer's body, if it is less than that of all answers.
-        on_resend : callable
-            Called before the request is sent again, by this client or by libcurl.
         """
         deadline_s = time.monotonic() + timeout_ms / 1000
         token = token or CancelToken()
@@ -107,27 +105,49 @@
             body,
             request_id,
             body_max_bytes or self._answer_body_max_bytes,
-            on_resend,
         )
-        handle = self._pool.acquire(address, execution)
+        handle = self._pool.acquire(address, execution, time.monotonic())
+        idle_since_s = handle.used_s
         result = self._perform(handle, request, timeout_ms, token)
+        cause = _resend_cause(result)
+        if cause is ResendCause.STALE_CONNECTION:
+            now_s = time.monotonic()
+            self._pool.record_stale(address, now_s - idle_since_s, now_s)
+        if cause is None and not _is_foreign(result):
+            self._pool.release(address, execution, handle)
+            return result
+        # Close the connection. Otherwise the next request on this connection would
+        # receive the answer to this request.
+        handle.close()
+        if cause is None or execution is not Execution.IDEMPOTENT:
+            return result
+        if not may_resend(cause):
+            return result
+        return self._resend(request, execution, deadline_s, token, result)
+
+    def _resend(
+        self,
+        request: "_Request",
+        execution: Execution,
+        deadline_s: float,
+        token: CancelToken,
+        failure: BackendFailure,
+    ) -> BackendAnswer | BackendFailure:
+        """Send a request again, on a new connection; return the result.
+
+        The backend server may have run the request before. If it can't be sent again,
+        the result is the earlier failure, as a failure of the backend server.
+        """
+        handle = Handle(execution)
+        remaining_ms = (deadline_s - time.monotonic()) * 1000
+        result = self._perform(handle, request, remaining_ms, token)
         if _is_foreign(result):
-            # Close the connection. Otherwise the next request on this connection would
-            # receive the answer to this request.
             handle.close()
-            if execution is not Execution.IDEMPOTENT or not handle.was_reused():
-                return result
-            if not may_resend():
-                return result
-            on_resend()
-            # The reused connection contained a second copy of an earlier answer, or
-            # other stray bytes. This request must not fail because of these bytes. Send
-            # it again on a new connection. The backend server may be running it already
-            # and run it twice, but the request is idempotent.
-            handle = Handle(execution)
-            remaining_ms = (deadline_s - time.monotonic()) * 1000
-            result = self._perform(handle, request, remaining_ms, token)
-        self._pool.release(address, execution, handle)
+        else:
+            self._pool.release(request.address, execution, handle)
+        if isinstance(result, BackendFailure) and not result.sent:
+            is_cancelled = result.reason is Reason.CANCELLED
+            return result._replace(sent=True) if is_cancelled else failure
         return result
 
     def _perform(
@@ -161,7 +181,7 @@
             ],
         )
         _set_method(handle.curl, request.method, request.body)
-        call = Call(token, deadline_s, reader, reservation, request.on_resend)
+        call = Call(token, deadline_s, reader, reservation)
         try:
             return handle.perform(call, request.method)
         finally:
@@ -178,7 +198,10 @@
     body: bytes
     request_id: str
     body_max_bytes: int
-    on_resend: Callable[[], None]
+
+
+def _resend_cause(result: BackendAnswer | BackendFailure) -> ResendCause | None:
+    return result.resend_cause if isinstance(result, BackendFailure) else None
 
 
 def _is_foreign(result: BackendAnswer | BackendFailure) -> bool:
--- a/balsamspindle/backend_servers/curl_calls.py
+++ b/balsamspindle/backend_servers/curl_calls.py
@@ -1,11 +1,11 @@
 """Single calls with libcurl, and a pool of the handles that make them."""
 
+import math
 import os
 import socket
 import threading
 import time
 from collections import OrderedDict
-from collections.abc import Callable
 
 import pycurl
 
@@ -14,8 +14,10 @@
     AnswerReader,
     BackendAnswer,
     BackendFailure,
+    ResendCause,
 )
 from balsamspindle.backend_servers.cancellation import CancelToken
+from balsamspindle.backend_servers.idle_limits import IdleLimits
 from balsamspindle.protocol.outcomes import Execution, Reason
 
 __all__ = ["Call", "Handle", "HandlePool"]
@@ -25,46 +27,59 @@
 # libcurl's error codes for received bytes that are not an HTTP answer, such as stray
 # data in a reused connection.
 _NOT_HTTP_CODES = {pycurl.E_UNSUPPORTED_PROTOCOL, pycurl.E_FTP_WEIRD_SERVER_REPLY}
+# A kept connection that ends this soon after a request was sent counts as closed while
+# it was idle. A longer time would take lost answers of short requests for such ends, a
+# shorter one would count against the health of a backend server beside a busy node.
+STALE_END_MAX_S = 0.1
 _FAILURE_REASONS = {pycurl.E_OPERATION_TIMEDOUT: Reason.SILENCE}
 
 
 class Call:
-    """State of a call: its deadline, whether the request was sent, and the answer.
+    """State of a call: its deadline, whether the request was sent, and the answer."""
 
-    Parameters
-    ----------
-    on_resend : callable
-        Called before libcurl sends the request again by itself.
-    """
-
-    def __init__(self, token, deadline_s, reader, reservation, on_resend):
+    def __init__(self, token, deadline_s, reader, reservation):
         self.token: CancelToken = token
         self.deadline_s: float = deadline_s
         self.reader: AnswerReader = reader
         self.reservation: Reservation = reservation
-        self.on_resend: Callable[[], None] = on_resend
         self.sent = False
         self.too_late = False
         self.was_cancelled = False
+        self._sent_on_kept_connection = False
+        self._sent_s = math.inf
+        self._unanswered_after_s: float | None = None
 
-    def may_send(self, connection: socket.socket | None) -> bool:
+    def may_send(
+        self, connection: socket.socket | None, is_kept: bool, now_s: float
+    ) -> bool:
         """Return whether the request may be sent now, and record the decision.
 
         Called when the connection is open. The result is False if the call was
         cancelled or its deadline has passed. The admission has checked the deadline
         already, but the process may have been suspended since then. Without another
         check here, the request could run long after its caller received a timeout.
+
+        The result is also False if the request was sent before: libcurl sends a request
+        again by itself if a kept connection ends without an answer. It does not know
+        whether the backend server still takes requests, and repeats the old headers.
         """
         if not self.token.attach(connection):
             return False
-        if time.monotonic() >= self.deadline_s:
+        if self.sent:
+            self.record_unanswered(now_s)
+            return False
+        if now_s >= self.deadline_s:
             self.too_late = True
             return False
-        if self.sent:
-            self.on_resend()
-        self.sent = True
+        self.sent, self._sent_s = True, now_s
+        self._sent_on_kept_connection = is_kept
         return True
 
+    def record_unanswered(self, now_s: float) -> None:
+        """Record that the connection ended before the first byte of an answer."""
+        if self._unanswered_after_s is None:
+            self._unanswered_after_s = now_s - self._sent_s
+
     def _timed_out_before_sending(self) -> bool:
         """Return whether the deadline passed before the request was sent.
 
@@ -85,7 +100,10 @@
         """
         if self.was_cancelled and self.reader.ends_with_connection(status, method):
             return self.failure(pycurl.E_OK, "cancelled before the answer ended")
-        return self.reader.answer(status, method, is_first)
+        result = self.reader.answer(status, method, is_first)
+        if isinstance(result, BackendFailure):
+            return result._replace(resend_cause=self._resend_cause(result))
+        return result
 
     def failure(self, code: int, message: str) -> BackendFailure:
         """Return the result of a call that failed with an error of libcurl."""
@@ -108,23 +126,43 @@
         is_foreign = reason is Reason.BROKEN_ANSWER and code in _NOT_HTTP_CODES
         cut_by = self.token.cause if reason is Reason.CANCELLED else None
         headers = () if is_foreign else self.reader.incomplete_headers()
-        return BackendFailure(reason, self.sent, message, is_foreign, cut_by, headers)
+        result = BackendFailure(reason, self.sent, message, is_foreign, cut_by, headers)
+        return result._replace(resend_cause=self._resend_cause(result))
+
+    def _resend_cause(self, failure: BackendFailure) -> ResendCause | None:
+        if not self._sent_on_kept_connection:
+            return None
+        if failure.is_foreign:
+            return ResendCause.FOREIGN_ANSWER
+        is_stale = (
+            failure.reason is Reason.BROKEN_ANSWER
+            and self._unanswered_after_s is not None
+            and self._unanswered_after_s <= STALE_END_MAX_S
+        )
+        return ResendCause.STALE_CONNECTION if is_stale else None
 
 
 class Handle:
-    """A curl handle with at most one connection; stores that connection's socket."""
+    """A curl handle with at most one connection; stores that connection's socket.
+
+    Attributes
+    ----------
+    used_s : float
+        When the last call ended.
+    """
 
     def __init__(self, execution: Execution) -> None:
         self.curl = pycurl.Curl()
         self._connection: socket.socket | None = None
         self._was_reused = False
+        self.used_s = -math.inf
+        self._is_cut = False
         self._call: Call | None = None
         self._set_options()
         if execution is Execution.NON_IDEMPOTENT:
-            # When a reused connection turns out to be closed, libcurl itself sends the
-            # request again on a new connection. The backend server could then run the
-            # request twice. libcurl never repeats a request that it sent on a new
-            # connection, so use a new connection for each non-idempotent request.
+            # When a reused connection turns out to be closed, it is unknown whether the
+            # backend server has run the request. Such a request would fail, so use a
+            # new connection for each non-idempotent request.
             self.curl.setopt(pycurl.FRESH_CONNECT, 1)
             self.curl.setopt(pycurl.FORBID_REUSE, 1)
 
@@ -139,15 +177,30 @@
         except pycurl.error as error:
             return call.failure(*error.args)
         finally:
-            call.was_cancelled = call.token.detach()
+            self.used_s = time.monotonic()
+            call.was_cancelled = self._is_cut = call.token.detach()
             self._release_bodies()
             self._call = None
         status = self.curl.getinfo(pycurl.RESPONSE_CODE)
         return call.ended(status, method, not self._was_reused)
 
-    def was_reused(self) -> bool:
-        """Return whether the last call reused the connection of an earlier call."""
-        return self._was_reused
+    def is_clean(self) -> bool:
+        """Return whether the kept connection, if any, is open and has no unread bytes.
+
+        libcurl may send a request on a connection that has been closed, or read earlier
+        bytes as its answer.
+        """
+        if self._is_cut:
+            return False
+        if self._connection is None:
+            return True
+        try:
+            self._connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
 
     def close(self) -> None:
         """Close the handle and its connection."""
@@ -176,6 +229,10 @@
         curl.setopt(pycurl.PREREQFUNCTION, self._on_connected)
 
     def _on_open(self, _purpose, address) -> socket.socket | int:
+        if self._call.sent:
+            # libcurl wants to send the request again; see `Call.may_send`.
+            self._call.record_unanswered(time.monotonic())
+            return pycurl.SOCKET_BAD
         connection = socket.socket(address.family, address.socktype, address.protocol)
         if not self._call.token.attach(connection):
             connection.close()
@@ -194,7 +251,8 @@
         return 0
 
     def _on_connected(self, *_) -> int:
-        if self._call.may_send(self._connection):
+        now_s = time.monotonic()
+        if self._call.may_send(self._connection, self._was_reused, now_s):
             return pycurl.PREREQFUNC_OK
         return pycurl.PREREQFUNC_ABORT
 
@@ -212,17 +270,24 @@
         self._lock = threading.Lock()
         self._idle: OrderedDict[str, list[Handle]] = OrderedDict()
         self._count = 0
+        self._idle_limits = IdleLimits()
 
-    def acquire(self, address: str, execution: Execution) -> Handle:
+    def acquire(self, address: str, execution: Execution, now_s: float) -> Handle:
         """Return an idle handle with a connection to an address, or a new one."""
         key = _pool_key(address, execution)
         with self._lock:
-            idle = self._idle.get(key)
-            if idle:
-                self._count -= 1
-                return idle.pop()
+            earliest_s = now_s - self._idle_limits.idle_max_s(key, now_s)
+        while (handle := self._pop(key)) is not None:
+            if handle.used_s >= earliest_s and handle.is_clean():
+                return handle
+            handle.close()
         return Handle(execution)
 
+    def record_stale(self, address: str, idle_s: float, now_s: float) -> None:
+        """Record that a connection was closed after it had been idle for some time."""
+        with self._lock:
+            self._idle_limits.record_stale(address, idle_s, now_s)
+
     def release(self, address: str, execution: Execution, handle: Handle) -> None:
         """Return a handle to the pool; close one if there are too many."""
         key = _pool_key(address, execution)
@@ -234,6 +299,14 @@
         if surplus is not None:
             surplus.close()
 
+    def _pop(self, key: str) -> Handle | None:
+        with self._lock:
+            idle = self._idle.get(key)
+            if not idle:
+                return None
+            self._count -= 1
+            return idle.pop()
+
     def _pop_surplus(self) -> Handle | None:
         """Remove and return a handle of the least recently used address.
 
--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -54,6 +54,7 @@
 )
 from balsamspindle.backend_servers.open_runs import OpenRuns
 from balsamspindle.backend_servers.refused_attempts import Refusals
+from balsamspindle.backend_servers.resends import Resends
 from balsamspindle.backend_servers.reservations import ReservationState
 from balsamspindle.backend_servers.reserved_attempts import HeldSlot, ReservedAttempts
 from balsamspindle.backend_servers.retry_grants import RetryGrants
@@ -147,6 +148,9 @@
             failed_calls or FailedCalls(),
             crash_watch or CrashWatch(events, crash_history),
             answer_terms,
+            Resends(
+                servers, events, observer, self._admission, self._grants, crash_history
+            ),
         )
         self._checked = CheckedAttempts(
             events,
--- a/balsamspindle/backend_servers/probes.py
+++ b/balsamspindle/backend_servers/probes.py
@@ -122,10 +122,13 @@
             b"",
             Execution.IDEMPOTENT,
             PROBE_TIMEOUT_MS,
+            may_resend=lambda cause: self._checks.may_send(server, time.monotonic()),
             body_max_bytes=PROBE_BODY_MAX_BYTES,
         )
         if not self._checks.is_own_answer(server, result, sent_s):
             return
+        if isinstance(result, BackendFailure) and result.resend_cause is not None:
+            return
         self._monitor.record_probe_result(
             backend_server_id, _probe_result(result), time.monotonic()
         )
--- a/balsamspindle/backend_servers/retry_grants.py
+++ b/balsamspindle/backend_servers/retry_grants.py
@@ -19,6 +19,8 @@
 import threading
 from collections.abc import Callable
 
+import msgspec
+
 from balsamspindle.backend_servers.heaviest_weight import HeaviestWeight
 from balsamspindle.backend_servers.retry_window import RetryWindow, WeightCounts
 from balsamspindle.settings.documents import RetryBudget
@@ -162,6 +164,18 @@
             state.granted.record(weight, now_s)
             return True
 
+    def try_grant_resend(self, service: str, now_s: float) -> bool:
+        """Grant a further send of an attempt at its own backend server.
+
+        The gate alone decides on such a send, also for services whose other repeats
+        are limited by the sending nodes. These have `RetryBudget.per_s_min` here.
+        """
+        budget = self._budget(service, now_s)
+        if not budget.fleet_per_s_min:
+            budget = msgspec.structs.replace(budget, fleet_per_s_min=budget.per_s_min)
+        with self._lock:
+            return self._state(service).window.try_spend(budget, now_s)
+
     def return_grant(self, service: str) -> None:
         """Add a grant back to the retry budget because its repeat did not run.
 
--- a/balsamspindle/backend_servers/runner.py
+++ b/balsamspindle/backend_servers/runner.py
@@ -20,6 +20,7 @@
 from balsamspindle.backend_servers.evidence import HealthObserver, WorkResult
 from balsamspindle.backend_servers.failed_calls import FailedCalls
 from balsamspindle.backend_servers.refusals import classify_result, is_misdirected
+from balsamspindle.backend_servers.resends import Resends
 from balsamspindle.backend_servers.servers import LocalBackendServer
 from balsamspindle.backend_servers.work_ends import (
     call_outcome,
@@ -51,6 +52,7 @@
         failed_calls: FailedCalls,
         crash_watch: CrashWatch,
         answer_terms: AnswerTerms,
+        resends: Resends,
     ) -> None:
         self._client = client
         self._events = events
@@ -61,6 +63,7 @@
         self._failed_calls = failed_calls
         self._crash_watch = crash_watch
         self._answer_terms = answer_terms
+        self._resends = resends
 
     def run(
         self,
@@ -99,10 +102,9 @@
                     (deadline_s - time.monotonic()) * 1000,
                     token,
                     dispatch.request_id,
-                    lambda: self._admission.try_spend_allowance(
-                        server, time.monotonic()
+                    lambda cause: self._resends.try_permit(
+                        dispatch, server, cause, deadline_s, time.monotonic()
                     ),
-                    on_resend=lambda: self._emit_resend(dispatch, sent_s, deadline_s),
                 )
                 was_sent = isinstance(result, BackendAnswer) or result.sent
                 headers, result = result.headers, self._classify(server, result)
@@ -123,18 +125,6 @@
         cut_by = token.cause if isinstance(result, BackendAnswer) else result.cut_by
         return self._reply(dispatch, result, free_slots, judgement, ran_s, cut_by)
 
-    def _emit_resend(
-        self, dispatch: Dispatch, sent_s: float, deadline_s: float
-    ) -> None:
-        now_s = time.monotonic()
-        self._events.emit(
-            "attempt_resent",
-            request=dispatch.request_id,
-            backend_server=dispatch.backend_server_id,
-            after_ms=round((now_s - sent_s) * 1000),
-            left_ms=round((deadline_s - now_s) * 1000),
-        )
-
     def _evidence(self, result: BackendAnswer | BackendFailure | None) -> WorkResult:
         """Return a call's result as evidence of the backend server's health.
 
--- a/balsamspindle/backend_servers/servers.py
+++ b/balsamspindle/backend_servers/servers.py
@@ -275,6 +275,12 @@
         """Return a backend server, None if it is unknown; the lock must be held."""
         return self._servers.get(backend_server_id)
 
+    def accepts_work(self, server: LocalBackendServer) -> bool:
+        """Return whether a backend server is ready, and has not restarted since."""
+        with self.changed:
+            is_current = self._servers.get(server.backend_server_id) is server
+            return is_current and server.state is BackendServerState.READY
+
     def all(self) -> list[LocalBackendServer]:
         """Return all backend servers as a new list."""
         with self.changed:
--- a/balsamspindle/backend_servers/work_ends.py
+++ b/balsamspindle/backend_servers/work_ends.py
@@ -6,7 +6,11 @@
 
 import msgspec
 
-from balsamspindle.backend_servers.answers import BackendAnswer, BackendFailure
+from balsamspindle.backend_servers.answers import (
+    BackendAnswer,
+    BackendFailure,
+    ResendCause,
+)
 from balsamspindle.backend_servers.evidence import WorkResult
 from balsamspindle.backend_servers.slots import WorkEnd
 from balsamspindle.crashes.records import RunEnd
@@ -32,6 +36,8 @@
             return WorkResult.ERROR
         case BackendAnswer():
             return WorkResult.ANSWERED
+        case BackendFailure(resend_cause=ResendCause.STALE_CONNECTION):
+            return WorkResult.CANCELLED
         case BackendFailure(reason):
             return _FAILURE_RESULTS.get(reason, WorkResult.BROKEN)
     return WorkResult.CANCELLED
@@ -77,8 +83,11 @@
 
 def work_end(result: BackendAnswer | BackendFailure | None) -> WorkEnd:
     """Return whether the backend server may still be working on an attempt."""
-    if isinstance(result, BackendFailure) and not result.sent:
-        return WorkEnd.DONE
+    match result:
+        case BackendFailure(sent=False):
+            return WorkEnd.DONE
+        case BackendFailure(resend_cause=ResendCause.STALE_CONNECTION):
+            return WorkEnd.DONE
     return _WORK_ENDS[work_result(result)]
 
 
--- a/tests/test_backend_answers.py
+++ b/tests/test_backend_answers.py
@@ -232,6 +232,7 @@
                     Execution.IDEMPOTENT,
                     3000,
                     request_id=request_id,
+                    may_resend=lambda cause: True,
                 )[-1]
                 for request_id in ("r1", "r2")
             ]
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -59,9 +59,8 @@
     def test_an_idempotent_request_that_was_resent_is_not_reported_as_unsent(self):
         # Guards against an outcome of not_run for a request that may have run. A reused
         # connection dies after the request was sent on it, and the backend server stops
-        # listening. libcurl then tries the request again by itself on a second
-        # connection, which is refused. The error is "could not connect", although the
-        # first try may have run.
+        # listening. libcurl then reports the error "could not connect" for its own
+        # second try, although the first one may have run.
         server = self._server(lambda number: (WHOLE, True))
         self.assertEqual(200, self._call(server.address, Execution.IDEMPOTENT).status)
 
