Bytes that break libcurl's limits are no answer to the request

What callers saw: a caller got 502 in place of its own answer, as a used connection held an endless line or endless interim heads of an earlier answer.

Cause: libcurl reports these as "too large" (code 100), which did not count as a foreign answer, so the idempotent request was not sent again.

Change: the code counts as bytes that are no HTTP answer.

--- a/balsamspindle/backend_servers/curl_calls.py
+++ b/balsamspindle/backend_servers/curl_calls.py
@@ -24,9 +24,16 @@
 
 CONNECT_TIMEOUT_MS = 1000
 IDLE_HANDLES_MAX = 512
+# CURLE_TOO_LARGE, for which pycurl has no name: a line or the number of heads exceeds
+# libcurl's limits.
+_E_TOO_LARGE = 100
 # libcurl's error codes for received bytes that are not an HTTP answer, such as stray
 # data in a reused connection.
-_NOT_HTTP_CODES = {pycurl.E_UNSUPPORTED_PROTOCOL, pycurl.E_FTP_WEIRD_SERVER_REPLY}
+_NOT_HTTP_CODES = {
+    pycurl.E_UNSUPPORTED_PROTOCOL,
+    pycurl.E_FTP_WEIRD_SERVER_REPLY,
+    _E_TOO_LARGE,
+}
 # A kept connection that ends this soon after a request was sent counts as closed while
 # it was idle. A longer time would take lost answers of short requests for such ends, a
 # shorter one would count against the health of a backend server beside a busy node.
--- a/tests/test_backend_answers.py
+++ b/tests/test_backend_answers.py
@@ -216,7 +216,9 @@
         one = answer_with_length(b"one", b"X-Request-Id: r1\r\n")
         two = answer_with_length(b"two", b"X-Request-Id: r2\r\n")
         error = b"HTTP/1.1 404 Not Found\r\nContent-Length: 1\r\n\r\n?"
-        for stray in (one, error, b"no answer\r\n\r\n"):
+        long_line = b"HTTP/1.1 200 OK\r\nX-Note: " + b"x" * 200_000
+        interim = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" * 10_000
+        for stray in (one, error, b"no answer\r\n\r\n", long_line, interim):
             answers = [one, stray, two]
             client = BackendServerClient(BODY_MAX_BYTES, names)
             server = self._server(
