Only a connection that was idle for a second shortens the time others are kept

What callers saw: nothing.

Cause: a backend server that fails a request within 0.1 s by closing its kept connection looked like one that closes idle connections, so its connections were kept for milliseconds in the next 30 s.

--- a/balsamspindle/backend_servers/idle_limits.py
+++ b/balsamspindle/backend_servers/idle_limits.py
@@ -14,6 +14,8 @@
 IDLE_FRACTION = 0.5
 # How long such a limit is in force.
 LIMITED_S = 30.0
+# A connection that ended after a shorter idle time was not closed because of it.
+IDLE_MIN_S = 1.0
 ADDRESSES_MAX = 1_000
 
 
@@ -30,6 +32,8 @@
 
     def record_stale(self, address: str, idle_s: float, now_s: float) -> None:
         """Record that a connection was closed after it had been idle for some time."""
+        if idle_s < IDLE_MIN_S:
+            return
         idle_max_s = min(self.idle_max_s(address, now_s), idle_s * IDLE_FRACTION)
         self._limits[address] = _Limit(idle_max_s, now_s + LIMITED_S)
         self._limits.move_to_end(address)
--- a/tests/test_resends.py
+++ b/tests/test_resends.py
@@ -174,6 +174,8 @@
     def test_connections_are_kept_for_less_time_after_one_was_closed(self):
         limits = IdleLimits()
         self.assertEqual(float("inf"), limits.idle_max_s("a", 0.0))
+        limits.record_stale("a", 0.5, 0.0)
+        self.assertEqual(float("inf"), limits.idle_max_s("a", 0.0))
         limits.record_stale("a", 4.0, 0.0)
         limits.record_stale("a", 8.0, 1.0)
         self.assertEqual(2.0, limits.idle_max_s("a", 1.0))
