A peer that keeps later drains of a node confirms no earlier ones

What backend servers would see: a leaving that was confirmed and then forgotten, if the wall clock of the node's VM had been set back before a restart. Found by reading.

Cause: a peer acknowledged drains of a process with a lower incarnation than those that it kept, without keeping them.

Change: it answers with the later drains. The node takes them over, its version rises above theirs, and its next message is kept.

Measured: test_a_peer_that_keeps_later_drains_confirms_no_earlier_ones failed before ({'a'} in place of {'a', 'b'}) and passes now.

--- a/balsamspindle/drains/peers.py
+++ b/balsamspindle/drains/peers.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from balsamspindle.drains.own_drains import OwnDrains
-from balsamspindle.drains.records import DrainsKept, DrainsVersion, NodeDrains
+from balsamspindle.drains.records import DrainsKept, NodeDrains
 from balsamspindle.membership.directory import Directory
 from balsamspindle.membership.fanout import Fanout
 from balsamspindle.wire import NodeRecord
@@ -73,11 +73,18 @@
                 self._send(node.member_address, one.drains)
 
     def receive(self, peer_address: str, drains: NodeDrains) -> None:
-        """Keep a peer's drains, or restore those of this node; acknowledge them."""
+        """Keep a peer's drains, or restore those of this node; acknowledge them.
+
+        If this node keeps the drains of a process with a higher incarnation, because
+        the wall clock of the peer's VM was set back, it sends these instead.
+        """
         if drains.node_id == self._node_id:
             self._drains.restore(drains)
         else:
-            self._keep(drains)
+            known = self._keep(drains)
+            if known.incarnation > drains.incarnation:
+                self._send(peer_address, known)
+                return
         kept = DrainsKept(drains.node_id, drains.incarnation, drains.number)
         self._send(peer_address, kept)
 
@@ -91,18 +98,14 @@
             if one is not None and one.drains.version == kept.version:
                 one.delivered_incarnation = one.sent_incarnation
 
-    def kept_version(self, node_id: str) -> DrainsVersion | None:
-        """Return the version of a node's drains that this node keeps."""
-        with self._lock:
-            one = self._kept.get(node_id)
-            return None if one is None else one.drains.version
-
-    def _keep(self, drains: NodeDrains) -> None:
+    def _keep(self, drains: NodeDrains) -> NodeDrains:
+        """Keep a node's drains unless newer ones are known; return the newest ones."""
         with self._lock:
             known = self._kept.get(drains.node_id)
             if known is not None and known.drains.version >= drains.version:
-                return
+                return known.drains
             self._kept[drains.node_id] = _Kept(drains)
             self._kept.move_to_end(drains.node_id)
             if len(self._kept) > KEPT_NODES_MAX:
                 self._kept.popitem(last=False)
+            return drains
--- a/tests/test_confirmed_drains.py
+++ b/tests/test_confirmed_drains.py
@@ -187,7 +187,7 @@
     assert fleet.one.delete() == 200
 
 
-def test_no_announcement_counts_before_the_earlier_drains_are_known(monkeypatch):
+def test_no_announcement_counts_before_the_earlier_drains_are_known():
     """Guards against a first announcement that is accepted before the row is read."""
     fleet = Fleet()
     assert fleet.one.delete() == 200
@@ -243,6 +243,22 @@
     assert not fleet.one.is_ready()
 
 
+def test_a_peer_that_keeps_later_drains_confirms_no_earlier_ones():
+    """Guards against a false confirmation after a wall clock was set back."""
+    fleet = Fleet()
+    fleet.tables.is_down = True
+    fleet.one = Node("one", 5, fleet.tables, fleet.peers)
+    replaced = Node("one", 2, fleet.tables, fleet.peers)
+    fleet.peers.nodes["one"] = fleet.one
+    assert fleet.one.drains.add(DrainedServer("a", "boot"))
+    fleet.peers.nodes["one"] = replaced
+    assert replaced.drains.add(DrainedServer("b", "boot"))
+    third = Node("one", 9, fleet.tables, fleet.peers)
+    fleet.two.peers.deliver()
+    drained = third.drains.current().drained
+    assert {one.backend_server_id for one in drained} == {"a", "b"}
+
+
 def test_a_drain_that_an_operator_ended_is_not_restored():
     drains = OwnDrains("one", 1, _NoEvents())
     drains.restore(None, from_store=True)
