A refused second connection counts against its backend server

What callers would see: requests sent to a backend server that crashes right after the start of a request, as the end of its kept connection looked like one that was closed while idle. Found by reading.

Change: if the backend server refuses the connection for the second send, the first failure is evidence against its health.

Measured: the check in test_a_second_send_that_is_refused_a_connection_may_have_run failed before (cancelled in place of broken) and passes now.

--- a/balsamspindle/backend_servers/client.py
+++ b/balsamspindle/backend_servers/client.py
@@ -135,8 +135,9 @@
     ) -> BackendAnswer | BackendFailure:
         """Send a request again, on a new connection; return the result.
 
-        The backend server may have run the request before. If it can't be sent again,
-        the result is the earlier failure, as a failure of the backend server.
+        The backend server may have run the request before, so a result that would say
+        that the request was not sent is replaced by the earlier failure. If the backend
+        server refuses the new connection, that failure is its own.
         """
         handle = Handle(execution)
         remaining_ms = (deadline_s - time.monotonic()) * 1000
@@ -145,9 +146,13 @@
             handle.close()
         else:
             self._pool.release(request.address, execution, handle)
-        if isinstance(result, BackendFailure) and not result.sent:
-            is_cancelled = result.reason is Reason.CANCELLED
-            return result._replace(sent=True) if is_cancelled else failure
+        match result:
+            case BackendFailure(Reason.CANCELLED, sent=False):
+                return result._replace(sent=True)
+            case BackendFailure(Reason.UNREACHABLE, sent=False):
+                return failure._replace(resend_cause=None)
+            case BackendFailure(sent=False):
+                return failure
         return result
 
     def _perform(
--- a/tests/test_resends.py
+++ b/tests/test_resends.py
@@ -153,9 +153,12 @@
 
     def test_a_second_send_that_is_refused_a_connection_may_have_run(self):
         self._keep_connection()
+        # Guards against an outcome of not_run for it, and against a crash right after a
+        # request's start that counts as a connection that was closed while idle.
         self._lose_answers(1, action=self.server.close)
         reply = self._read(2)
         self.assertEqual(1, self._arrivals(reply, Outcome.UNKNOWN))
+        self.assertEqual(WorkResult.BROKEN, self.observer.results[-1])
 
     def test_connections_that_were_closed_while_idle_lose_no_answer(self):
         # Guards against lost answers and spent retries where a backend server closes
