--- a/balsamspindle/backend_servers/servers.py
+++ b/balsamspindle/backend_servers/servers.py
@@ -275,12 +275,6 @@
         """Return a backend server, None if it is unknown; the lock must be held."""
         return self._servers.get(backend_server_id)
 
-    def boot_id(self, backend_server_id: str) -> str:
-        """Return the boot id of a backend server; an empty text if it is unknown."""
-        with self.changed:
-            server = self._servers.get(backend_server_id)
-            return "" if server is None else server.announcement.boot_id
-
     def accepts_work(self, server: LocalBackendServer) -> bool:
         """Return whether a backend server is ready, and has not restarted since."""
         with self.changed:
--- a/balsamspindle/node/admin.py
+++ b/balsamspindle/node/admin.py
@@ -17,17 +17,11 @@
 from collections.abc import Callable
 
 import msgspec
-from werkzeug.exceptions import (
-    BadRequest,
-    HTTPException,
-    NotFound,
-    ServiceUnavailable,
-)
+from werkzeug.exceptions import BadRequest, HTTPException, NotFound
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
 
 from balsamspindle.backend_servers.servers import Announcement, LocalBackendServers
-from balsamspindle.drains import DrainedServer, OwnDrains
 from balsamspindle.node.gauges import Gauge
 from balsamspindle.node.status import NodeStatus
 from balsamspindle.services.explanation import ServiceExplanation
@@ -66,18 +60,11 @@
 
 
 class AdminApplication:
-    """The WSGI application of the admin address.
-
-    Parameters
-    ----------
-    drains : OwnDrains
-        Keeps operators' drains; a drain is confirmed once something keeps it.
-    """
+    """The WSGI application of the admin address."""
 
     def __init__(
         self,
         servers: LocalBackendServers,
-        drains: OwnDrains,
         status: Callable[[], NodeStatus],
         explain: Callable[[str], ServiceExplanation],
         events: EventLog,
@@ -86,7 +73,6 @@
     ) -> None:
         self._gauges = gauges
         self._servers = servers
-        self._drains = drains
         self._read_status = status
         self._explain = explain
         self._event_log = events
@@ -113,8 +99,6 @@
             raise BadRequest("; ".join(map(str, faults))) from None
         if not NAME_PATTERN.match(server_id):
             raise BadRequest(f"{server_id!r} is no name: use a-z, 0-9, '.' and '-'")
-        if not self._drains.wait_restored():
-            raise ServiceUnavailable("the earlier process's drains are not known yet")
         if not self._servers.announce(server_id, announcement, time.monotonic()):
             return _json({})
         self._event_log.emit(
@@ -138,25 +122,14 @@
         if not self._servers.drain(server_id):
             raise NotFound(f"no backend server {server_id!r} is announced here")
         self._event_log.emit("backend_server_draining", backend_server=server_id)
-        boot_id = self._servers.boot_id(server_id)
-        drained = DrainedServer(server_id, boot_id, has_announced=False)
-        self._check_kept(self._drains.add(drained))
         return _json({})
 
     def _undrain(self, request, server_id):
         if not self._servers.undrain(server_id):
             raise NotFound(f"no backend server {server_id!r} is announced here")
         self._event_log.emit("backend_server_ready", backend_server=server_id)
-        self._check_kept(self._drains.remove(server_id))
         return _json({})
 
-    def _check_kept(self, is_kept: bool) -> None:
-        if not is_kept:
-            raise ServiceUnavailable(
-                "in force, but neither the store nor a peer keeps it: it ends when the "
-                "node restarts"
-            )
-
     def _settings_accepted(self, request):
         """Read the settings from the store now: an operator's change was accepted."""
         accepted = msgspec.json.decode(request.get_data(), type=Accepted)
--- a/balsamspindle/node/process.py
+++ b/balsamspindle/node/process.py
@@ -345,7 +345,6 @@
         )
         application = AdminApplication(
             self._gate_parts.servers,
-            self.drains,
             self._status,
             self._explain_service,
             self.events,
