A request that may crash backend servers is paused after three crashes

Callers saw: in a service of three backend servers, a request that crashes each after a time that varies as work does was blocked only after about a dozen crashes.

Cause: the probability of running at the crashes by coincidence was that of a Poisson distribution, which is far too high where a few crashes are all that there are; and until it falls below the bound, or six crashes have similar run times, nothing but the usual limits holds the request back.

A request to which three independent crashes are attributed is not sent until 3 s after the last of them, while it is not proved to be the cause; callers are told when to come back. An answer ends that.

--- a/balsamspindle/crashes/history.py
+++ b/balsamspindle/crashes/history.py
@@ -22,6 +22,7 @@
     NO_EVIDENCE,
     CauseEvidence,
     is_cause,
+    paused_until_s,
 )
 
 __all__ = ["CrashHistory"]
@@ -97,6 +98,8 @@
         # By content hash: the keys of the crashes from which its run was removed.
         self._removed: dict[int, set[tuple[str, int]]] = {}
         self._quarantined: OrderedDict[int, _Quarantined] = OrderedDict()
+        # By content hash; see `PAUSE_S`.
+        self._paused_until_s: dict[int, float] = {}
         self._answers = RecentAnswers()
         self._digest: int | None = 0
         self._expired_s = float("-inf")
@@ -111,7 +114,8 @@
             quarantined = self._quarantined.get(content_hash)
             is_suspect = self._counts[content_hash] >= SUSPECT_CRASHES
             if quarantined is None or quarantined.is_lifted:
-                return QuarantineStatus(is_suspect)
+                until_s = self._paused_until_s.get(content_hash, -math.inf)
+                return QuarantineStatus(is_suspect, max(0.0, (until_s - now_s) * 1000))
             blocked_ms = max(0.0, (quarantined.until_s - now_s) * 1000)
             return QuarantineStatus(True, blocked_ms)
 
@@ -268,6 +272,7 @@
             if self._counts[content_hash] < CRASHES_MIN:
                 continue
             evidence = attribution.evidence(content_hash)
+            self._paused_until_s[content_hash] = paused_until_s(evidence)
             if is_cause(evidence):
                 term = 1 if quarantined is None else quarantined.term + 1
                 self._quarantine_again(content_hash, term, now_s, evidence)
@@ -358,6 +363,8 @@
     def _delete_run(self, known: KnownCrash, content_hash: int) -> None:
         del known.runs[content_hash]
         self._counts[content_hash] -= 1
+        if self._counts[content_hash] < CRASHES_MIN:
+            self._paused_until_s.pop(content_hash, None)
         if not self._counts[content_hash]:
             del self._counts[content_hash]
 
