Events: of which start an announcement speaks, and what kept a confirmed drain

An announcement that undoes a confirmed leaving could not be told from a real restart: the log named the backend server, not its start. Nor did it say by what a drain was confirmed, or whether the earlier process's row was known.

backend_server_announced, _draining, _leaving and announcement_ignored carry start_unix_ms. drain_confirmed is new: keeper, number, is_restored.

--- a/balsamspindle/backend_servers/lifetimes.py
+++ b/balsamspindle/backend_servers/lifetimes.py
@@ -126,7 +126,9 @@
         with self._lock:
             cause = self._ignore_cause(server_id, announcement, status, now_s)
             if cause is not None:
-                self._emit("announcement_ignored", server_id, cause)
+                self._emit(
+                    "announcement_ignored", server_id, cause, status.start_unix_ms
+                )
                 if status.is_draining:
                     self._record_late_draining(server_id, status)
                 return
@@ -149,11 +151,15 @@
             if lifetime is None or lifetime.start_unix_ms < start_unix_ms:
                 lifetime = self._add(server_id, _Lifetime(start_unix_ms, 0, 0.0))
             elif start_unix_ms and start_unix_ms < lifetime.start_unix_ms:
-                self._emit("announcement_ignored", server_id, _EARLIER_START)
+                self._emit(
+                    "announcement_ignored", server_id, _EARLIER_START, start_unix_ms
+                )
                 return
             lifetime.has_left = True
             self._servers.drain(server_id)
-            self._emit("backend_server_leaving", server_id, cause)
+            self._emit(
+                "backend_server_leaving", server_id, cause, lifetime.start_unix_ms
+            )
 
     def drained(self, server_id: str) -> DrainedServer | None:
         """Return the latest known lifetime of a backend server if it is to end."""
@@ -178,7 +184,9 @@
             if lifetime.start_unix_ms == start_unix_ms:
                 lifetime.has_left = True
                 self._servers.drain(server_id)
-                self._emit("backend_server_leaving", server_id, _RESTORED)
+                self._emit(
+                    "backend_server_leaving", server_id, _RESTORED, start_unix_ms
+                )
 
     def record_announced_leaving(self, server_id: str, boot_id: str) -> None:
         """Drain a backend server whose answers say that it leaves.
@@ -267,11 +275,16 @@
             server_id, announcement, now_s, status.cold_s, ends_runs=has_restarted
         )
         if is_new:
-            self._emit("backend_server_announced", server_id, announcement.service)
+            self._emit(
+                "backend_server_announced",
+                server_id,
+                announcement.service,
+                status.start_unix_ms,
+            )
         if status.is_draining and not lifetime.is_draining:
             lifetime.is_draining = True
             self._servers.drain(server_id)
-            self._emit("backend_server_draining", server_id)
+            self._emit("backend_server_draining", server_id, None, status.start_unix_ms)
 
     def _add(self, server_id: str, lifetime: _Lifetime) -> _Lifetime:
         self._lifetimes.pop(server_id, None)
@@ -285,8 +298,16 @@
             }
         return lifetime
 
-    def _emit(self, event: str, server_id: str, cause: str | None = None) -> None:
-        self._events.emit(event, backend_server=server_id, cause=cause)
+    def _emit(
+        self,
+        event: str,
+        server_id: str,
+        cause: str | None = None,
+        start_unix_ms: int | None = None,
+    ) -> None:
+        self._events.emit(
+            event, backend_server=server_id, start_unix_ms=start_unix_ms, cause=cause
+        )
 
 
 def _boot_id(server_id: str, start_unix_ms: int) -> str:
--- a/balsamspindle/drains/own_drains.py
+++ b/balsamspindle/drains/own_drains.py
@@ -61,6 +61,8 @@
         self.changed = threading.Condition()
         self._number = 0
         self._kept_number = 0
+        # What was the first to keep the latest kept version.
+        self._keeper: str | None = None
         # What this process decided: a drain, or None for a drain that ended.
         self._decided: dict[str, DrainedServer | None] = {}
         self._inherited = NodeDrains(node_id, 0, 0)
@@ -134,11 +136,13 @@
             self._is_restored |= from_store
             self.changed.notify_all()
 
-    def record_kept(self, version: DrainsVersion) -> None:
+    def record_kept(self, version: DrainsVersion, keeper: str = "peer") -> None:
         """Record that the store or a peer keeps the drains up to a version."""
         with self.changed:
-            if version.incarnation == self._incarnation:
-                self._kept_number = max(self._kept_number, version.number)
+            if version.incarnation != self._incarnation:
+                return
+            if version.number > self._kept_number:
+                self._kept_number, self._keeper = version.number, keeper
                 self.changed.notify_all()
 
     def _is_news(self, drains: NodeDrains) -> bool:
@@ -158,7 +162,16 @@
                 number = self._number
                 self.changed.notify_all()
         is_kept = self._wait_kept(number)
-        if not is_kept:
+        if is_kept:
+            self._events.emit(
+                "drain_confirmed",
+                backend_server=backend_server_id,
+                start_unix_ms=server and server.start_unix_ms,
+                number=number,
+                keeper=self._keeper or "earlier_process",
+                is_restored=self._is_restored,
+            )
+        else:
             self._events.emit(
                 "drain_unconfirmed",
                 backend_server=backend_server_id,
--- a/balsamspindle/drains/store.py
+++ b/balsamspindle/drains/store.py
@@ -101,7 +101,7 @@
             case Result(tag="ok", ok=version):
                 self._row_version = version
                 self._written_number = drains.number
-                self._drains.record_kept(drains.version)
+                self._drains.record_kept(drains.version, "store")
                 return True
             case Result(error=Conflict(rows=[row])):
                 # An earlier call whose answer was lost took effect, or the late write
