A leave without a start covers each start up to the moment it arrived

What callers saw: requests reached a backend server seconds after a node had confirmed that it was leaving, where 2.5 s are allowed. It ended under them.

Cause: the platform's DELETE has no body, so it names no start. It was applied to the latest lifetime that the process knew. A process that had just started knew none, or an earlier one: it confirmed the leave for a lifetime that began at 0, and took the next late announcement for a later start. The backend server then counted as ready for 5 s, at each such announcement. The announcement need not come late over the network: one that waits while the earlier process's drains are read may be applied after a leave that waits beside it. The store and the peers kept start 0 as well, so the next process did the same.

Now such a leave covers the latest known start and each start up to the moment at which it arrived, by the clock of the VM that both run on. This moment is kept as the start that has left: earlier announcements are late, as after any leave, and a later start gets work.

--- a/balsamspindle/backend_servers/lifetimes.py
+++ b/balsamspindle/backend_servers/lifetimes.py
@@ -135,7 +135,11 @@
             self._apply(server_id, announcement, status, now_s)
 
     def record_leave(
-        self, server_id: str, cause: str | None = None, start_unix_ms: int = 0
+        self,
+        server_id: str,
+        cause: str | None = None,
+        start_unix_ms: int = 0,
+        received_unix_ms: int = 0,
     ) -> None:
         """Drain a leaving backend server; ignore its lifetime's later announcements.
 
@@ -144,13 +148,20 @@
         Parameters
         ----------
         start_unix_ms : int
-            Start time of the lifetime that ends; 0 for the latest known lifetime.
+            Start time of the lifetime that ends; 0 if unknown. Then the latest known
+            lifetime ends, and each one that began by `received_unix_ms`. Its first
+            announcement may arrive after the message that it leaves.
+        received_unix_ms : int
+            When the backend server said that it leaves; 0 if it did not say so.
         """
         with self._lock:
             lifetime = self._lifetimes.get(server_id)
+            if not start_unix_ms:
+                known_ms = 0 if lifetime is None else lifetime.start_unix_ms
+                start_unix_ms = max(known_ms, received_unix_ms)
             if lifetime is None or lifetime.start_unix_ms < start_unix_ms:
                 lifetime = self._add(server_id, _Lifetime(start_unix_ms, 0, 0.0))
-            elif start_unix_ms and start_unix_ms < lifetime.start_unix_ms:
+            elif start_unix_ms < lifetime.start_unix_ms:
                 self._emit(
                     "announcement_ignored", server_id, _EARLIER_START, start_unix_ms
                 )
--- a/balsamspindle/platform/announcements.py
+++ b/balsamspindle/platform/announcements.py
@@ -149,10 +149,13 @@
             self._keep_drain(server_id)
 
     def _leave(self, request, server_id):
+        received_unix_ms = time.time_ns() // 1_000_000
         data = request.get_data()
         body = msgspec.json.decode(data, type=_LeaveBody) if data else _LeaveBody()
         self._drains.wait_restored()
-        self._lifetimes.record_leave(server_id, start_unix_ms=body.born)
+        self._lifetimes.record_leave(
+            server_id, start_unix_ms=body.born, received_unix_ms=received_unix_ms
+        )
         self._keep_drain(server_id)
 
     def _keep_drain(self, server_id: str) -> None:
