A drain is confirmed only while the gate holds it

What callers saw: nothing yet; found by reading, as another way to a request that reaches a backend server after its drain was confirmed.

Cause: 2xx was given where an announcement of a drain, or a leave, had no effect: - a later start was known (of a foreign writer, or from before a clock was set back): the drain was ignored, and acknowledged; - an operator had ended the drain: the backend server's next `draining` was acknowledged, and it stayed ready; - a late `draining` arrived while the backend server was silent and removed: its next announcement made it ready.

Now an ignored drain is answered 503, so the backend server repeats it. Each announcement of a drain puts it in force, and a late one is remembered for the start that it names.

The test of a leave that names an earlier start expected 200 for a leave without effect; it expects 503 now, and, as before, that the later start stays in use.

--- a/balsamspindle/backend_servers/lifetimes.py
+++ b/balsamspindle/backend_servers/lifetimes.py
@@ -173,7 +173,10 @@
             )
 
     def drained(self, server_id: str) -> DrainedServer | None:
-        """Return the latest known lifetime of a backend server if it is to end."""
+        """Return the latest known lifetime of a backend server if it is to end.
+
+        Return None if the backend server may get work.
+        """
         with self._lock:
             lifetime = self._lifetimes.get(server_id)
             if lifetime is None or not (lifetime.has_left or lifetime.is_draining):
@@ -252,7 +255,8 @@
         lifetime = self._lifetimes.get(server_id)
         if lifetime is not None and lifetime.start_unix_ms == status.start_unix_ms:
             lifetime.is_draining = True
-            self._servers.drain(server_id)
+            boot_id = _boot_id(server_id, status.start_unix_ms)
+            self._servers.restore_drained(server_id, boot_id)
 
     def _apply(
         self,
@@ -292,9 +296,11 @@
                 announcement.service,
                 status.start_unix_ms,
             )
+        if status.is_draining:
+            # Again with each such announcement: an operator may have ended the drain.
+            self._servers.drain(server_id)
         if status.is_draining and not lifetime.is_draining:
             lifetime.is_draining = True
-            self._servers.drain(server_id)
             self._emit("backend_server_draining", server_id, None, status.start_unix_ms)
 
     def _add(self, server_id: str, lifetime: _Lifetime) -> _Lifetime:
--- a/balsamspindle/platform/announcements.py
+++ b/balsamspindle/platform/announcements.py
@@ -3,7 +3,8 @@
 The backend server beside the node announces here that it is ready, drains or
 leaves. The gate applies an announcement before the announcement is acknowledged. That a
 backend server drains or leaves is acknowledged only once something besides this process
-keeps it: this process may be killed, and its successor must know it.
+keeps it: this process may be killed, and its successor must know it. A drain or a leave
+that is ignored, because a later start is in use, is not acknowledged.
 """
 
 import time
@@ -160,7 +161,9 @@
 
     def _keep_drain(self, server_id: str) -> None:
         drained = self._lifetimes.drained(server_id)
-        if drained is not None and not self._drains.add(drained):
+        if drained is None:
+            raise ServiceUnavailable("a later start of the backend server is in use")
+        if not self._drains.add(drained):
             raise ServiceUnavailable("neither the store nor a peer keeps the drain")
 
 
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -6,8 +6,10 @@
 from testtools import TestCase
 from werkzeug.test import Client
 
+from balsamspindle.backend_servers import lifetimes
 from balsamspindle.backend_servers.lifetimes import Lifetimes
 from balsamspindle.backend_servers.servers import (
+    ANNOUNCEMENT_TTL_S,
     BackendServerState,
     LocalBackendServers,
 )
@@ -74,9 +76,40 @@
         # backend server's current start.
         self.put(announcement())
         body = json.dumps({"born": 1_600_000_000_000})
-        self.assertEqual(200, self.client.delete(URL, data=body).status_code)
+        self.assertEqual(503, self.client.delete(URL, data=body).status_code)
         self.assertEqual({"i-1": BackendServerState.READY}, self.states())
 
+    def test_a_drain_is_not_confirmed_while_a_later_start_hides_it(self):
+        """Guards against a confirmation of a drain that the gate has ignored."""
+        draining = announcement(status={"state": "draining", "sequence": 9})
+        self.put(announcement(born=1_700_000_005_000))
+        self.assertEqual(503, self.put(draining))
+        self.assertEqual({"i-1": BackendServerState.READY}, self.states())
+        # No announcement of the later start has followed.
+        self.patch(lifetimes, "REPLACED_SILENT_S", 0.0)
+        self.assertEqual(200, self.put(draining))
+        self.assertEqual({"i-1": BackendServerState.DRAINING}, self.states())
+
+    def test_a_drain_that_an_operator_ended_is_in_force_once_it_is_confirmed_again(
+        self,
+    ):
+        """Guards against a repeated drain that is confirmed without effect."""
+        for sequence in (1, 2):
+            status = {"state": "draining", "sequence": sequence}
+            self.assertEqual(200, self.put(announcement(status=status)))
+            self.assertEqual({"i-1": BackendServerState.DRAINING}, self.states())
+            self.servers.undrain("i-1")
+
+    def test_a_late_drain_of_a_silent_backend_server_holds(self):
+        """Guards against a confirmed drain that the next announcement ends."""
+        self.put(announcement())
+        self.servers.remove_silent(time.monotonic() + ANNOUNCEMENT_TTL_S + 1)
+        status = {"state": "draining", "sequence": 1}
+        self.assertEqual(200, self.put(announcement(status=status)))
+        status = {"state": "ready", "sequence": 2}
+        self.assertEqual(200, self.put(announcement(status=status)))
+        self.assertEqual({"i-1": BackendServerState.DRAINING}, self.states())
+
     def test_invalid_announcements_by_other_programs_are_rejected(self):
         # Guards against a backend server that is removed or replaced by the requests of
         # another program. This program runs on the VM and sends requests to the same
