A held slot of a draining backend server is not used

What callers saw: nothing yet; found by reading. A slot is held for up to 1 s until the dispatch of its attempt arrives, and the request is then sent within another second at most (the time limit of a connection). The state of the backend server was checked before the slot was held, so a request could reach it 2 s after its drain was confirmed, which is all the time that some deployments allow.

Cause: admission checks the state while an attempt waits, not when a held slot is used. Now the attempt is refused if its backend server does not accept work then; nothing was sent, so it goes elsewhere.

Evidence: without the change the new test's request is sent and answered.

--- a/balsamspindle/backend_servers/reserved_attempts.py
+++ b/balsamspindle/backend_servers/reserved_attempts.py
@@ -47,12 +47,20 @@
     On exit from the context, the slot is released unless it has been used.
     """
 
-    def __init__(self, admission: Admission, admitted: Admitted) -> None:
+    def __init__(
+        self, servers: LocalBackendServers, admission: Admission, admitted: Admitted
+    ) -> None:
+        self._servers = servers
         self._admission = admission
         self._admitted: Admitted | None = admitted
 
-    def use(self) -> Admitted:
-        """Return the attempt with its slot; its run starts now."""
+    def use(self) -> Admitted | Refused:
+        """Return the attempt with its slot; its run starts now.
+
+        The attempt is refused if its backend server no longer accepts work.
+        """
+        if not self._servers.accepts_work(self._admitted.server):
+            return Refused(Reason.DRAINING)
         admitted, self._admitted = self._admitted, None
         return self._admission.restart_run(admitted, time.monotonic())
 
@@ -134,7 +142,7 @@
                 )
                 return self._refuse(reservation, dispatch, reason, retry_after_ms)
             case Admitted() as admitted:
-                with HeldSlot(self._admission, admitted) as held:
+                with HeldSlot(self._servers, self._admission, admitted) as held:
                     return self._hold(request, reservation, held, send_call)
 
     def take(self, dispatch: Dispatch, received_s: float) -> bool:
--- a/tests/test_gate_reservations.py
+++ b/tests/test_gate_reservations.py
@@ -65,6 +65,20 @@
         (ended,) = self._logged("attempt_ended")
         self.assertLess(int(ended["ran_ms"]), LONG_HOLD_MS)
 
+    def test_a_held_slot_of_a_draining_backend_server_is_not_used(self):
+        """Guards against a request that is sent after the drain was confirmed."""
+        self.patch(reservations, "HOLD_MS", LONG_HOLD_MS)
+        task = self._reserve()
+        task.wait_called()
+        self.servers.drain("server")
+        self.assertTrue(self._take())
+        reply = task.reply()
+        self.assertEqual(
+            (Outcome.NOT_RUN, Reason.DRAINING), (reply.outcome, reply.reason)
+        )
+        self.assertEqual(0, self.gate.in_flight())
+        self.assertEqual([], self.server.requests)
+
     def test_a_slot_goes_to_the_next_when_the_call_expires(self):
         # Guards against slots that are held for ingresses that died.
         first = self._reserve(1)
