--- a/balsamspindle/backend_servers/lifetimes.py
+++ b/balsamspindle/backend_servers/lifetimes.py
@@ -126,14 +126,20 @@
         with self._lock:
             cause = self._ignore_cause(server_id, announcement, status, now_s)
             if cause is not None:
-                self._emit("announcement_ignored", server_id, cause)
+                self._emit(
+                    "announcement_ignored", server_id, cause, status.start_unix_ms
+                )
                 if status.is_draining:
                     self._record_late_draining(server_id, status)
                 return
             self._apply(server_id, announcement, status, now_s)
 
     def record_leave(
-        self, server_id: str, cause: str | None = None, start_unix_ms: int = 0
+        self,
+        server_id: str,
+        cause: str | None = None,
+        start_unix_ms: int = 0,
+        received_unix_ms: int = 0,
     ) -> None:
         """Drain a leaving backend server; ignore its lifetime's later announcements.
 
@@ -142,21 +148,35 @@
         Parameters
         ----------
         start_unix_ms : int
-            Start time of the lifetime that ends; 0 for the latest known lifetime.
+            Start time of the lifetime that ends; 0 if unknown. Then the latest known
+            lifetime ends, and each one that began by `received_unix_ms`. Its first
+            announcement may arrive after the message that it leaves.
+        received_unix_ms : int
+            When the backend server said that it leaves; 0 if it did not say so.
         """
         with self._lock:
             lifetime = self._lifetimes.get(server_id)
+            if not start_unix_ms:
+                known_ms = 0 if lifetime is None else lifetime.start_unix_ms
+                start_unix_ms = max(known_ms, received_unix_ms)
             if lifetime is None or lifetime.start_unix_ms < start_unix_ms:
                 lifetime = self._add(server_id, _Lifetime(start_unix_ms, 0, 0.0))
-            elif start_unix_ms and start_unix_ms < lifetime.start_unix_ms:
-                self._emit("announcement_ignored", server_id, _EARLIER_START)
+            elif start_unix_ms < lifetime.start_unix_ms:
+                self._emit(
+                    "announcement_ignored", server_id, _EARLIER_START, start_unix_ms
+                )
                 return
             lifetime.has_left = True
             self._servers.drain(server_id)
-            self._emit("backend_server_leaving", server_id, cause)
+            self._emit(
+                "backend_server_leaving", server_id, cause, lifetime.start_unix_ms
+            )
 
     def drained(self, server_id: str) -> DrainedServer | None:
-        """Return the latest known lifetime of a backend server if it is to end."""
+        """Return the latest known lifetime of a backend server if it is to end.
+
+        Return None if the backend server may get work.
+        """
         with self._lock:
             lifetime = self._lifetimes.get(server_id)
             if lifetime is None or not (lifetime.has_left or lifetime.is_draining):
@@ -178,7 +198,9 @@
             if lifetime.start_unix_ms == start_unix_ms:
                 lifetime.has_left = True
                 self._servers.drain(server_id)
-                self._emit("backend_server_leaving", server_id, _RESTORED)
+                self._emit(
+                    "backend_server_leaving", server_id, _RESTORED, start_unix_ms
+                )
 
     def record_announced_leaving(self, server_id: str, boot_id: str) -> None:
         """Drain a backend server whose answers say that it leaves.
@@ -233,7 +255,8 @@
         lifetime = self._lifetimes.get(server_id)
         if lifetime is not None and lifetime.start_unix_ms == status.start_unix_ms:
             lifetime.is_draining = True
-            self._servers.drain(server_id)
+            boot_id = _boot_id(server_id, status.start_unix_ms)
+            self._servers.restore_drained(server_id, boot_id)
 
     def _apply(
         self,
@@ -267,11 +290,18 @@
             server_id, announcement, now_s, status.cold_s, ends_runs=has_restarted
         )
         if is_new:
-            self._emit("backend_server_announced", server_id, announcement.service)
+            self._emit(
+                "backend_server_announced",
+                server_id,
+                announcement.service,
+                status.start_unix_ms,
+            )
+        if status.is_draining:
+            # Again with each such announcement: an operator may have ended the drain.
+            self._servers.drain(server_id)
         if status.is_draining and not lifetime.is_draining:
             lifetime.is_draining = True
-            self._servers.drain(server_id)
-            self._emit("backend_server_draining", server_id)
+            self._emit("backend_server_draining", server_id, None, status.start_unix_ms)
 
     def _add(self, server_id: str, lifetime: _Lifetime) -> _Lifetime:
         self._lifetimes.pop(server_id, None)
@@ -285,8 +315,16 @@
             }
         return lifetime
 
-    def _emit(self, event: str, server_id: str, cause: str | None = None) -> None:
-        self._events.emit(event, backend_server=server_id, cause=cause)
+    def _emit(
+        self,
+        event: str,
+        server_id: str,
+        cause: str | None = None,
+        start_unix_ms: int | None = None,
+    ) -> None:
+        self._events.emit(
+            event, backend_server=server_id, start_unix_ms=start_unix_ms, cause=cause
+        )
 
 
 def _boot_id(server_id: str, start_unix_ms: int) -> str:
--- a/balsamspindle/platform/announcements.py
+++ b/balsamspindle/platform/announcements.py
@@ -3,7 +3,8 @@
 The backend server beside the node announces here that it is ready, drains or
 leaves. The gate applies an announcement before the announcement is acknowledged. That a
 backend server drains or leaves is acknowledged only once something besides this process
-keeps it: this process may be killed, and its successor must know it.
+keeps it: this process may be killed, and its successor must know it. A drain or a leave
+that is ignored, because a later start is in use, is not acknowledged.
 """
 
 import time
@@ -149,15 +150,20 @@
             self._keep_drain(server_id)
 
     def _leave(self, request, server_id):
+        received_unix_ms = time.time_ns() // 1_000_000
         data = request.get_data()
         body = msgspec.json.decode(data, type=_LeaveBody) if data else _LeaveBody()
         self._drains.wait_restored()
-        self._lifetimes.record_leave(server_id, start_unix_ms=body.born)
+        self._lifetimes.record_leave(
+            server_id, start_unix_ms=body.born, received_unix_ms=received_unix_ms
+        )
         self._keep_drain(server_id)
 
     def _keep_drain(self, server_id: str) -> None:
         drained = self._lifetimes.drained(server_id)
-        if drained is not None and not self._drains.add(drained):
+        if drained is None:
+            raise ServiceUnavailable("a later start of the backend server is in use")
+        if not self._drains.add(drained):
             raise ServiceUnavailable("neither the store nor a peer keeps the drain")
 
 
