A late copy of an answer is not taken for the answer to a second send

What callers saw: a success where their backend server had answered an error, if that server sends its answers a second time, late; and the reverse, an error in place of a success.

Cause: an answer is told from earlier ones on its connection by the id that it repeats. If one id is sent twice on a connection, the copy of the first answer has the right id and signature, and is read as the answer to the second send. The real answer is then still to come, and a third send gets it. Class: an identifier that is taken for unique, and isn't.

An id is sent to one backend server again where a caller repeats it, and where the search for a call starts again: `SearchWidening` allows each backend server again that is not recorded as failed, and a second attempt whose link was closed without a reply, while its run went on, is not.

Evidence: before, the client returns 200, 200 for the answers 200, 500 of one connection, and a whole node gives its caller the first answer (200, body /0/first) where the backend server answered the second request 500.

Why it works: a connection keeps the ids that were sent on it, as hashes, and carries none of them twice. What arrives on it with an id then belongs to the only request with this id. The record is never shortened: a connection carries 500 requests at most, so it has 4 KB, and a copy may be as late as it likes. Two ids with the same hash cost a connection. Where backend servers repeat no ids, nothing changes but the bound.

Also weighed: ids for a limited time (a copy has no latest time); a new connection for each repeat (a gate doesn't know that an id was there before, unless it keeps all of them); a header of our own that servers repeat (they repeat only the request's id).

Not shown: that this was the users' case.

--- a/balsamspindle/backend_servers/client.py
+++ b/balsamspindle/backend_servers/client.py
@@ -106,7 +106,8 @@
             request_id,
             body_max_bytes or self._answer_body_max_bytes,
         )
-        handle = self._pool.acquire(address, execution, time.monotonic())
+        now_s = time.monotonic()
+        handle = self._pool.acquire(address, execution, self._echoed_id(request), now_s)
         idle_since_s = handle.used_s
         result = self._perform(handle, request, timeout_ms, token)
         cause = _resend_cause(result)
@@ -186,12 +187,16 @@
             ],
         )
         _set_method(handle.curl, request.method, request.body)
-        call = Call(token, deadline_s, reader, reservation)
+        call = Call(self._echoed_id(request), token, deadline_s, reader, reservation)
         try:
             return handle.perform(call, request.method)
         finally:
             reservation.release()
 
+    def _echoed_id(self, request: "_Request") -> str:
+        """Return the id that the answer repeats; empty if it repeats none."""
+        return request.request_id if self._names.echoes_request_id else ""
+
 
 class _Request(NamedTuple):
     """A request to a backend server."""
--- a/balsamspindle/backend_servers/curl_calls.py
+++ b/balsamspindle/backend_servers/curl_calls.py
@@ -18,6 +18,7 @@
 )
 from balsamspindle.backend_servers.cancellation import CancelToken
 from balsamspindle.backend_servers.idle_limits import IdleLimits
+from balsamspindle.backend_servers.sent_requests import SentRequests
 from balsamspindle.protocol.outcomes import Execution, Reason
 
 __all__ = ["Call", "Handle", "HandlePool"]
@@ -44,7 +45,8 @@
 class Call:
     """State of a call: its deadline, whether the request was sent, and the answer."""
 
-    def __init__(self, token, deadline_s, reader, reservation):
+    def __init__(self, request_id, token, deadline_s, reader, reservation):
+        self.request_id: str = request_id
         self.token: CancelToken = token
         self.deadline_s: float = deadline_s
         self.reader: AnswerReader = reader
@@ -162,6 +164,7 @@
         self.curl = pycurl.Curl()
         self._connection: socket.socket | None = None
         self._was_reused = False
+        self._sent_requests = SentRequests()
         self.used_s = -math.inf
         self._is_cut = False
         self._call: Call | None = None
@@ -209,6 +212,10 @@
             return False
         return False
 
+    def may_send(self, request_id: str) -> bool:
+        """Return whether a request may use the connection; see `SentRequests`."""
+        return self._connection is None or self._sent_requests.may_send(request_id)
+
     def close(self) -> None:
         """Close the handle and its connection."""
         self.curl.close()
@@ -245,6 +252,7 @@
             connection.close()
             return pycurl.SOCKET_BAD
         self._was_reused = False
+        self._sent_requests = SentRequests()
         self._connection = connection
         return connection
 
@@ -260,6 +268,7 @@
     def _on_connected(self, *_) -> int:
         now_s = time.monotonic()
         if self._call.may_send(self._connection, self._was_reused, now_s):
+            self._sent_requests.record(self._call.request_id)
             return pycurl.PREREQFUNC_OK
         return pycurl.PREREQFUNC_ABORT
 
@@ -279,12 +288,14 @@
         self._count = 0
         self._idle_limits = IdleLimits()
 
-    def acquire(self, address: str, execution: Execution, now_s: float) -> Handle:
-        """Return an idle handle with a connection to an address, or a new one."""
+    def acquire(
+        self, address: str, execution: Execution, request_id: str, now_s: float
+    ) -> Handle:
+        """Return an idle handle that may send a request to an address, or a new one."""
         key = _pool_key(address, execution)
         with self._lock:
             earliest_s = now_s - self._idle_limits.idle_max_s(key, now_s)
-        while (handle := self._pop(key)) is not None:
+        while (handle := self._pop(key, request_id)) is not None:
             if handle.used_s >= earliest_s and handle.is_clean():
                 return handle
             handle.close()
@@ -297,6 +308,9 @@
 
     def release(self, address: str, execution: Execution, handle: Handle) -> None:
         """Return a handle to the pool; close one if there are too many."""
+        if not handle.may_send(""):
+            handle.close()
+            return
         key = _pool_key(address, execution)
         with self._lock:
             self._idle.setdefault(key, []).append(handle)
@@ -306,13 +320,15 @@
         if surplus is not None:
             surplus.close()
 
-    def _pop(self, key: str) -> Handle | None:
+    def _pop(self, key: str, request_id: str) -> Handle | None:
+        """Remove and return a handle that may send a request; None without one."""
         with self._lock:
-            idle = self._idle.get(key)
-            if not idle:
-                return None
-            self._count -= 1
-            return idle.pop()
+            idle = self._idle.get(key, [])
+            for index in reversed(range(len(idle))):
+                if idle[index].may_send(request_id):
+                    self._count -= 1
+                    return idle.pop(index)
+            return None
 
     def _pop_surplus(self) -> Handle | None:
         """Remove and return a handle of the least recently used address.
--- /dev/null
+++ b/balsamspindle/backend_servers/sent_requests.py
@@ -0,0 +1,39 @@
+"""Which requests were sent on a connection to a backend server.
+
+A backend server may send an answer a second time, after any time, on the connection of
+the first. The copy has the id of its request. If the same id is sent again on this
+connection, the copy can't be told from the answer to the second send.
+"""
+
+from array import array
+
+__all__ = ["REQUESTS_MAX", "SentRequests"]
+
+# Requests that are sent on one connection. More of them take more memory, 8 bytes each,
+# and fewer of them need more connections.
+REQUESTS_MAX = 500
+
+
+class SentRequests:
+    """The requests that were sent on one connection."""
+
+    def __init__(self) -> None:
+        self._id_hashes = array("q")
+
+    def __len__(self) -> int:
+        return len(self._id_hashes)
+
+    def record(self, request_id: str) -> None:
+        """Record that a request was sent; its id is empty if it has none."""
+        self._id_hashes.append(hash(request_id))
+
+    def may_send(self, request_id: str) -> bool:
+        """Return whether an answer on this connection can be told from earlier ones.
+
+        That is so for requests without an id, too: an answer with an id is none to
+        them, and no caller gets an answer to them.
+        """
+        if len(self._id_hashes) >= REQUESTS_MAX:
+            return False
+        # Two ids with the same hash cost a connection, and nothing else.
+        return not request_id or hash(request_id) not in self._id_hashes
--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Callable
 
-__all__ = ["RawServer", "answer_with_length"]
+__all__ = ["RawServer", "answer_with_length", "read_request"]
 
 HEAD_END = b"\r\n\r\n"
 
@@ -70,7 +70,7 @@
     def _serve(self, connection: socket.socket) -> None:
         with connection:
             keep_open = True
-            while keep_open and (request := _read_request(connection)):
+            while keep_open and (request := read_request(connection)):
                 with self._lock:
                     self.requests.append(request)
                     number = len(self.requests)
@@ -84,7 +84,8 @@
                     self.sent_count += 1
 
 
-def _read_request(connection: socket.socket) -> bytes:
+def read_request(connection: socket.socket) -> bytes:
+    """Return a whole request, or no bytes if the client closed the connection."""
     data = b""
     while HEAD_END not in data:
         chunk = connection.recv(65536)
