A backend server that often answers twice gets a new connection for each read

What callers saw: at backend servers that send 85 of 100 answers a second time, up to 0.3 s late, and fail a fifth of their requests, reads ended 502 with nearly all of their time left.

Cause: each read that meets a second answer on its kept connection is sent once more and spends a repeat of the retry budget. Nothing remembered that the backend server answers twice, so it met the next one soon after, and the budget was gone when a real error came.

Change: stray answers are counted by address, each request weighing 0.9 of the next. From about one in five on, connections to that address aren't kept for 30 s. Below that the second sends cost less than new connections, which take time of the backend server's slot. Bytes that follow an answer and precede the end of their connection, such as a status 408, aren't counted: a new connection is due there anyway. HandlePool has a module of its own.

--- a/balsamspindle/backend_servers/answers.py
+++ b/balsamspindle/backend_servers/answers.py
@@ -31,6 +31,8 @@
 # that forwards the message sets the others itself.
 _DROPPED_HEADERS = HOP_BY_HOP_HEADERS | {"content-length", "expect"}
 _BODILESS_STATUSES = frozenset({204, 304})
+# Characters of a foreign answer's request id that are logged.
+ID_MAX_LOGGED = 64
 # How long a call may go on after it has to end, to read what has already arrived.
 OVERRUN_MAX_S = 0.2
 # A header line (RFC 9110, 5.1 and 5.5): a token as its name, and no control characters
@@ -289,7 +291,9 @@
             echoed = answer.header(names.request_id)
             needs_id = is_success or not is_first or echoed is not None
             if echoed != self._request_id and needs_id:
-                return "the answer belongs to another request"
+                return (
+                    f"the answer belongs to request {(echoed or '')[:ID_MAX_LOGGED]!r}"
+                )
         if names.signature and is_success and answer.header(names.signature) is None:
             return "the answer has no signature header"
         return None
--- a/balsamspindle/backend_servers/client.py
+++ b/balsamspindle/backend_servers/client.py
@@ -15,7 +15,8 @@
     end_to_end_headers,
 )
 from balsamspindle.backend_servers.cancellation import CancelToken
-from balsamspindle.backend_servers.curl_calls import Call, Handle, HandlePool
+from balsamspindle.backend_servers.curl_calls import Call, Handle
+from balsamspindle.backend_servers.handle_pool import HandlePool, StrayAnswer
 from balsamspindle.protocol.header_names import DEFAULT_HEADER_NAMES, HeaderNames
 from balsamspindle.protocol.outcomes import Execution, Reason
 
@@ -45,6 +46,8 @@
         See `AnswerReader`.
     memory : AnswerMemory, default=one with the default bound
         Bounds the memory of all answers that are received at the same time.
+    on_stray : callable, default=nothing
+        Called with each stray answer on a kept connection.
     """
 
     def __init__(
@@ -53,12 +56,13 @@
         names: HeaderNames = DEFAULT_HEADER_NAMES,
         accepts_unframed: bool = False,
         memory: AnswerMemory | None = None,
+        on_stray: Callable[[StrayAnswer], None] = lambda stray: None,
     ) -> None:
         self._answer_body_max_bytes = answer_body_max_bytes
         self._names = names
         self._accepts_unframed = accepts_unframed
         self._memory = memory or AnswerMemory()
-        self._pool = HandlePool()
+        self._pool = HandlePool(on_stray)
 
     def call(
         self,
@@ -73,6 +77,7 @@
         request_id: str = "",
         may_resend: Callable[[ResendCause], bool] = lambda cause: False,
         body_max_bytes: int | None = None,
+        on_sent: Callable[[int], None] = lambda earlier_count: None,
     ) -> BackendAnswer | BackendFailure:
         """Send a request to a backend server and wait for the result.
 
@@ -94,6 +99,9 @@
             instead.
         body_max_bytes : int, optional
             Maximum size of the answer's body, if it is less than that of all answers.
+        on_sent : callable, default=nothing
+            Called each time the request is sent, with the number of requests that were
+            sent on the same connection before.
         """
         deadline_s = time.monotonic() + timeout_ms / 1000
         token = token or CancelToken()
@@ -105,15 +113,20 @@
             body,
             request_id,
             body_max_bytes or self._answer_body_max_bytes,
+            on_sent,
         )
         now_s = time.monotonic()
         handle = self._pool.acquire(address, execution, self._echoed_id(request), now_s)
         idle_since_s = handle.used_s
         result = self._perform(handle, request, timeout_ms, token)
         cause = _resend_cause(result)
+        now_s = time.monotonic()
         if cause is ResendCause.STALE_CONNECTION:
-            now_s = time.monotonic()
             self._pool.record_stale(address, now_s - idle_since_s, now_s)
+        elif cause is ResendCause.FOREIGN_ANSWER:
+            self._pool.record_stray(address, request_id, result.message, now_s)
+        elif handle.was_reused:
+            self._pool.record_clean(address, now_s)
         if cause is None and not _is_foreign(result):
             self._pool.release(address, execution, handle)
             return result
@@ -187,7 +200,14 @@
             ],
         )
         _set_method(handle.curl, request.method, request.body)
-        call = Call(self._echoed_id(request), token, deadline_s, reader, reservation)
+        call = Call(
+            self._echoed_id(request),
+            token,
+            deadline_s,
+            reader,
+            reservation,
+            request.on_sent,
+        )
         try:
             return handle.perform(call, request.method)
         finally:
@@ -208,6 +228,7 @@
     body: bytes
     request_id: str
     body_max_bytes: int
+    on_sent: Callable[[int], None]
 
 
 def _resend_cause(result: BackendAnswer | BackendFailure) -> ResendCause | None:
--- a/balsamspindle/backend_servers/curl_calls.py
+++ b/balsamspindle/backend_servers/curl_calls.py
@@ -1,11 +1,10 @@
-"""Single calls with libcurl, and a pool of the handles that make them."""
+"""Single calls with libcurl, and the handles that make them."""
 
 import math
 import os
 import socket
-import threading
 import time
-from collections import OrderedDict
+from collections.abc import Callable
 
 import pycurl
 
@@ -17,14 +16,12 @@
     ResendCause,
 )
 from balsamspindle.backend_servers.cancellation import CancelToken
-from balsamspindle.backend_servers.idle_limits import IdleLimits
 from balsamspindle.backend_servers.sent_requests import SentRequests
 from balsamspindle.protocol.outcomes import Execution, Reason
 
-__all__ = ["Call", "Handle", "HandlePool"]
+__all__ = ["Call", "Handle"]
 
 CONNECT_TIMEOUT_MS = 1000
-IDLE_HANDLES_MAX = 512
 # CURLE_TOO_LARGE, for which pycurl has no name: a line or the number of heads exceeds
 # libcurl's limits.
 _E_TOO_LARGE = 100
@@ -39,18 +36,20 @@
 # it was idle. A longer time would take lost answers of short requests for such ends, a
 # shorter one would count against the health of a backend server beside a busy node.
 STALE_END_MAX_S = 0.1
+UNREAD_BYTES = 65536
 _FAILURE_REASONS = {pycurl.E_OPERATION_TIMEDOUT: Reason.SILENCE}
 
 
 class Call:
     """State of a call: its deadline, whether the request was sent, and the answer."""
 
-    def __init__(self, request_id, token, deadline_s, reader, reservation):
+    def __init__(self, request_id, token, deadline_s, reader, reservation, on_sent):
         self.request_id: str = request_id
         self.token: CancelToken = token
         self.deadline_s: float = deadline_s
         self.reader: AnswerReader = reader
         self.reservation: Reservation = reservation
+        self.on_sent: Callable[[int], None] = on_sent
         self.sent = False
         self.too_late = False
         self.was_cancelled = False
@@ -158,14 +157,19 @@
     ----------
     used_s : float
         When the last call ended.
+    was_reused : bool
+        Whether the last call used a kept connection.
+    has_stray_bytes : bool
+        Whether `is_clean` found bytes on a connection that is still open.
     """
 
     def __init__(self, execution: Execution) -> None:
         self.curl = pycurl.Curl()
         self._connection: socket.socket | None = None
-        self._was_reused = False
+        self.was_reused = False
         self._sent_requests = SentRequests()
         self.used_s = -math.inf
+        self.has_stray_bytes = False
         self._is_cut = False
         self._call: Call | None = None
         self._set_options()
@@ -181,7 +185,7 @@
         self._call = call
         self.curl.setopt(pycurl.WRITEFUNCTION, call.reader.on_body)
         self.curl.setopt(pycurl.HEADERFUNCTION, call.reader.on_header)
-        self._was_reused = self._connection is not None
+        self.was_reused = self._connection is not None
         try:
             self.curl.perform()
         except pycurl.error as error:
@@ -192,7 +196,7 @@
             self._release_bodies()
             self._call = None
         status = self.curl.getinfo(pycurl.RESPONSE_CODE)
-        return call.ended(status, method, not self._was_reused)
+        return call.ended(status, method, not self.was_reused)
 
     def is_clean(self) -> bool:
         """Return whether the kept connection, if any, is open and has no unread bytes.
@@ -205,13 +209,22 @@
         if self._connection is None:
             return True
         try:
-            self._connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            has_bytes = bool(self._connection.recv(UNREAD_BYTES, socket.MSG_DONTWAIT))
+            # A backend server may say why it closes an idle connection. Such bytes are
+            # not stray.
+            self.has_stray_bytes = has_bytes and self._is_open()
         except BlockingIOError:
             return True
         except OSError:
             return False
         return False
 
+    def _is_open(self) -> bool:
+        try:
+            return bool(self._connection.recv(1, socket.MSG_DONTWAIT))
+        except BlockingIOError:
+            return True
+
     def may_send(self, request_id: str) -> bool:
         """Return whether a request may use the connection; see `SentRequests`."""
         return self._connection is None or self._sent_requests.may_send(request_id)
@@ -251,7 +264,7 @@
         if not self._call.token.attach(connection):
             connection.close()
             return pycurl.SOCKET_BAD
-        self._was_reused = False
+        self.was_reused = False
         self._sent_requests = SentRequests()
         self._connection = connection
         return connection
@@ -267,88 +280,8 @@
 
     def _on_connected(self, *_) -> int:
         now_s = time.monotonic()
-        if self._call.may_send(self._connection, self._was_reused, now_s):
+        if self._call.may_send(self._connection, self.was_reused, now_s):
+            self._call.on_sent(len(self._sent_requests))
             self._sent_requests.record(self._call.request_id)
             return pycurl.PREREQFUNC_OK
         return pycurl.PREREQFUNC_ABORT
-
-
-class HandlePool:
-    """Idle handles, shared by all threads.
-
-    The pool's lock is also the memory barrier when a handle passes from one thread to
-    another. The gate's slots limit the handles in use, and thereby the connections
-    to each backend server. If each thread cached its own handles instead, there would
-    be a connection for each pair of thread and backend server.
-    """
-
-    def __init__(self) -> None:
-        self._lock = threading.Lock()
-        self._idle: OrderedDict[str, list[Handle]] = OrderedDict()
-        self._count = 0
-        self._idle_limits = IdleLimits()
-
-    def acquire(
-        self, address: str, execution: Execution, request_id: str, now_s: float
-    ) -> Handle:
-        """Return an idle handle that may send a request to an address, or a new one."""
-        key = _pool_key(address, execution)
-        with self._lock:
-            earliest_s = now_s - self._idle_limits.idle_max_s(key, now_s)
-        while (handle := self._pop(key, request_id)) is not None:
-            if handle.used_s >= earliest_s and handle.is_clean():
-                return handle
-            handle.close()
-        return Handle(execution)
-
-    def record_stale(self, address: str, idle_s: float, now_s: float) -> None:
-        """Record that a connection was closed after it had been idle for some time."""
-        with self._lock:
-            self._idle_limits.record_stale(address, idle_s, now_s)
-
-    def release(self, address: str, execution: Execution, handle: Handle) -> None:
-        """Return a handle to the pool; close one if there are too many."""
-        if not handle.may_send(""):
-            handle.close()
-            return
-        key = _pool_key(address, execution)
-        with self._lock:
-            self._idle.setdefault(key, []).append(handle)
-            self._idle.move_to_end(key)
-            self._count += 1
-            surplus = self._pop_surplus()
-        if surplus is not None:
-            surplus.close()
-
-    def _pop(self, key: str, request_id: str) -> Handle | None:
-        """Remove and return a handle that may send a request; None without one."""
-        with self._lock:
-            idle = self._idle.get(key, [])
-            for index in reversed(range(len(idle))):
-                if idle[index].may_send(request_id):
-                    self._count -= 1
-                    return idle.pop(index)
-            return None
-
-    def _pop_surplus(self) -> Handle | None:
-        """Remove and return a handle of the least recently used address.
-
-        Return None if the pool contains at most `IDLE_HANDLES_MAX` handles.
-        """
-        if self._count <= IDLE_HANDLES_MAX:
-            return None
-        while True:
-            key, handles = next(iter(self._idle.items()))
-            if handles:
-                self._count -= 1
-                return handles.pop(0)
-            del self._idle[key]
-
-
-def _pool_key(address: str, execution: Execution) -> str:
-    """Return the pool key of a handle.
-
-    A handle for non-idempotent requests closes its connection after each call, so it
-    can be used for any address. All such handles have the same key.
-    """
-    return address if execution is Execution.IDEMPOTENT else ""
--- a/balsamspindle/backend_servers/runner.py
+++ b/balsamspindle/backend_servers/runner.py
@@ -89,6 +89,7 @@
             server, attempt_id, dispatch.content_hash, time.monotonic()
         )
         result, was_sent = None, True
+        earlier_counts: list[int] = []
         sent_s = time.monotonic()
         try:
             with self._events.metrics.timed(Hop.BACKEND_SERVER):
@@ -105,6 +106,7 @@
                     lambda cause: self._resends.try_permit(
                         dispatch, server, cause, deadline_s, time.monotonic()
                     ),
+                    on_sent=earlier_counts.append,
                 )
                 was_sent = isinstance(result, BackendAnswer) or result.sent
                 headers, result = result.headers, self._classify(server, result)
@@ -123,7 +125,9 @@
             result = result._replace(reason=Reason.SERVER_CRASHED)
         ran_s = time.monotonic() - admitted.started_s
         cut_by = token.cause if isinstance(result, BackendAnswer) else result.cut_by
-        return self._reply(dispatch, result, free_slots, judgement, ran_s, cut_by)
+        return self._reply(
+            dispatch, result, free_slots, judgement, ran_s, cut_by, earlier_counts
+        )
 
     def _evidence(self, result: BackendAnswer | BackendFailure | None) -> WorkResult:
         """Return a call's result as evidence of the backend server's health.
@@ -163,6 +167,7 @@
         judgement,
         ran_s: float,
         cut_by: CancelCause | None,
+        earlier_counts: list[int],
     ) -> Reply:
         outcome, reason = call_outcome(result)
         server_id = dispatch.backend_server_id
@@ -179,6 +184,7 @@
             cause=reason,
             cut_by=cut_by,
             ran_ms=round(ran_s * 1000),
+            earlier_requests=(earlier_counts[-1] if earlier_counts else None) or None,
             held_out_ms=round(held_out.held_out_ms) or None,
             lost_call=self._lost_call(result),
         )
--- a/balsamspindle/node/gate_parts.py
+++ b/balsamspindle/node/gate_parts.py
@@ -13,6 +13,7 @@
 from balsamspindle.backend_servers.crash_watch import CrashWatch
 from balsamspindle.backend_servers.failed_calls import FailedCalls
 from balsamspindle.backend_servers.gate import Gate
+from balsamspindle.backend_servers.handle_pool import StrayAnswer
 from balsamspindle.backend_servers.health_monitor import HealthMonitor
 from balsamspindle.backend_servers.hold_outs import ZoneDetection
 from balsamspindle.backend_servers.lifetimes import Lifetimes
@@ -87,6 +88,7 @@
             settings.headers,
             settings.takes_unframed_answers,
             AnswerMemory(on_full=self._report_full_memory),
+            self._report_stray_answer,
         )
         self.health = HealthMonitor(
             self.servers,
@@ -163,6 +165,15 @@
     def _report_full_memory(self, reserved_bytes: int) -> None:
         self._events.emit("answer_memory_full", reserved_bytes=reserved_bytes)
 
+    def _report_stray_answer(self, stray: StrayAnswer) -> None:
+        self._events.emit(
+            "stray_answer",
+            address=stray.address,
+            request=stray.request_id or None,
+            detail=stray.detail,
+            may_keep=stray.may_keep,
+        )
+
     def remove_silent(self, now_s: float) -> None:
         """Remove the backend servers that stopped announcing themselves."""
         for server_id in self.servers.remove_silent(now_s):
--- a/tests/stuttering_server.py
+++ b/tests/stuttering_server.py
@@ -39,6 +39,10 @@
     ----------
     sends_copies : bool
         Whether answers are sent a second time.
+    copy : bytes or None
+        What is sent after `late_s` in place of the copy; None: the copy.
+    ends_after_copy : bool
+        Whether the server then closes the connection.
     connection_count : int
         Number of connections on which a request arrived.
     """
@@ -49,6 +53,8 @@
         self._late_s = late_s
         self.connection_count = 0
         self.sends_copies = True
+        self.copy: bytes | None = None
+        self.ends_after_copy = False
         super().__init__(answer)
 
     def _serve(self, connection: socket.socket) -> None:
@@ -69,7 +75,9 @@
                     copy = answer if self.sends_copies else b""
                 elif self.sends_copies:
                     timer = threading.Timer(
-                        self._late_s, _send_copy, (connection, answer)
+                        self._late_s,
+                        _send_copy,
+                        (connection, self.copy or answer, self.ends_after_copy),
                     )
                     timer.daemon = True
                     timer.start()
@@ -83,9 +91,11 @@
         return b""
 
 
-def _send_copy(connection: socket.socket, answer: bytes) -> None:
+def _send_copy(connection: socket.socket, answer: bytes, ends: bool) -> None:
     try:
         connection.sendall(answer)
+        if ends:
+            connection.shutdown(socket.SHUT_RDWR)
     except OSError:
         # The client has closed the connection.
         pass
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -1,9 +1,17 @@
 """Backend servers that send an answer a second time, late."""
 
+import time
+
 from testtools import TestCase
 
 from balsamspindle.backend_servers.client import BackendServerClient
 from balsamspindle.backend_servers.sent_requests import REQUESTS_MAX, SentRequests
+from balsamspindle.backend_servers.stray_answers import (
+    ADDRESSES_MAX,
+    NEW_CONNECTIONS_S,
+    STRAYS_MAX,
+    StrayAnswers,
+)
 from balsamspindle.protocol.header_names import HeaderNames
 from balsamspindle.protocol.outcomes import Execution
 from tests.stuttering_server import StutteringServer, echoed_answer
@@ -51,6 +59,94 @@
             self.assertEqual(200, _call(client, server, f"r{number}").status)
         self.assertEqual(3, server.connection_count)
 
+    def test_reads_at_a_server_that_always_answers_twice_take_few_second_sends(self):
+        # Guards against a retry budget that is spent on second answers.
+        server = self._server(lambda request, number: echoed_answer(request))
+        strays, resends = [], []
+        client = BackendServerClient(1000, NAMES, on_stray=strays.append)
+
+        def may_resend(cause):
+            resends.append(cause)
+            return True
+
+        for number in range(100):
+            answer = _call(client, server, f"r{number}", f"/{number}", may_resend)
+            self.assertEqual((200, b"/%d" % number), (answer.status, answer.body))
+        self.assertLessEqual(len(resends), STRAYS_MAX + 1)
+        self.assertEqual(len(resends), len(strays))
+        self.assertIn("'r0'", strays[0].detail)
+        self.assertEqual([True, False], [strays[0].may_keep, strays[-1].may_keep])
+
+    def test_second_answers_that_arrive_before_the_next_request_count_as_stray(self):
+        # Guards against a backend server that is seen to answer twice only where a
+        # request is lost.
+        server = self._server(lambda request, number: echoed_answer(request), 0.001)
+        strays = []
+        client = BackendServerClient(1000, NAMES, on_stray=strays.append)
+        for number in range(8):
+            self.assertEqual(200, _call(client, server, f"r{number}").status)
+            time.sleep(0.05)
+        self.assertFalse(strays[-1].may_keep)
+        self.assertEqual(8, len(server.requests))
+
+    def test_a_notice_before_the_end_of_an_idle_connection_is_not_stray(self):
+        # Guards against new connections for each request because of a status 408 that
+        # says why an idle connection was closed.
+        notice = b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n"
+
+        def answer(request, number):
+            time.sleep(0.02)
+            return echoed_answer(request)
+
+        server = self._server(answer, 0.001)
+        server.copy = notice
+        server.ends_after_copy = True
+        strays = []
+        client = BackendServerClient(1000, NAMES, on_stray=strays.append)
+        for number in range(8):
+            self.assertEqual(200, _call(client, server, f"r{number}").status)
+            time.sleep(0.05)
+        self.assertEqual([], strays)
+
+    def test_the_log_names_how_often_a_connection_was_used_before(self):
+        server = self._server(lambda request, number: echoed_answer(request))
+        server.sends_copies = False
+        client = BackendServerClient(1000, NAMES)
+        counts = []
+        for request_id in ("r1", "r2", "r2"):
+            _call(client, server, request_id, on_sent=counts.append)
+        self.assertEqual([0, 1, 0], counts)
+
+
+class StrayAnswersTests(TestCase):
+    def _record(self, share, count=100):
+        strays = StrayAnswers()
+        for number in range(count):
+            strays.record("a", number % share == 0, 0.0)
+        return strays
+
+    def test_connections_are_kept_after_few_stray_answers(self):
+        # Guards against a new connection for each request of a backend server that
+        # rarely answers twice.
+        self.assertTrue(self._record(10).may_keep("a", 0.0))
+
+    def test_connections_are_not_kept_for_some_time_after_many(self):
+        strays = self._record(4)
+        self.assertFalse(strays.may_keep("a", NEW_CONNECTIONS_S - 0.1))
+        self.assertTrue(strays.may_keep("b", 0.0))
+        self.assertTrue(strays.may_keep("a", NEW_CONNECTIONS_S))
+        # The backend server is remembered: one more is enough.
+        strays.record("a", True, NEW_CONNECTIONS_S)
+        self.assertFalse(strays.may_keep("a", NEW_CONNECTIONS_S))
+
+    def test_the_number_of_addresses_is_bounded(self):
+        strays = StrayAnswers()
+        for number in range(2 * ADDRESSES_MAX):
+            for _ in range(4):
+                strays.record(str(number), True, 0.0)
+        kept = sum(strays.may_keep(str(n), 0.0) for n in range(2 * ADDRESSES_MAX))
+        self.assertEqual(ADDRESSES_MAX, kept)
+
 
 class SentRequestsTests(TestCase):
     def test_an_id_is_sent_once(self):
@@ -65,7 +161,7 @@
         self.assertTrue(sent.may_send(""))
 
 
-def _call(client, server, request_id, target="/", may_resend=lambda cause: False):
+def _call(client, server, request_id, target="/", may_resend=lambda _: False, **more):
     return client.call(
         server.address,
         "GET",
@@ -76,4 +172,5 @@
         3000,
         request_id=request_id,
         may_resend=may_resend,
+        **more,
     )
