The answer to a status check needs neither an id nor a signature

What operators would see: where backend servers repeat the ids of requests or sign their answers, each status check fails, whatever the health endpoint says. A backend server without work is suspected sooner, and passed checks end no hold-out.

Cause: a status check has no id, and the client asked its answer for an empty one, and for the signature that only runs have. The tests of status checks used a client without these header names.

On the platform itself no check is made (`independent_errors`), so nothing changes there. An answer with a request's id, such as the late copy of an answer, is still no answer to a check.

--- a/balsamspindle/backend_servers/answers.py
+++ b/balsamspindle/backend_servers/answers.py
@@ -289,21 +289,21 @@
         to the next request, a caller would get another caller's data. Where backend
         servers echo request ids, the copy is recognized by its id. An error without an
         id may be about a request without one, but it is certain to belong to this
-        request only if it is the first answer on its connection.
+        request only if it is the first answer on its connection. A status check has no
+        id, so its answer has none either.
 
         If the deployment has a signature header, backend servers add it to each answer
         that they produced by running a request. A successful answer without this header
-        was therefore not produced by running this request.
+        was therefore not produced by running this request. Status checks run nothing.
         """
         names, is_success = self._names, 200 <= answer.status < 300
         if names.echoes_request_id:
             echoed = answer.header(names.request_id)
-            needs_id = is_success or not is_first or echoed is not None
-            if echoed != self._request_id and needs_id:
-                return (
-                    f"the answer belongs to request {(echoed or '')[:ID_MAX_LOGGED]!r}"
-                )
-        if names.signature and is_success and answer.header(names.signature) is None:
+            needs_id = self._request_id and (is_success or not is_first)
+            if (echoed or "") != self._request_id and (needs_id or echoed is not None):
+                return f"the answer belongs to request {_logged_id(echoed)}"
+        needs_signature = names.signature and is_success and self._request_id
+        if needs_signature and answer.header(names.signature) is None:
             return "the answer has no signature header"
         return None
 
@@ -314,7 +314,7 @@
         request_id = inner_id(self._body, self._names.request_id, was_sent)
         if request_id is None:
             return None
-        return f"the body holds an answer to {request_id[:ID_MAX_LOGGED]!r}"
+        return f"the body holds an answer to request {_logged_id(request_id)}"
 
     def _format_error(self, bodiless: bool) -> str | None:
         if not self._head_done:
@@ -347,5 +347,9 @@
         return [value for name, value in self._headers if name.lower() == wanted_name]
 
 
+def _logged_id(request_id: str | None) -> str:
+    return repr((request_id or "")[:ID_MAX_LOGGED])
+
+
 def _is_bodiless(status: int, method: str) -> bool:
     return method == "HEAD" or status in _BODILESS_STATUSES
