Tests of stray bytes send them on demand, not after a time

test_a_notice_before_the_end_of_an_idle_connection_is_not_stray failed once, beside other load (load average 20): its server sent the notice 1 ms after each answer from a timer's thread, and the connection's end came after the client had looked, or the notice after the next request. Both are stray bytes, rightly.

--- a/tests/stuttering_server.py
+++ b/tests/stuttering_server.py
@@ -1,7 +1,6 @@
 """A backend server that answers requests a second time, late."""
 
 import socket
-import threading
 from collections.abc import Callable
 
 from tests.raw_server import RawServer, answer_with_length, read_request
@@ -25,62 +24,53 @@
 
 
 class StutteringServer(RawServer):
-    """Sends each answer a second time on its connection.
+    """Sends each answer again when the next request on its connection has arrived.
+
+    The copy precedes the answer to that request.
 
     Parameters
     ----------
     answer : callable
         Takes a request and its number, from 1; returns the bytes of its answer.
-    late_s : float or None
-        How long after an answer its copy is sent. If None, the copy is sent when the
-        next request on the connection has arrived, before the answer to that request.
+    sends_copies : bool
+        Whether answers are sent again.
 
     Attributes
     ----------
-    sends_copies : bool
-        Whether answers are sent a second time.
-    copy : bytes or None
-        What is sent after `late_s` in place of the copy; None: the copy.
-    ends_after_copy : bool
-        Whether the server then closes the connection.
     connection_count : int
         Number of connections on which a request arrived.
     """
 
     def __init__(
-        self, answer: Callable[[bytes, int], bytes], late_s: float | None = None
+        self, answer: Callable[[bytes, int], bytes], sends_copies: bool = True
     ) -> None:
-        self._late_s = late_s
+        self._sends_copies = sends_copies
+        self._latest: socket.socket | None = None
         self.connection_count = 0
-        self.sends_copies = True
-        self.copy: bytes | None = None
-        self.ends_after_copy = False
         super().__init__(answer)
 
+    def send_stray(self, data: bytes, ends_connection: bool = False) -> None:
+        """Send bytes on the connection of the latest request."""
+        self._latest.sendall(data)
+        if ends_connection:
+            self._latest.shutdown(socket.SHUT_RDWR)
+
     def _serve(self, connection: socket.socket) -> None:
         with connection:
-            previous = copy = b""
+            previous = b""
             while request := _read_request(connection):
                 with self._lock:
                     self.requests.append(request)
                     number = len(self.requests)
                     self.connection_count += not previous
+                    self._latest = connection
                 answer = self.answer(request, number)
+                copy = previous if self._sends_copies else b""
                 try:
                     connection.sendall(copy + answer)
                 except OSError:
                     return
                 previous = answer
-                if self._late_s is None:
-                    copy = answer if self.sends_copies else b""
-                elif self.sends_copies:
-                    timer = threading.Timer(
-                        self._late_s,
-                        _send_copy,
-                        (connection, self.copy or answer, self.ends_after_copy),
-                    )
-                    timer.daemon = True
-                    timer.start()
 
 
 def _read_request(connection: socket.socket) -> bytes:
@@ -89,13 +79,3 @@
     except ConnectionError:
         # The client has closed the connection, and has not read all that was sent.
         return b""
-
-
-def _send_copy(connection: socket.socket, answer: bytes, ends: bool) -> None:
-    try:
-        connection.sendall(answer)
-        if ends:
-            connection.shutdown(socket.SHUT_RDWR)
-    except OSError:
-        # The client has closed the connection.
-        pass
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -1,7 +1,5 @@
 """Backend servers that send an answer a second time, late."""
 
-import time
-
 from testtools import TestCase
 
 from balsamspindle.backend_servers.client import BackendServerClient
@@ -22,8 +20,8 @@
 
 
 class SecondAnswerTests(TestCase):
-    def _server(self, answer, late_s=None):
-        server = StutteringServer(answer, late_s)
+    def _server(self, answer, sends_copies=True):
+        server = StutteringServer(answer, sends_copies)
         self.addCleanup(server.close)
         return server
 
@@ -43,8 +41,7 @@
     def test_other_requests_go_on_with_the_kept_connection(self):
         # Guards against a new connection for each request, which costs a backend
         # server time.
-        server = self._server(lambda request, number: echoed_answer(request))
-        server.sends_copies = False
+        server = self._server(lambda request, number: echoed_answer(request), False)
         client = BackendServerClient(1000, NAMES)
         for request_id in ("r1", "r2", "r1", "r2", "r3"):
             self.assertEqual(200, _call(client, server, request_id).status)
@@ -53,8 +50,7 @@
     def test_a_connection_carries_a_bounded_number_of_requests(self):
         # Guards against an id whose record was dropped while its connection is kept,
         # and against a record that grows without bound.
-        server = self._server(lambda request, number: echoed_answer(request))
-        server.sends_copies = False
+        server = self._server(lambda request, number: echoed_answer(request), False)
         client = BackendServerClient(1000, NAMES)
         for number in range(2 * REQUESTS_MAX + 1):
             self.assertEqual(200, _call(client, server, f"r{number}").status)
@@ -81,37 +77,30 @@
     def test_second_answers_that_arrive_before_the_next_request_count_as_stray(self):
         # Guards against a backend server that is seen to answer twice only where a
         # request is lost.
-        server = self._server(lambda request, number: echoed_answer(request), 0.001)
+        server = self._server(lambda request, number: echoed_answer(request), False)
         strays = []
         client = BackendServerClient(1000, NAMES, on_stray=strays.append)
         for number in range(8):
             self.assertEqual(200, _call(client, server, f"r{number}").status)
-            time.sleep(0.05)
-        self.assertFalse(strays[-1].may_keep)
+            if number < STRAYS_MAX + 1:
+                server.send_stray(FIRST)
+        self.assertEqual([True, True, False], [stray.may_keep for stray in strays])
         self.assertEqual(8, len(server.requests))
 
     def test_a_notice_before_the_end_of_an_idle_connection_is_not_stray(self):
         # Guards against new connections for each request because of a status 408 that
         # says why an idle connection was closed.
         notice = b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n"
-
-        def answer(request, number):
-            time.sleep(0.02)
-            return echoed_answer(request)
-
-        server = self._server(answer, 0.001)
-        server.copy = notice
-        server.ends_after_copy = True
+        server = self._server(lambda request, number: echoed_answer(request), False)
         strays = []
         client = BackendServerClient(1000, NAMES, on_stray=strays.append)
         for number in range(8):
             self.assertEqual(200, _call(client, server, f"r{number}").status)
-            time.sleep(0.05)
+            server.send_stray(notice, ends_connection=True)
         self.assertEqual([], strays)
 
     def test_the_log_names_how_often_a_connection_was_used_before(self):
-        server = self._server(lambda request, number: echoed_answer(request))
-        server.sends_copies = False
+        server = self._server(lambda request, number: echoed_answer(request), False)
         client = BackendServerClient(1000, NAMES)
         counts = []
         for request_id in ("r1", "r2", "r2"):
