A search that starts again leaves out each backend server that ran the request

What callers would see: their request runs a second time at a backend server that still runs it or has just failed it, while others are left; with a backend server that answers twice, this was a way to the late copy that is taken for an answer.

Cause: after two attempts in parallel, only the backend server of the first was recorded as failed, whichever of them replied. The second one's link is closed without a cancellation, so its run goes on. The search for a call starts again with the recorded ones excluded.

Change: where the attempts end, each one that ran, or still runs, is recorded. Attempts that are cancelled because one is parked, or that a gate refused, may be made again as before.

--- a/balsamspindle/requests/link_attempts.py
+++ b/balsamspindle/requests/link_attempts.py
@@ -32,6 +32,7 @@
 from balsamspindle.requests.tracking import TrackedAttempt
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import AttemptId, Dispatch, NodeRecord, Reply
+from balsamspindle.wire.replies import is_refusal
 
 __all__ = ["LinkAttempts"]
 
@@ -261,7 +262,7 @@
         if not forwarded.may_send():
             return []
         placement = hedge.choose_placement()
-        if placement is None or self._is_own(placement):
+        if placement is None or placement.node.node_id == self._own.node_id:
             return []
         second = self._start(forwarded, placement)
         if isinstance(second, Reply):
@@ -376,21 +377,23 @@
         run and detect a backend server that hangs. Otherwise, the attempt is cancelled.
         If one is parked, the unanswered attempt may just have started, long after the
         parked one. Its missing reply does not indicate a slow backend server.
+
+        A search that starts again excludes the backend servers that ran the request.
         """
         replies = {} if waited is None else waited.replies
         may_continue = is_answered(waited) and not forwarded.parked
         for sent in attempts:
             reply = replies.get(sent.link)
             sent.on_end(reply)
+            runs_on = reply is None and may_continue
+            if runs_on or (reply is not None and not is_refusal(reply)):
+                forwarded.failed.add(sent.dispatch.backend_server_id)
             if reply is not None:
                 # Another task may change `last_received_s` after the release.
                 forwarded.record_loss(reply, sent.link.last_received_s)
                 self._links.release(sent.link)
-            elif may_continue:
+            elif runs_on:
                 sent.link.close()
             else:
                 sent.cancel(self._outcomes.cancel_cause(forwarded, waited))
         self._finish_parked(forwarded, replies)
-
-    def _is_own(self, placement: Placement) -> bool:
-        return placement.node.node_id == self._own.node_id
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -89,6 +89,22 @@
         self.addCleanup(relay.close)
         return gate, relay, self._ingress(relay.address)
 
+    def test_both_servers_of_a_hedged_request_are_left_out_of_a_further_search(self):
+        # Guards against a request that is sent again to a backend server that still
+        # runs it.
+        def answer(dispatch):
+            if gate.dispatches[0].attempt_id != dispatch.attempt_id:
+                return []
+            return [(2.0, answer_frame(dispatch, status=500))]
+
+        gate, address = self._gate(answer)
+        ingress = self._ingress(address, servers_count=3)
+        reply = ingress.request(timeout_s=3.0, execution=Execution.IDEMPOTENT)
+        self.assertEqual(500, reply.status)
+        sent_to = [dispatch.backend_server_id for dispatch in gate.dispatches]
+        self.assertEqual(2, len(sent_to))
+        self.assertEqual(set(sent_to), ingress.forwarded.failed)
+
     def test_each_of_thousands_of_requests_gets_its_own_complete_answer(self):
         # Replies arrive late, in any order, twice, damaged or with the ids of other
         # attempts, over links that are reused. If they were mixed up, one caller
