--- a/balsamspindle/backend_servers/answers.py
+++ b/balsamspindle/backend_servers/answers.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from balsamspindle.backend_servers.answer_memory import UNRESERVED_BYTES
+from balsamspindle.backend_servers.inner_heads import inner_id
 from balsamspindle.protocol.connection_headers import (
     HOP_BY_HOP_HEADERS,
     connection_options,
@@ -31,6 +32,8 @@
 # that forwards the message sets the others itself.
 _DROPPED_HEADERS = HOP_BY_HOP_HEADERS | {"content-length", "expect"}
 _BODILESS_STATUSES = frozenset({204, 304})
+# Characters of a foreign answer's request id that are logged.
+ID_MAX_LOGGED = 64
 # How long a call may go on after it has to end, to read what has already arrived.
 OVERRUN_MAX_S = 0.2
 # A header line (RFC 9110, 5.1 and 5.5): a token as its name, and no control characters
@@ -215,7 +218,11 @@
         return not (_is_bodiless(status, method) or self._has_framing())
 
     def answer(
-        self, status: int, method: str, is_first: bool = True
+        self,
+        status: int,
+        method: str,
+        is_first: bool = True,
+        was_sent: Callable[[str], bool] = lambda request_id: False,
     ) -> BackendAnswer | BackendFailure:
         """Return the answer once the call has ended, or a failure if it is invalid.
 
@@ -223,6 +230,8 @@
         ----------
         is_first : bool, default=True
             Whether no earlier request was sent on the connection.
+        was_sent : callable, default=never
+            Returns whether a request with this id was sent on the connection.
         """
         if status < HTTPStatus.OK:
             # This node asks for no other protocol, and libcurl reads on after all
@@ -237,6 +246,8 @@
             bytes(self._body),
         )
         error = self._foreign_cause(answer, is_first)
+        if error is None and self.ends_with_connection(status, method):
+            error = self._second_answer(was_sent)
         if error is not None:
             return BackendFailure(Reason.BROKEN_ANSWER, True, error, is_foreign=True)
         return answer
@@ -278,22 +289,33 @@
         to the next request, a caller would get another caller's data. Where backend
         servers echo request ids, the copy is recognized by its id. An error without an
         id may be about a request without one, but it is certain to belong to this
-        request only if it is the first answer on its connection.
+        request only if it is the first answer on its connection. A status check has no
+        id, so its answer has none either.
 
         If the deployment has a signature header, backend servers add it to each answer
         that they produced by running a request. A successful answer without this header
-        was therefore not produced by running this request.
+        was therefore not produced by running this request. Status checks run nothing.
         """
         names, is_success = self._names, 200 <= answer.status < 300
         if names.echoes_request_id:
             echoed = answer.header(names.request_id)
-            needs_id = is_success or not is_first or echoed is not None
-            if echoed != self._request_id and needs_id:
-                return "the answer belongs to another request"
-        if names.signature and is_success and answer.header(names.signature) is None:
+            needs_id = self._request_id and (is_success or not is_first)
+            if (echoed or "") != self._request_id and (needs_id or echoed is not None):
+                return f"the answer belongs to request {_logged_id(echoed)}"
+        needs_signature = names.signature and is_success and self._request_id
+        if needs_signature and answer.header(names.signature) is None:
             return "the answer has no signature header"
         return None
 
+    def _second_answer(self, was_sent: Callable[[str], bool]) -> str | None:
+        """Return which answer is a part of the body; None if none is."""
+        if not self._names.echoes_request_id:
+            return None
+        request_id = inner_id(self._body, self._names.request_id, was_sent)
+        if request_id is None:
+            return None
+        return f"the body holds an answer to request {_logged_id(request_id)}"
+
     def _format_error(self, bodiless: bool) -> str | None:
         if not self._head_done:
             # libcurl reports a head that its connection cut off as a complete one.
@@ -325,5 +347,9 @@
         return [value for name, value in self._headers if name.lower() == wanted_name]
 
 
+def _logged_id(request_id: str | None) -> str:
+    return repr((request_id or "")[:ID_MAX_LOGGED])
+
+
 def _is_bodiless(status: int, method: str) -> bool:
     return method == "HEAD" or status in _BODILESS_STATUSES
