Heads that a cut has joined are no answer

What callers saw: a backend server that stops within its answer's head and then sends another answer on the same connection got through as one answer: 200 with the body of a 500, or the other way round; at either node, to callers and to calls of runs.

Cause: libcurl reads a head up to its first empty line. After a cut within a line, the status line of the second answer becomes the rest of a reason or of a value. Status of the first, framing and body of the second; id and signature are right, because both answers are to the same request.

Change: a head with a status line within a line, or after its first line unless a complete interim head ended before, is foreign: its connection is closed, and a kept connection's request may go again on a new one. A status line is no legal part of a field that RFC 9110 knows, so no whole answer is lost; versions in Via still pass.

Failed try: to reject repeated ids or signatures in a head. A cut before the first id leaves one of each.

--- a/balsamspindle/backend_servers/answers.py
+++ b/balsamspindle/backend_servers/answers.py
@@ -38,6 +38,8 @@
 _match_header_line = re.compile(
     rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t\x20-\x7e\x80-\xff]*"
 ).fullmatch
+_find_status_line = re.compile(rb"HTTP/1\.[01] +[1-5][0-9][0-9](?![0-9])").search
+_match_interim_status_line = re.compile(rb"HTTP/\S+ +1[0-9][0-9](?![0-9])").match
 
 
 class BackendAnswer(NamedTuple):
@@ -162,17 +164,24 @@
         self._body_max_bytes = body_max_bytes
         self._body = bytearray()
         self._headers: list[tuple[str, str]] = []
+        self._status_line = b""
         self._head_done = False
         self._has_odd_line = False
+        self._has_second_head = False
 
     def on_header(self, line: bytes) -> None:
         """Process one line of a head or of the trailers.
 
         libcurl bounds their number and size, over interim heads and trailers too.
         """
+        # A backend server may send one answer after a part of another. libcurl joins
+        # the two heads if the part ends within a line.
+        self._has_second_head |= _find_status_line(line, 1) is not None
         if line.startswith(b"HTTP/"):
             # A head starts. An earlier head belonged to an interim answer (1xx):
             # discard the headers of the earlier head.
+            self._has_second_head |= not self._may_start_head()
+            self._status_line = line
             self._headers = []
             self._head_done = False
             self._declared_bytes = 0
@@ -224,6 +233,9 @@
         is_first : bool, default=True
             Whether no earlier request was sent on the connection.
         """
+        if self._has_second_head:
+            error = "the head contains the status line of another answer"
+            return BackendFailure(Reason.BROKEN_ANSWER, True, error, is_foreign=True)
         if status < HTTPStatus.OK:
             # This node asks for no other protocol, and libcurl reads on after all
             # other interim heads.
@@ -247,6 +259,8 @@
         Empty if the head is incomplete or invalid, or if the answer belongs to another
         request.
         """
+        if self._has_second_head:
+            return ()
         answer = BackendAnswer(HTTPStatus.OK, self._headers, b"")
         if self._format_error(bodiless=True) is not None:
             return ()
@@ -254,6 +268,13 @@
             return ()
         return tuple(self._headers)
 
+    def _may_start_head(self) -> bool:
+        """Return whether no head was read, or only complete interim ones."""
+        if not self._status_line:
+            return True
+        is_interim = _match_interim_status_line(self._status_line) is not None
+        return self._head_done and is_interim
+
     def _has_overrun(self, now_s: float) -> bool:
         """Return whether `is_over` has been true for `OVERRUN_MAX_S`.
 
