A cut head is no answer of the store or of an admin address

The client of the store's objects confirmed a write after a status line and read an empty object; a 404 head was a proof that nothing was written, and an era was recorded from a part of a head. The operator's command line reported success for a settings notice, and the load program counted an outcome. No caller of a fleet was affected as far as was found.

Cause: each client read status, body and single headers on its own; only the reader of backend servers' answers looked for the head's end.

Change: AnswerHead keeps the last head and knows its end and its framing. The three clients use it: a cut head is an unknown result, an unreachable node, no answer. An object without a length or a last chunk is unknown, too; JSON marks its own end.

--- a/balsamspindle/cli/admin_client.py
+++ b/balsamspindle/cli/admin_client.py
@@ -8,6 +8,7 @@
 import pycurl
 from expression import Error, Ok, Result
 
+from balsamspindle.protocol.answer_heads import CUT_HEAD, AnswerHead
 from balsamspindle.timeline import EventPage
 
 __all__ = ["AdminClient", "NodeRefusal", "NodeUnreachable"]
@@ -113,7 +114,7 @@
 
 def _perform(method: str, url: str, body: bytes) -> _Answer:
     handle = pycurl.Curl()
-    answer = io.BytesIO()
+    answer, head = io.BytesIO(), AnswerHead()
     handle.setopt(pycurl.URL, url)
     if method == "POST":
         handle.setopt(pycurl.POSTFIELDS, body)
@@ -122,8 +123,11 @@
     handle.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
     handle.setopt(pycurl.TIMEOUT_MS, CALL_TIMEOUT_MS)
     handle.setopt(pycurl.WRITEDATA, answer)
+    handle.setopt(pycurl.HEADERFUNCTION, head.on_line)
     try:
         handle.perform()
+        if not head.is_complete:
+            raise pycurl.error(pycurl.E_PARTIAL_FILE, CUT_HEAD)
         return _Answer(handle.getinfo(pycurl.RESPONSE_CODE), answer.getvalue())
     finally:
         handle.close()
--- a/balsamspindle/load/caller.py
+++ b/balsamspindle/load/caller.py
@@ -9,7 +9,7 @@
 import pycurl
 
 from balsamspindle.load.schedule import ScheduledCall
-from balsamspindle.protocol.field_values import field_value
+from balsamspindle.protocol.answer_heads import AnswerHead
 from balsamspindle.protocol.header_names import DEFAULT_HEADER_NAMES
 from balsamspindle.protocol.outcomes import Execution, Outcome
 
@@ -73,11 +73,11 @@
     def call(self, call: ScheduledCall) -> CallEnd:
         """Send a request and wait for its answer, at most for its timeout."""
         handle = self._handle(call.arrival.execution)
-        body, headers = io.BytesIO(), []
+        body, head = io.BytesIO(), AnswerHead()
         target = f"{call.arrival.target}?nonce={call.run_key}"
         self._configure(handle, call, target)
         handle.setopt(pycurl.WRITEDATA, body)
-        handle.setopt(pycurl.HEADERFUNCTION, headers.append)
+        handle.setopt(pycurl.HEADERFUNCTION, head.on_line)
         started_s = time.monotonic()
         try:
             handle.perform()
@@ -89,8 +89,10 @@
             outcome = NOT_CONNECTED if connect_failed else NO_ANSWER
             return CallEnd(outcome, 0, time.monotonic() - started_s)
         latency_s = time.monotonic() - started_s
+        if not head.is_complete:
+            return CallEnd(NO_ANSWER, 0, latency_s)
         status = handle.getinfo(pycurl.RESPONSE_CODE)
-        outcome = _outcome(headers)
+        outcome = head.value(DEFAULT_HEADER_NAMES.outcome) or NO_ANSWER
         fault = None
         if outcome == Outcome.ANSWERED and status == 200:
             fault = answer_fault(call, target, body.getvalue())
@@ -132,15 +134,6 @@
         handle.setopt(pycurl.CUSTOMREQUEST, arrival.method)
 
 
-def _outcome(headers: list[bytes]) -> str:
-    header_name = DEFAULT_HEADER_NAMES.outcome.lower().encode()
-    for line in headers:
-        name, _, value = line.partition(b":")
-        if name.lower() == header_name:
-            return field_value(value.rstrip(b"\r\n"))
-    return NO_ANSWER
-
-
 def answer_fault(call: ScheduledCall, target: str, body: bytes) -> str | None:
     """Return what is wrong with a stand-in's answer; None if it is correct.
 
--- a/balsamspindle/platform/object_store.py
+++ b/balsamspindle/platform/object_store.py
@@ -2,14 +2,14 @@
 
 from urllib.parse import quote
 
-from expression import Ok, Result
+from expression import Error, Ok, Result
 
 from balsamspindle.platform.store_calls import (
     StoreAnswer,
     call_store,
     classify_failure,
 )
-from balsamspindle.tables import ObjectStore
+from balsamspindle.tables import ObjectStore, Unknown
 
 __all__ = ["HttpObjectStore"]
 
@@ -23,8 +23,10 @@
     def get(self, name):
         """See `ObjectStore.get`."""
         match call_store("GET", f"{self._url}/blob-get/{quote(name, safe='')}"):
-            case Result(tag="ok", ok=StoreAnswer(200, body)):
+            case Result(tag="ok", ok=StoreAnswer(200, body, is_framed=True)):
                 return Ok(body)
+            case Result(tag="ok", ok=StoreAnswer(200)):
+                return Error(Unknown("the object may be truncated: it has no length"))
             case Result(tag="ok", ok=StoreAnswer(404)):
                 return Ok(None)
             case result:
--- a/balsamspindle/platform/store_calls.py
+++ b/balsamspindle/platform/store_calls.py
@@ -9,7 +9,7 @@
 import pycurl
 from expression import Error, Ok, Result
 
-from balsamspindle.protocol.field_values import field_value
+from balsamspindle.protocol.answer_heads import CUT_HEAD, AnswerHead
 from balsamspindle.tables import Unknown, Unreachable
 
 __all__ = [
@@ -37,7 +37,7 @@
     socket.TCP_KEEPINTVL: KEEP_ALIVE_INTERVAL_S,
     socket.TCP_KEEPCNT: KEEP_ALIVE_PROBES,
 }
-ERA_HEADER = b"store-era"
+ERA_HEADER = "store-era"
 
 # Errors of libcurl after which nothing can have reached the store.
 _NOT_SENT = frozenset(
@@ -61,11 +61,15 @@
     ----------
     era : str or None
         Text of the era header, not validated; None without this header.
+    is_framed : bool
+        Whether the body has a length or a last chunk. Otherwise it ends with the
+        connection, and may be incomplete.
     """
 
     status: int
     body: bytes
     era: str | None = None
+    is_framed: bool = True
 
 
 class LongPollConnections:
@@ -135,7 +139,7 @@
         Callback for libcurl's ``OPENSOCKETFUNCTION``.
     """
     handle = pycurl.Curl()
-    answer, eras = io.BytesIO(), []
+    answer, head = io.BytesIO(), AnswerHead()
     handle.setopt(pycurl.URL, url)
     handle.setopt(pycurl.CUSTOMREQUEST, method)
     handle.setopt(pycurl.NOSIGNAL, 1)
@@ -144,14 +148,22 @@
     handle.setopt(pycurl.OPENSOCKETFUNCTION, open_socket)
     handle.setopt(pycurl.PROXY, "")
     handle.setopt(pycurl.WRITEDATA, answer)
-    handle.setopt(pycurl.HEADERFUNCTION, lambda line: _record_era(line, eras))
+    handle.setopt(pycurl.HEADERFUNCTION, head.on_line)
     handle.setopt(pycurl.HTTPHEADER, ["Content-Type: application/json", "Expect:"])
     if body is not None:
         handle.setopt(pycurl.POSTFIELDS, body)
     try:
         handle.perform()
-        status = handle.getinfo(pycurl.RESPONSE_CODE)
-        return Ok(StoreAnswer(status, answer.getvalue(), eras[-1] if eras else None))
+        if not head.is_complete:
+            return Error(Unknown(CUT_HEAD))
+        return Ok(
+            StoreAnswer(
+                handle.getinfo(pycurl.RESPONSE_CODE),
+                answer.getvalue(),
+                head.value(ERA_HEADER),
+                head.has_framing(),
+            )
+        )
     except pycurl.error as error:
         code, message = error.args
         connected = handle.getinfo(pycurl.CONNECT_TIME) > 0
@@ -173,13 +185,6 @@
             return Error(error)
 
 
-def _record_era(line: bytes, eras: list[str]) -> None:
-    """Append the header's value to `eras` if `line` is the era header."""
-    name, _, value = line.partition(b":")
-    if name.lower() == ERA_HEADER:
-        eras.append(field_value(value.rstrip(b"\r\n")))
-
-
 def _open_socket(_purpose, address) -> socket.socket:
     """Return a socket whose connection fails when keep-alive probes go unanswered."""
     opened = socket.socket(address.family, address.socktype, address.protocol)
