Tests: a head that is cut beside a hedge

A first attempt whose head is cut while a second one runs, or after that one was answered: the caller gets the answer of the second attempt and nothing of the first. Held already, as each attempt's answer is a message of its own between nodes; not tried before.

--- a/tests/test_cut_heads_processes.py
+++ b/tests/test_cut_heads_processes.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+import time
 
 from testtools import TestCase
 
@@ -22,6 +23,7 @@
         "service": TABLES,
         "execution": "idempotent",
         "path_prefix": "/tables",
+        "timeout_ms": 15_000,
     },
     "crew/routes/parent": {
         "service": PARENTS,
@@ -123,6 +125,39 @@
                 self.assertEqual(_without_id(expected), _without_id(answer), described)
         self.assertGreater(self._sent(), 0)
 
+    def test_a_head_cut_while_a_hedge_runs_gives_the_hedges_answer_only(self):
+        # Guards against a cut head that ends a request whose second attempt still runs.
+        self._check_hedge(cut_after_s=1.5, whole_after_s=1.5)
+
+    def test_a_head_cut_after_a_hedges_answer_is_not_passed_on(self):
+        # Guards against an answer that a later cut head of the first attempt changes.
+        self._check_hedge(cut_after_s=3.0, whole_after_s=0.0)
+
+    def _check_hedge(self, cut_after_s: float, whole_after_s: float):
+        self.part = CUT["a failure within a header"]
+
+        def cut(number):
+            if b"/tables" in self.tables.requests[number - 1]:
+                time.sleep(cut_after_s)
+            return self.part, False
+
+        def answer(number):
+            if b"/tables" in whole.requests[number - 1]:
+                time.sleep(whole_after_s)
+            return WHOLE, False
+
+        self.tables.answer = cut
+        whole = self._server(answer)
+        self._announce("whole", TABLES, whole, self.nodes[1])
+        self.fleet.wait_ready(self.nodes, ["whole"])
+        answered = read_all(self.nodes[0].caller_address, b"GET /tables/1")
+        self.assertEqual(1, self._sent())
+        lines = answered.split(b"\r\n")
+        self.assertEqual(b"HTTP/1.1 200 OK", lines[0], answered)
+        self.assertIn(b"X-From: whole", lines)
+        self.assertNotIn(b"X-From: cut", lines)
+        self.assertEqual(b"whole", lines[-1])
+
     def test_a_run_sees_no_cut_head_of_its_call_as_a_success(self):
         # Guards against a run that goes on with an empty answer to its call.
         seen = []
