A call whose head is cut is not carried out

A call to the admin or control address that ends within its head was carried out, without the headers and the body that were missing: a leaving (DELETE) counted without the start time in its body, so for any process under that id. No report of it is known.

Cause: the standard library's parser of header lines takes the end of the connection for the end of the head.

Change: the server of these addresses remembers the last line that the parser read, and answers 400 if it wasn't empty. A body was already held to its length or its chunks.

--- a/balsamspindle/node/admin_server.py
+++ b/balsamspindle/node/admin_server.py
@@ -2,6 +2,7 @@
 
 import socket
 from concurrent.futures import ThreadPoolExecutor
+from http import HTTPStatus
 
 from werkzeug.serving import BaseWSGIServer, WSGIRequestHandler
 
@@ -14,12 +15,42 @@
 CONNECTION_TIMEOUT_S = 5.0
 
 
+class _HeadLines:
+    """Reads the lines of a request's head and remembers the last one."""
+
+    def __init__(self, stream) -> None:
+        self._stream = stream
+        self.last_line = b""
+
+    def readline(self, size: int = -1) -> bytes:
+        """Return the next line; empty at the end of the connection."""
+        self.last_line = self._stream.readline(size)
+        return self.last_line
+
+
 class _Handler(WSGIRequestHandler):
     # Without a timeout, a client that connects and sends nothing would occupy a thread
     # forever.
     timeout = CONNECTION_TIMEOUT_S
     server: "AdminServer"
 
+    def parse_request(self) -> bool:
+        """Parse a request's head; answer 400 to a head without its empty line.
+
+        The standard library takes the end of the connection for the end of the head.
+        A call whose headers and body are missing would then be carried out.
+        """
+        stream, lines = self.rfile, _HeadLines(self.rfile)
+        self.rfile = lines
+        try:
+            is_valid = super().parse_request()
+        finally:
+            self.rfile = stream
+        if is_valid and lines.last_line not in (b"\r\n", b"\n"):
+            self.send_error(HTTPStatus.BAD_REQUEST, "the head has no end")
+            return False
+        return is_valid
+
     def log_request(self, *_args):
         """Do nothing: requests to the admin address are not logged."""
 
