Rows of other writers: one row that can't be decoded ended each starting node

Operators saw: after another writer put one row with a deeply nested value into the table of members or quarantines, each node that started ended with a traceback, again and again; nodes that ran went on.

Cause: the reader of rows handled MsgspecError, and msgspec raises RecursionError for depth, which is none. The class: input from outside is decoded at many places, each with its own list of errors; what follows the decoding (the address that is dialled, the number that is sent on) had limits of its own, or none.

Change: balsamspindle.protocol.decoding decodes all input from outside and raises one error, InputError, for depth, size, numbers, text and types. A value without a type has at most 64 levels and only numbers that can be sent on: a value of 900 levels was decoded on a shallow stack and failed on a deep one. Row says why its value is missing (`fault`), and RowDecoder, which the readers of members, quarantines, drains, claims and claim-eras share, names each such row once (`row_unreadable`, at most 100 rows a table) and lets the others hold. Found beside it by the same list of inputs, and fixed here: - a node's own drains row that is odd ended it, too; with a huge incarnation its drains could no longer be sent or stored; one that names another node was taken; - `members` rows with port 0 or digits that are not ASCII were dialled; - `quarantines`: keys such as "-ff" or of 200 hexadecimal digits, `until` and `term` out of range gave a record that can't be encoded for peers; for a term above 1,000 the next quarantine can't be computed (2 ** term as a float); - a claim that can't be decoded counted as no claim in final replies: its key is now unavailable, so the caller's outcome is `unknown`.

--- a/balsamspindle/crashes/history.py
+++ b/balsamspindle/crashes/history.py
@@ -10,6 +10,7 @@
 from balsamspindle.crashes.digest import compute_digest
 from balsamspindle.crashes.recent_answers import ANSWER_VALID_S, RecentAnswers
 from balsamspindle.crashes.records import (
+    TERM_MAX,
     UNSUSPECTED,
     Crash,
     CrashedRun,
@@ -36,6 +37,7 @@
 # causes one more crash, the next quarantine blocks it for twice as long.
 BLOCKED_S = 600.0
 BLOCKED_MAX_S = 86_400.0
+BLOCKED_DOUBLINGS_MAX = math.ceil(math.log2(BLOCKED_MAX_S / BLOCKED_S))
 QUARANTINES_MAX = 1000
 QUARANTINE_EXPIRY_S = 2 * BLOCKED_MAX_S
 # The estimated time of a crash is late by the delay of the report, by at most this. An
@@ -262,14 +264,16 @@
             quarantined = self._quarantined.get(content_hash)
             if quarantined is not None and not quarantined.is_lifted:
                 if self._has_crashed_again(content_hash, quarantined, attribution):
-                    self._quarantine_again(content_hash, quarantined.term + 1, now_s)
+                    term = min(quarantined.term + 1, TERM_MAX)
+                    self._quarantine_again(content_hash, term, now_s)
                     attribution = self._attribution()
                 continue
             if self._counts[content_hash] < CRASHES_MIN:
                 continue
             evidence = attribution.evidence(content_hash)
             if is_cause(evidence):
-                term = 1 if quarantined is None else quarantined.term + 1
+                known_term = 0 if quarantined is None else quarantined.term
+                term = min(known_term + 1, TERM_MAX)
                 self._quarantine_again(content_hash, term, now_s, evidence)
                 attribution = self._attribution()
 
@@ -304,7 +308,8 @@
         now_s: float,
         evidence: CauseEvidence = NO_EVIDENCE,
     ) -> None:
-        blocked_s = min(BLOCKED_S * 2 ** (term - 1), BLOCKED_MAX_S)
+        doublings = min(term - 1, BLOCKED_DOUBLINGS_MAX)
+        blocked_s = min(BLOCKED_S * 2**doublings, BLOCKED_MAX_S)
         self._quarantine(content_hash, term, now_s + blocked_s, False, now_s, evidence)
 
     def _quarantine(
--- a/balsamspindle/crashes/quarantine_store.py
+++ b/balsamspindle/crashes/quarantine_store.py
@@ -8,18 +8,20 @@
 """
 
 import random
+import re
 import threading
 import time
 from collections.abc import Callable
+from typing import Annotated
 
 import msgspec
 import xxhash
 from expression import Result
 
-from balsamspindle.crashes.history import CrashHistory
-from balsamspindle.crashes.records import CrashUpdate, Quarantine
+from balsamspindle.crashes.history import BLOCKED_MAX_S, CrashHistory
+from balsamspindle.crashes.records import CrashUpdate, Quarantine, Term
 from balsamspindle.membership.directory import Directory
-from balsamspindle.tables import Check, Put, Row, TableService, Transaction
+from balsamspindle.tables import Check, Put, Row, RowDecoder, TableService, Transaction
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import NodeRecord
 
@@ -34,6 +36,12 @@
 WRITE_DELAY_MAX_S = 1.0
 RETRY_DELAY_MIN_S, RETRY_DELAY_MAX_S = 0.6, 30.0
 PENDING_MAX = 1000
+# The end of the year 9999, the last time that usual formats of a time can have.
+UNIX_MAX_S = 253_402_300_799
+# The longest time for which any quarantine blocks a request.
+REMAINING_MAX_MS = round(BLOCKED_MAX_S * 1000)
+
+_is_key = re.compile(r"[0-9a-f]{16}").fullmatch
 
 
 class QuarantineRow(msgspec.Struct, frozen=True):
@@ -47,8 +55,8 @@
         Time until which the request is blocked, by the writer's wall clock.
     """
 
-    term: int
-    until_unix_s: float
+    term: Term
+    until_unix_s: Annotated[float, msgspec.Meta(ge=0, le=UNIX_MAX_S)]
     is_lifted: bool = False
 
 
@@ -77,6 +85,7 @@
         self._history = history
         self._events = events
         self._on_update = on_update
+        self._rows = RowDecoder(QUARANTINES_TABLE, QuarantineRow, events)
         self._random = random.Random(f"{own.node_id}/{own.incarnation}/quarantines")
         self._changed = threading.Condition()
         self._pending: dict[int, QuarantineRow] = {}
@@ -132,7 +141,7 @@
             case Result(error=error):
                 self._events.emit("quarantines_unread", cause=error.message)
                 return False
-        parsed = [_parse_quarantine(row, now_unix_s) for row in rows]
+        parsed = [self._parse_quarantine(row, now_unix_s) for row in rows]
         update = CrashUpdate([], [one for one in parsed if one is not None])
         if parsed:
             self._events.emit(
@@ -166,7 +175,7 @@
         key = _key(content_hash)
         match self._tables.read(QUARANTINES_TABLE, [key]):
             case Result(tag="ok", ok=[stored]):
-                known = _parse_row(stored)
+                known = self._rows.decode(stored)
             case Result(error=error):
                 self._events.emit("quarantine_unwritten", cause=error.message)
                 return False
@@ -186,6 +195,22 @@
                 self._events.emit("quarantine_unwritten", cause=repr(error))
         return False
 
+    def _parse_quarantine(self, row: Row, now_unix_s: float) -> Quarantine | None:
+        """Return the quarantine in a row; None when its key or value is invalid."""
+        value = self._rows.decode(row)
+        if value is None:
+            return None
+        if not _is_key(row.key):
+            self._rows.report(row, "the key is no content hash")
+            return None
+        remaining_ms = round((value.until_unix_s - now_unix_s) * 1000)
+        return Quarantine(
+            int(row.key, 16),
+            value.term,
+            min(max(0, remaining_ms), REMAINING_MAX_MS),
+            value.is_lifted,
+        )
+
     def _is_writer(self, content_hash: int) -> bool:
         node_ids = {record.node_id for record in self._directory.alive()}
         ranked = sorted(
@@ -207,24 +232,3 @@
 
 def _key(content_hash: int) -> str:
     return f"{content_hash:016x}"
-
-
-def _parse_row(row: Row) -> QuarantineRow | None:
-    """Return a row's value; None when it is missing or invalid."""
-    try:
-        return msgspec.convert(row.value, QuarantineRow)
-    except msgspec.ValidationError:
-        return None
-
-
-def _parse_quarantine(row: Row, now_unix_s: float) -> Quarantine | None:
-    """Return the quarantine in a row; None when its key or value is invalid."""
-    value = _parse_row(row)
-    if value is None:
-        return None
-    try:
-        content_hash = int(row.key, 16)
-    except ValueError:
-        return None
-    remaining_ms = max(0, round((value.until_unix_s - now_unix_s) * 1000))
-    return Quarantine(content_hash, value.term, remaining_ms, value.is_lifted)
--- a/balsamspindle/crashes/records.py
+++ b/balsamspindle/crashes/records.py
@@ -1,13 +1,15 @@
 """Records of crashes and quarantines, and the message that sends them to peers."""
 
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import msgspec
 import xxhash
 
 __all__ = [
+    "TERM_MAX",
     "UNSUSPECTED",
     "Quarantine",
+    "Term",
     "Crash",
     "CrashUpdate",
     "CrashedRun",
@@ -17,6 +19,12 @@
 ]
 
 
+# Each quarantine of a request lasts 10 minutes or more, so no request has a greater
+# term within the lifetime of a fleet.
+TERM_MAX = 1_000_000
+Term = Annotated[int, msgspec.Meta(ge=0, le=TERM_MAX)]
+
+
 class CrashedRun(NamedTuple):
     """A request that was running at a backend server when the server ended.
 
@@ -74,7 +82,7 @@
     """
 
     content_hash: int
-    term: int
+    term: Term
     left_ms: int
     is_lifted: bool = False
 
--- a/balsamspindle/drains/records.py
+++ b/balsamspindle/drains/records.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from balsamspindle.wire.member_messages import NodeId
+from balsamspindle.wire.member_messages import Count, NodeId
 
 __all__ = ["DRAINED_MAX", "DrainedServer", "DrainsKept", "DrainsVersion", "NodeDrains"]
 
@@ -42,7 +42,7 @@
 
     backend_server_id: str
     boot_id: str
-    start_unix_ms: int = 0
+    start_unix_ms: Count = 0
     has_announced: bool = True
 
 
@@ -56,8 +56,8 @@
     """
 
     node_id: NodeId
-    incarnation: int
-    number: int
+    incarnation: Count
+    number: Count
     drained: Annotated[
         tuple[DrainedServer, ...], msgspec.Meta(max_length=DRAINED_MAX)
     ] = ()
@@ -72,8 +72,8 @@
     """The sender keeps the drains of a node up to a version."""
 
     node_id: NodeId
-    incarnation: int
-    number: int
+    incarnation: Count
+    number: Count
 
     @property
     def version(self) -> DrainsVersion:
--- a/balsamspindle/drains/store.py
+++ b/balsamspindle/drains/store.py
@@ -8,7 +8,15 @@
 
 from balsamspindle.drains.own_drains import OwnDrains
 from balsamspindle.drains.records import NodeDrains
-from balsamspindle.tables import Check, Conflict, Put, Row, TableService, Transaction
+from balsamspindle.tables import (
+    Check,
+    Conflict,
+    Put,
+    Row,
+    RowDecoder,
+    TableService,
+    Transaction,
+)
 from balsamspindle.timeline import EventLog
 
 __all__ = ["DRAINS_TABLE", "DrainStore"]
@@ -35,6 +43,7 @@
         self._node_id = node_id
         self._drains = drains
         self._events = events
+        self._rows = RowDecoder(DRAINS_TABLE, NodeDrains, events)
         self._jitter = jitter
         # Version of the row as last read or written; None if the row must be read.
         self._row_version: int | None = None
@@ -116,10 +125,8 @@
 
     def _parse(self, row: Row) -> NodeDrains | None:
         """Return a row's value; None if the row is missing or invalid."""
-        if row.value is None:
-            return None
-        try:
-            return msgspec.convert(row.value, NodeDrains)
-        except msgspec.ValidationError as error:
-            self._events.emit("drains_unread", cause=str(error))
+        drains = self._rows.decode(row)
+        if drains is not None and drains.node_id != self._node_id:
+            self._rows.report(row, f"the drains of another node {drains.node_id!r}")
             return None
+        return drains
--- a/balsamspindle/membership/registry.py
+++ b/balsamspindle/membership/registry.py
@@ -20,10 +20,11 @@
 
 from balsamspindle.membership.directory import Directory
 from balsamspindle.membership.node_view import NodeState
-from balsamspindle.tables import Check, Put, Row, TableService, Transaction
+from balsamspindle.protocol.addresses import Address
+from balsamspindle.tables import Check, Put, Row, RowDecoder, TableService, Transaction
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import NodeRecord
-from balsamspindle.wire.member_messages import NodeId, PeerAddress
+from balsamspindle.wire.member_messages import NodeId
 
 __all__ = ["MEMBERS_TABLE", "SLOTS_PER_ZONE", "MemberRow", "Registry", "slot_owner"]
 
@@ -46,7 +47,7 @@
     """One row: a node that a joining node may contact."""
 
     node_id: NodeId
-    member_address: PeerAddress
+    member_address: Address
 
 
 def slot_owner(zone: str, slot: int, node_ids: Iterable[str]) -> str:
@@ -85,6 +86,7 @@
         self._set_contacts = set_contacts
         self._is_isolated = is_isolated
         self._events = events
+        self._rows = RowDecoder(MEMBERS_TABLE, MemberRow, events)
         self._random = random.Random(f"{own.node_id}/{own.incarnation}/registry")
         self._stopped = threading.Event()
         self._available = True
@@ -128,7 +130,7 @@
         match self._tables.scan(MEMBERS_TABLE):
             case Result(tag="ok", ok=rows):
                 self._record_availability(True, "")
-                members = [row for row in map(_parse, rows) if row]
+                members = [row for row in map(self._rows.decode, rows) if row]
                 found = {row.member_address for row in members}
                 found.discard(self._own.member_address)
                 if found:
@@ -161,7 +163,8 @@
         match self._tables.read(MEMBERS_TABLE, keys):
             case Result(tag="ok", ok=rows):
                 self._record_availability(True, "")
-                self._write([row for row in rows if _parse(row) != self._own_row()])
+                own_row = self._own_row()
+                self._write([row for row in rows if self._rows.decode(row) != own_row])
             case Result(error=error):
                 self._record_availability(False, error.message)
 
@@ -186,11 +189,3 @@
             event = "registry_available" if available else "registry_unavailable"
             self._events.emit(event, cause=cause or None)
         self._available = available
-
-
-def _parse(row: Row) -> MemberRow | None:
-    """Return a row's value, None if it is missing or invalid."""
-    try:
-        return msgspec.convert(row.value, MemberRow)
-    except msgspec.ValidationError:
-        return None
--- a/balsamspindle/node/store_parts.py
+++ b/balsamspindle/node/store_parts.py
@@ -59,7 +59,7 @@
         if self._address is None:
             return ClaimsTable(None)
         tables = HttpTableService(self._address, self._eras.known)
-        return ClaimsTable(tables, self._claim_eras)
+        return ClaimsTable(tables, self._claim_eras, events=self._events)
 
     def claim_restorer(
         self,
--- a/balsamspindle/platform/store.py
+++ b/balsamspindle/platform/store.py
@@ -25,11 +25,8 @@
     call_store,
     classify_failure,
 )
-from balsamspindle.platform.values import (
-    PlatformFormatError,
-    decode_value,
-    encode_value,
-)
+from balsamspindle.platform.values import decode_value, encode_value
+from balsamspindle.protocol.decoding import InputError, JsonDecoder
 from balsamspindle.tables import (
     Changes,
     Check,
@@ -100,6 +97,10 @@
     era: int = 0
 
 
+_page_decoder = JsonDecoder(_Page)
+_value_decoder = JsonDecoder(Any)
+
+
 class HttpTableService(TableService):
     """The store's tables at one address.
 
@@ -286,8 +287,8 @@
         if era is None:
             return Error(Unknown("the store's answer belongs to another era"))
         try:
-            page = msgspec.json.decode(answer.body, type=_Page)
-        except msgspec.MsgspecError as error:
+            page = _page_decoder.decode(answer.body)
+        except InputError as error:
             return Error(Unknown(f"the store's answer can't be decoded: {error}"))
         page.era = era
         return Ok(page)
@@ -317,19 +318,21 @@
 
 
 def _to_row(stored: _StoredRow, era: int) -> Row:
-    """Convert a row; its value is None if the stored value can't be decoded."""
+    """Convert a row; its value is None if the stored value can't be decoded.
+
+    The row's `fault` then says why.
+    """
     version = pack_version(era, stored.ver) if stored.ver else 0
     if stored.deleted or stored.value is None:
         return Row(stored.key, 0 if stored.deleted else version)
     try:
-        value = msgspec.json.decode(decode_value(stored.value))
-    except (PlatformFormatError, msgspec.MsgspecError):
-        # The stored value is malformed. Nodes are not the only writers of rows: the
-        # operator, for example, may have stored this value. The row gets the value
-        # None, so its reader handles it like a row without a value. The reader of the
-        # settings, for example, reports that the row is empty.
-        value = None
-    return Row(stored.key, version, value)
+        return Row(
+            stored.key, version, _value_decoder.decode(decode_value(stored.value))
+        )
+    except InputError as error:
+        # Nodes are not the only writers of rows: another program, or the operator, may
+        # have stored this value. The other rows of the page hold.
+        return Row(stored.key, version, None, str(error))
 
 
 def _checked_rows(transaction: Transaction, page: _Page) -> list[Row]:
--- a/balsamspindle/platform/values.py
+++ b/balsamspindle/platform/values.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from balsamspindle.protocol.decoding import InputError
+
 __all__ = [
     "PlatformFormatError",
     "parse_bounds",
@@ -25,7 +27,7 @@
 _UNIT_MS = {"ms": 1.0, "s": 1000.0}
 
 
-class PlatformFormatError(ValueError):
+class PlatformFormatError(InputError):
     """A value from the platform does not have the agreed format."""
 
 
--- /dev/null
+++ b/balsamspindle/protocol/decoding.py
@@ -0,0 +1,136 @@
+"""Decoders for all input from outside the process.
+
+Rows of the store, messages of peers, announcements, files and answers may have been
+written by other programs, by other releases, or damaged. Every decoder here raises
+`InputError` for input that it can't use, whatever is wrong with the input: its syntax,
+its types, its depth, a number out of range, or text that is not UTF-8. Code that
+decodes input handles that one error.
+
+A value that is returned can be encoded again, compared, hashed and printed. Otherwise
+an odd value would fail later, in the task that sends it to a peer.
+"""
+
+from typing import Any, Generic, TypeVar
+
+import msgspec
+
+__all__ = [
+    "DEPTH_MAX",
+    "InputError",
+    "JsonDecoder",
+    "MsgpackDecoder",
+    "convert_input",
+    "decode_json",
+    "shorten",
+]
+
+# Levels of nesting of a value without a type. Documents have fewer than 10. A value
+# near the interpreter's recursion limit could be decoded here, and would fail in a task
+# whose stack is already deeper.
+DEPTH_MAX = 64
+# An error may quote its input, which may be megabytes, and is written to the log.
+MESSAGE_MAX_CHARACTERS = 200
+
+# `msgspec.MsgspecError` and `UnicodeError` are a `ValueError`; msgspec raises
+# `RecursionError` for deep nesting.
+_FAILURES = (ValueError, OverflowError, RecursionError)
+
+T = TypeVar("T")
+
+
+class InputError(ValueError):
+    """Input from outside the process can't be used."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(shorten(message))
+
+
+class JsonDecoder(Generic[T]):
+    """Decodes JSON as one type."""
+
+    def __init__(self, kind: type[T]) -> None:
+        self._decoder = msgspec.json.Decoder(kind)
+        self._is_untyped = kind is Any
+
+    def decode(self, body: bytes) -> T:
+        """Return the decoded value.
+
+        Raises
+        ------
+        InputError
+        """
+        try:
+            value = self._decoder.decode(body)
+            if self._is_untyped:
+                _check_depth(value)
+            # JSON has numbers of any size; MessagePack rejects those above 64 bits.
+            msgspec.msgpack.encode(value)
+        except _FAILURES as error:
+            raise InputError(str(error)) from None
+        return value
+
+
+class MsgpackDecoder(Generic[T]):
+    """Decodes MessagePack as one type that contains no untyped values."""
+
+    def __init__(self, kind: type[T]) -> None:
+        self._decode = msgspec.msgpack.Decoder(kind).decode
+
+    def decode(self, body: bytes) -> T:
+        """Return the decoded value.
+
+        Raises
+        ------
+        InputError
+        """
+        try:
+            return self._decode(body)
+        except _FAILURES as error:
+            raise InputError(str(error)) from None
+
+
+def decode_json(body: bytes, kind: Any = Any) -> Any:
+    """Decode JSON as a type, or as any value of limited depth.
+
+    Raises
+    ------
+    InputError
+    """
+    return JsonDecoder(kind).decode(body)
+
+
+def convert_input(value: Any, kind: Any) -> Any:
+    """Convert a decoded value to a type.
+
+    Raises
+    ------
+    InputError
+    """
+    try:
+        return msgspec.convert(value, kind)
+    except _FAILURES as error:
+        raise InputError(str(error)) from None
+
+
+def shorten(text: str) -> str:
+    """Return a text, cut after `MESSAGE_MAX_CHARACTERS`."""
+    if len(text) <= MESSAGE_MAX_CHARACTERS:
+        return text
+    return f"{text[:MESSAGE_MAX_CHARACTERS]}..."
+
+
+def _check_depth(value: Any) -> None:
+    level = [value]
+    for _ in range(DEPTH_MAX + 1):
+        level = [
+            item
+            for container in level
+            if isinstance(container, (dict, list))
+            for item in (
+                container.values() if isinstance(container, dict) else container
+            )
+            if isinstance(item, (dict, list))
+        ]
+        if not level:
+            return
+    raise InputError(f"nested more than {DEPTH_MAX} levels deep")
--- a/balsamspindle/requests/claim_eras.py
+++ b/balsamspindle/requests/claim_eras.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from balsamspindle.settings.process import KEY_RESEND_MAX_S
+from balsamspindle.wire.member_messages import Count
 
 __all__ = [
     "COPY_AGE_MAX_S",
@@ -63,8 +64,8 @@
         Era of the store in which the process wrote its claims again.
     """
 
-    incarnation: int
-    era: int
+    incarnation: Count
+    era: Count
 
 
 class ClaimEras:
--- a/balsamspindle/requests/claim_restorer.py
+++ b/balsamspindle/requests/claim_restorer.py
@@ -36,7 +36,14 @@
     WrittenClaim,
     claim_key,
 )
-from balsamspindle.tables import Check, Conflict, Put, Row, TableService, Transaction
+from balsamspindle.tables import (
+    Check,
+    Conflict,
+    Put,
+    RowDecoder,
+    TableService,
+    Transaction,
+)
 from balsamspindle.tables.eras import era_of, pack_version
 from balsamspindle.timeline import EventLog
 
@@ -111,6 +118,8 @@
         self._fleet = fleet
         self._is_isolated = is_isolated
         self._events = events
+        self._claim_rows = RowDecoder(CLAIMS_TABLE, StoredClaim, events)
+        self._era_rows = RowDecoder(CLAIM_ERAS_TABLE, Confirmation, events)
         self._random = random.Random(f"{own.node_id}/{own.incarnation}/claims")
         self._changed = threading.Event()
         self._stopped = False
@@ -268,7 +277,7 @@
                     claims = [
                         claim
                         for claim in claims
-                        if _must_write(claim, found[claim.key])
+                        if _must_write(claim, self._claim_rows.decode(found[claim.key]))
                     ]
                 case Result(error=error):
                     self._events.emit("claims_unwritten", era=era, cause=error.message)
@@ -284,7 +293,7 @@
         """
         match self._tables.scan(CLAIM_ERAS_TABLE):
             case Result(tag="ok", ok=rows):
-                confirmations = {row.key: _confirmation(row) for row in rows}
+                confirmations = {row.key: self._era_rows.decode(row) for row in rows}
             case Result(error=error):
                 self._events.emit("claims_unread", era=era, cause=error.message)
                 return False
@@ -338,26 +347,18 @@
     return _ClaimRewrite(written_claim.key, stored, False)
 
 
-def _must_write(claim: _ClaimRewrite, row: Row) -> bool:
-    """Return whether to write a claim in place of the present row of its key.
+def _must_write(claim: _ClaimRewrite, present: StoredClaim | None) -> bool:
+    """Return whether to write a claim in place of the present one of its key.
 
-    The result is True if the row has no claim. Otherwise, it is True only for a claim
-    with `overrides`, and only if the two claims name different gate processes.
+    The result is True if the key's row has no claim that can be decoded. Otherwise, it
+    is True only for a claim with `overrides`, and only if the two claims name different
+    gate processes.
     """
-    if row.value is None:
+    if present is None:
         return True
-    present = msgspec.convert(row.value, StoredClaim)
     is_same = _holder(present) == _holder(claim.stored)
     return claim.overrides and not is_same
 
 
 def _holder(stored: StoredClaim) -> ClaimHolder:
     return ClaimHolder(stored.node_id, stored.incarnation)
-
-
-def _confirmation(row: Row) -> Confirmation | None:
-    """Decode a row of `CLAIM_ERAS_TABLE`; return None if its value is malformed."""
-    try:
-        return msgspec.convert(row.value, Confirmation)
-    except msgspec.ValidationError:
-        return None
--- a/balsamspindle/requests/claims.py
+++ b/balsamspindle/requests/claims.py
@@ -28,11 +28,14 @@
     Conflict,
     Put,
     Row,
+    RowDecoder,
     TableService,
     Transaction,
     Unknown,
 )
+from balsamspindle.timeline import EventLog
 from balsamspindle.wire import Claim
+from balsamspindle.wire.member_messages import Count, NodeId
 
 __all__ = [
     "CLAIMS_TABLE",
@@ -73,8 +76,8 @@
         about a key depends on it.
     """
 
-    node_id: str
-    incarnation: int
+    node_id: NodeId
+    incarnation: Count
     gate_time_s: float
     claimed_wall_s: float
 
@@ -105,6 +108,8 @@
     eras : ClaimEras, default=only the first era of the store is settled
     clock : callable, default=time.monotonic
         Returns the current time in seconds.
+    events : EventLog, optional
+        Names the rows that can't be decoded.
     """
 
     def __init__(
@@ -112,8 +117,10 @@
         tables: TableService | None,
         eras: ClaimEras | None = None,
         clock: Callable[[], float] = time.monotonic,
+        events: EventLog | None = None,
     ) -> None:
         self._tables = tables
+        self._rows = RowDecoder(CLAIMS_TABLE, StoredClaim, events)
         self._eras = eras or ClaimEras()
         self._clock = clock
         self._executor = ThreadPoolExecutor(STORE_CALLS_MAX, "claims")
@@ -157,8 +164,10 @@
     def read(self, key: str, deadline_s: float) -> Result[Claim | None, None]:
         """Read a key's claim.
 
-        Returns `Error` if the platform did not answer. In a settled era of the store,
-        returns `Ok` with the claim, or with None if the key has no claim.
+        Returns `Error` if the platform did not answer, or if the row can't be decoded:
+        another writer may have overwritten the claim of a request that ran. In a
+        settled era of the store, returns `Ok` with the claim, or with None if the key
+        has no claim.
 
         In any other era, the store may have lost claims. Returns `Error` if the key has
         no claim. If it has one, that claim may have been written in place of a lost
@@ -171,7 +180,9 @@
         )
         match answer:
             case Result(tag="ok", ok=[row]):
-                claim = _claim(row)
+                claim = self._decode(row)
+                if claim is None and row.version:
+                    return Error(None)
             case _:
                 return Error(None)
         if self._was_settled(settled_era):
@@ -242,25 +253,27 @@
                 case Result(tag="ok", ok=written_version):
                     with self._lock:
                         self._written.append(WrittenClaim(key, value, self._clock()))
-                    return _claim(Row(key, written_version, msgspec.to_builtins(value)))
+                    return _claim(value, written_version)
                 case Result(error=Conflict(rows)):
                     # The row does not have the expected version. If the answer to the
                     # previous try was lost, that try may have written the row. Then
                     # the row has the claim that this call was to write.
-                    return _claim(rows[0])
+                    return self._decode(rows[0])
                 case Result(error=Unknown()):
                     continue
             return None
         return None
 
+    def _decode(self, row: Row) -> Claim | None:
+        """Return a row's claim; None if the row is missing or can't be decoded."""
+        stored = self._rows.decode(row)
+        return None if stored is None else _claim(stored, row.version)
+
 
 def claim_key(service: str, key: str) -> str:
     """Return the key of a claim's row in `CLAIMS_TABLE`."""
     return f"{service}:{key}"
 
 
-def _claim(row: Row) -> Claim | None:
-    if row.value is None:
-        return None
-    stored = msgspec.convert(row.value, StoredClaim)
-    return Claim(stored.node_id, stored.incarnation, row.version, stored.gate_time_s)
+def _claim(stored: StoredClaim, version: int) -> Claim:
+    return Claim(stored.node_id, stored.incarnation, version, stored.gate_time_s)
--- a/balsamspindle/tables/__init__.py
+++ b/balsamspindle/tables/__init__.py
@@ -25,6 +25,7 @@
     Unknown,
     Unreachable,
 )
+from balsamspindle.tables.row_decoder import RowDecoder
 
 __all__ = [
     "Changes",
@@ -38,6 +39,7 @@
     "PlatformGuard",
     "Put",
     "Row",
+    "RowDecoder",
     "StoreEras",
     "TableService",
     "Transaction",
--- a/balsamspindle/tables/protocol.py
+++ b/balsamspindle/tables/protocol.py
@@ -27,11 +27,19 @@
 
 
 class Row(msgspec.Struct, frozen=True):
-    """One row; `value` is JSON, None where the row does not exist."""
+    """One row; `value` is JSON, None where the row does not exist.
+
+    Attributes
+    ----------
+    fault : str
+        Why the stored value can't be decoded. `value` is None then, although the row
+        exists.
+    """
 
     key: str
     version: int
     value: Any = None
+    fault: str = ""
 
 
 class Changes(msgspec.Struct, frozen=True):
--- a/balsamspindle/wire/member_messages.py
+++ b/balsamspindle/wire/member_messages.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from balsamspindle.protocol.addresses import Address
 from balsamspindle.wire.message_parts import HoldOut
 
 __all__ = [
@@ -45,14 +46,6 @@
 # this number as version, the node needs a higher number, which can't be encoded.
 Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 NodeId = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
-# Invalid addresses are rejected, because an attempt to connect to an invalid address
-# would raise an exception in the connecting task.
-_OCTET = r"(25[0-5]|2[0-4]\d|1?\d?\d)"
-_PORT = r"(6553[0-5]|655[0-2]\d|65[0-4]\d\d|6[0-4]\d{3}|[1-5]?\d{1,4})"
-PeerAddress = Annotated[
-    str,
-    msgspec.Meta(pattern=rf"^{_OCTET}(\.{_OCTET}){{3}}:{_PORT}\Z", max_length=21),
-]
 
 
 class Sender(msgspec.Struct, array_like=True, frozen=True):
@@ -74,7 +67,7 @@
 
     node_id: NodeId
     incarnation: Count
-    address: PeerAddress
+    address: Address
     settings_revision: int = -1
     hlc: int = 0
     crash_digest: int = 0
@@ -169,8 +162,8 @@
 
     region: str
     availability_zone: str
-    link_address: PeerAddress
-    member_address: PeerAddress
+    link_address: Address
+    member_address: Address
     state: str
     admin_address: Annotated[str, msgspec.Meta(max_length=21)] = ""
     link_level: Count = 0
@@ -290,7 +283,7 @@
 
     sequence: int
     target: NodeId
-    address: PeerAddress
+    address: Address
 
 
 class Gossip(msgspec.Struct, array_like=True, frozen=True):
