Announcements: values that no backend server sends named a server, or hid one

Operators saw: an announcement with a deeply nested field got 500 and a traceback; one with `born` 10^30, `sequence` of 400 digits or a port of 99999, 0 or of digits that are not ASCII got 200 and went on to peers.

What followed, played on the code before: after `born` 10^30 (and 10^15) under a server's id, its next real `ready` got 200 and did not count, and its real `draining` got 200 and was not in force: requests went on to a server whose leaving was confirmed. After a `sequence` of 400 digits real announcements got 200 and did not count either; a `draining` did.

Cause: fields had a type but no bounds from what they mean, and the body was decoded with a list of errors of its own. Bounds: IPv4 octets, port 1 to 65535 in ASCII digits; `sequence` and `born` at most 2^53; `born` at most one hour ahead of the VM's clock, which the backend server shares (the clock may have been set back since the start; the time is an argument of `check_born`); durations of at most ten years, since a wait for a longer one raises OverflowError; ids of 1 to 200 visible ASCII characters, as they are sent in a header and to all peers; bodies of at most 64 KiB.

An odd announcement names no server, and the next real `ready`, `draining` and start under the same id count.

--- a/balsamspindle/backend_servers/servers.py
+++ b/balsamspindle/backend_servers/servers.py
@@ -10,6 +10,7 @@
 from balsamspindle.backend_servers.cancellation import CancelToken
 from balsamspindle.backend_servers.limited_capacity import LimitedCapacity
 from balsamspindle.backend_servers.slots import SlotAccount
+from balsamspindle.protocol.addresses import Address
 from balsamspindle.protocol.outcomes import CancelCause
 from balsamspindle.wire import BackendServerRecord
 
@@ -23,6 +24,9 @@
 
 ANNOUNCEMENT_TTL_S = 5.0
 DRAINED_BOOT_IDS_MAX = 1_000
+# Both are sent to all peers.
+SERVICE_MAX_CHARACTERS = 200
+BOOT_ID_MAX_CHARACTERS = 300
 
 
 class BackendServerState(StrEnum):
@@ -49,10 +53,10 @@
         Differs for each start.
     """
 
-    service: str
-    address: Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+    service: Annotated[str, msgspec.Meta(max_length=SERVICE_MAX_CHARACTERS)]
+    address: Address
     slots: Annotated[int, msgspec.Meta(ge=1, le=10_000)]
-    boot_id: str
+    boot_id: Annotated[str, msgspec.Meta(max_length=BOOT_ID_MAX_CHARACTERS)]
 
 
 class LocalBackendServer:
--- a/balsamspindle/node/admin.py
+++ b/balsamspindle/node/admin.py
@@ -15,6 +15,7 @@
 
 import time
 from collections.abc import Callable
+from itertools import islice
 
 import msgspec
 from werkzeug.exceptions import BadRequest, HTTPException, NotFound
@@ -24,6 +25,7 @@
 from balsamspindle.backend_servers.servers import Announcement, LocalBackendServers
 from balsamspindle.node.gauges import Gauge
 from balsamspindle.node.status import NodeStatus
+from balsamspindle.protocol.decoding import InputError, JsonDecoder
 from balsamspindle.services.explanation import ServiceExplanation
 from balsamspindle.settings.documents import NAME_PATTERN
 from balsamspindle.settings.results import Accepted
@@ -53,6 +55,12 @@
 
 EVENTS_LIMIT = 5_000
 REQUEST_MAX_BYTES = 64 * 1024
+# Faults of one body that its sender is told.
+FAULTS_MAX = 10
+
+
+_announcement_decoder = JsonDecoder(Announcement)
+_accepted_decoder = JsonDecoder(Accepted)
 
 
 class _AdminRequest(Request):
@@ -86,17 +94,18 @@
             response = getattr(self, f"_{endpoint}")(request, **arguments)
         except HTTPException as error:
             response = _json({"error": error.description}, error.code)
-        except msgspec.MsgspecError as error:
+        except InputError as error:
             response = _json({"error": str(error)}, 400)
         return response(environ, start_response)
 
     def _announce(self, request, server_id):
         body = request.get_data()
         try:
-            announcement = msgspec.json.decode(body, type=Announcement)
-        except msgspec.MsgspecError:
-            faults = struct_faults(server_id, body, Announcement)
-            raise BadRequest("; ".join(map(str, faults))) from None
+            announcement = _announcement_decoder.decode(body)
+        except InputError as error:
+            faults = islice(struct_faults(server_id, body, Announcement), FAULTS_MAX)
+            described = "; ".join(map(str, faults)) or str(error)
+            raise BadRequest(described) from None
         if not NAME_PATTERN.match(server_id):
             raise BadRequest(f"{server_id!r} is no name: use a-z, 0-9, '.' and '-'")
         if not self._servers.announce(server_id, announcement, time.monotonic()):
@@ -132,7 +141,7 @@
 
     def _settings_accepted(self, request):
         """Read the settings from the store now: an operator's change was accepted."""
-        accepted = msgspec.json.decode(request.get_data(), type=Accepted)
+        accepted = _accepted_decoder.decode(request.get_data())
         self._on_settings_accepted(accepted.revision)
         return _json({})
 
--- a/balsamspindle/platform/announcements.py
+++ b/balsamspindle/platform/announcements.py
@@ -6,9 +6,10 @@
 keeps it: this process may be killed, and its successor must know it.
 """
 
+import re
 import time
 from collections.abc import Callable
-from typing import Annotated, Literal
+from typing import Literal
 
 import msgspec
 from werkzeug.exceptions import BadRequest, HTTPException, ServiceUnavailable
@@ -20,8 +21,25 @@
 from balsamspindle.drains import OwnDrains
 from balsamspindle.platform.configuration import service_name
 from balsamspindle.platform.values import PlatformFormatError, parse_duration_ms
-
-__all__ = ["AnnouncementApplication", "ReadinessApplication"]
+from balsamspindle.protocol.decoding import InputError, JsonDecoder, convert_input
+from balsamspindle.wire.member_messages import Count
+
+__all__ = [
+    "BODY_MAX_BYTES",
+    "BORN_AHEAD_MAX_MS",
+    "AnnouncementApplication",
+    "ReadinessApplication",
+    "check_born",
+]
+
+# An announcement has some hundred bytes.
+BODY_MAX_BYTES = 64 * 1024
+# The backend server reads the clock of the node's VM. The clock may have been set back
+# since the start, so a start may lie ahead of it. With a shorter limit, the
+# announcements of a running backend server would be rejected after such a step.
+BORN_AHEAD_MAX_MS = 3_600_000
+# The id is sent to the backend server in a header, and to all peers.
+_is_server_id = re.compile(r"[!-~]{1,200}").fullmatch
 
 _URLS = Map(
     [
@@ -50,7 +68,7 @@
     """
 
     state: Literal["ready", "draining"]
-    sequence: Annotated[int, msgspec.Meta(ge=0)]
+    sequence: Count
     cold_remaining: str = "0ms"
 
 
@@ -67,13 +85,21 @@
     address: str
     info: _Info
     status: _Status
-    born: Annotated[int, msgspec.Meta(ge=0)] = 0
+    born: Count = 0
 
 
 class _LeaveBody(msgspec.Struct):
     """The body of a call by which a backend server leaves; the body may be empty."""
 
-    born: Annotated[int, msgspec.Meta(ge=0)] = 0
+    born: Count = 0
+
+
+_announcement_decoder = JsonDecoder(_Announcement)
+_leave_decoder = JsonDecoder(_LeaveBody)
+
+
+class _Request(Request):
+    max_content_length = BODY_MAX_BYTES
 
 
 class AnnouncementApplication:
@@ -110,24 +136,26 @@
 
     def __call__(self, environ, start_response):
         """Answer one call."""
-        request = Request(environ)
+        request = _Request(environ)
         try:
             endpoint, arguments = _URLS.bind_to_environ(environ).match()
+            _check_server_id(arguments["server_id"])
             getattr(self, f"_{endpoint}")(request, **arguments)
             response = Response("{}", mimetype="application/json")
         except HTTPException as error:
             response = error
-        except (msgspec.MsgspecError, PlatformFormatError, UnicodeError) as error:
+        except InputError as error:
             self._on_ignored(str(error))
             response = BadRequest(str(error))
         return response(environ, start_response)
 
     def _announce(self, request, server_id):
-        body = msgspec.json.decode(request.get_data(), type=_Announcement)
+        body = _announcement_decoder.decode(request.get_data())
+        check_born(body.born, time.time() * 1000)
         service = service_name(body.info.service)
         if not self._is_service_allowed(service):
             raise PlatformFormatError(f"no settings define {body.info.service!r}")
-        announcement = msgspec.convert(
+        announcement = convert_input(
             {
                 "service": service,
                 "address": body.address,
@@ -150,7 +178,8 @@
 
     def _leave(self, request, server_id):
         data = request.get_data()
-        body = msgspec.json.decode(data, type=_LeaveBody) if data else _LeaveBody()
+        body = _leave_decoder.decode(data) if data else _LeaveBody()
+        check_born(body.born, time.time() * 1000)
         self._drains.wait_restored()
         self._lifetimes.record_leave(server_id, start_unix_ms=body.born)
         self._keep_drain(server_id)
@@ -161,6 +190,30 @@
             raise ServiceUnavailable("neither the store nor a peer keeps the drain")
 
 
+def check_born(born_unix_ms: int, now_unix_ms: float) -> None:
+    """Reject a start that lies so far ahead of the VM's clock that it can't be one.
+
+    All real starts of the backend server would count as earlier ones.
+
+    Raises
+    ------
+    PlatformFormatError
+    """
+    ahead_ms = born_unix_ms - now_unix_ms
+    if ahead_ms > BORN_AHEAD_MAX_MS:
+        raise PlatformFormatError(
+            f"born {born_unix_ms} is {ahead_ms:.0f} ms ahead of the clock:"
+            f" expected at most {BORN_AHEAD_MAX_MS}"
+        )
+
+
+def _check_server_id(server_id: str) -> None:
+    if not _is_server_id(server_id):
+        raise PlatformFormatError(
+            f"invalid id {server_id!r}: expected 1 to 200 visible ASCII characters"
+        )
+
+
 class ReadinessApplication:
     """The WSGI application that answers 200 when the node accepts callers, else 503."""
 
--- a/balsamspindle/platform/values.py
+++ b/balsamspindle/platform/values.py
@@ -22,6 +22,9 @@
     "parse_version",
 ]
 
+# Waits and timers can't be longer than some centuries; no timeout is a year.
+DURATION_MAX_MS = 10 * 365 * 86_400_000.0
+
 _duration = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)").fullmatch
 _version = re.compile(r"[0-9a-f]{1,16}", re.IGNORECASE).fullmatch
 _UNIT_MS = {"ms": 1.0, "s": 1000.0}
@@ -36,7 +39,10 @@
     found = _duration(text) if isinstance(text, str) else None
     if found is None:
         raise PlatformFormatError(f"{text!r} is no time: expected 1500ms or 2.5s")
-    return float(found[1]) * _UNIT_MS[found[2]]
+    duration_ms = float(found[1]) * _UNIT_MS[found[2]]
+    if duration_ms > DURATION_MAX_MS:
+        raise PlatformFormatError(f"{text!r} exceeds {DURATION_MAX_MS:.0f} ms")
+    return duration_ms
 
 
 def parse_version(text: str) -> int:
--- a/balsamspindle/protocol/decoding.py
+++ b/balsamspindle/protocol/decoding.py
@@ -60,6 +60,8 @@
         InputError
         """
         try:
+            # msgspec does not check the text of fields that the type does not have.
+            body.decode()
             value = self._decoder.decode(body)
             if self._is_untyped:
                 _check_depth(value)
--- a/balsamspindle/settings/validation.py
+++ b/balsamspindle/settings/validation.py
@@ -12,6 +12,13 @@
 
 import msgspec
 
+from balsamspindle.protocol.decoding import (
+    InputError,
+    JsonDecoder,
+    convert_input,
+    decode_json,
+    shorten,
+)
 from balsamspindle.settings.documents import (
     DOCUMENT_TYPES,
     NAME_PATTERN,
@@ -34,7 +41,7 @@
 VALUE_SHOWN_MAX = 60
 SECRET_PREFIXES = ("secret", "key_digests")
 
-_decoders = {kind: msgspec.json.Decoder(kind) for kind in DOCUMENT_TYPES.values()}
+_decoders = {kind: JsonDecoder(kind) for kind in DOCUMENT_TYPES.values()}
 
 
 class Fault(msgspec.Struct, frozen=True):
@@ -110,7 +117,7 @@
             services.add(_service_name(path))
         try:
             value = _decoders[kind].decode(document)
-        except msgspec.MsgspecError:
+        except InputError:
             faults.extend(struct_faults(path, document, kind))
             continue
         faults.extend(_combination_faults(path, value))
@@ -159,8 +166,8 @@
 def struct_faults(path: str, document: bytes, kind: type) -> Iterator[Fault]:
     """Yield all faults of a JSON document that should decode to a struct type."""
     try:
-        value = msgspec.json.decode(document)
-    except msgspec.MsgspecError as error:
+        value = decode_json(document)
+    except InputError as error:
         yield Fault(path, f"not JSON: {error}")
         return
     yield from _struct_faults(path, "", value, kind)
@@ -176,7 +183,7 @@
     for name in value:
         if name not in fields:
             message = f"no such field{_suggest(name, fields)}"
-            yield Fault(path, message, f"{prefix}{name}")
+            yield Fault(path, message, shorten(f"{prefix}{name}"))
     for name, field in fields.items():
         place = f"{prefix}{name}"
         if name in value:
@@ -235,8 +242,8 @@
 
 def _is_valid(value: Any, kind: Any) -> bool:
     try:
-        msgspec.convert(value, kind)
-    except msgspec.ValidationError:
+        convert_input(value, kind)
+    except InputError:
         return False
     return True
 
