Settings rows of other writers: an odd row ended the task, or began a new history

Operators saw: with one odd row in `changes`, `subtrees` or `fleet`, the task that follows the settings, and edits by balsamspindle-ctl, ended with an exception. A row that was no JSON at all counted as missing: played on, an edit at revision 3 beside a `revision` row of "[" was accepted as revision 1, a new history.

Cause: row_value converted values without handling what can't be converted, and took a row that can't be decoded for a missing one.

Change: row_value raises InputError with the row's key; reads return an error and the settings in force stay. An odd change counts as missing in the log, so a node reads all settings. An edit, and a restart of the history, beside an odd row is refused with `SettingsUnavailable`. A team's odd row is an error for a node that has settings, or whose peers may send theirs; a starting node without any skips that team's row, says so (`row_unreadable`), and serves the others. The operator's configuration: the event `settings_refused` now says why the row can't be decoded instead of "the row is empty".

--- a/balsamspindle/settings/history.py
+++ b/balsamspindle/settings/history.py
@@ -6,6 +6,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from balsamspindle.protocol.decoding import InputError
 from balsamspindle.settings.rows import (
     CHANGES_TABLE,
     REVISION_KEY,
@@ -15,9 +16,10 @@
     FleetRow,
     SubtreeRow,
     change_key,
+    map_rows,
     row_value,
 )
-from balsamspindle.tables import PlatformError, TableService
+from balsamspindle.tables import PlatformError, Row, TableService
 
 __all__ = [
     "UPDATE_CHANGES_MAX",
@@ -78,28 +80,31 @@
 
     `planned` contains all documents that the team is to have.
     """
-    return tables.read(SUBTREES_TABLE, [team]).map(
+    return map_rows(
+        tables.read(SUBTREES_TABLE, [team]),
         lambda rows: diff_documents(
             row_value(rows[0], SubtreeRow, SubtreeRow()).documents, planned
-        )
+        ),
     )
 
 
 def read_fleet(tables: TableService) -> Result[FleetRow, PlatformError]:
     """Return the newest accepted revision; reads a single row."""
-    return tables.read(REVISION_TABLE, [REVISION_KEY]).map(
-        lambda rows: row_value(rows[0], FleetRow, FleetRow())
+    return map_rows(
+        tables.read(REVISION_TABLE, [REVISION_KEY]),
+        lambda rows: row_value(rows[0], FleetRow, FleetRow()),
     )
 
 
 def read_changes(
     tables: TableService, first: int, last: int
 ) -> Result[list[Change], PlatformError]:
-    """Return the changes of revisions `first` to `last`; omit those not in the log."""
+    """Return the changes of revisions `first` to `last`.
+
+    Omits those that are not in the log or can't be decoded.
+    """
     keys = [change_key(revision) for revision in range(first, last + 1)]
-    return tables.read(CHANGES_TABLE, keys).map(
-        lambda rows: [row_value(row, Change) for row in rows if row.value is not None]
-    )
+    return tables.read(CHANGES_TABLE, keys).map(_usable_changes)
 
 
 def read_update(
@@ -112,14 +117,27 @@
     """
     revisions = range(above_revision + 1, above_revision + 1 + UPDATE_CHANGES_MAX)
     keys = [REVISION_KEY, *map(change_key, revisions)]
-    return tables.read(CHANGES_TABLE, keys).map(
+    return map_rows(
+        tables.read(CHANGES_TABLE, keys),
         lambda rows: RevisionUpdate(
-            row_value(rows[0], FleetRow, FleetRow()),
-            [row_value(row, Change) for row in rows[1:] if row.value is not None],
-        )
+            row_value(rows[0], FleetRow, FleetRow()), _usable_changes(rows[1:])
+        ),
     )
 
 
+def _usable_changes(rows: list[Row]) -> list[Change]:
+    changes = []
+    for row in rows:
+        try:
+            change = row_value(row, Change)
+        except InputError:
+            # A node that finds a gap in the log reads all settings.
+            continue
+        if change is not None:
+            changes.append(change)
+    return changes
+
+
 def read_history(
     tables: TableService, limit: int = HISTORY_LIMIT
 ) -> Result[list[Change], PlatformError]:
@@ -142,9 +160,13 @@
     Each change contains the revision of the team's previous change. The changes that
     other teams made in between are not read: there is one read per returned change.
     """
-    match tables.read(SUBTREES_TABLE, [team]):
-        case Result(tag="ok", ok=rows):
-            revision = row_value(rows[0], SubtreeRow, SubtreeRow()).revision
+    subtree = map_rows(
+        tables.read(SUBTREES_TABLE, [team]),
+        lambda rows: row_value(rows[0], SubtreeRow, SubtreeRow()),
+    )
+    match subtree:
+        case Result(tag="ok", ok=SubtreeRow(revision=revision)):
+            pass
         case Result(error=error):
             return Error(error)
     history: list[Change] = []
--- a/balsamspindle/settings/loading.py
+++ b/balsamspindle/settings/loading.py
@@ -1,6 +1,6 @@
 """Loads all settings of one revision from the platform."""
 
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from expression import Error, Ok, Result
 
@@ -14,6 +14,7 @@
     SUBTREES_TABLE,
     FleetRow,
     SubtreeRow,
+    map_rows,
     row_value,
 )
 from balsamspindle.settings.snapshots import read_snapshot
@@ -25,6 +26,8 @@
 from balsamspindle.tables import (
     ObjectStore,
     PlatformError,
+    Row,
+    RowDecoder,
     TableService,
     Unreachable,
 )
@@ -47,10 +50,13 @@
 
 
 def load_settings(
-    tables: TableService,
+    tables: TableService, skipping: RowDecoder | None = None
 ) -> Result[StoredSettings, PlatformError]:
     """Return all settings at the platform's revision.
 
+    A team's row that can't be decoded is an error, unless `skipping` is given, a
+    decoder of `SubtreeRow`: then the row is reported and its team has no documents.
+
     A scan reads rows one after the other. If a change is accepted during the scan, the
     scanned documents can belong to different revisions, so the changes accepted during
     the scan are applied to them. A change contains complete documents, so applying it
@@ -65,11 +71,10 @@
     first, last = before.ok.revision + 1, after.ok.revision
     if last - first >= REPLAY_CHANGES_MAX:
         return Error(Unreachable("the settings change faster than they can be read"))
-    documents = {
-        path: document
-        for row in rows.ok
-        for path, document in row_value(row, SubtreeRow).documents.items()
-    }
+    loaded = map_rows(rows, lambda found: _documents(found, skipping))
+    if loaded.is_error():
+        return Error(loaded.error)
+    documents = loaded.ok
     match read_changes(tables, first, last):
         case Result(tag="ok", ok=changes):
             for change in changes:
@@ -79,6 +84,17 @@
             return Error(error)
 
 
+def _documents(rows: list[Row], skipping: RowDecoder | None) -> dict[str, Any]:
+    documents: dict[str, Any] = {}
+    for row in rows:
+        if skipping is None:
+            subtree = row_value(row, SubtreeRow, SubtreeRow())
+        else:
+            subtree = skipping.decode(row) or SubtreeRow()
+        documents |= subtree.documents
+    return documents
+
+
 def load_from_snapshot(
     tables: TableService, objects: ObjectStore, fleet: FleetRow
 ) -> Configuration | None:
--- a/balsamspindle/settings/reader.py
+++ b/balsamspindle/settings/reader.py
@@ -27,10 +27,10 @@
     load_settings,
 )
 from balsamspindle.settings.reader_selection import is_reader, selection_hash
-from balsamspindle.settings.rows import FleetRow
+from balsamspindle.settings.rows import SUBTREES_TABLE, FleetRow, SubtreeRow
 from balsamspindle.settings.snapshots import SNAPSHOT_INTERVAL_REVISIONS, write_snapshot
 from balsamspindle.settings.subtree import delta_of_change
-from balsamspindle.tables import ObjectStore, TableService
+from balsamspindle.tables import ObjectStore, RowDecoder, TableService
 from balsamspindle.tables.proof_clock import proof_time_s
 from balsamspindle.timeline import EventLog
 from balsamspindle.wire import NodeRecord
@@ -160,6 +160,7 @@
         self._started_s = time.monotonic()
         self._configuration = configuration
         self._events = events
+        self._subtrees = RowDecoder(SUBTREES_TABLE, SubtreeRow, events)
         self._plan = plan
         self._on_in_force = on_in_force
         self._wake = threading.Event()
@@ -280,7 +281,12 @@
             self._snapshot_revision = own.revision
 
     def _load_all(self) -> None:
-        match load_settings(self._tables):
+        # In force at this node, or at peers that send their settings within this time,
+        # are the settings as they were before the row was damaged.
+        waited_s = time.monotonic() - self._started_s
+        is_last_way = self._configuration.get() is None and waited_s > PEERS_WAIT_MAX_S
+        skipping = self._subtrees if is_last_way else None
+        match load_settings(self._tables, skipping):
             case Result(tag="ok", ok=stored):
                 fleet = stored.fleet
                 applied = self._configuration.offer(
--- a/balsamspindle/settings/recovery.py
+++ b/balsamspindle/settings/recovery.py
@@ -10,6 +10,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from balsamspindle.protocol.decoding import InputError
 from balsamspindle.settings.editing import new_operation_id
 from balsamspindle.settings.ownership import Credentials, key_matches
 from balsamspindle.settings.results import (
@@ -77,10 +78,13 @@
         if rows.is_error():
             return Error(SettingsUnavailable(rows.error.message))
     [fleet_row], [key_row] = revision_rows.ok, key_rows.ok
-    owner = row_value(key_row, FleetKeyRow, FleetKeyRow("")).owner
+    try:
+        owner = row_value(key_row, FleetKeyRow, FleetKeyRow("")).owner
+        fleet = row_value(fleet_row, FleetRow, FleetRow())
+    except InputError as error:
+        return Error(SettingsUnavailable(str(error)))
     if owner and not key_matches(credentials.fleet_key, owner):
         return Error(NotOwner("the fleet key is needed"))
-    fleet = row_value(fleet_row, FleetRow, FleetRow())
     operation_id = new_operation_id()
     change = Change(
         max(fleet.revision, above_revision) + 1,
--- a/balsamspindle/settings/rows.py
+++ b/balsamspindle/settings/rows.py
@@ -14,12 +14,16 @@
 both this row and the changes after a known revision.
 """
 
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 import msgspec
 import xxhash
+from expression import Error, Result
 
-from balsamspindle.tables import Row
+from balsamspindle.protocol.decoding import InputError, convert_input, shorten
+from balsamspindle.tables import PlatformError, Row, Unknown, Unreachable
+from balsamspindle.wire.member_messages import Count
 
 __all__ = [
     "CHANGES_TABLE",
@@ -35,6 +39,7 @@
     "OperationRow",
     "SubtreeRow",
     "change_key",
+    "map_rows",
     "next_chain",
     "row_value",
 ]
@@ -48,6 +53,8 @@
 FLEET_KEY_KEY = "key"
 REVISION_DIGITS = 12
 
+T = TypeVar("T")
+
 
 class SubtreeRow(msgspec.Struct, frozen=True, omit_defaults=True):
     """One team's documents, its owner and its last change.
@@ -67,7 +74,7 @@
 
     documents: dict[str, Any] = {}
     owner: str | None = None
-    revision: int = 0
+    revision: Count = 0
     author: str = ""
     paths: list[str] = []
 
@@ -84,7 +91,7 @@
         with the same revision but different changes have different digests.
     """
 
-    revision: int = 0
+    revision: Count = 0
     chain: str = ""
 
 
@@ -97,7 +104,7 @@
 class OperationRow(msgspec.Struct, frozen=True):
     """Outcome of an edit: its revision if it was accepted, None if withdrawn."""
 
-    revision: int | None = None
+    revision: Count | None = None
 
 
 class Change(msgspec.Struct, frozen=True):
@@ -122,14 +129,14 @@
         `balsamspindle.settings.recovery`).
     """
 
-    revision: int
+    revision: Count
     team: str
     operation_id: str
     author: str
-    wall_ms: int
+    wall_ms: Count
     documents: dict[str, Any]
     before: dict[str, Any]
-    previous_team_revision: int
+    previous_team_revision: Count
     previous_chain: str
     chain: str
     restart: bool = False
@@ -151,5 +158,27 @@
 
 
 def row_value(row: Row, kind: type, default: Any = None) -> Any:
-    """Decode a row's value as a type; return the default if the row has no value."""
-    return default if row.value is None else msgspec.convert(row.value, kind)
+    """Decode a row's value as a type; return the default if the row does not exist.
+
+    Raises
+    ------
+    InputError
+        If the value can't be decoded. With the default in its place, an edit would
+        begin a new history.
+    """
+    try:
+        if row.fault:
+            raise InputError(row.fault)
+        return default if row.value is None else convert_input(row.value, kind)
+    except InputError as error:
+        raise InputError(f"row {shorten(row.key)!r}: {error}") from None
+
+
+def map_rows(
+    rows: Result[list[Row], Unreachable | Unknown], function: Callable[[list[Row]], T]
+) -> Result[T, PlatformError]:
+    """Return the function's value for the rows; an error if one can't be decoded."""
+    try:
+        return rows.map(function)
+    except InputError as error:
+        return Error(Unreachable(f"not usable: {error}"))
--- a/balsamspindle/settings/store.py
+++ b/balsamspindle/settings/store.py
@@ -15,6 +15,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from balsamspindle.protocol.decoding import InputError
 from balsamspindle.settings.editing import (
     Edit,
     EditRows,
@@ -48,6 +49,7 @@
     FleetKeyRow,
     OperationRow,
     SubtreeRow,
+    map_rows,
     row_value,
 )
 from balsamspindle.settings.subtree import changed_documents, new_faults
@@ -122,11 +124,12 @@
 
     def subtree(self, team: str) -> Result[tuple[SubtreeRow, int], PlatformError]:
         """Return a team's row, and its version to use as `Edit.expected_version`."""
-        return self._tables.read(SUBTREES_TABLE, [team]).map(
+        return map_rows(
+            self._tables.read(SUBTREES_TABLE, [team]),
             lambda rows: (
                 row_value(rows[0], SubtreeRow, SubtreeRow()),
                 rows[0].version,
-            )
+            ),
         )
 
     def put(
@@ -192,7 +195,12 @@
         run = EditRun(edit, credentials, edit.expected_version, edit.in_doubt)
         deadline_s = time.monotonic() + EDIT_TIMEOUT_S
         while run.failures < EDIT_FAILURES_MAX and time.monotonic() < deadline_s:
-            outcome = self._attempt(run)
+            try:
+                outcome = self._attempt(run)
+            except InputError as error:
+                # A row that another program wrote is not repaired by another attempt.
+                run.cause = str(error)
+                break
             if outcome is not None:
                 return outcome
             if run.rows is None:
@@ -223,7 +231,10 @@
                 case Result(tag="ok"):
                     return Error(Withdrawn("the edit had not taken effect"))
                 case Result(error=Conflict(rows)):
-                    return operation_outcome(rows[0], operation_id)
+                    try:
+                        return operation_outcome(rows[0], operation_id)
+                    except InputError as error:
+                        return Error(NotKnown(str(error), operation_id))
                 case Result(error=error):
                     cause = error.message
         return Error(NotKnown(cause, operation_id))
--- a/balsamspindle/settings/subtree.py
+++ b/balsamspindle/settings/subtree.py
@@ -16,7 +16,13 @@
 import msgspec
 from expression import Ok, Result
 
-from balsamspindle.settings.rows import SUBTREES_TABLE, Change, SubtreeRow, row_value
+from balsamspindle.settings.rows import (
+    SUBTREES_TABLE,
+    Change,
+    SubtreeRow,
+    map_rows,
+    row_value,
+)
 from balsamspindle.settings.validation import Fault, check_documents
 from balsamspindle.tables import PlatformError, Row, TableService
 from balsamspindle.wire.settings_messages import SettingsDelta
@@ -102,8 +108,9 @@
     teams = sorted({name.partition("/")[0] for name in names} - {team})
     if not teams:
         return Ok(set())
-    return tables.read(SUBTREES_TABLE, teams).map(
-        lambda rows: names & {name for row in rows for name in _service_names(row)}
+    return map_rows(
+        tables.read(SUBTREES_TABLE, teams),
+        lambda rows: names & {name for row in rows for name in _service_names(row)},
     )
 
 
@@ -113,6 +120,6 @@
 
 def _service_names(row: Row) -> Iterable[str]:
     for path in row_value(row, SubtreeRow, SubtreeRow()).documents:
-        owner, kind, name = path.split("/")
-        if kind == "services":
-            yield f"{owner}/{name}"
+        match path.split("/"):
+            case [owner, "services", name]:
+                yield f"{owner}/{name}"
--- a/balsamspindle/settings/watcher.py
+++ b/balsamspindle/settings/watcher.py
@@ -316,7 +316,7 @@
         if row.version == last_version:
             return revision
         if row.value is None:
-            self._report_refused(row, "the row is empty")
+            self._report_refused(row, row.fault or "the row is empty")
             return None
         try:
             settings = self._row.decode(row.value)
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -14,13 +14,30 @@
 from balsamspindle.drains.store import DRAINS_TABLE, DrainStore
 from balsamspindle.membership import Directory
 from balsamspindle.membership.registry import MEMBERS_TABLE, Registry
+from balsamspindle.platform.configuration import operator_row
+from balsamspindle.platform.settings import RetryBounds
 from balsamspindle.platform.store import HttpTableService
 from balsamspindle.requests.claims import CLAIMS_TABLE, ClaimsTable, GateIdentity
+from balsamspindle.settings.configuration import CurrentConfiguration
+from balsamspindle.settings.reader import PEERS_WAIT_MAX_S, SettingsReader
+from balsamspindle.settings.results import SettingsUnavailable
+from balsamspindle.settings.rows import (
+    CHANGES_TABLE,
+    FLEET_KEY_KEY,
+    FLEET_TABLE,
+    REVISION_KEY,
+    REVISION_TABLE,
+    SUBTREES_TABLE,
+    change_key,
+)
+from balsamspindle.settings.store import SettingsStore
+from balsamspindle.settings.watcher import SettingsWatcher
 from balsamspindle.tables.row_decoder import REPORTED_MAX
 from balsamspindle.timeline import EventLog, HybridClock
 from balsamspindle.wire import NodeRecord, Sender, encode_member
 from tests.odd_inputs import ODD_BODIES, ODD_NUMBERS, ODD_PORTS, put_raw_rows
-from tests.utils import PlatformInProcess
+from tests.settings_probes import configuration as operator_configuration
+from tests.utils import PlatformInProcess, call
 
 NOW_S, NOW_UNIX_S = 100.0, 1.8e9
 SOUND_KEY = f"{0xABC:016x}"
@@ -43,6 +60,10 @@
         self._stream = io.StringIO()
         self.events = EventLog("own", 1, HybridClock(), self._stream)
 
+    def lines(self, part) -> int:
+        self.events.flush()
+        return sum(part in line for line in self._stream.getvalue().splitlines())
+
     def reported(self) -> list[str]:
         self.events.flush()
         lines = self._stream.getvalue().splitlines()
@@ -195,3 +216,112 @@
     gate = GateIdentity("own", 1)
     assert claims.write("s:key", 0, gate, 1.0, deadline_s) is None
     assert len(reader.reported()) == (name != "null")
+
+
+SETTINGS_ROWS = (
+    (SUBTREES_TABLE, "crew"),
+    (REVISION_TABLE, REVISION_KEY),
+    (FLEET_TABLE, FLEET_KEY_KEY),
+)
+# Well-formed values whose fields all have their defaults.
+DEFAULTS = {"null", "object", "long name", "duplicate keys", "non-ASCII digits"}
+SERVICE, OTHER_SERVICE = "crew/services/a", "other/services/b"
+
+
+def edit_twice(tables):
+    store = SettingsStore(tables, sleep=lambda _: None)
+    for path in (SERVICE, OTHER_SERVICE):
+        assert store.put(path, {}).is_ok()
+    return store
+
+
+@pytest.mark.parametrize("table, key", SETTINGS_ROWS)
+@pytest.mark.parametrize("name", [one for one in ODD_BODIES if one not in DEFAULTS])
+def test_an_edit_beside_an_odd_row_is_refused(platform, table, key, name):
+    """Guards against an edit that begins a new history in place of an odd row."""
+    reader = Reader(platform)
+    store = edit_twice(reader.tables)
+    put_raw_rows(platform.address, {(table, key): ODD_BODIES[name]})
+    refused = store.put(SERVICE, {"queue_max": 5})
+    assert isinstance(refused.error, SettingsUnavailable)
+    assert len(str(refused.error)) < 500
+    if table == SUBTREES_TABLE:
+        assert store.subtree("crew").is_error()
+        assert store.load().is_error()
+
+
+def start_reader(tables, events, waited_s):
+    configuration = CurrentConfiguration()
+    reader = SettingsReader(tables, configuration, events, None)
+    reader._started_s -= waited_s
+    reader.poll()
+    return reader, configuration
+
+
+def test_a_starting_node_has_the_other_teams_beside_an_odd_row(platform):
+    """Guards against one team's odd row that leaves a starting fleet without any."""
+    log = Reader(platform)
+    edit_twice(log.tables)
+    rows = {
+        (SUBTREES_TABLE, f"odd{n}"): body
+        for n, body in enumerate(body for body in ODD_BODIES.values())
+    }
+    rows[SUBTREES_TABLE, "crew"] = ODD_BODIES["nested 3,000"]
+    put_raw_rows(platform.address, rows)
+    # Peers may have the settings as they were before.
+    reader, configuration = start_reader(log.tables, log.events, 0.0)
+    assert configuration.get() is None
+    reader, configuration = start_reader(log.tables, log.events, PEERS_WAIT_MAX_S + 1)
+    assert set(configuration.get().documents) == {OTHER_SERVICE}
+    assert any("key=crew " in line for line in log.reported())
+
+
+def test_a_running_node_keeps_its_settings_beside_odd_rows(platform):
+    """Guards against odd rows that end the task that follows the settings."""
+    log = Reader(platform)
+    store = edit_twice(log.tables)
+    reader, configuration = start_reader(log.tables, log.events, PEERS_WAIT_MAX_S + 1)
+    assert configuration.revision == 2
+    for body in ODD_BODIES.values():
+        put_raw_rows(platform.address, {(SUBTREES_TABLE, "odd"): body})
+        put_raw_rows(platform.address, {(CHANGES_TABLE, change_key(3)): body})
+        reader.poll()
+        assert configuration.revision == 2
+    assert store.put(SERVICE, {"queue_max": 5}).is_ok()
+    reader.poll()
+    assert configuration.revision == 3
+    put_raw_rows(platform.address, {(CHANGES_TABLE, change_key(3)): b"["})
+    assert store.put(SERVICE, {"queue_max": 6}).is_ok()
+    put_raw_rows(platform.address, {(CHANGES_TABLE, change_key(4)): b"["})
+    reader.poll()
+    # A change is missing in the log and a team's row is odd: the settings stay.
+    assert configuration.revision == 3
+    fleet = reader.platform_revision
+    for name, body in ODD_BODIES.items():
+        put_raw_rows(platform.address, {(REVISION_TABLE, REVISION_KEY): body})
+        reader.poll()
+        assert configuration.revision == 3, name
+    assert fleet == 4
+
+
+@pytest.mark.parametrize("name", ODD_BODIES)
+def test_an_odd_configuration_is_refused_once_and_the_next_one_is_followed(
+    platform, name
+):
+    """Guards against a configuration that ends the task that follows it."""
+    log = Reader(platform)
+    configuration = CurrentConfiguration()
+    row = operator_row(RetryBounds(0.1, 1.0))
+    watcher = SettingsWatcher(log.tables, row, configuration, log.events, lambda: None)
+    for version in (1, 2):
+        body = json.dumps(operator_configuration(version, 1)).encode()
+        call(platform.address, "/op/config", "PUT", body)
+        feed_from = watcher.read_row()
+        assert configuration.revision == version
+        call(platform.address, "/op/config", "PUT", ODD_BODIES[name])
+        call(platform.address, "/op/other", "PUT", ODD_BODIES[name])
+        assert watcher.wait_for_change(feed_from) is not None
+        watcher.read_row()
+        watcher.check_store()
+        assert configuration.revision == version
+        assert log.lines(" event=settings_refused ") == version
