--- a/balsamspindle/crashes/history.py
+++ b/balsamspindle/crashes/history.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from balsamspindle.crashes.attribution import CrashAttribution, KnownCrash
+from balsamspindle.crashes.block_times import BLOCKED_MAX_S, block_time_s
 from balsamspindle.crashes.digest import compute_digest
 from balsamspindle.crashes.recent_answers import ANSWER_VALID_S, RecentAnswers
 from balsamspindle.crashes.records import (
@@ -33,12 +34,6 @@
 RUNS_MAX = 32
 # A request is suspected when at least this many backend servers crashed running it.
 SUSPECT_CRASHES = 2
-# A request's first quarantine blocks it for this long: it is sent to no backend server.
-# Then it is sent again, as the backend server's fault may have been corrected. If it
-# causes one more crash, the next quarantine blocks it for twice as long.
-BLOCKED_S = 600.0
-BLOCKED_MAX_S = 86_400.0
-BLOCKED_DOUBLINGS_MAX = math.ceil(math.log2(BLOCKED_MAX_S / BLOCKED_S))
 QUARANTINES_MAX = 1000
 QUARANTINE_EXPIRY_S = 2 * BLOCKED_MAX_S
 # The estimated time of a crash is late by the delay of the report, by at most this. An
@@ -313,9 +308,8 @@
         now_s: float,
         evidence: CauseEvidence = NO_EVIDENCE,
     ) -> None:
-        doublings = min(term - 1, BLOCKED_DOUBLINGS_MAX)
-        blocked_s = min(BLOCKED_S * 2**doublings, BLOCKED_MAX_S)
-        self._quarantine(content_hash, term, now_s + blocked_s, False, now_s, evidence)
+        until_s = now_s + block_time_s(term)
+        self._quarantine(content_hash, term, until_s, False, now_s, evidence)
 
     def _quarantine(
         self,
--- a/balsamspindle/crashes/quarantine_store.py
+++ b/balsamspindle/crashes/quarantine_store.py
@@ -18,7 +18,8 @@
 import xxhash
 from expression import Result
 
-from balsamspindle.crashes.history import BLOCKED_MAX_S, CrashHistory
+from balsamspindle.crashes.block_times import BLOCKED_MAX_S
+from balsamspindle.crashes.history import CrashHistory
 from balsamspindle.crashes.records import CrashUpdate, Quarantine, Term
 from balsamspindle.membership.directory import Directory
 from balsamspindle.tables import Check, Put, Row, RowDecoder, TableService, Transaction
--- a/tests/test_crash_verdicts.py
+++ b/tests/test_crash_verdicts.py
@@ -2,7 +2,8 @@
 
 import random
 
-from balsamspindle.crashes.history import BLOCKED_S, CRASH_EXPIRY_S, CrashHistory
+from balsamspindle.crashes.block_times import BLOCKED_S
+from balsamspindle.crashes.history import CRASH_EXPIRY_S, CrashHistory
 from balsamspindle.crashes.live_servers import count_live_servers
 from balsamspindle.crashes.records import Crash, CrashedRun, CrashUpdate, start_id
 from balsamspindle.crashes.verdicts import (
--- a/tests/test_quarantine_store.py
+++ b/tests/test_quarantine_store.py
@@ -2,7 +2,8 @@
 
 import io
 
-from balsamspindle.crashes.history import BLOCKED_S, CrashHistory
+from balsamspindle.crashes.block_times import BLOCKED_S
+from balsamspindle.crashes.history import CrashHistory
 from balsamspindle.crashes.quarantine_store import (
     QUARANTINES_TABLE,
     QuarantineRow,
