A request is not sent to a backend server that drained after admission

Callers could see: requests that reach a backend server after its drain was confirmed.

Cause: the state of the backend server was checked when an attempt got its slot. Between that and the send lie the look at the crash history, the wait for a connection of up to 1 s, and a thread that may not get the processor; deadline and cancellation were checked again just before the send, the state was not.

Change: the check just before the send asks for the state, too. The attempt fails as draining, surely not run, and goes elsewhere; the health of the backend server is not touched. Second sends get the same check. A new announcement of the same start does not count as a restart here any more.

Not measured: how long that gap gets under load.

--- a/balsamspindle/backend_servers/client.py
+++ b/balsamspindle/backend_servers/client.py
@@ -77,6 +77,7 @@
         request_id: str = "",
         may_resend: Callable[[ResendCause], bool] = lambda cause: False,
         body_max_bytes: int | None = None,
+        accepts_work: Callable[[], bool] = lambda: True,
         on_sent: Callable[[int], None] = lambda earlier_count: None,
     ) -> BackendAnswer | BackendFailure:
         """Send a request to a backend server and wait for the result.
@@ -99,6 +100,9 @@
             instead.
         body_max_bytes : int, optional
             Maximum size of the answer's body, if it is less than that of all answers.
+        accepts_work : callable, default=always
+            Returns whether the backend server still accepts work. Called just before
+            the request is sent; if it returns False, the call fails instead.
         on_sent : callable, default=nothing
             Called each time the request is sent, with the number of requests that were
             sent on the same connection before.
@@ -113,6 +117,7 @@
             body,
             request_id,
             body_max_bytes or self._answer_body_max_bytes,
+            accepts_work,
             on_sent,
         )
         now_s = time.monotonic()
@@ -206,6 +211,7 @@
             deadline_s,
             reader,
             reservation,
+            request.accepts_work,
             request.on_sent,
         )
         try:
@@ -228,6 +234,7 @@
     body: bytes
     request_id: str
     body_max_bytes: int
+    accepts_work: Callable[[], bool]
     on_sent: Callable[[int], None]
 
 
--- a/balsamspindle/backend_servers/curl_calls.py
+++ b/balsamspindle/backend_servers/curl_calls.py
@@ -43,15 +43,19 @@
 class Call:
     """State of a call: its deadline, whether the request was sent, and the answer."""
 
-    def __init__(self, request_id, token, deadline_s, reader, reservation, on_sent):
+    def __init__(
+        self, request_id, token, deadline_s, reader, reservation, accepts_work, on_sent
+    ):
         self.request_id: str = request_id
         self.token: CancelToken = token
         self.deadline_s: float = deadline_s
         self.reader: AnswerReader = reader
         self.reservation: Reservation = reservation
+        self.accepts_work: Callable[[], bool] = accepts_work
         self.on_sent: Callable[[int], None] = on_sent
         self.sent = False
         self.too_late = False
+        self.is_draining = False
         self.was_cancelled = False
         self._sent_on_kept_connection = False
         self._sent_s = math.inf
@@ -63,9 +67,10 @@
         """Return whether the request may be sent now, and record the decision.
 
         Called when the connection is open. The result is False if the call was
-        cancelled or its deadline has passed. The admission has checked the deadline
-        already, but the process may have been suspended since then. Without another
-        check here, the request could run long after its caller received a timeout.
+        cancelled, its deadline has passed, or its backend server drains. The admission
+        has checked all of them, but the connection may have taken a second since then,
+        and the process may have been suspended. Without another check here, the request
+        could run long after its caller received a timeout, or after a confirmed drain.
 
         The result is also False if the request was sent before: libcurl sends a request
         again by itself if a kept connection ends without an answer. It does not know
@@ -79,6 +84,9 @@
         if now_s >= self.deadline_s:
             self.too_late = True
             return False
+        if not self.accepts_work():
+            self.is_draining = True
+            return False
         self.sent, self._sent_s = True, now_s
         self._sent_on_kept_connection = is_kept
         return True
@@ -125,6 +133,8 @@
             or self._timed_out_before_sending()
         ):
             reason = Reason.DEADLINE
+        elif self.is_draining:
+            reason = Reason.DRAINING
         elif not self.sent:
             reason = Reason.UNREACHABLE
         elif self.reader.has_overrun:
--- a/balsamspindle/backend_servers/gate.py
+++ b/balsamspindle/backend_servers/gate.py
@@ -139,6 +139,7 @@
         self._attempts = AttemptTable()
         self._ledger = RunLedger(events.node_id, events.incarnation)
         runner = Runner(
+            servers,
             client,
             events,
             observer,
--- a/balsamspindle/backend_servers/runner.py
+++ b/balsamspindle/backend_servers/runner.py
@@ -21,7 +21,10 @@
 from balsamspindle.backend_servers.failed_calls import FailedCalls
 from balsamspindle.backend_servers.refusals import classify_result, is_misdirected
 from balsamspindle.backend_servers.resends import Resends
-from balsamspindle.backend_servers.servers import LocalBackendServer
+from balsamspindle.backend_servers.servers import (
+    LocalBackendServer,
+    LocalBackendServers,
+)
 from balsamspindle.backend_servers.work_ends import (
     call_outcome,
     run_end,
@@ -43,6 +46,7 @@
 
     def __init__(
         self,
+        servers: LocalBackendServers,
         client: BackendServerClient,
         events: EventLog,
         observer: HealthObserver,
@@ -54,6 +58,7 @@
         answer_terms: AnswerTerms,
         resends: Resends,
     ) -> None:
+        self._servers = servers
         self._client = client
         self._events = events
         self._observer = observer
@@ -106,6 +111,7 @@
                     lambda cause: self._resends.try_permit(
                         dispatch, server, cause, deadline_s, time.monotonic()
                     ),
+                    accepts_work=lambda: self._servers.accepts_work(server),
                     on_sent=earlier_counts.append,
                 )
                 was_sent = isinstance(result, BackendAnswer) or result.sent
--- a/balsamspindle/backend_servers/servers.py
+++ b/balsamspindle/backend_servers/servers.py
@@ -282,8 +282,12 @@
     def accepts_work(self, server: LocalBackendServer) -> bool:
         """Return whether a backend server is ready, and has not restarted since."""
         with self.changed:
-            is_current = self._servers.get(server.backend_server_id) is server
-            return is_current and server.state is BackendServerState.READY
+            current = self._servers.get(server.backend_server_id)
+            return (
+                current is not None
+                and current.announcement.boot_id == server.announcement.boot_id
+                and current.state is BackendServerState.READY
+            )
 
     def all(self) -> list[LocalBackendServer]:
         """Return all backend servers as a new list."""
--- a/balsamspindle/backend_servers/work_ends.py
+++ b/balsamspindle/backend_servers/work_ends.py
@@ -46,6 +46,7 @@
 _FAILURE_RESULTS = {
     Reason.CANCELLED: WorkResult.CANCELLED,
     Reason.DEADLINE: WorkResult.CANCELLED,
+    Reason.DRAINING: WorkResult.CANCELLED,
     Reason.SILENCE: WorkResult.SILENCE,
     Reason.UNREACHABLE: WorkResult.UNREACHABLE,
     Reason.SHED: WorkResult.SHED,
