--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -17,7 +17,9 @@
 from balsamspindle.platform.configuration import operator_row
 from balsamspindle.platform.settings import RetryBounds
 from balsamspindle.platform.store import HttpTableService
+from balsamspindle.protocol.outcomes import Outcome, Reason
 from balsamspindle.requests.claims import CLAIMS_TABLE, ClaimsTable, GateIdentity
+from balsamspindle.requests.key_claimant import KeyClaimant
 from balsamspindle.settings.configuration import CurrentConfiguration
 from balsamspindle.settings.reader import PEERS_WAIT_MAX_S, SettingsReader
 from balsamspindle.settings.results import SettingsUnavailable
@@ -34,7 +36,7 @@
 from balsamspindle.settings.watcher import SettingsWatcher
 from balsamspindle.tables.row_decoder import REPORTED_MAX
 from balsamspindle.timeline import EventLog, HybridClock
-from balsamspindle.wire import NodeRecord, Sender, encode_member
+from balsamspindle.wire import AttemptId, NodeRecord, Reply, Sender, encode_member
 from tests.odd_inputs import ODD_BODIES, ODD_NUMBERS, ODD_PORTS, put_raw_rows
 from tests.settings_probes import configuration as operator_configuration
 from tests.utils import PlatformInProcess, call
@@ -215,6 +217,11 @@
     assert claims.read("s:key", deadline_s).is_error()
     gate = GateIdentity("own", 1)
     assert claims.write("s:key", 0, gate, 1.0, deadline_s) is None
+    claimant = KeyClaimant(claims, "s", "key", deadline_s)
+    claimant.look_up()
+    assert claimant.claim_for(gate, 1.0) is Reason.CLAIMS_UNAVAILABLE
+    refused = Reply(AttemptId("own", 1, 1), Outcome.NOT_RUN, Reason.CLAIMS_UNAVAILABLE)
+    assert claimant.final_reply(refused).outcome is Outcome.UNKNOWN
     assert len(reader.reported()) == (name != "null")
 
 
