A late leave does not exclude a running backend server for good

Callers could see: a backend server that restarted under its id never gets work again.

Cause: a leave that names no start covers each start up to its arrival. One that arrives late, after the same id has restarted, also covers the new start, and all announcements of it are ignored; each further process of the node restores the drain. A start that was already announced was ended by such a leave before, too.

Change: such a leave, and one that was restored, is in doubt. A backend server that has left sends no announcements, and none is late by more than seconds. So one that arrives 30 s after the leave disproves it, and the backend server gets work again. A leave that names its start is certain.

Remains: the row of the drain stays, so the 30 s begin anew in the node's next process.

--- a/balsamspindle/backend_servers/lifetimes.py
+++ b/balsamspindle/backend_servers/lifetimes.py
@@ -33,8 +33,14 @@
 # follows for this long, the first announcement was late. Announcements of the replaced
 # lifetime or of the replaced backend server are then no longer ignored.
 REPLACED_SILENT_S = 4.0
+# A backend server that has left sends no announcement, and none is later than this. So
+# an announcement after that time proves that the leave was a late one of an earlier
+# lifetime. With a shorter time, a late announcement would undo a leave; with a longer
+# one, a running backend server would get no work for as long.
+ANNOUNCEMENT_LATE_MAX_S = 30.0
 _EARLIER_START = "a later start of the backend server is known"
 _RESTORED = "an earlier process of this node has confirmed it"
+_OUTLIVED = "it has announced itself long after it was said to leave"
 
 
 class AnnouncedStatus(NamedTuple):
@@ -59,13 +65,26 @@
 
 @dataclass
 class _Lifetime:
-    """One lifetime of a backend server, with its last announced state."""
+    """One lifetime of a backend server, with its last announced state.
+
+    Attributes
+    ----------
+    doubted_leave_s : float or None
+        When the leave was recorded, if it may be a late one of an earlier lifetime: it
+        named no start, or an earlier process has confirmed it.
+    """
 
     start_unix_ms: int
     sequence: int
     announced_s: float
     has_left: bool = False
     is_draining: bool = False
+    doubted_leave_s: float | None = None
+
+    def has_outlived_leave(self, now_s: float) -> bool:
+        """Return whether an announcement that arrives now disproves the leave."""
+        leave_s = self.doubted_leave_s
+        return leave_s is not None and now_s - leave_s >= ANNOUNCEMENT_LATE_MAX_S
 
     def ended_before(self, status: AnnouncedStatus) -> bool:
         """Return whether an announcement proves that this lifetime has ended.
@@ -84,8 +103,11 @@
         new lifetime, too. Announcements with an earlier start time are therefore
         accepted once no announcement of this lifetime has arrived for
         `REPLACED_SILENT_S`. If the backend server has left or begun to drain in this
-        lifetime, announcements with an earlier start time are always ignored.
+        lifetime, they are always ignored, unless they disprove a leave that is in
+        doubt.
         """
+        if self.has_outlived_leave(now_s):
+            return False
         is_silent = now_s - self.announced_s >= REPLACED_SILENT_S
         return self.has_left or self.is_draining or not is_silent
 
@@ -140,6 +162,7 @@
         cause: str | None = None,
         start_unix_ms: int = 0,
         received_unix_ms: int = 0,
+        now_s: float | None = None,
     ) -> None:
         """Drain a leaving backend server; ignore its lifetime's later announcements.
 
@@ -153,9 +176,12 @@
             announcement may arrive after the message that it leaves.
         received_unix_ms : int
             When the backend server said that it leaves; 0 if it did not say so.
+        now_s : float, optional
+            The present time, if the leave is in doubt when it names no start.
         """
         with self._lock:
             lifetime = self._lifetimes.get(server_id)
+            doubted_leave_s = None if start_unix_ms else now_s
             if not start_unix_ms:
                 known_ms = 0 if lifetime is None else lifetime.start_unix_ms
                 start_unix_ms = max(known_ms, received_unix_ms)
@@ -166,7 +192,7 @@
                     "announcement_ignored", server_id, _EARLIER_START, start_unix_ms
                 )
                 return
-            lifetime.has_left = True
+            lifetime.has_left, lifetime.doubted_leave_s = True, doubted_leave_s
             self._servers.drain(server_id)
             self._emit(
                 "backend_server_leaving", server_id, cause, lifetime.start_unix_ms
@@ -185,7 +211,7 @@
             boot_id = _boot_id(server_id, start_unix_ms)
             return DrainedServer(server_id, boot_id, start_unix_ms)
 
-    def restore(self, drained: DrainedServer) -> None:
+    def restore(self, drained: DrainedServer, now_s: float) -> None:
         """Record a drain that an earlier process of this node has confirmed."""
         server_id, start_unix_ms = drained.backend_server_id, drained.start_unix_ms
         self._servers.restore_drained(server_id, drained.boot_id)
@@ -196,7 +222,7 @@
             if lifetime is None or lifetime.start_unix_ms < start_unix_ms:
                 lifetime = self._add(server_id, _Lifetime(start_unix_ms, 0, 0.0))
             if lifetime.start_unix_ms == start_unix_ms:
-                lifetime.has_left = True
+                lifetime.has_left, lifetime.doubted_leave_s = True, now_s
                 self._servers.drain(server_id)
                 self._emit(
                     "backend_server_leaving", server_id, _RESTORED, start_unix_ms
@@ -237,7 +263,7 @@
             return _EARLIER_START if lifetime.blocks_earlier_lifetimes(now_s) else None
         if status.start_unix_ms > lifetime.start_unix_ms:
             return None
-        if lifetime.has_left:
+        if lifetime.has_left and not lifetime.has_outlived_leave(now_s):
             return "the backend server has left"
         if status.sequence <= lifetime.sequence:
             return "a later announcement arrived first"
@@ -270,6 +296,10 @@
             self._servers.mark_replaced(replaced, now_s)
             self._emit("backend_server_replaced", replaced, f"by {server_id}")
         lifetime = self._lifetimes.get(server_id)
+        has_outlived_leave = lifetime is not None and lifetime.has_outlived_leave(now_s)
+        if has_outlived_leave:
+            lifetime.has_left = lifetime.is_draining = False
+            lifetime.doubted_leave_s = None
         has_restarted = lifetime is not None and lifetime.ended_before(status)
         if lifetime is None or lifetime.start_unix_ms != status.start_unix_ms:
             lifetime = self._add(
@@ -296,6 +326,11 @@
                 announcement.service,
                 status.start_unix_ms,
             )
+        if has_outlived_leave:
+            self._servers.undrain(server_id)
+            self._emit(
+                "backend_server_ready", server_id, _OUTLIVED, status.start_unix_ms
+            )
         if status.is_draining:
             # Again with each such announcement: an operator may have ended the drain.
             self._servers.drain(server_id)
--- a/balsamspindle/drains/own_drains.py
+++ b/balsamspindle/drains/own_drains.py
@@ -31,7 +31,8 @@
     incarnation : int
         Incarnation at the start of this process.
     on_restored : callable
-        Called with each drain that an earlier process of this node confirmed.
+        Called with each drain that an earlier process of this node confirmed, and the
+        present time.
     share : callable
         Sends the drains to peers.
     clock : callable
@@ -48,7 +49,7 @@
         node_id: str,
         incarnation: int,
         events: EventLog,
-        on_restored: Callable[[DrainedServer], None] = lambda server: None,
+        on_restored: Callable[[DrainedServer, float], None] = lambda *_: None,
         share: Callable[[NodeDrains], None] = lambda drains: None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -128,7 +129,7 @@
         # Apply the drains before announcements are accepted.
         for server in restored:
             if server.backend_server_id not in self._decided:
-                self._on_restored(server)
+                self._on_restored(server, self._clock())
         if restored:
             source = "store" if from_store else "peer"
             self._events.emit("drains_restored", drains=len(restored), source=source)
--- a/balsamspindle/node/drain_parts.py
+++ b/balsamspindle/node/drain_parts.py
@@ -27,7 +27,8 @@
     tables : TableService or None
         The store; None if the node uses no platform.
     on_restored : callable
-        Called with each drain that an earlier process of this node confirmed.
+        Called with each drain that an earlier process of this node confirmed, and the
+        present time.
 
     Attributes
     ----------
@@ -42,7 +43,7 @@
         events: EventLog,
         tables: TableService | None,
         eras: NodeEras,
-        on_restored: Callable[[DrainedServer], None],
+        on_restored: Callable[[DrainedServer, float], None],
     ) -> None:
         self.drains = OwnDrains(
             own.node_id,
--- a/balsamspindle/platform/announcements.py
+++ b/balsamspindle/platform/announcements.py
@@ -184,7 +184,10 @@
         check_born(body.born, time.time() * 1000)
         self._drains.wait_restored()
         self._lifetimes.record_leave(
-            server_id, start_unix_ms=body.born, received_unix_ms=received_unix_ms
+            server_id,
+            start_unix_ms=body.born,
+            received_unix_ms=received_unix_ms,
+            now_s=time.monotonic(),
         )
         self._keep_drain(server_id)
 
--- a/tests/test_confirmed_drains.py
+++ b/tests/test_confirmed_drains.py
@@ -313,7 +313,7 @@
     drains.add(DrainedServer("b", "boot", has_announced=False))
     drains.remove("a")
     restored = []
-    later = OwnDrains("one", 2, _NoEvents(), restored.append)
+    later = OwnDrains("one", 2, _NoEvents(), lambda server, _: restored.append(server))
     later.restore(drains.current(), from_store=True)
     assert [one.backend_server_id for one in restored] == ["b"]
     later.record_kept(later.current().version._replace(number=100))
@@ -332,7 +332,7 @@
 
 def test_a_process_whose_clock_is_behind_takes_over_the_drains():
     restored = []
-    drains = OwnDrains("one", 5, _NoEvents(), restored.append)
+    drains = OwnDrains("one", 5, _NoEvents(), lambda server, _: restored.append(server))
     earlier = OwnDrains("one", 9, _NoEvents())
     earlier.record_kept(earlier.current().version._replace(number=100))
     earlier.add(DrainedServer("a", "boot"))
