A peer keeps drains until the node's present process knows them

Callers could see: requests that reach a backend server after its leaving was confirmed, if the node was killed while the store was away and then confirmed another drain.

Cause: a peer replaced the drains that it kept for a node by those of the node's next process, although this process had not received the earlier ones yet.

Change: a peer that keeps drains which the new ones lack, and which were not delivered, sends them instead of an acknowledgement. The node takes them over and sends all.

--- a/balsamspindle/drains/peers.py
+++ b/balsamspindle/drains/peers.py
@@ -28,6 +28,11 @@
         self.drains = drains
         self.sent_incarnation = self.delivered_incarnation = drains.incarnation
 
+    def is_unknown_to(self, later: NodeDrains) -> bool:
+        """Return whether the node's later process lacks any of the drains."""
+        is_delivered = self.delivered_incarnation >= later.incarnation
+        return not is_delivered and not set(self.drains.drained) <= set(later.drained)
+
 
 class DrainPeers:
     """Exchanges confirmed drains with peers; thread-safe.
@@ -75,14 +80,15 @@
     def receive(self, peer_address: str, drains: NodeDrains) -> None:
         """Keep a peer's drains, or restore those of this node; acknowledge them.
 
-        If this node keeps the drains of a process with a higher incarnation, because
-        the wall clock of the peer's VM was set back, it sends these instead.
+        This node sends what it keeps instead, if that is of a process with a higher
+        incarnation, because the wall clock of the peer's VM was set back, or if the
+        peer's present process does not know it yet.
         """
         if drains.node_id == self._node_id:
             self._drains.restore(drains)
         else:
             known = self._keep(drains)
-            if known.incarnation > drains.incarnation:
+            if known.incarnation != drains.incarnation:
                 self._send(peer_address, known)
                 return
         kept = DrainsKept(drains.node_id, drains.incarnation, drains.number)
@@ -99,11 +105,17 @@
                 one.delivered_incarnation = one.sent_incarnation
 
     def _keep(self, drains: NodeDrains) -> NodeDrains:
-        """Keep a node's drains unless newer ones are known; return the newest ones."""
+        """Keep a node's drains, unless others are known that must be kept; return them.
+
+        These are newer ones, and those that the node's present process does not know.
+        """
         with self._lock:
             known = self._kept.get(drains.node_id)
             if known is not None and known.drains.version >= drains.version:
                 return known.drains
+            if known is not None and known.is_unknown_to(drains):
+                known.sent_incarnation = drains.incarnation
+                return known.drains
             self._kept[drains.node_id] = _Kept(drains)
             self._kept.move_to_end(drains.node_id)
             if len(self._kept) > KEPT_NODES_MAX:
