Drains are kept again after a process takes a higher incarnation

Callers could see: a confirmed drain that the node's next process does not know, if the wall clock was set back between two earlier ones.

Cause: a process that learns of an earlier one with a higher incarnation takes a higher one itself. What the store and peers kept under its lower incarnation still counted as kept, but is older than the earlier process's, so the next process ignores it.

Change: its drains then count as not kept, and are sent to peers and written again.

--- a/balsamspindle/drains/own_drains.py
+++ b/balsamspindle/drains/own_drains.py
@@ -119,17 +119,19 @@
             None if the store has none.
         """
         restored: tuple[DrainedServer, ...] = ()
+        must_share = False
         with self.changed:
             if drains is not None and self._is_news(drains):
                 restored = drains.drained
                 self._inherited = drains
                 self._number += not from_store
-                # The wall clock, from which incarnations are made, may be behind.
-                self._incarnation = max(self._incarnation, drains.incarnation + 1)
+                must_share = self._follow(drains.incarnation)
         # Apply the drains before announcements are accepted.
         for server in restored:
             if server.backend_server_id not in self._decided:
                 self._on_restored(server, self._clock())
+        if must_share:
+            self._share(self.current())
         if restored:
             source = "store" if from_store else "peer"
             self._events.emit("drains_restored", drains=len(restored), source=source)
@@ -146,6 +148,20 @@
                 self._kept_number, self._keeper = version.number, keeper
                 self.changed.notify_all()
 
+    def _follow(self, earlier_incarnation: int) -> bool:
+        """Take a higher incarnation than that of the process whose drains are restored.
+
+        The wall clock, from which incarnations are made, may be behind. What the store
+        and peers keep under the lower incarnation is no news to the next process.
+        Return True if it therefore has to be kept again.
+        """
+        if self._incarnation > earlier_incarnation:
+            return False
+        self._incarnation = earlier_incarnation + 1
+        self._kept_number = 0
+        self._number += 1
+        return True
+
     def _is_news(self, drains: NodeDrains) -> bool:
         is_own = drains.incarnation == self._incarnation
         return not is_own and drains.version > self._inherited.version
