--- a/tests/test_confirmed_drains_processes.py
+++ b/tests/test_confirmed_drains_processes.py
@@ -115,3 +115,30 @@
         # Long enough for news to reach the other nodes.
         time.sleep(1.5)
         assert ready_servers(nodes[2]) == {"i-2"}
+
+
+def test_a_leaving_that_peers_alone_keep_holds_after_all_nodes_are_killed():
+    """Guards against a drain that is confirmed, and known to no process any more."""
+    with PlatformFleet() as fleet:
+        nodes = start_with_ready_servers(fleet)
+        fleet.store.set_fault(mode="down")
+        assert announce(nodes[0], "i-0", "draining", 2) == 200
+        assert has_left(nodes[1], "i-1")
+        for node in nodes:
+            node.kill()
+        for node in nodes:
+            node.start()
+        fleet.store.set_fault(mode="none")
+        for node in nodes:
+            wait_until(
+                lambda node=node: (
+                    node.known_node_count() == NODES and node.revision() >= 1
+                ),
+                "the restarted node knows all nodes and has settings",
+            )
+        for number, node in enumerate(nodes[:2]):
+            announce(node, f"i-{number}", "ready", 9)
+        announce(nodes[2], "i-2", "ready", 2)
+        # Long enough for news to reach the other nodes.
+        time.sleep(1.5)
+        assert ready_servers(nodes[2]) == {"i-2"}
