Odd header values of answers: two ids, lengths and eras of thousands of digits

Callers could see: an answer that repeats two different request ids is given to the request of the first one; an answer whose length has thousands of digits ended with a traceback in the log. With such an era in an answer of the store, the reading task failed; after an era of 30 digits all later answers of the store counted as older ones.

Cause: the first of several ids was compared, and digits were converted without a bound.

Change: all ids of an answer must be the request's own. A length is read up to 19 digits, which is over any limit. An era has to fit into a row's version.

--- a/balsamspindle/backend_servers/answers.py
+++ b/balsamspindle/backend_servers/answers.py
@@ -34,6 +34,9 @@
 _BODILESS_STATUSES = frozenset({204, 304})
 # Characters of a foreign answer's request id that are logged.
 ID_MAX_LOGGED = 64
+# Python does not convert thousands of digits. A longer length, cut to this, is still
+# larger than any limit.
+LENGTH_MAX_DIGITS = 19
 # How long a call may go on after it has to end, to read what has already arrived.
 OVERRUN_MAX_S = 0.2
 # A header line (RFC 9110, 5.1 and 5.5): a token as its name, and no control characters
@@ -300,7 +303,9 @@
     def _read_length(self) -> int:
         """Return the body's length as the head states it; 0 without a length."""
         lengths = [] if self._codings() else self._values("content-length")
-        return int(lengths[0]) if lengths and lengths[0].isdecimal() else 0
+        if not lengths or not lengths[0].isdecimal():
+            return 0
+        return int(lengths[0][:LENGTH_MAX_DIGITS])
 
     def _foreign_cause(self, answer: BackendAnswer, is_first: bool) -> str | None:
         """Return why an answer does not belong to this request, None if it does.
@@ -319,10 +324,12 @@
         """
         names, is_success = self._names, 200 <= answer.status < 300
         if names.echoes_request_id:
-            echoed = answer.header(names.request_id)
+            echoed = self._values(names.request_id.lower())
+            others = [one for one in echoed if one != self._request_id]
             needs_id = self._request_id and (is_success or not is_first)
-            if (echoed or "") != self._request_id and (needs_id or echoed is not None):
-                return f"the answer belongs to request {_logged_id(echoed)}"
+            if others or (needs_id and not echoed):
+                other = others[0] if others else None
+                return f"the answer belongs to request {_logged_id(other)}"
         needs_signature = names.signature and is_success and self._request_id
         if needs_signature and answer.header(names.signature) is None:
             return "the answer has no signature header"
--- a/balsamspindle/tables/eras.py
+++ b/balsamspindle/tables/eras.py
@@ -7,6 +7,7 @@
 writes never have the same version.
 """
 
+import re
 import threading
 import time
 from collections.abc import Callable
@@ -15,6 +16,10 @@
 
 # More writes than a store makes within an era: 4,000 a second for nearly nine years.
 NUMBERS_PER_ERA = 1 << 40
+# A row version has 63 bits.
+ERA_MAX = (1 << 23) - 1
+
+_is_era = re.compile(r"[0-9]{1,7}").fullmatch
 
 
 def pack_version(era: int, number: int) -> int:
@@ -83,8 +88,8 @@
             if self.newest:
                 self._on_invalid("the store's answer has no era")
             return self.newest
-        if not reported.isdecimal():
-            self._on_invalid(f"the store's era is not a number: {reported[:40]!r}")
+        if not _is_era(reported) or int(reported) > ERA_MAX:
+            self._on_invalid(f"the store's era is no valid number: {reported[:40]!r}")
             return None
         era = int(reported)
         before = self.record_era(era)
