Store era: a number of thousands of digits ended the calling task

Operators would have seen a node end after one answer of the store whose `Store-Era` has more than 4,300 digits (`int` raises ValueError), and, after one of 400 digits, all later answers dropped and all its own messages refused by peers, whose type has a bound of 2^53.

An era above 2^53, or with more than 20 digits, is now no era: the answer is dropped and `store_era_odd` says so, as for other malformed eras. With the code before, 3 of 7 odd eras of the test failed. Taken back: a bound of 2^23, below which a row version fits 63 bits, also for eras that peers report.

--- a/balsamspindle/tables/eras.py
+++ b/balsamspindle/tables/eras.py
@@ -15,6 +15,9 @@
 
 # More writes than a store makes within an era: 4,000 a second for nearly nine years.
 NUMBERS_PER_ERA = 1 << 40
+# Peers drop messages with a higher era.
+ERA_MAX = 1 << 53
+ERA_DIGITS_MAX = 20
 
 
 def pack_version(era: int, number: int) -> int:
@@ -83,8 +86,12 @@
             if self.newest:
                 self._on_invalid("the store's answer has no era")
             return self.newest
-        if not reported.isdecimal():
-            self._on_invalid(f"the store's era is not a number: {reported[:40]!r}")
+        # `int` raises an exception for thousands of digits.
+        is_number = reported.isdecimal() and len(reported) <= ERA_DIGITS_MAX
+        if not is_number or int(reported) > ERA_MAX:
+            self._on_invalid(
+                f"the store's era is no number up to {ERA_MAX}: {reported[:40]!r}"
+            )
             return None
         era = int(reported)
         before = self.record_era(era)
--- a/tests/test_odd_messages.py
+++ b/tests/test_odd_messages.py
@@ -12,6 +12,7 @@
 from balsamspindle.membership.transport import Route
 from balsamspindle.node.process import NodeProcess
 from balsamspindle.settings.process import NodeSettings
+from balsamspindle.tables.eras import ERA_MAX, StoreEras
 from balsamspindle.wire import Sender, encode_member
 from tests.platform_fleet import PlatformFleet
 from tests.settings_probes import configuration
@@ -148,3 +149,16 @@
         log = other.log_path.read_text()
         assert "Traceback" not in log
         assert "event=task_failed" not in log
+
+
+@pytest.mark.parametrize(
+    "text", ["9" * 5000, "9" * 400, str(ERA_MAX + 1), "-1", "1.5", "", "NaN"]
+)
+def test_an_odd_era_in_an_answer_of_the_store_is_not_believed(text):
+    """Guards against an era that ends the calling task, or hides all later answers."""
+    causes = []
+    eras = StoreEras(on_invalid=causes.append)
+    assert eras.record_answer("3") == 3
+    assert eras.record_answer(text) is None
+    assert len(causes) == 1 and len(causes[0]) < 200
+    assert eras.record_answer("3") == 3
