--- a/balsamspindle/crashes/verdicts.py
+++ b/balsamspindle/crashes/verdicts.py
@@ -13,7 +13,6 @@
 __all__ = [
     "CRASHES_MIN",
     "NO_EVIDENCE",
-    "PAUSE_S",
     "RETRIED_WITHIN_S",
     "RATE_LEAD_S",
     "CauseEvidence",
@@ -21,7 +20,6 @@
     "coincidence_probability",
     "is_cause",
     "likeliest_cause",
-    "paused_until_s",
 ]
 
 # A request counts as the cause of crashes only if at least this many are attributed to
@@ -30,20 +28,15 @@
 # A request counts as the cause when the probability that it was running at its crashes
 # by coincidence is less than this.
 COINCIDENCE_MAX = 1e-5
-# A request to which `CRASHES_MIN` crashes are attributed is not sent until this long
-# after the last of them, while it is not proved to be the cause. Otherwise a cause that
-# callers repeat at once would end one more backend server each time. A request that ran
-# at the crashes by coincidence is refused for no longer than this.
-PAUSE_S = 3.0
 # A request to which this many crashes are attributed, all after similar run times,
 # counts as the cause of these crashes, whatever the rate of other crashes.
 CRASHES_SUFFICIENT = 6
 # For CRASHES_SUFFICIENT, run times count as similar if
 # longest <= SIMILAR_TIME_FACTOR * shortest + SIMILAR_TIME_S.
 SIMILAR_TIME_FACTOR, SIMILAR_TIME_S = 2.0, 0.1
-# The crashes of a service are counted over a window that begins this long before the
+# The crash rate of a service is computed over a window that begins this long before the
 # first crash attributed to a request and ends with the last one. In a longer window, a
-# wave of crashes that lasts two seconds would count for too little. A request that
+# wave of crashes that lasts two seconds would raise the rate too little. A request that
 # runs during the wave by coincidence would then count as its cause.
 RATE_LEAD_S = 1.0
 # A crash is attributed to the request that most probably caused it. That request's
@@ -172,13 +165,12 @@
     """Return whether a request causes the crashes that are attributed to it.
 
     The number of crashes at which a request is expected to be running by coincidence is
-    the number of crashes times the fraction of the time at the service's backend
-    servers for which the request was running. A request that crashes backend servers is
-    running at far more crashes than that.
+    the crash rate times the total run time of the request. A request that crashes
+    backend servers is running at far more crashes than that.
 
-    The number includes the crashes attributed to the request. A request that many
-    callers send runs at nearly all backend servers, so it is running at nearly each
-    crash, whatever the cause. If only other crashes were counted, their number would be
+    The rate includes the crashes attributed to the request. A request that many callers
+    send runs at nearly all backend servers, so it is running at nearly each crash,
+    whatever the cause. If the rate were computed from other crashes only, it would be
     near 0, and the request would count as the cause.
     """
     if len(evidence.crashes) >= CRASHES_SUFFICIENT and _has_similar_run_times(
@@ -189,12 +181,6 @@
     return has_enough and coincidence_probability(evidence) < COINCIDENCE_MAX
 
 
-def paused_until_s(evidence: CauseEvidence) -> float:
-    """Return until when a request must not be sent, because it may be a cause."""
-    crashes = independent_crashes(evidence.crashes)
-    return crashes[-1].at_s + PAUSE_S if len(crashes) >= CRASHES_MIN else -math.inf
-
-
 def _has_similar_run_times(crashes: Sequence[AttributedCrash]) -> bool:
     """Return whether a request was running for about the same time at all its crashes.
 
@@ -211,26 +197,16 @@
     crashes = independent_crashes(evidence.crashes)
     count = len(crashes)
     window_s = crashes[-1].at_s - crashes[0].at_s + RATE_LEAD_S
-    run_s = sum(max(crash.ran_s, RUN_TIME_MIN_S) for crash in crashes)
-    occupancy = run_s / (window_s * max(1, evidence.server_count))
-    total_count = max(count, evidence.service_crash_count)
-    return _count_probability(
-        count, total_count, occupancy
-    ) * _similar_times_probability(crashes)
+    rate = evidence.service_crash_count / (window_s * max(1, evidence.server_count))
+    expected = rate * sum(max(crash.ran_s, RUN_TIME_MIN_S) for crash in crashes)
+    return _count_probability(count, expected) * _similar_times_probability(crashes)
 
 
-def _count_probability(count: int, total_count: int, occupancy: float) -> float:
-    """Return the binomial probability of running at exactly `count` of the crashes.
+def _count_probability(count: int, expected: float) -> float:
+    """Return the Poisson probability of exactly `count` crashes, with mean `expected`.
 
-    Returns 1 if the expected number of crashes is `count` or more.
-
-    Parameters
-    ----------
-    occupancy : float
-        Fraction of the service's time at all its backend servers for which the request
-        was running, so its probability of running at any one crash.
+    Returns 1 if `expected` is `count` or more.
     """
-    expected = total_count * occupancy
     if expected >= count:
         return 1.0
     # The result approximates the probability of `count` or more crashes by that of
@@ -239,8 +215,7 @@
     # together are then less probable than `count` (1/2 + 1/4 + ... = 1). So the result
     # is more than half of the probability of `count` or more crashes. As `expected`
     # rises towards `count`, the result becomes a smaller fraction of that probability.
-    ways = math.comb(total_count, count)
-    return ways * occupancy**count * (1 - occupancy) ** (total_count - count)
+    return expected**count * math.exp(-expected) / math.factorial(count)
 
 
 def _similar_times_probability(crashes: Sequence[AttributedCrash]) -> float:
