A cut body is not filled up with a second answer

Callers could see: a 200 whose body has the stated length, but ends with the head of another answer, where a backend server breaks off within its body and then answers again on the same connection.

Cause: the search for an answer within a body was made for bodies without a length only.

Change: all bodies are searched for the head of an answer to a request of this connection.

Remains: a cut so near the end that the id of the second answer is not in the body.

--- a/balsamspindle/backend_servers/answers.py
+++ b/balsamspindle/backend_servers/answers.py
@@ -261,7 +261,7 @@
             bytes(self._body),
         )
         error = self._foreign_cause(answer, is_first)
-        if error is None and self.ends_with_connection(status, method):
+        if error is None:
             error = self._second_answer(was_sent)
         if error is not None:
             return BackendFailure(Reason.BROKEN_ANSWER, True, error, is_foreign=True)
--- a/balsamspindle/backend_servers/inner_heads.py
+++ b/balsamspindle/backend_servers/inner_heads.py
@@ -1,7 +1,8 @@
 """Finds an answer within the body of another answer.
 
 The body of an answer without a length ends where the connection ends. If the backend
-server sends an earlier answer again before that, the copy is a part of the body.
+server sends an earlier answer again before that, the copy is a part of the body. A body
+with a length that is cut is filled up with the bytes of such a copy.
 """
 
 import re
@@ -15,6 +16,7 @@
 # Lines with an id that are looked at. A body with more of them takes too long to
 # search, and is no usual document.
 LINES_MAX = 100
+_STATUS_START = b"HTTP/1."
 _search_status = re.compile(rb"HTTP/1\.[01] [0-9]{3}").search
 _find_blank_lines = re.compile(rb"\r?\n\r?\n").finditer
 
@@ -29,6 +31,8 @@
     was_sent : callable
         Returns whether an id is of interest.
     """
+    if _STATUS_START not in body:
+        return None
     count = 0
     for line in _id_pattern(id_name).finditer(body):
         request_id = line[1].decode("latin-1")
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -126,6 +126,17 @@
             self.assertTrue(failure.is_foreign)
             self.assertEqual(2, len(server.requests))
 
+    def test_a_cut_body_is_not_filled_up_with_a_second_answer(self):
+        # Guards against a body of the stated length whose end is another answer.
+        whole = answer_with_length(
+            b"0123456789" * 40, b"X-Request-Id: r1\r\nX-Signature: s\r\n"
+        )
+        for cut in (whole[:-390], whole[:-200]):
+            server = RawServer(lambda number, cut=cut: (cut + whole, False))
+            self.addCleanup(server.close)
+            failure = _call(BackendServerClient(1000, NAMES), server, "r1")
+            self.assertEqual((Reason.BROKEN_ANSWER, True), failure[:2])
+
     def test_a_body_may_show_answers_to_requests_that_were_not_sent_there(self):
         # Guards against the loss of a download that quotes answers, and of one that
         # quotes its own request.
