Decoders handle all errors of msgspec; two comments in plainer words

EncodeError is no ValueError, and a value that can't be encoded again was to be an InputError. Found in the read-through; no input is known that raises it there.

--- a/balsamspindle/backend_servers/sent_requests.py
+++ b/balsamspindle/backend_servers/sent_requests.py
@@ -28,10 +28,11 @@
         self._id_hashes.append(hash(request_id))
 
     def may_send(self, request_id: str) -> bool:
-        """Return whether an answer on this connection can be told from earlier ones.
+        """Return whether a request may be sent on this connection.
 
-        That is so for requests without an id, too: an answer with an id is none to
-        them, and no caller gets an answer to them.
+        A request with an id may be sent once. One without an id, such as a status
+        check, may follow others: an answer with an id is rejected for it, and its
+        answer is passed on to no caller.
         """
         if len(self._id_hashes) >= REQUESTS_MAX:
             return False
--- a/balsamspindle/drains/own_drains.py
+++ b/balsamspindle/drains/own_drains.py
@@ -62,7 +62,7 @@
         self.changed = threading.Condition()
         self._number = 0
         self._kept_number = 0
-        # What was the first to keep the latest kept version.
+        # Who acknowledged `_kept_number` first: "store" or "peer".
         self._keeper: str | None = None
         # What this process decided: a drain, or None for a drain that ended.
         self._decided: dict[str, DrainedServer | None] = {}
--- a/balsamspindle/protocol/decoding.py
+++ b/balsamspindle/protocol/decoding.py
@@ -34,9 +34,9 @@
 MESSAGE_MAX_CHARACTERS = 200
 DECODERS_MAX = 100
 
-# `msgspec.MsgspecError` and `UnicodeError` are a `ValueError`; msgspec raises
-# `RecursionError` for deep nesting.
-INPUT_FAILURES = (ValueError, OverflowError, RecursionError)
+# `UnicodeError` is a `ValueError`. msgspec raises `RecursionError` for deep nesting and
+# `OverflowError` for numbers above 64 bits.
+INPUT_FAILURES = (msgspec.MsgspecError, ValueError, OverflowError, RecursionError)
 
 T = TypeVar("T")
 
